--- /dev/null
+++ b/internal/kernel/kernel_test.go
@@ -0,0 +1,84 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+type unit struct {
+	name         string
+	events       *[]string
+	drainFor     time.Duration
+	provisionErr error
+}
+
+func (u *unit) Name() string { return u.name }
+
+func (u *unit) Provision(context.Context) error {
+	*u.events = append(*u.events, "provision "+u.name)
+	return u.provisionErr
+}
+
+func (u *unit) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (u *unit) Drain(ctx context.Context) error {
+	select {
+	case <-time.After(u.drainFor):
+		*u.events = append(*u.events, "drained "+u.name)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (u *unit) Close() error {
+	*u.events = append(*u.events, "close "+u.name)
+	return nil
+}
+
+// An operator sends SIGTERM, then a second one while a stream still finishes.
+// The caller would see a cut stream if the second signal ended the process.
+// The cause would be a handler that is removed after the first signal.
+func TestSecondSignalDoesNotCutTheDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var events []string
+		signals := make(chan os.Signal, 2)
+		signals <- syscall.SIGTERM
+		signals <- syscall.SIGTERM
+		u := &unit{name: "a", events: &events, drainFor: 5 * time.Second}
+		err := Run(t.Context(), Options{LongestDrain: time.Minute, Signals: signals}, u)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, events, []string{"provision a", "drained a", "close a"})
+	})
+}
+
+func TestDrainPastItsLimitIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var events []string
+		signals := make(chan os.Signal, 1)
+		signals <- syscall.SIGTERM
+		u := &unit{name: "a", events: &events, drainFor: time.Hour}
+		err := Run(t.Context(), Options{LongestDrain: time.Second, Signals: signals}, u)
+		assert.ErrorIs(t, err, ErrDrainCut)
+		assert.DeepEqual(t, events, []string{"provision a", "close a"})
+	})
+}
+
+func TestFailedProvisionClosesOnlyEarlierUnits(t *testing.T) {
+	var events []string
+	a := &unit{name: "a", events: &events}
+	b := &unit{name: "b", events: &events, provisionErr: errors.New("port taken")}
+	err := Run(t.Context(), Options{}, a, b)
+	assert.ErrorContains(t, err, "port taken")
+	assert.DeepEqual(t, events, []string{"provision a", "provision b", "close a"})
+}
