Peer links: yamux sessions, handshake, calls and forwarded streams

A frozen peer still acknowledges TCP, so calls are bounded by their context and not by keepalives alone; reconnects back off with jitter and fail at once meanwhile, so that callers choose another peer.

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/code"
+	"fescuestand/internal/wire"
+)
+
+type echo struct{ canceled chan struct{} }
+
+func (e *echo) Handle(_ context.Context, from *wire.Hello, req *wire.PeerRequest) *wire.PeerResponse {
+	return &wire.PeerResponse{Detail: from.Vm, Kind: &wire.PeerResponse_Sheet{
+		Sheet: &wire.SheetBody{Version: req.GetGetSheet().GetAbove()}}}
+}
+
+func (e *echo) Forward(ctx context.Context, _ *wire.Hello, req *wire.Forward, send func(*wire.ForwardFrame) error) error {
+	if req.Path == "/wait" {
+		<-ctx.Done()
+		close(e.canceled)
+		return ctx.Err()
+	}
+	if err := send(&wire.ForwardFrame{Status: 200, Data: req.Body}); err != nil {
+		return err
+	}
+	return send(&wire.ForwardFrame{End: true})
+}
+
+func hello(vm string) *wire.Hello {
+	return &wire.Hello{Protocol: Protocol, Deployment: "d", Vm: vm}
+}
+
+func serve(t *testing.T) (addr string, h *echo) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	h = &echo{canceled: make(chan struct{})}
+	done := make(chan error)
+	go func() { done <- NewServer(hello("server"), h).Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return ln.Addr().String(), h
+}
+
+func TestCallAndForward(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("inner", func(t *testing.T) {
+		addr, _ := serve(t)
+		p := NewPool(hello("client"))
+		defer func() { _ = p.Close() }()
+		resp, err := p.Call(t.Context(), addr, &wire.PeerRequest{Kind: &wire.PeerRequest_GetSheet{GetSheet: &wire.GetSheet{Above: 7}}})
+		assert.NilError(t, err)
+		assert.Equal(t, resp.GetSheet().Version, uint64(7))
+		assert.Equal(t, resp.Detail, "client")
+		frames, err := p.Forward(t.Context(), addr, &wire.Forward{Path: "/x", Body: []byte("b")})
+		assert.NilError(t, err)
+		first, err := frames.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(first.Data), "b")
+		last, err := frames.Next()
+		assert.NilError(t, err)
+		assert.Assert(t, last.End)
+		assert.NilError(t, frames.Close())
+	})
+}
+
+// A caller closes its connection to the first entry while the second one still
+// works on the passed-on request. Without a cancel that crosses the link the
+// engine would go on generating for nobody.
+func TestForwardIsCanceledWhenTheCallerGoes(t *testing.T) {
+	addr, h := serve(t)
+	p := NewPool(hello("client"))
+	defer func() { _ = p.Close() }()
+	frames, err := p.Forward(t.Context(), addr, &wire.Forward{Path: "/wait"})
+	assert.NilError(t, err)
+	assert.NilError(t, frames.Close())
+	<-h.canceled
+}
+
+func TestPeerOfAnotherProtocolIsRefusedWithItsNumber(t *testing.T) {
+	addr, _ := serve(t)
+	other := hello("client")
+	other.Protocol = Protocol + 1
+	_, err := NewPool(other).Call(t.Context(), addr, &wire.PeerRequest{})
+	assert.Equal(t, code.Of(err).Code, code.PeerVersion)
+}
+
+func TestBackoffRefusesAtOnce(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	p := NewPool(hello("client"))
+	_, err = p.Call(t.Context(), addr, &wire.PeerRequest{})
+	assert.Equal(t, code.Of(err).Code, code.PeerGone)
+	_, err = p.Call(t.Context(), addr, &wire.PeerRequest{})
+	assert.Assert(t, code.Of(err).RetryAfter > 0)
+}
+
+func FuzzReadMessage(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 1, 8})
+	f.Add([]byte{255, 255, 255, 255})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		var m wire.PeerRequest
+		_ = readMessage(bytes.NewReader(b), &m)
+	})
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,213 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"fescuestand/internal/code"
+	"fescuestand/internal/wire"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// Reconnects after failures wait between backoffMin and backoffMax, each
+	// wait drawn between half and the whole of the bound, so that the peers of
+	// a restarted VM do not dial it in step.
+	backoffMin = 50 * time.Millisecond
+	backoffMax = 2 * time.Second
+)
+
+// Pool keeps one session to each peer address that is called.
+type Pool struct {
+	hello *wire.Hello
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+type link struct {
+	mu       sync.Mutex
+	session  *yamux.Session
+	remote   *wire.Hello
+	failures int
+	notUntil time.Time
+}
+
+// NewPool returns a pool that introduces itself with hello.
+func NewPool(hello *wire.Hello) *Pool {
+	return &Pool{hello: hello, links: map[string]*link{}}
+}
+
+// Call sends one request to the peer at addr and returns its answer. An error
+// of the transport is numbered PeerGone or PeerVersion.
+func (p *Pool) Call(ctx context.Context, addr string, req *wire.PeerRequest) (*wire.PeerResponse, error) {
+	stream, err := p.open(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	stop := closeAtEnd(ctx, stream)
+	defer stop()
+	if err := writeMessage(stream, req); err != nil {
+		return nil, code.Wrap(code.PeerGone, err, "request to %s", addr)
+	}
+	var resp wire.PeerResponse
+	if err := readMessage(stream, &resp); err != nil {
+		return nil, code.Wrap(code.PeerGone, err, "answer of %s", addr)
+	}
+	return &resp, nil
+}
+
+// Frames is the answer to a forwarded call.
+type Frames struct {
+	stream *yamux.Stream
+	stop   func() bool
+}
+
+// Next returns the next frame, or io.EOF after the last one.
+func (f *Frames) Next() (*wire.ForwardFrame, error) {
+	var frame wire.ForwardFrame
+	if err := readMessage(f.stream, &frame); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF // the end is marked by a frame, not by the close
+		}
+		return nil, err
+	}
+	return &frame, nil
+}
+
+// Close ends the call at the peer if it still runs.
+func (f *Frames) Close() error {
+	f.stop()
+	return f.stream.Close()
+}
+
+// Forward passes a caller's request on to the peer at addr.
+func (p *Pool) Forward(ctx context.Context, addr string, fwd *wire.Forward) (*Frames, error) {
+	stream, err := p.open(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	req := &wire.PeerRequest{Kind: &wire.PeerRequest_Forward{Forward: fwd}}
+	if err := writeMessage(stream, req); err != nil {
+		_ = stream.Close()
+		return nil, code.Wrap(code.PeerGone, err, "forward to %s", addr).WithRun(code.Unknown)
+	}
+	return &Frames{stream: stream, stop: closeAtEnd(ctx, stream)}, nil
+}
+
+// closeAtEnd ends a stream's blocked reads and writes when ctx ends.
+func closeAtEnd(ctx context.Context, stream *yamux.Stream) func() bool {
+	return context.AfterFunc(ctx, func() {
+		_ = stream.SetDeadline(time.Unix(1, 0))
+		_ = stream.Close()
+	})
+}
+
+// Close ends every session.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.mu.Lock()
+		if l.session != nil {
+			_ = l.session.Close()
+		}
+		l.mu.Unlock()
+	}
+	return nil
+}
+
+func (p *Pool) link(addr string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.links[addr]
+	if !ok {
+		l = &link{}
+		p.links[addr] = l
+	}
+	return l
+}
+
+// Forget closes the session to an address that left the VM list.
+func (p *Pool) Forget(addr string) {
+	p.mu.Lock()
+	l, ok := p.links[addr]
+	delete(p.links, addr)
+	p.mu.Unlock()
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != nil {
+		_ = l.session.Close()
+	}
+}
+
+func (p *Pool) open(ctx context.Context, addr string) (*yamux.Stream, error) {
+	session, err := p.link(addr).connect(ctx, addr, p.hello)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		_ = session.Close()
+		return nil, code.Wrap(code.PeerGone, err, "stream to %s", addr)
+	}
+	return stream, nil
+}
+
+// connect returns the live session or dials a new one. While a backoff runs it
+// fails at once, so that callers choose another peer and do not queue here.
+func (l *link) connect(ctx context.Context, addr string, hello *wire.Hello) (*yamux.Session, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.session != nil && !l.session.IsClosed() {
+		return l.session, nil
+	}
+	if wait := time.Until(l.notUntil); wait > 0 {
+		return nil, code.New(code.PeerGone, "%s failed %d times; next try in %s", addr, l.failures, wait.Round(time.Millisecond)).WithRetryAfter(wait)
+	}
+	session, remote, err := dial(ctx, addr, hello)
+	if err != nil {
+		l.failures++
+		l.notUntil = time.Now().Add(backoff(l.failures))
+		return nil, err
+	}
+	l.session, l.remote, l.failures = session, remote, 0
+	return session, nil
+}
+
+func dial(ctx context.Context, addr string, hello *wire.Hello) (*yamux.Session, *wire.Hello, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, nil, code.Wrap(code.PeerGone, err, "dial")
+	}
+	remote, err := handshake(conn, hello)
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, err
+	}
+	session, err := yamux.Client(conn, yamuxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, nil, code.Wrap(code.PeerGone, err, "session with %s", addr)
+	}
+	return session, remote, nil
+}
+
+func backoff(failures int) time.Duration {
+	d := backoffMax
+	if shift := failures - 1; shift < 6 {
+		d = min(backoffMin<<shift, backoffMax)
+	}
+	return d/2 + rand.N(d/2)
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,120 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"github.com/apex/log"
+	"github.com/hashicorp/yamux"
+
+	"fescuestand/internal/wire"
+)
+
+// MaxStreams bounds the streams served at once per session. A peer forwards at
+// most what it admitted itself; past this bound its streams are refused.
+const MaxStreams = 1024
+
+// Handler answers what peers ask.
+type Handler interface {
+	// Handle answers one request.
+	Handle(ctx context.Context, from *wire.Hello, req *wire.PeerRequest) *wire.PeerResponse
+	// Forward serves a caller's request that a peer passed on. It calls send
+	// for each frame; an error of send means that the peer is gone.
+	Forward(ctx context.Context, from *wire.Hello, req *wire.Forward, send func(*wire.ForwardFrame) error) error
+}
+
+// Server accepts sessions from peers.
+type Server struct {
+	hello   *wire.Hello
+	handler Handler
+	wg      sync.WaitGroup
+}
+
+// NewServer returns a server that introduces itself with hello.
+func NewServer(hello *wire.Hello, h Handler) *Server {
+	return &Server{hello: hello, handler: h}
+}
+
+// Serve accepts on ln until ctx ends, then closes ln and every session and
+// waits for their handlers.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	defer s.wg.Wait()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return err
+		}
+		s.wg.Go(func() { s.serveConn(ctx, conn) })
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	from, err := handshake(conn, s.hello)
+	if err != nil {
+		log.WithError(err).WithField("remote", conn.RemoteAddr()).Warn("peer refused")
+		_ = conn.Close()
+		return
+	}
+	session, err := yamux.Server(conn, yamuxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	defer func() { _ = session.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	sessionCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	slots := make(chan struct{}, MaxStreams)
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			_ = stream.Close()
+			continue
+		}
+		s.wg.Go(func() {
+			defer func() { <-slots }()
+			s.serveStream(sessionCtx, from, stream)
+		})
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, from *wire.Hello, stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	var req wire.PeerRequest
+	if err := readMessage(stream, &req); err != nil {
+		return
+	}
+	fwd := req.GetForward()
+	if fwd == nil {
+		_ = writeMessage(stream, s.handler.Handle(ctx, from, &req))
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go watchPeer(stream, cancel)
+	send := func(f *wire.ForwardFrame) error { return writeMessage(stream, f) }
+	if err := s.handler.Forward(ctx, from, fwd, send); err != nil {
+		log.WithError(err).WithField("peer", from.Vm).Debug("forward ended")
+	}
+}
+
+// watchPeer cancels a forwarded call when the peer closes its side, which it
+// does when its own caller went away.
+func watchPeer(stream *yamux.Stream, cancel context.CancelFunc) {
+	var b [1]byte
+	_, _ = stream.Read(b[:])
+	cancel()
+}
