--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,9 +88,9 @@
 	requireText(p, "vm", s.VM)
 	requireText(p, "zone", s.Zone)
 	CheckAddress(p, "addresses.status", s.Addresses.Status)
-	checkTarget(p, "log", s.Log, driver.Logs.Names())
-	checkTarget(p, "vm_list", s.VMList, driver.VMLists.Names())
-	checkTarget(p, "weight_store", s.WeightStore, driver.WeightStores.Names())
+	CheckTarget(p, "log", s.Log, driver.Logs.Names())
+	CheckTarget(p, "vm_list", s.VMList, driver.VMLists.Names())
+	CheckTarget(p, "weight_store", s.WeightStore, driver.WeightStores.Names())
 	if s.Cells < 1 {
 		p.Add("cells", code.BadSettings, "is %d; allowed: 1 or more", s.Cells)
 	}
@@ -137,7 +137,8 @@
 	}
 }
 
-func checkTarget(p *settings.Problems, path string, t driver.Target, known []string) {
+// CheckTarget reports a target whose address or driver is wrong.
+func CheckTarget(p *settings.Problems, path string, t driver.Target, known []string) {
 	CheckAddress(p, path+".address", t.Address)
 	for _, k := range known {
 		if k == t.Driver {
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"fescuestand/internal/driver"
+	"fescuestand/internal/status"
+)
+
+// askTimeout bounds one question to one VM. A VM that does not answer within
+// it is shown as a gap.
+const askTimeout = 2 * time.Second
+
+// answerLimit bounds one VM's answer in bytes.
+const answerLimit = 8 << 20
+
+// VMStatus is one VM of the list with what its entry process answered.
+type VMStatus struct {
+	VM     driver.VM      `json:"vm"`
+	Report *status.Report `json:"report,omitempty"`
+	Error  string         `json:"error,omitempty"` // why there is no report
+}
+
+// gather asks every VM of the list at once, in the order of the list.
+func gather(ctx context.Context, vms []driver.VM) []VMStatus {
+	out := make([]VMStatus, len(vms))
+	var wg sync.WaitGroup
+	for i, vm := range vms {
+		wg.Go(func() {
+			out[i] = VMStatus{VM: vm}
+			var r status.Report
+			if err := ask(ctx, vm.Status, status.PathStatus, &r); err != nil {
+				out[i].Error = err.Error()
+				return
+			}
+			out[i].Report = &r
+		})
+	}
+	wg.Wait()
+	slices.SortFunc(out, func(a, b VMStatus) int { return cmp.Compare(a.VM.Name, b.VM.Name) })
+	return out
+}
+
+func ask(ctx context.Context, addr, path string, v any) error {
+	b, err := fetch(ctx, addr, path)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(b, v)
+}
+
+func fetch(ctx context.Context, addr, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s%s answered %s", addr, path, resp.Status)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+}
--- /dev/null
+++ b/internal/operator/parser.go
@@ -0,0 +1,34 @@
+package operator
+
+import (
+	"context"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+const about = `Checks and publishes the sheet, and reads the state of the fleet.
+
+Exit codes: 0 done, 1 failed, 2 bad command line, settings or sheet, 4 refused, 5 outcome not known yet.`
+
+type entry struct {
+	name, short, long string
+	command           flags.Commander
+}
+
+// newParser returns the command line of fescuectl.
+func newParser(ctx context.Context, out io.Writer) *flags.Parser {
+	parser := flags.NewNamedParser("fescuectl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = about
+	shared := command{ctx: ctx, out: out}
+	for _, e := range []entry{
+		{"status", "Show VMs, engines, roles, holders and log health", "Asks every VM of the VM list. A VM that does not answer is shown as such.", &statusCommand{command: shared}},
+		{"codes", "Print the table of result codes", "The table of docs/RESULT-CODES.md.", &codesCommand{out: out}},
+		{"version", "Print the version", "Prints the version.", &versionCommand{out: out}},
+	} {
+		if _, err := parser.AddCommand(e.name, e.short, e.long, e.command); err != nil {
+			panic(err) // a command struct with wrong tags, found by the first test
+		}
+	}
+	return parser
+}
--- /dev/null
+++ b/internal/operator/status.go
@@ -0,0 +1,134 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"fescuestand/internal/driver"
+	"fescuestand/internal/status"
+)
+
+// FleetStatus is the answer of `fescuectl status`.
+type FleetStatus struct {
+	At       time.Time    `json:"at"`
+	ListLost string       `json:"vm_list_error,omitempty"`
+	VMs      []VMStatus   `json:"vms"`
+	Engines  []EngineView `json:"engines"`
+}
+
+// EngineView is one endpoint over all VMs: the in-flight work is the sum, the
+// rest is what the VM with the newest sheet says.
+type EngineView struct {
+	status.Endpoint
+	Holder string `json:"holder,omitempty"`
+	Token  uint64 `json:"token,omitempty"`
+}
+
+// ReadStatus asks every VM of the list.
+func ReadStatus(ctx context.Context, list driver.VMList) (*FleetStatus, error) {
+	vms, err := list.List(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("6011 vm-list-down: %w", err)
+	}
+	f := &FleetStatus{At: time.Now().UTC(), VMs: gather(ctx, vms)}
+	f.Engines = engineViews(f.VMs)
+	return f, nil
+}
+
+func engineViews(vms []VMStatus) []EngineView {
+	newest := newestReport(vms)
+	if newest == nil {
+		return nil
+	}
+	inFlight := map[string]int{}
+	for _, v := range vms {
+		if v.Report == nil {
+			continue
+		}
+		for _, e := range v.Report.Endpoints {
+			inFlight[e.Name] += e.InFlight
+		}
+	}
+	scopes := map[string]status.Scope{}
+	for _, s := range newest.Scopes {
+		scopes[s.Engine] = s
+	}
+	views := make([]EngineView, 0, len(newest.Endpoints))
+	for _, e := range newest.Endpoints {
+		e.InFlight = inFlight[e.Name]
+		s := scopes[e.Name]
+		views = append(views, EngineView{Endpoint: e, Holder: s.Holder, Token: s.Token})
+	}
+	return views
+}
+
+func newestReport(vms []VMStatus) *status.Report {
+	var newest *status.Report
+	for _, v := range vms {
+		if v.Report != nil && (newest == nil || v.Report.SheetVersion > newest.SheetVersion) {
+			newest = v.Report
+		}
+	}
+	return newest
+}
+
+// WriteJSON prints the status for programs.
+func (f *FleetStatus) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(f)
+}
+
+// WriteText prints the status for people.
+func (f *FleetStatus) WriteText(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "VM\tZONE\tSTATE\tSHEET\tREQUESTS\tLOG")
+	for _, v := range f.VMs {
+		writeVM(tw, v)
+	}
+	fmt.Fprintln(tw)
+	fmt.Fprintln(tw, "ENDPOINT\tPOOL\tZONE\tROLE\tPHASE\tIN FLIGHT\tHOLDER\tTOKEN\tNOTE")
+	for _, e := range f.Engines {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%d\t%s\n",
+			e.Name, e.Pool, e.Zone, dash(e.Role), e.Phase, e.InFlight, dash(e.Holder), e.Token, e.Reason)
+	}
+	return tw.Flush()
+}
+
+func writeVM(w *tabwriter.Writer, v VMStatus) {
+	if v.Report == nil {
+		fmt.Fprintf(w, "%s\t%s\tno answer\t-\t-\t%s\n", v.VM.Name, v.VM.Zone, v.Error)
+		return
+	}
+	r := v.Report
+	fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n", v.VM.Name, v.VM.Zone, stateOf(v), r.SheetVersion, r.Requests, logOf(r.Log))
+}
+
+func stateOf(v VMStatus) string {
+	switch {
+	case v.Report.Leaving || v.VM.Leaving:
+		return "leaving"
+	case !v.Report.Ready:
+		return "not ready"
+	default:
+		return "live"
+	}
+}
+
+func logOf(l status.Log) string {
+	if l.Healthy {
+		return "ok"
+	}
+	return "down: " + l.LastError
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
