--- /dev/null
+++ b/internal/driver/httpdriver/client.go
@@ -0,0 +1,191 @@
+package httpdriver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"fescuestand/internal/driver"
+	"fescuestand/internal/driver/httpdriver/httpapi"
+)
+
+const (
+	maxIdleConns   = 256
+	idleTimeout    = 30 * time.Second
+	maxAnswer      = 64 << 20
+	maxFailureBody = 64 << 10
+	bufferSize     = 16 << 10
+)
+
+// client sends requests to one address over a pool of connections.
+type client struct {
+	address   string
+	opts      options
+	transport *http.Transport
+}
+
+func newClient(t driver.Target) (*client, error) {
+	if _, _, err := net.SplitHostPort(t.Address); err != nil {
+		return nil, fmt.Errorf("address %q: allowed: host:port: %w", t.Address, err)
+	}
+	o, err := decodeOptions(t)
+	if err != nil {
+		return nil, err
+	}
+	dialer := &net.Dialer{Timeout: o.dialTimeout}
+	return &client{
+		address: t.Address,
+		opts:    o,
+		transport: &http.Transport{
+			// No proxy and no compression: endpoints are met directly.
+			DisableCompression:  true,
+			MaxIdleConns:        maxIdleConns,
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     idleTimeout,
+			ReadBufferSize:      bufferSize,
+			WriteBufferSize:     bufferSize,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &sealedConn{Conn: c}, nil
+			},
+		},
+	}, nil
+}
+
+// Close gives the idle connections up.
+func (c *client) Close() error {
+	c.transport.CloseIdleConnections()
+	return nil
+}
+
+// onceBody can be read only once. net/http sends a request again on a fresh
+// connection if a reused one turns out to be closed and the request looks
+// idempotent: a body of its own types, or an idempotency key, is enough. A
+// body that can't be rewound keeps it from that.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// send sends one request and returns the answer if its status is 2xx.
+func (c *client) send(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
+	}
+	if method != http.MethodGet {
+		req.Body = onceBody{bytes.NewReader(body)}
+		req.ContentLength = int64(len(body))
+		if len(body) == 0 {
+			req.ContentLength = -1 // 0 would let net/http replace the body
+		}
+	}
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	if c.opts.client != "" {
+		req.Header.Set(httpapi.HeaderClient, c.opts.client)
+	}
+	var t sendTracker
+	resp, err := c.transport.RoundTrip(req.WithContext(t.trace(ctx)))
+	if err != nil {
+		return nil, c.classify(&t, err)
+	}
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		defer func() { _ = resp.Body.Close() }()
+		return nil, failure(resp)
+	}
+	return resp, nil
+}
+
+func (c *client) classify(t *sendTracker, err error) error {
+	if t.sent() {
+		return fmt.Errorf("%w: %s: %w", driver.ErrCut, c.address, err)
+	}
+	return fmt.Errorf("%w: %s: %w", driver.ErrNotSent, c.address, err)
+}
+
+// expiredError carries the page bounds of an expired offset.
+type expiredError struct{ first, end uint64 }
+
+func (e *expiredError) Error() string { return fmt.Sprintf("oldest offset kept is %d", e.first) }
+func (e *expiredError) Unwrap() error { return driver.ErrExpired }
+
+// failure turns an answer that is not 2xx into an error. An answer that does
+// not say whether the work ran proves nothing.
+func failure(resp *http.Response) error {
+	var f httpapi.Failure
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxFailureBody))
+	if err != nil {
+		return fmt.Errorf("%w: answer %s: %w", driver.ErrCut, resp.Status, err)
+	}
+	if json.Unmarshal(b, &f) != nil || f.Name == "" {
+		return fmt.Errorf("%w: answer %s without a reason", driver.ErrBadAnswer, resp.Status)
+	}
+	switch {
+	case f.Name == httpapi.StaleFence:
+		return fmt.Errorf("%w: %s", driver.ErrStaleFence, f.Detail)
+	case f.Name == httpapi.Expired:
+		return &expiredError{f.First, f.End}
+	case f.Ran:
+		return fmt.Errorf("%w: %s %s", driver.ErrFailed, f.Name, f.Detail)
+	default:
+		return fmt.Errorf("%w: %s %s", driver.ErrRefused, f.Name, f.Detail)
+	}
+}
+
+// read reads the whole answer.
+func read(resp *http.Response) ([]byte, error) {
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", driver.ErrCut, err)
+	}
+	return b, nil
+}
+
+// decode reads the answer's JSON into v.
+func decode(resp *http.Response, v any) error {
+	b, err := read(resp)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("%w: %w", driver.ErrBadAnswer, err)
+	}
+	return nil
+}
+
+func (c *client) get(ctx context.Context, path string, query url.Values, v any) error {
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	resp, err := c.send(ctx, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return err
+	}
+	return decode(resp, v)
+}
+
+func (c *client) post(ctx context.Context, path string, body, v any) (*http.Response, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
+	}
+	resp, err := c.send(ctx, http.MethodPost, path, nil, b)
+	if err != nil {
+		return nil, err
+	}
+	if v == nil {
+		return resp, nil
+	}
+	return resp, decode(resp, v)
+}
--- /dev/null
+++ b/internal/driver/httpdriver/httpdriver.go
@@ -0,0 +1,89 @@
+// Package httpdriver speaks the plain HTTP/JSON protocol of package httpapi.
+// It registers drivers named "http" for engines, plain services, the log
+// service, the VM list and the weight store.
+//
+// What a failure proves matters more here than speed: "not sent" is said only
+// if no byte has left and none can leave any more, and nothing is ever sent a
+// second time behind the back of the core.
+package httpdriver
+
+import (
+	"fmt"
+	"time"
+
+	"fescuestand/internal/driver"
+)
+
+// Name is the name that the drivers are chosen by.
+const Name = "http"
+
+// Options of a Target.
+const (
+	optClient      = "client"       // name of the VM, sent to the platform
+	optDialTimeout = "dial_timeout" // such as "500ms"
+)
+
+const defaultDialTimeout = time.Second
+
+func init() {
+	driver.Engines.Register(Name, func(t driver.Target) (driver.Engine, error) {
+		c, err := newClient(t)
+		if err != nil {
+			return nil, err
+		}
+		return &engine{client: c}, nil
+	})
+	driver.Services.Register(Name, func(t driver.Target) (driver.Service, error) {
+		c, err := newClient(t)
+		if err != nil {
+			return nil, err
+		}
+		return &service{client: c}, nil
+	})
+	driver.Logs.Register(Name, func(t driver.Target) (driver.Log, error) {
+		c, err := newClient(t)
+		if err != nil {
+			return nil, err
+		}
+		return &logService{client: c}, nil
+	})
+	driver.VMLists.Register(Name, func(t driver.Target) (driver.VMList, error) {
+		c, err := newClient(t)
+		if err != nil {
+			return nil, err
+		}
+		return &vmList{client: c}, nil
+	})
+	driver.WeightStores.Register(Name, func(t driver.Target) (driver.WeightStore, error) {
+		c, err := newClient(t)
+		if err != nil {
+			return nil, err
+		}
+		return &weightStore{client: c}, nil
+	})
+}
+
+// options are the Target's options, decoded.
+type options struct {
+	client      string
+	dialTimeout time.Duration
+}
+
+func decodeOptions(t driver.Target) (options, error) {
+	o := options{dialTimeout: defaultDialTimeout}
+	for k, v := range t.Options {
+		switch k {
+		case optClient:
+			o.client = v
+		case optDialTimeout:
+			d, err := time.ParseDuration(v)
+			if err != nil || d <= 0 {
+				return o, fmt.Errorf("option %s: %q is not a duration above 0, such as \"500ms\"", k, v)
+			}
+			o.dialTimeout = d
+		default:
+			return o, fmt.Errorf("unknown option %q; allowed: %s, %s", k, optClient, optDialTimeout)
+		}
+	}
+	return o, nil
+}
--- /dev/null
+++ b/internal/standin/engine/sequence.go
@@ -0,0 +1,65 @@
+package engine
+
+import (
+	"context"
+
+	"fescuestand/internal/driver"
+	"fescuestand/internal/driver/httpdriver/httpapi"
+	"fescuestand/internal/standin/oracle"
+)
+
+// outcome is how a sequence left the batch.
+type outcome int
+
+const (
+	finished outcome = iota // all tokens made, or the prefill is done
+	exported                // its KV cache was exported; the stream ends unfinished
+	cut                     // a role change or crash took it
+)
+
+// sequence is one attempt in the batch or the queue.
+type sequence struct {
+	ctx         context.Context
+	req         *httpapi.Generate
+	completion  oracle.Completion
+	prefillOnly bool
+	pieces      []uint64
+	order       uint64 // of arrival
+	started     bool
+	prefillLeft float64 // prompt tokens, or their worth of KV import time
+	pos         int     // next token to make
+	tokens      chan driver.Token
+	done        chan struct{} // closed when it left
+	outcome     outcome
+}
+
+func newSequence(ctx context.Context, req *httpapi.Generate, prefillOnly bool) *sequence {
+	return &sequence{
+		ctx:         ctx,
+		req:         req,
+		completion:  oracle.New(req.Model, req.Version, req.Adapter, req.Prompt, req.Seed),
+		prefillOnly: prefillOnly,
+		pieces:      httpapi.Pieces(req.Model, req.Version, req.Adapter, req.Prompt),
+		pos:         req.From,
+		// Buffered for the whole answer: a slow reader must not stop the batch.
+		tokens: make(chan driver.Token, max(0, req.MaxTokens-req.From)+1),
+		done:   make(chan struct{}),
+	}
+}
+
+func (s *sequence) promptTokens() int {
+	return httpapi.Tokens(s.req.Prompt) + s.req.From
+}
+
+func (s *sequence) leave(o outcome) {
+	s.outcome = o
+	close(s.done)
+}
+
+// before orders the queue: higher priority first, then by arrival.
+func (s *sequence) before(t *sequence) int {
+	if s.req.Priority != t.req.Priority {
+		return t.req.Priority - s.req.Priority
+	}
+	return int(int64(s.order) - int64(t.order))
+}
--- /dev/null
+++ b/internal/standin/logservice/logservice.go
@@ -0,0 +1,163 @@
+// Package logservice is the stand-in for the platform's append-only log. It
+// keeps everything in memory: a restart loses every record.
+package logservice
+
+import (
+	"cmp"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"fescuestand/internal/driver/httpdriver/httpapi"
+	"fescuestand/internal/standin/httpjson"
+)
+
+// Names of the faults.
+const (
+	FaultOutage     = "outage"      // answers 503, nothing is appended
+	FaultCut        = "cut"         // closes connections unanswered, nothing is appended
+	FaultSlow       = "slow"        // waits Delay before the work
+	FaultLostAnswer = "lost-answer" // appends, then closes the connection
+	FaultLateAppend = "late-append" // closes the connection, appends after Delay
+	FaultStaleRead  = "stale-read"  // hides the newest Factor records from readers
+)
+
+const (
+	defaultAppendsPerSecond = 400
+	defaultKeepRecords      = 1_000_000
+	defaultKeepTime         = time.Hour
+	defaultPage             = 1000
+	defaultMaxRecord        = 1 << 20
+	burstShare              = 4 // burst is this fraction of a second's appends
+	maxWait                 = time.Minute
+)
+
+// Config sets up a Service. Zero fields take defaults.
+type Config struct {
+	AppendsPerSecond float64
+	KeepRecords      int
+	KeepTime         time.Duration
+	MaxRecord        int
+}
+
+// Service is the log service.
+type Service struct {
+	cfg     Config
+	limit   *rate.Limiter
+	faults  *httpjson.Faults
+	mu      sync.Mutex
+	streams map[string]*stream
+}
+
+// New returns an empty log.
+func New(cfg Config) *Service {
+	cfg.AppendsPerSecond = cmp.Or(cfg.AppendsPerSecond, defaultAppendsPerSecond)
+	cfg.KeepRecords = cmp.Or(cfg.KeepRecords, defaultKeepRecords)
+	cfg.KeepTime = cmp.Or(cfg.KeepTime, defaultKeepTime)
+	cfg.MaxRecord = cmp.Or(cfg.MaxRecord, defaultMaxRecord)
+	burst := max(1, int(cfg.AppendsPerSecond)/burstShare)
+	return &Service{
+		cfg:   cfg,
+		limit: rate.NewLimiter(rate.Limit(cfg.AppendsPerSecond), burst),
+		faults: httpjson.NewFaults(FaultOutage, FaultCut, FaultSlow, FaultLostAnswer,
+			FaultLateAppend, FaultStaleRead),
+		streams: map[string]*stream{},
+	}
+}
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+httpapi.PathStreams+"{stream}", s.append)
+	mux.HandleFunc("GET "+httpapi.PathStreams+"{stream}", s.read)
+	mux.Handle("POST /fault", s.faults)
+	return mux
+}
+
+func (s *Service) stream(name string) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, ok := s.streams[name]
+	if !ok {
+		st = newStream(s.cfg.KeepRecords, s.cfg.KeepTime)
+		s.streams[name] = st
+	}
+	return st
+}
+
+// reachable applies the faults that stop a request before any work.
+func (s *Service) reachable(w http.ResponseWriter, r *http.Request) bool {
+	client := r.Header.Get(httpapi.HeaderClient)
+	if _, on := s.faults.Take(FaultCut, client); on {
+		httpjson.Cut()
+	}
+	if _, on := s.faults.Take(FaultOutage, client); on {
+		httpjson.Refuse(w, http.StatusServiceUnavailable, FaultOutage, "the log service is down")
+		return false
+	}
+	if f, on := s.faults.Take(FaultSlow, client); on {
+		time.Sleep(f.Delay.D())
+	}
+	return true
+}
+
+func (s *Service) append(w http.ResponseWriter, r *http.Request) {
+	if !s.reachable(w, r) {
+		return
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.cfg.MaxRecord)))
+	if err != nil {
+		httpjson.Refuse(w, http.StatusRequestEntityTooLarge, "bad-record", err.Error())
+		return
+	}
+	if !s.limit.Allow() {
+		httpjson.Refuse(w, http.StatusTooManyRequests, "append-rate", "over the appends a second")
+		return
+	}
+	st, client := s.stream(r.PathValue("stream")), r.Header.Get(httpapi.HeaderClient)
+	if f, on := s.faults.Take(FaultLateAppend, client); on {
+		time.AfterFunc(f.Delay.D(), func() { st.append(data) })
+		httpjson.Cut()
+	}
+	offset := st.append(data)
+	if _, on := s.faults.Take(FaultLostAnswer, client); on {
+		httpjson.Cut()
+	}
+	httpjson.Write(w, httpapi.Appended{Offset: offset})
+}
+
+func (s *Service) read(w http.ResponseWriter, r *http.Request) {
+	if !s.reachable(w, r) {
+		return
+	}
+	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	if err != nil || from == 0 {
+		httpjson.Refuse(w, http.StatusBadRequest, "bad-offset", "from: allowed: a number from 1 on")
+		return
+	}
+	limit, _ := strconv.Atoi(r.FormValue("limit"))
+	limit = cmp.Or(max(0, limit), defaultPage)
+	waitMS, _ := strconv.Atoi(r.FormValue("wait_ms"))
+	wait := min(time.Duration(waitMS)*time.Millisecond, maxWait)
+	hide := uint64(0)
+	if f, on := s.faults.Take(FaultStaleRead, r.Header.Get(httpapi.HeaderClient)); on {
+		hide = uint64(max(1, f.Factor))
+		wait = 0
+	}
+	page, expired := s.stream(r.PathValue("stream")).read(r.Context(), from, limit, wait, hide)
+	if expired {
+		httpjson.Fail(w, http.StatusGone, httpapi.Failure{
+			Name: httpapi.Expired, First: page.First, End: page.End,
+		})
+		return
+	}
+	// A partition that began during the wait loses the answer too.
+	if _, on := s.faults.Take(FaultCut, r.Header.Get(httpapi.HeaderClient)); on {
+		httpjson.Cut()
+	}
+	httpjson.Write(w, page)
+}
