--- a/internal/driver/httpdriver/conn.go
+++ b/internal/driver/httpdriver/conn.go
@@ -86,11 +86,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.finished = true
-	any := false
+	left := false
 	for _, u := range t.uses {
 		if u.conn.seal() > u.start {
-			any = true
+			left = true
 		}
 	}
-	return any
+	return left
 }
