--- a/cmd/fescue-standin/commands.go
+++ b/cmd/fescue-standin/commands.go
@@ -29,6 +29,7 @@
 	add("log", "The log service.", &logCommand{})
 	add("vmlist", "The VM list.", &vmListCommand{})
 	add("weights", "The weight store.", &weightsCommand{})
+	add("caller", "A caller that checks every answer.", &callerCommand{})
 }
 
 // serve runs a handler until the process is stopped.
--- /dev/null
+++ b/internal/standin/caller/audit.go
@@ -0,0 +1,126 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"fescuestand/internal/driver"
+	"fescuestand/internal/standin/engine"
+	"fescuestand/internal/standin/service"
+)
+
+const auditTimeout = 3 * time.Second
+
+// Audit is what engines and endpoints say of the run, against what callers
+// were told.
+type Audit struct {
+	RoleChanges  int      `json:"role_changes"`
+	Loads        int      `json:"loads"`
+	Conflicts    int      `json:"conflicts"`     // orders that began during another one
+	Stale        int      `json:"stale"`         // orders refused for their fencing token
+	StreamsCut   int      `json:"streams_cut"`   // by role changes
+	DoubleRuns   int      `json:"double_runs"`   // commits that ran more than once
+	FalseNotRuns int      `json:"false_not_run"` // commits that ran though told not run
+	LostRuns     int      `json:"lost_runs"`     // commits told done that never ran
+	Unasked      []string `json:"unasked,omitempty"`
+}
+
+func (a *Audit) good() bool {
+	return a.Conflicts+a.StreamsCut+a.DoubleRuns+a.FalseNotRuns+a.LostRuns == 0
+}
+
+func (a *Audit) print(out io.Writer) {
+	_, _ = fmt.Fprintf(out, "role changes %d, loads %d, conflicting orders %d, stale orders refused %d, streams cut by role changes %d\n",
+		a.RoleChanges, a.Loads, a.Conflicts, a.Stale, a.StreamsCut)
+	_, _ = fmt.Fprintf(out, "commits run twice %d, run though told not run %d, told done but never run %d\n",
+		a.DoubleRuns, a.FalseNotRuns, a.LostRuns)
+	for _, address := range a.Unasked {
+		_, _ = fmt.Fprintln(out, "does not say what it executed:", address)
+	}
+}
+
+// audit asks engines and endpoints what they executed.
+func (c *caller) audit(ctx context.Context, rep *Report) {
+	ctx, cancel := context.WithTimeout(ctx, auditTimeout)
+	defer cancel()
+	for _, address := range c.cfg.Engines {
+		var h engine.HistoryAnswer
+		if err := c.fetch(ctx, address, "/history", &h); err != nil {
+			rep.Audit.Unasked = append(rep.Audit.Unasked, address)
+			continue
+		}
+		for i := range h.Orders {
+			rep.Audit.count(&h.Orders[i])
+		}
+	}
+	if len(c.cfg.Endpoints) > 0 {
+		c.auditCommits(ctx, rep)
+	}
+}
+
+func (a *Audit) count(o *engine.HistoryEntry) {
+	a.StreamsCut += o.StreamsCut
+	switch o.Effect {
+	case engine.EffectStale:
+		a.Stale++
+		return
+	case engine.EffectSame, engine.EffectRepeat:
+		return
+	}
+	if o.Overlap {
+		a.Conflicts++
+	}
+	switch o.Kind {
+	case driver.OrderRole:
+		a.RoleChanges++
+	case driver.OrderLoad:
+		a.Loads++
+	}
+}
+
+func (c *caller) auditCommits(ctx context.Context, rep *Report) {
+	runs := map[string]int{}
+	complete := true
+	for _, address := range c.cfg.Endpoints {
+		var e service.Executions
+		if err := c.fetch(ctx, address, "/executions", &e); err != nil {
+			rep.Audit.Unasked = append(rep.Audit.Unasked, address)
+			complete = false
+			continue
+		}
+		for key, one := range e.Keys {
+			runs[key] += one.Count
+		}
+	}
+	for key, notRun := range c.table.keys {
+		if runs[key] > 1 {
+			rep.Audit.DoubleRuns++
+		}
+		if notRun && runs[key] > 0 {
+			rep.Audit.FalseNotRuns++
+		}
+		if c.table.ran[key] && runs[key] == 0 && complete {
+			rep.Audit.LostRuns++
+		}
+	}
+}
+
+func (c *caller) fetch(ctx context.Context, address, path string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s%s answers %s", address, path, resp.Status)
+	}
+	return json.NewDecoder(resp.Body).Decode(v)
+}
