Fold of the config and control streams, sheet rules and patches

Weighed: a fold that remembers every writer for ever (grows without bound), idempotent records only (a late copy of a release is not), and counting a writer's records in the order of their numbers. The last is taken: it drops repeats and makes a given-up record dead once a later one stands in the log.

Each guard's test also runs with the guard off and shows the failure.

--- /dev/null
+++ b/internal/fold/fold_test.go
@@ -0,0 +1,302 @@
+package fold
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"fescuestand/internal/code"
+	"fescuestand/internal/wire"
+)
+
+// sheetText is a valid sheet that carries note.
+func sheetText(note string) []byte {
+	return fmt.Appendf(nil, `{"deployment": "d", "note": %q, "engines": [], "pools": [],
+		"classes": [{"name": "c", "priority": 1, "deadline": "8s", "first_token": "1s", "between_tokens": "50ms", "objective": 0.9}],
+		"limits": {"max_body": 1, "max_tokens": 1, "workspace_share": 1, "commit_window": "1h", "queue_per_engine": 1}}`, note)
+}
+
+func publishEntry(base uint64, id string, body []byte) *wire.Entry {
+	return &wire.Entry{Kind: &wire.Entry_Sheet{Sheet: &wire.Sheet{Base: base, PublishId: id, Body: body}}}
+}
+
+func patchEntry(base uint64, id, body string) *wire.Entry {
+	return &wire.Entry{Kind: &wire.Entry_Patch{Patch: &wire.Patch{Base: base, PublishId: id, Body: []byte(body)}}}
+}
+
+func claimEntry(scope string, token, renewal uint64) *wire.Entry {
+	return &wire.Entry{Kind: &wire.Entry_Claim{Claim: &wire.Claim{Scopes: []*wire.ScopeClaim{
+		{Scope: scope, SeenToken: token, SeenRenewal: renewal},
+	}}}}
+}
+
+func heartbeatEntry() *wire.Entry {
+	return &wire.Entry{Kind: &wire.Entry_Heartbeat{Heartbeat: &wire.Heartbeat{}}}
+}
+
+func releaseEntry(scope string) *wire.Entry {
+	return &wire.Entry{Kind: &wire.Entry_Release{Release: &wire.Release{Scopes: []string{scope}}}}
+}
+
+func item(offset uint64, writer string, seq uint64, e *wire.Entry) Item {
+	return Item{Offset: offset, Writer: writer, VM: "vm-" + writer, Seq: seq, Entry: e, Time: time.Unix(int64(offset), 0)}
+}
+
+func TestPublishNeedsTheCurrentBaseAndAValidSheet(t *testing.T) {
+	c := NewConfig(1)
+	c.Apply(item(1, "a", 1, publishEntry(0, "p1", sheetText("one"))))
+	c.Apply(item(2, "b", 1, publishEntry(0, "p2", sheetText("two"))))
+	c.Apply(item(3, "a", 2, publishEntry(1, "p3", []byte(`{}`))))
+	c.Apply(item(4, "b", 2, patchEntry(1, "p4", `{"note": "four"}`)))
+	c.Apply(item(5, "b", 3, patchEntry(4, "p5", `[]`)))
+	c.Apply(item(6, "b", 4, publishEntry(6, "p6", sheetText("own offset"))))
+	assert.Equal(t, c.Current().Version, uint64(4))
+	assert.Equal(t, c.Current().Sheet.Note, "four")
+	for id, want := range map[string]code.Code{
+		"p1": code.OK, "p2": code.RacingPublish, "p3": code.BadSheet, "p4": code.OK,
+		"p5": code.BadPatch, "p6": code.RacingPublish,
+	} {
+		assert.Equal(t, code.Code(c.Verdict(id).Code), want, id)
+	}
+	assert.Assert(t, c.Verdict("p9") == nil)
+}
+
+// Story: a publisher's first append is slow and its answer lost; it sends the
+// publish again and gets a verdict. Meanwhile a colleague publishes. When the
+// first copy turns up in the log after all it must not count a second time.
+func TestLateCopyOfAPublishChangesNothing(t *testing.T) {
+	c := NewConfig(1)
+	c.Apply(item(1, "a", 1, publishEntry(0, "p1", sheetText("one"))))
+	c.Apply(item(2, "b", 1, publishEntry(1, "p2", sheetText("two"))))
+	c.Apply(item(3, "a", 1, publishEntry(0, "p1", sheetText("one"))))
+	assert.Equal(t, c.Current().Version, uint64(2))
+	assert.Assert(t, c.Verdict("p1").Accepted)
+}
+
+// Story: a publisher gives up a publish whose answer was lost, tells its
+// operator so and appends something else. The given-up record appears last,
+// with a base that is still in force. It must stay dead.
+func TestGivenUpRecordStaysDead(t *testing.T) {
+	run := func(off guardsOff) uint64 {
+		c := NewConfig(1)
+		c.off = off
+		c.Apply(item(1, "a", 2, publishEntry(9, "settle", sheetText("refused"))))
+		c.Apply(item(2, "a", 1, publishEntry(0, "given-up", sheetText("late"))))
+		return c.Current().Version
+	}
+	assert.Equal(t, run(guardsOff{}), uint64(0))
+	assert.Equal(t, run(guardsOff{dedup: true}), uint64(2), "without the guard the late record counts")
+}
+
+// Story: holder w stalls, x concludes from what it read that w's lease has
+// lapsed and claims. Between x's reading and its claim w's renewal reached the
+// log. If the claim won, w and x would both give orders.
+func TestClaimLosesAgainstAnUnseenRenewal(t *testing.T) {
+	run := func(off guardsOff) string {
+		a := NewAuthority(1)
+		a.off = off
+		a.Apply(item(1, "w", 1, claimEntry("e", 0, 0)))
+		a.Apply(item(2, "w", 2, heartbeatEntry()))
+		a.Apply(item(3, "x", 1, claimEntry("e", 1, 1)))
+		h, _ := a.Get("e")
+		return h.Writer
+	}
+	assert.Equal(t, run(guardsOff{}), "w")
+	assert.Equal(t, run(guardsOff{renewal: true}), "x", "without the guard the holder loses a live lease")
+}
+
+func TestClaimAfterLapseAndLateRenewal(t *testing.T) {
+	a := NewAuthority(1)
+	a.Apply(item(1, "w", 1, claimEntry("e", 0, 0)))
+	a.Apply(item(2, "x", 1, claimEntry("e", 1, 1)))
+	a.Apply(item(3, "w", 2, heartbeatEntry()))
+	a.Apply(item(4, "w", 3, releaseEntry("e")))
+	h, _ := a.Get("e")
+	assert.DeepEqual(t, h, Holding{Scope: "e", Writer: "x", VM: "vm-x", Token: 2, Renewal: 2})
+	a.Apply(item(5, "x", 2, releaseEntry("e")))
+	a.Apply(item(6, "y", 1, claimEntry("e", 2, 2)))
+	a.Apply(item(7, "y", 2, claimEntry("e", 2, 5)))
+	h, _ = a.Get("e")
+	assert.Equal(t, h.Token, uint64(7))
+}
+
+// Story: w releases an engine, the answer is lost, w keeps renewing and so
+// knows that the release is dead. The old release appears in the log later. If
+// it counted, another process would claim at once while w still gives orders.
+func TestLateReleaseOfALiveHolderIsDropped(t *testing.T) {
+	run := func(off guardsOff) bool {
+		a := NewAuthority(1)
+		a.off = off
+		a.Apply(item(1, "w", 1, claimEntry("e", 0, 0)))
+		a.Apply(item(2, "w", 3, heartbeatEntry()))
+		a.Apply(item(3, "w", 2, releaseEntry("e")))
+		h, _ := a.Get("e")
+		return h.Released
+	}
+	assert.Assert(t, !run(guardsOff{}))
+	assert.Assert(t, run(guardsOff{dedup: true}))
+}
+
+// Story: a checkpoint's append hangs for so long that the publishes after its
+// state have expired when it appears. A process that starts now takes it for
+// the newest state and accepts a publish that everybody else refused.
+func TestCheckpointAcrossAGapIsNotTaken(t *testing.T) {
+	whole := NewConfig(1)
+	whole.Apply(item(1, "a", 1, publishEntry(0, "p1", sheetText("one"))))
+	old := whole.Checkpoint()
+	rest := []Item{
+		item(2, "a", 2, publishEntry(1, "p2", sheetText("two"))),
+		item(3, "c", 1, &wire.Entry{Kind: &wire.Entry_ConfigCheckpoint{ConfigCheckpoint: old}}),
+		item(4, "b", 1, publishEntry(1, "p3", sheetText("three"))),
+	}
+	run := func(off guardsOff) *Config {
+		late := NewConfig(3)
+		late.off = off
+		for _, it := range rest[1:] {
+			late.Apply(it)
+		}
+		return late
+	}
+	for _, it := range rest {
+		whole.Apply(it)
+	}
+	assert.Equal(t, whole.Current().Version, uint64(2))
+	assert.Assert(t, !run(guardsOff{}).Established())
+	assert.Equal(t, run(guardsOff{gapCheck: true}).Current().Version, uint64(4), "without the guard the reader diverges")
+}
+
+// drawConfig makes a history of racing, repeated, late and unknown records.
+func drawConfig(t *rapid.T) []Item {
+	n := rapid.IntRange(1, 40).Draw(t, "records")
+	whole, items := NewConfig(1), []Item{}
+	seqs := map[string]uint64{}
+	for off := uint64(1); off <= uint64(n); off++ {
+		w := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "writer")
+		seqs[w]++
+		it := item(off, w, seqs[w], nil)
+		base := uint64(rapid.IntRange(0, int(off)).Draw(t, "base"))
+		if rapid.Bool().Draw(t, "current") {
+			base = whole.Current().Version
+		}
+		id := fmt.Sprint("p", rapid.IntRange(0, 30).Draw(t, "id"))
+		switch rapid.IntRange(0, 5).Draw(t, "kind") {
+		case 0:
+			it.Entry = publishEntry(base, id, sheetText(id))
+		case 1:
+			it.Entry = patchEntry(base, id, `{"note": "p"}`)
+		case 2:
+			it.Entry = &wire.Entry{}
+		case 3:
+			it.Entry = publishEntry(base, id, []byte("{"))
+		case 4:
+			it.Entry = &wire.Entry{Kind: &wire.Entry_ConfigCheckpoint{ConfigCheckpoint: whole.Checkpoint()}}
+		case 5:
+			if len(items) > 0 {
+				it = rapid.SampledFrom(items).Draw(t, "copy")
+				it.Offset = off
+			} else {
+				it.Entry = &wire.Entry{}
+			}
+		}
+		items = append(items, it)
+		whole.Apply(it)
+	}
+	return items
+}
+
+func TestConfigCheckpointAndTailEqualTheWholeLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		items := drawConfig(t)
+		from := uint64(rapid.IntRange(1, len(items)).Draw(t, "from"))
+		whole, late := NewConfig(1), NewConfig(from)
+		last := uint64(0)
+		for _, it := range items {
+			whole.Apply(it)
+			if it.Offset >= from {
+				late.Apply(it)
+			}
+			assert.Assert(t, whole.Current().Version >= last, "version fell")
+			last = whole.Current().Version
+			if late.Established() {
+				assert.Assert(t, proto.Equal(whole.Checkpoint(), late.Checkpoint()))
+			}
+		}
+	})
+}
+
+func drawAuthority(t *rapid.T) []Item {
+	n := rapid.IntRange(1, 60).Draw(t, "records")
+	whole, items := NewAuthority(1), []Item{}
+	seqs := map[string]uint64{}
+	scopes := []string{"e1", "e2", "e3"}
+	for off := uint64(1); off <= uint64(n); off++ {
+		w := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "writer")
+		seqs[w]++
+		it := item(off, w, seqs[w], &wire.Entry{})
+		scope := rapid.SampledFrom(scopes).Draw(t, "scope")
+		switch rapid.IntRange(0, 5).Draw(t, "kind") {
+		case 0, 1:
+			h, _ := whole.Get(scope)
+			it.Entry = claimEntry(scope, h.Token, h.Renewal)
+		case 2:
+			it.Entry = heartbeatEntry()
+		case 3:
+			it.Entry = releaseEntry(scope)
+		case 4:
+			it.Entry = &wire.Entry{Kind: &wire.Entry_AuthorityCheckpoint{AuthorityCheckpoint: whole.Checkpoint()}}
+		case 5:
+			if len(items) > 0 {
+				it = rapid.SampledFrom(items).Draw(t, "copy")
+				it.Offset = off
+			}
+		}
+		items = append(items, it)
+		whole.Apply(it)
+	}
+	return items
+}
+
+func TestAuthorityCheckpointAndTailEqualTheWholeLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		items := drawAuthority(t)
+		from := uint64(rapid.IntRange(1, len(items)).Draw(t, "from"))
+		whole, late := NewAuthority(1), NewAuthority(from)
+		tokens := map[string]uint64{}
+		for _, it := range items {
+			whole.Apply(it)
+			if it.Offset >= from {
+				late.Apply(it)
+			}
+			for _, h := range whole.Holdings() {
+				assert.Assert(t, h.Token >= tokens[h.Scope], "token fell")
+				tokens[h.Scope] = h.Token
+			}
+			if late.Established() {
+				assert.Assert(t, proto.Equal(whole.Checkpoint(), late.Checkpoint()))
+			}
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	good, err := Encode("w", "vm", 1, []*wire.Entry{publishEntry(0, "p", sheetText("x")), heartbeatEntry()})
+	assert.NilError(f, err)
+	f.Add(good)
+	f.Add([]byte{8, 1, 0x2a, 0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		items, err := Decode(1, time.Time{}, data)
+		if err != nil {
+			return
+		}
+		c, a := NewConfig(1), NewAuthority(1)
+		for _, it := range items {
+			c.Apply(it)
+			a.Apply(it)
+		}
+		assert.Assert(t, c.Checkpoint() != nil && a.Checkpoint() != nil)
+	})
+}
