Routing, admission and limits: first usable decisions

Weighed for the choice of an engine: lowest load of all (herds on late reports), prefix hashing alone (one hot prefix overloads its engine), one estimate over few candidates. The last was built: two rendezvous homes under a bound for each of two keys and two random draws, scored by the estimated time to the first token.

--- /dev/null
+++ b/internal/policy/admit/queue.go
@@ -0,0 +1,255 @@
+package admit
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+	"fescuestand/internal/policy/limit"
+)
+
+// level is the fair-queueing tree of one priority.
+type level struct {
+	priority int
+	root     *flow
+}
+
+type class struct {
+	Class
+	flow   *flow
+	level  int
+	output float64 // measured mean
+	stats  ClassStats
+}
+
+// Queue admits, orders and drops the requests of one pool. It belongs to one
+// goroutine, or stands behind one mutex.
+type Queue struct {
+	cfg     Config
+	classes map[string]*class
+	levels  []*level
+	expiry  expiry
+	keys    map[string]int
+	spread  *limit.Spreader
+	rates   Rates
+
+	slots       int
+	running     int
+	longRunning int
+	runningCost time.Duration
+	meanCost    float64
+	bias        float64 // measured over estimated slot time
+	codes       map[code.Code]int64
+}
+
+// NewQueue returns an empty queue with one slot; SetCapacity tells it more.
+func NewQueue(cfg Config) *Queue {
+	cfg = cfg.withDefaults()
+	q := &Queue{
+		cfg:     cfg,
+		classes: map[string]*class{},
+		keys:    map[string]int{},
+		spread:  limit.NewSpreader(cfg.Off.NoSpread),
+		rates:   cfg.Rates,
+		slots:   1,
+		bias:    1,
+		codes:   map[code.Code]int64{},
+	}
+	for _, c := range cfg.Classes {
+		q.classes[c.Name] = &class{Class: c, output: float64(c.Output)}
+		if !slices.ContainsFunc(q.levels, func(l *level) bool { return l.priority == c.Priority }) {
+			q.levels = append(q.levels, &level{c.Priority, newFlow(nil, flowKey{}, 1)})
+		}
+	}
+	slices.SortFunc(q.levels, func(a, b *level) int { return cmp.Compare(a.priority, b.priority) })
+	for _, c := range q.classes {
+		c.level = slices.IndexFunc(q.levels, func(l *level) bool { return l.priority == c.Priority })
+		c.flow = q.levels[c.level].root.child(flowKey{name: c.Name}, c.Weight)
+	}
+	return q
+}
+
+// classOf returns the request's class, or the one served last.
+func (q *Queue) classOf(name string) *class {
+	if c := q.classes[name]; c != nil {
+		return c
+	}
+	return q.classes[q.cfg.Classes[len(q.cfg.Classes)-1].Name]
+}
+
+// Offer takes r into the queue or refuses it at once and finally.
+func (q *Queue) Offer(now clock.Time, r *Request) Verdict {
+	q.prepare(now, r)
+	var v Verdict
+	v.Wait = q.forecast(r, r.leaf.cost)
+	v.Err = q.check(now, r, v.Wait)
+	if v.Err == nil && len(q.expiry) >= q.cfg.MaxQueued {
+		v.Dropped, v.Err = q.makeRoom(now, r)
+	}
+	if v.Err != nil {
+		q.note(r, v.Err)
+		r.leaf.prune()
+		return v
+	}
+	r.state = queued
+	r.leaf.push(r)
+	heap.Push(&q.expiry, r)
+	if r.Key != "" {
+		q.keys[r.Key]++
+	}
+	r.class.stats.Admitted++
+	return v
+}
+
+func (q *Queue) prepare(now clock.Time, r *Request) {
+	r.class = q.classOf(r.Class)
+	r.arrived, r.index = now, -1
+	r.cost = q.estimate(r)
+	if q.meanCost == 0 {
+		q.meanCost = float64(r.cost)
+	}
+	r.long = float64(r.cost) > q.cfg.LongFactor*q.meanCost && !q.cfg.Off.NoLongShare
+	q.meanCost += rateWeight * (float64(r.cost) - q.meanCost)
+	workspace, caller := r.Workspace, r.Caller
+	if q.cfg.Off.NoFairness {
+		workspace, caller = "", ""
+	}
+	r.leaf = r.class.flow.child(flowKey{name: workspace}, 1).child(flowKey{caller, r.long}, 1)
+	r.class.stats.Offered++
+}
+
+// estimate is the time that r takes in a slot at the measured rates.
+func (q *Queue) estimate(r *Request) time.Duration {
+	output := r.class.output
+	if r.MaxOutput > 0 {
+		output = min(output, float64(r.MaxOutput))
+	}
+	prefill := time.Duration(max(r.Prompt-r.Cached, 0)) * q.rates.PrefillPerToken
+	return q.rates.Base + prefill + time.Duration(output*float64(q.rates.DecodePerToken))
+}
+
+// forecast is the time until r would start, with ahead queued before it in its
+// own flow. Under fair queueing a flow waits for its own backlog at its share
+// of the slots, and never longer than for the whole backlog.
+func (q *Queue) forecast(r *Request, ahead time.Duration) time.Duration {
+	if q.running < q.slots && len(q.expiry) == 0 {
+		return 0
+	}
+	var before time.Duration
+	for _, l := range q.levels[:r.class.level] {
+		before += l.root.cost
+	}
+	all := q.levels[r.class.level].root.cost
+	// Half a mean request: the other flows' heads are on average half ahead.
+	own := float64(ahead) + q.meanCost/2
+	same := min(float64(all), own/r.leaf.share())
+	busy := float64(q.runningCost) / 2
+	return q.drainTime(float64(before) + same + busy)
+}
+
+// drainTime is the time in which the slots work off cost.
+func (q *Queue) drainTime(cost float64) time.Duration {
+	return time.Duration(cost * q.bias / float64(max(q.slots, 1)))
+}
+
+// check refuses what can't be served in time or is over a limit.
+func (q *Queue) check(now clock.Time, r *Request, wait time.Duration) *code.Error {
+	budget := r.Deadline.Sub(now)
+	if budget <= 0 {
+		return code.New(code.DeadlinePassed, "deadline passed %s ago", -budget)
+	}
+	if n := q.keys[r.Key]; r.Key != "" && n >= q.cfg.KeyLimit && !q.cfg.Off.NoKeyLimit {
+		return code.New(code.HotKey, "key has %d requests queued or running, limit %d", n, q.cfg.KeyLimit).
+			WithRetryAfter(q.comeBack(now, r, q.drainTime(q.meanCost*float64(n))))
+	}
+	if q.cfg.Off.NoFeasibility {
+		return nil
+	}
+	need := time.Duration(float64(wait)*q.cfg.Margin) + r.cost
+	if need <= budget {
+		return nil
+	}
+	return q.tooLate(now, r, wait, budget)
+}
+
+// tooLate builds the refusal of an infeasible request. The time to come back
+// is when the backlog will have drained so far that the same budget suffices;
+// zero if it never will.
+func (q *Queue) tooLate(now clock.Time, r *Request, wait, budget time.Duration) *code.Error {
+	c := code.DeadlineInfeasible
+	l := q.levels[r.class.level].root
+	if crowded := float64(r.leaf.cost) > defaultCrowd*r.leaf.share()*float64(l.cost); crowded && len(l.active) > 0 && r.leaf.cost < l.cost {
+		c = code.CallerOverShare
+	}
+	e := code.New(c, "needs wait %s and run %s, has %s; %d queued, %d of %d slots busy",
+		wait, r.cost, budget, len(q.expiry), q.running, q.slots)
+	if r.cost > budget {
+		return e
+	}
+	slack := time.Duration(float64(budget-r.cost) / q.cfg.Margin)
+	return e.WithRetryAfter(q.comeBack(now, r, wait-slack))
+}
+
+func (q *Queue) comeBack(now clock.Time, r *Request, wait time.Duration) time.Duration {
+	return q.spread.After(now, max(wait, 0), q.drainTime(float64(r.cost)))
+}
+
+// makeRoom finds a queued request that has less claim to its place than r:
+// one of a lower priority, else one of the flow with the largest backlog.
+func (q *Queue) makeRoom(now clock.Time, r *Request) ([]Refusal, *code.Error) {
+	total := time.Duration(0)
+	for _, l := range q.levels {
+		total += l.root.cost
+	}
+	wait := q.drainTime(float64(total))
+	for i := len(q.levels) - 1; i >= r.class.level; i-- {
+		l := q.levels[i].root
+		if l.count == 0 {
+			continue
+		}
+		leaf := l.largest()
+		c := code.ShedForPriority
+		if i == r.class.level {
+			if leaf.cost <= r.leaf.cost+r.cost {
+				break
+			}
+			c = code.CallerOverShare
+		}
+		victim := leaf.queue[len(leaf.queue)-1]
+		e := code.New(c, "dropped after %s for class %s; %d queued", now.Sub(victim.arrived), r.class.Name, len(q.expiry))
+		return []Refusal{q.drop(victim, e.WithRetryAfter(q.comeBack(now, victim, wait)))}, nil
+	}
+	return nil, code.New(code.QueueFull, "%d queued, drained in %s", len(q.expiry), wait).
+		WithRetryAfter(q.comeBack(now, r, wait))
+}
+
+// drop takes a queued request out with its final answer.
+func (q *Queue) drop(r *Request, e *code.Error) Refusal {
+	q.unqueue(r, false)
+	q.release(r)
+	q.note(r, e)
+	return Refusal{r, e}
+}
+
+func (q *Queue) unqueue(r *Request, served bool) {
+	r.leaf.remove(r, served)
+	heap.Remove(&q.expiry, r.index)
+	r.state = idle
+}
+
+func (q *Queue) release(r *Request) {
+	if r.Key == "" {
+		return
+	}
+	if q.keys[r.Key]--; q.keys[r.Key] <= 0 {
+		delete(q.keys, r.Key)
+	}
+}
+
+func (q *Queue) note(r *Request, e *code.Error) {
+	q.codes[e.Code]++
+	r.class.stats.Refused++
+}
--- /dev/null
+++ b/internal/policy/admit/request.go
@@ -0,0 +1,89 @@
+package admit
+
+import (
+	"container/heap"
+	"time"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+)
+
+// Request is one request at the door of a pool. The caller fills the exported
+// fields and leaves the rest to the queue.
+type Request struct {
+	ID        string
+	Class     string
+	Workspace string
+	Caller    string
+	Key       string // of the thing asked about, for the hot-key limit; may be empty
+	Prompt    int    // tokens
+	Cached    int    // tokens of the prompt expected in a cache
+	MaxOutput int    // tokens; zero if the caller set none
+	Deadline  clock.Time
+	Value     any // the caller's own
+
+	class   *class
+	arrived clock.Time
+	started clock.Time
+	cost    time.Duration // estimated time in a slot
+	long    bool
+	leaf    *flow
+	index   int // in the expiry heap, -1 outside
+	state   state
+}
+
+type state uint8
+
+const (
+	idle state = iota
+	queued
+	running
+)
+
+// Cost returns the estimated time that the request takes in a slot.
+func (r *Request) Cost() time.Duration { return r.cost }
+
+// latestStart is the last moment at which r can begin and end in time.
+func (r *Request) latestStart() clock.Time { return r.Deadline.Add(-r.cost) }
+
+// Refusal is a request's final answer: it was not run and won't be.
+type Refusal struct {
+	Request *Request
+	Err     *code.Error
+}
+
+// Verdict answers an offer. Err is nil if the request was taken; Dropped are
+// queued requests that had to make room for it.
+type Verdict struct {
+	Err     *code.Error
+	Wait    time.Duration // forecast
+	Dropped []Refusal
+}
+
+// expiry orders queued requests by their latest start.
+type expiry []*Request
+
+func (h expiry) Len() int           { return len(h) }
+func (h expiry) Less(i, j int) bool { return h[i].latestStart() < h[j].latestStart() }
+
+func (h expiry) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *expiry) Push(x any) {
+	r := x.(*Request)
+	r.index = len(*h)
+	*h = append(*h, r)
+}
+
+func (h *expiry) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	r.index = -1
+	return r
+}
+
+var _ heap.Interface = (*expiry)(nil)
--- /dev/null
+++ b/internal/policy/admit/serve.go
@@ -0,0 +1,224 @@
+package admit
+
+import (
+	"time"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+)
+
+// SetCapacity tells how many requests of this entry the pool runs at once. When
+// the capacity has shrunk, it drops what is now too late at once, so that its
+// callers hear while they can still ask elsewhere.
+func (q *Queue) SetCapacity(now clock.Time, slots int) []Refusal {
+	old := q.slots
+	q.slots = max(slots, 0)
+	if float64(q.slots) >= shrink*float64(old) {
+		return nil
+	}
+	return q.Reassess(now)
+}
+
+// Reassess forecasts the start of all queued requests anew and drops those
+// that can't be on time. Later ones of a flow are dropped before earlier ones
+// of it, as they wait for them.
+func (q *Queue) Reassess(now clock.Time) []Refusal {
+	if q.cfg.Off.NoShedding {
+		return nil
+	}
+	var late []Refusal
+	for _, l := range q.levels {
+		for _, leaf := range l.root.leaves(nil) {
+			late = append(late, q.reassessLeaf(now, leaf)...)
+		}
+	}
+	return late
+}
+
+func (q *Queue) reassessLeaf(now clock.Time, leaf *flow) []Refusal {
+	var late []Refusal
+	var ahead time.Duration
+	for _, r := range append([]*Request(nil), leaf.queue...) {
+		wait := q.forecast(r, ahead)
+		budget := r.Deadline.Sub(now)
+		if wait+r.cost > budget {
+			late = append(late, q.drop(r, q.tooLate(now, r, wait, budget)))
+			continue
+		}
+		ahead += r.cost
+	}
+	return late
+}
+
+func (f *flow) leaves(dst []*flow) []*flow {
+	if len(f.queue) > 0 {
+		return append(dst, f)
+	}
+	for _, n := range f.active {
+		dst = n.leaves(dst)
+	}
+	return dst
+}
+
+// Next returns the request to be dispatched now, nil if there is none or no
+// slot is free. Dropped are the requests that have become infeasible while
+// they were queued: the work for them would be wasted.
+func (q *Queue) Next(now clock.Time, free int) (*Request, []Refusal) {
+	dropped := q.Expire(now)
+	if free <= 0 {
+		return nil, dropped
+	}
+	noLong := float64(q.longRunning+1) > max(q.cfg.LongShare*float64(q.slots), 1)
+	for _, l := range q.levels {
+		leaf := l.root.first(noLong)
+		if leaf == nil {
+			continue
+		}
+		r := leaf.queue[0]
+		q.start(now, r)
+		return r, dropped
+	}
+	return nil, dropped
+}
+
+func (q *Queue) start(now clock.Time, r *Request) {
+	q.unqueue(r, true)
+	r.state = running
+	r.started = now
+	q.running++
+	q.runningCost += r.cost
+	if r.long {
+		q.longRunning++
+	}
+	r.class.stats.Waited += now.Sub(r.arrived)
+	r.class.stats.Started++
+}
+
+// Expire drops the queued requests that can no longer end in time.
+func (q *Queue) Expire(now clock.Time) []Refusal {
+	if q.cfg.Off.NoShedding {
+		return nil
+	}
+	var dropped []Refusal
+	for len(q.expiry) > 0 && q.expiry[0].latestStart() < now {
+		r := q.expiry[0]
+		e := code.New(code.DeadlineInfeasible, "queued %s; needs %s, has %s", now.Sub(r.arrived), r.cost, r.Deadline.Sub(now))
+		wait := q.forecast(r, r.leaf.cost)
+		dropped = append(dropped, q.drop(r, e.WithRetryAfter(q.comeBack(now, r, wait))))
+	}
+	return dropped
+}
+
+// NextExpiry returns when Expire will next find something, and whether
+// anything is queued.
+func (q *Queue) NextExpiry() (clock.Time, bool) {
+	if len(q.expiry) == 0 {
+		return 0, false
+	}
+	return q.expiry[0].latestStart() + 1, true
+}
+
+// Cancel takes a request out whose caller has gone.
+func (q *Queue) Cancel(r *Request) {
+	switch r.state {
+	case queued:
+		q.unqueue(r, false)
+		q.release(r)
+	case running:
+		q.finish(r)
+	case idle:
+	}
+}
+
+func (q *Queue) finish(r *Request) {
+	r.state = idle
+	q.running--
+	q.runningCost -= r.cost
+	if r.long {
+		q.longRunning--
+	}
+	q.release(r)
+}
+
+// Measured is what a request showed about the rates.
+type Measured struct {
+	OK         bool          // the answer was whole; only then do the rates learn
+	FirstToken time.Duration // from dispatch
+	Step       time.Duration // mean time between tokens
+	Output     int           // tokens
+}
+
+// Done ends a request that Next returned and learns from it.
+func (q *Queue) Done(now clock.Time, r *Request, m Measured) {
+	if r.state != running {
+		return
+	}
+	q.finish(r)
+	if !m.OK {
+		return
+	}
+	took := now.Sub(r.started)
+	if r.cost > 0 {
+		// A single stalled request must not close the door to all others.
+		ratio := min(float64(took)/float64(r.cost), maxBias)
+		q.bias += rateWeight * (ratio - q.bias)
+	}
+	q.learn(r, m)
+	if now <= r.Deadline {
+		r.class.stats.OnTime++
+	}
+}
+
+// maxBias bounds what one request can say about the estimate.
+const maxBias = 10
+
+func (q *Queue) learn(r *Request, m Measured) {
+	if n := r.Prompt - r.Cached; n >= minPrompt && m.FirstToken > q.rates.Base {
+		learn(&q.rates.PrefillPerToken, (m.FirstToken-q.rates.Base)/time.Duration(n))
+	}
+	if m.Step > 0 {
+		learn(&q.rates.DecodePerToken, m.Step)
+	}
+	if m.Output > 0 {
+		r.class.output += rateWeight * (float64(m.Output) - r.class.output)
+	}
+}
+
+func learn(mean *time.Duration, x time.Duration) {
+	*mean += time.Duration(rateWeight * float64(x-*mean))
+}
+
+// ClassStats are one class's figures since the start.
+type ClassStats struct {
+	Offered, Admitted, Refused, Started, OnTime int64
+	Waited                                      time.Duration // sum over started
+}
+
+// Stats are the queue's figures for expvar.
+type Stats struct {
+	Queued, Running, LongRunning, Slots int
+	Backlog                             time.Duration // time to drain the queue
+	Bias                                float64       // measured over estimated slot time
+	Rates                               Rates
+	Classes                             map[string]ClassStats
+	Refused                             map[string]int64 // by result code
+}
+
+// Snapshot returns the queue's figures.
+func (q *Queue) Snapshot() Stats {
+	s := Stats{
+		Queued: len(q.expiry), Running: q.running, LongRunning: q.longRunning, Slots: q.slots,
+		Bias: q.bias, Rates: q.rates,
+		Classes: map[string]ClassStats{}, Refused: map[string]int64{},
+	}
+	for _, l := range q.levels {
+		s.Backlog += q.drainTime(float64(l.root.cost))
+	}
+	for name, c := range q.classes {
+		s.Classes[name] = c.stats
+	}
+	for c, n := range q.codes {
+		s.Refused[c.String()] = n
+	}
+	return s
+}
--- /dev/null
+++ b/internal/policy/route/health.go
@@ -0,0 +1,228 @@
+package route
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"fescuestand/internal/clock"
+)
+
+const (
+	// minJudged is the fewest samples that an endpoint is judged by.
+	minJudged = 5
+	// minPeers is the fewest judged endpoints whose median means anything.
+	minPeers = 3
+	// maxDoublings bounds the shift of the ejection time.
+	maxDoublings = 6
+	// forgive is the time in service after which an earlier ejection no
+	// longer lengthens the next one.
+	forgive = 2 * time.Minute
+)
+
+// Cause says why an endpoint was ejected.
+type Cause uint8
+
+// The causes.
+const (
+	Slow Cause = iota
+	Failing
+	Stuck
+)
+
+func (c Cause) String() string { return [...]string{"slow", "failing", "stuck"}[c] }
+
+// Ejection is one endpoint taken out of its pool, with the figures for it.
+type Ejection struct {
+	Endpoint string
+	Pool     string
+	Cause    Cause
+	Value    float64 // latency ratio, error rate or seconds overdue
+	Median   float64 // of the pool
+	For      time.Duration
+	Out, Of  int  // ejected endpoints of the pool with this one, pool size
+	Held     bool // not carried out, as too much of the pool is out
+}
+
+func (e Ejection) String() string {
+	verb := "ejected"
+	if e.Held {
+		verb = "kept"
+	}
+	return fmt.Sprintf("endpoint %s %s cause=%s value=%.2f median=%.2f for=%s out=%d/%d",
+		e.Endpoint, verb, e.Cause, e.Value, e.Median, e.For, e.Out, e.Of)
+}
+
+// Sweep compares each endpoint with its pool and ejects the worst. The control
+// goroutine calls it a few times a second.
+func (r *Router) Sweep(now clock.Time) []Ejection {
+	if r.cfg.Off.NoEjection {
+		return nil
+	}
+	var all []Ejection
+	for _, p := range r.Table().pools {
+		all = append(all, r.sweepPool(now, p)...)
+	}
+	return all
+}
+
+func (r *Router) sweepPool(now clock.Time, p poolCell) []Ejection {
+	median := medianRatio(now, p.eps)
+	out := 0
+	var found []Ejection
+	var at []*Endpoint
+	for _, e := range p.eps {
+		if int64(now) < e.live.outUntil.Load() {
+			out++
+			continue
+		}
+		if j, bad := r.judge(now, e, median); bad {
+			found = append(found, j)
+			at = append(at, e)
+		}
+	}
+	allowed := int(r.cfg.MaxOut * float64(len(p.eps)))
+	if r.cfg.Off.NoMaxOut {
+		allowed = len(p.eps)
+	}
+	order := make([]int, len(found))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return found[b].worse(found[a]) })
+	sorted := make([]Ejection, 0, len(found))
+	for _, i := range order {
+		j := found[i]
+		j.Of = len(p.eps)
+		j.Held = out >= allowed
+		if !j.Held {
+			out++
+			j.For = r.eject(now, at[i].live)
+		}
+		j.Out = out
+		sorted = append(sorted, j)
+	}
+	return sorted
+}
+
+// worse orders stuck and failing endpoints over slow ones, then by value.
+func (e Ejection) worse(f Ejection) int {
+	if e.Cause != f.Cause {
+		return int(e.Cause) - int(f.Cause)
+	}
+	return int(math.Copysign(1, e.Value-f.Value))
+}
+
+func medianRatio(now clock.Time, eps []*Endpoint) float64 {
+	var ratios []float64
+	for _, e := range eps {
+		if e.live.first.n.Load() >= minJudged {
+			ratios = append(ratios, e.live.first.value(now, 1))
+		}
+	}
+	if len(ratios) < minPeers {
+		return 0
+	}
+	slices.Sort(ratios)
+	return ratios[len(ratios)/2]
+}
+
+func (r *Router) judge(now clock.Time, e *Endpoint, median float64) (Ejection, bool) {
+	l := e.live
+	j := Ejection{Endpoint: e.Name, Pool: e.Pool, Median: median}
+	overdue := now.Sub(clock.Time(l.dueAt.Load()))
+	if l.awaiting.Load() > 0 && overdue > 0 {
+		j.Cause, j.Value = Stuck, overdue.Seconds()
+		return j, true
+	}
+	if rate := l.errs.value(now, 0); l.errs.n.Load() >= minPeers && rate >= r.cfg.ErrorRate {
+		j.Cause, j.Value = Failing, rate
+		return j, true
+	}
+	ratio := l.first.value(now, 1)
+	if median > 0 && l.first.n.Load() >= minJudged && ratio > r.cfg.SlowFactor*max(median, 1) {
+		j.Cause, j.Value = Slow, ratio
+		return j, true
+	}
+	return j, false
+}
+
+// eject takes an endpoint out for a time that doubles when it fails again
+// soon after its return, and makes it come back slowly with a clean record.
+func (r *Router) eject(now clock.Time, l *live) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.ejectedAt) > forgive {
+		l.ejections = 0
+	}
+	d := min(r.cfg.Eject<<min(l.ejections, maxDoublings), r.cfg.EjectMax)
+	l.ejections++
+	until := now.Add(d)
+	l.ejectedAt = until
+	l.outUntil.Store(int64(until))
+	l.rampFrom.Store(int64(until))
+	l.dueAt.Store(int64(until.Add(r.cfg.Stuck)))
+	l.first.reset()
+	l.errs.reset()
+	return d
+}
+
+// Stats are the router's figures for expvar.
+type Stats struct {
+	Picks     map[string]int64
+	Endpoints []EndpointStats
+}
+
+// EndpointStats are one endpoint's figures.
+type EndpointStats struct {
+	Name      string
+	Pool      string
+	State     State
+	Out       bool
+	InFlight  int64
+	Limit     int
+	Runs      int64 // of all entries, estimated
+	Wait      time.Duration
+	Ratio     float64 // measured over expected time to the first token
+	Errors    float64
+	Ejections int
+	CacheGaps uint64
+	ReportAge time.Duration // -1 without a report
+}
+
+// Snapshot returns the router's figures at now.
+func (r *Router) Snapshot(now clock.Time) Stats {
+	s := Stats{Picks: map[string]int64{}}
+	for i := range r.count {
+		s.Picks[Reason(i).String()] = r.count[i].Load()
+	}
+	for _, e := range r.Table().all {
+		s.Endpoints = append(s.Endpoints, r.statsOf(now, e))
+	}
+	return s
+}
+
+func (r *Router) statsOf(now clock.Time, e *Endpoint) EndpointStats {
+	l := e.live
+	runs, work := l.load(now, &r.cfg)
+	s := EndpointStats{
+		Name: e.Name, Pool: e.Pool, State: e.State,
+		Out:      int64(now) < l.outUntil.Load(),
+		InFlight: l.ownRuns.Load(),
+		Limit:    l.lim.Limit(),
+		Runs:     runs,
+		Wait:     time.Duration(work),
+		Ratio:    l.first.value(now, 1),
+		Errors:   l.errs.value(now, 0),
+	}
+	s.ReportAge = -1
+	if at := l.takenAt.Load(); at != 0 {
+		s.ReportAge = now.Sub(clock.Time(at))
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.Ejections = l.ejections
+	s.CacheGaps = l.seq.gaps
+	return s
+}
--- /dev/null
+++ b/internal/policy/route/live.go
@@ -0,0 +1,186 @@
+package route
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/policy/limit"
+)
+
+// The recent past of what this entry sent is kept in buckets, to tell what a
+// late report has not seen yet. 64 buckets of 25 ms cover 1.6 s, more than
+// the age at which a report counts as stale.
+const (
+	buckets     = 64
+	bucketWidth = 25 * time.Millisecond
+)
+
+// Report is an engine's own account of its load, read through its driver.
+type Report struct {
+	TakenAt       clock.Time // on this entry's clock: time of arrival less the stated age
+	Running       int
+	Waiting       int
+	PrefillTokens int // queued and not yet processed
+}
+
+// live is what is known of one endpoint beyond its table entry. It survives
+// changes of the table. Traffic goroutines use the atomics; mu guards the rest.
+type live struct {
+	// Read for every endpoint of a cell by each decision, so kept together.
+	runs     atomic.Int64 // reported, and changes by this entry since the report
+	ownRuns  atomic.Int64
+	outUntil atomic.Int64 // ejected until
+	takenAt  atomic.Int64 // when the newest report was taken; zero without any
+	work     atomic.Int64 // nanoseconds of queued prefill, kept like runs
+	ownWork  atomic.Int64
+	rampFrom atomic.Int64 // full share again at rampFrom + Ramp
+	lim      *limit.Limiter
+
+	first    ewma // measured over expected time to the first token
+	errs     ewma
+	awaiting atomic.Int64 // requests of this entry without a first token
+	dueAt    atomic.Int64 // when the next first token is overdue
+
+	mu        sync.Mutex
+	seq       cacheSeq
+	ejections int
+	ejectedAt clock.Time
+	state     State
+	reports   uint64
+	oldSeen   uint64
+
+	recent [buckets]bucket
+	cache  cacheView
+}
+
+type bucket struct {
+	epoch atomic.Int64
+	runs  atomic.Int64
+	work  atomic.Int64
+}
+
+// change counts work that this entry sent or that ended.
+func (l *live) change(now clock.Time, runs, work int64) {
+	l.runs.Add(runs)
+	l.ownRuns.Add(runs)
+	l.ownWork.Add(work)
+	if work > 0 {
+		// Reported work runs down with time, not when a request ends.
+		l.work.Add(work)
+	}
+	epoch := int64(now) / int64(bucketWidth)
+	b := &l.recent[epoch%buckets]
+	if old := b.epoch.Load(); old != epoch && b.epoch.CompareAndSwap(old, epoch) {
+		// A concurrent change between the swap and the stores is lost from
+		// the bucket; the next report but one corrects it.
+		b.runs.Store(0)
+		b.work.Store(0)
+	}
+	b.runs.Add(runs)
+	b.work.Add(max(work, 0))
+}
+
+// report takes a load report and adds what was sent after it was taken. Without
+// that, an entry that reads the same late report a hundred times sends a
+// hundred requests to the engine that was idle when the report was taken.
+func (l *live) report(r Report, prefillNanos int64, trustOnly bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if int64(r.TakenAt) <= l.takenAt.Load() {
+		l.oldSeen++
+		return
+	}
+	l.reports++
+	runs, work := l.since(r.TakenAt)
+	if trustOnly {
+		runs, work = 0, 0
+	}
+	l.runs.Store(max(int64(r.Running+r.Waiting)+runs, 0))
+	l.work.Store(int64(r.PrefillTokens)*prefillNanos + work)
+	l.takenAt.Store(int64(r.TakenAt))
+}
+
+// since sums the changes after t.
+func (l *live) since(t clock.Time) (runs, work int64) {
+	from := int64(t) / int64(bucketWidth)
+	for i := range l.recent {
+		b := &l.recent[i]
+		if b.epoch.Load() >= from {
+			runs += b.runs.Load()
+			work += b.work.Load()
+		}
+	}
+	return runs, work
+}
+
+// load returns the requests at the endpoint and the prefill queued there in
+// nanoseconds, by all entries as well as can be told.
+func (l *live) load(now clock.Time, cfg *Config) (runs, work int64) {
+	own := l.ownRuns.Load()
+	at := l.takenAt.Load()
+	if at == 0 || int64(now)-at > int64(cfg.Stale) {
+		// Without a usable report the other entries are taken to send as
+		// much as this one: they follow the same policy.
+		n := int64(cfg.Entries)
+		return own * n, l.ownWork.Load() * n
+	}
+	work = max(l.work.Load()-(int64(now)-at), 0)
+	runs = l.runs.Load()
+	if cfg.Off.NoOwnCounts {
+		return runs, work
+	}
+	return max(runs, own), work
+}
+
+// ewma is an exponentially weighted mean that forgets with time as well as
+// with samples, so that an endpoint which is avoided for its past gets another
+// chance.
+type ewma struct {
+	bits atomic.Uint64
+	at   atomic.Int64
+	n    atomic.Int64
+}
+
+const (
+	// sampleWeight lets about five samples decide.
+	sampleWeight = 0.2
+	// halfLife is the time in which an old finding loses half of its weight.
+	halfLife = 5 * time.Second
+)
+
+func (e *ewma) add(now clock.Time, x, neutral float64) {
+	e.at.Store(int64(now))
+	first := e.n.Add(1) == 1
+	for {
+		old := e.bits.Load()
+		v := math.Float64frombits(old)
+		if first && old == 0 {
+			v = neutral
+		}
+		v += sampleWeight * (x - v)
+		if e.bits.CompareAndSwap(old, math.Float64bits(v)) {
+			return
+		}
+	}
+}
+
+// value returns the mean, drawn towards neutral by the time without samples.
+func (e *ewma) value(now clock.Time, neutral float64) float64 {
+	if e.n.Load() == 0 {
+		return neutral
+	}
+	v := math.Float64frombits(e.bits.Load())
+	idle := float64(int64(now)-e.at.Load()) / float64(halfLife)
+	if idle <= 0 {
+		return v
+	}
+	return neutral + (v-neutral)/(1+idle)
+}
+
+func (e *ewma) reset() {
+	e.n.Store(0)
+	e.bits.Store(0)
+}
--- /dev/null
+++ b/internal/policy/route/pick.go
@@ -0,0 +1,285 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+)
+
+// Request is what routing needs to know of a request.
+type Request struct {
+	Pool      string
+	Artifact  Artifact
+	Workspace string
+	Pieces    []uint64 // chained hashes of the prompt's whole pieces, see Pieces
+	Prompt    int      // tokens
+	Exclude   []*Endpoint
+	Isolate   bool // may crash its endpoint: run it where it hurts fewest
+}
+
+// Reason says what decided a choice.
+type Reason uint8
+
+// The reasons.
+const (
+	LeastWait Reason = iota // the better of two drawn at random
+	Affinity                // preferred for the prompt's prefix
+	CacheHit                // believed to have cached a prefix of the prompt
+	Isolated
+	OnlyOne  // no other endpoint was eligible
+	Fallback // every eligible endpoint was ejected or suspect
+	reasons
+)
+
+var reasonNames = [reasons]string{"least-wait", "affinity", "cache-hit", "isolated", "only-one", "fallback"}
+
+func (r Reason) String() string { return reasonNames[r] }
+
+// Dispatch is one piece of work for one endpoint. It belongs to the goroutine
+// that serves the request.
+type Dispatch struct {
+	Endpoint   *Endpoint // nil if there is no such piece of work
+	work       int64
+	unloaded   time.Duration
+	expected   time.Duration
+	sentAt     clock.Time
+	answered   bool
+	firstRatio float64
+}
+
+// Decision is where a request goes.
+type Decision struct {
+	Dispatch               // the endpoint that answers
+	Prefill  Dispatch      // an engine that prefills and hands its KV cache over
+	Reason   Reason        //
+	Cached   int           // pieces believed to be cached at the endpoint
+	Score    time.Duration // estimated time to the first token, with penalties
+	Transfer time.Duration // of the KV cache
+}
+
+// maxDraws bounds the tries to draw an eligible endpoint at random before the
+// list is scanned: with a third of a pool out, eight misses come once in 6,500.
+const maxDraws = 8
+
+// candidate is an endpoint with its score.
+type candidate struct {
+	ep     *Endpoint
+	score  float64 // nanoseconds
+	cached int
+	reason Reason
+}
+
+// Pick chooses where req goes. It allocates only when it fails.
+func (r *Router) Pick(now clock.Time, req *Request) (Decision, error) {
+	t := r.table.Load()
+	g := t.groups[groupKey{req.Pool, req.Artifact}]
+	if g == nil {
+		return Decision{}, noEndpoint(req, t, now)
+	}
+	var ws uint64
+	if req.Workspace != "" {
+		ws = xxhash.Sum64String(req.Workspace)
+	}
+	m := &g.cells[0]
+	if t.cells > 1 {
+		m = g.cellFor(ws)
+	}
+	best, ok := r.choose(now, req, ws, &m.serve)
+	if !ok {
+		best, ok = r.lastResort(now, req, g)
+	}
+	if !ok {
+		return Decision{}, noEndpoint(req, t, now)
+	}
+	d := r.decide(now, req, best)
+	r.handOver(now, req, ws, &m.prefill, &d)
+	r.count[d.Reason].Add(1)
+	return d, nil
+}
+
+// cellFor returns the members of the workspace's cell, or of the next one in
+// rendezvous order that has any.
+func (g *group) cellFor(ws uint64) *members {
+	best, top := -1, uint64(0)
+	for i := range g.cells {
+		if len(g.cells[i].serve.eps) == 0 {
+			continue
+		}
+		if s := mix(ws ^ mix(uint64(i)+1)); s >= top {
+			best, top = i, s
+		}
+	}
+	if best < 0 {
+		return &g.cells[0]
+	}
+	return &g.cells[best]
+}
+
+func (r *Router) choose(now clock.Time, req *Request, ws uint64, s *set) (candidate, bool) {
+	switch {
+	case len(s.eps) == 0:
+		return candidate{}, false
+	case req.Isolate:
+		return r.leastHarm(now, req, s)
+	case r.cfg.Off.RoundRobin:
+		return r.nextInTurn(now, req, s)
+	case r.cfg.Off.NoTwoChoices:
+		return r.leastReported(now, req, s)
+	}
+	best := candidate{score: math.Inf(1)}
+	if len(req.Pieces) > 0 && !r.cfg.Off.NoAffinity {
+		r.preferred(now, req, ws, s, &best)
+	}
+	for range 2 {
+		if e := r.draw(now, req, s.eps); e != nil && e != best.ep {
+			best = better(best, r.score(now, req, e, LeastWait))
+		}
+	}
+	return best, best.ep != nil
+}
+
+func better(a, b candidate) candidate {
+	if b.score < a.score {
+		return b
+	}
+	return a
+}
+
+// random returns 64 random bits. The sequence is fixed by the seed.
+func (r *Router) random() uint64 { return mix(r.seed + r.draws.Add(1)) }
+
+// draw returns an eligible endpoint at random, or nil.
+func (r *Router) draw(now clock.Time, req *Request, list []*Endpoint) *Endpoint {
+	n := uint64(len(list))
+	for range maxDraws {
+		x := r.random()
+		e := list[(x>>32)*n>>32]
+		if r.eligible(now, req, e, uint32(x)) {
+			return e
+		}
+	}
+	start := r.random() % n
+	for i := range n {
+		e := list[(start+i)%n]
+		if r.eligible(now, req, e, 0) {
+			return e
+		}
+	}
+	return nil
+}
+
+// eligible says whether e may take req now. chance is a random number that
+// lets a returning endpoint take a growing share; zero always passes.
+func (r *Router) eligible(now clock.Time, req *Request, e *Endpoint, chance uint32) bool {
+	l := e.live
+	if e.State != Open || int64(now) < l.outUntil.Load() {
+		return false
+	}
+	if l.ownRuns.Load() >= int64(l.lim.Limit()) {
+		return false
+	}
+	for _, x := range req.Exclude {
+		if x.live == l {
+			return false
+		}
+	}
+	from := l.rampFrom.Load()
+	if from == 0 || r.cfg.Off.NoRamp {
+		return true
+	}
+	share := rampStart + float64(int64(now)-from)/float64(r.cfg.Ramp)
+	return share >= 1 || float64(chance) < share*math.MaxUint32
+}
+
+// rampStart is the share of its usual work that a returning endpoint begins
+// with: enough samples to judge it by, few callers hurt if it is still slow.
+const rampStart = 0.1
+
+// score estimates e's time to the first token of req in nanoseconds.
+func (r *Router) score(now clock.Time, req *Request, e *Endpoint, reason Reason) candidate {
+	c := candidate{ep: e, reason: reason}
+	if !r.cfg.Off.NoAffinity {
+		c.cached = e.live.cache.depth(req.Pieces)
+	}
+	if c.cached > 0 && reason == LeastWait {
+		c.reason = CacheHit
+	}
+	wait, run := r.estimate(now, req, e, c.cached)
+	c.score = float64(wait + run)
+	if !r.cfg.Off.NoCalibration {
+		// A measured slowness corrects the estimate before the endpoint's
+		// ejection, and spares it if the pool has no room for one more.
+		c.score *= max(e.live.first.value(now, 1), minCalibration)
+	}
+	if e.far {
+		c.score += float64(r.cfg.ZoneCost)
+	}
+	if !r.cfg.Off.NoErrorCost {
+		c.score += e.live.errs.value(now, 0) * float64(r.cfg.ErrorCost)
+	}
+	return c
+}
+
+// minCalibration keeps a lucky run of samples from drawing all the traffic.
+const minCalibration = 0.5
+
+// estimate returns the time that req would wait at e, and the time that its
+// own prefill or fixed work takes there.
+func (r *Router) estimate(now clock.Time, req *Request, e *Endpoint, cached int) (wait, run int64) {
+	runs, work := e.live.load(now, &r.cfg)
+	wait = work
+	if over := runs + 1 - e.slots; over > 0 {
+		wait += over * e.slotNanos
+	}
+	// Each running request lengthens the steps of the batch: half a step for
+	// a full batch, by which endpoints below their slots still differ.
+	wait += runs * (e.decodeStepNanos + e.baseNanos) / (2 * e.slots)
+	tokens := max(req.Prompt-cached*r.cfg.PieceTokens, 0)
+	return wait, int64(tokens)*e.prefillNanos + e.baseNanos
+}
+
+func (r *Router) decide(now clock.Time, req *Request, c candidate) Decision {
+	wait, run := r.estimate(now, req, c.ep, c.cached)
+	d := Decision{Reason: c.reason, Cached: c.cached, Score: time.Duration(c.score)}
+	d.Dispatch = Dispatch{
+		Endpoint: c.ep,
+		work:     run - c.ep.baseNanos,
+		unloaded: time.Duration(run),
+		expected: time.Duration(wait + run),
+	}
+	for _, p := range req.Pieces {
+		c.ep.live.cache.add(p)
+	}
+	return d
+}
+
+func noEndpoint(req *Request, t *Table, now clock.Time) error {
+	known, open, out, full := 0, 0, 0, 0
+	for _, p := range t.pools {
+		if p.pool != req.Pool {
+			continue
+		}
+		for _, e := range p.eps {
+			known++
+			switch {
+			case e.State != Open:
+			case int64(now) < e.live.outUntil.Load():
+				out++
+			case e.live.ownRuns.Load() >= int64(e.live.lim.Limit()):
+				full++
+			default:
+				open++
+			}
+		}
+	}
+	return code.New(code.NoEndpoint, "pool %s model %q: %d endpoints, %d eligible, %d ejected, %d at their limit",
+		req.Pool, req.Artifact.Model, known, open, out, full).WithRetryAfter(retryAfter)
+}
+
+// retryAfter is the time to come back when no endpoint takes work: two rounds
+// of the sweep that ends ejections.
+const retryAfter = 500 * time.Millisecond
