Log client tests: the same verdict every run

Cause: without -race, 19 of 20 runs of the group-commit test failed, and 1 of 20 of the outage test (go test -count=20 ./internal/logclient). The fake log answered within one scheduling slot, so nothing could gather; and the outage ended while the first append could still be in its jittered wait. Ruled out: a fault of the client; batches form as soon as an append takes time. Change: the fake's appends take 10 ms of fake time, and the outage ends after the first append was given up. Bounds and assertions are unchanged.

--- a/internal/logclient/client_test.go
+++ b/internal/logclient/client_test.go
@@ -67,6 +67,7 @@
 func TestAppendsOfConcurrentCallersTravelTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := logtest.New()
+		l.SetLatency(10 * time.Millisecond)
 		c := newClient(t, l)
 		var wg sync.WaitGroup
 		const callers = 200
@@ -128,7 +129,11 @@
 		l := logtest.New()
 		l.SetDown(true)
 		c := newClient(t, l)
-		go func() { _, _ = c.Append(t.Context(), "s", entry("first")) }()
+		firstEnded := make(chan struct{})
+		go func() {
+			defer close(firstEnded)
+			_, _ = c.Append(t.Context(), "s", entry("first"))
+		}()
 		time.Sleep(defaultFailFast + 500*time.Millisecond)
 		start := time.Now()
 		_, err := c.Append(t.Context(), "s", entry("a"))
@@ -136,7 +141,7 @@
 		assert.Equal(t, code.Of(err).Code, code.LogDown)
 		assert.Assert(t, time.Since(start) < time.Millisecond)
 		assert.Assert(t, !c.Health().Healthy)
-		time.Sleep(defaultGiveUp)
+		<-firstEnded
 		l.SetDown(false)
 		_, err = c.Append(t.Context(), "s", entry("b"))
 		assert.NilError(t, err)
--- a/internal/logclient/logtest/logtest.go
+++ b/internal/logclient/logtest/logtest.go
@@ -39,6 +39,7 @@
 	changed chan struct{}
 	appends int
 	reads   int
+	latency time.Duration
 }
 
 type stream struct {
@@ -61,6 +62,9 @@
 // SetDown starts or ends an outage.
 func (l *Log) SetDown(down bool) { l.with(func() { l.down = down }) }
 
+// SetLatency sets how long an append takes.
+func (l *Log) SetLatency(d time.Duration) { l.with(func() { l.latency = d }) }
+
 // SetFate sets the fate of the appends from now on; nil applies all.
 func (l *Log) SetFate(f func(stream string, data []byte) Fate) { l.with(func() { l.fate = f }) }
 
@@ -128,6 +132,9 @@
 
 // Append implements driver.Log.
 func (l *Log) Append(_ context.Context, name string, data []byte) (offset uint64, err error) {
+	var latency time.Duration
+	l.with(func() { latency = l.latency })
+	time.Sleep(latency)
 	l.with(func() {
 		l.appends++
 		fate := Applied
