fescuectl check and publish

A publish names its base and a publish id, follows the config stream for the verdict and then asks the VMs until it is in force. A lost answer ends as 'outcome not known yet' (exit 5) and never as 'not published'.

--- a/cmd/fescuectl/main.go
+++ b/cmd/fescuectl/main.go
@@ -5,6 +5,8 @@
 import (
 	"os"
 
+	_ "fescuestand/internal/driver/httpdriver" // the "http" drivers
+
 	"fescuestand/internal/operator"
 )
 
--- /dev/null
+++ b/internal/operator/publish.go
@@ -0,0 +1,211 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"fescuestand/internal/code"
+	"fescuestand/internal/driver"
+	"fescuestand/internal/kernel"
+	"fescuestand/internal/logclient"
+	"fescuestand/internal/node"
+	"fescuestand/internal/sheet"
+	"fescuestand/internal/wire"
+)
+
+type checkCommand struct {
+	command
+	Args struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	body, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return &exitError{kernel.ExitUsage, err}
+	}
+	if _, err := sheet.Parse(c.Args.File, body); err != nil {
+		return &exitError{kernel.ExitUsage, err}
+	}
+	_, err = fmt.Fprintln(c.out, c.Args.File, "is valid")
+	return err
+}
+
+type publishCommand struct {
+	command
+	Base  uint64        `long:"base" value-name:"VERSION" description:"version that this publish replaces; default: the one accepted now"`
+	First bool          `long:"first" description:"expect that there is no sheet yet (base 0)"`
+	Patch bool          `long:"patch" description:"FILE is a merge patch on the base and not a whole sheet"`
+	Wait  time.Duration `long:"wait" default:"30s" description:"longest wait for the verdict, and again until it is in force everywhere"`
+	Args  struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *publishCommand) Execute([]string) error {
+	s, err := c.settings()
+	if err != nil {
+		return err
+	}
+	body, err := c.readBody()
+	if err != nil {
+		return &exitError{kernel.ExitUsage, err}
+	}
+	lg, list, err := s.platform()
+	if err != nil {
+		return err
+	}
+	p := newPublisher(c.ctx, s, lg)
+	defer p.close()
+	version, err := c.publish(p, s.Operator, body)
+	if err != nil {
+		return err
+	}
+	return c.awaitInForce(list, version)
+}
+
+func (c *publishCommand) readBody() ([]byte, error) {
+	body, err := os.ReadFile(c.Args.File)
+	if err != nil || c.Patch {
+		return body, err
+	}
+	_, err = sheet.Parse(c.Args.File, body)
+	return body, err
+}
+
+// publish appends the sheet or patch and waits for its verdict.
+func (c *publishCommand) publish(p *publisher, operator string, body []byte) (version uint64, err error) {
+	ctx, cancel := context.WithTimeout(c.ctx, c.Wait)
+	defer cancel()
+	base, err := c.base(ctx, p)
+	if err != nil {
+		return 0, err
+	}
+	id := node.NewIncarnation()
+	if err := p.append(ctx, c.entry(base, id, operator, body)); err != nil && code.Of(err).Run == code.NotRun {
+		return 0, err
+	}
+	v, err := p.verdict(ctx, id)
+	if err != nil {
+		return 0, &exitError{ExitUnknown, code.Wrap(code.PublishUnknown, err,
+			"publish %s on base %d: no verdict within %s; it counts only while %d is the accepted version, see `fescuectl status`", id, base, c.Wait, base)}
+	}
+	if !v.Accepted {
+		return 0, &exitError{ExitRefused, code.New(code.Code(v.Code), "refused at offset %d: %s", v.Offset, v.Detail)}
+	}
+	_, err = fmt.Fprintf(c.out, "accepted version=%d base=%d publish=%s\n", v.Offset, base, id)
+	return v.Offset, err
+}
+
+func (c *publishCommand) base(ctx context.Context, p *publisher) (uint64, error) {
+	if c.First || c.Base > 0 {
+		return c.Base, nil
+	}
+	return p.current(ctx)
+}
+
+func (c *publishCommand) entry(base uint64, id, operator string, body []byte) *wire.Entry {
+	if c.Patch {
+		return &wire.Entry{Kind: &wire.Entry_Patch{Patch: &wire.Patch{Base: base, Body: body, Operator: operator, PublishId: id}}}
+	}
+	return &wire.Entry{Kind: &wire.Entry_Sheet{Sheet: &wire.Sheet{Base: base, Body: body, Operator: operator, PublishId: id}}}
+}
+
+// inForcePoll is the time between two questions to the VMs.
+const inForcePoll = 100 * time.Millisecond
+
+// awaitInForce waits until every live VM of the list reports the version.
+func (c *publishCommand) awaitInForce(list driver.VMList, version uint64) error {
+	ctx, cancel := context.WithTimeout(c.ctx, c.Wait)
+	defer cancel()
+	start := time.Now()
+	var behind []string
+	for {
+		f, err := ReadStatus(ctx, list)
+		if err == nil {
+			behind = behindOf(f, version)
+		} else if ctx.Err() == nil {
+			behind = []string{err.Error()}
+		}
+		if err == nil && len(behind) == 0 {
+			_, err = fmt.Fprintf(c.out, "in force on %d VMs after %d ms\n", len(f.VMs), time.Since(start).Milliseconds())
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return &exitError{ExitUnknown, code.New(code.NotInForce, "version %d is accepted; after %s not yet in force on: %s",
+				version, c.Wait, strings.Join(behind, ", "))}
+		case <-time.After(inForcePoll):
+		}
+	}
+}
+
+// behindOf names the VMs that are not known to use the version. A leaving VM
+// takes no work and does not count.
+func behindOf(f *FleetStatus, version uint64) []string {
+	var names []string
+	for _, v := range f.VMs {
+		switch {
+		case v.VM.Leaving:
+		case v.Report == nil:
+			names = append(names, v.VM.Name+" (no answer)")
+		case v.Report.SheetVersion < version:
+			names = append(names, fmt.Sprintf("%s (at %d)", v.VM.Name, v.Report.SheetVersion))
+		}
+	}
+	return names
+}
+
+// publisher appends to the config stream and follows it.
+type publisher struct {
+	stream string
+	client *logclient.Client
+	reader *configReader
+}
+
+func newPublisher(ctx context.Context, s *Settings, lg driver.Log) *publisher {
+	client := logclient.New(logclient.Options{Log: lg, Writer: node.NewIncarnation(), VM: "fescuectl"})
+	return &publisher{
+		stream: s.Streams.Config,
+		client: client,
+		reader: followConfig(ctx, client, s.Streams.Config),
+	}
+}
+
+func (p *publisher) close() {
+	p.reader.stop()
+	_ = p.client.Close()
+}
+
+func (p *publisher) append(ctx context.Context, e *wire.Entry) error {
+	_, err := p.client.Append(ctx, p.stream, e)
+	return err
+}
+
+// current returns the accepted version once the stream was read to its end.
+func (p *publisher) current(ctx context.Context) (uint64, error) {
+	var version uint64
+	err := p.reader.await(ctx, func() bool {
+		version = p.reader.fold.Current().Version
+		return p.reader.fold.Established() && p.client.Progress(p.stream).Read
+	})
+	if err != nil {
+		return 0, code.Wrap(code.LogDown, err, "the accepted version can't be read; nothing was published")
+	}
+	return version, nil
+}
+
+func (p *publisher) verdict(ctx context.Context, id string) (*wire.Verdict, error) {
+	var v *wire.Verdict
+	err := p.reader.await(ctx, func() bool {
+		v = p.reader.fold.Verdict(id)
+		return v != nil
+	})
+	return v, err
+}
