--- /dev/null
+++ b/scenarios/await_test.go
@@ -0,0 +1,219 @@
+package scenarios
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"fescuestand/internal/driver"
+	"fescuestand/internal/driver/httpdriver/httpapi"
+	"fescuestand/internal/standin/engine"
+	"fescuestand/internal/standin/service"
+	"fescuestand/internal/status"
+)
+
+// awaitCondition waits for one condition:
+//
+//	await ready VM...              the entry takes requests
+//	await in-force VERSION VM...   the entry uses this version or a higher one
+//	await holder ENGINE [not=VM]   somebody holds it; sets HOLDER and TOKEN
+//	await role ENGINE ROLE         by the engine's own word
+//	await loaded ENGINE MODEL/VERSION
+//	await addresses VM with=VM2 | without=VM2
+//	await line PROCESS REGEXP      in the process's log
+//	await executed KEY             at any endpoint of the plain service
+//	await exit PROCESS
+func awaitCondition(ts *testscript.TestScript, f *fleet, args []string) error {
+	kind, args := args[0], args[1:]
+	switch kind {
+	case "ready":
+		return f.awaitReports("ready", args, func(r *status.Report) bool { return r.Ready })
+	case "in-force":
+		version, err := strconv.ParseUint(args[0], 10, 64)
+		if err != nil {
+			return err
+		}
+		return f.awaitReports("version "+args[0], args[1:], func(r *status.Report) bool { return r.SheetVersion >= version })
+	case "holder":
+		return f.awaitHolder(ts, args)
+	case "role":
+		return f.awaitState(args[0], func(s *driver.EngineState) bool { return !s.Changing && string(s.Role) == args[1] })
+	case "loaded":
+		model, version, _ := strings.Cut(args[1], "/")
+		return f.awaitState(args[0], func(s *driver.EngineState) bool { return isLoaded(s, model, version) })
+	case "addresses":
+		return f.awaitAddresses(args)
+	case "line":
+		return f.awaitLine(args[0], args[1])
+	case "executed":
+		return poll("execution of "+args[0], func() (bool, error) {
+			counts, err := f.executions()
+			return counts[args[0]] > 0, err
+		})
+	case "exit":
+		p, err := f.process(args[0])
+		if err == nil {
+			_, err = p.await()
+		}
+		return err
+	default:
+		return fmt.Errorf("no condition %q", kind)
+	}
+}
+
+// get reads JSON from a loopback address.
+func get(addr, path string, v any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+func (f *fleet) awaitReports(what string, names []string, ok func(*status.Report) bool) error {
+	for _, name := range names {
+		v, err := f.vm(name)
+		if err != nil {
+			return err
+		}
+		err = poll(what+" on "+name, func() (bool, error) {
+			var r status.Report
+			return get(v.status, status.PathStatus, &r) == nil && ok(&r), nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) awaitHolder(ts *testscript.TestScript, args []string) error {
+	not := ""
+	if len(args) > 1 {
+		not = strings.TrimPrefix(args[1], "not=")
+	}
+	return poll("holder of "+args[0], func() (bool, error) {
+		for _, v := range f.vms {
+			s, ok := v.holds(args[0])
+			if ok && v.name != not {
+				ts.Setenv("HOLDER", v.name)
+				ts.Setenv("TOKEN", strconv.FormatUint(s.Token, 10))
+				return true, nil
+			}
+		}
+		return false, nil
+	})
+}
+
+// holds asks the VM's control process.
+func (v *vm) holds(engineName string) (status.Scope, bool) {
+	var r status.Report
+	if get(v.ctrl, status.PathStatus, &r) != nil {
+		return status.Scope{}, false
+	}
+	for _, s := range r.Scopes {
+		if s.Engine == engineName && s.Held {
+			return s, true
+		}
+	}
+	return status.Scope{}, false
+}
+
+func (f *fleet) awaitState(name string, ok func(*driver.EngineState) bool) error {
+	var s driver.EngineState
+	err := poll("wanted state of "+name, func() (bool, error) {
+		s = driver.EngineState{}
+		return get(f.stand[name], httpapi.PathState, &s) == nil && ok(&s), nil
+	})
+	if err != nil {
+		return fmt.Errorf("%w; last state %+v", err, s)
+	}
+	return nil
+}
+
+func isLoaded(s *driver.EngineState, model, version string) bool {
+	for _, l := range s.Loaded {
+		if l.Model == model && l.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) awaitAddresses(args []string) error {
+	v, err := f.vm(args[0])
+	if err != nil {
+		return err
+	}
+	how, name, _ := strings.Cut(args[1], "=")
+	other, err := f.vm(name)
+	if err != nil {
+		return err
+	}
+	return poll("addresses "+args[1], func() (bool, error) {
+		var answer struct {
+			Addresses []struct {
+				Address string `json:"address"`
+			} `json:"addresses"`
+		}
+		if get(v.caller, "/v1/addresses", &answer) != nil {
+			return false, nil
+		}
+		found := false
+		for _, a := range answer.Addresses {
+			found = found || a.Address == other.caller
+		}
+		return found == (how == "with"), nil
+	})
+}
+
+func (f *fleet) awaitLine(name, pattern string) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	re, err := regexp.Compile(pattern)
+	if err != nil {
+		return err
+	}
+	return poll("line "+pattern+" of "+name, func() (bool, error) {
+		b, err := os.ReadFile(p.log)
+		return re.Match(b), err
+	})
+}
+
+// executions counts the runs of each key over every endpoint.
+func (f *fleet) executions() (map[string]int, error) {
+	counts := map[string]int{}
+	for _, name := range f.services {
+		var e service.Executions
+		if err := get(f.stand[name], "/executions", &e); err != nil {
+			return nil, err
+		}
+		for key, x := range e.Keys {
+			counts[key] += x.Count
+		}
+	}
+	return counts, nil
+}
+
+func (f *fleet) orders(name string) ([]engine.HistoryEntry, error) {
+	var h engine.HistoryAnswer
+	err := get(f.stand[name], "/history", &h)
+	return h.Orders, err
+}
--- /dev/null
+++ b/scenarios/fleet_test.go
@@ -0,0 +1,125 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"fescuestand/internal/driver/httpdriver/httpapi"
+)
+
+// fleet is what one scenario runs: stand-ins, VMs and the relays between them.
+type fleet struct {
+	dir       string
+	processes map[string]*process
+	order     []string // processes in the order of their first start
+	relays    map[string]*relay
+	stand     map[string]string // stand-in name to its own address
+	vms       []*vm
+	engines   []string
+	services  []string
+	traffic   map[string]*traffic
+	calls     int      // made so far
+	answers   []answer // of calls with a key
+}
+
+// vm is one entry VM: two processes and their addresses.
+type vm struct {
+	name, zone                 string
+	caller, peer, status, ctrl string
+}
+
+func newFleet(dir string) *fleet {
+	return &fleet{
+		dir: dir, processes: map[string]*process{}, relays: map[string]*relay{},
+		stand: map[string]string{}, traffic: map[string]*traffic{},
+	}
+}
+
+func (f *fleet) stopAll() {
+	for _, t := range f.traffic {
+		_ = t.cmd.Process.Kill()
+	}
+	for _, p := range f.processes {
+		p.kill()
+	}
+	for _, r := range f.relays {
+		r.close()
+	}
+}
+
+// run starts a process under a name that the scenario can refer to.
+func (f *fleet) run(name string, args ...string) error {
+	if p, ok := f.processes[name]; ok && p.running() {
+		return fmt.Errorf("%s runs already", name)
+	}
+	p := &process{name: name, args: args, log: filepath.Join(f.dir, name+".log")}
+	f.processes[name] = p
+	if !slices.Contains(f.order, name) {
+		f.order = append(f.order, name)
+	}
+	return p.start()
+}
+
+// standIn starts one stand-in behind a relay and waits until it answers.
+func (f *fleet) standIn(name, kind string, args ...string) error {
+	addr, ok := f.stand[name]
+	if !ok {
+		addr = freeAddress()
+		r, err := newRelay(addr)
+		if err != nil {
+			return err
+		}
+		f.stand[name], f.relays[name] = addr, r
+	}
+	full := append([]string{"fescue-standin", kind, "--listen", addr}, args...)
+	if err := f.run(name, full...); err != nil {
+		return err
+	}
+	return awaitListen(addr)
+}
+
+// reach returns the address at which the system reaches a stand-in.
+func (f *fleet) reach(name string) string { return f.relays[name].addr }
+
+func (f *fleet) process(name string) (*process, error) {
+	if p, ok := f.processes[name]; ok {
+		return p, nil
+	}
+	return nil, fmt.Errorf("no process %q; there are: %s", name, strings.Join(f.order, ", "))
+}
+
+func (f *fleet) vm(name string) (*vm, error) {
+	for _, v := range f.vms {
+		if v.name == name {
+			return v, nil
+		}
+	}
+	return nil, fmt.Errorf("no VM %q", name)
+}
+
+// writeJSON writes a settings file into the scenario's folder.
+func (f *fleet) writeJSON(name string, v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(f.dir, name), b, 0o600)
+}
+
+func (f *fleet) target(standIn, client string) map[string]any {
+	return map[string]any{
+		"driver": "http", "address": f.reach(standIn), "options": map[string]string{"client": client},
+	}
+}
+
+func (f *fleet) records() []httpapi.VM {
+	var list []httpapi.VM
+	for _, v := range f.vms {
+		list = append(list, httpapi.VM{Name: v.name, Zone: v.zone, Caller: v.caller, Peer: f.reach(v.name + ":peer"), Status: v.status})
+	}
+	return list
+}
