--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,186 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	readyTimeout = 20 * time.Second
+	readyPause   = 50 * time.Millisecond
+	stopTimeout  = 20 * time.Second
+)
+
+// Demo is one run of an example.
+type Demo struct {
+	Bin        string // directory of the binaries
+	Deployment *Deployment
+	For        time.Duration // how long the caller sends new requests
+	Rate       float64
+	KillEntry  time.Duration // kill the last entry this long into the run; 0: never
+	Caller     []string      // further flags of the caller
+	Out        io.Writer
+
+	logDir   string
+	standins []*process
+	controls []*process
+	entries  []*process
+}
+
+// Run runs the demo. It fails if anything did not start, if an answer was not
+// whole, or if a process did not stop as it must.
+func (d *Demo) Run(ctx context.Context) (err error) {
+	d.logDir = filepath.Join(".demo", d.Deployment.Sheet.Deployment)
+	if err := os.MkdirAll(d.logDir, 0o755); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(d.Out, "deployment %s: logs of every process in %s\n", d.Deployment.Sheet.Deployment, d.logDir)
+	defer func() { err = errors.Join(err, d.stopAll()) }()
+	steps := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"start stand-ins", d.startStandins},
+		{"start fescue-control and fescue-entry", d.startSystem},
+		{"publish the sheet", d.publish},
+		{"wait until every entry serves", d.awaitServing},
+		{"run the caller", d.runCaller},
+	}
+	for _, s := range steps {
+		begun := time.Now()
+		if err := s.run(ctx); err != nil {
+			return eris.Wrap(err, s.name)
+		}
+		_, _ = fmt.Fprintf(d.Out, "%6.1f s  %s\n", time.Since(begun).Seconds(), s.name)
+	}
+	return nil
+}
+
+func (d *Demo) startSystem(ctx context.Context) error {
+	var addresses []string
+	for i, vm := range d.Deployment.VMs {
+		c, err := d.start(fmt.Sprintf("control-%d", i+1), "fescue-control", "--config", vm.ControlFile)
+		if err != nil {
+			return err
+		}
+		d.controls = append(d.controls, c)
+		e, err := d.start(fmt.Sprintf("entry-%d", i+1), "fescue-entry", "--config", vm.EntryFile)
+		if err != nil {
+			return err
+		}
+		d.entries = append(d.entries, e)
+		addresses = append(addresses, vm.Control.Addresses.Status, vm.Entry.Addresses.Status, vm.Entry.Addresses.Caller)
+	}
+	return d.awaitListening(ctx, addresses)
+}
+
+func (d *Demo) publish(ctx context.Context) error {
+	return d.command(ctx, "fescuectl", "publish", "--config", d.Deployment.CtlFile, d.Deployment.SheetFile)
+}
+
+// command runs a binary in the foreground.
+func (d *Demo) command(ctx context.Context, binary string, args ...string) error {
+	cmd := exec.CommandContext(ctx, filepath.Join(d.Bin, binary), args...)
+	cmd.Stdout, cmd.Stderr = d.Out, d.Out
+	return cmd.Run()
+}
+
+// awaitListening waits until every address takes connections.
+func (d *Demo) awaitListening(ctx context.Context, addresses []string) error {
+	for _, a := range addresses {
+		err := d.await(ctx, a, func() error {
+			c, err := net.DialTimeout("tcp", a, time.Second)
+			if err != nil {
+				return err
+			}
+			return c.Close()
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitServing waits until every entry names an address to use.
+func (d *Demo) awaitServing(ctx context.Context) error {
+	for _, vm := range d.Deployment.VMs {
+		a := vm.Entry.Addresses.Caller
+		err := d.await(ctx, a, func() error {
+			resp, err := http.Get("http://" + a + "/v1/addresses")
+			if err != nil {
+				return err
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if resp.StatusCode != http.StatusOK {
+				return eris.Errorf("%s answers %s", a, resp.Status)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// await repeats the probe until it succeeds, time is over, or a process that
+// must run has ended.
+func (d *Demo) await(ctx context.Context, what string, probe func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		err := probe()
+		if err == nil {
+			return nil
+		}
+		if p := d.firstEnded(); p != nil {
+			return eris.Errorf("%s ended early (%v); see %s.log", p.name, p.err, filepath.Join(d.logDir, p.name))
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrapf(err, "%s is not ready", what)
+		case <-time.After(readyPause):
+		}
+	}
+}
+
+func (d *Demo) all() []*process {
+	var all []*process
+	all = append(all, d.entries...)
+	all = append(all, d.controls...)
+	return append(all, d.standins...)
+}
+
+func (d *Demo) firstEnded() *process {
+	for _, p := range d.all() {
+		if p.ended() && !p.killed.Load() {
+			return p
+		}
+	}
+	return nil
+}
+
+// stopAll stops the system first and the outside world after it.
+func (d *Demo) stopAll() error {
+	var errs []error
+	for _, group := range [][]*process{d.entries, d.controls, d.standins} {
+		var g errgroup.Group
+		for _, p := range group {
+			g.Go(func() error { return p.stop(stopTimeout) })
+		}
+		errs = append(errs, g.Wait())
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/demo/deployment.go
@@ -0,0 +1,81 @@
+// Package demo starts one example deployment with its stand-ins on loopback,
+// runs a caller against it and stops everything. It is a development tool: the
+// product's own processes start no other process.
+package demo
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"github.com/tailscale/hujson"
+
+	"fescuestand/internal/node"
+	"fescuestand/internal/sheet"
+)
+
+// Deployment is what the demo needs to know of an example directory.
+type Deployment struct {
+	Dir       string
+	SheetFile string
+	CtlFile   string
+	Sheet     *sheet.Sheet
+	VMs       []VM
+}
+
+// VM is one entry VM of the example.
+type VM struct {
+	EntryFile   string
+	ControlFile string
+	Entry       node.Settings
+	Control     node.Settings
+}
+
+// Load reads the example in dir.
+func Load(dir string) (*Deployment, error) {
+	d := &Deployment{
+		Dir:       dir,
+		SheetFile: filepath.Join(dir, "sheet.jsonc"),
+		CtlFile:   filepath.Join(dir, "fescuectl.jsonc"),
+	}
+	body, err := os.ReadFile(d.SheetFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "no such example")
+	}
+	if d.Sheet, err = sheet.Parse(d.SheetFile, body); err != nil {
+		return nil, err
+	}
+	files, err := filepath.Glob(filepath.Join(dir, "entry-*.jsonc"))
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range files {
+		vm := VM{EntryFile: f, ControlFile: filepath.Join(dir, "control"+filepath.Base(f)[len("entry"):])}
+		if err := read(vm.EntryFile, &vm.Entry); err != nil {
+			return nil, err
+		}
+		if err := read(vm.ControlFile, &vm.Control); err != nil {
+			return nil, err
+		}
+		d.VMs = append(d.VMs, vm)
+	}
+	if len(d.VMs) == 0 {
+		return nil, eris.Errorf("%s has no entry-*.jsonc", dir)
+	}
+	return d, nil
+}
+
+// read decodes what all processes have in common; each checks its file whole
+// when it starts.
+func read(file string, v any) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return eris.Wrap(err, "incomplete example")
+	}
+	b, err = hujson.Standardize(b)
+	if err != nil {
+		return eris.Wrapf(err, "%s", file)
+	}
+	return json.Unmarshal(b, v)
+}
--- /dev/null
+++ b/internal/demo/run/main.go
@@ -0,0 +1,63 @@
+// Command run is `make demo`: it serves a shifting mix on stand-ins and exits
+// 0 only if every answer was whole.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"fescuestand/internal/demo"
+	"fescuestand/internal/kernel"
+)
+
+type options struct {
+	Bin        string        `long:"bin" default:"bin" description:"directory of the binaries"`
+	Examples   string        `long:"examples" default:"examples" description:"directory of the examples"`
+	Deployment string        `long:"deployment" default:"lakeshore" description:"name of the example"`
+	For        time.Duration `long:"for" default:"15s" description:"how long the caller sends new requests"`
+	Rate       float64       `long:"rate" default:"30" description:"requests a second"`
+	KillEntry  time.Duration `long:"kill-entry" value-name:"AFTER" description:"kill one entry without notice this long into the run"`
+	Args       struct {
+		Caller []string `positional-arg-name:"CALLER-FLAG" description:"further flags of fescue-standin caller, after --"`
+	} `positional-args:"yes"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).Parse(); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			fmt.Println(fe.Message)
+			return kernel.ExitOK
+		}
+		fmt.Fprintln(os.Stderr, err)
+		return kernel.ExitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	deployment, err := demo.Load(filepath.Join(o.Examples, o.Deployment))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return kernel.ExitUsage
+	}
+	d := &demo.Demo{
+		Bin: o.Bin, Deployment: deployment, For: o.For, Rate: o.Rate,
+		KillEntry: o.KillEntry, Caller: o.Args.Caller, Out: os.Stdout,
+	}
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "demo failed:", err)
+		return kernel.ExitFailed
+	}
+	fmt.Println("demo passed: every answer whole, every process stopped gracefully")
+	return kernel.ExitOK
+}
--- /dev/null
+++ b/internal/demo/standins.go
@@ -0,0 +1,120 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"fescuestand/internal/sheet"
+)
+
+const standin = "fescue-standin"
+
+// startStandins starts the outside world that the sheet and settings describe.
+func (d *Demo) startStandins(ctx context.Context) error {
+	s := d.Deployment.Sheet
+	first := d.Deployment.VMs[0].Entry
+	addresses := []string{first.Log.Address, first.VMList.Address, first.WeightStore.Address}
+	commands := [][]string{
+		{"log", "log", "--listen", first.Log.Address},
+		append([]string{"vmlist", "vmlist", "--listen", first.VMList.Address}, d.vmFlags()...),
+		{"weights", "weights", "--listen", first.WeightStore.Address},
+	}
+	for i := range s.Engines {
+		e := &s.Engines[i]
+		addresses = append(addresses, e.Address)
+		commands = append(commands, append([]string{e.Name, "engine"}, d.engineFlags(e)...))
+	}
+	for i := range s.Services {
+		commands = append(commands, append([]string{s.Services[i].Name, "service"}, serviceFlags(&s.Services[i])...))
+		for _, e := range s.Services[i].Endpoints {
+			addresses = append(addresses, e.Address)
+		}
+	}
+	for _, c := range commands {
+		p, err := d.start(c[0], standin, c[1:]...)
+		if err != nil {
+			return err
+		}
+		d.standins = append(d.standins, p)
+	}
+	return d.awaitListening(ctx, addresses)
+}
+
+func (d *Demo) vmFlags() []string {
+	var flags []string
+	for _, vm := range d.Deployment.VMs {
+		e := vm.Entry
+		flags = append(flags, "--vm", strings.Join([]string{
+			e.VM, e.Zone, e.Addresses.Caller, e.Addresses.Peer, e.Addresses.Status,
+		}, ","))
+	}
+	return flags
+}
+
+func (d *Demo) engineFlags(e *sheet.Engine) []string {
+	fence := "ignore"
+	if e.ChecksFence {
+		fence = "check"
+	}
+	flags := []string{
+		"--listen", e.Address, "--fence", fence, "--weights", d.Deployment.VMs[0].Entry.WeightStore.Address,
+	}
+	for _, p := range d.Deployment.Sheet.Pools {
+		for _, name := range p.Engines {
+			if name == e.Name {
+				flags = append(flags, "--load", p.Model+"/"+p.Version)
+			}
+		}
+	}
+	return flags
+}
+
+func serviceFlags(s *sheet.Service) []string {
+	var flags []string
+	for _, e := range s.Endpoints {
+		flags = append(flags, "--listen", e.Address)
+	}
+	for _, o := range s.Operations {
+		flags = append(flags, "--operation", o.Name)
+	}
+	return flags
+}
+
+// runCaller runs the caller and, if asked, kills an entry during the run.
+func (d *Demo) runCaller(ctx context.Context) error {
+	if d.KillEntry > 0 {
+		victim := d.entries[len(d.entries)-1]
+		t := time.AfterFunc(d.KillEntry, func() {
+			_, _ = fmt.Fprintln(d.Out, "killing", victim.name)
+			victim.kill()
+		})
+		defer t.Stop()
+	}
+	return d.command(ctx, standin, append([]string{"--log", "warn", "caller"}, d.callerFlags()...)...)
+}
+
+func (d *Demo) callerFlags() []string {
+	s := d.Deployment.Sheet
+	flags := []string{
+		"--for", d.For.String(), "--rate", fmt.Sprint(d.Rate), "--strict",
+		"--model", s.Pools[0].Model, "--model-version", s.Pools[0].Version,
+	}
+	for _, vm := range d.Deployment.VMs {
+		flags = append(flags, "--entry", vm.Entry.Addresses.Caller)
+	}
+	for _, e := range s.Engines {
+		flags = append(flags, "--engine", e.Address)
+	}
+	if len(s.Services) > 0 {
+		flags = append(flags, "--service", s.Services[0].Name)
+		for _, e := range s.Services[0].Endpoints {
+			flags = append(flags, "--endpoint", e.Address)
+		}
+	}
+	if d.KillEntry > 0 {
+		flags = append(flags, "--resend")
+	}
+	return append(flags, d.Caller...)
+}
--- a/internal/standin/caller/mix.go
+++ b/internal/standin/caller/mix.go
@@ -13,7 +13,7 @@
 	minShortWords  = 10
 	moreShortWords = 60
 	longTailWords  = 150
-	minWordBytes   = 3 // shortest word of the oracle and its space
+	minWordBytes   = 3      // shortest word of the oracle and its space
 	mixStream      = 0x5eed // keeps the mix apart from other uses of the seed
 )
 
