--- a/internal/driver/httpdriver/httpapi/piece.go
+++ b/internal/driver/httpdriver/httpapi/piece.go
@@ -17,18 +17,35 @@
 	return (len(prompt) + TokenBytes - 1) / TokenBytes
 }
 
+// CacheName is what tells the prefix caches of two models apart: the model,
+// its version and its adapter, each after the first behind a slash.
+func CacheName(model, version, adapter string) string {
+	name := model + "/" + version
+	if adapter != "" {
+		name += "/" + adapter
+	}
+	return name
+}
+
 // Pieces returns the cache key of each whole piece of the prompt, in order.
-// The key of a piece covers the whole prefix up to the piece's end.
+// The key of a piece covers the whole prefix up to the piece's end: it is the
+// mix of the key before it, or of the hash of the cache name, with the hash of
+// the piece. Package route computes the same keys.
 func Pieces(model, version, adapter string, prompt []byte) []uint64 {
 	keys := make([]uint64, 0, len(prompt)/PieceBytes)
-	d := xxhash.New()
-	for _, s := range []string{model, version, adapter} {
-		_, _ = d.WriteString(s)
-		_, _ = d.Write([]byte{0})
-	}
-	for end := PieceBytes; end <= len(prompt); end += PieceBytes {
-		_, _ = d.Write(prompt[end-PieceBytes : end])
-		keys = append(keys, d.Sum64())
+	h := xxhash.Sum64String(CacheName(model, version, adapter))
+	for len(prompt) >= PieceBytes {
+		h = splitMix(h ^ xxhash.Sum64(prompt[:PieceBytes]))
+		keys = append(keys, h)
+		prompt = prompt[PieceBytes:]
 	}
 	return keys
 }
+
+// splitMix is the output function of the SplitMix64 generator.
+func splitMix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/driver/httpdriver/httpapi/piece_test.go
@@ -0,0 +1,21 @@
+package httpapi_test
+
+import (
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/driver/httpdriver/httpapi"
+	"fescuestand/internal/policy/route"
+)
+
+// Cache events of engines would match nothing, and prompts would be computed
+// again on engines that do not have them, if the two packages computed
+// different keys.
+func TestPiecesEqualThoseOfRouting(t *testing.T) {
+	prompt := bytes.Repeat([]byte("lot "), httpapi.PieceTokens*3+10)
+	want := route.Pieces(nil, httpapi.CacheName("m", "1", "a"), prompt, httpapi.PieceBytes)
+	assert.Equal(t, len(want), 3)
+	assert.DeepEqual(t, httpapi.Pieces("m", "1", "a", prompt), want)
+}
