Engine stand-in: KV import beside the batch, idle engines sleep

An import that took prefill time delayed the streams of the importing engine, which no real engine does, and would have spoken against moving streams. Idle engines woke 20 times a second, too much for a process with thousands.

--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -9,36 +9,44 @@
 	"fescuestand/internal/driver/httpdriver/httpapi"
 )
 
-// idleCheck bounds how long an idle engine waits between looks at its queue.
-const idleCheck = 50 * time.Millisecond
+// idle is how long an engine without work waits to be woken.
+const idle = time.Hour
 
 // work is what one step of the batch does.
 type work struct {
 	prefill []*sequence // in order, sharing tokens
 	tokens  float64     // prompt tokens to prefill in this step
 	decode  []*sequence
+	took    time.Duration
+	wait    time.Duration // until there may be work, if took is 0
 }
 
 // loop runs batch steps until the run ends.
 func (r *run) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.freeze(ctx)
-		w, took := r.plan()
-		if took == 0 {
-			select {
-			case <-r.wake:
-			case <-time.After(idleCheck):
-			case <-ctx.Done():
-			}
+		w := r.plan(time.Now())
+		if w.took == 0 {
+			r.awaitWork(ctx, w.wait)
 			continue
 		}
-		if !sleep(ctx, took) {
+		if !sleep(ctx, w.took) {
 			return
 		}
 		r.apply(w)
 	}
 }
 
+func (r *run) awaitWork(ctx context.Context, longest time.Duration) {
+	t := time.NewTimer(longest)
+	defer t.Stop()
+	select {
+	case <-r.wake:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -57,32 +65,34 @@
 }
 
 // plan picks the next step's work and how long it takes.
-func (r *run) plan() (work, time.Duration) {
+func (r *run) plan(now time.Time) work {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.dropCancelled()
-	r.fill()
-	var w work
+	r.fill(now)
+	w := work{wait: idle}
 	for _, s := range r.batch {
-		if s.prefillLeft > 0 {
+		switch {
+		case s.imported.After(now):
+			w.wait = min(w.wait, s.imported.Sub(now))
+		case s.prefillLeft > 0:
 			w.prefill = append(w.prefill, s)
-		} else {
+		default:
 			w.decode = append(w.decode, s)
 		}
 	}
-	took := time.Duration(0)
 	if len(w.prefill) > 0 {
 		w.tokens = r.chunk(w)
-		took += time.Duration(w.tokens / r.cfg.PrefillRate * float64(time.Second))
+		w.took += time.Duration(w.tokens / r.cfg.PrefillRate * float64(time.Second))
 	}
 	if n := len(w.decode); n > 0 {
-		took += r.cfg.DecodeStep + time.Duration(n-1)*r.cfg.DecodePerSeq
-		r.step = took
+		w.took += r.cfg.DecodeStep + time.Duration(n-1)*r.cfg.DecodePerSeq
+		r.step = w.took
 	}
 	if f, on := r.faults.Take(FaultSlow, ""); on {
-		took = time.Duration(float64(took) * f.Factor)
+		w.took = time.Duration(float64(w.took) * f.Factor)
 	}
-	return w, took
+	return w
 }
 
 // chunk returns how many prompt tokens to prefill before the next decode step.
@@ -100,24 +110,26 @@
 }
 
 // fill moves queued sequences into the batch, the most urgent first.
-func (r *run) fill() {
+func (r *run) fill(now time.Time) {
 	slices.SortStableFunc(r.queue, (*sequence).before)
 	for len(r.queue) > 0 && len(r.batch) < r.cfg.MaxBatch {
 		s := r.queue[0]
 		r.queue = r.queue[1:]
-		r.start(s)
+		r.start(s, now)
 		r.batch = append(r.batch, s)
 	}
 }
 
-// start works out what is left to prefill after cache hits and KV import.
-func (r *run) start(s *sequence) {
-	s.started = true
+// start works out what is left to prefill after cache hits. A KV cache is
+// imported beside the batch's work if that is quicker than computing it.
+func (r *run) start(s *sequence, now time.Time) {
 	cached := r.cache.hits(s.pieces) * httpapi.PieceTokens
 	left := float64(s.promptTokens() - cached)
-	if s.req.KV != nil && r.fetchable[s] {
-		imported := float64(s.req.KV.Bytes) / float64(r.cfg.KVRate) * r.cfg.PrefillRate
-		left = min(left, imported)
+	compute := left / r.cfg.PrefillRate
+	transfer := float64(kvBytes(s.req)) / float64(r.cfg.KVRate)
+	if r.fetchable[s] && transfer < compute {
+		s.imported = now.Add(time.Duration(transfer * float64(time.Second)))
+		left = 0
 	}
 	// The last prompt token is always computed, since it gives the first answer.
 	s.prefillLeft = max(1, left)
@@ -181,3 +193,10 @@
 	s.leave(finished)
 	return true
 }
+
+func kvBytes(req *httpapi.Generate) int64 {
+	if req.KV == nil {
+		return 0
+	}
+	return req.KV.Bytes
+}
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"fescuestand/internal/driver"
 	"fescuestand/internal/driver/httpdriver/httpapi"
@@ -24,10 +25,10 @@
 	completion  oracle.Completion
 	prefillOnly bool
 	pieces      []uint64
-	order       uint64 // of arrival
-	started     bool
-	prefillLeft float64 // prompt tokens, or their worth of KV import time
-	pos         int     // next token to make
+	order       uint64    // of arrival
+	prefillLeft float64   // prompt tokens
+	imported    time.Time // when the import of its KV cache is over
+	pos         int       // next token to make
 	tokens      chan driver.Token
 	done        chan struct{} // closed when it left
 	outcome     outcome
