--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -89,7 +89,7 @@
 		w.took += r.cfg.DecodeStep + time.Duration(n-1)*r.cfg.DecodePerSeq
 		r.step = w.took
 	}
-	if f, on := r.faults.Take(FaultSlow, ""); on {
+	if f, on := r.faults.Take(FaultSlow, ""); on && f.Factor > 0 {
 		w.took = time.Duration(float64(w.took) * f.Factor)
 	}
 	return w
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -61,11 +61,12 @@
 	change(e)
 }
 
+// has tells whether an order with this id was taken and not lost.
 func (h *History) has(id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return slices.ContainsFunc(h.entries, func(e *HistoryEntry) bool {
-		return e.ID == id && e.Effect != EffectStale && e.Effect != EffectCrashed
+		return e.ID == id && e.Effect != EffectStale && e.Effect != EffectCrashed && e.Effect != EffectFailed
 	})
 }
 
