Replica, membership, publish: one view of sheet and VMs per process

Weighed for the spread: every change pushed to all peers (bytes grow with the sheet times the nodes), the log alone (a VM whose log access is cut serves the old sheet for as long), and versions by gossip with a pull by those that stay behind. The last is taken; the version in force is the highest ever seen. Gossip carries the body's hash, so that two bodies under one version show. A publish whose answer is lost for good is settled by a later empty record.

go test -race -count=2 ./internal/replica ./internal/membership: ok; the test of the late peer answer also runs with its guard off and shows the revert.

--- a/internal/logclient/tail.go
+++ b/internal/logclient/tail.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/apex/log"
 
@@ -20,9 +21,18 @@
 // delivered at once. It survives every error of the log service. When records
 // expire unread it delivers a Gap marker and goes on with the oldest kept.
 func (c *Client) Tail(ctx context.Context, stream string, from uint64, fn func([]Item) error) error {
+	return c.TailWith(ctx, stream, from, fn, func() error { return nil })
+}
+
+// TailWith is Tail that also calls each after every read of the log that went
+// well, delivered or not; its error ends the tail like one of fn.
+func (c *Client) TailWith(ctx context.Context, stream string, from uint64, fn func([]Item) error, each func() error) error {
 	t := &tail{c: c, stream: stream, next: max(from, 1), fn: fn}
 	for try := 0; ; {
 		progressed, err := t.read(ctx)
+		if err == nil && t.fatal == nil {
+			t.fatal = each()
+		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -51,6 +61,7 @@
 	fn     func([]Item) error
 	fatal  error // of fn
 	stale  bool  // the present run of stale reads was logged
+	atEnd  bool  // the newest read left nothing unread: the next may wait
 }
 
 // read delivers what one call of the log gives.
@@ -58,7 +69,11 @@
 	opt := &t.c.opt
 	callCtx, cancel := context.WithTimeout(ctx, opt.Poll+opt.Attempt)
 	defer cancel()
-	page, err := opt.Log.Read(callCtx, t.stream, t.next, readLimit, opt.Poll)
+	var wait time.Duration
+	if t.atEnd {
+		wait = opt.Poll
+	}
+	page, err := opt.Log.Read(callCtx, t.stream, t.next, readLimit, wait)
 	if page.First > t.next && (err == nil || errors.Is(err, driver.ErrExpired)) {
 		return true, t.jump(page)
 	}
@@ -75,6 +90,7 @@
 			return false, t.fatal
 		}
 	}
+	t.atEnd = t.next >= page.End
 	t.c.setProgress(t.stream, t.next, page)
 	if t.next == before && len(page.Records) > 0 {
 		return false, t.hole(page.Records[0].Offset)
--- /dev/null
+++ b/internal/replica/events.go
@@ -0,0 +1,179 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+	"fescuestand/internal/driver"
+	"fescuestand/internal/fold"
+	"fescuestand/internal/logclient"
+	"fescuestand/internal/membership"
+	"fescuestand/internal/sheet"
+	"fescuestand/internal/wire"
+)
+
+// folded carries items of the config stream.
+type folded struct{ items []logclient.Item }
+
+func (e folded) apply(s *state) {
+	for _, it := range e.items {
+		s.fold.Apply(it)
+	}
+	if s.fold.Established() {
+		s.adopt(s.fold.Current(), "log")
+	}
+}
+
+// listed carries an answer of the VM list.
+type listed struct{ vms []driver.VM }
+
+func (e listed) apply(s *state) {
+	s.table.List(s.now(), e.vms)
+	rounds := max(1, (len(e.vms)+s.r.opt.Fanout-1)/s.r.opt.Fanout)
+	cover := time.Duration(rounds) * s.r.opt.Every
+	// A VM is suspect after two missed turns, if that is longer than set.
+	suspect := max(s.r.opt.Suspect, 2*cover)
+	s.table.SetSilence(suspect, max(s.r.opt.Gone, 2*suspect))
+}
+
+// self is this process's own heartbeat.
+type self struct{ g *wire.Gossip }
+
+func (e self) apply(s *state) {
+	if s.r.opt.Process == processEntry {
+		s.table.Heard(s.now(), heartbeatOf(e.g))
+	}
+}
+
+// heard carries what a peer says.
+type heard struct {
+	g    *wire.Gossip
+	addr string // to ask it back, empty if not known
+}
+
+func (e heard) apply(s *state) {
+	g := e.g
+	if g.Process == processEntry && g.Vm != "" {
+		s.table.Heard(s.now(), heartbeatOf(g))
+	}
+	switch {
+	case g.SheetVersion > s.best.Version:
+		s.lag(g.Vm, e.addr)
+	case g.SheetVersion == s.best.Version && g.SheetHash != s.hash && g.SheetVersion > 0:
+		log.WithField("peer", g.Vm).WithField("version", g.SheetVersion).WithField("code", int(code.Internal)).
+			Error("peer has another body under the same sheet version")
+	}
+}
+
+func heartbeatOf(g *wire.Gossip) membership.Heartbeat {
+	return membership.Heartbeat{
+		VM: g.Vm, Incarnation: g.Incarnation, Leaving: g.Leaving, Ready: g.Ready, SheetVersion: g.SheetVersion,
+	}
+}
+
+// lag asks a peer for its newer sheet once it has been ahead for a while.
+func (s *state) lag(vm, addr string) {
+	since, known := s.behind[vm]
+	if !known {
+		since = s.now()
+		s.behind[vm] = since
+	}
+	waited := s.now().Sub(since) >= pullAfter || s.best.Sheet == nil
+	if !waited || s.pulling || addr == "" {
+		return
+	}
+	s.pulling = true
+	above := s.best.Version
+	s.r.wg.Go(func() { s.r.pull(s.ctx, addr, above) })
+}
+
+// pull asks the peer at addr for a sheet above the given version.
+func (r *Replica) pull(ctx context.Context, addr string, above uint64) {
+	a, err := r.fetchSheet(ctx, addr, above)
+	if err != nil {
+		log.WithError(err).WithField("peer", addr).Warn("no sheet from peer")
+	}
+	_ = r.postWait(ctx, pulled{a})
+}
+
+func (r *Replica) fetchSheet(ctx context.Context, addr string, above uint64) (fold.Accepted, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req := &wire.PeerRequest{Kind: &wire.PeerRequest_GetSheet{GetSheet: &wire.GetSheet{Above: above}}}
+	resp, err := r.opt.Peers.Call(ctx, addr, req)
+	if err != nil {
+		return fold.Accepted{}, err
+	}
+	body := resp.GetSheet()
+	if body == nil {
+		return fold.Accepted{}, code.New(code.Code(resp.GetCode()), "%s", resp.GetDetail())
+	}
+	if xxhash.Sum64(body.Body) != body.Hash {
+		return fold.Accepted{}, code.New(code.BadAnswer, "sheet %d does not match its hash", body.Version)
+	}
+	s, err := sheet.Parse("peer", body.Body)
+	if err != nil {
+		return fold.Accepted{}, err
+	}
+	return fold.Accepted{Version: body.Version, Body: body.Body, Sheet: s}, nil
+}
+
+// pulled ends a pull, with a sheet unless it failed.
+type pulled struct{ sheet fold.Accepted }
+
+func (e pulled) apply(s *state) {
+	s.pulling = false
+	s.adopt(e.sheet, "peer")
+}
+
+// pacer spaces the checkpoints of this process.
+type pacer struct {
+	due     clock.Time // when this process writes unless another has
+	waiting bool
+	writing bool
+}
+
+// checkpointSpread is over how long the processes spread their turns, so that
+// usually one of them writes.
+const checkpointSpread = 10 * time.Second
+
+// checkpoint writes the state of the config stream again when that is due. Two
+// processes that write at once do no harm: the fold takes a checkpoint only
+// when it knows nothing yet. A wall clock that is off makes checkpoints too
+// frequent, or leaves them to the rule by retention; see CheckpointDue.
+func (s *state) checkpoint(ctx context.Context) {
+	r := s.r
+	if !r.opt.Checkpoint || s.ckpt.writing || !s.fold.Established() {
+		return
+	}
+	progress := r.opt.Log.Progress(r.opt.Stream)
+	if !progress.Read || !logclient.CheckpointDue(s.fold.LastCheckpoint(), progress, time.Now(), r.opt.CheckpointEvery) {
+		s.ckpt.waiting = false
+		return
+	}
+	if !s.ckpt.waiting {
+		s.ckpt.waiting = true
+		s.ckpt.due = s.now().Add(rand.N(checkpointSpread))
+	}
+	if s.now() < s.ckpt.due {
+		return
+	}
+	s.ckpt.writing, s.ckpt.waiting = true, false
+	entry := &wire.Entry{Kind: &wire.Entry_ConfigCheckpoint{ConfigCheckpoint: s.fold.Checkpoint()}}
+	r.wg.Go(func() {
+		_, err := r.opt.Log.Append(ctx, r.opt.Stream, entry)
+		log.WithError(err).WithField("stream", r.opt.Stream).Info("checkpoint written")
+		_ = r.postWait(ctx, written{})
+	})
+}
+
+// written ends the writing of a checkpoint, well or not.
+type written struct{}
+
+func (written) apply(s *state) { s.ckpt.writing = false }
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,375 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+	"fescuestand/internal/driver"
+	"fescuestand/internal/fold"
+	"fescuestand/internal/logclient"
+	"fescuestand/internal/logclient/logtest"
+	"fescuestand/internal/membership"
+	"fescuestand/internal/sheet"
+	"fescuestand/internal/wire"
+)
+
+func sheetText(note string) []byte {
+	return fmt.Appendf(nil, `{"deployment": "d", "note": %q, "engines": [], "pools": [],
+		"classes": [{"name": "c", "priority": 1, "deadline": "8s", "first_token": "1s", "between_tokens": "50ms", "objective": 0.9}],
+		"limits": {"max_body": 1, "max_tokens": 1, "workspace_share": 1, "commit_window": "1h", "queue_per_engine": 1}}`, note)
+}
+
+func publishEntry(base uint64, id string) *wire.Entry {
+	return &wire.Entry{Kind: &wire.Entry_Sheet{Sheet: &wire.Sheet{Base: base, PublishId: id, Body: sheetText(id)}}}
+}
+
+func TestMain(m *testing.M) {
+	log.SetHandler(discard.New())
+	os.Exit(m.Run())
+}
+
+// bubbleClock follows the test's fake time.
+type bubbleClock struct{}
+
+func (bubbleClock) Now() clock.Time { return clock.Time(time.Now().UnixNano()) }
+
+// switchLog gives one process its own outage of the log.
+type switchLog struct {
+	driver.Log
+	mu  sync.Mutex
+	cut bool
+}
+
+func (l *switchLog) set(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *switchLog) failing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+func (l *switchLog) Read(ctx context.Context, s string, from uint64, n int, wait time.Duration) (driver.Page, error) {
+	if l.failing() {
+		return driver.Page{}, driver.ErrNotSent
+	}
+	p, err := l.Log.Read(ctx, s, from, n, min(wait, 50*time.Millisecond))
+	if l.failing() {
+		return driver.Page{}, driver.ErrNotSent
+	}
+	return p, err
+}
+
+// fleet is a set of replicas that reach each other in memory.
+type fleet struct {
+	t    *testing.T
+	log  *logtest.Log
+	mu   sync.Mutex
+	vms  []driver.VM
+	reps map[string]*Replica
+	logs map[string]*switchLog
+	stop map[string]func()
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{t: t, log: logtest.New(), reps: map[string]*Replica{}, logs: map[string]*switchLog{}, stop: map[string]func(){}}
+}
+
+func (f *fleet) List(context.Context) ([]driver.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]driver.VM(nil), f.vms...), nil
+}
+
+func (f *fleet) Call(_ context.Context, addr string, req *wire.PeerRequest) (*wire.PeerResponse, error) {
+	f.mu.Lock()
+	r := f.reps[addr]
+	f.mu.Unlock()
+	if r == nil {
+		return nil, errors.New("no such peer")
+	}
+	return r.Handle(req), nil
+}
+
+// start starts a VM's entry; its log is cut from the beginning if cut is set.
+func (f *fleet) start(vm string, cut bool) *Replica {
+	l := &switchLog{Log: f.log, cut: cut}
+	c := logclient.New(logclient.Options{Log: l, Writer: vm + "-1", VM: vm})
+	r := New(Options{
+		Log: c, VMs: f, Peers: f, Stream: "config", VM: vm, Process: "entry", Incarnation: vm + "-1", Checkpoint: true,
+		Clock: bubbleClock{},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = r.Run(ctx)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms = append(f.vms, driver.VM{Name: vm, Peer: vm})
+	f.reps[vm], f.logs[vm] = r, l
+	f.stop[vm] = func() {
+		cancel()
+		<-done
+		assert.NilError(f.t, c.Close())
+	}
+	return r
+}
+
+func (f *fleet) close() {
+	for _, stop := range f.stop {
+		stop()
+	}
+}
+
+func (f *fleet) publish(base uint64, id string) (*wire.Verdict, error) {
+	c := logclient.New(logclient.Options{Log: f.log, Writer: "ctl-" + id, VM: "room"})
+	defer func() { assert.NilError(f.t, c.Close()) }()
+	ctx, cancel := context.WithTimeout(f.t.Context(), 20*time.Second)
+	defer cancel()
+	return Publish(ctx, c, "config", id, publishEntry(base, id))
+}
+
+// Story: one VM's log access is cut when the morning sheet is accepted. Its
+// callers must be served by the new sheet within seconds all the same. The
+// peers tell each other of their version and hand the sheet over.
+func TestSheetReachesAProcessWithoutTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		for i := range 8 {
+			f.start(fmt.Sprint("vm", i), false)
+		}
+		time.Sleep(3 * time.Second)
+		f.logs["vm3"].set(true)
+		time.Sleep(time.Second)
+		v, err := f.publish(0, "morning")
+		assert.NilError(t, err)
+		assert.Assert(t, v.Accepted)
+		time.Sleep(3 * time.Second)
+		for vm, r := range f.reps {
+			assert.Equal(t, r.View().Version, v.Offset, vm)
+		}
+		assert.Assert(t, !f.reps["vm3"].View().Log.Healthy)
+	})
+}
+
+// Story: the log is down for long. A VM starts in the middle of it: with peers
+// that know the sheet it becomes ready, with none it says that it isn't.
+func TestLateStarterInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.start("vm0", false)
+		time.Sleep(time.Second)
+		v, err := f.publish(0, "one")
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		f.log.SetDown(true)
+		late := f.start("vm1", false)
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, late.View().Ready)
+		assert.Equal(t, late.View().Version, v.Offset)
+		f.stop["vm0"]()
+		f.mu.Lock()
+		delete(f.reps, "vm0")
+		delete(f.stop, "vm0")
+		delete(f.reps, "vm1")
+		f.mu.Unlock()
+		alone := f.start("vm2", false)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, !alone.View().Ready)
+	})
+}
+
+// Story: two operators in the room publish at once, fifty times. Each round
+// has one winner, and every VM names the same one.
+func TestRacingOperatorsHaveOneWinnerEachRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		for i := range 4 {
+			f.start(fmt.Sprint("vm", i), false)
+		}
+		time.Sleep(2 * time.Second)
+		base := uint64(0)
+		const rounds = 50
+		for round := range rounds {
+			verdicts := make([]*wire.Verdict, 2)
+			var wg sync.WaitGroup
+			for op := range verdicts {
+				wg.Go(func() {
+					v, err := f.publish(base, fmt.Sprintf("r%d-%d", round, op))
+					assert.NilError(t, err)
+					verdicts[op] = v
+				})
+			}
+			wg.Wait()
+			assert.Assert(t, verdicts[0].Accepted != verdicts[1].Accepted)
+			for _, v := range verdicts {
+				if v.Accepted {
+					base = v.Offset
+				} else {
+					assert.Equal(t, code.Code(v.Code), code.RacingPublish)
+				}
+			}
+		}
+		time.Sleep(2 * time.Second)
+		first := f.reps["vm0"].View().Verdicts
+		assert.Equal(t, len(first), 2*rounds)
+		for vm, r := range f.reps {
+			assert.Equal(t, r.View().Version, base, vm)
+			for i, v := range r.View().Verdicts {
+				assert.Assert(t, proto.Equal(v, first[i]), "%s: %v", vm, v)
+			}
+		}
+	})
+}
+
+// Story: the record of the accepted sheet passes its retention while the VMs
+// are replaced one after another. The fleet must still know the sheet.
+func TestSheetOutlivesItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.start("vm0", false)
+		time.Sleep(time.Second)
+		v, err := f.publish(0, "one")
+		assert.NilError(t, err)
+		time.Sleep(2 * checkpointSpread)
+		f.stop["vm0"]()
+		f.mu.Lock()
+		delete(f.stop, "vm0")
+		delete(f.reps, "vm0")
+		f.vms = nil
+		f.mu.Unlock()
+		f.log.Expire("config", v.Offset+1)
+		next := f.start("vm1", false)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, next.View().Version, v.Offset)
+		assert.Equal(t, next.View().Sheet.Note, "one")
+		time.Sleep(2 * defaultCheckpointEvery)
+		assert.Assert(t, f.log.End("config") > v.Offset+2, "the checkpoint was renewed")
+	})
+}
+
+// Story: the publish's answer is lost for good and the record never appears.
+// The operator must hear that it can't count, not "unknown" for ever; if it
+// does appear later, it must stay without effect.
+func TestPublishWithALostAnswerIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		n := 0
+		f.log.SetFate(func(string, []byte) logtest.Fate {
+			n++
+			if n < 10 {
+				return logtest.Postponed
+			}
+			return logtest.Applied
+		})
+		_, err := f.publish(0, "lost")
+		assert.Equal(t, code.Of(err).Run, code.NotRun, "%v", err)
+		f.log.Release()
+		r := f.start("vm0", false)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, r.View().Version, uint64(0))
+	})
+}
+
+// Story: a VM is told to leave. Every other VM must stop naming it to callers
+// at once, not when the VM list or a silence tells.
+func TestLeavingIsHeardAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		for i := range 8 {
+			f.start(fmt.Sprint("vm", i), false)
+		}
+		time.Sleep(5 * time.Second)
+		for vm, r := range f.reps {
+			for _, m := range r.View().Members {
+				assert.Equal(t, m.State, membership.Live, "%s of %s", vm, m.Name)
+			}
+		}
+		f.reps["vm5"].SetLeaving()
+		time.Sleep(20 * time.Millisecond)
+		for _, r := range f.reps {
+			assert.Equal(t, r.View().Member("vm5").State, membership.Leaving)
+		}
+	})
+}
+
+// Story: a process asks a peer for its sheet; before the answer comes, the log
+// brings a newer one. The late answer must not put the older sheet in force.
+func TestLateAnswerOfAPeerDoesNotRevert(t *testing.T) {
+	run := func(off bool) uint64 {
+		s := &state{r: New(Options{}), behind: map[string]clock.Time{}}
+		s.r.opt.anyVersion = off
+		s.adopt(fold.Accepted{Version: 5, Sheet: &sheet.Sheet{}}, "log")
+		pulled{fold.Accepted{Version: 3, Sheet: &sheet.Sheet{}}}.apply(s)
+		return s.best.Version
+	}
+	assert.Equal(t, run(false), uint64(5))
+	assert.Equal(t, run(true), uint64(3), "without the guard the sheet reverts")
+}
+
+// Story: a reader's log and peers show old and new states in any order. The
+// version that it has in force never falls.
+func TestVersionNeverFalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		for i := range 3 {
+			f.start(fmt.Sprint("vm", i), false)
+		}
+		done := make(chan struct{})
+		for _, r := range f.reps {
+			go watchVersion(t, r, done)
+		}
+		base := uint64(0)
+		for i := range 30 {
+			f.log.SetStale(i % 4)
+			f.logs["vm1"].set(i%3 == 0)
+			v, err := f.publish(base, fmt.Sprint("p", i))
+			assert.NilError(t, err)
+			base = v.Offset
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+		}
+		close(done)
+	})
+}
+
+func watchVersion(t *testing.T, r *Replica, done chan struct{}) {
+	last := uint64(0)
+	for {
+		changed := r.Updated()
+		v := r.View().Version
+		if v < last {
+			t.Errorf("version fell from %d to %d", last, v)
+		}
+		last = v
+		select {
+		case <-changed:
+		case <-done:
+			return
+		}
+	}
+}
