--- a/internal/policy/admit/fair.go
+++ b/internal/policy/admit/fair.go
@@ -47,6 +47,19 @@
 // was idle starts at the present: it has saved up no claim.
 func (f *flow) push(r *Request) {
 	f.queue = append(f.queue, r)
+	f.account(r)
+}
+
+// unshift puts r, which was served but not run, back in front.
+func (f *flow) unshift(r *Request) {
+	f.queue = slices.Insert(f.queue, 0, r)
+	f.account(r)
+	for n := f; n.parent != nil; n = n.parent {
+		n.start -= float64(r.cost) / n.weight
+	}
+}
+
+func (f *flow) account(r *Request) {
 	for n := f; n != nil; n = n.parent {
 		n.cost += r.cost
 		n.count++
--- a/internal/policy/admit/queue.go
+++ b/internal/policy/admit/queue.go
@@ -41,7 +41,7 @@
 	longRunning int
 	runningCost time.Duration
 	meanCost    float64
-	bias        float64 // measured over estimated slot time
+	drain       drain
 	codes       map[code.Code]int64
 }
 
@@ -55,7 +55,6 @@
 		spread:  limit.NewSpreader(cfg.Off.NoSpread),
 		rates:   cfg.Rates,
 		slots:   1,
-		bias:    1,
 		codes:   map[code.Code]int64{},
 	}
 	for _, c := range cfg.Classes {
@@ -107,7 +106,7 @@
 func (q *Queue) prepare(now clock.Time, r *Request) {
 	r.class = q.classOf(r.Class)
 	r.arrived, r.index = now, -1
-	r.cost = q.estimate(r)
+	r.first, r.cost = q.estimate(r)
 	if q.meanCost == 0 {
 		q.meanCost = float64(r.cost)
 	}
@@ -121,14 +120,16 @@
 	r.class.stats.Offered++
 }
 
-// estimate is the time that r takes in a slot at the measured rates.
-func (q *Queue) estimate(r *Request) time.Duration {
+// estimate returns the time to r's first token after its start, and the time
+// that r takes in a slot, at the measured rates.
+func (q *Queue) estimate(r *Request) (first, cost time.Duration) {
 	output := r.class.output
 	if r.MaxOutput > 0 {
 		output = min(output, float64(r.MaxOutput))
 	}
 	prefill := time.Duration(max(r.Prompt-r.Cached, 0)) * q.rates.PrefillPerToken
-	return q.rates.Base + prefill + time.Duration(output*float64(q.rates.DecodePerToken))
+	first = q.rates.Base + prefill
+	return first, first + time.Duration(output*float64(q.rates.DecodePerToken))
 }
 
 // forecast is the time until r would start, with ahead queued before it in its
@@ -146,13 +147,12 @@
 	// Half a mean request: the other flows' heads are on average half ahead.
 	own := float64(ahead) + q.meanCost/2
 	same := min(float64(all), own/r.leaf.share())
-	busy := float64(q.runningCost) / 2
-	return q.drainTime(float64(before) + same + busy)
+	return q.drainTime(float64(before) + same)
 }
 
 // drainTime is the time in which the slots work off cost.
 func (q *Queue) drainTime(cost float64) time.Duration {
-	return time.Duration(cost * q.bias / float64(max(q.slots, 1)))
+	return time.Duration(cost / q.drain.rate(q.slots))
 }
 
 // check refuses what can't be served in time or is over a limit.
@@ -168,29 +168,36 @@
 	if q.cfg.Off.NoFeasibility {
 		return nil
 	}
-	need := time.Duration(float64(wait)*q.cfg.Margin) + r.cost
-	if need <= budget {
+	slack := r.latestStart().Sub(now)
+	if time.Duration(float64(wait)*q.cfg.Margin) <= slack {
 		return nil
 	}
-	return q.tooLate(now, r, wait, budget)
+	return q.tooLate(r, now, wait, slack)
 }
 
 // tooLate builds the refusal of an infeasible request. The time to come back
-// is when the backlog will have drained so far that the same budget suffices;
+// is when the backlog will have drained so far that the same slack suffices;
 // zero if it never will.
-func (q *Queue) tooLate(now clock.Time, r *Request, wait, budget time.Duration) *code.Error {
+func (q *Queue) tooLate(r *Request, now clock.Time, wait, slack time.Duration) *code.Error {
 	c := code.DeadlineInfeasible
-	l := q.levels[r.class.level].root
-	if crowded := float64(r.leaf.cost) > defaultCrowd*r.leaf.share()*float64(l.cost); crowded && len(l.active) > 0 && r.leaf.cost < l.cost {
+	if q.crowds(r) {
 		c = code.CallerOverShare
 	}
-	e := code.New(c, "needs wait %s and run %s, has %s; %d queued, %d of %d slots busy",
-		wait, r.cost, budget, len(q.expiry), q.running, q.slots)
-	if r.cost > budget {
+	e := code.New(c, "must start in %s, would in %s and run %s; %d queued, %d running, drain %.1f/s",
+		slack, wait, r.cost, len(q.expiry), q.running, q.drain.rate(q.slots))
+	if slack < 0 {
 		return e
 	}
-	slack := time.Duration(float64(budget-r.cost) / q.cfg.Margin)
-	return e.WithRetryAfter(q.comeBack(now, r, wait-slack))
+	return e.WithRetryAfter(q.comeBack(now, r, wait-time.Duration(float64(slack)/q.cfg.Margin)))
+}
+
+// crowds says whether r's own flow holds more of the backlog than its share.
+func (q *Queue) crowds(r *Request) bool {
+	l := q.levels[r.class.level].root
+	if r.leaf.cost == l.cost {
+		return false
+	}
+	return float64(r.leaf.cost) > defaultCrowd*r.leaf.share()*float64(l.cost)
 }
 
 func (q *Queue) comeBack(now clock.Time, r *Request, wait time.Duration) time.Duration {
--- a/internal/policy/admit/serve.go
+++ b/internal/policy/admit/serve.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"container/heap"
 	"time"
 
 	"fescuestand/internal/clock"
@@ -13,6 +14,7 @@
 func (q *Queue) SetCapacity(now clock.Time, slots int) []Refusal {
 	old := q.slots
 	q.slots = max(slots, 0)
+	q.drain.scale(old, q.slots)
 	if float64(q.slots) >= shrink*float64(old) {
 		return nil
 	}
@@ -40,9 +42,9 @@
 	var ahead time.Duration
 	for _, r := range append([]*Request(nil), leaf.queue...) {
 		wait := q.forecast(r, ahead)
-		budget := r.Deadline.Sub(now)
-		if wait+r.cost > budget {
-			late = append(late, q.drop(r, q.tooLate(now, r, wait, budget)))
+		slack := r.latestStart().Sub(now)
+		if wait > slack {
+			late = append(late, q.drop(r, q.tooLate(r, now, wait, slack)))
 			continue
 		}
 		ahead += r.cost
@@ -65,6 +67,7 @@
 // they were queued: the work for them would be wasted.
 func (q *Queue) Next(now clock.Time, free int) (*Request, []Refusal) {
 	dropped := q.Expire(now)
+	q.drain.look(now, len(q.expiry) > 0)
 	if free <= 0 {
 		return nil, dropped
 	}
@@ -83,6 +86,7 @@
 
 func (q *Queue) start(now clock.Time, r *Request) {
 	q.unqueue(r, true)
+	q.drain.started(r.cost)
 	r.state = running
 	r.started = now
 	q.running++
@@ -102,7 +106,8 @@
 	var dropped []Refusal
 	for len(q.expiry) > 0 && q.expiry[0].latestStart() < now {
 		r := q.expiry[0]
-		e := code.New(code.DeadlineInfeasible, "queued %s; needs %s, has %s", now.Sub(r.arrived), r.cost, r.Deadline.Sub(now))
+		e := code.New(code.DeadlineInfeasible, "queued %s; first token needs %s, the whole %s, deadline in %s",
+			now.Sub(r.arrived), r.first, r.cost, r.Deadline.Sub(now))
 		wait := q.forecast(r, r.leaf.cost)
 		dropped = append(dropped, q.drop(r, e.WithRetryAfter(q.comeBack(now, r, wait))))
 	}
@@ -130,6 +135,22 @@
 	}
 }
 
+// Return puts a request that Next returned back in front of its flow, because
+// no endpoint took it or its attempt may be repeated.
+func (q *Queue) Return(r *Request) {
+	if r.state != running {
+		return
+	}
+	q.finish(r)
+	if r.Key != "" {
+		q.keys[r.Key]++
+	}
+	q.drain.started(-r.cost)
+	r.state = queued
+	r.leaf.unshift(r)
+	heap.Push(&q.expiry, r)
+}
+
 func (q *Queue) finish(r *Request) {
 	r.state = idle
 	q.running--
@@ -157,21 +178,12 @@
 	if !m.OK {
 		return
 	}
-	took := now.Sub(r.started)
-	if r.cost > 0 {
-		// A single stalled request must not close the door to all others.
-		ratio := min(float64(took)/float64(r.cost), maxBias)
-		q.bias += rateWeight * (ratio - q.bias)
-	}
 	q.learn(r, m)
 	if now <= r.Deadline {
 		r.class.stats.OnTime++
 	}
 }
 
-// maxBias bounds what one request can say about the estimate.
-const maxBias = 10
-
 func (q *Queue) learn(r *Request, m Measured) {
 	if n := r.Prompt - r.Cached; n >= minPrompt && m.FirstToken > q.rates.Base {
 		learn(&q.rates.PrefillPerToken, (m.FirstToken-q.rates.Base)/time.Duration(n))
@@ -198,7 +210,7 @@
 type Stats struct {
 	Queued, Running, LongRunning, Slots int
 	Backlog                             time.Duration // time to drain the queue
-	Bias                                float64       // measured over estimated slot time
+	Drain                               float64       // work a second that the slots do, in seconds
 	Rates                               Rates
 	Classes                             map[string]ClassStats
 	Refused                             map[string]int64 // by result code
@@ -208,7 +220,7 @@
 func (q *Queue) Snapshot() Stats {
 	s := Stats{
 		Queued: len(q.expiry), Running: q.running, LongRunning: q.longRunning, Slots: q.slots,
-		Bias: q.bias, Rates: q.rates,
+		Drain: q.drain.rate(q.slots), Rates: q.rates,
 		Classes: map[string]ClassStats{}, Refused: map[string]int64{},
 	}
 	for _, l := range q.levels {
--- a/internal/policy/route/config.go
+++ b/internal/policy/route/config.go
@@ -14,8 +14,17 @@
 	// one way), paid by the request and again by its first token.
 	defaultZoneCost = 3 * time.Millisecond
 	// defaultStale is the age from which a load report says less than this
-	// entry's own counts: ten reports at the usual interval of 100 ms.
-	defaultStale = time.Second
+	// entry's own counts. Reports that come each half second with up to two
+	// seconds of lag are two and a half seconds old before the next; one may
+	// be lost.
+	defaultStale = 4 * time.Second
+	// defaultOvercommit is the share of an engine's slots up to which it is
+	// sent work. Requests that wait at the engine are out of reach of
+	// admission, but a few must wait there to cover the lag.
+	defaultOvercommit = 1.05
+	// defaultAhead is how much queued prefill an engine is sent: what waits
+	// in the entry's queue instead can still be reordered or refused.
+	defaultAhead = 600 * time.Millisecond
 	// defaultBound is the load over the mean up to which an engine keeps
 	// being preferred for its prefixes. 1.25 is the usual choice for hashing
 	// with bounded loads: it keeps most of the affinity, and no engine's
@@ -66,6 +75,7 @@
 	NoRamp        bool
 	NoBound       bool
 	NoAffinity    bool
+	NoAhead       bool // send whatever the engine's queue
 	NoGapRebuild  bool // keep believing cache contents after a gap in events
 	NoCalibration bool // ignore measured slowness between ejections
 	RoundRobin    bool // the plain baseline
@@ -79,6 +89,9 @@
 	PieceTokens int
 	ZoneCost    time.Duration
 	Stale       time.Duration
+	Overcommit  float64
+	Ahead       time.Duration
+	StrictRoles bool // an engine in role Decode never prefills
 	Bound       float64
 	Credit      float64
 	SlowFactor  float64
@@ -102,6 +115,8 @@
 	orInt(&c.PieceTokens, defaultPieceTokens)
 	orDuration(&c.ZoneCost, defaultZoneCost)
 	orDuration(&c.Stale, defaultStale)
+	orFloat(&c.Overcommit, defaultOvercommit)
+	orDuration(&c.Ahead, defaultAhead)
 	orFloat(&c.Bound, defaultBound)
 	orFloat(&c.Credit, defaultCredit)
 	orFloat(&c.SlowFactor, defaultSlowFactor)
--- /dev/null
+++ b/internal/policy/route/score.go
@@ -0,0 +1,53 @@
+package route
+
+import "fescuestand/internal/clock"
+
+// score estimates e's time to the first token of req in nanoseconds.
+func (r *Router) score(now clock.Time, req *Request, e *Endpoint, reason Reason) candidate {
+	c := candidate{ep: e, reason: reason}
+	if !r.cfg.Off.NoAffinity && !req.Prefilled {
+		c.cached = e.live.cache.depth(req.Pieces)
+	}
+	if c.cached > 0 && reason == LeastWait {
+		c.reason = CacheHit
+	}
+	wait, run := r.estimate(now, req, e, c.cached)
+	c.score = float64(wait + run)
+	if !r.cfg.Off.NoCalibration {
+		// A measured slowness corrects the estimate before the endpoint's
+		// ejection, and spares it if the pool has no room for one more.
+		c.score *= max(e.live.first.value(now, 1), e.live.step.value(now, 1)/fullStep, minCalibration)
+	}
+	if e.far {
+		c.score += float64(r.cfg.ZoneCost)
+	}
+	if !r.cfg.Off.NoErrorCost {
+		c.score += e.live.errs.value(now, 0) * float64(r.cfg.ErrorCost)
+	}
+	return c
+}
+
+// fullStep is the usual ratio of a full batch's step to a lone request's; only
+// steps beyond it speak of a slow engine rather than of a busy one.
+const fullStep = 2
+
+// minCalibration keeps a lucky run of samples from drawing all the traffic.
+const minCalibration = 0.5
+
+// estimate returns the time that req would wait at e, and the time that its
+// own prefill or fixed work takes there.
+func (r *Router) estimate(now clock.Time, req *Request, e *Endpoint, cached int) (wait, run int64) {
+	runs, work := e.live.load(now, &r.cfg)
+	wait = work
+	if over := runs + 1 - e.slots; over > 0 {
+		wait += over * e.slotNanos
+	}
+	// Each running request lengthens the steps of the batch: half a step for
+	// a full batch, by which endpoints below their slots still differ.
+	wait += runs * (e.decodeStepNanos + e.baseNanos) / (2 * e.slots)
+	if req.Prefilled {
+		return wait, int64(r.transferTime(req.Prompt))
+	}
+	tokens := max(req.Prompt-cached*r.cfg.PieceTokens, 0)
+	return wait, int64(tokens)*e.prefillNanos + e.baseNanos
+}
