--- a/internal/policy/admit/config.go
+++ b/internal/policy/admit/config.go
@@ -40,6 +40,7 @@
 	Priority int     // 0 is served first; a lower class waits while a higher one has work
 	Weight   float64 // share among the classes of one priority
 	Output   int     // expected output tokens, until measured
+	Urgent   bool    // sent with the engine's higher priority
 }
 
 // Rates are the times that an engine takes, as measured.
@@ -47,6 +48,7 @@
 	Base            time.Duration
 	PrefillPerToken time.Duration
 	DecodePerToken  time.Duration
+	Batch           int // answers that an engine decodes at once, sharing each step
 }
 
 // Guards switches single protections off, so that tests and measurements can
--- a/internal/policy/admit/drain.go
+++ b/internal/policy/admit/drain.go
@@ -28,12 +28,12 @@
 	seen     clock.Time
 }
 
-// rate returns the seconds of work that are started in a second.
-func (d *drain) rate(slots int) float64 {
+// rate returns the seconds of an engine's time that are started in a second.
+func (d *drain) rate(slots, batch int) float64 {
 	if d.measured > 0 && d.seen.Sub(d.at) < drainKept {
 		return d.measured
 	}
-	return float64(max(slots, 1))
+	return float64(max(slots, 1)) / float64(max(batch, 1))
 }
 
 func (d *drain) started(cost time.Duration) { d.work += cost }
--- a/internal/policy/admit/fair.go
+++ b/internal/policy/admit/fair.go
@@ -128,11 +128,23 @@
 	}
 }
 
-// first returns the leaf to be served next, nil if none may be. Leaves of long
-// requests are passed over when noLong is set.
-func (f *flow) first(noLong bool) *flow {
+// closed says what may not be served now.
+type closed struct{ normal, urgent, long bool }
+
+func (c closed) bars(r *Request) bool {
+	if c.long && r.long {
+		return true
+	}
+	if r.class.Urgent {
+		return c.urgent
+	}
+	return c.normal
+}
+
+// first returns the leaf to be served next, nil if none may be.
+func (f *flow) first(bar closed) *flow {
 	if len(f.queue) > 0 {
-		if noLong && f.key.long {
+		if bar.bars(f.queue[0]) {
 			return nil
 		}
 		return f
@@ -142,7 +154,7 @@
 		if best != nil && n.start >= best.start {
 			continue
 		}
-		if l := n.first(noLong); l != nil {
+		if l := n.first(bar); l != nil {
 			best, leaf = n, l
 		}
 	}
--- a/internal/policy/admit/queue.go
+++ b/internal/policy/admit/queue.go
@@ -11,10 +11,12 @@
 	"fescuestand/internal/policy/limit"
 )
 
-// level is the fair-queueing tree of one priority.
+// level is the fair-queueing tree of one priority, with the speed at which it
+// drains.
 type level struct {
 	priority int
 	root     *flow
+	drain    drain
 }
 
 type class struct {
@@ -41,7 +43,6 @@
 	longRunning int
 	runningCost time.Duration
 	meanCost    float64
-	drain       drain
 	codes       map[code.Code]int64
 }
 
@@ -60,7 +61,7 @@
 	for _, c := range cfg.Classes {
 		q.classes[c.Name] = &class{Class: c, output: float64(c.Output)}
 		if !slices.ContainsFunc(q.levels, func(l *level) bool { return l.priority == c.Priority }) {
-			q.levels = append(q.levels, &level{c.Priority, newFlow(nil, flowKey{}, 1)})
+			q.levels = append(q.levels, &level{priority: c.Priority, root: newFlow(nil, flowKey{}, 1)})
 		}
 	}
 	slices.SortFunc(q.levels, func(a, b *level) int { return cmp.Compare(a.priority, b.priority) })
@@ -106,7 +107,7 @@
 func (q *Queue) prepare(now clock.Time, r *Request) {
 	r.class = q.classOf(r.Class)
 	r.arrived, r.index = now, -1
-	r.first, r.cost = q.estimate(r)
+	q.estimate(r)
 	if q.meanCost == 0 {
 		q.meanCost = float64(r.cost)
 	}
@@ -120,16 +121,18 @@
 	r.class.stats.Offered++
 }
 
-// estimate returns the time to r's first token after its start, and the time
-// that r takes in a slot, at the measured rates.
-func (q *Queue) estimate(r *Request) (first, cost time.Duration) {
+// estimate fills in r's times at the measured rates. A step of the batch serves
+// all its answers, so each takes only its part of the engine's time.
+func (q *Queue) estimate(r *Request) {
 	output := r.class.output
 	if r.MaxOutput > 0 {
 		output = min(output, float64(r.MaxOutput))
 	}
 	prefill := time.Duration(max(r.Prompt-r.Cached, 0)) * q.rates.PrefillPerToken
-	first = q.rates.Base + prefill
-	return first, first + time.Duration(output*float64(q.rates.DecodePerToken))
+	decode := time.Duration(output * float64(q.rates.DecodePerToken))
+	r.first = q.rates.Base + prefill
+	r.run = r.first + decode
+	r.cost = max(prefill+decode/time.Duration(max(q.rates.Batch, 1)), q.rates.Base, 1)
 }
 
 // forecast is the time until r would start, with ahead queued before it in its
@@ -147,12 +150,17 @@
 	// Half a mean request: the other flows' heads are on average half ahead.
 	own := float64(ahead) + q.meanCost/2
 	same := min(float64(all), own/r.leaf.share())
-	return q.drainTime(float64(before) + same)
+	return q.drainTime(r, float64(before)+same)
 }
 
-// drainTime is the time in which the slots work off cost.
-func (q *Queue) drainTime(cost float64) time.Duration {
-	return time.Duration(cost / q.drain.rate(q.slots))
+// drainTime is the time in which r's level works off cost.
+func (q *Queue) drainTime(r *Request, cost float64) time.Duration {
+	return time.Duration(cost / q.drainRate(r))
+}
+
+// drainRate is the work a second that is started for r's level, in seconds.
+func (q *Queue) drainRate(r *Request) float64 {
+	return q.levels[r.class.level].drain.rate(q.slots, q.rates.Batch)
 }
 
 // check refuses what can't be served in time or is over a limit.
@@ -163,7 +171,7 @@
 	}
 	if n := q.keys[r.Key]; r.Key != "" && n >= q.cfg.KeyLimit && !q.cfg.Off.NoKeyLimit {
 		return code.New(code.HotKey, "key has %d requests queued or running, limit %d", n, q.cfg.KeyLimit).
-			WithRetryAfter(q.comeBack(now, r, q.drainTime(q.meanCost*float64(n))))
+			WithRetryAfter(q.comeBack(now, r, q.drainTime(r, q.meanCost*float64(n))))
 	}
 	if q.cfg.Off.NoFeasibility {
 		return nil
@@ -184,7 +192,7 @@
 		c = code.CallerOverShare
 	}
 	e := code.New(c, "must start in %s, would in %s and run %s; %d queued, %d running, drain %.1f/s",
-		slack, wait, r.cost, len(q.expiry), q.running, q.drain.rate(q.slots))
+		slack, wait, r.run, len(q.expiry), q.running, q.drainRate(r))
 	if slack < 0 {
 		return e
 	}
@@ -201,7 +209,7 @@
 }
 
 func (q *Queue) comeBack(now clock.Time, r *Request, wait time.Duration) time.Duration {
-	return q.spread.After(now, max(wait, 0), q.drainTime(float64(r.cost)))
+	return q.spread.After(now, max(wait, 0), q.drainTime(r, float64(r.cost)))
 }
 
 // makeRoom finds a queued request that has less claim to its place than r:
@@ -211,7 +219,7 @@
 	for _, l := range q.levels {
 		total += l.root.cost
 	}
-	wait := q.drainTime(float64(total))
+	wait := q.drainTime(r, float64(total))
 	for i := len(q.levels) - 1; i >= r.class.level; i-- {
 		l := q.levels[i].root
 		if l.count == 0 {
--- a/internal/policy/admit/request.go
+++ b/internal/policy/admit/request.go
@@ -26,8 +26,9 @@
 	class   *class
 	arrived clock.Time
 	started clock.Time
-	cost    time.Duration // estimated time in a slot
-	first   time.Duration // the part of it up to the first token
+	cost    time.Duration // estimated time of an engine that it takes
+	run     time.Duration // estimated time from its start to its end
+	first   time.Duration // the part of run up to the first token
 	long    bool
 	leaf    *flow
 	index   int // in the expiry heap, -1 outside
@@ -42,12 +43,12 @@
 	running
 )
 
-// Cost returns the estimated time that the request takes in a slot.
+// Cost returns the estimated time of an engine that the request takes.
 func (r *Request) Cost() time.Duration { return r.cost }
 
 // latestStart is the last moment at which r can begin and end in time.
 func (r *Request) latestStart() clock.Time {
-	t := r.Deadline.Add(-r.cost)
+	t := r.Deadline.Add(-r.run)
 	if r.FirstBy != 0 {
 		t = min(t, r.FirstBy.Add(-r.first))
 	}
--- a/internal/policy/admit/serve.go
+++ b/internal/policy/admit/serve.go
@@ -14,7 +14,9 @@
 func (q *Queue) SetCapacity(now clock.Time, slots int) []Refusal {
 	old := q.slots
 	q.slots = max(slots, 0)
-	q.drain.scale(old, q.slots)
+	for _, l := range q.levels {
+		l.drain.scale(old, q.slots)
+	}
 	if float64(q.slots) >= shrink*float64(old) {
 		return nil
 	}
@@ -62,18 +64,24 @@
 	return dst
 }
 
+// Room is how many requests the endpoints take now.
+type Room struct{ Normal, Urgent int }
+
 // Next returns the request to be dispatched now, nil if there is none or no
 // slot is free. Dropped are the requests that have become infeasible while
 // they were queued: the work for them would be wasted.
-func (q *Queue) Next(now clock.Time, free int) (*Request, []Refusal) {
+func (q *Queue) Next(now clock.Time, room Room) (*Request, []Refusal) {
 	dropped := q.Expire(now)
-	q.drain.look(now, len(q.expiry) > 0)
-	if free <= 0 {
-		return nil, dropped
+	for _, l := range q.levels {
+		l.drain.look(now, l.root.count > 0)
+	}
+	bar := closed{
+		normal: room.Normal <= 0,
+		urgent: room.Urgent <= 0,
+		long:   float64(q.longRunning+1) > max(q.cfg.LongShare*float64(q.slots), 1),
 	}
-	noLong := float64(q.longRunning+1) > max(q.cfg.LongShare*float64(q.slots), 1)
 	for _, l := range q.levels {
-		leaf := l.root.first(noLong)
+		leaf := l.root.first(bar)
 		if leaf == nil {
 			continue
 		}
@@ -86,7 +94,7 @@
 
 func (q *Queue) start(now clock.Time, r *Request) {
 	q.unqueue(r, true)
-	q.drain.started(r.cost)
+	q.levels[r.class.level].drain.started(r.cost)
 	r.state = running
 	r.started = now
 	q.running++
@@ -107,7 +115,7 @@
 	for len(q.expiry) > 0 && q.expiry[0].latestStart() < now {
 		r := q.expiry[0]
 		e := code.New(code.DeadlineInfeasible, "queued %s; first token needs %s, the whole %s, deadline in %s",
-			now.Sub(r.arrived), r.first, r.cost, r.Deadline.Sub(now))
+			now.Sub(r.arrived), r.first, r.run, r.Deadline.Sub(now))
 		wait := q.forecast(r, r.leaf.cost)
 		dropped = append(dropped, q.drop(r, e.WithRetryAfter(q.comeBack(now, r, wait))))
 	}
@@ -145,7 +153,7 @@
 	if r.Key != "" {
 		q.keys[r.Key]++
 	}
-	q.drain.started(-r.cost)
+	q.levels[r.class.level].drain.started(-r.cost)
 	r.state = queued
 	r.leaf.unshift(r)
 	heap.Push(&q.expiry, r)
@@ -210,7 +218,7 @@
 type Stats struct {
 	Queued, Running, LongRunning, Slots int
 	Backlog                             time.Duration // time to drain the queue
-	Drain                               float64       // work a second that the slots do, in seconds
+	Drain                               float64       // work started a second, in seconds of an engine
 	Rates                               Rates
 	Classes                             map[string]ClassStats
 	Refused                             map[string]int64 // by result code
@@ -220,11 +228,13 @@
 func (q *Queue) Snapshot() Stats {
 	s := Stats{
 		Queued: len(q.expiry), Running: q.running, LongRunning: q.longRunning, Slots: q.slots,
-		Drain: q.drain.rate(q.slots), Rates: q.rates,
+		Rates:   q.rates,
 		Classes: map[string]ClassStats{}, Refused: map[string]int64{},
 	}
 	for _, l := range q.levels {
-		s.Backlog += q.drainTime(float64(l.root.cost))
+		drain := l.drain.rate(q.slots, q.rates.Batch)
+		s.Drain += drain
+		s.Backlog += time.Duration(float64(l.root.cost) / drain)
 	}
 	for name, c := range q.classes {
 		s.Classes[name] = c.stats
--- a/internal/policy/policytest/entry.go
+++ b/internal/policy/policytest/entry.go
@@ -84,10 +84,11 @@
 			Base:            5 * time.Millisecond,
 			PrefillPerToken: perToken(m.PrefillRate),
 			DecodePerToken:  m.StepBase + time.Duration(m.MaxBatch/2)*m.StepPerStream,
+			Batch:           m.MaxBatch,
 		},
 	}
 	for _, c := range s.Config.Workload.Classes() {
-		ac.Classes = append(ac.Classes, admit.Class{Name: c.Name, Output: c.Output, Weight: 1})
+		ac.Classes = append(ac.Classes, admit.Class{Name: c.Name, Output: c.Output, Weight: 1, Urgent: c.Priority > 0})
 	}
 	if o.Admit != nil {
 		o.Admit(&ac)
@@ -214,7 +215,7 @@
 		FirstBy:   q.Arrive.Add(c.FirstToken),
 		Value:     q,
 	}}
-	r.route = route.Request{Pool: pool, Prompt: q.Prompt}
+	r.route = route.Request{Pool: pool, Prompt: q.Prompt, Urgent: c.Priority > 0}
 	for i := range q.Prefix / loadtest.PieceTokens {
 		r.route.Pieces = append(r.route.Pieces, piece(q.Key, i))
 	}
@@ -229,8 +230,8 @@
 
 func (a admission) Next(now clock.Time, v *loadtest.View) (*loadtest.Request, []loadtest.Refused) {
 	a.sync(now, v)
-	free := a.router.Capacity(now, pool, route.Artifact{}, "").Free
-	r, dropped := a.queue.Next(now, free)
+	c := a.router.Capacity(now, pool, route.Artifact{}, "")
+	r, dropped := a.queue.Next(now, admit.Room{Normal: c.Normal, Urgent: c.Urgent})
 	var refused []loadtest.Refused
 	for _, d := range dropped {
 		q := d.Request.Value.(*loadtest.Request)
--- a/internal/policy/route/dispatch.go
+++ b/internal/policy/route/dispatch.go
@@ -12,6 +12,7 @@
 type Dispatch struct {
 	Endpoint   *Endpoint // nil if there is no such piece of work
 	work       int64
+	lane       lane
 	unloaded   time.Duration
 	expected   time.Duration
 	sentAt     clock.Time
@@ -40,7 +41,8 @@
 	if l.awaiting.Add(1) == 1 {
 		l.dueAt.Store(int64(now.Add(r.patience(d.expected))))
 	}
-	l.change(now, 1, d.work)
+	l.change(now, 1, d.work, d.lane)
+	d.Endpoint.windows[d.lane].add(d.work)
 }
 
 // patience is how long an endpoint that expects to need t may show no first
@@ -53,7 +55,7 @@
 func (r *Router) progress(now clock.Time, l *live) {
 	l.awaiting.Add(-1)
 	_, work := l.load(now, &r.cfg)
-	rest := time.Duration(max(work, l.ownWork.Load()))
+	rest := time.Duration(max(work, l.ownPrefill()))
 	l.dueAt.Store(int64(now.Add(r.patience(rest))))
 }
 
@@ -65,13 +67,23 @@
 	}
 	d.answered, d.firstAt = true, now
 	l := d.Endpoint.live
-	l.ownWork.Add(-d.work)
+	l.ownWork[d.lane].Add(-d.work)
+	r.prefillEnded(now, d)
 	r.progress(now, l)
 	took := float64(now.Sub(d.sentAt))
 	l.first.add(now, took/float64(max(d.expected, minExpected)), 1)
 	d.firstRatio = took / float64(max(d.unloaded, minExpected))
 }
 
+// prefillEnded lets the window follow the measured wait.
+func (r *Router) prefillEnded(now clock.Time, d *Dispatch) {
+	w := &d.Endpoint.windows[d.lane]
+	w.add(-d.work)
+	if d.work > 0 {
+		w.observe(now, now.Sub(d.sentAt)-d.unloaded)
+	}
+}
+
 // minExpected keeps ratios meaningful for services that answer in no time: a
 // tenth of a millisecond is the resolution of a loaded VM's network.
 const minExpected = 100 * time.Microsecond
@@ -102,9 +114,10 @@
 	if d.answered {
 		work = 0
 	}
-	l.change(now, -1, work)
+	l.change(now, -1, work, d.lane)
 	if !d.answered {
 		d.answered = true
+		d.Endpoint.windows[d.lane].add(-d.work)
 		r.progress(now, l)
 	}
 	d.sent = false
@@ -129,8 +142,9 @@
 
 // Capacity is what a pool can take from this entry.
 type Capacity struct {
-	Slots int // this entry's part of all slots, for forecasts
-	Free  int // requests that may be dispatched now
+	Slots  int // this entry's part of all slots, for forecasts
+	Normal int // requests that may be dispatched now
+	Urgent int // likewise, of those sent with the engine's higher priority
 }
 
 // Capacity returns the capacity for one artifact of a pool in the cell of the
@@ -145,22 +159,26 @@
 	if t.cells > 1 {
 		m = g.cellFor(hashOf(workspace))
 	}
-	decode, prefill := r.room(now, &m.decode), r.room(now, &m.prefill)
-	var c Capacity
-	c.Slots = (decode.Slots + prefill.Slots + r.cfg.Entries - 1) / r.cfg.Entries
-	c.Free = decode.Free
-	if len(m.prefill.eps) > 0 {
-		// What is being prefilled needs its slot for decoding later.
-		c.Free = min(prefill.Free+r.room(now, &m.whole).Free, decode.Free-prefill.InFlight)
-	}
-	c.Free = max(c.Free, 0)
+	c := Capacity{Normal: r.free(now, m, normal), Urgent: r.free(now, m, urgent)}
+	slots := r.room(now, &m.decode, normal).Slots
+	c.Slots = (slots + r.cfg.Entries - 1) / r.cfg.Entries
 	return c
 }
 
+func (r *Router) free(now clock.Time, m *members, in lane) int {
+	decode := r.room(now, &m.decode, in)
+	if len(m.prefill.eps) == 0 {
+		return decode.Free
+	}
+	prefill, whole := r.room(now, &m.prefill, in), r.room(now, &m.whole, in)
+	// What is being prefilled needs its slot for decoding later.
+	return max(min(prefill.Free+whole.Free, decode.Free-prefill.InFlight), 0)
+}
+
 // room is the capacity of one set of endpoints.
 type room struct{ Slots, Free, InFlight int }
 
-func (r *Router) room(now clock.Time, s *set) room {
+func (r *Router) room(now clock.Time, s *set, in lane) room {
 	var sum room
 	for _, e := range s.eps {
 		own := int(e.live.ownRuns.Load())
@@ -169,7 +187,7 @@
 			continue
 		}
 		sum.Slots += int(e.slots)
-		if !r.full(now, e) {
+		if !r.full(now, e, in) {
 			sum.Free += r.slotsFree(now, e, own)
 		}
 	}
@@ -185,17 +203,20 @@
 }
 
 // full says whether e has as much work as it should be sent.
-func (r *Router) full(now clock.Time, e *Endpoint) bool {
+func (r *Router) full(now clock.Time, e *Endpoint, in lane) bool {
 	l := e.live
 	if l.ownRuns.Load() >= int64(l.lim.Limit()) {
 		return true
 	}
-	if r.cfg.Off.NoAhead || !l.fresh(now, &r.cfg) {
+	if r.cfg.Off.NoAhead {
 		return false
 	}
-	runs, work := l.load(now, &r.cfg)
-	if e.Role != Decode && work >= int64(r.cfg.Ahead) {
+	if e.Role != Decode && e.windows[in].full() {
 		return true
 	}
+	if !l.fresh(now, &r.cfg) {
+		return false
+	}
+	runs, _ := l.load(now, &r.cfg)
 	return e.Role != Prefill && float64(runs) >= r.cfg.Overcommit*float64(e.slots)
 }
--- a/internal/policy/route/live.go
+++ b/internal/policy/route/live.go
@@ -36,7 +36,7 @@
 	outUntil atomic.Int64 // ejected until
 	takenAt  atomic.Int64 // when the newest report was taken; zero without any
 	work     atomic.Int64 // nanoseconds of queued prefill, kept like runs
-	ownWork  atomic.Int64
+	ownWork  [lanes]atomic.Int64
 	others   atomic.Int64 // thousandths of its time that other entries' prefill takes
 	rampFrom atomic.Int64 // full share again at rampFrom + Ramp
 	lim      *limit.Limiter
@@ -67,10 +67,10 @@
 }
 
 // change counts work that this entry sent or that ended.
-func (l *live) change(now clock.Time, runs, work int64) {
+func (l *live) change(now clock.Time, runs, work int64, in lane) {
 	l.runs.Add(runs)
 	l.ownRuns.Add(runs)
-	l.ownWork.Add(work)
+	l.ownWork[in].Add(work)
 	if work > 0 {
 		// Reported work runs down with time, not when a request ends.
 		l.work.Add(work)
@@ -121,6 +121,9 @@
 	return runs, work
 }
 
+// ownPrefill is the prefill that this entry has outstanding here.
+func (l *live) ownPrefill() int64 { return l.ownWork[normal].Load() + l.ownWork[urgent].Load() }
+
 // fresh says whether there is a load report that is not stale.
 func (l *live) fresh(now clock.Time, cfg *Config) bool {
 	at := l.takenAt.Load()
@@ -135,7 +138,7 @@
 		// Without a usable report the other entries are taken to send as
 		// much as this one: they follow the same policy.
 		n := int64(cfg.Entries)
-		return own * n, l.ownWork.Load() * n
+		return own * n, l.ownPrefill() * n
 	}
 	// The engine has worked since the report, but the other entries have gone
 	// on sending. Without their part an engine that is always busy would look
--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -18,6 +18,7 @@
 	Pieces    []uint64 // chained hashes of the prompt's whole pieces, see Pieces
 	Prompt    int      // tokens
 	Exclude   []*Endpoint
+	Urgent    bool // sent with the engine's higher priority
 	Prefilled bool // its KV cache exists and is to be moved
 	Isolate   bool // may crash its endpoint: run it where it hurts fewest
 }
@@ -194,7 +195,7 @@
 	if e.State != Open || int64(now) < l.outUntil.Load() {
 		return false
 	}
-	if r.full(now, e) {
+	if r.full(now, e, req.lane()) {
 		return false
 	}
 	if excluded(req, e) {
@@ -221,6 +222,7 @@
 	d.Dispatch = Dispatch{
 		Endpoint: c.ep,
 		work:     run - c.ep.baseNanos,
+		lane:     req.lane(),
 		unloaded: time.Duration(run),
 		expected: time.Duration(wait + run),
 	}
@@ -247,7 +249,7 @@
 			case e.State != Open:
 			case int64(now) < e.live.outUntil.Load():
 				out++
-			case r.full(now, e):
+			case r.full(now, e, req.lane()):
 				full++
 			default:
 				open++
--- a/internal/policy/route/prefer.go
+++ b/internal/policy/route/prefer.go
@@ -162,7 +162,7 @@
 			s = &m.decode
 		}
 		for _, e := range s.eps {
-			if !excluded(req, e) && !r.full(now, e) {
+			if !excluded(req, e) && !r.full(now, e, req.lane()) {
 				best = better(best, r.score(now, req, e, Fallback).because(Fallback))
 			}
 		}
--- a/internal/policy/route/router.go
+++ b/internal/policy/route/router.go
@@ -21,6 +21,8 @@
 
 	sendingAt clock.Time // of the last measurement by Sweep
 
+	windows map[windowKey]*[lanes]window // Publish's own
+
 	mu    sync.Mutex // guards lives
 	lives map[string]*live
 }
@@ -28,7 +30,7 @@
 // NewRouter returns a router without endpoints. Different entries take
 // different seeds, so that they don't make the same choices.
 func NewRouter(cfg Config, seed uint64) *Router {
-	r := &Router{cfg: cfg.withDefaults(), seed: mix(seed), lives: map[string]*live{}}
+	r := &Router{cfg: cfg.withDefaults(), seed: mix(seed), lives: map[string]*live{}, windows: map[windowKey]*[lanes]window{}}
 	r.table.Store(NewTable(cfg, nil))
 	return r
 }
@@ -63,6 +65,7 @@
 		keep[e.Name] = l
 	}
 	r.lives = keep
+	r.joinWindows(t)
 	r.table.Store(t)
 }
 
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -39,6 +39,9 @@
 func (r *Router) estimate(now clock.Time, req *Request, e *Endpoint, cached int) (wait, run int64) {
 	runs, work := e.live.load(now, &r.cfg)
 	wait = work
+	if req.Urgent {
+		wait = min(work, int64(r.cfg.PieceTokens)*e.prefillNanos) + e.live.ownWork[urgent].Load()
+	}
 	if over := runs + 1 - e.slots; over > 0 {
 		wait += over * e.slotNanos
 	}
--- a/internal/policy/route/table.go
+++ b/internal/policy/route/table.go
@@ -57,6 +57,7 @@
 // spec is what NewTable derives from an endpoint's settings.
 type spec struct {
 	live            *live
+	windows         *[lanes]window
 	hash            uint64
 	slots           int64
 	far             bool // in another availability zone
