Role planner that asks a price in engine seconds for each change

Weighed: a fixed ratio with a dead band (moves in every gust of arrivals), queue lengths alone (late by the length of the queue, and blind to why it grew), and the work won against the work lost by one change over the time that the mix is expected to hold. The last is built. What is won is averaged over the scatter of the forecast; without that each gust looked worth a change and the next one worth the change back.

--- a/internal/policy/loadtest/config.go
+++ b/internal/policy/loadtest/config.go
@@ -82,6 +82,9 @@
 	}
 }
 
+// betweenToken is the users' objective for the gap between tokens.
+const betweenToken = 39 * time.Millisecond
+
 // Lakeshore is 12 label-drafting runners in 3 availability zones before 7
 // entries.
 func Lakeshore() Config {
@@ -98,13 +101,13 @@
 		Workload: Workload{
 			Short: Class{
 				Name: "question", Prompt: 600, Output: 250, Priority: 1,
-				Deadline: 20 * time.Second, FirstToken: time.Second, BetweenToken: 60 * time.Millisecond,
+				Deadline: 30 * time.Second, FirstToken: time.Second, BetweenToken: betweenToken,
 			},
 			Long: Class{
 				Name: "draft", Prompt: 9000, Prefix: 4000, Output: 250,
-				Deadline: 40 * time.Second, FirstToken: 8 * time.Second, BetweenToken: 60 * time.Millisecond,
+				Deadline: 45 * time.Second, FirstToken: 8 * time.Second, BetweenToken: betweenToken,
 			},
-			Load:    0.9,
+			Load:    0.8,
 			Swing:   Swing{Low: 0.05, High: 0.65, Hold: 3 * time.Minute, Ramp: 2 * time.Minute},
 			Callers: 200,
 			Keys:    300,
--- /dev/null
+++ b/internal/policy/roles/config.go
@@ -0,0 +1,78 @@
+package roles
+
+import "time"
+
+// Config is what the sheet and the settings say about one pool.
+type Config struct {
+	// Self is the name of this control process, as in Engine.Holder.
+	Self string
+	// Price is the work in engine seconds that a change has to win beyond what
+	// it loses.
+	Price float64
+	// PerHour is the ceiling of the pool's changes in an hour; zero forbids
+	// changes.
+	PerHour int
+	// MaxAwayShare is the share of the pool that may be away at once, for
+	// whatever reason.
+	MaxAwayShare float64
+	// Away is how long a change takes an engine away, draining included.
+	Away time.Duration
+	// Guards switches single guards off. Only tests do, to show what a guard
+	// prevents.
+	Guards Guards
+}
+
+// Guards names the guards that are off.
+type Guards struct {
+	NoSettle bool // act again on reports from before the last change
+	NoTurn   bool // act whether or not it is this process's turn
+	NoGrace  bool // treat a crash of seconds as an engine lost for good
+}
+
+const (
+	// TargetUse is the share of its rate up to which a role serves work on
+	// time. Above it, waits of a queue with arrivals in bursts pass the
+	// first-token objective.
+	TargetUse = 0.85
+
+	// Payback is how long a change is expected to serve. The mix holds for
+	// minutes; a window shorter than that makes no change worth its loss, and
+	// a longer one makes each swing of half a minute worth one.
+	Payback = 60 * time.Second
+
+	// MaxPayback bounds it for a shortage that has lasted: mixes turn within
+	// minutes.
+	MaxPayback = 4 * time.Minute
+
+	// fastWindow and slowWindow are the time constants of the two averages of
+	// demand whose difference gives the trend. With some four long prompts
+	// a second, ten seconds of arrivals scatter by a sixth; a ramp of two
+	// minutes is seen after the slow window.
+	fastWindow = 10 * time.Second
+	slowWindow = 40 * time.Second
+
+	// Settle is the wait after a change before its effect on the queues can be
+	// read: a report is up to two seconds late, one may be lost, and a queue
+	// takes some seconds to move.
+	Settle = 4 * time.Second
+
+	// OrderTimeout is when an order without visible effect counts as lost.
+	OrderTimeout = 15 * time.Second
+
+	// StaleAfter is the age at which a report says nothing any more: the
+	// longest ordinary lag of two seconds and four reports lost.
+	StaleAfter = 5 * time.Second
+
+	// StaleShare is the share of the pool without fresh reports above which the
+	// planner holds.
+	StaleShare = 1.0 / 3
+
+	// CrashGrace is how long a crash or a drain explains a queue. An engine
+	// that restarts is back within half a minute; one that isn't counts as
+	// lost, and the rest is split anew.
+	CrashGrace = 30 * time.Second
+
+	// backlogWindow is the time in which waiting work should be worked off; it
+	// adds to the demand accordingly.
+	backlogWindow = 30 * time.Second
+)
