Service-level burn: recorder, merge over VMs, text, JSON and a page

Weighed: percentiles by VM (can't be added up), counters alone (no percentiles for the screen), and good and bad counts by the minute for the burn rates with a mergeable histogram of the last hour beside them. The last is built; memory is fixed by the number of objectives. Ages only, no wall clocks of two VMs compared. Thresholds 6 and 2 in place of the usual 14.4 and 6, since an objective of 95 in 100 can't burn faster than 20.

VMs without an answer and undecodable lines stand on every output.

--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,284 @@
+package burn_test
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"fescuestand/internal/burn"
+	"fescuestand/internal/clock"
+)
+
+// start is an uptime of three days, so that no window reaches before the boot.
+const start = clock.Time(72 * time.Hour)
+
+func objectives() []burn.Objective {
+	return []burn.Objective{
+		{Class: "question", Signal: burn.FirstToken, Target: 0.95, Limit: 360 * time.Millisecond},
+		{Class: "question", Signal: burn.BetweenTokens, Target: 0.95, Limit: 39 * time.Millisecond},
+		{Class: "question", Signal: burn.OnTime, Target: 0.99},
+		{Class: "commit", Signal: burn.Commits, Target: 0.999},
+	}
+}
+
+func recorder(t testing.TB) *burn.Recorder {
+	r, err := burn.NewRecorder(objectives())
+	assert.NilError(t, err)
+	return r
+}
+
+func answer(t testing.TB, r *burn.Recorder, now clock.Time, vm string) burn.Answer {
+	rep, err := r.Report(now, vm, "zone-1")
+	assert.NilError(t, err)
+	return burn.Answer{VM: vm, Zone: "zone-1", Report: &rep}
+}
+
+func line(t testing.TB, f burn.Fleet, class string, s burn.Signal) burn.FleetLine {
+	for _, l := range f.Lines {
+		if l.Class == class && l.Signal == s {
+			return l
+		}
+	}
+	t.Fatalf("no line %s %s", class, s)
+	return burn.FleetLine{}
+}
+
+func TestWindowsForgetInTurn(t *testing.T) {
+	r := recorder(t)
+	for i := range 10 {
+		r.Answer(start, "question", i > 0, time.Second)
+	}
+	rates := func(after time.Duration) [3]float64 {
+		return line(t, burn.Merge([]burn.Answer{answer(t, r, start.Add(after), "a")}), "question", burn.OnTime).Rates
+	}
+	near := func(got, want [3]float64) {
+		t.Helper()
+		for i := range got {
+			assert.Assert(t, got[i] > want[i]-1e-9 && got[i] < want[i]+1e-9, "%v, want %v", got, want)
+		}
+	}
+	near(rates(0), [3]float64{10, 10, 10})
+	near(rates(6*time.Minute), [3]float64{0, 10, 10})
+	near(rates(2*time.Hour), [3]float64{0, 0, 10})
+	near(rates(7*time.Hour), [3]float64{})
+	near(rates(14*time.Hour), [3]float64{})
+}
+
+func TestStates(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bad  func(age time.Duration) bool
+		want burn.State
+	}{
+		{"all good", func(time.Duration) bool { return false }, burn.Kept},
+		{"bad for an hour and now", func(age time.Duration) bool { return age < time.Hour }, burn.Fast},
+		{"bad for an hour, over for ten minutes", func(age time.Duration) bool { return age < time.Hour && age > 10*time.Minute }, burn.Slow},
+		{"bad for two minutes", func(age time.Duration) bool { return age < 2*time.Minute }, burn.Over},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := recorder(t)
+			for age := 6 * time.Hour; age > 0; age -= 10 * time.Second {
+				r.Answer(start.Add(-age), "question", !c.bad(age), time.Second)
+			}
+			f := burn.Merge([]burn.Answer{answer(t, r, start, "a")})
+			assert.Equal(t, line(t, f, "question", burn.OnTime).State, c.want)
+			assert.Equal(t, line(t, f, "commit", burn.Commits).State, burn.Silent)
+		})
+	}
+}
+
+// A zone's entries fall silent while their callers fare worst. A report that
+// sums only those who answer shows a fleet in good health.
+func TestSilentVMsAreShown(t *testing.T) {
+	r := recorder(t)
+	r.Answer(start, "question", true, time.Second)
+	bad := answer(t, r, start, "c")
+	bad.Report.Lines[0].Waits = []byte("not a histogram")
+	f := burn.Merge([]burn.Answer{
+		answer(t, r, start, "a"),
+		{VM: "b", Zone: "zone-2", Err: "timeout after 2s"},
+		bad,
+	})
+	assert.Equal(t, f.Asked, 3)
+	assert.Equal(t, f.Answered, 2)
+	assert.Equal(t, len(f.Gaps), 2)
+	assert.Equal(t, line(t, f, "question", burn.OnTime).Windows[0].Good, uint64(2))
+	for _, write := range []func(*strings.Builder) error{
+		func(b *strings.Builder) error { return f.WriteText(b) },
+		func(b *strings.Builder) error { return f.WriteJSON(b) },
+		func(b *strings.Builder) error { return f.WritePage(b, "lakeshore", "09:00") },
+	} {
+		var b strings.Builder
+		assert.NilError(t, write(&b))
+		assert.Assert(t, strings.Contains(b.String(), "timeout after 2s"), b.String())
+	}
+}
+
+func TestOlderSheetKeepsALineOfItsOwn(t *testing.T) {
+	r := recorder(t)
+	old := answer(t, r, start, "a")
+	next := objectives()
+	next[0].Limit = time.Second
+	r.FirstToken(start, "question", 500*time.Millisecond)
+	r.Answer(start, "question", true, time.Second)
+	assert.NilError(t, r.Apply(next))
+	f := burn.Merge([]burn.Answer{old, answer(t, r, start, "b")})
+	assert.Equal(t, len(f.Lines), len(objectives())+1)
+	assert.Equal(t, line(t, f, "question", burn.OnTime).Windows[0].Good, uint64(1), "an unchanged objective goes on")
+}
+
+func TestBadObjectivesAreRefused(t *testing.T) {
+	for _, o := range []burn.Objective{
+		{Class: "a", Signal: burn.FirstToken, Target: 0.95},
+		{Class: "a", Signal: burn.OnTime, Target: 1},
+		{Class: "a", Signal: "speed", Target: 0.9},
+	} {
+		_, err := burn.NewRecorder([]burn.Objective{o})
+		assert.ErrorIs(t, err, burn.ErrObjective)
+	}
+}
+
+func TestUnknownClassIsCounted(t *testing.T) {
+	r := recorder(t)
+	r.Refused(start, "qestion")
+	assert.Equal(t, answer(t, r, start, "a").Report.Unknown, uint64(1))
+}
+
+// Whatever is recorded where, the sums over the VMs equal those of one VM that
+// saw everything, also after the report's way through JSON.
+func TestMergeEqualsOneRecorder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		one := recorder(t)
+		several := []*burn.Recorder{recorder(t), recorder(t), recorder(t)}
+		now := start
+		for range rapid.IntRange(0, 100).Draw(rt, "events") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(40*time.Minute)).Draw(rt, "pause")))
+			d := time.Duration(rapid.Int64Range(0, int64(20*time.Minute)).Draw(rt, "wait"))
+			vm := several[rapid.IntRange(0, 2).Draw(rt, "vm")]
+			one.FirstToken(now, "question", d)
+			vm.FirstToken(now, "question", d)
+		}
+		var parts []burn.Answer
+		for _, r := range several {
+			a := answer(t, r, now, "vm")
+			text, err := json.Marshal(a.Report)
+			assert.NilError(rt, err)
+			var back burn.Report
+			assert.NilError(rt, json.Unmarshal(text, &back))
+			a.Report = &back
+			parts = append(parts, a)
+		}
+		want := line(t, burn.Merge([]burn.Answer{answer(t, one, now, "vm")}), "question", burn.FirstToken)
+		got := line(t, burn.Merge(parts), "question", burn.FirstToken)
+		assert.Equal(rt, got.Windows, want.Windows)
+		assert.DeepEqual(rt, got.Series, want.Series)
+		assert.DeepEqual(rt, got.Waits, want.Waits)
+	})
+}
+
+func TestConcurrentRecording(t *testing.T) {
+	r := recorder(t)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 1000 {
+				r.BetweenTokens(start, "question", time.Millisecond)
+			}
+			_, err := r.Report(start, "a", "z")
+			assert.Check(t, err)
+		})
+	}
+	wg.Wait()
+	f := burn.Merge([]burn.Answer{answer(t, r, start, "a")})
+	assert.Equal(t, line(t, f, "question", burn.BetweenTokens).Windows[0].Good, uint64(8000))
+}
+
+// TestPage writes the page to the file named by BURN_PAGE, to be looked at.
+func TestPage(t *testing.T) {
+	var b strings.Builder
+	f := sample(t)
+	assert.NilError(t, f.WritePage(&b, "lakeshore", "2026-01-01 09:00"))
+	for _, want := range []string{"BURNING FAST", "OVER BUDGET", "NO TRAFFIC", "<polyline", "5 of 7 VMs answered"} {
+		assert.Assert(t, strings.Contains(b.String(), want), want)
+	}
+	assert.Assert(t, !strings.Contains(b.String(), "<script"))
+	assert.Assert(t, !strings.Contains(b.String(), "http"))
+	if file := os.Getenv("BURN_PAGE"); file != "" {
+		assert.NilError(t, os.WriteFile(file, []byte(b.String()), 0o600))
+		var text strings.Builder
+		assert.NilError(t, f.WriteText(&text))
+		t.Log("\n" + text.String())
+	}
+}
+
+// sample is a fleet of seven VMs, two of them silent: questions burn since an
+// hour, drafts since some minutes, and tags had no traffic for two hours.
+func sample(t testing.TB) burn.Fleet {
+	objectives := append(objectives(),
+		burn.Objective{Class: "draft", Signal: burn.FirstToken, Target: 0.95, Limit: 8 * time.Second},
+		burn.Objective{Class: "draft", Signal: burn.OnTime, Target: 0.99},
+		burn.Objective{Class: "tag", Signal: burn.OnTime, Target: 0.99},
+		burn.Objective{Class: "trace", Signal: burn.OnTime, Target: 0.99},
+	)
+	answers := []burn.Answer{
+		{VM: "entry-6", Zone: "Saginaw", Err: "no answer within 2s"},
+		{VM: "entry-7", Zone: "Saginaw", Err: "connection refused"},
+	}
+	for vm := range 5 {
+		r, err := burn.NewRecorder(objectives)
+		assert.NilError(t, err)
+		for i, age := 0, 6*time.Hour; age > 0; i, age = i+1, age-10*time.Second {
+			fill(r, i, age)
+		}
+		answers = append(answers, answer(t, r, start, "entry-"+string(rune('1'+vm))))
+	}
+	return burn.Merge(answers)
+}
+
+func fill(r *burn.Recorder, i int, age time.Duration) {
+	now := start.Add(-age)
+	wait := time.Duration(100+i%5*60) * time.Millisecond
+	if age < time.Hour {
+		wait *= 2
+	}
+	r.FirstToken(now, "question", wait)
+	r.BetweenTokens(now, "question", time.Duration(28+i%10)*time.Millisecond)
+	r.Answer(now, "question", i%200 > 0, time.Duration(5+i%7)*time.Second)
+	r.Commit(now, "commit", true)
+	r.FirstToken(now, "draft", time.Duration(2000+i%4*500)*time.Millisecond)
+	r.Answer(now, "draft", age > 4*time.Minute || i%8 > 0, time.Duration(12+i%9)*time.Second)
+	if age > 3*time.Hour || age < time.Hour {
+		r.Answer(now, "tag", i%300 > 0, time.Second)
+	}
+}
+
+func BenchmarkBetweenTokens(b *testing.B) {
+	r := recorder(b)
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		r.BetweenTokens(now, "question", 30*time.Millisecond)
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	r := recorder(b)
+	for i := range 10_000 {
+		r.FirstToken(start.Add(-time.Duration(i)*time.Second), "question", time.Duration(i)*time.Millisecond)
+	}
+	size := 0
+	for b.Loop() {
+		rep, err := r.Report(start, "a", "z")
+		assert.NilError(b, err)
+		text, _ := json.Marshal(rep)
+		size = len(text)
+	}
+	b.ReportMetric(float64(size), "bytes/report")
+}
