fescuectl publish over replica.Publish, fescuectl burn

The publisher's own reader is dropped: replica.Publish settles a lost answer by a later record of the same writer, which the reader could not.

--- a/internal/operator/parser.go
+++ b/internal/operator/parser.go
@@ -25,6 +25,7 @@
 		{"check", "Check a sheet without publishing it", "Reports everything that is wrong with FILE, each with its line. Talks to nobody.", &checkCommand{command: shared}},
 		{"publish", "Publish a sheet or a patch", "Publishes FILE in place of the accepted version, waits for the verdict and until it is in force on every live VM.", &publishCommand{command: shared}},
 		{"status", "Show VMs, engines, roles, holders and log health", "Asks every VM of the VM list. A VM that does not answer is shown as such.", &statusCommand{command: shared}},
+		{"burn", "Show how fast the error budgets are spent", "Asks every VM of the VM list and adds the answers up. A VM that does not answer is shown as a gap.", &burnCommand{command: shared}},
 		{"codes", "Print the table of result codes", "The table of docs/RESULT-CODES.md.", &codesCommand{out: out}},
 		{"version", "Print the version", "Prints the version.", &versionCommand{out: out}},
 	} {
--- a/internal/operator/publish.go
+++ b/internal/operator/publish.go
@@ -12,6 +12,7 @@
 	"fescuestand/internal/kernel"
 	"fescuestand/internal/logclient"
 	"fescuestand/internal/node"
+	"fescuestand/internal/replica"
 	"fescuestand/internal/sheet"
 	"fescuestand/internal/wire"
 )
@@ -61,9 +62,9 @@
 	if err != nil {
 		return err
 	}
-	p := newPublisher(c.ctx, s, lg)
-	defer p.close()
-	version, err := c.publish(p, s.Operator, body)
+	client := logclient.New(logclient.Options{Log: lg, Writer: node.NewIncarnation(), VM: "fescuectl"})
+	defer func() { _ = client.Close() }()
+	version, err := c.publish(client, s, body)
 	if err != nil {
 		return err
 	}
@@ -80,21 +81,17 @@
 }
 
 // publish appends the sheet or patch and waits for its verdict.
-func (c *publishCommand) publish(p *publisher, operator string, body []byte) (version uint64, err error) {
+func (c *publishCommand) publish(client *logclient.Client, s *Settings, body []byte) (version uint64, err error) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.Wait)
 	defer cancel()
-	base, err := c.base(ctx, p)
+	base, err := c.base(ctx, client, s.Streams.Config)
 	if err != nil {
 		return 0, err
 	}
 	id := node.NewIncarnation()
-	if err := p.append(ctx, c.entry(base, id, operator, body)); err != nil && code.Of(err).Run == code.NotRun {
-		return 0, err
-	}
-	v, err := p.verdict(ctx, id)
+	v, err := replica.Publish(ctx, client, s.Streams.Config, id, c.entry(base, id, s.Operator, body))
 	if err != nil {
-		return 0, &exitError{ExitUnknown, code.Wrap(code.PublishUnknown, err,
-			"publish %s on base %d: no verdict within %s; it counts only while %d is the accepted version, see `fescuectl status`", id, base, c.Wait, base)}
+		return 0, c.unsettled(err, base)
 	}
 	if !v.Accepted {
 		return 0, &exitError{ExitRefused, code.New(code.Code(v.Code), "refused at offset %d: %s", v.Offset, v.Detail)}
@@ -103,11 +100,21 @@
 	return v.Offset, err
 }
 
-func (c *publishCommand) base(ctx context.Context, p *publisher) (uint64, error) {
+// unsettled tells a publish that is known not to count from one whose verdict
+// is still to come.
+func (c *publishCommand) unsettled(err error, base uint64) error {
+	if code.Of(err).Run == code.NotRun {
+		return err
+	}
+	return &exitError{ExitUnknown, fmt.Errorf("%w\nno verdict within %s; it can count only while %d is the accepted version: compare SHEET in `fescuectl status`", err, c.Wait, base)}
+}
+
+func (c *publishCommand) base(ctx context.Context, client *logclient.Client, stream string) (uint64, error) {
 	if c.First || c.Base > 0 {
 		return c.Base, nil
 	}
-	return p.current(ctx)
+	accepted, _, err := replica.Current(ctx, client, stream)
+	return accepted.Version, err
 }
 
 func (c *publishCommand) entry(base uint64, id, operator string, body []byte) *wire.Entry {
@@ -161,51 +168,3 @@
 	}
 	return names
 }
-
-// publisher appends to the config stream and follows it.
-type publisher struct {
-	stream string
-	client *logclient.Client
-	reader *configReader
-}
-
-func newPublisher(ctx context.Context, s *Settings, lg driver.Log) *publisher {
-	client := logclient.New(logclient.Options{Log: lg, Writer: node.NewIncarnation(), VM: "fescuectl"})
-	return &publisher{
-		stream: s.Streams.Config,
-		client: client,
-		reader: followConfig(ctx, client, s.Streams.Config),
-	}
-}
-
-func (p *publisher) close() {
-	p.reader.stop()
-	_ = p.client.Close()
-}
-
-func (p *publisher) append(ctx context.Context, e *wire.Entry) error {
-	_, err := p.client.Append(ctx, p.stream, e)
-	return err
-}
-
-// current returns the accepted version once the stream was read to its end.
-func (p *publisher) current(ctx context.Context) (uint64, error) {
-	var version uint64
-	err := p.reader.await(ctx, func() bool {
-		version = p.reader.fold.Current().Version
-		return p.reader.fold.Established() && p.client.Progress(p.stream).Read
-	})
-	if err != nil {
-		return 0, code.Wrap(code.LogDown, err, "the accepted version can't be read; nothing was published")
-	}
-	return version, nil
-}
-
-func (p *publisher) verdict(ctx context.Context, id string) (*wire.Verdict, error) {
-	var v *wire.Verdict
-	err := p.reader.await(ctx, func() bool {
-		v = p.reader.fold.Verdict(id)
-		return v != nil
-	})
-	return v, err
-}
