Leases, reconciliation and the control loop

Weighed: a scope per pool (one mind, but a token falls when an engine changes pools, and two holders of different sheets could order one engine), a scope per engine spread over all processes (no one may plan or keep the away share), and a scope per engine whose pool prefers one process. The last is taken: the token belongs to the engine, and engines held by others count as away, so the share holds however a pool is split. A holder whose lease has lapsed gives no orders, to engines of either kind: going on with engines that check tokens would let it change an engine between a successor's claim and the successor's first order. An engine counts as away until every entry has heard that it is back; without that rule the test of max_away_share saw 2 of 4 away instead of 1.

--- /dev/null
+++ b/internal/control/fake_test.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/driver"
+)
+
+func TestMain(m *testing.M) {
+	log.SetHandler(discard.New())
+	if os.Getenv("CONTROL_TEST_LOG") != "" {
+		log.SetHandler(printer{})
+	}
+	os.Exit(m.Run())
+}
+
+type printer struct{}
+
+func (printer) HandleLog(e *log.Entry) error {
+	fmt.Println(time.Now().Format("15:04:05.000"), e.Message, e.Fields)
+	return nil
+}
+
+// bubbleClock follows the test's fake time; it can be held back, as the clock
+// of a process that doesn't count a suspension.
+type bubbleClock struct{}
+
+func (bubbleClock) Now() clock.Time { return clock.Time(time.Now().UnixNano()) }
+
+const changeTime = 3 * time.Second
+
+// fakeEngine is an engine in memory that notes what must never happen.
+type fakeEngine struct {
+	mu       sync.Mutex
+	name     string
+	fences   bool
+	state    driver.EngineState
+	starts   int
+	done     time.Time // end of the order under way
+	order    driver.Order
+	orders   []driver.Order
+	bad      []string
+	crashMid bool          // crash in the middle of the next order
+	lose     bool          // lose the answer of the next order
+	stall    chan struct{} // an order stalls before its last byte
+	down     bool
+	streams  int // of entries, for the drain
+}
+
+func newFakeEngine(name string, fences bool) *fakeEngine {
+	return &fakeEngine{name: name, fences: fences, state: driver.EngineState{
+		Incarnation: "1", Role: driver.RoleMixed, Loaded: []driver.Loaded{{Model: "m", Version: "1"}},
+	}}
+}
+
+func (f *fakeEngine) settle() {
+	if !f.state.Changing || time.Now().Before(f.done) {
+		return
+	}
+	f.state.Changing = false
+	switch f.order.Kind {
+	case driver.OrderRole:
+		f.state.Role = f.order.Role
+	case driver.OrderLoad:
+		f.state.Loaded = append(f.state.Loaded, f.order.Load)
+	case driver.OrderUnload:
+		f.state.Loaded = slices.DeleteFunc(f.state.Loaded, func(l driver.Loaded) bool { return l == f.order.Load })
+	}
+}
+
+func (f *fakeEngine) State(context.Context) (driver.EngineState, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle()
+	if f.down {
+		return driver.EngineState{}, driver.ErrNotSent
+	}
+	s := f.state
+	s.Loaded = slices.Clone(s.Loaded)
+	s.Running = f.streams
+	return s, nil
+}
+
+func (f *fakeEngine) Order(ctx context.Context, o driver.Order, permit driver.Permit) error {
+	f.mu.Lock()
+	stall, lose := f.stall, f.lose
+	f.stall, f.lose = nil, false
+	f.mu.Unlock()
+	if stall != nil {
+		<-stall
+	}
+	if err := permit(); err != nil {
+		return errors.Join(driver.ErrNotSent, err)
+	}
+	return f.take(ctx, o, lose)
+}
+
+func (f *fakeEngine) take(_ context.Context, o driver.Order, lose bool) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settle()
+	if f.down {
+		return driver.ErrNotSent
+	}
+	if f.fences && o.Fence < f.state.Fence {
+		return driver.ErrStaleFence
+	}
+	if f.state.Changing {
+		f.bad = append(f.bad, fmt.Sprintf("%s while %s is under way", o.ID, f.order.ID))
+	}
+	if n := len(f.orders); n > 0 && f.orders[n-1].Fence > o.Fence {
+		f.bad = append(f.bad, fmt.Sprintf("%s after a later holder's %s", o.ID, f.orders[n-1].ID))
+	}
+	if f.streams > 0 {
+		f.bad = append(f.bad, fmt.Sprintf("%s cuts %d streams", o.ID, f.streams))
+	}
+	if f.fences {
+		f.state.Fence = o.Fence
+	}
+	f.orders, f.order = append(f.orders, o), o
+	f.state.LastOrder, f.state.Changing, f.done = o.ID, true, time.Now().Add(changeTime)
+	if f.crashMid {
+		f.crashMid = false
+		f.starts++
+		f.state = driver.EngineState{Incarnation: fmt.Sprint("crashed", f.starts), Role: driver.RoleMixed}
+	}
+	if lose {
+		return driver.ErrCut
+	}
+	return nil
+}
+
+func (f *fakeEngine) Report(context.Context) (driver.LoadReport, error) {
+	return driver.LoadReport{PrefillRate: 1000, DecodeStep: 20 * time.Millisecond}, nil
+}
+
+func (f *fakeEngine) CacheEvents(context.Context, uint64) ([]driver.CacheEvent, error) {
+	return nil, nil
+}
+
+func (f *fakeEngine) Prefill(context.Context, *driver.GenerateRequest) (driver.KVHandle, error) {
+	return driver.KVHandle{}, driver.ErrRefused
+}
+
+func (f *fakeEngine) Generate(context.Context, *driver.GenerateRequest) (driver.TokenStream, error) {
+	return nil, io.EOF
+}
+
+func (f *fakeEngine) Export(context.Context, string) (driver.KVHandle, error) {
+	return driver.KVHandle{}, driver.ErrRefused
+}
+
+func (f *fakeEngine) Close() error { return nil }
+
+func (f *fakeEngine) with(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+}
+
+func (f *fakeEngine) ordersTaken() []driver.Order {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.orders)
+}
--- /dev/null
+++ b/internal/control/plan.go
@@ -0,0 +1,253 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/driver"
+	"fescuestand/internal/reconcile"
+	"fescuestand/internal/sheet"
+	"fescuestand/internal/wire"
+)
+
+// pool is one pool of the sheet.
+type pool struct {
+	spec  *sheet.Pool
+	roles map[string]driver.Role // by the planner, of engines not fixed
+	plan  *planner
+}
+
+func newPool(spec *sheet.Pool, old *pool) *pool {
+	p := &pool{spec: spec, roles: map[string]driver.Role{}}
+	if old != nil {
+		p.roles, p.plan = old.roles, old.plan
+	}
+	return p
+}
+
+func (p *pool) planned() bool { return p.spec.Roles.Planned }
+
+// lostAfter is the silence after which an engine counts as lost: it is neither
+// part of the pool nor away from it, so that a dead engine doesn't forbid every
+// planned change.
+const lostAfter = 60 * time.Second
+
+func (s *state) lost(e *engine) bool {
+	return e.token != 0 && e.readFrom == 0 && e.answered != 0 && s.now().Sub(e.answered) > lostAfter
+}
+
+// away counts the engines of a pool that don't take work or may not: those in
+// a change, those that don't answer, and those that another process holds and
+// may be changing. So the share holds however the pool is split between
+// holders.
+func (s *state) away(p *pool) int {
+	n := 0
+	for _, name := range p.spec.Engines {
+		e := s.engines[name]
+		if e == nil || e.spec.Withdrawn || s.lost(e) {
+			continue
+		}
+		if e.token == 0 || !e.known || e.readFrom == 0 || e.state.Changing || !s.isOpen(e) {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *pool) awayLimit(s *state) int {
+	n := 0
+	for _, name := range p.spec.Engines {
+		if e := s.engines[name]; e != nil && !e.spec.Withdrawn && !s.lost(e) {
+			n++
+		}
+	}
+	return reconcile.AwayLimit(n, p.spec.MaxAwayShare)
+}
+
+// serving counts the engines that serve the pool's model now.
+func (p *pool) serving(s *state) int {
+	n := 0
+	for _, name := range p.spec.Engines {
+		if e := s.engines[name]; e != nil && e.known && e.phase() == wire.Phase_PHASE_OPEN && len(e.state.Loaded) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// role returns the role that an engine should have. An engine that the planner
+// hasn't moved keeps the role that it is in, so that a takeover moves nothing.
+func (p *pool) role(e *engine) driver.Role {
+	if r, ok := p.spec.Roles.Fixed[e.name]; ok {
+		return r
+	}
+	if !p.planned() {
+		return driver.RoleMixed
+	}
+	if r, ok := p.roles[e.name]; ok {
+		return r
+	}
+	return e.state.Role
+}
+
+// initialPrefill is the share of engines that prefill before anything was
+// measured: prefill is 43% of the work at the design size.
+const initialPrefill = 0.43
+
+// split gives a role to the planned engines that have none of the two, and
+// keeps to the sheet's minima.
+func (s *state) split(p *pool) {
+	var free []*engine
+	count := map[driver.Role]int{}
+	for _, name := range p.spec.Engines {
+		e := s.engines[name]
+		if e.spec.Withdrawn {
+			continue
+		}
+		r := p.role(e)
+		count[r]++
+		if _, fixed := p.spec.Roles.Fixed[name]; !fixed {
+			free = append(free, e)
+		}
+	}
+	want := wantedPrefill(&p.spec.Roles, count)
+	for _, e := range free {
+		r := p.role(e)
+		if r == driver.RolePrefill || r == driver.RoleDecode {
+			continue
+		}
+		if count[driver.RolePrefill] < want {
+			p.roles[e.name] = driver.RolePrefill
+		} else {
+			p.roles[e.name] = driver.RoleDecode
+		}
+		count[p.roles[e.name]]++
+	}
+	p.raise(free, count, driver.RolePrefill, driver.RoleDecode, p.spec.Roles.MinPrefill)
+	p.raise(free, count, driver.RoleDecode, driver.RolePrefill, p.spec.Roles.MinDecode)
+}
+
+func wantedPrefill(r *sheet.Roles, count map[driver.Role]int) int {
+	n := count[driver.RolePrefill] + count[driver.RoleDecode] + count[driver.RoleMixed] + count[""]
+	return max(r.MinPrefill, min(int(initialPrefill*float64(n)+0.5), n-r.MinDecode))
+}
+
+// raise moves engines to a role that is below its minimum.
+func (p *pool) raise(free []*engine, count map[driver.Role]int, to, from driver.Role, least int) {
+	for _, e := range free {
+		if count[to] >= least {
+			return
+		}
+		if p.role(e) == from {
+			p.roles[e.name] = to
+			count[to]++
+			count[from]--
+		}
+	}
+}
+
+// plan asks the planners of the pools that this process holds whole.
+func (s *state) plan() {
+	if s.ticks%idleTicks != 0 || s.c.leaving.Load() {
+		return
+	}
+	for _, p := range s.pools {
+		if p.planned() && s.holdsWhole(p) {
+			s.split(p)
+			s.planRoles(p)
+		}
+	}
+}
+
+// holdsWhole reports whether this process holds every engine of a pool and
+// knows its state: two processes that plan for parts of a pool would both
+// answer the same shortage.
+func (s *state) holdsWhole(p *pool) bool {
+	for _, name := range p.spec.Engines {
+		e := s.engines[name]
+		if e == nil || e.token == 0 || e.releasing == e.token || !e.known {
+			return false
+		}
+	}
+	return true
+}
+
+// weightStore is what is known of the weight store.
+type weightStore struct {
+	rate  int64
+	sizes map[driver.Loaded]int64
+	asked map[driver.Loaded]bool
+}
+
+const weightTimeout = 2 * time.Second
+
+// mayLoad reports whether the weight store has room for the first load that an
+// engine lacks; its size is asked for before the first order.
+func (s *state) mayLoad(now clock.Time, want *reconcile.Want, st *driver.EngineState) bool {
+	if s.opt.Weights == nil {
+		return true
+	}
+	orders := reconcile.Diff(want, st, false)
+	if len(orders) == 0 || orders[0].Kind != driver.OrderLoad {
+		return true
+	}
+	s.askSize(orders[0].Load)
+	return s.pacer.Free(now)
+}
+
+// askSize learns a size and the store's rate. While they aren't known loads
+// aren't paced: a store that doesn't answer these doesn't give weights either.
+func (s *state) askSize(l driver.Loaded) {
+	if s.weights.sizes == nil {
+		s.weights.sizes, s.weights.asked = map[driver.Loaded]int64{}, map[driver.Loaded]bool{}
+	}
+	if s.weights.asked[l] {
+		return
+	}
+	s.weights.asked[l] = true
+	s.c.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, weightTimeout)
+		defer cancel()
+		name := l.Model
+		if l.Adapter != "" {
+			name = l.Adapter
+		}
+		size, err := s.opt.Weights.Size(ctx, name, l.Version)
+		var rate int64
+		if err == nil {
+			rate, err = s.opt.Weights.Rate(ctx)
+		}
+		_ = s.c.postWait(s.ctx, sized{l, size, rate, err})
+	})
+}
+
+// sized carries what the weight store says.
+type sized struct {
+	load driver.Loaded
+	size int64
+	rate int64
+	err  error
+}
+
+func (e sized) apply(s *state) {
+	if e.err != nil {
+		log.WithError(e.err).WithField("model", e.load.Model).Warn("weight store")
+		delete(s.weights.asked, e.load)
+		return
+	}
+	s.weights.sizes[e.load], s.weights.rate = e.size, e.rate
+}
+
+// tookLoad counts a load against this process's share of the store's rate: a
+// pool's share of all pools.
+func (s *state) tookLoad(l driver.Loaded) {
+	pools := map[string]bool{}
+	for _, e := range s.held() {
+		pools[e.pool] = true
+	}
+	share := s.weights.rate * int64(len(pools)) / int64(max(1, len(s.pools)))
+	s.pacer.Took(s.now(), s.weights.sizes[l], share)
+}
--- a/internal/fold/authority.go
+++ b/internal/fold/authority.go
@@ -76,6 +76,18 @@
 	return *p, true
 }
 
+// Holds reports whether a writer holds any scope.
+func (a *Authority) Holds(writer string) bool { return a.writers[writer] != nil }
+
+// HeldBy returns the scopes that a writer holds, in order.
+func (a *Authority) HeldBy(writer string) []string {
+	h := a.writers[writer]
+	if h == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(h.scopes))
+}
+
 // Holdings returns every holding by scope.
 func (a *Authority) Holdings() []Holding {
 	out := make([]Holding, 0, len(a.scopes))
