--- a/internal/driver/httpdriver/bench_test.go
+++ b/internal/driver/httpdriver/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"testing"
 
@@ -29,7 +30,7 @@
 		s := newTokenStream(req, io.NopCloser(bytes.NewReader(body.Bytes())), func() {})
 		for {
 			_, err := s.Next()
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				break
 			}
 			if err != nil {
