Cache events name pieces as routing does, by model alone

The entry hashes prompts before it knows the version. The engine stand-in keeps versions and adapters apart in its cache, as real ones must; only the names in its events coincide. The demo takes --no-control.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -28,6 +28,7 @@
 	Deployment *Deployment
 	For        time.Duration // how long the caller sends new requests
 	Rate       float64
+	NoControl  bool          // leave fescue-control out
 	KillEntry  time.Duration // kill the last entry this long into the run; 0: never
 	Caller     []string      // further flags of the caller
 	Out        io.Writer
@@ -70,17 +71,20 @@
 func (d *Demo) startSystem(ctx context.Context) error {
 	var addresses []string
 	for i, vm := range d.Deployment.VMs {
-		c, err := d.start(fmt.Sprintf("control-%d", i+1), "fescue-control", "--config", vm.ControlFile)
-		if err != nil {
-			return err
+		if !d.NoControl {
+			c, err := d.start(fmt.Sprintf("control-%d", i+1), "fescue-control", "--config", vm.ControlFile)
+			if err != nil {
+				return err
+			}
+			d.controls = append(d.controls, c)
+			addresses = append(addresses, vm.Control.Addresses.Status)
 		}
-		d.controls = append(d.controls, c)
 		e, err := d.start(fmt.Sprintf("entry-%d", i+1), "fescue-entry", "--config", vm.EntryFile)
 		if err != nil {
 			return err
 		}
 		d.entries = append(d.entries, e)
-		addresses = append(addresses, vm.Control.Addresses.Status, vm.Entry.Addresses.Status, vm.Entry.Addresses.Caller)
+		addresses = append(addresses, vm.Entry.Addresses.Status, vm.Entry.Addresses.Caller)
 	}
 	return d.awaitListening(ctx, addresses)
 }
--- a/internal/demo/run/main.go
+++ b/internal/demo/run/main.go
@@ -24,6 +24,7 @@
 	Deployment string        `long:"deployment" default:"lakeshore" description:"name of the example"`
 	For        time.Duration `long:"for" default:"15s" description:"how long the caller sends new requests"`
 	Rate       float64       `long:"rate" default:"30" description:"requests a second"`
+	NoControl  bool          `long:"no-control" description:"leave fescue-control out"`
 	KillEntry  time.Duration `long:"kill-entry" value-name:"AFTER" description:"kill one entry without notice this long into the run"`
 	Args       struct {
 		Caller []string `positional-arg-name:"CALLER-FLAG" description:"further flags of fescue-standin caller, after --"`
@@ -52,7 +53,7 @@
 	}
 	d := &demo.Demo{
 		Bin: o.Bin, Deployment: deployment, For: o.For, Rate: o.Rate,
-		KillEntry: o.KillEntry, Caller: o.Args.Caller, Out: os.Stdout,
+		NoControl: o.NoControl, KillEntry: o.KillEntry, Caller: o.Args.Caller, Out: os.Stdout,
 	}
 	if err := d.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
--- a/internal/driver/httpdriver/httpapi/piece.go
+++ b/internal/driver/httpdriver/httpapi/piece.go
@@ -17,23 +17,15 @@
 	return (len(prompt) + TokenBytes - 1) / TokenBytes
 }
 
-// CacheName is what tells the prefix caches of two models apart: the model,
-// its version and its adapter, each after the first behind a slash.
-func CacheName(model, version, adapter string) string {
-	name := model + "/" + version
-	if adapter != "" {
-		name += "/" + adapter
-	}
-	return name
-}
-
-// Pieces returns the cache key of each whole piece of the prompt, in order.
-// The key of a piece covers the whole prefix up to the piece's end: it is the
-// mix of the key before it, or of the hash of the cache name, with the hash of
-// the piece. Package route computes the same keys.
-func Pieces(model, version, adapter string, prompt []byte) []uint64 {
+// Pieces returns the key of each whole piece of the prompt, in order, as cache
+// events name it. The key of a piece covers the whole prefix up to the piece's
+// end: it is the mix of the key before it, or of the hash of the model's name,
+// with the hash of the piece. Package route computes the same keys. Versions
+// and adapters of a model share keys, though no engine shares their KV cache:
+// events are a hint where to send, the engine alone knows what it can use.
+func Pieces(model string, prompt []byte) []uint64 {
 	keys := make([]uint64, 0, len(prompt)/PieceBytes)
-	h := xxhash.Sum64String(CacheName(model, version, adapter))
+	h := xxhash.Sum64String(model)
 	for len(prompt) >= PieceBytes {
 		h = splitMix(h ^ xxhash.Sum64(prompt[:PieceBytes]))
 		keys = append(keys, h)
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -6,19 +6,36 @@
 	"time"
 
 	"fescuestand/internal/driver"
+	"fescuestand/internal/driver/httpdriver/httpapi"
 )
 
 // maxEvents bounds the cache events kept for readers.
 const maxEvents = 10_000
 
+// pieceKey names one piece of KV cache. Versions and adapters of a model have
+// KV caches of their own.
+type pieceKey struct {
+	version, adapter string
+	piece            uint64 // as cache events name it
+}
+
+func pieceKeys(req *httpapi.Generate) []pieceKey {
+	pieces := httpapi.Pieces(req.Model, req.Prompt)
+	keys := make([]pieceKey, len(pieces))
+	for i, p := range pieces {
+		keys[i] = pieceKey{req.Version, req.Adapter, p}
+	}
+	return keys
+}
+
 // prefixCache is the least-recently-used cache of prompt prefix pieces.
 type prefixCache struct {
 	size        int
 	incarnation string
 	loss        float64
 	lag         time.Duration
-	order       *list.List // newest first, of piece keys
-	pieces      map[uint64]*list.Element
+	order       *list.List // newest first, of pieceKey
+	pieces      map[pieceKey]*list.Element
 	seq         uint64
 	events      []timedEvent
 }
@@ -35,12 +52,12 @@
 		loss:        cfg.EventLoss,
 		lag:         cfg.EventLag,
 		order:       list.New(),
-		pieces:      map[uint64]*list.Element{},
+		pieces:      map[pieceKey]*list.Element{},
 	}
 }
 
 // hits returns how many leading pieces are cached, and marks them as used.
-func (c *prefixCache) hits(keys []uint64) int {
+func (c *prefixCache) hits(keys []pieceKey) int {
 	for i, k := range keys {
 		e, ok := c.pieces[k]
 		if !ok {
@@ -52,7 +69,7 @@
 }
 
 // add puts the pieces in and evicts the least recently used ones.
-func (c *prefixCache) add(keys []uint64, drop bool) {
+func (c *prefixCache) add(keys []pieceKey, drop bool) {
 	for _, k := range keys {
 		if e, ok := c.pieces[k]; ok {
 			c.order.MoveToFront(e)
@@ -63,7 +80,7 @@
 	}
 	for c.order.Len() > c.size {
 		oldest := c.order.Back()
-		k := c.order.Remove(oldest).(uint64)
+		k := c.order.Remove(oldest).(pieceKey)
 		delete(c.pieces, k)
 		c.event(k, true, drop)
 	}
@@ -72,13 +89,13 @@
 func (c *prefixCache) free() int { return c.size - c.order.Len() }
 
 // event counts Seq up also for an event that gets lost, so that a gap shows.
-func (c *prefixCache) event(piece uint64, evicted, drop bool) {
+func (c *prefixCache) event(k pieceKey, evicted, drop bool) {
 	c.seq++
 	if drop || rand.Float64() < c.loss {
 		return
 	}
 	c.events = append(c.events, timedEvent{time.Now(), driver.CacheEvent{
-		Seq: c.seq, Incarnation: c.incarnation, Piece: piece, Evicted: evicted,
+		Seq: c.seq, Incarnation: c.incarnation, Piece: k.piece, Evicted: evicted,
 	}})
 	if len(c.events) > maxEvents {
 		c.events = c.events[len(c.events)-maxEvents:]
--- a/internal/standin/engine/sequence.go
+++ b/internal/standin/engine/sequence.go
@@ -24,7 +24,7 @@
 	req         *httpapi.Generate
 	completion  oracle.Completion
 	prefillOnly bool
-	pieces      []uint64
+	pieces      []pieceKey
 	order       uint64    // of arrival
 	prefillLeft float64   // prompt tokens
 	imported    time.Time // when the import of its KV cache is over
@@ -40,7 +40,7 @@
 		req:         req,
 		completion:  oracle.New(req.Model, req.Version, req.Adapter, req.Prompt, req.Seed),
 		prefillOnly: prefillOnly,
-		pieces:      httpapi.Pieces(req.Model, req.Version, req.Adapter, req.Prompt),
+		pieces:      pieceKeys(req),
 		pos:         req.From,
 		// Buffered for the whole answer: a slow reader must not stop the batch.
 		tokens: make(chan driver.Token, max(0, req.MaxTokens-req.From)+1),
