--- a/internal/policy/roles/config.go
+++ b/internal/policy/roles/config.go
@@ -40,6 +40,10 @@
 	// a longer one makes each swing of half a minute worth one.
 	Payback = 60 * time.Second
 
+	// Warmup is how long an engine that comes back with an empty cache serves
+	// little: entries raise its share step by step.
+	Warmup = 10 * time.Second
+
 	// MaxPayback bounds it for a shortage that has lasted: mixes turn within
 	// minutes.
 	MaxPayback = 4 * time.Minute
--- a/internal/policy/roles/history.go
+++ b/internal/policy/roles/history.go
@@ -9,7 +9,7 @@
 // history follows the engines from snapshot to snapshot: whose state began
 // when, which changes of role were seen, which order is under way.
 type history struct {
-	engines []known // in the order of the names
+	engines []known // one for each engine of the newest snapshot, in its order
 	changes []clock.Time
 	orders  []order
 	// settled is when the last change had ended by the reports.
@@ -105,15 +105,6 @@
 	h.changes = h.changes[i:]
 }
 
-func (h *history) since(name string) clock.Time {
-	for _, k := range h.engines {
-		if k.name == name {
-			return k.since
-		}
-	}
-	return 0
-}
-
 // used counts the changes of the last hour, those under way included.
 func (h *history) used(logged int) int {
 	return max(len(h.changes)+len(h.orders), logged)
--- a/internal/policy/roles/planner.go
+++ b/internal/policy/roles/planner.go
@@ -115,8 +115,8 @@
 
 func (p *Planner) look(now clock.Time) outlook {
 	var v outlook
-	for _, e := range p.snap.Engines {
-		v.add(e, now.Sub(p.history.since(e.Name)))
+	for i, e := range p.snap.Engines {
+		v.add(e, now.Sub(p.history.engines[i].since))
 	}
 	return v
 }
--- a/internal/policy/roles/planner_test.go
+++ b/internal/policy/roles/planner_test.go
@@ -259,3 +259,19 @@
 		assert.Assert(t, float64(len(changes)) <= cfg.MaxAwayShare*float64(len(s.Engines)))
 	}
 }
+
+func BenchmarkPlan(b *testing.B) {
+	for _, engines := range []int{12, 120, 1200} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			p := roles.NewPlanner(lakeshoreSheet())
+			s := pool(engines/2, engines/2, float64(engines)*0.35, float64(engines)*0.35)
+			now := clock.Time(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Second)
+				p.Observe(now, s)
+				p.Plan(now)
+			}
+		})
+	}
+}
--- a/internal/policy/roles/split.go
+++ b/internal/policy/roles/split.go
@@ -53,9 +53,14 @@
 }
 
 // weigh returns the gain and the loss in engine seconds of moving one engine.
+// What the engine itself would have served is lost as far as the pool is in
+// use, also where its role has some to spare: arrivals in bursts use the spare.
 func (s split) weigh(to Role, prefill, decode float64, payback, away time.Duration) (gain, loss float64) {
 	now := s.served(prefill, decode)
 	after := s.after(to, 1).served(prefill, decode)
 	during := s.without(to.other(), 1).served(prefill, decode)
-	return (after - now) * payback.Seconds(), (now - during) * away.Seconds()
+	use := min(1, (prefill+decode)/(TargetUse*(s.prefill+s.decode)))
+	gain = (after - now) * payback.Seconds()
+	loss = (now-during)*away.Seconds() + use*(away+Warmup).Seconds()
+	return gain, loss
 }
