--- a/internal/commit/committer_test.go
+++ b/internal/commit/committer_test.go
@@ -40,7 +40,7 @@
 func TestHealthyCommitsRunOnce(t *testing.T) {
 	bad := simulate(t, 1, Options{}, faults{}, faults{}, func(w *world) {
 		everyCaller(w, 50, 3)
-		assert.Equal(t, len(w.svc.done), 50)
+		assert.Equal(t, len(w.svc.executions()), 50)
 	})
 	assert.Equal(t, len(bad), 0, bad)
 }
@@ -135,7 +135,7 @@
 		}
 		everyCaller(w, 30, 3)
 		time.Sleep(2 * freeze)
-		for _, e := range w.svc.done {
+		for _, e := range w.svc.executions() {
 			if strings.HasPrefix(e.attempt, w.nodes[0].name+".") {
 				res.late = append(res.late, e.key)
 			}
--- a/internal/commit/history_test.go
+++ b/internal/commit/history_test.go
@@ -147,7 +147,7 @@
 func (w *world) judge() []string {
 	var bad []string
 	times := map[string]int{}
-	for _, e := range w.svc.done {
+	for _, e := range w.svc.executions() {
 		times[e.key]++
 		if times[e.key] == 2 {
 			bad = append(bad, "executed twice: "+e.key)
@@ -173,7 +173,7 @@
 		w := newWorld(seed, 3, o, logFaults, svcFaults)
 		play(w)
 		bad = w.finish(time.Minute)
-		t.Logf("seed %d: %d executions, %d appends, %v", seed, len(w.svc.done), w.log.appends, w.counts)
+		t.Logf("seed %d: %d executions, %d appends, %v", seed, len(w.svc.executions()), w.log.appends, w.counts)
 	})
 	return bad
 }
--- a/internal/commit/sim_test.go
+++ b/internal/commit/sim_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/maphash"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -157,6 +158,12 @@
 	done  []execution
 }
 
+func (s *simService) executions() []execution {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.done)
+}
+
 func (s *simService) execute(ctx context.Context, c *Call) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/commit/window_test.go
+++ b/internal/commit/window_test.go
@@ -40,7 +40,7 @@
 		again := *r
 		again.Resend = true
 		last = w.send(w.nodes[2], &again, time.Second)
-		for _, e := range w.svc.done {
+		for _, e := range w.svc.executions() {
 			if e.key == "old" {
 				executions++
 			}
