--- /dev/null
+++ b/internal/entry/callerapi/sse.go
@@ -0,0 +1,170 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuestand/internal/code"
+	"fescuestand/internal/driver"
+)
+
+// writeStall is how long a caller may read nothing of its stream before it
+// counts as gone. Its tokens wait at the engine meanwhile, which holds one of
+// the engine's places; no memory here grows with it.
+const writeStall = 10 * time.Second
+
+// End is the data of a stream's last event. A stream without it is cut.
+type End struct {
+	Code   int      `json:"code"`
+	Run    code.Run `json:"run"`
+	Tokens int      `json:"tokens"`
+	Bytes  int      `json:"bytes"`
+	Sum    string   `json:"xxh64"` // of the whole text
+}
+
+// eventStream encodes one completion as server-sent events.
+type eventStream struct {
+	w       http.ResponseWriter
+	rc      *http.ResponseController
+	buf     []byte
+	carry   []byte // start of a character whose rest is in the next token
+	sum     *xxhash.Digest
+	tokens  int
+	bytes   int
+	started bool
+}
+
+func newEventStream(w http.ResponseWriter) *eventStream {
+	return &eventStream{w: w, rc: http.NewResponseController(w), sum: xxhash.New()}
+}
+
+// Token implements Sink.
+func (s *eventStream) Token(t driver.Token) error {
+	text := t.Text
+	if len(s.carry) > 0 {
+		text = append(s.carry, text...)
+		s.carry = nil
+	}
+	if n := incomplete(text); n > 0 {
+		s.carry = append([]byte(nil), text[len(text)-n:]...)
+		text = text[:len(text)-n]
+	}
+	s.buf = append(s.buf, "event: token\ndata: {\"pos\":"...)
+	s.buf = strconv.AppendInt(s.buf, int64(t.Pos), 10)
+	s.buf = append(s.buf, `,"text":`...)
+	s.buf = appendJSON(s.buf, text)
+	s.buf = append(s.buf, "}\n\n"...)
+	s.count(text)
+	s.tokens++
+	return nil
+}
+
+func (s *eventStream) count(text []byte) {
+	s.bytes += len(text)
+	_, _ = s.sum.Write(text)
+}
+
+// Flush implements Sink.
+func (s *eventStream) Flush() error {
+	if len(s.buf) == 0 {
+		return nil
+	}
+	s.start()
+	// Not every writer has deadlines; a forwarded stream's peer bounds it.
+	_ = s.rc.SetWriteDeadline(time.Now().Add(writeStall))
+	_, err := s.w.Write(s.buf)
+	if err == nil {
+		err = s.rc.Flush()
+	}
+	s.buf = s.buf[:0]
+	if err != nil {
+		return code.Wrap(code.CallerGone, err, "writing the stream").WithRun(code.Ran)
+	}
+	return nil
+}
+
+func (s *eventStream) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// end tells that the stream is whole.
+func (s *eventStream) end() error {
+	s.event("end", End{
+		Code: int(code.OK), Run: code.Ran, Tokens: s.tokens, Bytes: s.bytes,
+		Sum: sumText(s.sum.Sum64()),
+	})
+	return s.close()
+}
+
+// fail ends a stream that has begun with the reason why it isn't whole.
+func (s *eventStream) fail(err error) {
+	s.event("error", refusalOf(err))
+	_ = s.close()
+}
+
+// close sends the last event and gives the connection back to the server, whose
+// next request must not inherit this one's deadline.
+func (s *eventStream) close() error {
+	err := s.Flush()
+	_ = s.rc.SetWriteDeadline(time.Time{})
+	return err
+}
+
+func (s *eventStream) event(name string, data any) {
+	b, _ := json.Marshal(data) // strings and numbers always encode
+	s.buf = append(s.buf, "event: "...)
+	s.buf = append(s.buf, name...)
+	s.buf = append(s.buf, "\ndata: "...)
+	s.buf = append(s.buf, b...)
+	s.buf = append(s.buf, "\n\n"...)
+}
+
+func sumText(sum uint64) string {
+	const digits = 16
+	text := strconv.FormatUint(sum, 16)
+	for len(text) < digits {
+		text = "0" + text
+	}
+	return text
+}
+
+// incomplete returns how many bytes at the end of text begin a character that
+// is not whole. Sent as they are, JSON would replace them.
+func incomplete(text []byte) int {
+	for n := 1; n < utf8.UTFMax && n <= len(text); n++ {
+		b := text[len(text)-n]
+		if utf8.RuneStart(b) {
+			if !utf8.FullRune(text[len(text)-n:]) {
+				return n
+			}
+			return 0
+		}
+	}
+	return 0
+}
+
+// appendJSON appends text as a JSON string. Plain ASCII, the usual case, is
+// copied without an allocation.
+func appendJSON(dst, text []byte) []byte {
+	for _, b := range text {
+		if b < ' ' || b >= utf8.RuneSelf || b == '"' || b == '\\' {
+			quoted, _ := json.Marshal(string(text))
+			return append(dst, quoted...)
+		}
+	}
+	dst = append(dst, '"')
+	dst = append(dst, text...)
+	return append(dst, '"')
+}
--- /dev/null
+++ b/internal/entry/dispatch/outcome.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+
+	"fescuestand/internal/code"
+	"fescuestand/internal/driver"
+	"fescuestand/internal/policy/route"
+)
+
+// untouched tells that no engine or service has executed the work.
+func untouched(err error) bool {
+	return errors.Is(err, driver.ErrNotSent) || errors.Is(err, driver.ErrRefused)
+}
+
+// outcomeOf tells the router what an error says of the endpoint.
+func outcomeOf(ctx context.Context, err error) route.Outcome {
+	switch {
+	case err == nil:
+		return route.Success
+	case errors.Is(err, driver.ErrRefused):
+		return route.Refused
+	case ctx.Err() != nil:
+		return route.Canceled
+	}
+	return route.Failed
+}
+
+// numbered turns the last error of a request into the caller's answer. touched
+// says whether any attempt of it may have been executed.
+func numbered(ctx context.Context, err error, touched, ran bool) *code.Error {
+	var e *code.Error
+	switch {
+	case errors.As(err, &e):
+	case errors.Is(err, errGuilty):
+		e = code.Wrap(code.Poison, err, "given up")
+	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		e = code.Wrap(code.DeadlineMissed, err, "the deadline passed while the work ran")
+		if !touched {
+			e.Code = code.DeadlinePassed
+		}
+	case ctx.Err() != nil:
+		e = code.Wrap(code.CallerGone, err, "the caller went away")
+	case errors.Is(err, driver.ErrRefused), errors.Is(err, driver.ErrNotSent):
+		e = code.Wrap(code.EndpointRefused, err, "no endpoint took the work")
+	case errors.Is(err, driver.ErrFailed):
+		e = code.Wrap(code.EndpointFailed, err, "the endpoint failed")
+	case errors.Is(err, driver.ErrBadAnswer):
+		e = code.Wrap(code.BadAnswer, err, "the answer fails its check")
+	default:
+		e = code.Wrap(code.EndpointCut, err, "the endpoint's answer broke off")
+	}
+	switch {
+	case ran || errors.Is(err, driver.ErrFailed):
+		return e.WithRun(code.Ran)
+	case touched:
+		return e.WithRun(code.Unknown)
+	}
+	return e.WithRun(code.NotRun)
+}
--- /dev/null
+++ b/internal/entry/dispatch/service.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"fescuestand/internal/code"
+	"fescuestand/internal/commit"
+	"fescuestand/internal/driver"
+	"fescuestand/internal/entry/callerapi"
+	"fescuestand/internal/entry/fleet"
+	"fescuestand/internal/policy/admit"
+	"fescuestand/internal/policy/route"
+	"fescuestand/internal/sheet"
+)
+
+// Operation returns the named operation of the sheet in force.
+func (d *Dispatcher) Operation(service, operation string) (*sheet.Operation, error) {
+	sh, bad := d.sheet()
+	if bad != nil {
+		return nil, bad
+	}
+	for i := range sh.Services {
+		s := &sh.Services[i]
+		if s.Name != service {
+			continue
+		}
+		for j := range s.Operations {
+			if s.Operations[j].Name == operation {
+				return &s.Operations[j], nil
+			}
+		}
+		return nil, code.New(code.UnknownOperation, "service %.100q has no operation %.100q", service, operation)
+	}
+	return nil, code.New(code.UnknownService, "service %.100q is not in the sheet", service)
+}
+
+// Admit waits until a call of the service may be sent, or refuses it.
+func (d *Dispatcher) Admit(ctx context.Context, c *callerapi.Call) (leave func(ok bool), err error) {
+	sh, bad := d.sheet()
+	if bad != nil {
+		return nil, bad
+	}
+	pool := fleet.ServicePool(c.Service)
+	d.counts.add(pool, func(t *Totals) { t.Requests++ })
+	g := d.gate(pool, sh)
+	t := &turn{req: admit.Request{
+		ID: c.RequestID, Workspace: c.Workspace, Caller: c.Name, Key: c.Key,
+		MaxOutput: 1, Deadline: deadlineOf(ctx, d.clk),
+	}}
+	if err := g.enter(ctx, t); err != nil {
+		d.counts.add(pool, func(t *Totals) { t.Refused++ })
+		return nil, err
+	}
+	d.budget.Request(d.clk.Now(), pool, c.Name)
+	return func(ok bool) {
+		g.leave(t, admit.Measured{OK: ok, Output: 1})
+		if ok && ctx.Err() == nil {
+			d.counts.add(pool, func(t *Totals) { t.OnTime++ })
+		}
+	}, nil
+}
+
+// Lookup calls an idempotent operation, again on another endpoint if the first
+// fails and the budget allows it.
+func (d *Dispatcher) Lookup(ctx context.Context, c *callerapi.Call) ([]byte, error) {
+	pool := fleet.ServicePool(c.Service)
+	var exclude []*route.Endpoint
+	var last error
+	touched := false
+	for n := range maxAttempts {
+		if n > 0 && (ctx.Err() != nil || !d.budget.Retry(d.clk.Now(), pool, c.Name)) {
+			break
+		}
+		body, ep, err := d.callOnce(ctx, pool, exclude, &driver.Call{
+			Attempt: d.newAttempt(), Operation: c.Operation, Body: c.Body,
+		})
+		if err == nil {
+			return body, nil
+		}
+		if ep == nil && last != nil {
+			break
+		}
+		last = err
+		touched = touched || !untouched(err) && ep != nil
+		exclude = append(exclude, ep)
+		if ep == nil {
+			break
+		}
+	}
+	return nil, numbered(ctx, last, touched, false)
+}
+
+// callOnce sends one call to one endpoint; ep is nil if there was none.
+func (d *Dispatcher) callOnce(ctx context.Context, pool string, exclude []*route.Endpoint, call *driver.Call) (body []byte, ep *route.Endpoint, err error) {
+	now := d.clk.Now()
+	p, err := d.router.Pick(now, &route.Request{Pool: pool, Exclude: exclude})
+	if err != nil {
+		return nil, nil, err
+	}
+	d.router.Sent(now, &p.Dispatch)
+	s := d.fleet.Service(p.Endpoint.Name)
+	if s == nil {
+		err = fmt.Errorf("%w: endpoint %s left the sheet", driver.ErrNotSent, p.Endpoint.Name)
+	} else {
+		body, err = s.Call(ctx, call)
+	}
+	d.router.Done(d.clk.Now(), &p.Dispatch, outcomeOf(ctx, err), 0)
+	return body, p.Endpoint, err
+}
+
+// Dispatch implements commit.Dispatcher. Another endpoint is tried only while
+// it is sure that no endpoint has the call.
+func (d *Dispatcher) Dispatch(ctx context.Context, c *commit.Call, permit func() error) ([]byte, error) {
+	pool := fleet.ServicePool(c.Service)
+	var exclude []*route.Endpoint
+	var last error
+	for range maxAttempts {
+		if err := permit(); err != nil {
+			return nil, errors.Join(last, err)
+		}
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, ctx.Err())
+		}
+		body, ep, err := d.callOnce(ctx, pool, exclude, &driver.Call{
+			Attempt: c.Attempt, Operation: c.Operation, Key: c.Key, Body: c.Body,
+		})
+		if ep == nil {
+			return nil, errors.Join(driver.ErrNotSent, last, err)
+		}
+		if err == nil || !untouched(err) {
+			return body, err
+		}
+		last = err
+		exclude = append(exclude, ep)
+	}
+	return nil, last
+}
--- /dev/null
+++ b/internal/entry/fleet/owner.go
@@ -0,0 +1,193 @@
+package fleet
+
+import (
+	"context"
+	"reflect"
+
+	"github.com/apex/log"
+
+	"fescuestand/internal/driver"
+	"fescuestand/internal/policy/route"
+	"fescuestand/internal/sheet"
+	"fescuestand/internal/wire"
+)
+
+// owner is the state of the goroutine that owns the fleet.
+type owner struct {
+	ctx        context.Context
+	f          *Fleet
+	sheet      *sheet.Sheet
+	version    uint64
+	endpoints  map[string]*endpoint
+	directives map[string]*wire.Directive
+	published  []route.Endpoint
+	dirty      bool // the index has to be published too
+}
+
+// endpoint is one engine or endpoint of a plain service.
+type endpoint struct {
+	target  driver.Target
+	engine  *Engine // one of engine and service is set
+	service driver.Service
+	stop    context.CancelFunc
+	failed  int // polls in a row
+	state   *driver.EngineState
+	report  *driver.LoadReport
+}
+
+func newOwner(ctx context.Context, f *Fleet) *owner {
+	return &owner{ctx: ctx, f: f, endpoints: map[string]*endpoint{}, directives: map[string]*wire.Directive{}}
+}
+
+// drainEvents applies what else is waiting, so that a round of polls makes one
+// table.
+func (o *owner) drainEvents() {
+	for {
+		select {
+		case e := <-o.f.events:
+			e.apply(o)
+		default:
+			return
+		}
+	}
+}
+
+type sheetChanged struct {
+	sheet   *sheet.Sheet
+	version uint64
+}
+
+func (e sheetChanged) apply(o *owner) {
+	if e.version < o.version {
+		return
+	}
+	o.sheet, o.version, o.dirty = e.sheet, e.version, true
+	wanted := map[string]driver.Target{}
+	for i := range e.sheet.Engines {
+		one := &e.sheet.Engines[i]
+		wanted[one.Name] = one.Target()
+	}
+	for i := range e.sheet.Services {
+		s := &e.sheet.Services[i]
+		for j := range s.Endpoints {
+			wanted[s.Endpoints[j].Name] = driver.Target{Driver: s.Driver, Address: s.Endpoints[j].Address}
+		}
+	}
+	for name, ep := range o.endpoints {
+		if t, ok := wanted[name]; !ok || !reflect.DeepEqual(t, ep.target) {
+			o.close(name, ep)
+		}
+	}
+	o.openAll(wanted)
+}
+
+// close ends the polls of an endpoint that the sheet no longer names. Its
+// driver stays usable for the streams that still run on it.
+func (o *owner) close(name string, ep *endpoint) {
+	ep.stop()
+	delete(o.endpoints, name)
+}
+
+func (o *owner) closeAll() {
+	for name, ep := range o.endpoints {
+		o.close(name, ep)
+		if ep.engine != nil {
+			_ = ep.engine.Close()
+		} else {
+			_ = ep.service.Close()
+		}
+	}
+}
+
+func (o *owner) openAll(wanted map[string]driver.Target) {
+	for i := range o.sheet.Engines {
+		name := o.sheet.Engines[i].Name
+		if o.endpoints[name] == nil {
+			o.openEngine(name, wanted[name])
+		}
+	}
+	for i := range o.sheet.Services {
+		for _, one := range o.sheet.Services[i].Endpoints {
+			if o.endpoints[one.Name] == nil {
+				o.openService(one.Name, wanted[one.Name])
+			}
+		}
+	}
+}
+
+func (o *owner) openEngine(name string, t driver.Target) {
+	open, err := driver.Engines.Get(t.Driver)
+	if err == nil {
+		var d driver.Engine
+		if d, err = open(t); err == nil {
+			e := &Engine{Engine: d, Name: name}
+			moved := make(chan struct{})
+			e.moved.Store(&moved)
+			o.start(name, &endpoint{target: t, engine: e})
+			return
+		}
+	}
+	log.WithError(err).WithField("endpoint", name).Error("driver can't be opened")
+}
+
+func (o *owner) openService(name string, t driver.Target) {
+	open, err := driver.Services.Get(t.Driver)
+	if err == nil {
+		var d driver.Service
+		if d, err = open(t); err == nil {
+			o.start(name, &endpoint{target: t, service: d})
+			return
+		}
+	}
+	log.WithError(err).WithField("endpoint", name).Error("driver can't be opened")
+}
+
+func (o *owner) start(name string, ep *endpoint) {
+	ctx, cancel := context.WithCancel(o.ctx)
+	ep.stop = cancel
+	o.endpoints[name] = ep
+	o.f.wg.Go(func() { o.f.poll(ctx, name, ep) })
+}
+
+// directed carries a directive of the control process that holds the engine.
+type directed struct {
+	d    *wire.Directive
+	done chan struct{}
+}
+
+// apply ignores directives of a holder that has lost the engine to another, or
+// that come late: they would put work on an engine that is being changed, or
+// keep it away for ever.
+func (e directed) apply(o *owner) {
+	if e.done != nil {
+		defer close(e.done)
+	}
+	old := o.directives[e.d.GetEngine()]
+	if old != nil && (e.d.GetFence() < old.GetFence() ||
+		e.d.GetFence() == old.GetFence() && e.d.GetSeq() <= old.GetSeq()) {
+		return
+	}
+	o.directives[e.d.GetEngine()] = e.d
+	ep := o.endpoints[e.d.GetEngine()]
+	if ep == nil || ep.engine == nil {
+		return
+	}
+	leaves := e.d.GetPhase() == wire.Phase_PHASE_MOVE || e.d.GetPhase() == wire.Phase_PHASE_AWAY
+	moving := isClosed(ep.engine.Moved())
+	if leaves && !moving {
+		close(*ep.engine.moved.Load())
+	}
+	if !leaves && moving {
+		moved := make(chan struct{})
+		ep.engine.moved.Store(&moved)
+	}
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/entry/forward/serve.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"fescuestand/internal/code"
+	"fescuestand/internal/entry/callerapi"
+	"fescuestand/internal/wire"
+)
+
+// Serve answers a request that a peer has passed on, as if its caller had come
+// here. A request is passed on once: two VMs that leave together would
+// otherwise send it to and fro until its deadline.
+func (f *Front) Serve(ctx context.Context, fwd *wire.Forward, send func(*wire.ForwardFrame) error) error {
+	w := &frameWriter{send: send, header: http.Header{}}
+	r, err := request(ctx, fwd)
+	switch {
+	case err != nil:
+		f.Refuse(w, &http.Request{URL: &url.URL{}, Header: http.Header{}}, code.Wrap(code.BadField, err, "forwarded request"))
+	case f.Away() || fwd.GetHops() > 1:
+		f.Refuse(w, r, code.Wrap(code.ForwardLoop, ErrLoop, "this VM is leaving too"))
+	default:
+		f.Next.ServeHTTP(w, r)
+	}
+	return w.end()
+}
+
+func request(ctx context.Context, fwd *wire.Forward) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, fwd.GetMethod(), fwd.GetPath(), bytes.NewReader(fwd.GetBody()))
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range fwd.GetHeaders() {
+		r.Header.Add(h.GetName(), h.GetValue())
+	}
+	if fwd.GetDeadlineMs() > 0 {
+		r.Header.Set(callerapi.HeaderDeadline, strconv.FormatInt(fwd.GetDeadlineMs(), 10))
+	}
+	return r, nil
+}
+
+// frameWriter is an http.ResponseWriter that sends frames.
+type frameWriter struct {
+	send    func(*wire.ForwardFrame) error
+	header  http.Header
+	status  int
+	started bool
+	data    []byte
+	err     error
+}
+
+// Header implements http.ResponseWriter.
+func (w *frameWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *frameWriter) WriteHeader(status int) {
+	if w.status == 0 {
+		w.status = status
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (w *frameWriter) Write(b []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	w.data = append(w.data, b...)
+	return len(b), w.err
+}
+
+// FlushError is what http.ResponseController calls.
+func (w *frameWriter) FlushError() error {
+	if len(w.data) == 0 {
+		return w.err
+	}
+	return w.emit(false)
+}
+
+func (w *frameWriter) end() error {
+	w.WriteHeader(http.StatusOK)
+	return w.emit(true)
+}
+
+func (w *frameWriter) emit(end bool) error {
+	if w.err != nil {
+		return w.err
+	}
+	f := &wire.ForwardFrame{Data: w.data, End: end}
+	if !w.started {
+		w.started = true
+		f.Status = uint32(w.status)
+		for name, values := range w.header {
+			for _, v := range values {
+				f.Headers = append(f.Headers, &wire.Header{Name: name, Value: v})
+			}
+		}
+	}
+	w.err = w.send(f)
+	w.data = nil
+	return w.err
+}
