fescue-entry: caller interface, dispatch, streams, suspects, forwarding

The whole path from a caller to engines and plain services: addresses, streamed completions over attempts that resume on another engine, lookups, commits by the commits stream, drain with late arrivals passed on once to a peer, directives, gossip of loads, totals and crash evidence.

--- a/internal/commit/answers.go
+++ b/internal/commit/answers.go
@@ -63,7 +63,7 @@
 func (c *Committer) replay(e Entry) (Answer, error) {
 	o := e.Outcome
 	switch {
-	case o == nil && c.o.Clock.Now().Sub(e.Seen) < c.o.RunningFor:
+	case o == nil && !c.lost(e):
 		return Answer{}, c.running("the first use of the key has no outcome yet")
 	case o == nil:
 		return Answer{}, unknown("the first use of the key left no outcome")
--- a/internal/commit/committer.go
+++ b/internal/commit/committer.go
@@ -68,6 +68,7 @@
 // commit that was dispatched: its resend will want the outcome.
 func (c *Committer) Do(ctx context.Context, r *Request) (Answer, error) {
 	for {
+		c.awaitFirst(ctx, r)
 		ans, done, err := c.fromTable(r)
 		if done {
 			return ans, err
@@ -180,13 +181,28 @@
 	return nil
 }
 
+// awaitFirst waits a while for the outcome of the key's first use, if that is
+// under way: most commits end within their caller's deadline, and the wait
+// spares the caller another resend.
+func (c *Committer) awaitFirst(ctx context.Context, r *Request) {
+	e := c.table.Lookup(r.Key)
+	if e.Winner == nil || e.Outcome != nil || e.Winner.Hash != r.hash() || c.lost(e) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.o.ReplayWait)
+	defer cancel()
+	// What the wait has brought shows in the table.
+	_, _ = c.table.AwaitOutcome(ctx, r.Key)
+}
+
+// lost tells that a first use without an outcome is taken for unknown.
+func (c *Committer) lost(e Entry) bool {
+	return c.o.Clock.Now().Sub(e.Seen) >= c.o.RunningFor
+}
+
 // behind answers a sending that found another intent ahead of its own.
 func (c *Committer) behind(ctx context.Context, r *Request) (Answer, error) {
-	if e := c.table.Lookup(r.Key); e.Winner != nil && e.Outcome == nil && e.Winner.Hash == r.hash() {
-		// Waiting spares the caller a resend: most commits end within its
-		// deadline. A fault of the wait itself shows as running below.
-		_, _ = c.table.AwaitOutcome(ctx, r.Key)
-	}
+	c.awaitFirst(ctx, r)
 	ans, done, err := c.fromTable(r)
 	if done {
 		return ans, err
--- a/internal/commit/options.go
+++ b/internal/commit/options.go
@@ -20,6 +20,9 @@
 	// outcome counts as running. It is above the longest deadline of a plain
 	// service call; after it the writer is taken for dead: unknown.
 	DefaultRunningFor = 30 * time.Second
+	// DefaultReplayWait is how long a resend waits for the outcome of a first
+	// use that is under way: above a service's usual answer and two appends.
+	DefaultReplayWait = 5 * time.Second
 	// DefaultLogBackoff is the pause between two tries to record an outcome or
 	// a void while the log is down.
 	DefaultLogBackoff = 200 * time.Millisecond
@@ -45,6 +48,7 @@
 	DispatchWithin time.Duration
 	VoidWait       time.Duration
 	RunningFor     time.Duration
+	ReplayWait     time.Duration
 	LogBackoff     time.Duration
 	LogRetry       time.Duration
 	MaxPending     int
@@ -79,6 +83,7 @@
 	setDefault(&o.DispatchWithin, DefaultDispatchWithin)
 	setDefault(&o.VoidWait, DefaultVoidWait)
 	setDefault(&o.RunningFor, DefaultRunningFor)
+	setDefault(&o.ReplayWait, DefaultReplayWait)
 	setDefault(&o.LogBackoff, DefaultLogBackoff)
 	setDefault(&o.LogRetry, DefaultLogRetry)
 	setDefault(&o.MaxPending, DefaultMaxPending)
--- a/internal/entry/backend.go
+++ b/internal/entry/backend.go
@@ -78,7 +78,7 @@
 	var out []membership.Member
 	for i := range v.Members {
 		m := v.Members[i]
-		if m.Usable() && !(v.Leaving && m.Name == b.own.VM) {
+		if m.Usable() && (!v.Leaving || m.Name != b.own.VM) {
 			out = append(out, m)
 		}
 	}
--- a/internal/entry/callerapi/handler.go
+++ b/internal/entry/callerapi/handler.go
@@ -35,13 +35,14 @@
 	if err := checkHeaders(r.Header); err != nil {
 		// The rest of the request isn't worth reading.
 		w.Header().Set("Connection", "close")
-		h.refuse(w, r, err)
+		h.Refuse(w, r, err)
 		return
 	}
 	h.mux.ServeHTTP(w, r)
 }
 
-func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, err error) {
+// Refuse writes a numbered refusal.
+func (h *Handler) Refuse(w http.ResponseWriter, r *http.Request, err error) {
 	e := code.Of(err)
 	log.WithField("path", r.URL.Path).WithField("request", r.Header.Get(HeaderRequestID)).
 		WithField("code", int(e.Code)).WithField("run", string(e.Run)).Debug("refused")
@@ -53,7 +54,7 @@
 }
 
 func (h *Handler) unknown(w http.ResponseWriter, r *http.Request) {
-	h.refuse(w, r, code.New(code.UnknownPath, "%s %.100s", r.Method, r.URL.Path))
+	h.Refuse(w, r, code.New(code.UnknownPath, "%s %.100s", r.Method, r.URL.Path))
 }
 
 func (h *Handler) addresses(w http.ResponseWriter, r *http.Request) {
@@ -65,7 +66,7 @@
 func (h *Handler) generate(w http.ResponseWriter, r *http.Request) {
 	g, err := h.readGenerate(w, r)
 	if err != nil {
-		h.refuse(w, r, err)
+		h.Refuse(w, r, err)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), g.Deadline)
@@ -85,7 +86,7 @@
 		out.fail(err)
 		return
 	}
-	h.refuse(w, r, err)
+	h.Refuse(w, r, err)
 }
 
 func (h *Handler) readGenerate(w http.ResponseWriter, r *http.Request) (*Generate, error) {
@@ -121,7 +122,7 @@
 		err = unsureOfEarlier(err)
 	}
 	if err != nil {
-		h.refuse(w, r, err)
+		h.Refuse(w, r, err)
 		return
 	}
 	writeReply(w, reply)
@@ -172,7 +173,7 @@
 func (h *Handler) commit(w http.ResponseWriter, r *http.Request) {
 	reply, err := h.backend.Commit(r.PathValue("key"))
 	if err != nil {
-		h.refuse(w, r, err)
+		h.Refuse(w, r, err)
 		return
 	}
 	writeReply(w, reply)
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -10,6 +10,7 @@
 	"fescuestand/internal/driver"
 	"fescuestand/internal/entry/fleet"
 	"fescuestand/internal/entry/stream"
+	"fescuestand/internal/entry/suspect"
 	"fescuestand/internal/policy/route"
 )
 
@@ -25,8 +26,6 @@
 	// drainWait is how long the tokens of an exported stream, which has ended
 	// at its engine, may take to arrive.
 	drainWait = 200 * time.Millisecond
-	// stateWait bounds the question whether an engine has crashed.
-	stateWait = 500 * time.Millisecond
 )
 
 var (
@@ -43,29 +42,32 @@
 func (e *sinkError) Is(target error) bool { return target == errSink }
 
 // attempt runs the completion on one engine, from where the last one stopped.
-func (s *session) attempt(ctx context.Context, p *route.Decision) error {
+func (s *session) attempt(ctx context.Context, p *route.Decision, x *exposure) error {
+	defer s.d.free(p.Endpoint.Name, s.print)
 	e := s.engine(p)
 	if e == nil {
-		s.d.router.Done(s.d.clk.Now(), &p.Dispatch, route.Canceled, 0)
+		s.d.router.Done(s.d.clk.Now(), &p.Dispatch, route.Canceled)
 		return fmt.Errorf("%w: engine %s left the sheet", driver.ErrNotSent, p.Endpoint.Name)
 	}
 	release := e.Hold()
-	life, moved := e.Incarnation(), e.Moved()
-	err := s.send(ctx, p, e, moved)
+	s.from = s.asm.Next()
+	err := s.send(ctx, p, e, x)
 	release()
-	if err != nil && !errors.Is(err, errMoved) && !errors.Is(err, errSink) && ctx.Err() == nil {
-		s.blame(ctx, e, p, life, err)
-	}
 	result := outcomeOf(ctx, err)
 	if errors.Is(err, errMoved) || errors.Is(err, errSink) {
 		result = route.Canceled
+	} else if err != nil {
+		s.exclude = append(s.exclude, p.Endpoint)
+		x.progress = s.asm.Next() > s.from
+		s.blame(ctx, e, x, err)
 	}
-	s.d.router.Done(s.d.clk.Now(), &p.Dispatch, result, s.step())
+	s.d.router.Done(s.d.clk.Now(), &p.Dispatch, result)
 	return err
 }
 
 // send opens the attempt's stream and passes its tokens on.
-func (s *session) send(ctx context.Context, p *route.Decision, e *fleet.Engine, moved <-chan struct{}) error {
+func (s *session) send(ctx context.Context, p *route.Decision, e *fleet.Engine, x *exposure) error {
+	moved := e.Moved()
 	req := &driver.GenerateRequest{
 		Attempt: s.d.newAttempt(),
 		Model:   s.g.Model, Version: s.g.Version, Adapter: s.g.Adapter,
@@ -85,13 +87,23 @@
 	s.touched = true
 	pump := stream.Start(ts)
 	defer pump.Close()
-	return s.passOn(ctx, p, e, pump, req, moved)
+	return s.passOn(ctx, &live{p: p, e: e, pump: pump, attempt: req.Attempt, moved: moved, exposure: x})
+}
+
+// live is an attempt whose stream is open.
+type live struct {
+	p        *route.Decision
+	e        *fleet.Engine
+	pump     *stream.Pump
+	attempt  string
+	moved    <-chan struct{}
+	exposure *exposure
 }
 
 // passOn takes tokens until the attempt ends, is moved or stalls. The first
 // token may take as long as the deadline allows: the engine may be busy with
 // prompts before this one. The router ejects engines that are stuck.
-func (s *session) passOn(ctx context.Context, p *route.Decision, e *fleet.Engine, pump *stream.Pump, req *driver.GenerateRequest, moved <-chan struct{}) error {
+func (s *session) passOn(ctx context.Context, l *live) error {
 	stall := time.NewTimer(stallAfter)
 	defer stall.Stop()
 	stalls := stall.C
@@ -100,17 +112,17 @@
 	}
 	for {
 		select {
-		case t, more := <-pump.Tokens():
+		case t, more := <-l.pump.Tokens():
 			if !more {
-				return s.ended(pump.Err())
+				return s.ended(l.pump.Err())
 			}
-			if err := s.take(p, pump, t); err != nil {
+			if err := s.take(l, t); err != nil {
 				return err
 			}
 			stall.Reset(stallAfter)
 			stalls = stall.C
-		case <-moved:
-			return s.move(ctx, e, pump, req.Attempt)
+		case <-l.moved:
+			return s.move(ctx, l)
 		case <-stalls:
 			return errStall
 		case <-ctx.Done():
@@ -127,17 +139,18 @@
 }
 
 // take passes on t and whatever else has arrived, with one write.
-func (s *session) take(p *route.Decision, pump *stream.Pump, t driver.Token) error {
+func (s *session) take(l *live, t driver.Token) error {
 	if s.firstAt == 0 {
 		s.firstAt = s.d.clk.Now()
 	}
-	s.d.router.FirstToken(s.d.clk.Now(), &p.Dispatch)
+	s.d.router.FirstToken(s.d.clk.Now(), &l.p.Dispatch)
+	s.clear(l.exposure)
 	for {
 		if err := s.one(t); err != nil {
 			return err
 		}
 		select {
-		case next, more := <-pump.Tokens():
+		case next, more := <-l.pump.Tokens():
 			if !more {
 				// The closed channel is seen again by passOn.
 				return s.flush()
@@ -145,6 +158,7 @@
 			t = next
 		default:
 			s.lastAt = s.d.clk.Now()
+			s.d.router.Progress(s.lastAt, &l.p.Dispatch, s.asm.Next()-s.from)
 			return s.flush()
 		}
 	}
@@ -171,18 +185,18 @@
 // move ends the attempt because its engine is to be changed, and takes its KV
 // cache along if the engine gives it. Tokens that it made before the export
 // are still taken; those that come later are dropped with the attempt.
-func (s *session) move(ctx context.Context, e *fleet.Engine, pump *stream.Pump, attempt string) error {
+func (s *session) move(ctx context.Context, l *live) error {
 	exportCtx, cancel := context.WithTimeout(ctx, exportWait)
 	defer cancel()
-	if kv, err := e.Export(exportCtx, attempt); err == nil {
+	if kv, err := l.e.Export(exportCtx, l.attempt); err == nil {
 		s.kv = &kv
 	}
 	wait := time.NewTimer(drainWait)
 	defer wait.Stop()
 	for {
 		select {
-		case t, more := <-pump.Tokens():
-			if !more && errors.Is(pump.Err(), io.EOF) {
+		case t, more := <-l.pump.Tokens():
+			if !more && errors.Is(l.pump.Err(), io.EOF) {
 				return s.flush() // it was just whole
 			}
 			if !more {
@@ -208,35 +222,17 @@
 	s.d.router.Sent(s.d.clk.Now(), p)
 	part := *req
 	part.Attempt, part.MaxTokens, part.From, part.Prior = s.d.newAttempt(), 0, 0, nil
-	life := e.Incarnation()
+	x := &exposure{
+		crash: suspect.Crash{Endpoint: e.Name, Incarnation: e.Incarnation()}, began: s.d.clk.Now(),
+		verdict: s.d.suspects.Judge(s.d.clk.Now(), s.print),
+	}
 	kv, err := e.Prefill(ctx, &part)
-	s.d.router.Done(s.d.clk.Now(), p, outcomeOf(ctx, err), 0)
+	s.d.router.Done(s.d.clk.Now(), p, outcomeOf(ctx, err))
 	if err != nil {
 		s.touched = s.touched || !untouched(err)
-		s.blame(ctx, e, nil, life, err)
+		s.blame(ctx, e, x, err)
 		return nil
 	}
 	s.touched = true
 	return &kv
 }
-
-// blame finds out whether the engine has crashed and, if so, hands in the
-// evidence. The engine isn't tried again by this request.
-func (s *session) blame(ctx context.Context, e *fleet.Engine, p *route.Decision, life string, err error) {
-	if p != nil {
-		s.exclude = append(s.exclude, p.Endpoint)
-	}
-	if ctx.Err() != nil || !errors.Is(err, driver.ErrCut) || errors.Is(err, errStall) {
-		return
-	}
-	stateCtx, cancel := context.WithTimeout(ctx, stateWait)
-	defer cancel()
-	state, err := e.State(stateCtx)
-	if err == nil && (life == "" || state.Incarnation == life) {
-		return // only the connection broke
-	}
-	s.d.suspects.Crashed(s.d.clk.Now(), Crash{
-		Fingerprint: s.print, Endpoint: e.Name, Incarnation: life,
-		Attempt: s.d.writer, Neighbours: e.InFlight(),
-	})
-}
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
 	"fescuestand/internal/entry/fleet"
+	"fescuestand/internal/entry/suspect"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/sheet"
 )
@@ -23,13 +24,14 @@
 	clk      clock.Clock
 	writer   string // incarnation of this process, part of attempt ids
 	budget   Budget
-	suspects Suspects
+	suspects *suspect.Register
 	attempts atomic.Uint64
 	counts   *Counts
 
-	mu    sync.Mutex
-	gates map[string]*gate
-	old   []*gate // of earlier sheets, until their queues are empty
+	mu       sync.Mutex
+	gates    map[string]*gate
+	old      []*gate           // of earlier sheets, until their queues are empty
+	isolated map[string]uint64 // suspect that an engine holds, by engine
 }
 
 // Budget limits retries.
@@ -40,42 +42,13 @@
 	Retry(now clock.Time, pool, caller string) bool
 }
 
-// Suspects knows which requests crashed their engines.
-type Suspects interface {
-	// Judge says what is known of a request.
-	Judge(now clock.Time, fingerprint uint64) Judgement
-	// Crashed tells that an engine crashed while it ran the request.
-	Crashed(now clock.Time, c Crash)
-	// Survived tells that the request ended without a crash.
-	Survived(now clock.Time, fingerprint uint64)
-}
-
-// Judgement of a request.
-type Judgement int
-
-// The judgements.
-const (
-	Innocent Judgement = iota
-	Suspect            // it ran on one engine that crashed: runs where it hurts fewest
-	Guilty             // it is given up
-)
-
-// Crash is the evidence that one engine's end gives.
-type Crash struct {
-	Fingerprint uint64
-	Endpoint    string
-	Incarnation string // of the engine that crashed
-	Attempt     string
-	Neighbours  int // other requests of this entry on the engine
-}
-
 // Options of a Dispatcher.
 type Options struct {
 	Fleet    *fleet.Fleet
 	Clock    clock.Clock
 	Writer   string
 	Budget   Budget
-	Suspects Suspects
+	Suspects *suspect.Register
 }
 
 // New returns a Dispatcher.
@@ -83,6 +56,7 @@
 	return &Dispatcher{
 		fleet: o.Fleet, router: o.Fleet.Router(), clk: o.Clock, writer: o.Writer,
 		budget: o.Budget, suspects: o.Suspects, counts: newCounts(), gates: map[string]*gate{},
+		isolated: map[string]uint64{},
 	}
 }
 
@@ -133,17 +107,17 @@
 
 // gate returns the pool's gate for the classes of sh. A change of the classes
 // makes a new gate; who waits at the old one is still served.
-func (d *Dispatcher) gate(pool string, sh *sheet.Sheet) *gate {
+func (d *Dispatcher) gate(pool string, serves route.Artifact, sh *sheet.Sheet) *gate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g := d.gates[pool]
-	if g != nil && g.fits(sh) {
+	if g != nil && g.fits(serves, sh) {
 		return g
 	}
 	if g != nil {
 		d.old = append(d.old, g)
 	}
-	g = newGate(d.router, d.clk, pool, sh)
+	g = newGate(d.router, d.clk, pool, serves, sh)
 	d.gates[pool] = g
 	return g
 }
@@ -154,3 +128,22 @@
 	}
 	return nil, code.New(code.NotReady, "no sheet is in force here yet").WithRetryAfter(time.Second)
 }
+
+// Queued is what waits at one pool's gate.
+type Queued struct {
+	Requests     int
+	PromptTokens int
+}
+
+// Queues returns what waits, by pool.
+func (d *Dispatcher) Queues() map[string]Queued {
+	out := map[string]Queued{}
+	for _, g := range d.allGates() {
+		q := out[g.pool]
+		n, tokens := g.queuedNow()
+		q.Requests += n
+		q.PromptTokens += tokens
+		out[g.pool] = q
+	}
+	return out
+}
--- a/internal/entry/dispatch/gate.go
+++ b/internal/entry/dispatch/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"reflect"
 	"sync"
 	"time"
@@ -24,21 +25,24 @@
 	router  *route.Router
 	clk     clock.Clock
 	pool    string
+	serves  route.Artifact // what the pool serves, for its capacity
 	classes []sheet.Class
 
 	mu      sync.Mutex
 	queue   *admit.Queue
-	running int
+	granted int // let through, not yet counted at an endpoint
 	queued  int
+	tokens  int // prompt tokens queued
 }
 
 // turn is one request at a gate. Its answer is nil when it may go on.
 type turn struct {
-	req    admit.Request
-	answer chan *code.Error
+	req     admit.Request
+	answer  chan *code.Error
+	granted bool
 }
 
-func newGate(r *route.Router, clk clock.Clock, pool string, s *sheet.Sheet) *gate {
+func newGate(r *route.Router, clk clock.Clock, pool string, serves route.Artifact, s *sheet.Sheet) *gate {
 	cfg := admit.Config{Rates: admit.Rates{
 		Base: assumedBase, PrefillPerToken: 100 * time.Microsecond, DecodePerToken: 20 * time.Millisecond,
 	}}
@@ -49,17 +53,34 @@
 	for _, c := range s.Classes {
 		cfg.Classes = append(cfg.Classes, admit.Class{
 			Name: c.Name, Priority: top - c.Priority, Weight: 1, Output: assumedOutput,
+			Urgent: urgent(&c),
 		})
 	}
-	return &gate{router: r, clk: clk, pool: pool, classes: s.Classes, queue: admit.NewQueue(cfg)}
+	return &gate{router: r, clk: clk, pool: pool, serves: serves, classes: s.Classes, queue: admit.NewQueue(cfg)}
 }
 
-func (g *gate) fits(s *sheet.Sheet) bool { return reflect.DeepEqual(g.classes, s.Classes) }
+// urgent tells whether a class is sent to the engines with their higher priority.
+func urgent(c *sheet.Class) bool { return c.Priority > 0 }
+
+func (g *gate) fits(serves route.Artifact, s *sheet.Sheet) bool {
+	return g.serves == serves && reflect.DeepEqual(g.classes, s.Classes)
+}
 
 func (g *gate) waiting() int {
+	n, _ := g.queuedNow()
+	return n
+}
+
+func (g *gate) queuedNow() (requests, tokens int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queued
+	return g.queued, g.tokens
+}
+
+// count notes that t joins or leaves those who wait.
+func (g *gate) count(t *turn, n int) {
+	g.queued += n
+	g.tokens += n * t.req.Prompt
 }
 
 // enter returns when t may be dispatched, or with its refusal, which is final.
@@ -81,13 +102,16 @@
 func (g *gate) offer(t *turn) *code.Error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.setCapacity()
+	if g.setCapacity() == nobody {
+		// Queued, it would wait for an engine that may be away for long.
+		return code.New(code.NoEndpoint, "no endpoint of %s takes work now", g.pool).WithRetryAfter(noEndpointRetry)
+	}
 	v := g.queue.Offer(g.clk.Now(), &t.req)
 	g.tell(v.Dropped)
 	if v.Err != nil {
 		return v.Err
 	}
-	g.queued++
+	g.count(t, 1)
 	return nil
 }
 
@@ -98,11 +122,11 @@
 	select {
 	case err := <-t.answer:
 		if err == nil {
-			g.running--
+			g.settle(t)
 			g.queue.Cancel(&t.req)
 		}
 	default:
-		g.queued--
+		g.count(t, -1)
 		g.queue.Cancel(&t.req)
 	}
 	g.mu.Unlock()
@@ -112,51 +136,73 @@
 
 // endOf tells why a request's context ended before any of it was sent.
 func endOf(ctx context.Context) *code.Error {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return code.New(code.DeadlinePassed, "the deadline passed before any work was sent")
 	}
 	return code.New(code.CallerGone, "the caller went away before any work was sent")
 }
 
+// placed tells that t counts at an endpoint from now on.
+func (g *gate) placed(t *turn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settle(t)
+}
+
+func (g *gate) settle(t *turn) {
+	if t.granted {
+		t.granted = false
+		g.granted--
+	}
+}
+
 // leave ends a request that enter let through.
 func (g *gate) leave(t *turn, m admit.Measured) {
 	g.mu.Lock()
-	g.running--
+	g.settle(t)
 	g.queue.Done(g.clk.Now(), &t.req, m)
 	g.mu.Unlock()
 	g.pump()
 }
 
-// pump lets through what may go now.
+// pump lets through what may go now. A request counts from its turn on, not
+// only from its dispatch, or a burst would pass between the two.
 func (g *gate) pump() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	free := g.setCapacity()
+	c := g.setCapacity()
 	for {
-		r, dropped := g.queue.Next(g.clk.Now(), free)
+		room := admit.Room{Normal: c.Normal - g.granted, Urgent: c.Urgent - g.granted}
+		r, dropped := g.queue.Next(g.clk.Now(), room)
 		g.tell(dropped)
 		if r == nil {
 			return
 		}
-		free--
-		g.queued--
-		g.running++
-		r.Value.(*turn).answer <- nil
+		t := r.Value.(*turn)
+		t.granted = true
+		g.granted++
+		g.count(t, -1)
+		t.answer <- nil
 	}
 }
 
-// setCapacity tells the queue how many requests this entry may run, and
-// returns how many more may start now. A request counts from its turn on, not
-// only from its dispatch, or a burst would pass between the two.
-func (g *gate) setCapacity() (free int) {
-	limit, inFlight := g.router.Capacity(g.clk.Now(), g.pool)
-	g.tell(g.queue.SetCapacity(g.clk.Now(), limit))
-	return limit - max(inFlight, g.running)
+// nobody is the capacity of a pool without an endpoint that takes work.
+var nobody = route.Capacity{}
+
+// noEndpointRetry is when a role change or a restart may be over.
+const noEndpointRetry = time.Second
+
+func (g *gate) setCapacity() route.Capacity {
+	now := g.clk.Now()
+	c := g.router.Capacity(now, g.pool, g.serves, "")
+	g.tell(g.queue.SetCapacity(now, c.Slots))
+	return c
 }
 
 func (g *gate) tell(dropped []admit.Refusal) {
 	for _, d := range dropped {
-		g.queued--
-		d.Request.Value.(*turn).answer <- d.Err
+		t := d.Request.Value.(*turn)
+		g.count(t, -1)
+		t.answer <- d.Err
 	}
 }
--- a/internal/entry/dispatch/generate.go
+++ b/internal/entry/dispatch/generate.go
@@ -14,6 +14,7 @@
 	"fescuestand/internal/entry/callerapi"
 	"fescuestand/internal/entry/fleet"
 	"fescuestand/internal/entry/stream"
+	"fescuestand/internal/entry/suspect"
 	"fescuestand/internal/policy/admit"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/sheet"
@@ -22,7 +23,7 @@
 const (
 	// maxAttempts bounds the attempts of one completion, moves included: an
 	// engine is moved seldom, so that more means a fault that no retry mends.
-	maxAttempts = 6
+	maxAttempts = 12
 	// placeWait is how long an admitted request waits for an endpoint to open
 	// again, such as between two phases of a planned change.
 	placeWait = 500 * time.Millisecond
@@ -43,10 +44,13 @@
 	print    uint64 // fingerprint of model and prompt
 	pieces   []uint64
 	asm      stream.Assembler
+	from     int // where the present attempt began
 	exclude  []*route.Endpoint
 	kv       *driver.KVHandle // of the attempt that was moved
 	touched  bool             // an attempt may have been executed
 	began    clock.Time
+	ran      time.Duration // how long the attempt ran that a crash ended
+	placed   func()        // the first attempt counts at an endpoint
 	firstAt  clock.Time
 	lastAt   clock.Time
 }
@@ -64,11 +68,15 @@
 		t.Requests++
 		t.PromptTokens += uint64(prompt)
 	})
-	gate := d.gate(s.pool.Name, d.fleet.Sheet())
+	gate := d.gate(s.pool.Name, route.Artifact{Model: s.pool.Model, Version: s.pool.Version}, d.fleet.Sheet())
 	t := &turn{req: admit.Request{
 		ID: g.RequestID, Class: class.Name, Workspace: g.Workspace, Caller: g.Name,
 		Prompt: prompt, MaxOutput: g.MaxTokens, Deadline: deadlineOf(ctx, d.clk),
 	}}
+	if first := class.FirstToken.D(); first > 0 {
+		t.req.FirstBy = d.clk.Now().Add(first)
+	}
+	s.placed = func() { gate.placed(t) }
 	if err := gate.enter(ctx, t); err != nil {
 		d.counts.add(s.pool.Name, func(t *Totals) { t.Refused++ })
 		return err
@@ -110,19 +118,19 @@
 func (s *session) run(ctx context.Context) error {
 	var last error
 	for n := range maxAttempts {
-		if n > 0 && !s.again(last) {
+		if n > 0 && !s.again(ctx, last, n) {
 			break
 		}
-		place, err := s.place(ctx)
+		place, x, err := s.place(ctx)
 		if err != nil {
 			if last == nil || errors.Is(err, errGuilty) {
 				last = err
 			}
 			break
 		}
-		last = s.attempt(ctx, place)
+		last = s.attempt(ctx, place, x)
 		if last == nil {
-			s.d.suspects.Survived(s.d.clk.Now(), s.print)
+			s.d.suspects.Clear(s.d.clk.Now(), s.print)
 			return nil
 		}
 		if ctx.Err() != nil || errors.Is(last, errSink) {
@@ -143,47 +151,95 @@
 	return numbered(ctx, err, s.touched, s.asm.Next() > 0)
 }
 
-// again tells whether another attempt may be made after err. A planned move
-// costs no budget: it isn't a fault, and must never cut a stream.
-func (s *session) again(err error) bool {
-	if errors.Is(err, errMoved) {
+// again tells whether another attempt may be made after err.
+//
+// A planned move costs no budget: it isn't a fault. Neither does the rest of a
+// stream that the attempt has carried on, nor one that no engine has touched
+// since: the budget is against retries that do the same work again and again,
+// and a stream that has begun must not be cut for others' faults.
+func (s *session) again(ctx context.Context, err error, n int) bool {
+	switch {
+	case errors.Is(err, errMoved), s.asm.Next() > s.from:
 		return true
+	case s.asm.Next() > 0 && untouched(err):
+	case !s.d.budget.Retry(s.d.clk.Now(), s.pool.Name, s.g.Name):
+		return false
+	}
+	if untouched(err) {
+		s.pause(ctx, n)
 	}
-	return s.d.budget.Retry(s.d.clk.Now(), s.pool.Name, s.g.Name)
+	return ctx.Err() == nil
 }
 
-// place chooses where the next attempt goes, and counts it there.
-func (s *session) place(ctx context.Context) (*route.Decision, error) {
-	verdict := s.d.suspects.Judge(s.d.clk.Now(), s.print)
-	if verdict == Guilty {
-		return nil, errGuilty
-	}
-	req := &route.Request{
-		Pool:      s.pool.Name,
-		Artifact:  route.Artifact{Model: s.g.Model, Version: s.g.Version, Adapter: s.g.Adapter},
-		Workspace: s.g.Workspace, Pieces: s.pieces, Prompt: len(s.g.Prompt) / bytesPerToken,
-		Exclude: s.exclude, Isolate: verdict == Suspect,
+// pause lets an engine that refuses, as after a crash, become known as such
+// before the attempts are used up.
+func (s *session) pause(ctx context.Context, n int) {
+	select {
+	case <-time.After(time.Duration(n) * placeStep):
+	case <-ctx.Done():
 	}
+}
+
+// place chooses where the next attempt goes, and counts it there.
+func (s *session) place(ctx context.Context) (*route.Decision, *exposure, error) {
 	giveUp := s.d.clk.Now().Add(placeWait)
+	exclude := s.exclude
 	for {
 		now := s.d.clk.Now()
-		d, err := s.d.router.Pick(now, req)
+		verdict := s.d.suspects.Judge(now, s.print)
+		if verdict == suspect.Guilty {
+			return nil, nil, errGuilty
+		}
+		d, err := s.pick(now, verdict, exclude)
 		if err == nil {
 			s.d.router.Sent(now, &d.Dispatch)
-			return &d, nil
+			s.placed()
+			return d, s.expose(now, verdict, d), nil
 		}
-		if now >= giveUp {
-			return nil, err
+		if now >= giveUp && verdict != suspect.Suspect {
+			return nil, nil, err
 		}
 		// Every other engine may be excluded or away; a short wait beats a
-		// refusal, and an excluded one is better than none.
-		req.Exclude = nil
+		// refusal, and an excluded one is better than none. A suspect waits
+		// until an engine is free of others.
+		exclude = nil
 		select {
 		case <-time.After(placeStep):
 		case <-ctx.Done():
-			return nil, endOf(ctx)
+			return nil, nil, endOf(ctx)
+		}
+	}
+}
+
+func (s *session) pick(now clock.Time, verdict suspect.Verdict, exclude []*route.Endpoint) (*route.Decision, error) {
+	req := &route.Request{
+		Pool:      s.pool.Name,
+		Artifact:  route.Artifact{Model: s.g.Model, Version: s.g.Version, Adapter: s.g.Adapter},
+		Workspace: s.g.Workspace, Pieces: s.pieces, Prompt: len(s.g.Prompt) / bytesPerToken,
+		Exclude: exclude, Urgent: s.priority > 0, Prefilled: s.kv != nil,
+	}
+	if verdict == suspect.Suspect {
+		ep := s.d.isolate(s.print, s.pool.Name, exclude)
+		if ep == nil {
+			return nil, code.New(code.NoEndpoint, "every engine holds another suspect")
 		}
+		req.Isolate, req.Exclude, req.Prefilled = true, s.d.others(s.pool.Name, ep), true
+	}
+	d, err := s.d.router.Pick(now, req)
+	if err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+// expose notes what a crash during the attempt would say of the request.
+func (s *session) expose(now clock.Time, verdict suspect.Verdict, d *route.Decision) *exposure {
+	x := &exposure{crash: suspect.Crash{Endpoint: d.Endpoint.Name}, began: now, verdict: verdict}
+	if e := s.engine(d); e != nil {
+		x.crash.Incarnation = e.Incarnation()
 	}
+	x.clearAt = now.Add(time.Duration(clearFactor*float64(s.ran)) + clearMargin)
+	return x
 }
 
 // measured is what the request showed about the pool's rates.
--- a/internal/entry/dispatch/service.go
+++ b/internal/entry/dispatch/service.go
@@ -44,7 +44,7 @@
 	}
 	pool := fleet.ServicePool(c.Service)
 	d.counts.add(pool, func(t *Totals) { t.Requests++ })
-	g := d.gate(pool, sh)
+	g := d.gate(pool, route.Artifact{}, sh)
 	t := &turn{req: admit.Request{
 		ID: c.RequestID, Workspace: c.Workspace, Caller: c.Name, Key: c.Key,
 		MaxOutput: 1, Deadline: deadlineOf(ctx, d.clk),
@@ -53,6 +53,8 @@
 		d.counts.add(pool, func(t *Totals) { t.Refused++ })
 		return nil, err
 	}
+	// The endpoint counts it at once: nothing comes between here and there.
+	g.placed(t)
 	d.budget.Request(d.clk.Now(), pool, c.Name)
 	return func(ok bool) {
 		g.leave(t, admit.Measured{OK: ok, Output: 1})
@@ -106,7 +108,7 @@
 	} else {
 		body, err = s.Call(ctx, call)
 	}
-	d.router.Done(d.clk.Now(), &p.Dispatch, outcomeOf(ctx, err), 0)
+	d.router.Done(d.clk.Now(), &p.Dispatch, outcomeOf(ctx, err))
 	return body, p.Endpoint, err
 }
 
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/standin/engine"
+	"fescuestand/internal/standin/oracle"
+	"fescuestand/internal/standin/service"
+)
+
+func quick() engine.Config {
+	return engine.Config{DecodeStep: 2 * time.Millisecond, Downtime: 300 * time.Millisecond}
+}
+
+func wantText(prompt string, tokens int) string {
+	return string(oracle.New("m", "1", "", []byte(prompt), 7).Text(0, tokens))
+}
+
+func TestStreamLookupAndCommit(t *testing.T) {
+	w := newWorld(t, worldConfig{entries: 2, engines: []engine.Config{quick(), quick()}, services: []service.Config{{}}})
+	a, err := w.generate(w.entries[0].addr, "lot 7", 40)
+	assert.NilError(t, err)
+	assert.Assert(t, a.ended, "%+v", a)
+	assert.Equal(t, a.text, wantText("lot 7", 40))
+
+	a, err = w.post(w.ctx, w.entries[0].addr, "/v1/services/lantern/balance", `{"id":1}`, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, a.body, string(oracle.Answer("balance", []byte(`{"id":1}`))), "%+v", a)
+
+	issued := time.Now()
+	a, err = w.topup(w.entries[0].addr, "k1", `{"id":1}`, false, issued)
+	assert.NilError(t, err)
+	assert.Equal(t, a.body, string(oracle.Answer("topup", []byte(`{"id":1}`))), "%+v", a)
+	assert.Equal(t, a.header.Get("Run"), "ran")
+	again, err := w.topup(w.entries[1].addr, "k1", `{"id":1}`, true, issued)
+	assert.NilError(t, err)
+	assert.Equal(t, again.header.Get("Result-Code"), "4006", "%+v", again)
+	assert.Equal(t, again.body, a.body)
+	other, err := w.topup(w.entries[1].addr, "k1", `{"id":2}`, true, issued)
+	assert.NilError(t, err)
+	assert.Equal(t, other.refusal.Name, "key-reused")
+}
--- /dev/null
+++ b/internal/entry/gossip.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"fescuestand/internal/entry/dispatch"
+	"fescuestand/internal/wire"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func seedOf(incarnation string) uint64 { return xxhash.Sum64String(incarnation) }
+
+// contribute adds what this entry measured to its gossip.
+func (u *Unit) contribute(g *wire.Gossip) {
+	for name, e := range u.fleet.Engines() {
+		if n := e.InFlight(); n > 0 {
+			g.Loads = append(g.Loads, &wire.EngineLoad{Endpoint: name, InFlight: uint32(n)})
+		}
+	}
+	queues := u.dispatch.Queues()
+	total := &wire.PoolLoad{}
+	for name, t := range u.dispatch.Counts().Snapshot() {
+		p := poolLoad(name, t, queues[name])
+		g.Pools = append(g.Pools, p)
+		total.Requests += p.Requests
+		total.PromptTokens += p.PromptTokens
+		total.OutputTokens += p.OutputTokens
+		total.Refused += p.Refused
+		total.Queued += p.Queued
+		total.QueuedPromptTokens += p.QueuedPromptTokens
+		total.OnTime += p.OnTime
+	}
+	g.Total = total
+	g.Crashes = u.suspects.Share(u.o.Clock.Now())
+}
+
+func poolLoad(name string, t dispatch.Totals, q dispatch.Queued) *wire.PoolLoad {
+	return &wire.PoolLoad{
+		Pool: name, Requests: t.Requests, PromptTokens: t.PromptTokens, OutputTokens: t.OutputTokens,
+		Refused: t.Refused, OnTime: t.OnTime, Queued: uint32(q.Requests), QueuedPromptTokens: uint64(q.PromptTokens),
+	}
+}
+
+// hear takes what a peer says that matters to traffic.
+func (u *Unit) hear(g *wire.Gossip) {
+	for _, d := range g.GetDirectives() {
+		u.fleet.Hint(d)
+	}
+	u.suspects.Hear(u.o.Clock.Now(), g.GetCrashes())
+}
--- /dev/null
+++ b/internal/entry/world_test.go
@@ -0,0 +1,297 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/driver"
+	"fescuestand/internal/driver/httpdriver"
+	"fescuestand/internal/driver/httpdriver/httpapi"
+	"fescuestand/internal/kernel"
+	"fescuestand/internal/logclient"
+	"fescuestand/internal/node"
+	"fescuestand/internal/peer"
+	"fescuestand/internal/replica"
+	"fescuestand/internal/settings"
+	"fescuestand/internal/standin/engine"
+	"fescuestand/internal/standin/httpjson"
+	"fescuestand/internal/standin/logservice"
+	"fescuestand/internal/standin/service"
+	"fescuestand/internal/standin/vmlist"
+	"fescuestand/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv("FESCUE_LOG") == "" {
+		log.SetHandler(discard.New())
+	}
+	os.Exit(m.Run())
+}
+
+// world is a whole deployment in one process, on loopback.
+type world struct {
+	t        testing.TB
+	ctx      context.Context
+	wg       sync.WaitGroup
+	logAddr  string
+	vmAddr   string
+	engines  []string
+	services []string
+	entries  []*entryNode
+	client   *http.Client
+}
+
+// entryNode is one fescue-entry.
+type entryNode struct {
+	unit    *Unit
+	addr    string
+	signals chan os.Signal
+	done    chan error
+}
+
+type worldConfig struct {
+	entries  int
+	engines  []engine.Config
+	services []service.Config
+}
+
+func newWorld(t testing.TB, cfg worldConfig) *world {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &world{t: t, ctx: ctx, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	t.Cleanup(func() {
+		w.client.CloseIdleConnections()
+		cancel()
+		w.wg.Wait()
+	})
+	w.logAddr = w.serve(logservice.New(logservice.Config{}).Handler())
+	for _, e := range cfg.engines {
+		e.Address = freeAddress(t)
+		w.engines = append(w.engines, e.Address)
+		one := engine.New(e)
+		w.wg.Go(func() { _ = one.Serve(ctx) })
+	}
+	if len(cfg.services) == 0 {
+		cfg.services = []service.Config{{}}
+	}
+	for _, s := range cfg.services {
+		w.services = append(w.services, w.serve(service.New(s).Handler()))
+	}
+	var vms []httpapi.VM
+	for i := range cfg.entries {
+		vms = append(vms, httpapi.VM{
+			Name: fmt.Sprintf("vm%d", i), Zone: "z", Caller: freeAddress(t), Peer: freeAddress(t), Status: freeAddress(t),
+		})
+	}
+	w.vmAddr = w.serve(vmlist.New(vms, 0).Handler())
+	w.publish()
+	for _, vm := range vms {
+		w.entries = append(w.entries, w.startEntry(vm))
+	}
+	for _, e := range w.entries {
+		w.awaitReady(e)
+	}
+	return w
+}
+
+func freeAddress(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (w *world) serve(h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(w.t, err)
+	w.wg.Go(func() { _ = httpjson.ServeOn(w.ctx, l, h) })
+	return l.Addr().String()
+}
+
+func target(addr string) driver.Target {
+	return driver.Target{Driver: httpdriver.Name, Address: addr}
+}
+
+func (w *world) logClient(writer string) *logclient.Client {
+	s := node.Settings{Log: target(w.logAddr)}
+	l, err := s.OpenLog()
+	assert.NilError(w.t, err)
+	return logclient.New(logclient.Options{Log: l, Writer: writer, VM: writer, Rate: 200, Burst: 50})
+}
+
+// publish puts a sheet in force that names all engines and services.
+func (w *world) publish() {
+	var engines, names, endpoints []string
+	for i, a := range w.engines {
+		engines = append(engines, fmt.Sprintf(`{"name":"e%d","zone":"z","driver":"http","address":%q,"checks_fence":true}`, i, a))
+		names = append(names, fmt.Sprintf("%q", fmt.Sprintf("e%d", i)))
+	}
+	for i, a := range w.services {
+		endpoints = append(endpoints, fmt.Sprintf(`{"name":"s%d","zone":"z","address":%q}`, i, a))
+	}
+	body := fmt.Sprintf(`{"deployment":"d","engines":[%s],
+		"pools":[{"name":"drafts","model":"m","version":"1","engines":[%s],"max_away_share":0.5,"roles":{}}],
+		"services":[{"name":"lantern","driver":"http","endpoints":[%s],
+			"operations":[{"name":"balance","idempotent":true},{"name":"topup","idempotent":false}]}],
+		"classes":[{"name":"question","priority":1,"deadline":"30s","first_token":"10s","between_tokens":"1s","objective":0.9}],
+		"limits":{"max_body":100000,"max_tokens":2000,"workspace_share":1,"commit_window":"1h","queue_per_engine":64}}`,
+		strings.Join(engines, ","), strings.Join(names, ","), strings.Join(endpoints, ","))
+	c := w.logClient("publisher")
+	defer func() { assert.NilError(w.t, c.Close()) }()
+	entry := &wire.Entry{Kind: &wire.Entry_Sheet{Sheet: &wire.Sheet{Body: []byte(body), PublishId: "p1"}}}
+	v, err := replica.Publish(w.ctx, c, "config", "p1", entry)
+	assert.NilError(w.t, err)
+	assert.Assert(w.t, v.GetAccepted(), v.GetDetail())
+}
+
+func (w *world) startEntry(vm httpapi.VM) *entryNode {
+	s := Defaults()
+	s.Deployment, s.VM, s.Zone = "d", vm.Name, vm.Zone
+	s.Addresses = node.Addresses{Caller: vm.Caller, Peer: vm.Peer, Status: vm.Status}
+	s.Log, s.VMList, s.WeightStore = target(w.logAddr), target(w.vmAddr), target(w.logAddr)
+	s.LongestDrain = settings.Duration(30 * time.Second)
+	s.Entries = 1
+	incarnation := node.NewIncarnation()
+	client := w.logClient(incarnation)
+	vms, err := s.OpenVMList()
+	assert.NilError(w.t, err)
+	peers := peer.NewPool(HelloOf(s, incarnation))
+	r := replica.New(replica.Options{
+		Log: client, VMs: vms, Peers: peers, Stream: "config", VM: vm.Name, Process: "entry",
+		Incarnation: incarnation, Every: 50 * time.Millisecond,
+	})
+	n := &entryNode{addr: vm.Caller, signals: make(chan os.Signal, 2), done: make(chan error, 1)}
+	n.unit = New(Options{Settings: s, Incarnation: incarnation, Replica: r, Log: client, Peers: peers, Clock: clock.Boot{}})
+	opt := kernel.Options{LongestDrain: s.LongestDrain.D(), Signals: n.signals}
+	w.wg.Go(func() {
+		n.done <- kernel.Run(w.ctx, opt, r, n.unit)
+		_ = peers.Close()
+		_ = client.Close()
+	})
+	return n
+}
+
+func (w *world) awaitReady(n *entryNode) {
+	for range 200 {
+		s := n.unit.Status()
+		open := 0
+		for _, e := range s.Endpoints {
+			if e.Phase == "open" {
+				open++
+			}
+		}
+		if s.Ready && open == len(w.engines)+len(w.services) && len(n.unit.backend.usable()) == len(n.unit.Members()) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	w.t.Fatalf("entry does not get ready: %+v", n.unit.Status())
+}
+
+func (n *entryNode) terminate() { n.signals <- syscall.SIGTERM }
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	text    string // of a stream's tokens
+	ended   bool   // the stream's end event came
+	refusal struct {
+		Code int
+		Name string
+		Run  string
+	}
+}
+
+func (w *world) post(ctx context.Context, addr, path, body string, header map[string]string) (*answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, strings.NewReader(body))
+	assert.NilError(w.t, err)
+	req.Header.Set("Deadline-Ms", "20000")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a := &answer{status: resp.StatusCode, header: resp.Header}
+	if resp.Header.Get("Content-Type") == "text/event-stream" {
+		return a, a.readEvents(resp.Body)
+	}
+	b, err := io.ReadAll(resp.Body)
+	a.body = string(b)
+	if resp.StatusCode != http.StatusOK {
+		_ = json.Unmarshal(b, &a.refusal)
+	}
+	return a, err
+}
+
+func (a *answer) readEvents(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	event, next := "", 0
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ": ")
+		switch {
+		case name == "event":
+			event = value
+		case name == "data" && event == "token":
+			var t struct {
+				Pos  int
+				Text string
+			}
+			if err := json.Unmarshal([]byte(value), &t); err != nil {
+				return err
+			}
+			if t.Pos != next {
+				return fmt.Errorf("token %d where %d is due", t.Pos, next)
+			}
+			next++
+			a.text += t.Text
+		case name == "data" && event == "end":
+			a.ended = true
+		case name == "data" && event == "error":
+			_ = json.Unmarshal([]byte(value), &a.refusal)
+		}
+	}
+	return lines.Err()
+}
+
+func (w *world) generate(addr, prompt string, tokens int) (*answer, error) {
+	body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d,"seed":7,"class":"question"}`, prompt, tokens)
+	return w.post(w.ctx, addr, "/v1/generate", body, nil)
+}
+
+func (w *world) topup(addr, key, body string, resend bool, issued time.Time) (*answer, error) {
+	h := map[string]string{"Idempotency-Key": key, "Key-Issued-Ms": strconv.FormatInt(issued.UnixMilli(), 10)}
+	if resend {
+		h["Resend"] = "1"
+	}
+	return w.post(w.ctx, addr, "/v1/services/lantern/topup", body, h)
+}
+
+// fault tells a stand-in to misbehave.
+func (w *world) fault(addr, body string) {
+	resp, err := http.Post("http://"+addr+"/fault", "application/json", strings.NewReader(body))
+	assert.NilError(w.t, err)
+	_ = resp.Body.Close()
+	assert.Equal(w.t, resp.StatusCode, http.StatusNoContent)
+}
