--- a/internal/replica/publish.go
+++ b/internal/replica/publish.go
@@ -81,3 +81,26 @@
 	}
 	return err
 }
+
+// Holdings reads the control stream to its end and returns who has the
+// authority over each engine.
+func Holdings(ctx context.Context, c *logclient.Client, stream string) ([]fold.Holding, error) {
+	a := fold.NewAuthority(1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	err := c.TailWith(ctx, stream, 1, func(items []logclient.Item) error {
+		for _, it := range items {
+			a.Apply(it)
+		}
+		return nil
+	}, func() error {
+		if a.Established() && c.Progress(stream).Read {
+			return errDone
+		}
+		return nil
+	})
+	if !errors.Is(err, errDone) {
+		return nil, code.Wrap(code.LogDown, err, "reading %s", stream)
+	}
+	return a.Holdings(), nil
+}
