--- a/internal/demo/standins.go
+++ b/internal/demo/standins.go
@@ -65,6 +65,9 @@
 		for _, name := range p.Engines {
 			if name == e.Name {
 				flags = append(flags, "--load", p.Model+"/"+p.Version)
+				if role, ok := p.Roles.Fixed[name]; ok {
+					flags = append(flags, "--role", string(role))
+				}
 			}
 		}
 	}
