Load test: control processes find a crash after two seconds

Cause: a crashed engine stayed ready in the planners' view for as long as it sent no report, so the grace for crashes was never asked in a run.

--- a/internal/policy/loadtest/config.go
+++ b/internal/policy/loadtest/config.go
@@ -53,6 +53,10 @@
 // that a control process ordered.
 const orderDelay = 200 * time.Millisecond
 
+// detectDelay is how long control processes take to find that an engine has
+// crashed. Entries find it by their own requests.
+const detectDelay = 2 * time.Second
+
 // DefaultModel is a plain engine: a stream of a full batch gets a token each
 // 35 ms, 1,380 tokens a second in all, and a prompt of 8,000 tokens takes a
 // second.
--- a/internal/policy/loadtest/run.go
+++ b/internal/policy/loadtest/run.go
@@ -209,6 +209,13 @@
 	for _, j := range e.crash() {
 		r.loop.After(netDelay, func() { r.failed(j) })
 	}
+	r.loop.After(detectDelay, func() {
+		for _, p := range r.plans {
+			if e.state == Down {
+				p.view.Engines[e.id].State = Down
+			}
+		}
+	})
 }
 
 // measure closes one second of the arrival counts and tells the planners a
--- a/internal/policy/roles/swing_test.go
+++ b/internal/policy/roles/swing_test.go
@@ -131,3 +131,22 @@
 	}
 	assert.Assert(t, moving.Goodput() > 0.95*static.Goodput())
 }
+
+// Four of six prefill engines crash and are back after twenty seconds. With the
+// grace off, decode engines change role for a shortage that ends before they
+// are through, and have to go back.
+func TestCrashAndRestartMovesNobody(t *testing.T) {
+	cfg := oneSwing()
+	cfg.Workload.Load = 0.6
+	cfg.Workload.Swing = loadtest.Swing{Low: 0.35}
+	cfg.Faults = []loadtest.Fault{{Kind: loadtest.Crash, At: 5 * time.Minute, For: 20 * time.Second, Engines: []int{0, 1, 2, 3}}}
+	run := func(g roles.Guards) loadtest.Result {
+		sheet := lakeshoreSheet()
+		sheet.MaxAwayShare = 0.5
+		sheet.Guards = g
+		return loadtest.Run(cfg, plain(planned(sheet, nil)), 1)
+	}
+	on, off := run(roles.Guards{}), run(roles.Guards{NoGrace: true})
+	t.Logf("on: %d changes, %.2f/s; off: %d changes, %.2f/s", on.RoleChanges, on.Goodput(), off.RoleChanges, off.Goodput())
+	assert.Assert(t, off.RoleChanges > on.RoleChanges, "guard off")
+}
