--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
 	"fescuestand/internal/entry/fleet"
@@ -19,14 +21,16 @@
 
 // Dispatcher serves the requests of one entry.
 type Dispatcher struct {
-	fleet    *fleet.Fleet
-	router   *route.Router
-	clk      clock.Clock
-	writer   string // incarnation of this process, part of attempt ids
-	budget   Budget
-	suspects *suspect.Register
-	attempts atomic.Uint64
-	counts   *Counts
+	fleet     *fleet.Fleet
+	router    *route.Router
+	clk       clock.Clock
+	writer    string // incarnation of this process, part of attempt ids
+	budget    Budget
+	suspects  *suspect.Register
+	exchange  func(ctx context.Context)
+	exchanges singleflight.Group
+	attempts  atomic.Uint64
+	counts    *Counts
 
 	mu       sync.Mutex
 	gates    map[string]*gate
@@ -49,13 +53,16 @@
 	Writer   string
 	Budget   Budget
 	Suspects *suspect.Register
+	// Exchange tells all other entries what Suspects holds and takes in what
+	// they know. It is bounded in time.
+	Exchange func(ctx context.Context)
 }
 
 // New returns a Dispatcher.
 func New(o Options) *Dispatcher {
 	return &Dispatcher{
 		fleet: o.Fleet, router: o.Fleet.Router(), clk: o.Clock, writer: o.Writer,
-		budget: o.Budget, suspects: o.Suspects, counts: newCounts(), gates: map[string]*gate{},
+		budget: o.Budget, suspects: o.Suspects, exchange: o.Exchange, counts: newCounts(), gates: map[string]*gate{},
 		isolated: map[string]uint64{},
 	}
 }
--- a/internal/entry/dispatch/generate.go
+++ b/internal/entry/dispatch/generate.go
@@ -166,20 +166,13 @@
 		return false
 	}
 	if untouched(err) {
-		s.pause(ctx, n)
+		// An engine that refuses, as after a crash, has to become known as
+		// such before the attempts are used up.
+		wait(ctx, time.Duration(n)*placeStep)
 	}
 	return ctx.Err() == nil
 }
 
-// pause lets an engine that refuses, as after a crash, become known as such
-// before the attempts are used up.
-func (s *session) pause(ctx context.Context, n int) {
-	select {
-	case <-time.After(time.Duration(n) * placeStep):
-	case <-ctx.Done():
-	}
-}
-
 // place chooses where the next attempt goes, and counts it there.
 func (s *session) place(ctx context.Context) (*route.Decision, *exposure, error) {
 	giveUp := s.d.clk.Now().Add(placeWait)
@@ -203,9 +196,7 @@
 		// refusal, and an excluded one is better than none. A suspect waits
 		// until an engine is free of others.
 		exclude = nil
-		select {
-		case <-time.After(placeStep):
-		case <-ctx.Done():
+		if wait(ctx, placeStep); ctx.Err() != nil {
 			return nil, nil, endOf(ctx)
 		}
 	}
--- a/internal/entry/dispatch/isolate.go
+++ b/internal/entry/dispatch/isolate.go
@@ -21,6 +21,14 @@
 	clearMargin = 50 * time.Millisecond
 	// stateWait bounds the question whether an engine has crashed.
 	stateWait = 500 * time.Millisecond
+	// dyingWait is how long a crashing engine may still answer: it cuts its
+	// streams a moment before its last listener closes.
+	dyingWait = 60 * time.Millisecond
+	// settleWait is how long a request waits after a crash for what the other
+	// entries know of it: two round trips between availability zones and the
+	// time in which they notice. Judged alone, a half-written draft would look
+	// guilty whenever the guilty request came through another entry.
+	settleWait = 100 * time.Millisecond
 )
 
 // isolate picks the engine for a suspect, nil if each holds another one: a
@@ -99,15 +107,49 @@
 	if ctx.Err() != nil || !errors.Is(err, driver.ErrCut) || errors.Is(err, errStall) {
 		return
 	}
-	stateCtx, cancel := context.WithTimeout(ctx, stateWait)
-	defer cancel()
-	state, err := e.State(stateCtx)
-	if err == nil && (x.crash.Incarnation == "" || state.Incarnation == x.crash.Incarnation) {
+	if !s.hasCrashed(ctx, e, x.crash.Incarnation) {
 		return // only the connection broke
 	}
 	now := s.d.clk.Now()
 	s.ran = now.Sub(x.began)
 	s.d.suspects.Add(now, suspect.Evidence{Crash: x.crash, Fingerprint: s.print, Strength: strength(x)})
+	s.d.settle(ctx, x.crash)
+}
+
+// hasCrashed asks the engine twice: it may still be on its way down.
+func (s *session) hasCrashed(ctx context.Context, e *fleet.Engine, life string) bool {
+	for try := 0; ; try++ {
+		stateCtx, cancel := context.WithTimeout(ctx, stateWait)
+		state, err := e.State(stateCtx)
+		cancel()
+		if err != nil || life != "" && state.Incarnation != life {
+			return true
+		}
+		if try > 0 {
+			return false
+		}
+		wait(ctx, dyingWait)
+	}
+}
+
+// settle exchanges evidence with the other entries. Requests that lost the
+// same engine share one exchange.
+func (d *Dispatcher) settle(ctx context.Context, c suspect.Crash) {
+	until := time.Now().Add(settleWait)
+	_, _, _ = d.exchanges.Do(c.Endpoint+"\x00"+c.Incarnation, func() (any, error) {
+		d.exchange(ctx)
+		return nil, nil
+	})
+	wait(ctx, time.Until(until))
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 func strength(x *exposure) suspect.Strength {
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -1,12 +1,20 @@
 package entry
 
 import (
-	"fescuestand/internal/entry/dispatch"
-	"fescuestand/internal/wire"
+	"context"
+	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"fescuestand/internal/entry/dispatch"
+	"fescuestand/internal/wire"
 )
 
+// exchangeTimeout bounds one exchange of evidence: a peer that takes longer
+// hears of it by the usual gossip.
+const exchangeTimeout = 100 * time.Millisecond
+
 func seedOf(incarnation string) uint64 { return xxhash.Sum64String(incarnation) }
 
 // contribute adds what this entry measured to its gossip.
@@ -47,3 +55,22 @@
 	}
 	u.suspects.Hear(u.o.Clock.Now(), g.GetCrashes())
 }
+
+// exchangeEvidence sends this entry's crash evidence to every peer at once and
+// takes in theirs. It is no heartbeat: it names no process.
+func (u *Unit) exchangeEvidence(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	req := &wire.PeerRequest{Kind: &wire.PeerRequest_Gossip{Gossip: &wire.Gossip{
+		Crashes: u.suspects.Share(u.o.Clock.Now()),
+	}}}
+	var wg sync.WaitGroup
+	for _, addr := range u.backend.peers() {
+		wg.Go(func() {
+			if resp, err := u.o.Peers.Call(ctx, addr, req); err == nil {
+				u.hear(resp.GetGossip())
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -75,7 +75,7 @@
 	u.suspects = suspect.NewRegister()
 	u.dispatch = dispatch.New(dispatch.Options{
 		Fleet: u.fleet, Clock: o.Clock, Writer: o.Incarnation,
-		Budget: dispatch.NewShareBudget(), Suspects: u.suspects,
+		Budget: dispatch.NewShareBudget(), Suspects: u.suspects, Exchange: u.exchangeEvidence,
 	})
 	maxWindow := commit.WindowFor(s.Commits.Retention.D())
 	u.table = commit.NewTable(o.Clock, maxWindow+commit.MaxAhead)
