--- a/cmd/fescue-entry/main.go
+++ b/cmd/fescue-entry/main.go
@@ -45,20 +45,8 @@
 		Settings: s, Incarnation: incarnation, Replica: copyOf, Log: client, Peers: peers, Clock: clock.Boot{},
 	})
 	units := []kernel.Unit{
-		closer{"log", client}, closer{"peers", peers}, copyOf, unit,
+		kernel.Closing("log", client), kernel.Closing("peers", peers), copyOf, unit,
 		status.NewServer(s.Addresses.Status, unit.Status, nil),
 	}
 	return kernel.Options{LongestDrain: s.LongestDrain.D()}, units, nil
 }
-
-// closer closes a part of the process that needs no other step.
-type closer struct {
-	name string
-	c    interface{ Close() error }
-}
-
-// Name implements kernel.Unit.
-func (c closer) Name() string { return c.name }
-
-// Close implements kernel.Closer.
-func (c closer) Close() error { return c.c.Close() }
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -9,7 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"fescuestand/internal/node"
+	"fescuestand/internal/control"
+	"fescuestand/internal/entry"
 	"fescuestand/internal/operator"
 	"fescuestand/internal/settings"
 	"fescuestand/internal/sheet"
@@ -20,7 +21,7 @@
 func TestPagesNameEveryKey(t *testing.T) {
 	for page, values := range map[string][]any{
 		"SHEET.md":    {sheet.Sheet{}},
-		"SETTINGS.md": {node.Settings{}, operator.Settings{}},
+		"SETTINGS.md": {entry.Settings{}, control.Settings{}, operator.Settings{}},
 	} {
 		b, err := os.ReadFile(page)
 		assert.NilError(t, err)
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -210,3 +210,18 @@
 	}
 	return err
 }
+
+// closing is a unit whose only step is Close.
+type closing struct {
+	name string
+	c    interface{ Close() error }
+}
+
+// Closing returns a unit that closes c and needs no other step.
+func Closing(name string, c interface{ Close() error }) Unit { return closing{name, c} }
+
+// Name implements Unit.
+func (c closing) Name() string { return c.name }
+
+// Close implements Closer.
+func (c closing) Close() error { return c.c.Close() }
