--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	"fescuestand/internal/code"
 	"fescuestand/internal/lease"
 	"fescuestand/internal/node"
@@ -11,49 +13,65 @@
 // Settings of fescue-control.
 type Settings struct {
 	node.Settings
-	// MoveAfter is how long a drain waits before streams are moved to other
-	// engines, GiveUp how long it may take before the change is postponed.
-	Drain DrainSettings `json:"drain"`
+	Changes ChangeSettings `json:"changes"`
 }
 
-// DrainSettings are the times of a planned change.
-type DrainSettings struct {
+// ChangeSettings are the times of a planned change of an engine.
+type ChangeSettings struct {
 	MoveAfter settings.Duration `json:"move_after"`
 	GiveUp    settings.Duration `json:"give_up"`
+	Retry     settings.Duration `json:"retry"`
 }
 
-// Defaults returns settings with every optional key set.
-func Defaults() *Settings {
+// LoadSettings reads and checks the settings file.
+func LoadSettings(file string) (*Settings, error) {
 	t := reconcile.DefaultTimes()
-	return &Settings{
+	s := &Settings{
 		Settings: node.Defaults(),
-		Drain:    DrainSettings{MoveAfter: settings.Duration(t.MoveAfter), GiveUp: settings.Duration(t.GiveUp)},
+		Changes: ChangeSettings{
+			MoveAfter: settings.Duration(t.MoveAfter),
+			GiveUp:    settings.Duration(t.GiveUp),
+			Retry:     settings.Duration(t.Retry),
+		},
 	}
-}
-
-// Load reads and checks the settings file.
-func Load(file string) (*Settings, error) {
-	s := Defaults()
 	return s, settings.Load(file, s)
 }
 
 // Validate implements settings.Validator.
 func (s *Settings) Validate(p *settings.Problems) {
 	s.Settings.Validate(p)
-	if s.Drain.MoveAfter <= 0 || s.Drain.GiveUp <= s.Drain.MoveAfter {
-		p.Add("drain", code.BadSettings, "move_after is %s and give_up %s; allowed: above 0, and give_up above move_after",
-			s.Drain.MoveAfter.D(), s.Drain.GiveUp.D())
+	if s.Changes.GiveUp <= s.Changes.MoveAfter {
+		p.Add("changes.give_up", code.BadSettings, "is %s; allowed: more than changes.move_after, %s", s.Changes.GiveUp.D(), s.Changes.MoveAfter.D())
+	}
+	if s.Changes.Retry <= 0 {
+		p.Add("changes.retry", code.BadSettings, "is %s; allowed: more than 0", s.Changes.Retry.D())
 	}
 }
 
+// idleRenewals is how many renewals a process without engines may miss before
+// it isn't counted as live.
+const idleRenewals = 10
+
 // LeaseOptions returns the times of the leases.
 func (s *Settings) LeaseOptions() lease.Options {
-	return lease.Options{TTL: s.Lease.TTL.D(), Margin: s.Lease.Margin.D(), MaxFlight: s.Lease.MaxFlight.D()}
+	return lease.Options{
+		TTL:        s.Lease.TTL.D(),
+		Margin:     s.Lease.Margin.D(),
+		MaxFlight:  s.Lease.MaxFlight.D(),
+		IdleWindow: idleRenewals * s.Lease.Renew.D(),
+	}
 }
 
 // Times returns the times of planned changes.
 func (s *Settings) Times() reconcile.Times {
-	t := reconcile.DefaultTimes()
-	t.MoveAfter, t.GiveUp = s.Drain.MoveAfter.D(), s.Drain.GiveUp.D()
-	return t
+	return reconcile.Times{
+		MaxFlight: s.Lease.MaxFlight.D(),
+		MoveAfter: s.Changes.MoveAfter.D(),
+		GiveUp:    s.Changes.GiveUp.D(),
+		Retry:     s.Changes.Retry.D(),
+	}
 }
+
+// CheckpointEvery is the longest age of the newest checkpoint of a stream. It
+// is far ahead of any retention that keeps a day's records.
+const CheckpointEvery = 10 * time.Minute
