--- a/internal/control/authority.go
+++ b/internal/control/authority.go
@@ -69,7 +69,11 @@
 		return
 	}
 	s.beat.live = s.live(now)
-	due := s.beat.last == 0 || now.Sub(s.beat.last) >= s.opt.Renew
+	every := s.opt.Renew
+	if !s.auth.Holds(s.opt.Incarnation) {
+		every = s.opt.Lease.IdleRenew(every)
+	}
+	due := s.beat.last == 0 || now.Sub(s.beat.last) >= every
 	claims, releases := s.wantedClaims(now), s.wantedReleases(now)
 	if !due && len(claims)+len(releases) == 0 {
 		return
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -93,13 +93,23 @@
 	return s, nil
 }
 
-func (f *fakeEngine) Order(ctx context.Context, o driver.Order, permit driver.Permit) error {
+// link is one process's connection to an engine.
+type link struct {
+	*fakeEngine
+	dead <-chan struct{} // closed when the process is killed
+}
+
+func (f link) Order(ctx context.Context, o driver.Order, permit driver.Permit) error {
 	f.mu.Lock()
 	stall, lose := f.stall, f.lose
 	f.stall, f.lose = nil, false
 	f.mu.Unlock()
 	if stall != nil {
-		<-stall
+		select {
+		case <-stall:
+		case <-f.dead:
+			return driver.ErrNotSent
+		}
 	}
 	if err := permit(); err != nil {
 		return errors.Join(driver.ErrNotSent, err)
--- a/internal/control/preference.go
+++ b/internal/control/preference.go
@@ -16,7 +16,8 @@
 		p = preference{vm: best, since: now}
 		s.beat.prefers[pool] = p
 	}
-	return best != "" && best != s.opt.VM && now.Sub(p.since) >= stableAfter
+	stable := now.Sub(p.since) >= stableAfter
+	return best != "" && best != s.opt.VM && stable && s.tracker.Recent(now, best)
 }
 
 // live returns the VMs whose control processes can take engines.
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -173,11 +173,12 @@
 // start starts a control process.
 func (w *world) start(vm string, change ...func(*Options)) *proc {
 	l := &cutLog{Log: w.log}
+	dead := make(chan struct{})
 	id := fmt.Sprintf("%s-%d", vm, time.Now().UnixNano())
 	client := logclient.New(logclient.Options{Log: l, Writer: id, VM: vm})
 	opt := Options{
 		Replica: w, Log: client, Peers: w, Clock: bubbleClock{}, Stream: "control", VM: vm, Incarnation: id,
-		OpenEngine: func(name string, _ driver.Target) (driver.Engine, error) { return w.engines[name], nil },
+		OpenEngine: func(name string, _ driver.Target) (driver.Engine, error) { return link{w.engines[name], dead}, nil },
 	}
 	for _, f := range change {
 		f(&opt)
@@ -190,6 +191,7 @@
 		_ = p.c.Run(ctx)
 	}()
 	p.stop = sync.OnceFunc(func() {
+		close(dead)
 		cancel()
 		<-done
 		assert.NilError(w.t, client.Close())
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -211,6 +211,23 @@
 	return out
 }
 
+// Recent reports whether anything of a VM's control process was read within
+// the last TTL and margin.
+func (t *Tracker) Recent(now clock.Time, vm string) bool {
+	for _, w := range t.writers {
+		if w.vm == vm && now.Sub(w.read) <= t.opt.TTL+t.opt.Margin {
+			return true
+		}
+	}
+	return false
+}
+
+// IdleRenew returns how often a process that holds nothing needs to be heard.
+func (o *Options) IdleRenew(renew time.Duration) time.Duration {
+	const perWindow = 4 // so that three may be lost
+	return min(max(renew, o.IdleWindow/perWindow), max(renew, o.TTL-o.Margin))
+}
+
 // Permit decides whether an order may leave now under a lease that ends at
 // until. It is asked at the order's last byte.
 //
