--- /dev/null
+++ b/internal/replica/history_test.go
@@ -0,0 +1,160 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/code"
+	"fescuestand/internal/logclient"
+	"fescuestand/internal/logclient/logtest"
+)
+
+// historyInput is a publish on a base, or a read of the accepted version.
+type historyInput struct {
+	publish bool
+	base    uint64
+}
+
+// historyOutput is what the operator or reader was told.
+type historyOutput struct {
+	version  uint64 // accepted or read
+	accepted bool
+	notRun   bool // told that it can't count
+}
+
+// acceptedModel is the accepted version as one register: a publish takes
+// effect iff its base is the current version, and versions only rise.
+func acceptedModel() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return uint64(0) },
+		Step: func(state, in, out any) (bool, any) {
+			cur, i, o := state.(uint64), in.(historyInput), out.(historyOutput)
+			switch {
+			case !i.publish:
+				return o.version == cur, cur
+			case o.notRun:
+				return true, cur
+			case o.accepted:
+				return i.base == cur && o.version > cur, o.version
+			default:
+				return i.base != cur, cur
+			}
+		},
+		Equal: func(a, b any) bool { return a == b },
+	}
+}
+
+type recorder struct {
+	mu  sync.Mutex
+	ops []porcupine.Operation
+}
+
+func (r *recorder) record(client int, in historyInput, do func() historyOutput) historyOutput {
+	call := time.Now().UnixNano()
+	out := do()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, porcupine.Operation{
+		ClientId: client, Input: in, Call: call, Output: out, Return: time.Now().UnixNano(),
+	})
+	return out
+}
+
+// Story: several operators publish and read at the same time while the log
+// loses answers and reads lag. What they were told must fit one order of
+// events in which every accepted sheet replaced exactly its base and no reader
+// saw an older version after a newer one.
+func TestPublishesAndReadsAreLinearizable(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				assert.Assert(t, porcupine.CheckOperations(acceptedModel(), runHistory(t, seed, false)))
+			})
+		})
+	}
+}
+
+// With a reader that takes any answer of the log for the newest, the same
+// check must fail.
+func TestStaleReadersAreNotLinearizable(t *testing.T) {
+	failed := 0
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			if !porcupine.CheckOperations(acceptedModel(), runHistory(t, seed, true)) {
+				failed++
+			}
+		})
+	}
+	assert.Assert(t, failed > 0)
+}
+
+// runHistory drives operators over one log. forgetful readers keep what they
+// read first and so show a stale state.
+func runHistory(t *testing.T, seed uint64, forgetful bool) []porcupine.Operation {
+	const operators, rounds = 4, 8
+	l := logtest.New()
+	l.SetLatency(5 * time.Millisecond)
+	rnd := rand.New(rand.NewPCG(seed, 3))
+	var mu sync.Mutex
+	l.SetFate(func(string, []byte) logtest.Fate {
+		mu.Lock()
+		defer mu.Unlock()
+		return []logtest.Fate{logtest.Applied, logtest.Applied, logtest.Lost, logtest.Vanished, logtest.Refused}[rnd.IntN(5)]
+	})
+	var rec recorder
+	var wg sync.WaitGroup
+	for op := range operators {
+		rnd := rand.New(rand.NewPCG(seed, uint64(op)))
+		wg.Go(func() {
+			cached, base := false, uint64(0)
+			for round := range rounds {
+				time.Sleep(time.Duration(rnd.Int64N(int64(200 * time.Millisecond))))
+				if !cached || !forgetful {
+					base = readVersion(t, l, op)
+					cached = true
+				}
+				read := base
+				rec.record(op, historyInput{}, func() historyOutput {
+					if !forgetful {
+						read = readVersion(t, l, op)
+					}
+					return historyOutput{version: read}
+				})
+				rec.record(op, historyInput{publish: true, base: base}, func() historyOutput {
+					return publishOnce(t, l, base, fmt.Sprintf("%d-%d", op, round))
+				})
+			}
+		})
+	}
+	wg.Wait()
+	return rec.ops
+}
+
+func readVersion(t *testing.T, l *logtest.Log, op int) uint64 {
+	c := logclient.New(logclient.Options{Log: l, Writer: fmt.Sprint("reader", op), VM: "room"})
+	defer func() { assert.NilError(t, c.Close()) }()
+	cur, _, err := Current(t.Context(), c, "config")
+	assert.NilError(t, err)
+	return cur.Version
+}
+
+func publishOnce(t *testing.T, l *logtest.Log, base uint64, id string) historyOutput {
+	c := logclient.New(logclient.Options{Log: l, Writer: "ctl-" + id, VM: "room"})
+	defer func() { assert.NilError(t, c.Close()) }()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	v, err := Publish(ctx, c, "config", id, publishEntry(base, id))
+	if err != nil {
+		assert.Check(t, code.Of(err).Run == code.NotRun, "%v", err)
+		return historyOutput{notRun: true}
+	}
+	return historyOutput{version: v.Offset, accepted: v.Accepted}
+}
