--- a/internal/control/authority.go
+++ b/internal/control/authority.go
@@ -21,11 +21,38 @@
 }
 
 func (e appended) apply(s *state) {
+	known := s.auth.Established()
+	touched := map[string]bool{}
 	for i := range e.items {
-		s.auth.Apply(e.items[i])
-		s.tracker.Read(e.at, &e.items[i])
+		it := &e.items[i]
+		s.auth.Apply(*it)
+		s.tracker.Read(e.at, it)
+		known = known && !it.Gap
+		s.touch(touched, it)
+	}
+	if !known {
+		s.takeAuthority()
+		return
+	}
+	for name := range touched {
+		s.takeScope(name)
+	}
+}
+
+// touch notes the scopes whose lease an item may change here. Renewals of
+// others change none, so that their cost doesn't grow with the fleet.
+func (s *state) touch(touched map[string]bool, it *logclient.Item) {
+	for _, c := range it.Entry.GetClaim().GetScopes() {
+		touched[c.Scope] = true
+	}
+	for _, name := range it.Entry.GetRelease().GetScopes() {
+		touched[name] = true
+	}
+	if it.Writer == s.opt.Incarnation {
+		for _, name := range s.auth.HeldBy(it.Writer) {
+			touched[name] = true
+		}
 	}
-	s.takeAuthority()
 }
 
 // beat is this process's renewal: one append carries the heartbeat with the
@@ -111,32 +138,39 @@
 	}
 	if e.seq > 0 {
 		s.tracker.Sent(e.seq, e.at)
-		s.takeAuthority()
+		for _, name := range s.auth.HeldBy(s.opt.Incarnation) {
+			s.takeScope(name)
+		}
 	}
 	if e.err != nil {
 		log.WithError(e.err).WithField("stream", s.opt.Stream).Warn("renewal not confirmed")
 	}
 }
 
-// takeAuthority brings the engines' leases in line with the stream.
+// takeAuthority brings every engine's lease in line with the stream.
 func (s *state) takeAuthority() {
-	held := int64(0)
-	for name, e := range s.engines {
-		h, _ := s.auth.Get(name)
-		until := s.tracker.Until(h)
-		if !s.auth.Established() {
-			until = 0
-		}
-		if mine := h.Writer == s.opt.Incarnation && !h.Released && s.auth.Established(); mine {
-			held++
-		} else {
-			until, h.Token = 0, 0
-		}
-		s.setLease(e, h.Token, until)
+	for name := range s.engines {
+		s.takeScope(name)
+	}
+	s.countHeld()
+}
+
+// takeScope brings one engine's lease in line with the stream.
+func (s *state) takeScope(name string) {
+	e := s.engines[name]
+	if e == nil {
+		return
 	}
-	s.c.left.Store(held)
+	h, _ := s.auth.Get(name)
+	until := s.tracker.Until(h)
+	if h.Writer != s.opt.Incarnation || h.Released || !s.auth.Established() {
+		until, h.Token = 0, 0
+	}
+	s.setLease(e, h.Token, until)
 }
 
+func (s *state) countHeld() { s.c.left.Store(int64(len(s.auth.HeldBy(s.opt.Incarnation)))) }
+
 // setLease notes an engine's token and the end of its lease. A new token is a
 // takeover: what was known of the engine before doesn't count any more.
 //
@@ -220,8 +254,8 @@
 			out = append(out, name)
 		}
 	}
-	if len(out) > 0 {
-		s.takeAuthority()
+	for _, name := range out {
+		s.takeScope(name)
 	}
 	return out
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -253,5 +253,8 @@
 	s.readEngines()
 	s.announce()
 	s.checkpoint()
-	s.publish()
+	s.countHeld()
+	if s.ticks%idleTicks == 0 {
+		s.publish()
+	}
 }
--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -4,7 +4,6 @@
 	"context"
 	"reflect"
 	"slices"
-	"strings"
 	"sync/atomic"
 
 	"github.com/apex/log"
@@ -124,12 +123,11 @@
 // held returns the engines that this process has the authority over, by name.
 func (s *state) held() []*engine {
 	var out []*engine
-	for _, e := range s.engines {
-		if e.token != 0 {
+	for _, name := range s.auth.HeldBy(s.opt.Incarnation) {
+		if e := s.engines[name]; e != nil && e.token != 0 {
 			out = append(out, e)
 		}
 	}
-	slices.SortFunc(out, func(a, b *engine) int { return strings.Compare(a.name, b.name) })
 	return out
 }
 
@@ -211,8 +209,15 @@
 // most.
 func (s *state) reconcileAll() {
 	held := s.held()
+	counted := map[string]bool{}
+	for _, e := range held {
+		if !counted[e.pool] {
+			counted[e.pool] = true
+			s.count(s.pools[e.pool])
+		}
+	}
 	slices.SortStableFunc(held, func(a, b *engine) int {
-		return s.pools[a.pool].serving(s) - s.pools[b.pool].serving(s)
+		return s.pools[a.pool].count.serving - s.pools[b.pool].count.serving
 	})
 	for _, e := range held {
 		if e.ordering || e.releasing == e.token || !e.known {
@@ -230,11 +235,14 @@
 	in := &reconcile.Input{
 		Now: now, Engine: e.name, Token: e.token, Want: want, State: e.state, ReadFrom: e.readFrom,
 		OrderFrom: e.orderFrom, AckedFrom: e.announced.acked(s, e),
-		MayLeave: !s.c.leaving.Load() && (empty || s.away(p) < p.awayLimit(s)),
+		MayLeave: !s.c.leaving.Load() && (empty || p.mayLeave()),
 		MayLoad:  s.mayLoad(now, &want, &e.state),
 	}
 	before := e.step
 	e.step = e.memory.Next(in, &s.opt.Times)
+	if e.step.Phase != before.Phase {
+		s.count(p)
+	}
 	if e.step.Reason != before.Reason || e.step.Phase != before.Phase {
 		log.WithField("engine", e.name).WithField("phase", e.step.Phase.String()).WithField("why", e.step.Reason).Info("step")
 	}
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -117,6 +117,11 @@
 	return f.take(ctx, o, lose)
 }
 
+// Order is for engines that nobody orders, in benchmarks.
+func (f *fakeEngine) Order(context.Context, driver.Order, driver.Permit) error {
+	return driver.ErrRefused
+}
+
 func (f *fakeEngine) take(_ context.Context, o driver.Order, lose bool) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -10,7 +10,6 @@
 	"fescuestand/internal/driver"
 	"fescuestand/internal/reconcile"
 	"fescuestand/internal/sheet"
-	"fescuestand/internal/wire"
 )
 
 // pool is one pool of the sheet.
@@ -18,6 +17,7 @@
 	spec  *sheet.Pool
 	roles map[string]driver.Role // by the planner, of engines not fixed
 	plan  *planner
+	count poolCount
 }
 
 func newPool(spec *sheet.Pool, old *pool) *pool {
@@ -39,43 +39,36 @@
 	return e.token != 0 && e.readFrom == 0 && e.answered != 0 && s.now().Sub(e.answered) > lostAfter
 }
 
-// away counts the engines of a pool that don't take work or may not: those in
-// a change, those that don't answer, and those that another process holds and
-// may be changing. So the share holds however the pool is split between
-// holders.
-func (s *state) away(p *pool) int {
-	n := 0
+// poolCount is how a pool stands.
+type poolCount struct {
+	engines int // that count: neither withdrawn nor lost
+	away    int
+	serving int
+}
+
+// count counts a pool's engines. Away are those that don't take work or may
+// not: those in a change, those that don't answer, and those that another
+// process holds and may be changing. So the share holds however the pool is
+// split between holders.
+func (s *state) count(p *pool) {
+	p.count = poolCount{}
 	for _, name := range p.spec.Engines {
 		e := s.engines[name]
 		if e == nil || e.spec.Withdrawn || s.lost(e) {
 			continue
 		}
+		p.count.engines++
 		if e.token == 0 || !e.known || e.readFrom == 0 || e.state.Changing || !s.isOpen(e) {
-			n++
-		}
-	}
-	return n
-}
-
-func (p *pool) awayLimit(s *state) int {
-	n := 0
-	for _, name := range p.spec.Engines {
-		if e := s.engines[name]; e != nil && !e.spec.Withdrawn && !s.lost(e) {
-			n++
+			p.count.away++
+		} else if len(e.state.Loaded) > 0 {
+			p.count.serving++
 		}
 	}
-	return reconcile.AwayLimit(n, p.spec.MaxAwayShare)
 }
 
-// serving counts the engines that serve the pool's model now.
-func (p *pool) serving(s *state) int {
-	n := 0
-	for _, name := range p.spec.Engines {
-		if e := s.engines[name]; e != nil && e.known && e.phase() == wire.Phase_PHASE_OPEN && len(e.state.Loaded) > 0 {
-			n++
-		}
-	}
-	return n
+// mayLeave reports whether one more engine of a pool may go.
+func (p *pool) mayLeave() bool {
+	return p.count.away < reconcile.AwayLimit(p.count.engines, p.spec.MaxAwayShare)
 }
 
 // role returns the role that an engine should have. An engine that the planner
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -219,3 +219,7 @@
 	}
 	return out
 }
+
+func openFake(w *world) func(string, driver.Target) (driver.Engine, error) {
+	return func(name string, _ driver.Target) (driver.Engine, error) { return w.engines[name], nil }
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -68,6 +68,10 @@
 	// A healthy log brings the sheet within milliseconds, and a pull by every
 	// process of every change would cost more bytes than all else.
 	pullAfter = 300 * time.Millisecond
+	// controlTurns is how much less often a control process takes its turns: it
+	// needs the entries' totals every second or two, and nobody waits for its
+	// heartbeat.
+	controlTurns = 2
 	// eventQueue holds a few rounds of heartbeats while the owner validates a
 	// large sheet.
 	eventQueue = 256
@@ -75,6 +79,9 @@
 
 func (o *Options) defaults() {
 	setDefault(&o.Every, defaultEvery)
+	if o.Process != processEntry {
+		o.Every *= controlTurns
+	}
 	setDefault(&o.Suspect, defaultSuspect)
 	setDefault(&o.Gone, defaultGone)
 	setDefault(&o.Fanout, defaultFanout)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -78,13 +78,15 @@
 
 // fleet is a set of replicas that reach each other in memory.
 type fleet struct {
-	t    *testing.T
-	log  *logtest.Log
-	mu   sync.Mutex
-	vms  []driver.VM
-	reps map[string]*Replica
-	logs map[string]*switchLog
-	stop map[string]func()
+	t   *testing.T
+	log *logtest.Log
+	// peers replaces the fleet's own calls if set.
+	peers Caller
+	mu    sync.Mutex
+	vms   []driver.VM
+	reps  map[string]*Replica
+	logs  map[string]*switchLog
+	stop  map[string]func()
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -111,8 +113,12 @@
 func (f *fleet) start(vm string, cut bool) *Replica {
 	l := &switchLog{Log: f.log, cut: cut}
 	c := logclient.New(logclient.Options{Log: l, Writer: vm + "-1", VM: vm})
+	peers := f.peers
+	if peers == nil {
+		peers = f
+	}
 	r := New(Options{
-		Log: c, VMs: f, Peers: f, Stream: "config", VM: vm, Process: "entry", Incarnation: vm + "-1", Checkpoint: true,
+		Log: c, VMs: f, Peers: peers, Stream: "config", VM: vm, Process: "entry", Incarnation: vm + "-1", Checkpoint: true,
 		Clock: bubbleClock{},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
