Demo refuses taken addresses; strict callers want every run request whole

Two demos at once shared stand-ins: a second publish showed up in the first one's fleet. Strict let two requests pass that had run and missed their deadline.

--- a/cmd/fescue-standin/caller.go
+++ b/cmd/fescue-standin/caller.go
@@ -43,7 +43,7 @@
 	Resend        bool          `long:"resend" description:"ask again after a cut connection, commits with the same key"`
 	Engines       []string      `long:"engine" value-name:"IP:PORT" description:"stand-in engine to audit at the end; may be repeated"`
 	Endpoints     []string      `long:"endpoint" value-name:"IP:PORT" description:"stand-in service endpoint to audit at the end; may be repeated"`
-	Strict        bool          `long:"strict" description:"exit 1 on an unknown outcome too"`
+	Strict        bool          `long:"strict" description:"exit 1 also if an outcome is unknown, or a request ran or was sent without a whole answer"`
 	JSON          bool          `long:"json" description:"print JSON in place of the table"`
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -48,6 +48,9 @@
 	}
 	_, _ = fmt.Fprintf(d.Out, "deployment %s: logs of every process in %s\n", d.Deployment.Sheet.Deployment, d.logDir)
 	defer func() { err = errors.Join(err, d.stopAll()) }()
+	if err := d.requireFree(); err != nil {
+		return err
+	}
 	steps := []struct {
 		name string
 		run  func(context.Context) error
@@ -68,6 +71,19 @@
 	return nil
 }
 
+// requireFree fails if an address of the example is taken. Two demos at once
+// would share stand-ins, and one's publish would reach the other's fleet.
+func (d *Demo) requireFree() error {
+	for _, a := range d.Deployment.addresses() {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return eris.Wrap(err, "an address of the example is taken; does another demo run?")
+		}
+		_ = l.Close()
+	}
+	return nil
+}
+
 func (d *Demo) startSystem(ctx context.Context) error {
 	var addresses []string
 	for i, vm := range d.Deployment.VMs {
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -23,5 +24,8 @@
 			assert.Equal(t, vm.Entry.VM, vm.Control.VM)
 			assert.Equal(t, vm.Entry.Deployment, name)
 		}
+		all := d.addresses()
+		slices.Sort(all)
+		assert.Equal(t, len(slices.Compact(slices.Clone(all))), len(all), "an address stands twice")
 	}
 }
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -66,6 +66,25 @@
 	return d, nil
 }
 
+// addresses returns every address that the demo's processes listen on.
+func (d *Deployment) addresses() []string {
+	first := d.VMs[0].Entry
+	all := []string{first.Log.Address, first.VMList.Address, first.WeightStore.Address}
+	for _, vm := range d.VMs {
+		a := vm.Entry.Addresses
+		all = append(all, a.Caller, a.Peer, a.Status, vm.Control.Addresses.Status)
+	}
+	for i := range d.Sheet.Engines {
+		all = append(all, d.Sheet.Engines[i].Address)
+	}
+	for _, s := range d.Sheet.Services {
+		for _, e := range s.Endpoints {
+			all = append(all, e.Address)
+		}
+	}
+	return all
+}
+
 // read decodes what all processes have in common; each checks its file whole
 // when it starts.
 func read(file string, v any) error {
--- a/internal/standin/caller/table.go
+++ b/internal/standin/caller/table.go
@@ -81,11 +81,12 @@
 }
 
 // Good tells whether no answer was wrong or cut and nothing ran that must not.
-// Strict also asks that nothing is left unknown.
+// Strict also asks that every request that ran has a whole answer, and that
+// none is left unknown or unanswered.
 func (r *Report) Good(strict bool) bool {
 	bad := r.Total(func(k *Kind) int { return k.Wrong + k.Cut })
 	if strict {
-		bad += r.Total(func(k *Kind) int { return sumOf(k.Unknown) })
+		bad += r.Total(func(k *Kind) int { return sumOf(k.Unknown) + sumOf(k.Failed) + k.Unreachable })
 	}
 	served := r.Total(func(k *Kind) int { return k.OnTime })
 	return bad == 0 && served > 0 && r.Audit.good()
