--- a/internal/entry/callerapi/decode.go
+++ b/internal/entry/callerapi/decode.go
@@ -129,24 +129,23 @@
 	return nil
 }
 
-// readBody reads the body within its time and size. The size is checked before
-// the memory is taken.
+// readBody reads the body within its size, and within the time that ServeHTTP
+// has set. The size is checked before the memory is taken.
 func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, *code.Error) {
 	if r.ContentLength > int64(limit) {
 		return nil, code.New(code.BodyTooLarge, "%d bytes; allowed: %d", r.ContentLength, limit)
 	}
-	rc := http.NewResponseController(w)
-	// A writer without deadlines is a forwarded request, whose body is here.
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTime))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		// From here on the server only waits for the caller to go away.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, code.New(code.BodyTooLarge, "over %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
 		return nil, code.New(code.SlowSender, "the body did not arrive within %v", bodyTime)
 	}
 	return nil, code.Wrap(code.CallerGone, err, "reading the body")
--- a/internal/entry/callerapi/handler.go
+++ b/internal/entry/callerapi/handler.go
@@ -32,6 +32,10 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The deadline also bounds what net/http reads of the body of a request
+	// that was refused unread. A forwarded request has no deadline: its body is
+	// here.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTime))
 	if err := checkHeaders(r.Header); err != nil {
 		// The rest of the request isn't worth reading.
 		w.Header().Set("Connection", "close")
--- a/internal/entry/forward/front.go
+++ b/internal/entry/forward/front.go
@@ -91,10 +91,11 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTime))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	_ = rc.SetReadDeadline(time.Time{})
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		return nil, code.Wrap(code.SlowSender, err, "reading the body")
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 	fwd := &wire.Forward{Method: r.Method, Path: r.URL.RequestURI(), Body: body, Hops: 1}
 	for name, values := range r.Header {
 		for _, v := range values {
