--- a/internal/commit/options.go
+++ b/internal/commit/options.go
@@ -23,6 +23,9 @@
 	// DefaultReplayWait is how long a resend waits for the outcome of a first
 	// use that is under way: above a service's usual answer and two appends.
 	DefaultReplayWait = 5 * time.Second
+	// DefaultOutcomeDelay lets an outcome travel with the next intents instead
+	// of taking an append of its own: nobody waits for it but a resend.
+	DefaultOutcomeDelay = 50 * time.Millisecond
 	// DefaultLogBackoff is the pause between two tries to record an outcome or
 	// a void while the log is down.
 	DefaultLogBackoff = 200 * time.Millisecond
@@ -49,6 +52,7 @@
 	VoidWait       time.Duration
 	RunningFor     time.Duration
 	ReplayWait     time.Duration
+	OutcomeDelay   time.Duration
 	LogBackoff     time.Duration
 	LogRetry       time.Duration
 	MaxPending     int
@@ -84,6 +88,7 @@
 	setDefault(&o.VoidWait, DefaultVoidWait)
 	setDefault(&o.RunningFor, DefaultRunningFor)
 	setDefault(&o.ReplayWait, DefaultReplayWait)
+	setDefault(&o.OutcomeDelay, DefaultOutcomeDelay)
 	setDefault(&o.LogBackoff, DefaultLogBackoff)
 	setDefault(&o.LogRetry, DefaultLogRetry)
 	setDefault(&o.MaxPending, DefaultMaxPending)
--- a/internal/commit/run.go
+++ b/internal/commit/run.go
@@ -69,7 +69,7 @@
 		o.Body, o.Run, o.Code = nil, code.Ran, code.CommitUnknown
 	}
 	c.table.SetOutcome(p.req.Key, o)
-	c.record(&wire.Entry{Kind: &wire.Entry_Outcome{Outcome: &wire.Outcome{
+	c.record(c.o.OutcomeDelay, &wire.Entry{Kind: &wire.Entry_Outcome{Outcome: &wire.Outcome{
 		Key: p.req.Key, Attempt: p.attempt, Code: uint32(o.Code), Run: string(o.Run), Body: o.Body,
 	}}})
 }
@@ -79,7 +79,7 @@
 // that nobody dispatches. While the void isn't known to be in the log, the
 // caller is told unknown.
 func (c *Committer) giveUp(ctx context.Context, p *proposal, cause error) *code.Error {
-	recorded := c.record(&wire.Entry{Kind: &wire.Entry_Void{Void: &wire.Void{
+	recorded := c.record(0, &wire.Entry{Kind: &wire.Entry_Void{Void: &wire.Void{
 		Key: p.req.Key, Attempt: p.attempt,
 	}}})
 	abandoned := code.Wrap(code.CommitAbandoned, cause, "given up before dispatch").WithRetryAfter(c.o.LogRetry)
@@ -98,26 +98,37 @@
 	}
 }
 
-// record appends e until the log has surely taken it or Close gives up. Both
+// record appends e, after a delay, until the log has surely taken it or Close gives up. Both
 // kinds of record may stand in the log twice without harm.
-func (c *Committer) record(e *wire.Entry) (recorded <-chan struct{}) {
+func (c *Committer) record(delay time.Duration, e *wire.Entry) (recorded <-chan struct{}) {
 	done := make(chan struct{})
 	c.pending.Add(1)
 	go func() {
 		defer c.pending.Done()
+		if delay > 0 {
+			c.pause(delay)
+		}
 		for {
 			_, err := c.journal.Append(c.ctx, e)
 			if err == nil {
 				close(done)
 				return
 			}
-			select {
-			case <-time.After(c.o.LogBackoff):
-			case <-c.ctx.Done():
-				log.WithError(err).Warn("commit_record_lost")
+			if !c.pause(c.o.LogBackoff) {
+				log.WithError(err).Warn("commit record lost")
 				return
 			}
 		}
 	}()
 	return done
 }
+
+// pause waits for d and returns false if Close has given up meanwhile.
+func (c *Committer) pause(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
