--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -48,8 +48,10 @@
 // world is a whole deployment in one process, on loopback.
 type world struct {
 	t        testing.TB
-	ctx      context.Context
+	ctx      context.Context // of the stand-ins, which outlive the entries
 	wg       sync.WaitGroup
+	running  context.Context // of the entries
+	entryWG  sync.WaitGroup
 	logAddr  string
 	vmAddr   string
 	engines  []string
@@ -75,9 +77,12 @@
 func newWorld(t testing.TB, cfg worldConfig) *world {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &world{t: t, ctx: ctx, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	running, stop := context.WithCancel(ctx)
+	w := &world{t: t, ctx: ctx, running: running, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(func() {
 		w.client.CloseIdleConnections()
+		stop()
+		w.entryWG.Wait()
 		cancel()
 		w.wg.Wait()
 	})
@@ -180,8 +185,8 @@
 	n := &entryNode{addr: vm.Caller, signals: make(chan os.Signal, 2), done: make(chan error, 1)}
 	n.unit = New(Options{Settings: s, Incarnation: incarnation, Replica: r, Log: client, Peers: peers, Clock: clock.Boot{}})
 	opt := kernel.Options{LongestDrain: s.LongestDrain.D(), Signals: n.signals}
-	w.wg.Go(func() {
-		n.done <- kernel.Run(w.ctx, opt, r, n.unit)
+	w.entryWG.Go(func() {
+		n.done <- kernel.Run(w.running, opt, r, n.unit)
 		_ = peers.Close()
 		_ = client.Close()
 	})
