Directives close an engine before its count is read, and lapse; tests of dispatch

Directive and count raced: a request between choice and count was not in the answer to the control process. A silent sender's directive now lapses after 30 s; before, an engine stayed closed for ever if its holder died while the log was down.

--- a/internal/entry/callerapi/handler.go
+++ b/internal/entry/callerapi/handler.go
@@ -51,7 +51,7 @@
 	log.WithField("path", r.URL.Path).WithField("request", r.Header.Get(HeaderRequestID)).
 		WithField("code", int(e.Code)).WithField("run", string(e.Run)).Debug("refused")
 	var elsewhere []Address
-	if e.Code == code.Leaving || e.Code == code.NotReady {
+	if e.Code == code.Leaving || e.Code == code.NotReady || e.Code == code.ForwardLoop {
 		elsewhere = h.backend.Addresses("").Addresses
 	}
 	refuse(w, err, elsewhere)
@@ -122,8 +122,8 @@
 		ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
 		defer cancel()
 		reply, err = h.backend.Call(ctx, c)
-	} else if isResend(r) {
-		err = unsureOfEarlier(err)
+	} else {
+		err = UnsureOfEarlier(r, err)
 	}
 	if err != nil {
 		h.Refuse(w, r, err)
@@ -139,11 +139,11 @@
 	return v != "" && v != "0" && v != "false"
 }
 
-// unsureOfEarlier takes not-run back from the refusal of a resend that was
+// UnsureOfEarlier takes not-run back from the refusal of a resend that was
 // made without a look at the key: an earlier sending may have run.
-func unsureOfEarlier(err error) error {
+func UnsureOfEarlier(r *http.Request, err error) error {
 	e := code.Of(err)
-	if e.Run == code.NotRun {
+	if e.Run == code.NotRun && isResend(r) {
 		e.Run = code.Unknown
 	}
 	return e
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -20,6 +20,10 @@
 	// callers expect between tokens, above any pause of a batch that takes in
 	// a long prompt.
 	stallAfter = 2 * time.Second
+	// closedWait is how long a new table takes to come after a directive.
+	closedWait = 5 * time.Millisecond
+	// maxFlush bounds the tokens of one write.
+	maxFlush = 64
 	// exportWait bounds the export of a stream's KV cache. Computing it again
 	// elsewhere is the cheaper way after that.
 	exportWait = time.Second
@@ -49,8 +53,13 @@
 		s.d.router.Done(s.d.clk.Now(), &p.Dispatch, route.Canceled)
 		return fmt.Errorf("%w: engine %s left the sheet", driver.ErrNotSent, p.Endpoint.Name)
 	}
-	release := e.Hold()
 	s.from = s.asm.Next()
+	release, ok := e.Hold()
+	if !ok {
+		s.d.router.Done(s.d.clk.Now(), &p.Dispatch, route.Canceled)
+		wait(ctx, closedWait)
+		return errMoved
+	}
 	err := s.send(ctx, p, e, x)
 	release()
 	result := outcomeOf(ctx, err)
@@ -145,7 +154,7 @@
 	}
 	s.d.router.FirstToken(s.d.clk.Now(), &l.p.Dispatch)
 	s.clear(l.exposure)
-	for {
+	for range maxFlush {
 		if err := s.one(t); err != nil {
 			return err
 		}
@@ -162,6 +171,8 @@
 			return s.flush()
 		}
 	}
+	// The token taken last is still to be passed on.
+	return errors.Join(s.one(t), s.flush())
 }
 
 func (s *session) one(t driver.Token) error {
@@ -218,7 +229,11 @@
 	if e == nil {
 		return nil
 	}
-	defer e.Hold()()
+	release, ok := e.Hold()
+	if !ok {
+		return nil
+	}
+	defer release()
 	s.d.router.Sent(s.d.clk.Now(), p)
 	part := *req
 	part.Attempt, part.MaxTokens, part.From, part.Prior = s.d.newAttempt(), 0, 0, nil
--- /dev/null
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -0,0 +1,334 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+	"fescuestand/internal/commit"
+	"fescuestand/internal/driver"
+	"fescuestand/internal/entry/callerapi"
+	"fescuestand/internal/entry/fleet"
+	"fescuestand/internal/entry/suspect"
+	"fescuestand/internal/policy/route"
+	"fescuestand/internal/sheet"
+	"fescuestand/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	log.SetHandler(discard.New())
+	goleak.VerifyTestMain(m)
+}
+
+// script is what the endpoints of one test do with each attempt.
+type script struct {
+	attempts atomic.Int64
+	// open answers an attempt at a completion with its tokens' end.
+	open func(n int64, r *driver.GenerateRequest) (end error, refuse error)
+	call func(n int64) ([]byte, error)
+}
+
+var scripts sync.Map // by address
+
+type fakeEngine struct{ s *script }
+
+func init() {
+	driver.Engines.Register("fake", func(t driver.Target) (driver.Engine, error) {
+		s, _ := scripts.Load(t.Address)
+		return &fakeEngine{s.(*script)}, nil
+	})
+	driver.Services.Register("fake", func(t driver.Target) (driver.Service, error) {
+		s, _ := scripts.Load(t.Address)
+		return &fakeService{s.(*script)}, nil
+	})
+}
+
+func (e *fakeEngine) State(context.Context) (driver.EngineState, error) {
+	return driver.EngineState{Incarnation: "1", Role: driver.RoleMixed}, nil
+}
+
+func (e *fakeEngine) Report(context.Context) (driver.LoadReport, error) {
+	return driver.LoadReport{}, nil
+}
+
+func (e *fakeEngine) CacheEvents(context.Context, uint64) ([]driver.CacheEvent, error) {
+	return nil, nil
+}
+
+func (e *fakeEngine) Prefill(context.Context, *driver.GenerateRequest) (driver.KVHandle, error) {
+	return driver.KVHandle{}, driver.ErrRefused
+}
+
+func (e *fakeEngine) Generate(ctx context.Context, r *driver.GenerateRequest) (driver.TokenStream, error) {
+	end, refuse := e.s.open(e.s.attempts.Add(1), r)
+	if refuse != nil {
+		return nil, refuse
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	return &fakeStream{ctx: ctx, cancel: cancel, r: r, pos: r.From, end: end}, nil
+}
+
+func (e *fakeEngine) Export(context.Context, string) (driver.KVHandle, error) {
+	return driver.KVHandle{}, driver.ErrRefused
+}
+
+func (e *fakeEngine) Order(context.Context, driver.Order, driver.Permit) error { return nil }
+func (e *fakeEngine) Close() error                                             { return nil }
+
+// errHang makes a stream say nothing more.
+var errHang = errors.New("hang")
+
+// fakeStream sends two tokens, then its end; at MaxTokens it is whole.
+type fakeStream struct {
+	ctx    context.Context
+	cancel func()
+	r      *driver.GenerateRequest
+	pos    int
+	end    error
+}
+
+func (s *fakeStream) Next() (driver.Token, error) {
+	if s.pos >= s.r.MaxTokens {
+		return driver.Token{}, io.EOF
+	}
+	if s.end != nil && s.pos >= s.r.From+2 {
+		if errors.Is(s.end, errHang) {
+			<-s.ctx.Done()
+			return driver.Token{}, driver.ErrCut
+		}
+		return driver.Token{}, s.end
+	}
+	s.pos++
+	return driver.Token{Attempt: s.r.Attempt, Pos: s.pos - 1, Text: fmt.Appendf(nil, "%d ", s.pos-1)}, nil
+}
+
+func (s *fakeStream) Close() error {
+	s.cancel()
+	return nil
+}
+
+type fakeService struct{ s *script }
+
+func (f *fakeService) Call(context.Context, *driver.Call) ([]byte, error) {
+	return f.s.call(f.s.attempts.Add(1))
+}
+func (f *fakeService) Report(context.Context) (driver.LoadReport, error) {
+	return driver.LoadReport{}, nil
+}
+func (f *fakeService) Close() error { return nil }
+
+// unlimited is the twin of the retry budget.
+type unlimited struct{}
+
+func (unlimited) Request(clock.Time, string, string)    {}
+func (unlimited) Retry(clock.Time, string, string) bool { return true }
+
+// start runs a dispatcher over n engines and n endpoints of one script.
+func start(t *testing.T, s *script, n int, b Budget) *Dispatcher {
+	t.Helper()
+	scripts.Store(t.Name(), s)
+	sh := &sheet.Sheet{
+		Classes:  []sheet.Class{{Name: "c"}},
+		Services: []sheet.Service{{Name: "svc", Driver: "fake"}},
+		Pools:    []sheet.Pool{{Name: "p", Model: "m", Version: "1"}},
+	}
+	for i := range n {
+		name := fmt.Sprint("e", i)
+		sh.Engines = append(sh.Engines, sheet.Engine{Name: name, Driver: "fake", Address: t.Name()})
+		sh.Pools[0].Engines = append(sh.Pools[0].Engines, name)
+		sh.Services[0].Endpoints = append(sh.Services[0].Endpoints, sheet.ServiceEndpoint{Name: fmt.Sprint("s", i), Address: t.Name()})
+	}
+	f := fleet.New(route.Config{}, clock.Boot{}, 1)
+	d := New(Options{
+		Fleet: f, Clock: clock.Boot{}, Writer: "w", Budget: b, Suspects: suspect.NewRegister(),
+		Exchange: func(context.Context) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = f.Run(ctx) })
+	wg.Go(func() { _ = d.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	f.SetSheet(ctx, sh, 1)
+	for len(f.Router().Table().Endpoints()) < 2*n {
+		time.Sleep(time.Millisecond)
+	}
+	return d
+}
+
+// sink gathers a stream's text.
+type sink struct{ text string }
+
+func (s *sink) Token(t driver.Token) error {
+	s.text += string(t.Text)
+	return nil
+}
+func (s *sink) Flush() error { return nil }
+
+func generate(d *Dispatcher, tokens int, patience time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	out := &sink{}
+	err := d.Generate(ctx, &callerapi.Generate{
+		Caller: callerapi.Caller{Deadline: time.Now().Add(patience), Name: "caller"},
+		Model:  "m", Prompt: []byte("x"), MaxTokens: tokens, Class: "c",
+	}, out)
+	return out.text, err
+}
+
+// An engine's connection breaks after two tokens, each time. The stream goes on
+// from engine to engine and is whole in the end.
+func TestStreamGoesOnThroughManyBreaks(t *testing.T) {
+	s := &script{open: func(int64, *driver.GenerateRequest) (error, error) { return driver.ErrCut, nil }}
+	d := start(t, s, 3, NewShareBudget())
+	text, err := generate(d, 10, 10*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, text, "0 1 2 3 4 5 6 7 8 9 ")
+}
+
+// An engine stops in the middle of a stream without closing its connection,
+// like a frozen machine. The caller sees a pause, then the rest.
+func TestStalledStreamGoesOnElsewhere(t *testing.T) {
+	s := &script{open: func(n int64, _ *driver.GenerateRequest) (error, error) {
+		if n == 1 {
+			return errHang, nil
+		}
+		return nil, nil
+	}}
+	d := start(t, s, 2, NewShareBudget())
+	text, err := generate(d, 4, 10*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, text, "0 1 2 3 ")
+}
+
+// Every engine fails every request, say after a bad weight push. Retries must
+// not multiply the load on what is left: they stay a tenth of the requests.
+func TestRetriesStayInTheirBudget(t *testing.T) {
+	attempts := storm(t, NewShareBudget())
+	assert.Assert(t, attempts <= stormSize*(1+retryShare)+2*retrySpare, "%d attempts for %d requests", attempts, stormSize)
+}
+
+func TestRetriesWithoutBudget(t *testing.T) {
+	attempts := storm(t, unlimited{})
+	assert.Assert(t, attempts > 5*stormSize, "%d attempts for %d requests", attempts, stormSize)
+}
+
+const stormSize = 40
+
+func storm(t *testing.T, b Budget) int64 {
+	s := &script{open: func(int64, *driver.GenerateRequest) (error, error) { return nil, driver.ErrFailed }}
+	d := start(t, s, 3, b)
+	var wg sync.WaitGroup
+	for range stormSize {
+		wg.Go(func() {
+			_, err := generate(d, 3, 5*time.Second)
+			assert.Check(t, code.Of(err).Run == code.Ran, "%v", err)
+		})
+	}
+	wg.Wait()
+	return s.attempts.Load()
+}
+
+// What a caller is told of a failure follows from how far the work got.
+func TestRunSaysHowFarTheWorkGot(t *testing.T) {
+	tests := []struct {
+		name   string
+		end    error
+		refuse error
+		code   code.Code
+		run    code.Run
+	}{
+		{"refused", nil, driver.ErrRefused, code.EndpointRefused, code.NotRun},
+		{"not sent", nil, driver.ErrNotSent, code.EndpointRefused, code.NotRun},
+		{"cut", nil, driver.ErrCut, code.EndpointCut, code.Unknown},
+		{"failed", nil, driver.ErrFailed, code.EndpointFailed, code.Ran},
+		{"silent", errHang, nil, code.DeadlineMissed, code.Ran},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &script{open: func(int64, *driver.GenerateRequest) (error, error) { return tt.end, tt.refuse }}
+			d := start(t, s, 1, NewShareBudget())
+			_, err := generate(d, 9, 1500*time.Millisecond)
+			assert.Equal(t, code.Of(err).Code, tt.code, "%v", err)
+			assert.Equal(t, code.Of(err).Run, tt.run)
+		})
+	}
+}
+
+// A lookup may be asked of another endpoint after any failure; a commit only
+// while no endpoint can have it.
+func TestOnlyLookupsAreRepeatedAfterACut(t *testing.T) {
+	fails := func(first error) *script {
+		return &script{call: func(n int64) ([]byte, error) {
+			if n == 1 {
+				return nil, first
+			}
+			return []byte("ok"), nil
+		}}
+	}
+	call := &callerapi.Call{Service: "svc", Operation: "op"}
+	s := fails(driver.ErrCut)
+	d := start(t, s, 2, NewShareBudget())
+	body, err := d.Lookup(context.Background(), call)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "ok")
+
+	permit := func() error { return nil }
+	for _, first := range []error{driver.ErrNotSent, driver.ErrRefused} {
+		s.attempts.Store(0)
+		s.call = fails(first).call
+		body, err = d.Dispatch(context.Background(), &commit.Call{Service: "svc"}, permit)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "ok")
+	}
+	for _, first := range []error{driver.ErrCut, driver.ErrFailed, driver.ErrBadAnswer} {
+		s.attempts.Store(0)
+		s.call = fails(first).call
+		_, err = d.Dispatch(context.Background(), &commit.Call{Service: "svc"}, permit)
+		assert.ErrorIs(t, err, first)
+		assert.Equal(t, s.attempts.Load(), int64(1))
+	}
+}
+
+// A control process that is about to change an engine asks what is in flight
+// there. An answer of none must hold: no request that had chosen the engine
+// before may still come. And if the control process dies, the engine is not
+// lost for ever.
+func TestDirectiveClosesTheEngine(t *testing.T) {
+	s := &script{open: func(int64, *driver.GenerateRequest) (error, error) { return nil, nil }}
+	d := start(t, s, 1, NewShareBudget())
+	ctx := context.Background()
+	drain := &wire.Directive{Engine: "e0", Fence: 2, Seq: 1, Phase: wire.Phase_PHASE_DRAIN}
+	assert.Equal(t, d.fleet.Direct(ctx, drain), 0)
+	_, ok := d.fleet.Engine("e0").Hold()
+	assert.Assert(t, !ok)
+	_, err := generate(d, 3, time.Second)
+	assert.Equal(t, code.Of(err).Code, code.NoEndpoint, "%v", err)
+	assert.Equal(t, code.Of(err).Run, code.NotRun)
+	for _, stale := range []*wire.Directive{
+		{Engine: "e0", Fence: 1, Seq: 7, Phase: wire.Phase_PHASE_OPEN},
+		{Engine: "e0", Fence: 2, Seq: 0, Phase: wire.Phase_PHASE_OPEN},
+	} {
+		d.fleet.Direct(ctx, stale)
+		_, ok = d.fleet.Engine("e0").Hold()
+		assert.Assert(t, !ok, "opened by %v", stale)
+	}
+	d.fleet.Direct(ctx, &wire.Directive{Engine: "e0", Fence: 3, Seq: 1, Phase: wire.Phase_PHASE_OPEN})
+	text, err := generate(d, 3, 2*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, text, "0 1 2 ")
+}
--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -31,6 +31,12 @@
 	// suspectAfter is how many polls in a row may fail before an endpoint is
 	// used only when nothing else is left.
 	suspectAfter = 3
+	// directiveKept is how long a directive that closes an engine counts after
+	// it was last heard. Its sender repeats it several times a second; one
+	// that has died, with nobody to follow it while the log is down, must not
+	// keep the engine away for ever. It is five leases long, so that no order of
+	// the sender can still be on its way.
+	directiveKept = 30 * time.Second
 	// sweepEvery is the time between two looks for slow endpoints.
 	sweepEvery = 250 * time.Millisecond
 )
@@ -61,6 +67,7 @@
 
 	incarnation atomic.Pointer[string]
 	inFlight    atomic.Int64
+	closed      atomic.Bool                   // a directive forbids new work
 	moved       atomic.Pointer[chan struct{}] // closed when streams have to move
 }
 
@@ -76,10 +83,45 @@
 // move elsewhere.
 func (e *Engine) Moved() <-chan struct{} { return *e.moved.Load() }
 
-// Hold counts one attempt at the engine until the returned function is called.
-func (e *Engine) Hold() (release func()) {
+// Hold counts one attempt at the engine until release is called, or returns
+// false if the engine takes no new work.
+//
+// Failure: a request is on its way between the choice of its engine and its
+// count there while a directive comes; the control process is told that nothing
+// is in flight and changes the engine under the request. The count comes before
+// the look at closed, and the directive closes before it reads the count: one
+// of the two sees the other.
+func (e *Engine) Hold() (release func(), ok bool) {
 	e.inFlight.Add(1)
-	return func() { e.inFlight.Add(-1) }
+	if e.closed.Load() {
+		e.inFlight.Add(-1)
+		return nil, false
+	}
+	return func() { e.inFlight.Add(-1) }, true
+}
+
+// setPhase lets the engine take work, or not, and tells its streams to move.
+// Only the fleet's owner calls it.
+func (e *Engine) setPhase(p wire.Phase) {
+	e.closed.Store(p != wire.Phase_PHASE_OPEN)
+	leaves := p == wire.Phase_PHASE_MOVE || p == wire.Phase_PHASE_AWAY
+	moving := isClosed(e.Moved())
+	if leaves && !moving {
+		close(*e.moved.Load())
+	}
+	if !leaves && moving {
+		moved := make(chan struct{})
+		e.moved.Store(&moved)
+	}
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
 }
 
 // InFlight returns this entry's attempts at the engine.
@@ -165,6 +207,7 @@
 			o.drainEvents()
 			o.publish()
 		case <-sweep.C:
+			o.lapseDirectives()
 			for _, e := range f.router.Sweep(f.clk.Now()) {
 				log.WithField("endpoint", e.Endpoint).WithField("why", e.String()).Warn("endpoint ejected")
 			}
--- a/internal/entry/fleet/owner.go
+++ b/internal/entry/fleet/owner.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"fescuestand/internal/clock"
 	"fescuestand/internal/driver"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/sheet"
@@ -19,7 +20,7 @@
 	sheet      *sheet.Sheet
 	version    uint64
 	endpoints  map[string]*endpoint
-	directives map[string]*wire.Directive
+	directives map[string]*directive
 	published  []route.Endpoint
 	dirty      bool // the index has to be published too
 }
@@ -36,7 +37,7 @@
 }
 
 func newOwner(ctx context.Context, f *Fleet) *owner {
-	return &owner{ctx: ctx, f: f, endpoints: map[string]*endpoint{}, directives: map[string]*wire.Directive{}}
+	return &owner{ctx: ctx, f: f, endpoints: map[string]*endpoint{}, directives: map[string]*directive{}}
 }
 
 // drainEvents applies what else is waiting, so that a round of polls makes one
@@ -123,6 +124,7 @@
 			e := &Engine{Engine: d, Name: name}
 			moved := make(chan struct{})
 			e.moved.Store(&moved)
+			e.setPhase(o.directiveOf(name).GetPhase())
 			o.start(name, &endpoint{target: t, engine: e})
 			return
 		}
@@ -162,32 +164,50 @@
 	if e.done != nil {
 		defer close(e.done)
 	}
-	old := o.directives[e.d.GetEngine()]
-	if old != nil && (e.d.GetFence() < old.GetFence() ||
-		e.d.GetFence() == old.GetFence() && e.d.GetSeq() <= old.GetSeq()) {
+	name := e.d.GetEngine()
+	old := o.directives[name]
+	switch {
+	case old == nil:
+	case e.d.GetFence() < old.d.GetFence():
 		return
-	}
-	o.directives[e.d.GetEngine()] = e.d
-	ep := o.endpoints[e.d.GetEngine()]
-	if ep == nil || ep.engine == nil {
+	case e.d.GetFence() == old.d.GetFence() && e.d.GetSeq() < old.d.GetSeq():
+		return
+	case e.d.GetFence() == old.d.GetFence() && e.d.GetSeq() == old.d.GetSeq() && !old.lapsed:
+		old.heard = o.f.clk.Now()
 		return
 	}
-	leaves := e.d.GetPhase() == wire.Phase_PHASE_MOVE || e.d.GetPhase() == wire.Phase_PHASE_AWAY
-	moving := isClosed(ep.engine.Moved())
-	if leaves && !moving {
-		close(*ep.engine.moved.Load())
+	o.directives[name] = &directive{d: e.d, heard: o.f.clk.Now()}
+	if ep := o.endpoints[name]; ep != nil && ep.engine != nil {
+		ep.engine.setPhase(e.d.GetPhase())
 	}
-	if !leaves && moving {
-		moved := make(chan struct{})
-		ep.engine.moved.Store(&moved)
+}
+
+// directive is the newest one of an engine.
+type directive struct {
+	d      *wire.Directive
+	heard  clock.Time
+	lapsed bool
+}
+
+// lapseDirectives opens engines whose holder has said nothing for long.
+func (o *owner) lapseDirectives() {
+	for name, d := range o.directives {
+		if d.lapsed || d.d.GetPhase() == wire.Phase_PHASE_OPEN || o.f.clk.Now().Sub(d.heard) < directiveKept {
+			continue
+		}
+		d.lapsed = true
+		log.WithField("engine", name).WithField("phase", d.d.GetPhase()).Warn("directive lapsed, its sender is silent")
+		if ep := o.endpoints[name]; ep != nil && ep.engine != nil {
+			ep.engine.setPhase(wire.Phase_PHASE_OPEN)
+		}
+		o.publish()
 	}
 }
 
-func isClosed(ch <-chan struct{}) bool {
-	select {
-	case <-ch:
-		return true
-	default:
-		return false
+// directiveOf returns the directive in force, nil if there is none.
+func (o *owner) directiveOf(name string) *wire.Directive {
+	if d := o.directives[name]; d != nil && !d.lapsed {
+		return d.d
 	}
+	return nil
 }
--- a/internal/entry/fleet/table.go
+++ b/internal/entry/fleet/table.go
@@ -94,7 +94,7 @@
 }
 
 func (o *owner) engineOf(p *sheet.Pool, e *sheet.Engine, ep *endpoint) route.Endpoint {
-	d := o.directives[e.Name]
+	d := o.directiveOf(e.Name)
 	r := route.Endpoint{
 		Name: e.Name, Pool: p.Name, Zone: e.Zone, Slots: defaultSlots,
 		Role: roleOf(p, e, ep, d), State: stateOf(e, ep, d), Serves: servesOf(p, ep),
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -87,7 +87,7 @@
 	u.backend = &backend{own: s, views: o.Replica.View, dispatch: u.dispatch, commits: u.commits}
 	handler := callerapi.NewHandler(u.backend)
 	u.front = &forward.Front{
-		Next: handler, Peers: pool{o.Peers}, Away: u.leaving.Load,
+		Next: handler, Peers: pool{o.Peers}, Away: u.away,
 		Choose: u.backend.peers, Refuse: handler.Refuse,
 	}
 	u.server = callerapi.NewServer(u.counted(u.front))
@@ -117,11 +117,26 @@
 	return 0
 }
 
+// away tells whether this VM takes no new work: it was told to stop, or the VM
+// list says that it leaves.
+func (u *Unit) away() bool {
+	if u.leaving.Load() {
+		return true
+	}
+	m := u.o.Replica.View().Member(u.o.Settings.VM)
+	return m != nil && m.Leaving
+}
+
 // counted keeps the number of requests in hand, which a drain waits for.
 func (u *Unit) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		u.active.Add(1)
 		defer u.active.Add(-1)
+		if u.away() {
+			// The caller's next request goes elsewhere. Closing idle
+			// connections instead would cut a request that is on its way.
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -185,7 +200,6 @@
 func (u *Unit) Drain(ctx context.Context) error {
 	u.leaving.Store(true)
 	u.o.Replica.SetLeaving()
-	u.server.SetKeepAlivesEnabled(false)
 	linger := time.NewTimer(drainLinger)
 	defer linger.Stop()
 	select {
