--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -239,7 +239,8 @@
 
 func (r *Router) noEndpoint(req *Request, t *Table, now clock.Time) error {
 	known, open, out, full := 0, 0, 0, 0
-	for _, p := range t.peers {
+	for i := range t.peers {
+		p := &t.peers[i] // a copy would race with Sweep, which writes its rates
 		if p.pool != req.Pool {
 			continue
 		}
