--- a/internal/entry/dispatch/generate.go
+++ b/internal/entry/dispatch/generate.go
@@ -24,6 +24,9 @@
 	// maxAttempts bounds the attempts of one completion, moves included: an
 	// engine is moved seldom, so that more means a fault that no retry mends.
 	maxAttempts = 12
+	// maxRefusals bounds the attempts of a completion that no engine has taken:
+	// where three refuse, its caller should hear it while it can ask elsewhere.
+	maxRefusals = 3
 	// placeWait is how long an admitted request waits for an endpoint to open
 	// again, such as between two phases of a planned change.
 	placeWait = 500 * time.Millisecond
@@ -162,6 +165,8 @@
 	case errors.Is(err, errMoved), s.asm.Next() > s.from:
 		return true
 	case s.asm.Next() > 0 && untouched(err):
+	case untouched(err) && n >= maxRefusals:
+		return false
 	case !s.d.budget.Retry(s.d.clk.Now(), s.pool.Name, s.g.Name):
 		return false
 	}
--- a/internal/entry/forward/front.go
+++ b/internal/entry/forward/front.go
@@ -52,6 +52,8 @@
 	Choose func() []string
 	// Refuse writes a numbered refusal.
 	Refuse func(w http.ResponseWriter, r *http.Request, err error)
+
+	offHops bool // pass on what was passed on before, so that a test shows the loop
 }
 
 // ServeHTTP implements http.Handler.
