--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -20,7 +20,7 @@
 	v, s := u.o.Replica.View(), u.o.Settings
 	r := status.Report{
 		VM: s.VM, Zone: s.Zone, Process: "entry", Incarnation: u.o.Incarnation,
-		Ready: v.Ready && u.table.Ready(), Leaving: u.leaving.Load(), SheetVersion: v.Version,
+		Ready: v.Ready, Commits: u.table.Ready(), Leaving: u.leaving.Load(), SheetVersion: v.Version,
 		Log:      status.Log{Healthy: v.Log.Healthy, LastError: v.Log.LastError, Offset: v.Offset},
 		Requests: int(u.active.Load()), Endpoints: u.endpoints(),
 	}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -27,7 +27,8 @@
 	Zone         string     `json:"zone"`
 	Process      string     `json:"process"`
 	Incarnation  string     `json:"incarnation"`
-	Ready        bool       `json:"ready"`
+	Ready        bool       `json:"ready"`   // there is an accepted sheet
+	Commits      bool       `json:"commits"` // the commits stream was read to its end: commits can run
 	Leaving      bool       `json:"leaving"`
 	SheetVersion uint64     `json:"sheet_version"`
 	Log          Log        `json:"log"`
