--- a/internal/policy/admit/config.go
+++ b/internal/policy/admit/config.go
@@ -26,9 +26,6 @@
 	// rateWeight lets about ten requests decide a measured rate: fast enough
 	// for a mix that swings within minutes.
 	rateWeight = 0.1
-	// minPrompt is the prompt length from which a first-token latency tells
-	// the prefill rate rather than the fixed costs.
-	minPrompt = 256
 	// shrink is the loss of capacity that makes the queue forecast again
 	// what it holds.
 	shrink = 0.9
@@ -40,6 +37,7 @@
 	Priority int     // 0 is served first; a lower class waits while a higher one has work
 	Weight   float64 // share among the classes of one priority
 	Output   int     // expected output tokens, until measured
+	Urgent   bool    // sent with the engine's higher priority
 }
 
 // Rates are the times that an engine takes, as measured.
@@ -47,6 +45,7 @@
 	Base            time.Duration
 	PrefillPerToken time.Duration
 	DecodePerToken  time.Duration
+	Batch           int // answers that an engine decodes at once, sharing each step
 }
 
 // Guards switches single protections off, so that tests and measurements can
--- a/internal/policy/admit/fair.go
+++ b/internal/policy/admit/fair.go
@@ -14,6 +14,7 @@
 	parent *flow
 	key    flowKey
 	weight float64
+	urgent bool    // of a class
 	start  float64 // tag among its siblings
 	now    float64 // virtual time of its children
 	queue  []*Request
@@ -47,6 +48,19 @@
 // was idle starts at the present: it has saved up no claim.
 func (f *flow) push(r *Request) {
 	f.queue = append(f.queue, r)
+	f.account(r)
+}
+
+// unshift puts r, which was served but not run, back in front.
+func (f *flow) unshift(r *Request) {
+	f.queue = slices.Insert(f.queue, 0, r)
+	f.account(r)
+	for n := f; n.parent != nil; n = n.parent {
+		n.start -= float64(r.cost) / n.weight
+	}
+}
+
+func (f *flow) account(r *Request) {
 	for n := f; n != nil; n = n.parent {
 		n.cost += r.cost
 		n.count++
@@ -115,11 +129,23 @@
 	}
 }
 
-// first returns the leaf to be served next, nil if none may be. Leaves of long
-// requests are passed over when noLong is set.
-func (f *flow) first(noLong bool) *flow {
+// closed says what may not be served now.
+type closed struct{ normal, urgent, long bool }
+
+func (c closed) bars(r *Request) bool {
+	if c.long && r.long {
+		return true
+	}
+	if r.class.Urgent {
+		return c.urgent
+	}
+	return c.normal
+}
+
+// first returns the leaf to be served next, nil if none may be.
+func (f *flow) first(bar closed) *flow {
 	if len(f.queue) > 0 {
-		if noLong && f.key.long {
+		if bar.bars(f.queue[0]) {
 			return nil
 		}
 		return f
@@ -129,7 +155,7 @@
 		if best != nil && n.start >= best.start {
 			continue
 		}
-		if l := n.first(noLong); l != nil {
+		if l := n.first(bar); l != nil {
 			best, leaf = n, l
 		}
 	}
@@ -143,7 +169,7 @@
 	for n := f; n.parent != nil; n = n.parent {
 		sum := n.weight
 		for _, k := range n.parent.active {
-			if k != n {
+			if k != n && k.urgent == n.urgent {
 				sum += k.weight
 			}
 		}
--- a/internal/policy/admit/queue.go
+++ b/internal/policy/admit/queue.go
@@ -11,17 +11,38 @@
 	"fescuestand/internal/policy/limit"
 )
 
-// level is the fair-queueing tree of one priority.
+// level is the fair-queueing tree of one priority, with the speed at which it
+// drains.
 type level struct {
 	priority int
 	root     *flow
+	lanes    [lanes]lane
+}
+
+// lane is the part of a level that engines serve with one priority. Urgent
+// requests don't wait for the others, so each lane has its own backlog.
+type lane struct {
+	cost  time.Duration // queued
+	drain drain
+}
+
+const lanes = 2
+
+// lane returns the part of the queue that r waits in.
+func (q *Queue) lane(r *Request) *lane {
+	l := q.levels[r.class.level]
+	if r.class.Urgent {
+		return &l.lanes[1]
+	}
+	return &l.lanes[0]
 }
 
 type class struct {
 	Class
 	flow   *flow
 	level  int
-	output float64 // measured mean
+	output float64       // measured mean tokens
+	delay  time.Duration // measured mean from dispatch to the first token, less the prefill
 	stats  ClassStats
 }
 
@@ -41,7 +62,6 @@
 	longRunning int
 	runningCost time.Duration
 	meanCost    float64
-	bias        float64 // measured over estimated slot time
 	codes       map[code.Code]int64
 }
 
@@ -55,19 +75,19 @@
 		spread:  limit.NewSpreader(cfg.Off.NoSpread),
 		rates:   cfg.Rates,
 		slots:   1,
-		bias:    1,
 		codes:   map[code.Code]int64{},
 	}
 	for _, c := range cfg.Classes {
 		q.classes[c.Name] = &class{Class: c, output: float64(c.Output)}
 		if !slices.ContainsFunc(q.levels, func(l *level) bool { return l.priority == c.Priority }) {
-			q.levels = append(q.levels, &level{c.Priority, newFlow(nil, flowKey{}, 1)})
+			q.levels = append(q.levels, &level{priority: c.Priority, root: newFlow(nil, flowKey{}, 1)})
 		}
 	}
 	slices.SortFunc(q.levels, func(a, b *level) int { return cmp.Compare(a.priority, b.priority) })
 	for _, c := range q.classes {
 		c.level = slices.IndexFunc(q.levels, func(l *level) bool { return l.priority == c.Priority })
 		c.flow = q.levels[c.level].root.child(flowKey{name: c.Name}, c.Weight)
+		c.flow.urgent = c.Urgent
 	}
 	return q
 }
@@ -96,7 +116,7 @@
 	}
 	r.state = queued
 	r.leaf.push(r)
-	heap.Push(&q.expiry, r)
+	q.enter(r)
 	if r.Key != "" {
 		q.keys[r.Key]++
 	}
@@ -107,7 +127,7 @@
 func (q *Queue) prepare(now clock.Time, r *Request) {
 	r.class = q.classOf(r.Class)
 	r.arrived, r.index = now, -1
-	r.cost = q.estimate(r)
+	q.estimate(r)
 	if q.meanCost == 0 {
 		q.meanCost = float64(r.cost)
 	}
@@ -121,14 +141,19 @@
 	r.class.stats.Offered++
 }
 
-// estimate is the time that r takes in a slot at the measured rates.
-func (q *Queue) estimate(r *Request) time.Duration {
+// estimate fills in r's times at the measured rates. A step of the batch serves
+// all its answers, so each takes only its part of the engine's time.
+func (q *Queue) estimate(r *Request) {
 	output := r.class.output
 	if r.MaxOutput > 0 {
 		output = min(output, float64(r.MaxOutput))
 	}
 	prefill := time.Duration(max(r.Prompt-r.Cached, 0)) * q.rates.PrefillPerToken
-	return q.rates.Base + prefill + time.Duration(output*float64(q.rates.DecodePerToken))
+	decode := time.Duration(output * float64(q.rates.DecodePerToken))
+	r.prefill = q.rates.Base + prefill
+	r.first = r.prefill + max(r.class.delay, 0)
+	r.run = r.first + decode
+	r.cost = max(prefill+decode/time.Duration(max(q.rates.Batch, 1)), q.rates.Base, 1)
 }
 
 // forecast is the time until r would start, with ahead queued before it in its
@@ -142,17 +167,21 @@
 	for _, l := range q.levels[:r.class.level] {
 		before += l.root.cost
 	}
-	all := q.levels[r.class.level].root.cost
+	all := q.lane(r).cost
 	// Half a mean request: the other flows' heads are on average half ahead.
 	own := float64(ahead) + q.meanCost/2
 	same := min(float64(all), own/r.leaf.share())
-	busy := float64(q.runningCost) / 2
-	return q.drainTime(float64(before) + same + busy)
+	return q.drainTime(r, float64(before)+same)
 }
 
-// drainTime is the time in which the slots work off cost.
-func (q *Queue) drainTime(cost float64) time.Duration {
-	return time.Duration(cost * q.bias / float64(max(q.slots, 1)))
+// drainTime is the time in which r's level works off cost.
+func (q *Queue) drainTime(r *Request, cost float64) time.Duration {
+	return time.Duration(cost / q.drainRate(r))
+}
+
+// drainRate is the work a second that is started for r's level, in seconds.
+func (q *Queue) drainRate(r *Request) float64 {
+	return q.lane(r).drain.rate(q.slots, q.rates.Batch)
 }
 
 // check refuses what can't be served in time or is over a limit.
@@ -163,38 +192,45 @@
 	}
 	if n := q.keys[r.Key]; r.Key != "" && n >= q.cfg.KeyLimit && !q.cfg.Off.NoKeyLimit {
 		return code.New(code.HotKey, "key has %d requests queued or running, limit %d", n, q.cfg.KeyLimit).
-			WithRetryAfter(q.comeBack(now, r, q.drainTime(q.meanCost*float64(n))))
+			WithRetryAfter(q.comeBack(now, r, q.drainTime(r, q.meanCost*float64(n))))
 	}
 	if q.cfg.Off.NoFeasibility {
 		return nil
 	}
-	need := time.Duration(float64(wait)*q.cfg.Margin) + r.cost
-	if need <= budget {
+	slack := r.latestStart().Sub(now)
+	if time.Duration(float64(wait)*q.cfg.Margin) <= slack {
 		return nil
 	}
-	return q.tooLate(now, r, wait, budget)
+	return q.tooLate(r, now, wait, slack)
 }
 
 // tooLate builds the refusal of an infeasible request. The time to come back
-// is when the backlog will have drained so far that the same budget suffices;
+// is when the backlog will have drained so far that the same slack suffices;
 // zero if it never will.
-func (q *Queue) tooLate(now clock.Time, r *Request, wait, budget time.Duration) *code.Error {
+func (q *Queue) tooLate(r *Request, now clock.Time, wait, slack time.Duration) *code.Error {
 	c := code.DeadlineInfeasible
-	l := q.levels[r.class.level].root
-	if crowded := float64(r.leaf.cost) > defaultCrowd*r.leaf.share()*float64(l.cost); crowded && len(l.active) > 0 && r.leaf.cost < l.cost {
+	if q.crowds(r) {
 		c = code.CallerOverShare
 	}
-	e := code.New(c, "needs wait %s and run %s, has %s; %d queued, %d of %d slots busy",
-		wait, r.cost, budget, len(q.expiry), q.running, q.slots)
-	if r.cost > budget {
+	e := code.New(c, "must start in %s, would in %s and run %s; %d queued, %d running, drain %.1f/s",
+		slack, wait, r.run, len(q.expiry), q.running, q.drainRate(r))
+	if slack < 0 {
 		return e
 	}
-	slack := time.Duration(float64(budget-r.cost) / q.cfg.Margin)
-	return e.WithRetryAfter(q.comeBack(now, r, wait-slack))
+	return e.WithRetryAfter(q.comeBack(now, r, wait-time.Duration(float64(slack)/q.cfg.Margin)))
+}
+
+// crowds says whether r's own flow holds more of the backlog than its share.
+func (q *Queue) crowds(r *Request) bool {
+	all := q.lane(r).cost
+	if r.leaf.cost == all {
+		return false
+	}
+	return float64(r.leaf.cost) > defaultCrowd*r.leaf.share()*float64(all)
 }
 
 func (q *Queue) comeBack(now clock.Time, r *Request, wait time.Duration) time.Duration {
-	return q.spread.After(now, max(wait, 0), q.drainTime(float64(r.cost)))
+	return q.spread.After(now, max(wait, 0), q.drainTime(r, float64(r.cost)))
 }
 
 // makeRoom finds a queued request that has less claim to its place than r:
@@ -204,7 +240,7 @@
 	for _, l := range q.levels {
 		total += l.root.cost
 	}
-	wait := q.drainTime(float64(total))
+	wait := q.drainTime(r, float64(total))
 	for i := len(q.levels) - 1; i >= r.class.level; i-- {
 		l := q.levels[i].root
 		if l.count == 0 {
@@ -234,9 +270,15 @@
 	return Refusal{r, e}
 }
 
+func (q *Queue) enter(r *Request) {
+	heap.Push(&q.expiry, r)
+	q.lane(r).cost += r.cost
+}
+
 func (q *Queue) unqueue(r *Request, served bool) {
 	r.leaf.remove(r, served)
 	heap.Remove(&q.expiry, r.index)
+	q.lane(r).cost -= r.cost
 	r.state = idle
 }
 
--- a/internal/policy/admit/request.go
+++ b/internal/policy/admit/request.go
@@ -15,17 +15,21 @@
 	Class     string
 	Workspace string
 	Caller    string
-	Key       string // of the thing asked about, for the hot-key limit; may be empty
-	Prompt    int    // tokens
-	Cached    int    // tokens of the prompt expected in a cache
-	MaxOutput int    // tokens; zero if the caller set none
-	Deadline  clock.Time
-	Value     any // the caller's own
+	Key       string     // of the thing asked about, for the hot-key limit; may be empty
+	Prompt    int        // tokens
+	Cached    int        // tokens of the prompt expected in a cache
+	MaxOutput int        // tokens; zero if the caller set none
+	Deadline  clock.Time // of the whole answer
+	FirstBy   clock.Time // of the first token; zero if it has none
+	Value     any        // the caller's own
 
 	class   *class
 	arrived clock.Time
 	started clock.Time
-	cost    time.Duration // estimated time in a slot
+	cost    time.Duration // estimated time of an engine that it takes
+	run     time.Duration // estimated time from its start to its end
+	first   time.Duration // the part of run up to the first token
+	prefill time.Duration // the part of first without the wait at the engine
 	long    bool
 	leaf    *flow
 	index   int // in the expiry heap, -1 outside
@@ -40,11 +44,17 @@
 	running
 )
 
-// Cost returns the estimated time that the request takes in a slot.
+// Cost returns the estimated time of an engine that the request takes.
 func (r *Request) Cost() time.Duration { return r.cost }
 
 // latestStart is the last moment at which r can begin and end in time.
-func (r *Request) latestStart() clock.Time { return r.Deadline.Add(-r.cost) }
+func (r *Request) latestStart() clock.Time {
+	t := r.Deadline.Add(-r.run)
+	if r.FirstBy != 0 {
+		t = min(t, r.FirstBy.Add(-r.first))
+	}
+	return t
+}
 
 // Refusal is a request's final answer: it was not run and won't be.
 type Refusal struct {
--- a/internal/policy/admit/serve.go
+++ b/internal/policy/admit/serve.go
@@ -13,6 +13,11 @@
 func (q *Queue) SetCapacity(now clock.Time, slots int) []Refusal {
 	old := q.slots
 	q.slots = max(slots, 0)
+	for _, l := range q.levels {
+		for i := range l.lanes {
+			l.lanes[i].drain.scale(old, q.slots)
+		}
+	}
 	if float64(q.slots) >= shrink*float64(old) {
 		return nil
 	}
@@ -40,9 +45,9 @@
 	var ahead time.Duration
 	for _, r := range append([]*Request(nil), leaf.queue...) {
 		wait := q.forecast(r, ahead)
-		budget := r.Deadline.Sub(now)
-		if wait+r.cost > budget {
-			late = append(late, q.drop(r, q.tooLate(now, r, wait, budget)))
+		slack := r.latestStart().Sub(now)
+		if wait > slack {
+			late = append(late, q.drop(r, q.tooLate(r, now, wait, slack)))
 			continue
 		}
 		ahead += r.cost
@@ -60,17 +65,26 @@
 	return dst
 }
 
+// Room is how many requests the endpoints take now.
+type Room struct{ Normal, Urgent int }
+
 // Next returns the request to be dispatched now, nil if there is none or no
 // slot is free. Dropped are the requests that have become infeasible while
 // they were queued: the work for them would be wasted.
-func (q *Queue) Next(now clock.Time, free int) (*Request, []Refusal) {
+func (q *Queue) Next(now clock.Time, room Room) (*Request, []Refusal) {
 	dropped := q.Expire(now)
-	if free <= 0 {
-		return nil, dropped
+	for _, l := range q.levels {
+		for i := range l.lanes {
+			l.lanes[i].drain.look(now, l.lanes[i].cost > 0)
+		}
+	}
+	bar := closed{
+		normal: room.Normal <= 0,
+		urgent: room.Urgent <= 0,
+		long:   float64(q.longRunning+1) > max(q.cfg.LongShare*float64(q.slots), 1),
 	}
-	noLong := float64(q.longRunning+1) > max(q.cfg.LongShare*float64(q.slots), 1)
 	for _, l := range q.levels {
-		leaf := l.root.first(noLong)
+		leaf := l.root.first(bar)
 		if leaf == nil {
 			continue
 		}
@@ -83,6 +97,7 @@
 
 func (q *Queue) start(now clock.Time, r *Request) {
 	q.unqueue(r, true)
+	q.lane(r).drain.started(r.cost)
 	r.state = running
 	r.started = now
 	q.running++
@@ -102,7 +117,8 @@
 	var dropped []Refusal
 	for len(q.expiry) > 0 && q.expiry[0].latestStart() < now {
 		r := q.expiry[0]
-		e := code.New(code.DeadlineInfeasible, "queued %s; needs %s, has %s", now.Sub(r.arrived), r.cost, r.Deadline.Sub(now))
+		e := code.New(code.DeadlineInfeasible, "queued %s; first token needs %s, the whole %s, deadline in %s",
+			now.Sub(r.arrived), r.first, r.run, r.Deadline.Sub(now))
 		wait := q.forecast(r, r.leaf.cost)
 		dropped = append(dropped, q.drop(r, e.WithRetryAfter(q.comeBack(now, r, wait))))
 	}
@@ -130,6 +146,22 @@
 	}
 }
 
+// Return puts a request that Next returned back in front of its flow, because
+// no endpoint took it or its attempt may be repeated.
+func (q *Queue) Return(r *Request) {
+	if r.state != running {
+		return
+	}
+	q.finish(r)
+	if r.Key != "" {
+		q.keys[r.Key]++
+	}
+	q.lane(r).drain.started(-r.cost)
+	r.state = queued
+	r.leaf.unshift(r)
+	q.enter(r)
+}
+
 func (q *Queue) finish(r *Request) {
 	r.state = idle
 	q.running--
@@ -140,6 +172,9 @@
 	q.release(r)
 }
 
+// SetRates takes newly measured rates of the engines.
+func (q *Queue) SetRates(r Rates) { q.rates = r }
+
 // Measured is what a request showed about the rates.
 type Measured struct {
 	OK         bool          // the answer was whole; only then do the rates learn
@@ -157,24 +192,15 @@
 	if !m.OK {
 		return
 	}
-	took := now.Sub(r.started)
-	if r.cost > 0 {
-		// A single stalled request must not close the door to all others.
-		ratio := min(float64(took)/float64(r.cost), maxBias)
-		q.bias += rateWeight * (ratio - q.bias)
-	}
 	q.learn(r, m)
 	if now <= r.Deadline {
 		r.class.stats.OnTime++
 	}
 }
 
-// maxBias bounds what one request can say about the estimate.
-const maxBias = 10
-
 func (q *Queue) learn(r *Request, m Measured) {
-	if n := r.Prompt - r.Cached; n >= minPrompt && m.FirstToken > q.rates.Base {
-		learn(&q.rates.PrefillPerToken, (m.FirstToken-q.rates.Base)/time.Duration(n))
+	if m.FirstToken > 0 {
+		learn(&r.class.delay, m.FirstToken-r.prefill)
 	}
 	if m.Step > 0 {
 		learn(&q.rates.DecodePerToken, m.Step)
@@ -198,7 +224,6 @@
 type Stats struct {
 	Queued, Running, LongRunning, Slots int
 	Backlog                             time.Duration // time to drain the queue
-	Bias                                float64       // measured over estimated slot time
 	Rates                               Rates
 	Classes                             map[string]ClassStats
 	Refused                             map[string]int64 // by result code
@@ -208,11 +233,14 @@
 func (q *Queue) Snapshot() Stats {
 	s := Stats{
 		Queued: len(q.expiry), Running: q.running, LongRunning: q.longRunning, Slots: q.slots,
-		Bias: q.bias, Rates: q.rates,
+		Rates:   q.rates,
 		Classes: map[string]ClassStats{}, Refused: map[string]int64{},
 	}
 	for _, l := range q.levels {
-		s.Backlog += q.drainTime(float64(l.root.cost))
+		for i := range l.lanes {
+			drain := l.lanes[i].drain.rate(q.slots, q.rates.Batch)
+			s.Backlog += time.Duration(float64(l.lanes[i].cost) / drain)
+		}
 	}
 	for name, c := range q.classes {
 		s.Classes[name] = c.stats
--- a/internal/policy/route/bench_test.go
+++ b/internal/policy/route/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,13 +44,17 @@
 	return r, reqs
 }
 
+// spacing is the time between requests of 0.81 s of prefill that keeps n
+// engines 70% busy.
+func spacing(n int) clock.Time { return clock.Time(1.16e9 / float64(n)) }
+
 func BenchmarkRoute(b *testing.B) {
 	for _, n := range []int{12, 100, 430, 4300} {
 		b.Run(fmt.Sprintf("runners=%d", n), func(b *testing.B) {
 			r, reqs := benchRouter(n)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				routeOnce(b, r, clock.Time(i)*1000, &reqs[i%len(reqs)])
+				routeOnce(b, r, clock.Time(i)*spacing(n), &reqs[i%len(reqs)])
 			}
 		})
 	}
@@ -58,9 +63,11 @@
 func BenchmarkRouteParallel(b *testing.B) {
 	r, reqs := benchRouter(4300)
 	b.ReportAllocs()
+	var tick atomic.Int64
 	b.RunParallel(func(pb *testing.PB) {
-		for i := 0; pb.Next(); i++ {
-			routeOnce(b, r, clock.Time(i)*1000, &reqs[i%len(reqs)])
+		for pb.Next() {
+			i := tick.Add(1)
+			routeOnce(b, r, clock.Time(i)*spacing(4300), &reqs[i%int64(len(reqs))])
 		}
 	})
 }
@@ -71,8 +78,8 @@
 		tb.Fatal(err)
 	}
 	r.Sent(now, &d.Dispatch)
-	r.FirstToken(now+100, &d.Dispatch)
-	r.Done(now+100, &d.Dispatch, Success, 20*time.Millisecond)
+	r.FirstToken(now+1e5, &d.Dispatch)
+	r.Done(now+1e5, &d.Dispatch, Success)
 }
 
 func TestRoutingAllocatesNothing(t *testing.T) {
@@ -80,7 +87,7 @@
 	n := 0
 	allocs := testing.AllocsPerRun(1000, func() {
 		n++
-		routeOnce(t, r, clock.Time(n)*1000, &reqs[n%len(reqs)])
+		routeOnce(t, r, clock.Time(n)*spacing(430), &reqs[n%len(reqs)])
 	})
 	assert.Equal(t, allocs, 0.0)
 }
--- a/internal/policy/route/config.go
+++ b/internal/policy/route/config.go
@@ -14,8 +14,23 @@
 	// one way), paid by the request and again by its first token.
 	defaultZoneCost = 3 * time.Millisecond
 	// defaultStale is the age from which a load report says less than this
-	// entry's own counts: ten reports at the usual interval of 100 ms.
-	defaultStale = time.Second
+	// entry's own counts. Reports that come each half second with up to two
+	// seconds of lag are two and a half seconds old before the next; one may
+	// be lost.
+	defaultStale = 4 * time.Second
+	// defaultOvercommit is the share of an engine's slots up to which it is
+	// sent work. Requests that wait at the engine are out of reach of
+	// admission, but a few must wait there to cover the lag.
+	defaultOvercommit = 1.05
+	// defaultAhead is the wait for prefill at an engine that this entry's
+	// window is kept at. Shorter, engines idle between the sends of several
+	// entries and long prompts are refused below capacity; longer, they miss
+	// their first token under overload. Of 0.6, 1.5, 2.5 and 3.5 s this gave
+	// the most on-time answers at 0.9 and at 3 times the capacity together.
+	defaultAhead = 2500 * time.Millisecond
+	// defaultUrgentAhead is the same for urgent requests: one step of a
+	// long prompt's prefill, which can't be interrupted, and some more.
+	defaultUrgentAhead = 375 * time.Millisecond
 	// defaultBound is the load over the mean up to which an engine keeps
 	// being preferred for its prefixes. 1.25 is the usual choice for hashing
 	// with bounded loads: it keeps most of the affinity, and no engine's
@@ -35,14 +50,17 @@
 	// defaultMaxOut is the share of a pool that may be ejected at once: one
 	// of three plain services, four of twelve engines, one zone of three.
 	defaultMaxOut = 0.34
-	// defaultEject is the first ejection's length; each next one doubles.
-	defaultEject = 5 * time.Second
-	// defaultEjectMax bounds the doubling, so that a repaired endpoint is
-	// found within a minute.
-	defaultEjectMax = time.Minute
+	// defaultEject is the first ejection's length; each next one doubles. A
+	// mistaken or outlived ejection costs the pool an engine, a probe of a
+	// bad one costs a few callers a retry: of first and longest 5 and 60, 5
+	// and 20, 3 and 10, 2 and 5 s, the shorter lost fewer answers.
+	defaultEject = 3 * time.Second
+	// defaultEjectMax bounds the doubling. A plain service that fails its
+	// commits is probed with them, so it isn't probed every few seconds.
+	defaultEjectMax = 15 * time.Second
 	// defaultRamp is the time in which a returning endpoint's share grows
 	// from a tenth to the whole; its caches are cold.
-	defaultRamp = 10 * time.Second
+	defaultRamp = 5 * time.Second
 	// defaultStuck ejects an endpoint that has requests in flight but has
 	// shown no progress: over five times the first-token target.
 	defaultStuck = 2 * time.Second
@@ -66,6 +84,7 @@
 	NoRamp        bool
 	NoBound       bool
 	NoAffinity    bool
+	NoAhead       bool // send whatever the engine's queue
 	NoGapRebuild  bool // keep believing cache contents after a gap in events
 	NoCalibration bool // ignore measured slowness between ejections
 	RoundRobin    bool // the plain baseline
@@ -79,6 +98,10 @@
 	PieceTokens int
 	ZoneCost    time.Duration
 	Stale       time.Duration
+	Overcommit  float64
+	Ahead       time.Duration
+	UrgentAhead time.Duration
+	StrictRoles bool // an engine in role Decode never prefills
 	Bound       float64
 	Credit      float64
 	SlowFactor  float64
@@ -102,6 +125,9 @@
 	orInt(&c.PieceTokens, defaultPieceTokens)
 	orDuration(&c.ZoneCost, defaultZoneCost)
 	orDuration(&c.Stale, defaultStale)
+	orFloat(&c.Overcommit, defaultOvercommit)
+	orDuration(&c.Ahead, defaultAhead)
+	orDuration(&c.UrgentAhead, defaultUrgentAhead)
 	orFloat(&c.Bound, defaultBound)
 	orFloat(&c.Credit, defaultCredit)
 	orFloat(&c.SlowFactor, defaultSlowFactor)
--- a/internal/policy/route/handover.go
+++ b/internal/policy/route/handover.go
@@ -6,39 +6,37 @@
 	"fescuestand/internal/clock"
 )
 
-// handOver adds a prefill engine to d if prefilling there and moving the KV
-// cache is faster than prefilling at the engine that decodes.
+// handOver chooses an engine to prefill and one to answer with the KV cache
+// moved over.
+func (r *Router) handOver(now clock.Time, req *Request, ws uint64, m *members) (Decision, bool) {
+	first, ok := r.choose(now, req, ws, &m.prefill)
+	if !ok {
+		return Decision{}, false
+	}
+	moved := *req
+	moved.Prefilled = true
+	second, ok := r.choose(now, &moved, ws, &m.decode)
+	if !ok {
+		return Decision{}, false
+	}
+	d := r.decide(now, &moved, second)
+	p := r.decide(now, req, first)
+	d.Prefill = p.Dispatch
+	d.Reason, d.Cached = p.Reason, p.Cached
+	d.Score += p.Score
+	return d, true
+}
+
+// pays says whether a hand-over is better than the answer from one engine.
 //
 // The transfer must take less than the recomputation, or the network is spent
 // for nothing; and the whole way must be shorter, or the request waits in the
 // prefill engine's queue while its own engine idles.
-func (r *Router) handOver(now clock.Time, req *Request, ws uint64, s *set, d *Decision) {
-	if len(s.eps) == 0 || d.Endpoint.Role == Prefill || req.Isolate {
-		return
-	}
-	transfer := r.transferTime(req.Prompt)
-	recompute := d.unloaded
-	if transfer >= recompute {
-		return
-	}
-	c, ok := r.choose(now, req, ws, s)
-	if !ok {
-		return
-	}
-	if c.ep.far != d.Endpoint.far {
-		transfer += r.cfg.ZoneCost
-	}
-	wait, run := r.estimate(now, req, c.ep, c.cached)
-	decodeWait := d.expected - d.unloaded
-	if time.Duration(wait+run)+transfer >= decodeWait+recompute {
-		return
+func (r *Router) pays(req *Request, direct, split *Decision) bool {
+	if r.transferTime(req.Prompt) >= direct.unloaded {
+		return false
 	}
-	d.Prefill = r.decide(now, req, c).Dispatch
-	d.Transfer = transfer
-	// What remains for the decoding engine is the import.
-	d.work = 0
-	d.unloaded = transfer
-	d.expected = transfer + decodeWait
+	return split.Score < direct.Score
 }
 
 // transferTime is the time to export, move and import the KV cache of a
--- a/internal/policy/route/health.go
+++ b/internal/policy/route/health.go
@@ -57,18 +57,52 @@
 // Sweep compares each endpoint with its pool and ejects the worst. The control
 // goroutine calls it a few times a second.
 func (r *Router) Sweep(now clock.Time) []Ejection {
-	if r.cfg.Off.NoEjection {
-		return nil
-	}
+	r.measureSending(now)
 	var all []Ejection
-	for _, p := range r.Table().pools {
+	for _, p := range r.Table().peers {
 		all = append(all, r.sweepPool(now, p)...)
 	}
 	return all
 }
 
-func (r *Router) sweepPool(now clock.Time, p poolCell) []Ejection {
-	median := medianRatio(now, p.eps)
+// sendingWindow is the time over which this entry's sending is averaged.
+const sendingWindow = time.Second
+
+// measureSending estimates how busy the other entries keep the endpoints: they
+// follow the same policy, so each sends as much as this one.
+func (r *Router) measureSending(now clock.Time) {
+	span := now.Sub(r.sendingAt)
+	if span < sendingWindow {
+		return
+	}
+	r.sendingAt = now
+	for i := range r.Table().peers {
+		p := &r.Table().peers[i]
+		var sent int64
+		for _, e := range p.eps {
+			sent += e.live.sentWork.Load()
+		}
+		rate := float64(sent-p.sentWork) / float64(span) / float64(len(p.eps))
+		if p.sentWork == 0 {
+			rate = 0
+		}
+		p.sentWork = sent
+		p.rate += sampleWeight * (rate - p.rate)
+		others := min(1000*p.rate*float64(r.cfg.Entries-1), 1000)
+		for _, e := range p.eps {
+			e.live.others.Store(int64(others))
+		}
+	}
+}
+
+func (r *Router) sweepPool(now clock.Time, p peers) []Ejection {
+	median := medians{
+		first: medianOf(now, p.eps, func(l *live) *ewma { return &l.first }),
+		step:  medianOf(now, p.eps, func(l *live) *ewma { return &l.step }),
+	}
+	shared := p.eps[0].shared
+	shared.first.Store(math.Float64bits(median.first))
+	shared.step.Store(math.Float64bits(median.step))
 	out := 0
 	var found []Ejection
 	var at []*Endpoint
@@ -82,6 +116,9 @@
 			at = append(at, e)
 		}
 	}
+	if r.cfg.Off.NoEjection {
+		return nil
+	}
 	allowed := int(r.cfg.MaxOut * float64(len(p.eps)))
 	if r.cfg.Off.NoMaxOut {
 		allowed = len(p.eps)
@@ -114,11 +151,14 @@
 	return int(math.Copysign(1, e.Value-f.Value))
 }
 
-func medianRatio(now clock.Time, eps []*Endpoint) float64 {
+// medians are the middle values of a pool, zero if too few have been measured.
+type medians struct{ first, step float64 }
+
+func medianOf(now clock.Time, eps []*Endpoint, of func(*live) *ewma) float64 {
 	var ratios []float64
 	for _, e := range eps {
-		if e.live.first.n.Load() >= minJudged {
-			ratios = append(ratios, e.live.first.value(now, 1))
+		if m := of(e.live); m.n.Load() >= minJudged {
+			ratios = append(ratios, m.value(now, 1))
 		}
 	}
 	if len(ratios) < minPeers {
@@ -128,9 +168,9 @@
 	return ratios[len(ratios)/2]
 }
 
-func (r *Router) judge(now clock.Time, e *Endpoint, median float64) (Ejection, bool) {
+func (r *Router) judge(now clock.Time, e *Endpoint, m medians) (Ejection, bool) {
 	l := e.live
-	j := Ejection{Endpoint: e.Name, Pool: e.Pool, Median: median}
+	j := Ejection{Endpoint: e.Name, Pool: e.Pool}
 	overdue := now.Sub(clock.Time(l.dueAt.Load()))
 	if l.awaiting.Load() > 0 && overdue > 0 {
 		j.Cause, j.Value = Stuck, overdue.Seconds()
@@ -140,14 +180,18 @@
 		j.Cause, j.Value = Failing, rate
 		return j, true
 	}
-	ratio := l.first.value(now, 1)
-	if median > 0 && l.first.n.Load() >= minJudged && ratio > r.cfg.SlowFactor*max(median, 1) {
-		j.Cause, j.Value = Slow, ratio
+	j.Cause = Slow
+	if r.slow(now, &l.first, m.first, &j) || r.slow(now, &l.step, m.step, &j) {
 		return j, true
 	}
 	return j, false
 }
 
+func (r *Router) slow(now clock.Time, e *ewma, median float64, j *Ejection) bool {
+	j.Value, j.Median = e.value(now, 1), median
+	return median > 0 && e.n.Load() >= minJudged && j.Value > r.cfg.SlowFactor*max(median, 1)
+}
+
 // eject takes an endpoint out for a time that doubles when it fails again
 // soon after its return, and makes it come back slowly with a clean record.
 func (r *Router) eject(now clock.Time, l *live) time.Duration {
@@ -163,8 +207,7 @@
 	l.outUntil.Store(int64(until))
 	l.rampFrom.Store(int64(until))
 	l.dueAt.Store(int64(until.Add(r.cfg.Stuck)))
-	l.first.reset()
-	l.errs.reset()
+	l.clean()
 	return d
 }
 
@@ -185,6 +228,7 @@
 	Runs      int64 // of all entries, estimated
 	Wait      time.Duration
 	Ratio     float64 // measured over expected time to the first token
+	Step      float64 // measured over nominal time between tokens
 	Errors    float64
 	Ejections int
 	CacheGaps uint64
@@ -214,6 +258,7 @@
 		Runs:     runs,
 		Wait:     time.Duration(work),
 		Ratio:    l.first.value(now, 1),
+		Step:     l.step.value(now, 1),
 		Errors:   l.errs.value(now, 0),
 	}
 	s.ReportAge = -1
--- a/internal/policy/route/live.go
+++ b/internal/policy/route/live.go
@@ -11,11 +11,11 @@
 )
 
 // The recent past of what this entry sent is kept in buckets, to tell what a
-// late report has not seen yet. 64 buckets of 25 ms cover 1.6 s, more than
-// the age at which a report counts as stale.
+// late report has not seen yet. 128 buckets of 50 ms cover 6.4 s, more
+// than the age at which a report counts as stale.
 const (
-	buckets     = 64
-	bucketWidth = 25 * time.Millisecond
+	buckets     = 128
+	bucketWidth = 50 * time.Millisecond
 )
 
 // Report is an engine's own account of its load, read through its driver.
@@ -23,7 +23,8 @@
 	TakenAt       clock.Time // on this entry's clock: time of arrival less the stated age
 	Running       int
 	Waiting       int
-	PrefillTokens int // queued and not yet processed
+	PrefillTokens int           // queued and not yet processed
+	Step          time.Duration // of the batch, zero if unknown
 }
 
 // live is what is known of one endpoint beyond its table entry. It survives
@@ -35,11 +36,13 @@
 	outUntil atomic.Int64 // ejected until
 	takenAt  atomic.Int64 // when the newest report was taken; zero without any
 	work     atomic.Int64 // nanoseconds of queued prefill, kept like runs
-	ownWork  atomic.Int64
+	ownWork  [lanes]atomic.Int64
+	others   atomic.Int64 // thousandths of its time that other entries' prefill takes
 	rampFrom atomic.Int64 // full share again at rampFrom + Ramp
 	lim      *limit.Limiter
 
 	first    ewma // measured over expected time to the first token
+	step     ewma // measured over nominal time between tokens
 	errs     ewma
 	awaiting atomic.Int64 // requests of this entry without a first token
 	dueAt    atomic.Int64 // when the next first token is overdue
@@ -52,8 +55,9 @@
 	reports   uint64
 	oldSeen   uint64
 
-	recent [buckets]bucket
-	cache  cacheView
+	sentWork atomic.Int64 // nanoseconds of prefill that this entry ever sent
+	recent   [buckets]bucket
+	cache    cacheView
 }
 
 type bucket struct {
@@ -63,13 +67,14 @@
 }
 
 // change counts work that this entry sent or that ended.
-func (l *live) change(now clock.Time, runs, work int64) {
+func (l *live) change(now clock.Time, runs, work int64, in lane) {
 	l.runs.Add(runs)
 	l.ownRuns.Add(runs)
-	l.ownWork.Add(work)
+	l.ownWork[in].Add(work)
 	if work > 0 {
 		// Reported work runs down with time, not when a request ends.
 		l.work.Add(work)
+		l.sentWork.Add(work)
 	}
 	epoch := int64(now) / int64(bucketWidth)
 	b := &l.recent[epoch%buckets]
@@ -116,18 +121,30 @@
 	return runs, work
 }
 
+// ownPrefill is the prefill that this entry has outstanding here.
+func (l *live) ownPrefill() int64 { return l.ownWork[normal].Load() + l.ownWork[urgent].Load() }
+
+// fresh says whether there is a load report that is not stale.
+func (l *live) fresh(now clock.Time, cfg *Config) bool {
+	at := l.takenAt.Load()
+	return at != 0 && int64(now)-at <= int64(cfg.Stale)
+}
+
 // load returns the requests at the endpoint and the prefill queued there in
 // nanoseconds, by all entries as well as can be told.
 func (l *live) load(now clock.Time, cfg *Config) (runs, work int64) {
 	own := l.ownRuns.Load()
-	at := l.takenAt.Load()
-	if at == 0 || int64(now)-at > int64(cfg.Stale) {
+	if !l.fresh(now, cfg) {
 		// Without a usable report the other entries are taken to send as
 		// much as this one: they follow the same policy.
 		n := int64(cfg.Entries)
-		return own * n, l.ownWork.Load() * n
+		return own * n, l.ownPrefill() * n
 	}
-	work = max(l.work.Load()-(int64(now)-at), 0)
+	// The engine has worked since the report, but the other entries have gone
+	// on sending. Without their part an engine that is always busy would look
+	// idle by the age of its report.
+	drained := (int64(now) - l.takenAt.Load()) / 1000 * (1000 - l.others.Load())
+	work = max(l.work.Load()-drained, 0)
 	runs = l.runs.Load()
 	if cfg.Off.NoOwnCounts {
 		return runs, work
@@ -180,6 +197,13 @@
 	return neutral + (v-neutral)/(1+idle)
 }
 
+// clean forgets all that was measured of the endpoint's health.
+func (l *live) clean() {
+	l.first.reset()
+	l.step.reset()
+	l.errs.reset()
+}
+
 func (e *ewma) reset() {
 	e.n.Store(0)
 	e.bits.Store(0)
--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -18,6 +18,8 @@
 	Pieces    []uint64 // chained hashes of the prompt's whole pieces, see Pieces
 	Prompt    int      // tokens
 	Exclude   []*Endpoint
+	Urgent    bool // sent with the engine's higher priority
+	Prefilled bool // its KV cache exists and is to be moved
 	Isolate   bool // may crash its endpoint: run it where it hurts fewest
 }
 
@@ -30,27 +32,14 @@
 	Affinity                // preferred for the prompt's prefix
 	CacheHit                // believed to have cached a prefix of the prompt
 	Isolated
-	OnlyOne  // no other endpoint was eligible
 	Fallback // every eligible endpoint was ejected or suspect
 	reasons
 )
 
-var reasonNames = [reasons]string{"least-wait", "affinity", "cache-hit", "isolated", "only-one", "fallback"}
+var reasonNames = [reasons]string{"least-wait", "affinity", "cache-hit", "isolated", "fallback"}
 
 func (r Reason) String() string { return reasonNames[r] }
 
-// Dispatch is one piece of work for one endpoint. It belongs to the goroutine
-// that serves the request.
-type Dispatch struct {
-	Endpoint   *Endpoint // nil if there is no such piece of work
-	work       int64
-	unloaded   time.Duration
-	expected   time.Duration
-	sentAt     clock.Time
-	answered   bool
-	firstRatio float64
-}
-
 // Decision is where a request goes.
 type Decision struct {
 	Dispatch               // the endpoint that answers
@@ -74,39 +63,66 @@
 }
 
 // Pick chooses where req goes. It allocates only when it fails.
+//
+// Where a Decision has a Prefill dispatch, that comes first. When it has ended,
+// the entry may Pick again with Prefilled set, since by then another engine may
+// be the better one to go on with.
 func (r *Router) Pick(now clock.Time, req *Request) (Decision, error) {
 	t := r.table.Load()
 	g := t.groups[groupKey{req.Pool, req.Artifact}]
 	if g == nil {
-		return Decision{}, noEndpoint(req, t, now)
-	}
-	var ws uint64
-	if req.Workspace != "" {
-		ws = xxhash.Sum64String(req.Workspace)
+		return Decision{}, r.noEndpoint(req, t, now)
 	}
+	ws := hashOf(req.Workspace)
 	m := &g.cells[0]
 	if t.cells > 1 {
 		m = g.cellFor(ws)
 	}
-	best, ok := r.choose(now, req, ws, &m.serve)
+	d, ok := r.pickIn(now, req, ws, m)
 	if !ok {
-		best, ok = r.lastResort(now, req, g)
+		d, ok = r.lastResort(now, req, g)
 	}
 	if !ok {
-		return Decision{}, noEndpoint(req, t, now)
+		return Decision{}, r.noEndpoint(req, t, now)
 	}
-	d := r.decide(now, req, best)
-	r.handOver(now, req, ws, &m.prefill, &d)
 	r.count[d.Reason].Add(1)
 	return d, nil
 }
 
+// pickIn decides within one cell.
+func (r *Router) pickIn(now clock.Time, req *Request, ws uint64, m *members) (Decision, bool) {
+	if req.Prefilled {
+		best, ok := r.choose(now, req, ws, &m.decode)
+		return r.decide(now, req, best), ok
+	}
+	best, ok := r.choose(now, req, ws, &m.whole)
+	d := r.decide(now, req, best)
+	if len(m.prefill.eps) == 0 || req.Isolate && ok {
+		return d, ok
+	}
+	split, found := r.handOver(now, req, ws, m)
+	if !found {
+		return d, ok
+	}
+	if ok && d.Endpoint.Role != Prefill && !r.pays(req, &d, &split) {
+		return d, true
+	}
+	return split, true
+}
+
+func hashOf(workspace string) uint64 {
+	if workspace == "" {
+		return 0
+	}
+	return xxhash.Sum64String(workspace)
+}
+
 // cellFor returns the members of the workspace's cell, or of the next one in
 // rendezvous order that has any.
 func (g *group) cellFor(ws uint64) *members {
 	best, top := -1, uint64(0)
 	for i := range g.cells {
-		if len(g.cells[i].serve.eps) == 0 {
+		if len(g.cells[i].decode.eps) == 0 {
 			continue
 		}
 		if s := mix(ws ^ mix(uint64(i)+1)); s >= top {
@@ -131,7 +147,7 @@
 		return r.leastReported(now, req, s)
 	}
 	best := candidate{score: math.Inf(1)}
-	if len(req.Pieces) > 0 && !r.cfg.Off.NoAffinity {
+	if len(req.Pieces) > 0 && !req.Prefilled && !r.cfg.Off.NoAffinity {
 		r.preferred(now, req, ws, s, &best)
 	}
 	for range 2 {
@@ -179,13 +195,11 @@
 	if e.State != Open || int64(now) < l.outUntil.Load() {
 		return false
 	}
-	if l.ownRuns.Load() >= int64(l.lim.Limit()) {
+	if r.full(now, e, req.lane()) {
 		return false
 	}
-	for _, x := range req.Exclude {
-		if x.live == l {
-			return false
-		}
+	if excluded(req, e) {
+		return false
 	}
 	from := l.rampFrom.Load()
 	if from == 0 || r.cfg.Off.NoRamp {
@@ -199,67 +213,33 @@
 // with: enough samples to judge it by, few callers hurt if it is still slow.
 const rampStart = 0.1
 
-// score estimates e's time to the first token of req in nanoseconds.
-func (r *Router) score(now clock.Time, req *Request, e *Endpoint, reason Reason) candidate {
-	c := candidate{ep: e, reason: reason}
-	if !r.cfg.Off.NoAffinity {
-		c.cached = e.live.cache.depth(req.Pieces)
-	}
-	if c.cached > 0 && reason == LeastWait {
-		c.reason = CacheHit
-	}
-	wait, run := r.estimate(now, req, e, c.cached)
-	c.score = float64(wait + run)
-	if !r.cfg.Off.NoCalibration {
-		// A measured slowness corrects the estimate before the endpoint's
-		// ejection, and spares it if the pool has no room for one more.
-		c.score *= max(e.live.first.value(now, 1), minCalibration)
-	}
-	if e.far {
-		c.score += float64(r.cfg.ZoneCost)
-	}
-	if !r.cfg.Off.NoErrorCost {
-		c.score += e.live.errs.value(now, 0) * float64(r.cfg.ErrorCost)
-	}
-	return c
-}
-
-// minCalibration keeps a lucky run of samples from drawing all the traffic.
-const minCalibration = 0.5
-
-// estimate returns the time that req would wait at e, and the time that its
-// own prefill or fixed work takes there.
-func (r *Router) estimate(now clock.Time, req *Request, e *Endpoint, cached int) (wait, run int64) {
-	runs, work := e.live.load(now, &r.cfg)
-	wait = work
-	if over := runs + 1 - e.slots; over > 0 {
-		wait += over * e.slotNanos
-	}
-	// Each running request lengthens the steps of the batch: half a step for
-	// a full batch, by which endpoints below their slots still differ.
-	wait += runs * (e.decodeStepNanos + e.baseNanos) / (2 * e.slots)
-	tokens := max(req.Prompt-cached*r.cfg.PieceTokens, 0)
-	return wait, int64(tokens)*e.prefillNanos + e.baseNanos
-}
-
 func (r *Router) decide(now clock.Time, req *Request, c candidate) Decision {
+	if c.ep == nil {
+		return Decision{}
+	}
 	wait, run := r.estimate(now, req, c.ep, c.cached)
 	d := Decision{Reason: c.reason, Cached: c.cached, Score: time.Duration(c.score)}
 	d.Dispatch = Dispatch{
 		Endpoint: c.ep,
 		work:     run - c.ep.baseNanos,
+		lane:     req.lane(),
 		unloaded: time.Duration(run),
 		expected: time.Duration(wait + run),
 	}
+	if req.Prefilled {
+		d.work = 0
+		d.Transfer = d.unloaded
+		return d
+	}
 	for _, p := range req.Pieces {
 		c.ep.live.cache.add(p)
 	}
 	return d
 }
 
-func noEndpoint(req *Request, t *Table, now clock.Time) error {
+func (r *Router) noEndpoint(req *Request, t *Table, now clock.Time) error {
 	known, open, out, full := 0, 0, 0, 0
-	for _, p := range t.pools {
+	for _, p := range t.peers {
 		if p.pool != req.Pool {
 			continue
 		}
@@ -269,14 +249,14 @@
 			case e.State != Open:
 			case int64(now) < e.live.outUntil.Load():
 				out++
-			case e.live.ownRuns.Load() >= int64(e.live.lim.Limit()):
+			case r.full(now, e, req.lane()):
 				full++
 			default:
 				open++
 			}
 		}
 	}
-	return code.New(code.NoEndpoint, "pool %s model %q: %d endpoints, %d eligible, %d ejected, %d at their limit",
+	return code.New(code.NoEndpoint, "pool %s model %q: %d endpoints, %d eligible, %d ejected, %d full",
 		req.Pool, req.Artifact.Model, known, open, out, full).WithRetryAfter(retryAfter)
 }
 
--- a/internal/policy/route/prefer.go
+++ b/internal/policy/route/prefer.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"fescuestand/internal/clock"
-	"fescuestand/internal/code"
 )
 
 // homeDepth is the number of leading pieces that choose a prompt's preferred
@@ -141,27 +140,34 @@
 
 // lastResort looks for any endpoint that answers at all: first in other cells,
 // then among the ejected and the suspect. A request that may fail is worth
-// more than a refusal, and an ejection may be mistaken. Endpoints at their
-// limit stay closed: they are full, not broken.
-func (r *Router) lastResort(now clock.Time, req *Request, g *group) (candidate, bool) {
+// more than a refusal, and an ejection may be mistaken. Full endpoints stay
+// closed: they are busy, not broken.
+func (r *Router) lastResort(now clock.Time, req *Request, g *group) (Decision, bool) {
 	for i := range g.cells {
-		s := &g.cells[i].serve
-		if len(s.eps) == 0 {
-			continue
+		if len(g.cells) == 1 {
+			break
 		}
-		if e := r.draw(now, req, s.eps); e != nil {
-			return r.score(now, req, e, OnlyOne).because(OnlyOne), true
+		if d, ok := r.pickIn(now, req, 0, &g.cells[i]); ok {
+			return d, true
 		}
 	}
+	if req.Isolate {
+		return Decision{}, false
+	}
 	best := candidate{score: math.Inf(1)}
 	for i := range g.cells {
-		for _, e := range g.cells[i].serve.eps {
-			if !excluded(req, e) && !full(e) && !req.Isolate {
+		m := &g.cells[i]
+		s := &m.whole
+		if req.Prefilled {
+			s = &m.decode
+		}
+		for _, e := range s.eps {
+			if !excluded(req, e) && !r.full(now, e, req.lane()) {
 				best = better(best, r.score(now, req, e, Fallback).because(Fallback))
 			}
 		}
 	}
-	return best, best.ep != nil
+	return r.decide(now, req, best), best.ep != nil
 }
 
 func excluded(req *Request, e *Endpoint) bool {
@@ -172,9 +178,3 @@
 	}
 	return false
 }
-
-func full(e *Endpoint) bool { return e.live.ownRuns.Load() >= int64(e.live.lim.Limit()) }
-
-// Full reports whether err means that endpoints were at their limit or gone,
-// so that a retry elsewhere can't help now.
-func Full(err error) bool { return code.Of(err).Code == code.NoEndpoint }
--- a/internal/policy/route/router.go
+++ b/internal/policy/route/router.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/policy/limit"
@@ -20,6 +19,10 @@
 	turn  atomic.Uint64
 	count [reasons]atomic.Int64
 
+	sendingAt clock.Time // of the last measurement by Sweep
+
+	shared map[peersKey]*shared // Publish's own
+
 	mu    sync.Mutex // guards lives
 	lives map[string]*live
 }
@@ -27,7 +30,7 @@
 // NewRouter returns a router without endpoints. Different entries take
 // different seeds, so that they don't make the same choices.
 func NewRouter(cfg Config, seed uint64) *Router {
-	r := &Router{cfg: cfg.withDefaults(), seed: mix(seed), lives: map[string]*live{}}
+	r := &Router{cfg: cfg.withDefaults(), seed: mix(seed), lives: map[string]*live{}, shared: map[peersKey]*shared{}}
 	r.table.Store(NewTable(cfg, nil))
 	return r
 }
@@ -54,8 +57,7 @@
 		if back && e.State == Open {
 			l.rampFrom.Store(int64(now))
 			l.cache.forget()
-			l.first.reset()
-			l.errs.reset()
+			l.clean()
 		}
 		l.state = e.State
 		l.mu.Unlock()
@@ -63,6 +65,7 @@
 		keep[e.Name] = l
 	}
 	r.lives = keep
+	r.joinPeers(t)
 	r.table.Store(t)
 }
 
@@ -93,6 +96,9 @@
 		return
 	}
 	e.live.report(rep, e.prefillNanos, r.cfg.Off.NoOwnCounts)
+	if rep.Step > 0 && e.decodeStepNanos > 0 {
+		e.live.step.add(rep.TakenAt, float64(rep.Step)/float64(e.decodeStepNanos), 1)
+	}
 }
 
 // CacheEvents takes events of the named engine's prefix cache in the order of
@@ -125,110 +131,3 @@
 	}
 	return nil
 }
-
-// Outcome is how a dispatch ended.
-type Outcome uint8
-
-// The outcomes.
-const (
-	Success  Outcome = iota
-	Failed           // an error of the endpoint's own, or its connection broke
-	Refused          // the endpoint refused the work without running it
-	Canceled         // ended by the caller; says nothing about the endpoint
-)
-
-// Sent counts d as in flight. It follows Pick at once.
-func (r *Router) Sent(now clock.Time, d *Dispatch) {
-	d.sentAt = now
-	l := d.Endpoint.live
-	if l.awaiting.Add(1) == 1 {
-		l.dueAt.Store(int64(now.Add(r.patience(d.expected))))
-	}
-	l.change(now, 1, d.work)
-}
-
-// patience is how long an endpoint that expects to need t may show no first
-// token before it counts as stuck.
-func (r *Router) patience(t time.Duration) time.Duration {
-	return r.cfg.Stuck + time.Duration(r.cfg.SlowFactor*float64(t))
-}
-
-// progress notes that one request less awaits its first token.
-func (r *Router) progress(now clock.Time, l *live) {
-	l.awaiting.Add(-1)
-	_, work := l.load(now, &r.cfg)
-	rest := time.Duration(max(work, l.ownWork.Load()))
-	l.dueAt.Store(int64(now.Add(r.patience(rest))))
-}
-
-// FirstToken reports the first token, or the whole answer of a plain service.
-func (r *Router) FirstToken(now clock.Time, d *Dispatch) {
-	if d.answered {
-		return
-	}
-	d.answered = true
-	l := d.Endpoint.live
-	l.ownWork.Add(-d.work)
-	r.progress(now, l)
-	took := float64(now.Sub(d.sentAt))
-	l.first.add(now, took/float64(max(d.expected, minExpected)), 1)
-	d.firstRatio = took / float64(max(d.unloaded, minExpected))
-}
-
-// minExpected keeps ratios meaningful for services that answer in no time: a
-// tenth of a millisecond is the resolution of a loaded VM's network.
-const minExpected = 100 * time.Microsecond
-
-// Done ends d. step is the mean time between tokens, zero where there is none.
-func (r *Router) Done(now clock.Time, d *Dispatch, o Outcome, step time.Duration) {
-	l := d.Endpoint.live
-	inFlight := int(l.ownRuns.Load())
-	if o == Success {
-		r.FirstToken(now, d)
-	}
-	work := -d.work
-	if d.answered {
-		work = 0
-	}
-	l.change(now, -1, work)
-	if !d.answered {
-		d.answered = true
-		r.progress(now, l)
-	}
-	switch o {
-	case Canceled:
-		return
-	case Success:
-		l.errs.add(now, 0, 0)
-	case Failed:
-		// The latency of an error is not a sample: an endpoint that fails
-		// fast would look like the fastest of the pool and draw its traffic.
-		l.errs.add(now, 1, 0)
-	case Refused:
-	}
-	s := limit.Sample{FirstToken: d.firstRatio, InFlight: inFlight, Overloaded: o == Refused}
-	if n := d.Endpoint.decodeStepNanos; n > 0 {
-		s.Step = float64(step) / float64(n)
-	}
-	l.lim.Observe(now, s)
-}
-
-// Capacity returns how many requests this entry may have in flight in a pool,
-// and how many it has.
-func (r *Router) Capacity(now clock.Time, pool string) (limit, inFlight int) {
-	for _, p := range r.Table().pools {
-		if p.pool != pool {
-			continue
-		}
-		for _, e := range p.eps {
-			if e.Role == Prefill {
-				continue
-			}
-			inFlight += int(e.live.ownRuns.Load())
-			if e.State == Open && int64(now) >= e.live.outUntil.Load() {
-				limit += e.live.lim.Limit()
-			}
-		}
-	}
-	return limit, inFlight
-}
--- a/internal/policy/route/table.go
+++ b/internal/policy/route/table.go
@@ -57,6 +57,7 @@
 // spec is what NewTable derives from an endpoint's settings.
 type spec struct {
 	live            *live
+	shared          *shared
 	hash            uint64
 	slots           int64
 	far             bool // in another availability zone
@@ -74,7 +75,7 @@
 type Table struct {
 	all    []*Endpoint
 	groups map[groupKey]*group
-	pools  []poolCell
+	peers  []peers
 	cells  int
 }
 
@@ -86,9 +87,12 @@
 // group holds the endpoints of one pool that serve one artifact, by cell.
 type group struct{ cells []members }
 
-// members are the endpoints of one cell that can be asked to answer, and those
-// that only prefill.
-type members struct{ serve, prefill set }
+// members are the endpoints of one cell by what they can be asked to do.
+type members struct {
+	whole   set // prefill and answer
+	prefill set // prefill for another engine
+	decode  set // answer what was prefilled elsewhere
+}
 
 // set is a list of endpoints with what all of its users share.
 type set struct {
@@ -130,10 +134,16 @@
 	return mean
 }
 
-// poolCell is what ejection compares an endpoint with.
-type poolCell struct {
+// peers are the endpoints that ejection compares with one another.
+type peers struct {
 	pool string
+	role Role
+	cell int
 	eps  []*Endpoint
+
+	// Sweep's own.
+	sentWork int64
+	rate     float64
 }
 
 // NewTable returns a table of eps, which it copies. A Router's Publish puts it
@@ -145,24 +155,23 @@
 		t.all = append(t.all, prepare(eps[i], cfg))
 	}
 	slices.SortFunc(t.all, func(a, b *Endpoint) int { return strings.Compare(a.Name, b.Name) })
-	byPool := map[string][][]*Endpoint{}
 	for _, e := range t.all {
 		cell := cellOf(e.hash, cfg.Cells)
-		if byPool[e.Pool] == nil {
-			byPool[e.Pool] = make([][]*Endpoint, cfg.Cells)
-		}
-		byPool[e.Pool][cell] = append(byPool[e.Pool][cell], e)
-		t.index(e, cell)
+		t.index(e, cell, cfg)
+		t.compare(e, cell)
 	}
-	for pool, cells := range byPool {
-		for _, eps := range cells {
-			if len(eps) > 0 {
-				t.pools = append(t.pools, poolCell{pool, eps})
-			}
+	return t
+}
+
+func (t *Table) compare(e *Endpoint, cell int) {
+	for i := range t.peers {
+		p := &t.peers[i]
+		if p.pool == e.Pool && p.role == e.Role && p.cell == cell {
+			p.eps = append(p.eps, e)
+			return
 		}
 	}
-	slices.SortFunc(t.pools, func(a, b poolCell) int { return strings.Compare(a.eps[0].Name, b.eps[0].Name) })
-	return t
+	t.peers = append(t.peers, peers{pool: e.Pool, role: e.Role, cell: cell, eps: []*Endpoint{e}})
 }
 
 func prepare(e Endpoint, cfg Config) *Endpoint {
@@ -176,21 +185,21 @@
 	return &e
 }
 
-func (t *Table) index(e *Endpoint, cell int) {
+func (t *Table) index(e *Endpoint, cell int, cfg Config) {
 	arts := e.Serves
 	if len(arts) == 0 {
 		arts = []Artifact{{}}
 	}
 	for _, a := range arts {
-		t.add(groupKey{e.Pool, a}, e, cell)
+		t.add(groupKey{e.Pool, a}, e, cell, cfg)
 		if a.Version != "" {
 			a.Version = ""
-			t.add(groupKey{e.Pool, a}, e, cell)
+			t.add(groupKey{e.Pool, a}, e, cell, cfg)
 		}
 	}
 }
 
-func (t *Table) add(k groupKey, e *Endpoint, cell int) {
+func (t *Table) add(k groupKey, e *Endpoint, cell int, cfg Config) {
 	g := t.groups[k]
 	if g == nil {
 		g = &group{cells: make([]members, t.cells)}
@@ -200,11 +209,18 @@
 		return
 	}
 	m := &g.cells[cell]
-	list := &m.serve
-	if e.Role == Prefill {
-		list = &m.prefill
+	switch e.Role {
+	case Mixed:
+		m.whole.add(e)
+		m.decode.add(e)
+	case Prefill:
+		m.prefill.add(e)
+	case Decode:
+		m.decode.add(e)
+		if !cfg.StrictRoles {
+			m.whole.add(e)
+		}
 	}
-	list.add(e)
 }
 
 // Endpoints returns the table's endpoints in the order of their names.
