Retry budgets, poison verdicts, tests of admission and limits

Cause: repeats multiply a failing pool's load, and a request that crashes its engine is sent again until no engine is left.

Partial: hedging is a decision that is off; nothing has measured it to pay.

--- /dev/null
+++ b/internal/policy/admit/admit_test.go
@@ -0,0 +1,321 @@
+package admit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+	"fescuestand/internal/policy/loadtest"
+)
+
+// The test pool: 8 slots; a question takes 0.11 s and a manifest 4.1 s.
+const (
+	slots    = 8
+	question = 100
+	manifest = 40_000
+)
+
+func testConfig(off Guards) Config {
+	return Config{
+		Classes: []Class{
+			{Name: "commit", Priority: 0, Output: 1},
+			{Name: "question", Priority: 1, Weight: 2, Output: 10},
+			{Name: "manifest", Priority: 1, Weight: 1, Output: 10},
+		},
+		Rates: Rates{PrefillPerToken: 100 * time.Microsecond, DecodePerToken: 10 * time.Millisecond, Batch: 1},
+		Off:   off,
+	}
+}
+
+// stream is one source of requests.
+type stream struct {
+	name   string
+	class  string
+	caller string
+	key    string
+	prompt int
+	every  time.Duration
+	budget time.Duration
+	from   time.Duration
+	until  time.Duration
+}
+
+// tally is what the callers of one stream received.
+type tally struct {
+	offered, onTime, late int
+	codes                 map[code.Code]int
+	waited                time.Duration // the longest of those served
+}
+
+func (t tally) share() float64 { return float64(t.onTime) / float64(t.offered) }
+
+// pool runs requests for their estimated time, a fifth more or less.
+type pool struct {
+	loop    loadtest.Loop
+	q       *Queue
+	rng     *rand.Rand
+	slots   int
+	running int
+	tallies map[string]*tally
+	origin  map[*Request]string
+}
+
+func run(cfg Config, length time.Duration, streams []stream, events ...func(*pool)) map[string]*tally {
+	p := &pool{q: NewQueue(cfg), rng: rand.New(rand.NewPCG(1, 1)), slots: slots, tallies: map[string]*tally{}, origin: map[*Request]string{}}
+	p.q.SetCapacity(0, slots)
+	for _, s := range streams {
+		p.tallies[s.name] = &tally{codes: map[code.Code]int{}}
+		p.arrivals(s, length)
+	}
+	for _, e := range events {
+		e(p)
+	}
+	p.loop.Every(20*time.Millisecond, p.pump)
+	p.loop.Run(clock.Time(length + time.Minute))
+	return p.tallies
+}
+
+func (p *pool) arrivals(s stream, length time.Duration) {
+	end := min(s.until, length)
+	if s.until == 0 {
+		end = length
+	}
+	for at := s.from; at < end; at += time.Duration(p.rng.ExpFloat64() * float64(s.every)) {
+		p.loop.At(clock.Time(at), func() { p.offer(s) })
+	}
+}
+
+func (p *pool) offer(s stream) {
+	now := p.loop.Now()
+	r := &Request{Class: s.class, Workspace: s.caller, Caller: s.caller, Key: s.key, Prompt: s.prompt, Deadline: now.Add(s.budget)}
+	p.origin[r] = s.name
+	p.tallies[s.name].offered++
+	v := p.q.Offer(now, r)
+	p.refused(v.Dropped)
+	if v.Err != nil {
+		p.refused([]Refusal{{r, v.Err}})
+		return
+	}
+	p.pump()
+}
+
+func (p *pool) refused(all []Refusal) {
+	for _, x := range all {
+		p.tallies[p.origin[x.Request]].codes[x.Err.Code]++
+	}
+}
+
+func (p *pool) pump() {
+	for {
+		now := p.loop.Now()
+		free := p.slots - p.running
+		r, dropped := p.q.Next(now, Room{Normal: free, Urgent: free})
+		p.refused(dropped)
+		if r == nil {
+			return
+		}
+		p.running++
+		t := p.tallies[p.origin[r]]
+		t.waited = max(t.waited, now.Sub(r.arrived))
+		took := time.Duration(float64(r.Cost()) * (0.8 + 0.4*p.rng.Float64()))
+		p.loop.After(took, func() { p.done(r, t) })
+	}
+}
+
+func (p *pool) done(r *Request, t *tally) {
+	p.running--
+	now := p.loop.Now()
+	if now <= r.Deadline {
+		t.onTime++
+	} else {
+		t.late++
+	}
+	p.q.Done(now, r, Measured{OK: true, Output: 10})
+	p.pump()
+}
+
+// others are twenty callers that ask for 40% of the pool.
+func others() []stream {
+	var all []stream
+	for i := range 20 {
+		all = append(all, stream{name: "others", class: "question", caller: fmt.Sprint("caller-", i), prompt: question, every: 690 * time.Millisecond, budget: 2 * time.Second})
+	}
+	return all
+}
+
+// Each case is one load pattern from the package's description: what the named
+// victims receive with the guard on, and that they lose it with the guard off.
+func TestGuards(t *testing.T) {
+	hot := stream{name: "hot", class: "question", caller: "hot", prompt: question, every: 4 * time.Millisecond, budget: 2 * time.Second}
+	hotKey := hot
+	hotKey.key = "lot-7"
+	manifests := stream{name: "manifests", class: "manifest", caller: "planner", prompt: manifest, every: 300 * time.Millisecond, budget: 20 * time.Second}
+	commits := stream{name: "commits", class: "commit", caller: "clerk", prompt: 100, every: 200 * time.Millisecond, budget: time.Second}
+	questions := stream{name: "questions", class: "question", caller: "lead", prompt: question, every: 100 * time.Millisecond, budget: time.Second}
+	for _, x := range []struct {
+		name    string
+		streams []stream
+		victim  string
+		off     Guards
+		on      float64 // least on-time share with the guard
+		without float64 // most on-time share without it
+	}{
+		{"a hot caller asks for 3.4 times the pool", append(others(), hot), "others", Guards{NoFairness: true}, 0.98, 0.6},
+		{"long manifests hold every slot", []stream{manifests, questions}, "questions", Guards{NoLongShare: true, NoPriority: true}, 0.96, 0.85},
+		{"commits among questions at twice the pool", append(others(), commits, hot), "commits", Guards{NoPriority: true, NoFairness: true}, 0.99, 0.6},
+	} {
+		on := run(testConfig(Guards{}), 30*time.Second, x.streams)
+		off := run(testConfig(x.off), 30*time.Second, x.streams)
+		t.Logf("%s: %s on time %.3f, without the guard %.3f", x.name, x.victim, on[x.victim].share(), off[x.victim].share())
+		assert.Check(t, on[x.victim].share() >= x.on, x.name)
+		assert.Check(t, off[x.victim].share() <= x.without, x.name)
+	}
+	on := run(testConfig(Guards{}), 10*time.Second, append(others(), hotKey))
+	assert.Assert(t, on["hot"].codes[code.HotKey] > on["hot"].offered/2)
+	off := run(testConfig(Guards{NoKeyLimit: true}), 10*time.Second, append(others(), hotKey))
+	t.Logf("hot key: at most %d at once; its share of the answers %d, without the limit %d", defaultKeyLimit, on["hot"].onTime, off["hot"].onTime)
+	assert.Equal(t, off["hot"].codes[code.HotKey], 0)
+}
+
+// The pool is asked for more than it can do. A queue without deadlines in mind
+// answers everyone late; this one answers as many as at its peak.
+func TestOverload(t *testing.T) {
+	peak := 0
+	for _, load := range []float64{1, 1.5, 2, 3} {
+		every := time.Duration(float64(110*time.Millisecond) / slots / load * 10)
+		var streams []stream
+		for i := range 10 {
+			streams = append(streams, stream{name: "all", class: "question", caller: fmt.Sprint(i), prompt: question, every: every, budget: time.Second})
+		}
+		on := run(testConfig(Guards{}), 20*time.Second, streams)["all"]
+		off := run(testConfig(Guards{NoFeasibility: true, NoShedding: true}), 20*time.Second, streams)["all"]
+		t.Logf("load %.1f: on time %d, late %d of %d; without feasibility and shedding %d, %d", load, on.onTime, on.late, on.offered, off.onTime, off.late)
+		peak = max(peak, on.onTime)
+		assert.Assert(t, float64(on.onTime) >= 0.9*float64(peak))
+		assert.Assert(t, on.late*50 <= on.onTime)
+		assert.Assert(t, load < 1.5 || off.onTime*3 < on.onTime)
+	}
+}
+
+// A third of the slots is lost while the queue is long. Who can't be served in
+// time any more hears it at once rather than at the deadline.
+func TestLossIsToldAtOnce(t *testing.T) {
+	q := NewQueue(testConfig(Guards{}))
+	q.SetCapacity(0, slots)
+	var all []*Request
+	for i := range 60 {
+		r := &Request{Class: "question", Caller: fmt.Sprint(i), Workspace: "w", Prompt: question, Deadline: clock.Time(1200 * time.Millisecond)}
+		if q.Offer(0, r).Err == nil {
+			all = append(all, r)
+		}
+		q.Next(0, Room{Normal: slots - q.running, Urgent: slots})
+	}
+	dropped := q.SetCapacity(1, slots/3)
+	assert.Assert(t, len(dropped) > 5 && len(dropped) < len(all), "%d of %d", len(dropped), len(all))
+	last := time.Duration(0)
+	for _, d := range dropped {
+		assert.Equal(t, d.Err.Run, code.NotRun)
+		assert.Assert(t, d.Err.RetryAfter > last, "%s", d.Err)
+		last = d.Err.RetryAfter
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	cfg := testConfig(Guards{})
+	cfg.MaxQueued = 4
+	q := NewQueue(cfg)
+	offer := func(class, caller string, budget time.Duration) Verdict {
+		return q.Offer(0, &Request{Class: class, Caller: caller, Workspace: caller, Prompt: question, Deadline: clock.Time(budget)})
+	}
+	assert.Equal(t, offer("question", "a", -1).Err.Code, code.DeadlinePassed)
+	never := offer("question", "a", time.Millisecond).Err
+	assert.Equal(t, never.Code, code.DeadlineInfeasible)
+	assert.Equal(t, never.RetryAfter, time.Duration(0))
+	for range 4 {
+		assert.Assert(t, offer("question", "a", time.Minute).Err == nil)
+	}
+	full := offer("question", "a", time.Minute).Err
+	assert.Equal(t, full.Code, code.QueueFull)
+	assert.Assert(t, full.RetryAfter >= 400*time.Millisecond)
+	other := offer("question", "b", time.Minute)
+	assert.Equal(t, other.Dropped[0].Err.Code, code.CallerOverShare)
+	commit := offer("commit", "c", time.Minute)
+	assert.Equal(t, commit.Dropped[0].Err.Code, code.ShedForPriority)
+	assert.Equal(t, q.Snapshot().Queued, 4)
+	r, _ := q.Next(0, Room{Normal: 1, Urgent: 1})
+	assert.Equal(t, r.Class, "commit")
+}
+
+// The books balance whatever happens: each request gets exactly one end, and
+// an empty queue holds no cost, no keys and no flows.
+func TestBooksBalance(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := testConfig(Guards{})
+		cfg.MaxQueued = 10
+		q := NewQueue(cfg)
+		now := clock.Time(0)
+		var running []*Request
+		open := map[*Request]bool{}
+		end := func(all []Refusal) {
+			for _, x := range all {
+				assert.Assert(rt, open[x.Request])
+				delete(open, x.Request)
+			}
+		}
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(rt, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(rt, "op") {
+			case 0, 1:
+				r := &Request{
+					Class: rapid.SampledFrom([]string{"commit", "question", "manifest"}).Draw(rt, "class"),
+					Key:   rapid.SampledFrom([]string{"", "k"}).Draw(rt, "key"), Caller: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "caller"),
+					Prompt: rapid.IntRange(1, 9000).Draw(rt, "prompt"), Deadline: now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(rt, "budget")) * time.Millisecond),
+				}
+				open[r] = true
+				v := q.Offer(now, r)
+				end(v.Dropped)
+				if v.Err != nil {
+					delete(open, r)
+				}
+			case 2:
+				r, dropped := q.Next(now, Room{Normal: 1, Urgent: 1})
+				end(dropped)
+				if r != nil {
+					running = append(running, r)
+				}
+			case 3:
+				end(q.SetCapacity(now, rapid.IntRange(0, 4).Draw(rt, "slots")))
+			default:
+				if len(running) == 0 {
+					continue
+				}
+				r := running[0]
+				running = running[1:]
+				if rapid.Bool().Draw(rt, "again") {
+					q.Return(r)
+					continue
+				}
+				q.Done(now, r, Measured{OK: true})
+				assert.Assert(rt, open[r])
+				delete(open, r)
+			}
+			assert.Equal(rt, len(open), q.Snapshot().Queued+q.Snapshot().Running)
+		}
+		for r := range open {
+			q.Cancel(r)
+		}
+		for _, l := range q.levels {
+			assert.Equal(rt, l.root.count, 0)
+			assert.Equal(rt, l.root.cost, time.Duration(0))
+			assert.Equal(rt, len(l.root.active), 0)
+		}
+		assert.Equal(rt, len(q.keys), 0)
+		assert.Equal(rt, q.runningCost, time.Duration(0))
+	})
+}
--- a/internal/policy/admit/config.go
+++ b/internal/policy/admit/config.go
@@ -15,7 +15,8 @@
 	// running: more are resends of the same question.
 	defaultKeyLimit = 8
 	// defaultLongFactor makes a request long when it costs this many times
-	// the mean of the requests offered.
+	// the geometric mean of the requests offered. In a mix of manifests only,
+	// none is long.
 	defaultLongFactor = 4.0
 	// defaultLongShare is the share of the slots that long requests may hold.
 	// The rest turns over quickly for commits and short questions.
@@ -26,6 +27,9 @@
 	// rateWeight lets about ten requests decide a measured rate: fast enough
 	// for a mix that swings within minutes.
 	rateWeight = 0.1
+	// mixWeight lets about fifty requests decide what is usual: a run of
+	// manifests must not make them so.
+	mixWeight = 0.02
 	// shrink is the loss of capacity that makes the queue forecast again
 	// what it holds.
 	shrink = 0.9
--- a/internal/policy/admit/queue.go
+++ b/internal/policy/admit/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 
@@ -62,6 +63,7 @@
 	longRunning int
 	runningCost time.Duration
 	meanCost    float64
+	logCost     float64 // mean logarithm: a few long requests hardly move it
 	codes       map[code.Code]int64
 }
 
@@ -86,7 +88,11 @@
 	slices.SortFunc(q.levels, func(a, b *level) int { return cmp.Compare(a.priority, b.priority) })
 	for _, c := range q.classes {
 		c.level = slices.IndexFunc(q.levels, func(l *level) bool { return l.priority == c.Priority })
-		c.flow = q.levels[c.level].root.child(flowKey{name: c.Name}, c.Weight)
+		key := flowKey{name: c.Name}
+		if cfg.Off.NoPriority {
+			key.name = ""
+		}
+		c.flow = q.levels[c.level].root.child(key, c.Weight)
 		c.flow.urgent = c.Urgent
 	}
 	return q
@@ -130,9 +136,11 @@
 	q.estimate(r)
 	if q.meanCost == 0 {
 		q.meanCost = float64(r.cost)
+		q.logCost = math.Log(q.meanCost)
 	}
-	r.long = float64(r.cost) > q.cfg.LongFactor*q.meanCost && !q.cfg.Off.NoLongShare
+	r.long = math.Log(float64(r.cost)) > q.logCost+math.Log(q.cfg.LongFactor) && !q.cfg.Off.NoLongShare
 	q.meanCost += rateWeight * (float64(r.cost) - q.meanCost)
+	q.logCost += mixWeight * (math.Log(float64(r.cost)) - q.logCost)
 	workspace, caller := r.Workspace, r.Caller
 	if q.cfg.Off.NoFairness {
 		workspace, caller = "", ""
--- /dev/null
+++ b/internal/policy/retry/retry_test.go
@@ -0,0 +1,93 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+)
+
+func failed(c code.Code, run code.Run) *code.Error { return code.New(c, "x").WithRun(run) }
+
+func TestFailed(t *testing.T) {
+	const later = clock.Time(time.Minute)
+	for _, x := range []struct {
+		name    string
+		attempt Attempt
+		retry   bool
+		code    code.Code
+	}{
+		{"idempotent and cut", Attempt{Idempotent: true, Deadline: later, Tries: 1, Err: failed(code.EndpointCut, code.Unknown)}, true, 0},
+		{"commit that may have run", Attempt{Deadline: later, Tries: 1, Err: failed(code.EndpointCut, code.Unknown)}, false, code.EndpointCut},
+		{"commit that was not sent", Attempt{Deadline: later, Tries: 1, Err: failed(code.EndpointRefused, code.NotRun)}, true, 0},
+		{"answered", Attempt{Idempotent: true, Deadline: later, Tries: 1, Err: failed(code.EndpointCut, code.Ran)}, false, code.EndpointCut},
+		{"poison", Attempt{Idempotent: true, Deadline: later, Tries: 1, Err: failed(code.Poison, code.Unknown)}, false, code.Poison},
+		{"too late", Attempt{Idempotent: true, Deadline: 5, Expect: 10, Tries: 1, Err: failed(code.EndpointCut, code.Unknown)}, false, code.DeadlineInfeasible},
+		{"third try", Attempt{Idempotent: true, Deadline: later, Tries: 3, Err: failed(code.EndpointCut, code.Unknown)}, false, code.EndpointCut},
+	} {
+		d := New(Config{}, 1).Failed(1, x.attempt)
+		assert.Equal(t, d.Retry, x.retry, x.name)
+		if !x.retry {
+			assert.Equal(t, d.Err.Code, x.code, x.name)
+			assert.Equal(t, d.Err.Run, x.attempt.Err.Run, x.name)
+		}
+	}
+}
+
+// storm sends a thousand requests to a pool whose endpoints all fail, after as
+// many that succeeded, and returns the attempts made.
+func storm(cfg Config) int {
+	p := New(cfg, 1)
+	for range 1000 {
+		p.Success("drafts", "caller")
+	}
+	attempts := 0
+	for i := range 1000 {
+		a := Attempt{Pool: "drafts", Caller: string(rune(i)), Idempotent: true, Deadline: clock.Time(time.Hour), Err: failed(code.EndpointCut, code.Unknown)}
+		for a.Tries = 1; ; a.Tries++ {
+			attempts++
+			if !p.Failed(1, a).Retry {
+				break
+			}
+		}
+	}
+	return attempts
+}
+
+// A whole pool fails for some seconds. Each request is tried three times, so
+// that the pool comes back to three times its load and fails again.
+func TestBudgetStopsStorm(t *testing.T) {
+	assert.Equal(t, storm(Config{NoBudget: true}), 3000)
+	assert.Equal(t, storm(Config{}), 1000+int(defaultBurst))
+}
+
+func TestCallerCantSpendPoolBudget(t *testing.T) {
+	p := New(Config{}, 1)
+	a := Attempt{Pool: "drafts", Caller: "hot", Idempotent: true, Tries: 1, Deadline: clock.Time(time.Hour), Err: failed(code.EndpointCut, code.Unknown)}
+	retries := 0
+	for range 100 {
+		if p.Failed(1, a).Retry {
+			retries++
+		}
+	}
+	assert.Equal(t, retries, int(defaultCallerBurst))
+	a.Caller = "other"
+	assert.Assert(t, p.Failed(1, a).Retry)
+}
+
+func TestHedgeIsOffByDefault(t *testing.T) {
+	a := Attempt{Pool: "p", Idempotent: true, Tries: 1}
+	assert.Assert(t, !New(Config{}, 1).Hedge(a))
+	p := New(Config{HedgeShare: 0.5}, 1)
+	p.Success("p", "c")
+	p.Success("p", "c")
+	assert.Assert(t, p.Hedge(a))
+	assert.Assert(t, !p.Hedge(a))
+	a.Idempotent = false
+	p.Success("p", "c")
+	p.Success("p", "c")
+	assert.Assert(t, !p.Hedge(a))
+}
