--- a/internal/policy/admit/queue.go
+++ b/internal/policy/admit/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 
@@ -16,14 +17,33 @@
 type level struct {
 	priority int
 	root     *flow
-	drain    drain
+	lanes    [lanes]lane
+}
+
+// lane is the part of a level that engines serve with one priority. Urgent
+// requests don't wait for the others, so each lane has its own backlog.
+type lane struct {
+	cost  time.Duration // queued
+	drain drain
+}
+
+const lanes = 2
+
+// lane returns the part of the queue that r waits in.
+func (q *Queue) lane(r *Request) *lane {
+	l := q.levels[r.class.level]
+	if r.class.Urgent {
+		return &l.lanes[1]
+	}
+	return &l.lanes[0]
 }
 
 type class struct {
 	Class
 	flow   *flow
 	level  int
-	output float64 // measured mean
+	output float64       // measured mean tokens
+	delay  time.Duration // measured mean from dispatch to the first token, less the prefill
 	stats  ClassStats
 }
 
@@ -43,6 +63,7 @@
 	longRunning int
 	runningCost time.Duration
 	meanCost    float64
+	logCost     float64 // mean logarithm: a few long requests hardly move it
 	codes       map[code.Code]int64
 }
 
@@ -67,7 +88,12 @@
 	slices.SortFunc(q.levels, func(a, b *level) int { return cmp.Compare(a.priority, b.priority) })
 	for _, c := range q.classes {
 		c.level = slices.IndexFunc(q.levels, func(l *level) bool { return l.priority == c.Priority })
-		c.flow = q.levels[c.level].root.child(flowKey{name: c.Name}, c.Weight)
+		key := flowKey{name: c.Name}
+		if cfg.Off.NoPriority {
+			key.name = ""
+		}
+		c.flow = q.levels[c.level].root.child(key, c.Weight)
+		c.flow.urgent = c.Urgent
 	}
 	return q
 }
@@ -96,7 +122,7 @@
 	}
 	r.state = queued
 	r.leaf.push(r)
-	heap.Push(&q.expiry, r)
+	q.enter(r)
 	if r.Key != "" {
 		q.keys[r.Key]++
 	}
@@ -110,9 +136,11 @@
 	q.estimate(r)
 	if q.meanCost == 0 {
 		q.meanCost = float64(r.cost)
+		q.logCost = math.Log(q.meanCost)
 	}
-	r.long = float64(r.cost) > q.cfg.LongFactor*q.meanCost && !q.cfg.Off.NoLongShare
+	r.long = math.Log(float64(r.cost)) > q.logCost+math.Log(q.cfg.LongFactor) && !q.cfg.Off.NoLongShare
 	q.meanCost += rateWeight * (float64(r.cost) - q.meanCost)
+	q.logCost += mixWeight * (math.Log(float64(r.cost)) - q.logCost)
 	workspace, caller := r.Workspace, r.Caller
 	if q.cfg.Off.NoFairness {
 		workspace, caller = "", ""
@@ -130,7 +158,8 @@
 	}
 	prefill := time.Duration(max(r.Prompt-r.Cached, 0)) * q.rates.PrefillPerToken
 	decode := time.Duration(output * float64(q.rates.DecodePerToken))
-	r.first = q.rates.Base + prefill
+	r.prefill = q.rates.Base + prefill
+	r.first = r.prefill + max(r.class.delay, 0)
 	r.run = r.first + decode
 	r.cost = max(prefill+decode/time.Duration(max(q.rates.Batch, 1)), q.rates.Base, 1)
 }
@@ -146,7 +175,7 @@
 	for _, l := range q.levels[:r.class.level] {
 		before += l.root.cost
 	}
-	all := q.levels[r.class.level].root.cost
+	all := q.lane(r).cost
 	// Half a mean request: the other flows' heads are on average half ahead.
 	own := float64(ahead) + q.meanCost/2
 	same := min(float64(all), own/r.leaf.share())
@@ -160,7 +189,7 @@
 
 // drainRate is the work a second that is started for r's level, in seconds.
 func (q *Queue) drainRate(r *Request) float64 {
-	return q.levels[r.class.level].drain.rate(q.slots, q.rates.Batch)
+	return q.lane(r).drain.rate(q.slots, q.rates.Batch)
 }
 
 // check refuses what can't be served in time or is over a limit.
@@ -201,11 +230,11 @@
 
 // crowds says whether r's own flow holds more of the backlog than its share.
 func (q *Queue) crowds(r *Request) bool {
-	l := q.levels[r.class.level].root
-	if r.leaf.cost == l.cost {
+	all := q.lane(r).cost
+	if r.leaf.cost == all {
 		return false
 	}
-	return float64(r.leaf.cost) > defaultCrowd*r.leaf.share()*float64(l.cost)
+	return float64(r.leaf.cost) > defaultCrowd*r.leaf.share()*float64(all)
 }
 
 func (q *Queue) comeBack(now clock.Time, r *Request, wait time.Duration) time.Duration {
@@ -249,9 +278,15 @@
 	return Refusal{r, e}
 }
 
+func (q *Queue) enter(r *Request) {
+	heap.Push(&q.expiry, r)
+	q.lane(r).cost += r.cost
+}
+
 func (q *Queue) unqueue(r *Request, served bool) {
 	r.leaf.remove(r, served)
 	heap.Remove(&q.expiry, r.index)
+	q.lane(r).cost -= r.cost
 	r.state = idle
 }
 
--- a/internal/policy/admit/request.go
+++ b/internal/policy/admit/request.go
@@ -29,6 +29,7 @@
 	cost    time.Duration // estimated time of an engine that it takes
 	run     time.Duration // estimated time from its start to its end
 	first   time.Duration // the part of run up to the first token
+	prefill time.Duration // the part of first without the wait at the engine
 	long    bool
 	leaf    *flow
 	index   int // in the expiry heap, -1 outside
--- a/internal/policy/admit/serve.go
+++ b/internal/policy/admit/serve.go
@@ -15,7 +15,9 @@
 	old := q.slots
 	q.slots = max(slots, 0)
 	for _, l := range q.levels {
-		l.drain.scale(old, q.slots)
+		for i := range l.lanes {
+			l.lanes[i].drain.scale(old, q.slots)
+		}
 	}
 	if float64(q.slots) >= shrink*float64(old) {
 		return nil
@@ -73,7 +75,9 @@
 func (q *Queue) Next(now clock.Time, room Room) (*Request, []Refusal) {
 	dropped := q.Expire(now)
 	for _, l := range q.levels {
-		l.drain.look(now, l.root.count > 0)
+		for i := range l.lanes {
+			l.lanes[i].drain.look(now, l.lanes[i].cost > 0)
+		}
 	}
 	bar := closed{
 		normal: room.Normal <= 0,
@@ -94,7 +98,7 @@
 
 func (q *Queue) start(now clock.Time, r *Request) {
 	q.unqueue(r, true)
-	q.levels[r.class.level].drain.started(r.cost)
+	q.lane(r).drain.started(r.cost)
 	r.state = running
 	r.started = now
 	q.running++
@@ -153,10 +157,10 @@
 	if r.Key != "" {
 		q.keys[r.Key]++
 	}
-	q.levels[r.class.level].drain.started(-r.cost)
+	q.lane(r).drain.started(-r.cost)
 	r.state = queued
 	r.leaf.unshift(r)
-	heap.Push(&q.expiry, r)
+	q.enter(r)
 }
 
 func (q *Queue) finish(r *Request) {
@@ -169,6 +173,9 @@
 	q.release(r)
 }
 
+// SetRates takes newly measured rates of the engines.
+func (q *Queue) SetRates(r Rates) { q.rates = r }
+
 // Measured is what a request showed about the rates.
 type Measured struct {
 	OK         bool          // the answer was whole; only then do the rates learn
@@ -193,8 +200,8 @@
 }
 
 func (q *Queue) learn(r *Request, m Measured) {
-	if n := r.Prompt - r.Cached; n >= minPrompt && m.FirstToken > q.rates.Base {
-		learn(&q.rates.PrefillPerToken, (m.FirstToken-q.rates.Base)/time.Duration(n))
+	if m.FirstToken > 0 {
+		learn(&r.class.delay, m.FirstToken-r.prefill)
 	}
 	if m.Step > 0 {
 		learn(&q.rates.DecodePerToken, m.Step)
@@ -218,7 +225,6 @@
 type Stats struct {
 	Queued, Running, LongRunning, Slots int
 	Backlog                             time.Duration // time to drain the queue
-	Drain                               float64       // work started a second, in seconds of an engine
 	Rates                               Rates
 	Classes                             map[string]ClassStats
 	Refused                             map[string]int64 // by result code
@@ -232,9 +238,10 @@
 		Classes: map[string]ClassStats{}, Refused: map[string]int64{},
 	}
 	for _, l := range q.levels {
-		drain := l.drain.rate(q.slots, q.rates.Batch)
-		s.Drain += drain
-		s.Backlog += time.Duration(float64(l.root.cost) / drain)
+		for i := range l.lanes {
+			drain := l.lanes[i].drain.rate(q.slots, q.rates.Batch)
+			s.Backlog += time.Duration(float64(l.lanes[i].cost) / drain)
+		}
 	}
 	for name, c := range q.classes {
 		s.Classes[name] = c.stats
--- a/internal/policy/policytest/routing.go
+++ b/internal/policy/policytest/routing.go
@@ -15,6 +15,7 @@
 	if err != nil {
 		return 0, false
 	}
+	r.decoding = false
 	first := d.Dispatch
 	if d.Prefill.Endpoint != nil {
 		first = d.Prefill
@@ -26,7 +27,13 @@
 func (n routing) PickDecode(now clock.Time, q *loadtest.Request, _ int, v *loadtest.View) (int, bool) {
 	n.sync(now, v)
 	r := n.reqs[q.ID]
-	n.router.Done(now, &r.dispatch, route.Success)
+	// The loop asks again if the engine chosen before didn't take the KV cache.
+	last := route.Success
+	if r.decoding {
+		last = route.Failed
+	}
+	r.decoding = true
+	n.router.Done(now, &r.dispatch, last)
 	moved := r.route
 	moved.Prefilled = true
 	d, err := n.router.Pick(now, &moved)
@@ -41,6 +48,9 @@
 
 func (n routing) send(now clock.Time, r *request, d route.Dispatch) int {
 	r.dispatch = d
+	if r.sentAt == 0 {
+		r.sentAt = now
+	}
 	n.router.Sent(now, &r.dispatch)
 	for i := range n.seen {
 		if engineName(i) == d.Endpoint.Name {
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -1,6 +1,11 @@
 package route
 
-import "fescuestand/internal/clock"
+import (
+	"math"
+	"sync/atomic"
+
+	"fescuestand/internal/clock"
+)
 
 // score estimates e's time to the first token of req in nanoseconds.
 func (r *Router) score(now clock.Time, req *Request, e *Endpoint, reason Reason) candidate {
@@ -14,9 +19,7 @@
 	wait, run := r.estimate(now, req, e, c.cached)
 	c.score = float64(wait + run)
 	if !r.cfg.Off.NoCalibration {
-		// A measured slowness corrects the estimate before the endpoint's
-		// ejection, and spares it if the pool has no room for one more.
-		c.score *= max(e.live.first.value(now, 1), e.live.step.value(now, 1)/fullStep, minCalibration)
+		c.score *= e.slowness(now)
 	}
 	if e.far {
 		c.score += float64(r.cfg.ZoneCost)
@@ -27,12 +30,21 @@
 	return c
 }
 
-// fullStep is the usual ratio of a full batch's step to a lone request's; only
-// steps beyond it speak of a slow engine rather than of a busy one.
-const fullStep = 2
+// usualSpread is how far an endpoint may lie over its peers' median before its
+// scores suffer: lengths and queues make that much difference between equals.
+const usualSpread = 2
+
+// slowness is the factor by which e is slower than its peers beyond the usual
+// spread, at least one. It turns traffic away before e's ejection, and for good
+// if the pool has no room for one more ejection.
+func (e *Endpoint) slowness(now clock.Time) float64 {
+	f := excess(e.live.first.value(now, 1), &e.shared.first)
+	return max(f, excess(e.live.step.value(now, 1), &e.shared.step), 1)
+}
 
-// minCalibration keeps a lucky run of samples from drawing all the traffic.
-const minCalibration = 0.5
+func excess(ratio float64, median *atomic.Uint64) float64 {
+	return ratio / (usualSpread * max(math.Float64frombits(median.Load()), 1))
+}
 
 // estimate returns the time that req would wait at e, and the time that its
 // own prefill or fixed work takes there.
