--- a/internal/policy/admit/serve.go
+++ b/internal/policy/admit/serve.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"container/heap"
 	"time"
 
 	"fescuestand/internal/clock"
