--- a/internal/policy/route/dispatch.go
+++ b/internal/policy/route/dispatch.go
@@ -42,7 +42,7 @@
 		l.dueAt.Store(int64(now.Add(r.patience(d.expected))))
 	}
 	l.change(now, 1, d.work, d.lane)
-	d.Endpoint.windows[d.lane].add(d.work)
+	d.Endpoint.shared.windows[d.lane].add(d.work)
 }
 
 // patience is how long an endpoint that expects to need t may show no first
@@ -77,7 +77,7 @@
 
 // prefillEnded lets the window follow the measured wait.
 func (r *Router) prefillEnded(now clock.Time, d *Dispatch) {
-	w := &d.Endpoint.windows[d.lane]
+	w := &d.Endpoint.shared.windows[d.lane]
 	w.add(-d.work)
 	if d.work > 0 {
 		w.observe(now, now.Sub(d.sentAt)-d.unloaded)
@@ -117,7 +117,7 @@
 	l.change(now, -1, work, d.lane)
 	if !d.answered {
 		d.answered = true
-		d.Endpoint.windows[d.lane].add(-d.work)
+		d.Endpoint.shared.windows[d.lane].add(-d.work)
 		r.progress(now, l)
 	}
 	d.sent = false
@@ -142,7 +142,7 @@
 
 // Capacity is what a pool can take from this entry.
 type Capacity struct {
-	Slots  int // this entry's part of all slots, for forecasts
+	Slots  int // this entry's part of all slots, those of prefill engines too
 	Normal int // requests that may be dispatched now
 	Urgent int // likewise, of those sent with the engine's higher priority
 }
@@ -160,7 +160,7 @@
 		m = g.cellFor(hashOf(workspace))
 	}
 	c := Capacity{Normal: r.free(now, m, normal), Urgent: r.free(now, m, urgent)}
-	slots := r.room(now, &m.decode, normal).Slots
+	slots := r.room(now, &m.decode, normal).Slots + r.room(now, &m.prefill, normal).Slots
 	c.Slots = (slots + r.cfg.Entries - 1) / r.cfg.Entries
 	return c
 }
@@ -211,7 +211,7 @@
 	if r.cfg.Off.NoAhead {
 		return false
 	}
-	if e.Role != Decode && e.windows[in].full() {
+	if e.Role != Decode && e.shared.windows[in].full() {
 		return true
 	}
 	if !l.fresh(now, &r.cfg) {
--- a/internal/policy/route/window.go
+++ b/internal/policy/route/window.go
@@ -32,11 +32,9 @@
 	// converge: a window that makes others wait shrinks in proportion to
 	// itself, all grow by the same amount.
 	windowBackoff = 0.85
-	windowGrowth  = 0.1 // of the work of a full window
+	windowGrowth  = 0.2 // of the work of a full window
 	// windowUsed is the share of a window that must be in use for it to grow.
 	windowUsed = 0.7
-	// urgentAhead is the part of Ahead that urgent requests may queue for.
-	urgentAhead = 0.25
 )
 
 // window bounds the prefill that this entry has outstanding at one set of
@@ -70,10 +68,10 @@
 	w.target = target
 	fair := int64(n) * int64(target) / int64(entries)
 	w.unit = windowGrowth * float64(fair)
-	w.least = max(fair/4, 1)
+	w.least = max(fair/2, 1)
 	w.most = int64(n) * int64(target) * 2
 	if old := w.limit.Load(); old == 0 {
-		w.limit.Store(max(fair, 1))
+		w.limit.Store(max(2*fair, 1))
 	}
 	w.store(float64(w.limit.Load()))
 }
@@ -112,31 +110,37 @@
 	w.since, w.waited, w.n, w.peak = now, 0, 0, 0
 }
 
-type windowKey struct {
+// shared is what peers have in common.
+type shared struct {
+	windows [lanes]window
+	first   atomic.Uint64 // median ratio of the peers as bits, zero if unknown
+	step    atomic.Uint64
+}
+
+type peersKey struct {
 	pool string
 	role Role
 	cell int
 }
 
-// joinWindows gives each endpoint the windows of its peers.
-func (r *Router) joinWindows(t *Table) {
+// joinPeers gives each endpoint what it shares with its peers.
+func (r *Router) joinPeers(t *Table) {
 	for i := range t.peers {
 		p := &t.peers[i]
-		k := windowKey{p.pool, p.role, p.cell}
-		w := r.windows[k]
-		if w == nil {
-			w = &[lanes]window{}
-			r.windows[k] = w
+		k := peersKey{p.pool, p.role, p.cell}
+		s := r.shared[k]
+		if s == nil {
+			s = &shared{}
+			r.shared[k] = s
 		}
 		open := 0
 		for _, e := range p.eps {
-			e.windows = w
+			e.shared = s
 			if e.State == Open {
 				open++
 			}
 		}
-		ahead := float64(r.cfg.Ahead)
-		w[normal].resize(max(open, 1), r.cfg.Ahead, r.cfg.Entries)
-		w[urgent].resize(max(open, 1), time.Duration(urgentAhead*ahead), r.cfg.Entries)
+		s.windows[normal].resize(max(open, 1), r.cfg.Ahead, r.cfg.Entries)
+		s.windows[urgent].resize(max(open, 1), r.cfg.UrgentAhead, r.cfg.Entries)
 	}
 }
