--- a/internal/entry/forward/front.go
+++ b/internal/entry/forward/front.go
@@ -52,6 +52,8 @@
 	Choose func() []string
 	// Refuse writes a numbered refusal.
 	Refuse func(w http.ResponseWriter, r *http.Request, err error)
+
+	offHops bool // pass on what was passed on before, so that a test shows the loop
 }
 
 // ServeHTTP implements http.Handler.
@@ -61,7 +63,7 @@
 		return
 	}
 	if err := f.passOn(w, r); err != nil {
-		f.Refuse(w, r, err)
+		f.Refuse(w, r, callerapi.UnsureOfEarlier(r, err))
 	}
 }
 
@@ -91,10 +93,11 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTime))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	_ = rc.SetReadDeadline(time.Time{})
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		return nil, code.Wrap(code.SlowSender, err, "reading the body")
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 	fwd := &wire.Forward{Method: r.Method, Path: r.URL.RequestURI(), Body: body, Hops: 1}
 	for name, values := range r.Header {
 		for _, v := range values {
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -48,13 +49,17 @@
 // world is a whole deployment in one process, on loopback.
 type world struct {
 	t        testing.TB
-	ctx      context.Context
+	ctx      context.Context // of the stand-ins, which outlive the entries
 	wg       sync.WaitGroup
+	running  context.Context // of the entries
+	entryWG  sync.WaitGroup
 	logAddr  string
 	vmAddr   string
 	engines  []string
 	services []string
 	entries  []*entryNode
+	vms      []httpapi.VM
+	newest   atomic.Pointer[string] // address of the entry started last
 	client   *http.Client
 }
 
@@ -75,9 +80,12 @@
 func newWorld(t testing.TB, cfg worldConfig) *world {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &world{t: t, ctx: ctx, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	running, stop := context.WithCancel(ctx)
+	w := &world{t: t, ctx: ctx, running: running, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(func() {
 		w.client.CloseIdleConnections()
+		stop()
+		w.entryWG.Wait()
 		cancel()
 		w.wg.Wait()
 	})
@@ -100,6 +108,7 @@
 			Name: fmt.Sprintf("vm%d", i), Zone: "z", Caller: freeAddress(t), Peer: freeAddress(t), Status: freeAddress(t),
 		})
 	}
+	w.vms = vms
 	w.vmAddr = w.serve(vmlist.New(vms, 0).Handler())
 	w.publish()
 	for _, vm := range vms {
@@ -107,6 +116,7 @@
 	}
 	for _, e := range w.entries {
 		w.awaitReady(e)
+		w.newest.Store(&e.addr)
 	}
 	return w
 }
@@ -180,8 +190,8 @@
 	n := &entryNode{addr: vm.Caller, signals: make(chan os.Signal, 2), done: make(chan error, 1)}
 	n.unit = New(Options{Settings: s, Incarnation: incarnation, Replica: r, Log: client, Peers: peers, Clock: clock.Boot{}})
 	opt := kernel.Options{LongestDrain: s.LongestDrain.D(), Signals: n.signals}
-	w.wg.Go(func() {
-		n.done <- kernel.Run(w.ctx, opt, r, n.unit)
+	w.entryWG.Go(func() {
+		n.done <- kernel.Run(w.running, opt, r, n.unit)
 		_ = peers.Close()
 		_ = client.Close()
 	})
@@ -197,7 +207,7 @@
 				open++
 			}
 		}
-		if s.Ready && open == len(w.engines)+len(w.services) && len(n.unit.backend.usable()) == len(n.unit.Members()) {
+		if s.Ready && open == len(w.engines)+len(w.services) && len(n.unit.backend.usable()) >= len(w.vms) {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/policy/admit/fair.go
+++ b/internal/policy/admit/fair.go
@@ -14,6 +14,7 @@
 	parent *flow
 	key    flowKey
 	weight float64
+	urgent bool    // of a class
 	start  float64 // tag among its siblings
 	now    float64 // virtual time of its children
 	queue  []*Request
@@ -168,7 +169,7 @@
 	for n := f; n.parent != nil; n = n.parent {
 		sum := n.weight
 		for _, k := range n.parent.active {
-			if k != n {
+			if k != n && k.urgent == n.urgent {
 				sum += k.weight
 			}
 		}
--- a/internal/policy/policytest/entry.go
+++ b/internal/policy/policytest/entry.go
@@ -64,6 +64,8 @@
 	admit    admit.Request
 	route    route.Request
 	dispatch route.Dispatch
+	sentAt   clock.Time // first dispatch
+	decoding bool       // has been prefilled and handed over
 }
 
 func newEntry(o Options, s loadtest.Setup) *entry {
@@ -219,6 +221,7 @@
 	for i := range q.Prefix / loadtest.PieceTokens {
 		r.route.Pieces = append(r.route.Pieces, piece(q.Key, i))
 	}
+	q.Priority = c.Priority
 	a.reqs[q.ID] = r
 	verdict := a.queue.Offer(now, &r.admit)
 	if verdict.Err != nil {
@@ -260,6 +263,7 @@
 	}
 	m := admit.Measured{OK: o.OK}
 	if o.OK {
+		m.FirstToken = o.Request.Arrive.Add(o.FirstToken).Sub(r.sentAt)
 		m.Output = o.Request.Output
 		m.Step = (o.Total - o.FirstToken) / time.Duration(max(o.Request.Output-1, 1))
 	}
--- a/internal/policy/route/health.go
+++ b/internal/policy/route/health.go
@@ -58,9 +58,6 @@
 // goroutine calls it a few times a second.
 func (r *Router) Sweep(now clock.Time) []Ejection {
 	r.measureSending(now)
-	if r.cfg.Off.NoEjection {
-		return nil
-	}
 	var all []Ejection
 	for _, p := range r.Table().peers {
 		all = append(all, r.sweepPool(now, p)...)
@@ -103,6 +100,9 @@
 		first: medianOf(now, p.eps, func(l *live) *ewma { return &l.first }),
 		step:  medianOf(now, p.eps, func(l *live) *ewma { return &l.step }),
 	}
+	shared := p.eps[0].shared
+	shared.first.Store(math.Float64bits(median.first))
+	shared.step.Store(math.Float64bits(median.step))
 	out := 0
 	var found []Ejection
 	var at []*Endpoint
@@ -116,6 +116,9 @@
 			at = append(at, e)
 		}
 	}
+	if r.cfg.Off.NoEjection {
+		return nil
+	}
 	allowed := int(r.cfg.MaxOut * float64(len(p.eps)))
 	if r.cfg.Off.NoMaxOut {
 		allowed = len(p.eps)
