--- a/internal/control/demand.go
+++ b/internal/control/demand.go
@@ -192,25 +192,46 @@
 	return a, q
 }
 
-// batch is how many streams a decode engine is taken to carry at once when its
-// rate is worked out from the time of one step.
-const batch = 32
+// defaultSlots is how many streams a decode engine is taken to carry at once
+// until it was seen full.
+const defaultSlots = 32
+
+// noteSlots learns how many streams an engine carries: what runs while others
+// wait is all that it takes.
+func (e *engine) noteSlots() {
+	switch {
+	case e.state.Queued > 0 && e.state.Running > 0:
+		e.slots = e.state.Running
+	case e.slots > 0:
+		e.slots = max(e.slots, e.state.Running)
+	}
+}
+
+// decodeRate is what an engine generates a second when it is full, 0 if that
+// isn't known.
+func (e *engine) decodeRate() float64 {
+	if e.report == nil || e.report.DecodeStep <= 0 || e.state.Role == driver.RolePrefill {
+		return 0
+	}
+	slots := defaultSlots
+	if e.slots > 0 {
+		slots = e.slots
+	}
+	return float64(slots) / e.report.DecodeStep.Seconds()
+}
 
 // ratesOf averages what the engines measured of themselves.
 func ratesOf(s *state, p *pool) roles.Rates {
 	var out roles.Rates
 	var prefill, decode float64
 	for _, name := range p.spec.Engines {
-		l := s.engines[name].report
-		if l == nil {
-			continue
-		}
-		if l.PrefillRate > 0 {
-			out.PrefillTokensPerSec += l.PrefillRate
+		e := s.engines[name]
+		if e.report != nil && e.report.PrefillRate > 0 {
+			out.PrefillTokensPerSec += e.report.PrefillRate
 			prefill++
 		}
-		if l.DecodeStep > 0 {
-			out.DecodeTokensPerSec += batch / l.DecodeStep.Seconds()
+		if r := e.decodeRate(); r > 0 {
+			out.DecodeTokensPerSec += r
 			decode++
 		}
 	}
--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -42,6 +42,7 @@
 	answered clock.Time // end of the newest good read
 	report   *driver.LoadReport
 	reportAt clock.Time
+	slots    int // streams carried at once, 0 until it was seen full
 	reading  bool
 	ordering bool
 	known    bool // the state was read under the present token
@@ -199,6 +200,7 @@
 			WithField("is", r.state.Incarnation).Warn("engine restarted")
 	}
 	e.state, e.readFrom, e.answered, e.known = r.state, r.from, s.now(), true
+	e.noteSlots()
 	if r.report != nil {
 		e.report, e.reportAt = r.report, r.from
 	}
