Patches decode the members they name, not the whole sheet

Change: an accepted sheet is kept split into named members; anything else, and every refusal, still goes the whole way. Property test over 2,000 random histories: same bytes, same sheet, same reasons as decoding the whole.

--- a/internal/fold/config.go
+++ b/internal/fold/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -45,6 +46,7 @@
 	held        []Item // records that wait for a checkpoint
 
 	cur       Accepted
+	doc       *sheet.Document // of cur, nil until a patch needs it
 	verdicts  []*wire.Verdict // oldest first
 	dedup     *Dedup
 	lastPoint Point
@@ -120,10 +122,16 @@
 	}
 	switch k := it.Entry.GetKind().(type) {
 	case *wire.Entry_Sheet:
-		c.publish(it.Offset, k.Sheet.Base, k.Sheet.PublishId, func() ([]byte, error) { return k.Sheet.Body, nil })
+		c.publish(it.Offset, k.Sheet.Base, k.Sheet.PublishId, func() (*sheet.Document, error) {
+			s, err := sheet.Parse("sheet", k.Sheet.Body)
+			return sheet.NewDocument(k.Sheet.Body, s), err
+		})
 	case *wire.Entry_Patch:
-		c.publish(it.Offset, k.Patch.Base, k.Patch.PublishId, func() ([]byte, error) {
-			return sheet.ApplyPatch(c.cur.Body, k.Patch.Body)
+		c.publish(it.Offset, k.Patch.Base, k.Patch.PublishId, func() (*sheet.Document, error) {
+			if c.doc == nil {
+				c.doc = sheet.NewDocument(c.cur.Body, c.cur.Sheet)
+			}
+			return c.doc.Patch(k.Patch.Body)
 		})
 	}
 }
@@ -131,7 +139,7 @@
 // publish judges one publish. A base at or above the publish's own offset is
 // no version yet; refusing it keeps the verdict from depending on what that
 // offset will hold.
-func (c *Config) publish(offset, base uint64, id string, body func() ([]byte, error)) {
+func (c *Config) publish(offset, base uint64, id string, build func() (*sheet.Document, error)) {
 	if id != "" && c.Verdict(id) != nil {
 		return
 	}
@@ -139,17 +147,18 @@
 		c.refuse(offset, id, code.RacingPublish, fmt.Sprintf("replaces version %d; version %d is in force", base, c.cur.Version))
 		return
 	}
-	text, err := body()
+	doc, err := build()
 	if err != nil {
-		c.refuse(offset, id, code.BadPatch, err.Error())
-		return
-	}
-	s, err := sheet.Parse("sheet", text)
-	if err != nil {
-		c.refuse(offset, id, code.BadSheet, err.Error())
+		why := code.BadSheet
+		var bad *sheet.ErrPatch
+		if errors.As(err, &bad) {
+			why = code.BadPatch
+		}
+		c.refuse(offset, id, why, err.Error())
 		return
 	}
-	c.cur = Accepted{Version: offset, Body: text, Sheet: s}
+	c.doc = doc
+	c.cur = Accepted{Version: offset, Body: doc.Body(), Sheet: doc.Sheet()}
 	c.judge(&wire.Verdict{PublishId: id, Offset: offset, Accepted: true})
 }
 
@@ -191,6 +200,7 @@
 		}
 		next.Sheet = s
 	}
+	c.doc = nil
 	c.cur, c.verdicts, c.established = next, slices.Clone(cp.Recent), true
 	c.dedup.Restore(cp.Writers)
 	held := c.held
--- a/internal/fold/fold_test.go
+++ b/internal/fold/fold_test.go
@@ -187,7 +187,9 @@
 		case 0:
 			it.Entry = publishEntry(base, id, sheetText(id))
 		case 1:
-			it.Entry = patchEntry(base, id, `{"note": "p"}`)
+			it.Entry = patchEntry(base, id, rapid.SampledFrom([]string{
+				`{"note": "p"}`, `{"classes": {"c": {"priority": 2}}}`, `{"classes": {"c": {"objective": 2}}}`, `7`,
+			}).Draw(t, "patch"))
 		case 2:
 			it.Entry = &wire.Entry{}
 		case 3:
--- a/internal/sheet/patch.go
+++ b/internal/sheet/patch.go
@@ -28,13 +28,11 @@
 	if _, ok := change.(map[string]any); !ok {
 		return nil, fmt.Errorf("patch: is not an object")
 	}
-	var out bytes.Buffer
-	enc := json.NewEncoder(&out)
-	enc.SetEscapeHTML(false)
-	if err := enc.Encode(merge(target, change)); err != nil {
+	out, err := encode(merge(target, change))
+	if err != nil {
 		return nil, fmt.Errorf("encoding: %w", err)
 	}
-	return bytes.TrimRight(out.Bytes(), "\n"), nil
+	return out, nil
 }
 
 // parseLoose parses JSON with comments, keeping numbers as they are written.
