Loads reserve their turn at the weight store when the drain begins

Cause: a load was counted at the store when its order went out, seconds after the check; engines of a returning zone all passed the check meanwhile, and all passed while the first size wasn't known yet. After: six empty engines, a store that needs 10 s for each: 2 loads begun in the first 15 s; 6 without the pacing (test).

--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -12,6 +12,7 @@
 	"fescuestand/internal/driver"
 	"fescuestand/internal/reconcile"
 	"fescuestand/internal/sheet"
+	"fescuestand/internal/wire"
 )
 
 // leaseEnd is the authority over one engine as the goroutine of an order sees
@@ -42,7 +43,8 @@
 	answered clock.Time // end of the newest good read
 	report   *driver.LoadReport
 	reportAt clock.Time
-	slots    int // streams carried at once, 0 until it was seen full
+	reserved driver.Loaded // the load that was counted at the weight store
+	slots    int           // streams carried at once, 0 until it was seen full
 	reading  bool
 	ordering bool
 	known    bool // the state was read under the present token
@@ -57,7 +59,7 @@
 func (e *engine) takeover(token uint64, orderFrom clock.Time) {
 	e.token, e.orderFrom = token, orderFrom
 	e.memory, e.step = reconcile.Memory{}, reconcile.Step{}
-	e.readFrom, e.known = 0, false
+	e.readFrom, e.known, e.reserved = 0, false, driver.Loaded{}
 	e.announced = announcement{}
 }
 
@@ -238,13 +240,20 @@
 		Now: now, Engine: e.name, Token: e.token, Want: want, State: e.state, ReadFrom: e.readFrom,
 		OrderFrom: e.orderFrom, AckedFrom: e.announced.acked(s, e),
 		MayLeave: !s.c.leaving.Load() && (empty || p.mayLeave()),
-		MayLoad:  s.mayLoad(now, &want, &e.state),
+		MayLoad:  true,
+	}
+	load, loads := firstLoad(&want, &e.state)
+	if loads {
+		in.MayLoad = s.mayLoad(now, load)
 	}
 	before := e.step
 	e.step = e.memory.Next(in, &s.opt.Times)
 	if e.step.Phase != before.Phase {
 		s.count(p)
 	}
+	if loads && before.Phase == wire.Phase_PHASE_OPEN && e.step.Phase != wire.Phase_PHASE_OPEN {
+		s.reserve(e, load)
+	}
 	if e.step.Reason != before.Reason || e.step.Phase != before.Phase {
 		log.WithField("engine", e.name).WithField("phase", e.step.Phase.String()).WithField("why", e.step.Reason).Info("step")
 	}
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -16,7 +16,8 @@
 func (s *state) order(e *engine, o driver.Order) {
 	e.ordering = true
 	if o.Kind == driver.OrderLoad {
-		s.tookLoad(o.Load)
+		s.reserve(e, o.Load)
+		e.reserved = driver.Loaded{}
 	}
 	conn, token := e.conn, e.token
 	permit := s.c.permit(e, token)
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -1,12 +1,8 @@
 package control
 
 import (
-	"context"
 	"time"
 
-	"github.com/apex/log"
-
-	"fescuestand/internal/clock"
 	"fescuestand/internal/driver"
 	"fescuestand/internal/reconcile"
 	"fescuestand/internal/sheet"
@@ -167,80 +163,3 @@
 	}
 	return true
 }
-
-// weightStore is what is known of the weight store.
-type weightStore struct {
-	rate  int64
-	sizes map[driver.Loaded]int64
-	asked map[driver.Loaded]bool
-}
-
-const weightTimeout = 2 * time.Second
-
-// mayLoad reports whether the weight store has room for the first load that an
-// engine lacks; its size is asked for before the first order.
-func (s *state) mayLoad(now clock.Time, want *reconcile.Want, st *driver.EngineState) bool {
-	if s.opt.Weights == nil {
-		return true
-	}
-	orders := reconcile.Diff(want, st, false)
-	if len(orders) == 0 || orders[0].Kind != driver.OrderLoad {
-		return true
-	}
-	s.askSize(orders[0].Load)
-	return s.pacer.Free(now)
-}
-
-// askSize learns a size and the store's rate. While they aren't known loads
-// aren't paced: a store that doesn't answer these doesn't give weights either.
-func (s *state) askSize(l driver.Loaded) {
-	if s.weights.sizes == nil {
-		s.weights.sizes, s.weights.asked = map[driver.Loaded]int64{}, map[driver.Loaded]bool{}
-	}
-	if s.weights.asked[l] {
-		return
-	}
-	s.weights.asked[l] = true
-	s.c.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(s.ctx, weightTimeout)
-		defer cancel()
-		name := l.Model
-		if l.Adapter != "" {
-			name = l.Adapter
-		}
-		size, err := s.opt.Weights.Size(ctx, name, l.Version)
-		var rate int64
-		if err == nil {
-			rate, err = s.opt.Weights.Rate(ctx)
-		}
-		_ = s.c.postWait(s.ctx, sized{l, size, rate, err})
-	})
-}
-
-// sized carries what the weight store says.
-type sized struct {
-	load driver.Loaded
-	size int64
-	rate int64
-	err  error
-}
-
-func (e sized) apply(s *state) {
-	if e.err != nil {
-		log.WithError(e.err).WithField("model", e.load.Model).Warn("weight store")
-		delete(s.weights.asked, e.load)
-		return
-	}
-	s.weights.sizes[e.load], s.weights.rate = e.size, e.rate
-}
-
-// tookLoad counts a load against this process's share of the store's rate: a
-// pool's share of all pools.
-func (s *state) tookLoad(l driver.Loaded) {
-	pools := map[string]bool{}
-	for _, e := range s.held() {
-		pools[e.pool] = true
-	}
-	share := s.weights.rate * int64(len(pools)) / int64(max(1, len(s.pools)))
-	s.pacer.Took(s.now(), s.weights.sizes[l], share)
-}
