--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -93,13 +93,23 @@
 	return s, nil
 }
 
-func (f *fakeEngine) Order(ctx context.Context, o driver.Order, permit driver.Permit) error {
+// link is one process's connection to an engine.
+type link struct {
+	*fakeEngine
+	dead <-chan struct{} // closed when the process is killed
+}
+
+func (f link) Order(ctx context.Context, o driver.Order, permit driver.Permit) error {
 	f.mu.Lock()
 	stall, lose := f.stall, f.lose
 	f.stall, f.lose = nil, false
 	f.mu.Unlock()
 	if stall != nil {
-		<-stall
+		select {
+		case <-stall:
+		case <-f.dead:
+			return driver.ErrNotSent
+		}
 	}
 	if err := permit(); err != nil {
 		return errors.Join(driver.ErrNotSent, err)
@@ -107,6 +117,11 @@
 	return f.take(ctx, o, lose)
 }
 
+// Order is for engines that nobody orders, in benchmarks.
+func (f *fakeEngine) Order(context.Context, driver.Order, driver.Permit) error {
+	return driver.ErrRefused
+}
+
 func (f *fakeEngine) take(_ context.Context, o driver.Order, lose bool) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
