Entry keeps metrics and the service-level account

expvar shows results by code and run, totals, queues, attempts and commits; the status endpoint serves the burn report. Ran: go test -race ./internal/entry/...

--- a/cmd/fescue-entry/main.go
+++ b/cmd/fescue-entry/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"expvar"
 	"os"
 
 	"fescuestand/internal/clock"
@@ -44,9 +45,10 @@
 	unit := entry.New(entry.Options{
 		Settings: s, Incarnation: incarnation, Replica: copyOf, Log: client, Peers: peers, Clock: clock.Boot{},
 	})
+	expvar.Publish("entry", expvar.Func(unit.Metrics))
 	units := []kernel.Unit{
 		kernel.Closing("log", client), kernel.Closing("peers", peers), copyOf, unit,
-		status.NewServer(s.Addresses.Status, unit.Status, nil),
+		status.NewServer(s.Addresses.Status, unit.Status, unit.Burn),
 	}
 	return kernel.Options{LongestDrain: s.LongestDrain.D()}, units, nil
 }
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -60,8 +60,15 @@
 		wait(ctx, closedWait)
 		return errMoved
 	}
+	s.d.streams.attempts.Add(1)
+	if s.from > 0 {
+		s.d.streams.resumed.Add(1)
+	}
 	err := s.send(ctx, p, e, x)
 	release()
+	if errors.Is(err, errMoved) {
+		s.d.streams.moved.Add(1)
+	}
 	result := outcomeOf(ctx, err)
 	if errors.Is(err, errMoved) || errors.Is(err, errSink) {
 		result = route.Canceled
--- a/internal/entry/dispatch/counts.go
+++ b/internal/entry/dispatch/counts.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+)
 
 // Totals are running totals of one pool since the start of the process.
 type Totals struct {
@@ -40,3 +43,24 @@
 	}
 	return out
 }
+
+// StreamCounts are running totals of the completions' attempts.
+type StreamCounts struct {
+	Attempts uint64 `json:"attempts"`
+	Resumed  uint64 `json:"resumed"` // attempts that went on with a stream
+	Moved    uint64 `json:"moved"`   // attempts ended by a planned change
+	Dropped  uint64 `json:"dropped"` // late, repeated or foreign tokens
+	Crashes  uint64 `json:"crashes"` // attempts whose engine crashed
+}
+
+// streamCounts is StreamCounts while it grows.
+type streamCounts struct{ attempts, resumed, moved, dropped, crashes atomic.Uint64 }
+
+// Streams returns the totals of the attempts.
+func (d *Dispatcher) Streams() StreamCounts {
+	c := &d.streams
+	return StreamCounts{
+		Attempts: c.attempts.Load(), Resumed: c.resumed.Load(), Moved: c.moved.Load(),
+		Dropped: c.dropped.Load(), Crashes: c.crashes.Load(),
+	}
+}
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -31,6 +31,7 @@
 	exchanges singleflight.Group
 	attempts  atomic.Uint64
 	counts    *Counts
+	streams   streamCounts
 
 	mu       sync.Mutex
 	gates    map[string]*gate
--- a/internal/entry/dispatch/isolate.go
+++ b/internal/entry/dispatch/isolate.go
@@ -110,6 +110,7 @@
 	if !s.hasCrashed(ctx, e, x.crash.Incarnation) {
 		return // only the connection broke
 	}
+	s.d.streams.crashes.Add(1)
 	now := s.d.clk.Now()
 	s.ran = now.Sub(x.began)
 	s.d.suspects.Add(now, suspect.Evidence{Crash: x.crash, Fingerprint: s.print, Strength: strength(x)})
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"fescuestand/internal/burn"
 	"fescuestand/internal/standin/engine"
 	"fescuestand/internal/standin/oracle"
 	"fescuestand/internal/standin/service"
@@ -42,4 +44,14 @@
 	other, err := w.topup(w.entries[1].addr, "k1", `{"id":2}`, true, issued)
 	assert.NilError(t, err)
 	assert.Equal(t, other.refusal.Name, "key-reused")
+
+	m := w.entries[1].unit.Metrics().(Metrics)
+	assert.DeepEqual(t, m.Results, map[string]uint64{"ok/ran": 1, "key-reused/not-run": 1})
+	b, err := w.entries[0].unit.Burn()
+	assert.NilError(t, err)
+	var report burn.Report
+	assert.NilError(t, json.Unmarshal(b, &report))
+	for _, l := range report.Lines {
+		assert.Assert(t, l.Windows[0].Good > 0 && l.Windows[0].Bad == 0, "%+v", l)
+	}
 }
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -58,6 +58,7 @@
 	commits  *commit.Committer
 	journal  *journal
 	backend  *backend
+	account  *account
 	front    *forward.Front
 	server   *http.Server
 	peers    *peer.Server
@@ -85,7 +86,8 @@
 		Window: u.window, MaxWindow: maxWindow,
 	}, u.table, u.journal, u.dispatch)
 	u.backend = &backend{own: s, views: o.Replica.View, dispatch: u.dispatch, commits: u.commits}
-	handler := callerapi.NewHandler(u.backend)
+	u.account = newAccount(u.backend, o.Clock)
+	handler := callerapi.NewHandler(u.account)
 	u.front = &forward.Front{
 		Next: handler, Peers: pool{o.Peers}, Away: u.away,
 		Choose: u.backend.peers, Refuse: handler.Refuse,
@@ -182,9 +184,12 @@
 
 // followSheet hands each sheet in force to the fleet.
 func (u *Unit) followSheet(ctx context.Context) error {
+	version := uint64(0)
 	for {
 		changed := u.o.Replica.Updated()
-		if v := u.o.Replica.View(); v.Sheet != nil {
+		if v := u.o.Replica.View(); v.Sheet != nil && v.Version > version {
+			version = v.Version
+			u.account.follow(v.Sheet)
 			u.fleet.SetSheet(ctx, v.Sheet, v.Version)
 		}
 		select {
