Polls ask for state only when it may have changed

Each entry asked each engine for report, state and cache events five times a second. Two reports a second, cache events once and state each 4 s or after a directive or fault give the same: go test -race ./internal/entry ./internal/entry/dispatch passes.

--- a/internal/entry/dispatch/isolate.go
+++ b/internal/entry/dispatch/isolate.go
@@ -124,6 +124,7 @@
 		state, err := e.State(stateCtx)
 		cancel()
 		if err != nil || life != "" && state.Incarnation != life {
+			e.Refresh()
 			return true
 		}
 		if try > 0 {
--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -23,9 +23,12 @@
 )
 
 const (
-	// pollEvery is the time between two load reports of one endpoint. Reports
-	// lag by themselves; the router corrects them by what it sent since.
-	pollEvery = 200 * time.Millisecond
+	// pollEvery is the time between two load reports of one endpoint.
+	pollEvery = 500 * time.Millisecond
+	// stateShare and cacheShare are how many polls go by between two questions
+	// for the state and for cache events.
+	stateShare = 8
+	cacheShare = 2
 	// pollTimeout bounds one poll: a frozen endpoint accepts and says nothing.
 	pollTimeout = time.Second
 	// suspectAfter is how many polls in a row may fail before an endpoint is
@@ -65,6 +68,7 @@
 	driver.Engine
 	Name string
 
+	kick        chan struct{} // wakes the poller
 	incarnation atomic.Pointer[string]
 	inFlight    atomic.Int64
 	closed      atomic.Bool                   // a directive forbids new work
@@ -83,6 +87,14 @@
 // move elsewhere.
 func (e *Engine) Moved() <-chan struct{} { return *e.moved.Load() }
 
+// Refresh asks for the engine's state soon.
+func (e *Engine) Refresh() {
+	select {
+	case e.kick <- struct{}{}:
+	default:
+	}
+}
+
 // Hold counts one attempt at the engine until release is called, or returns
 // false if the engine takes no new work.
 //
--- a/internal/entry/fleet/owner.go
+++ b/internal/entry/fleet/owner.go
@@ -33,6 +33,8 @@
 	stop    context.CancelFunc
 	failed  int // polls in a row
 	state   *driver.EngineState
+	stateAt clock.Time    // when it was asked for
+	kick    chan struct{} // wakes the poller
 	report  *driver.LoadReport
 }
 
@@ -121,11 +123,11 @@
 	if err == nil {
 		var d driver.Engine
 		if d, err = open(t); err == nil {
-			e := &Engine{Engine: d, Name: name}
+			e := &Engine{Engine: d, Name: name, kick: make(chan struct{}, 1)}
 			moved := make(chan struct{})
 			e.moved.Store(&moved)
 			e.setPhase(o.directiveOf(name).GetPhase())
-			o.start(name, &endpoint{target: t, engine: e})
+			o.start(name, &endpoint{target: t, engine: e, kick: e.kick})
 			return
 		}
 	}
@@ -176,15 +178,18 @@
 		old.heard = o.f.clk.Now()
 		return
 	}
-	o.directives[name] = &directive{d: e.d, heard: o.f.clk.Now()}
+	now := o.f.clk.Now()
+	o.directives[name] = &directive{d: e.d, came: now, heard: now}
 	if ep := o.endpoints[name]; ep != nil && ep.engine != nil {
 		ep.engine.setPhase(e.d.GetPhase())
+		ep.engine.Refresh()
 	}
 }
 
 // directive is the newest one of an engine.
 type directive struct {
 	d      *wire.Directive
+	came   clock.Time // when it was first heard
 	heard  clock.Time
 	lapsed bool
 }
@@ -211,3 +216,12 @@
 	}
 	return nil
 }
+
+// newState returns the engine's own state unless a directive came after it was
+// asked for: an engine that has just changed would be taken for what it was.
+func (o *owner) newState(name string, ep *endpoint) *driver.EngineState {
+	if d := o.directives[name]; d != nil && !d.lapsed && d.came > ep.stateAt {
+		return nil
+	}
+	return ep.state
+}
--- a/internal/entry/fleet/poll.go
+++ b/internal/entry/fleet/poll.go
@@ -5,21 +5,30 @@
 	"math/rand/v2"
 	"time"
 
+	"fescuestand/internal/clock"
 	"fescuestand/internal/driver"
 	"fescuestand/internal/policy/route"
 )
 
-// poll asks one endpoint for its load and, if it is an engine, for its state
-// and cache events, until ctx ends.
+// poll asks one endpoint for its load and, if it is an engine, now and then for
+// its state and cache events, until ctx ends.
+//
+// Polls are most of what an entry spends on control: each is a few hundred
+// bytes. Reports lag by themselves and are corrected by what was sent since, so
+// that two a second do; state is asked for when a directive or a fault says
+// that it changes, and rarely otherwise.
 func (f *Fleet) poll(ctx context.Context, name string, ep *endpoint) {
-	p := &poller{f: f, name: name, ep: ep}
-	for ctx.Err() == nil {
-		p.once(ctx)
+	p := &poller{f: f, name: name, ep: ep, state: true}
+	for n := 0; ctx.Err() == nil; n++ {
+		p.state = p.state || n%stateShare == 0
+		p.once(ctx, n%cacheShare == 0)
 		// Entries that poll in step would find the endpoint busy together.
 		wait := time.NewTimer(pollEvery/2 + rand.N(pollEvery))
 		select {
 		case <-ctx.Done():
 		case <-wait.C:
+		case <-ep.kick:
+			p.state = true
 		}
 		wait.Stop()
 	}
@@ -29,32 +38,43 @@
 	f       *Fleet
 	name    string
 	ep      *endpoint
+	state   bool   // is asked for next
 	cacheAt uint64 // last cache event seen
 	life    string // incarnation that numbered it
 }
 
-func (p *poller) once(outer context.Context) {
+func (p *poller) once(outer context.Context, cache bool) {
 	ctx, cancel := context.WithTimeout(outer, pollTimeout)
 	defer cancel()
-	got := polled{name: p.name, ep: p.ep}
-	if p.ep.engine != nil {
+	got := polled{name: p.name, ep: p.ep, asked: p.f.clk.Now()}
+	if p.ep.engine == nil {
+		got.report, got.err = p.ep.service.Report(ctx)
+	} else {
 		got.report, got.err = p.ep.engine.Report(ctx)
-		if got.err == nil {
-			got.state, got.err = p.ep.engine.State(ctx)
+		if got.err == nil && p.state {
+			got.state, got.err = p.askState(ctx)
 		}
-	} else {
-		got.report, got.err = p.ep.service.Report(ctx)
 	}
+	// After a fault the endpoint may be another incarnation.
+	p.state = got.err != nil
 	if got.err == nil {
 		p.tellRouter(&got.report)
-	}
-	if got.err == nil && p.ep.engine != nil {
-		p.ep.engine.incarnation.Store(&got.state.Incarnation)
-		p.cacheEvents(ctx, got.state.Incarnation)
+		if cache && p.ep.engine != nil {
+			p.cacheEvents(ctx, p.ep.engine.Incarnation())
+		}
 	}
 	p.f.post(outer, got)
 }
 
+func (p *poller) askState(ctx context.Context) (*driver.EngineState, error) {
+	s, err := p.ep.engine.State(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p.ep.engine.incarnation.Store(&s.Incarnation)
+	return &s, nil
+}
+
 func (p *poller) tellRouter(r *driver.LoadReport) {
 	p.f.router.Report(p.name, route.Report{
 		TakenAt: p.f.clk.Now().Add(-r.Age), Running: r.Running, Waiting: r.Queued, PrefillTokens: r.QueuedTokens,
@@ -88,8 +108,9 @@
 type polled struct {
 	name   string
 	ep     *endpoint
+	asked  clock.Time
 	report driver.LoadReport
-	state  driver.EngineState
+	state  *driver.EngineState // nil if it wasn't asked for
 	err    error
 }
 
@@ -103,7 +124,7 @@
 	}
 	e.ep.failed = 0
 	e.ep.report = &e.report
-	if e.ep.engine != nil {
-		e.ep.state = &e.state
+	if e.state != nil {
+		e.ep.state, e.ep.stateAt = e.state, e.asked
 	}
 }
--- a/internal/entry/fleet/table.go
+++ b/internal/entry/fleet/table.go
@@ -94,10 +94,10 @@
 }
 
 func (o *owner) engineOf(p *sheet.Pool, e *sheet.Engine, ep *endpoint) route.Endpoint {
-	d := o.directiveOf(e.Name)
+	d, state := o.directiveOf(e.Name), o.newState(e.Name, ep)
 	r := route.Endpoint{
 		Name: e.Name, Pool: p.Name, Zone: e.Zone, Slots: defaultSlots,
-		Role: roleOf(p, e, ep, d), State: stateOf(e, ep, d), Serves: servesOf(p, ep),
+		Role: roleOf(p, e, state, d), State: stateOf(e, ep, state, d), Serves: servesOf(p, ep),
 		PrefillPerToken: perToken(defaultPrefillRate), DecodePerToken: defaultDecodeStep,
 	}
 	if ep.report != nil && ep.report.PrefillRate > 0 {
@@ -121,7 +121,7 @@
 // stateOf combines the sheet, the holder's directive and what the engine says.
 // A directive is newer than any poll: an engine that is about to change must
 // get no new work although it still answers as before.
-func stateOf(e *sheet.Engine, ep *endpoint, d *wire.Directive) route.State {
+func stateOf(e *sheet.Engine, ep *endpoint, state *driver.EngineState, d *wire.Directive) route.State {
 	if e.Withdrawn {
 		return route.Draining
 	}
@@ -134,7 +134,7 @@
 	switch {
 	case ep.failed >= suspectAfter:
 		return route.Suspect
-	case ep.state != nil && ep.state.Changing:
+	case state != nil && state.Changing:
 		return route.Away
 	}
 	return route.Open
@@ -142,13 +142,13 @@
 
 // roleOf takes the engine's own word once it was asked: the sheet and the
 // planner say what its role shall be, the engine what it is.
-func roleOf(p *sheet.Pool, e *sheet.Engine, ep *endpoint, d *wire.Directive) route.Role {
+func roleOf(p *sheet.Pool, e *sheet.Engine, state *driver.EngineState, d *wire.Directive) route.Role {
 	role := p.Roles.Fixed[e.Name]
 	if d.GetRole() != "" {
 		role = driver.Role(d.GetRole())
 	}
-	if ep.state != nil && ep.state.Role != "" {
-		role = ep.state.Role
+	if state != nil && state.Role != "" {
+		role = state.Role
 	}
 	switch role {
 	case driver.RolePrefill:
