Retries by the retry policy

The entry's own budget is gone. Without the budget 40 failing requests make over 200 attempts, with it at most 50 (TestRetriesStayInTheirBudget and its twin). Streams that have begun go on outside the budget, bounded by attempts. Ran: go test -race ./internal/entry, -count=2 ./internal/entry/dispatch.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -26,6 +26,7 @@
 	"fescuestand/internal/entry/suspect"
 	"fescuestand/internal/logclient"
 	"fescuestand/internal/logclient/logtest"
+	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/sheet"
 )
@@ -106,7 +107,7 @@
 	}
 	f := fleet.New(route.Config{}, clock.Boot{}, 1)
 	d := dispatch.New(dispatch.Options{
-		Fleet: f, Clock: clock.Boot{}, Writer: "w", Budget: dispatch.NewShareBudget(), Suspects: suspect.NewRegister(),
+		Fleet: f, Clock: clock.Boot{}, Writer: "w", Retries: retry.New(retry.Config{}, 1), Suspects: suspect.NewRegister(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"fescuestand/internal/code"
 	"fescuestand/internal/entry/fleet"
 	"fescuestand/internal/entry/suspect"
+	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/sheet"
 )
@@ -25,7 +26,7 @@
 	router    *route.Router
 	clk       clock.Clock
 	writer    string // incarnation of this process, part of attempt ids
-	budget    Budget
+	retries   *retry.Policy
 	suspects  *suspect.Register
 	exchange  func(ctx context.Context)
 	exchanges singleflight.Group
@@ -39,20 +40,12 @@
 	isolated map[string]uint64 // suspect that an engine holds, by engine
 }
 
-// Budget limits retries.
-type Budget interface {
-	// Request notes a first try; retries are a share of those.
-	Request(now clock.Time, pool, caller string)
-	// Retry tells whether one more try may be made.
-	Retry(now clock.Time, pool, caller string) bool
-}
-
 // Options of a Dispatcher.
 type Options struct {
 	Fleet    *fleet.Fleet
 	Clock    clock.Clock
 	Writer   string
-	Budget   Budget
+	Retries  *retry.Policy
 	Suspects *suspect.Register
 	// Exchange tells all other entries what Suspects holds and takes in what
 	// they know. It is bounded in time.
@@ -63,7 +56,7 @@
 func New(o Options) *Dispatcher {
 	return &Dispatcher{
 		fleet: o.Fleet, router: o.Fleet.Router(), clk: o.Clock, writer: o.Writer,
-		budget: o.Budget, suspects: o.Suspects, exchange: o.Exchange, counts: newCounts(), gates: map[string]*gate{},
+		retries: o.Retries, suspects: o.Suspects, exchange: o.Exchange, counts: newCounts(), gates: map[string]*gate{},
 		isolated: map[string]uint64{},
 	}
 }
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -22,6 +22,7 @@
 	"fescuestand/internal/entry/callerapi"
 	"fescuestand/internal/entry/fleet"
 	"fescuestand/internal/entry/suspect"
+	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/sheet"
 	"fescuestand/internal/wire"
@@ -129,14 +130,15 @@
 }
 func (f *fakeService) Close() error { return nil }
 
-// unlimited is the twin of the retry budget.
-type unlimited struct{}
+func bounded() *retry.Policy { return retry.New(retry.Config{}, 1) }
 
-func (unlimited) Request(clock.Time, string, string)    {}
-func (unlimited) Retry(clock.Time, string, string) bool { return true }
+// unlimited is the twin of the retry budget.
+func unlimited() *retry.Policy {
+	return retry.New(retry.Config{NoBudget: true, MaxTries: maxAttempts}, 1)
+}
 
 // start runs a dispatcher over n engines and n endpoints of one script.
-func start(t *testing.T, s *script, n int, b Budget) *Dispatcher {
+func start(t *testing.T, s *script, n int, p *retry.Policy) *Dispatcher {
 	t.Helper()
 	scripts.Store(t.Name(), s)
 	sh := &sheet.Sheet{
@@ -152,7 +154,7 @@
 	}
 	f := fleet.New(route.Config{}, clock.Boot{}, 1)
 	d := New(Options{
-		Fleet: f, Clock: clock.Boot{}, Writer: "w", Budget: b, Suspects: suspect.NewRegister(),
+		Fleet: f, Clock: clock.Boot{}, Writer: "w", Retries: p, Suspects: suspect.NewRegister(),
 		Exchange: func(context.Context) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -194,7 +196,7 @@
 // from engine to engine and is whole in the end.
 func TestStreamGoesOnThroughManyBreaks(t *testing.T) {
 	s := &script{open: func(int64, *driver.GenerateRequest) (error, error) { return driver.ErrCut, nil }}
-	d := start(t, s, 3, NewShareBudget())
+	d := start(t, s, 3, bounded())
 	text, err := generate(d, 10, 10*time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, text, "0 1 2 3 4 5 6 7 8 9 ")
@@ -209,7 +211,7 @@
 		}
 		return nil, nil
 	}}
-	d := start(t, s, 2, NewShareBudget())
+	d := start(t, s, 2, bounded())
 	text, err := generate(d, 4, 10*time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, text, "0 1 2 3 ")
@@ -218,25 +220,28 @@
 // Every engine fails every request, say after a bad weight push. Retries must
 // not multiply the load on what is left: they stay a tenth of the requests.
 func TestRetriesStayInTheirBudget(t *testing.T) {
-	attempts := storm(t, NewShareBudget())
-	assert.Assert(t, attempts <= stormSize*(1+retryShare)+2*retrySpare, "%d attempts for %d requests", attempts, stormSize)
+	attempts := storm(t, bounded())
+	assert.Assert(t, attempts <= stormSize+callerBurst, "%d attempts for %d requests", attempts, stormSize)
 }
 
 func TestRetriesWithoutBudget(t *testing.T) {
-	attempts := storm(t, unlimited{})
+	attempts := storm(t, unlimited())
 	assert.Assert(t, attempts > 5*stormSize, "%d attempts for %d requests", attempts, stormSize)
 }
 
-const stormSize = 40
+const (
+	stormSize   = 40
+	callerBurst = 10 // retries that the policy saves up for one caller
+)
 
-func storm(t *testing.T, b Budget) int64 {
-	s := &script{open: func(int64, *driver.GenerateRequest) (error, error) { return nil, driver.ErrFailed }}
-	d := start(t, s, 3, b)
+func storm(t *testing.T, p *retry.Policy) int64 {
+	s := &script{open: func(int64, *driver.GenerateRequest) (error, error) { return nil, driver.ErrCut }}
+	d := start(t, s, 3, p)
 	var wg sync.WaitGroup
 	for range stormSize {
 		wg.Go(func() {
 			_, err := generate(d, 3, 5*time.Second)
-			assert.Check(t, code.Of(err).Run == code.Ran, "%v", err)
+			assert.Check(t, code.Of(err).Run == code.Unknown, "%v", err)
 		})
 	}
 	wg.Wait()
@@ -261,7 +266,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := &script{open: func(int64, *driver.GenerateRequest) (error, error) { return tt.end, tt.refuse }}
-			d := start(t, s, 1, NewShareBudget())
+			d := start(t, s, 1, bounded())
 			_, err := generate(d, 9, 1500*time.Millisecond)
 			assert.Equal(t, code.Of(err).Code, tt.code, "%v", err)
 			assert.Equal(t, code.Of(err).Run, tt.run)
@@ -282,7 +287,7 @@
 	}
 	call := &callerapi.Call{Service: "svc", Operation: "op"}
 	s := fails(driver.ErrCut)
-	d := start(t, s, 2, NewShareBudget())
+	d := start(t, s, 2, bounded())
 	body, err := d.Lookup(context.Background(), call)
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "ok")
@@ -310,7 +315,7 @@
 // lost for ever.
 func TestDirectiveClosesTheEngine(t *testing.T) {
 	s := &script{open: func(int64, *driver.GenerateRequest) (error, error) { return nil, nil }}
-	d := start(t, s, 1, NewShareBudget())
+	d := start(t, s, 1, bounded())
 	ctx := context.Background()
 	drain := &wire.Directive{Engine: "e0", Fence: 2, Seq: 1, Phase: wire.Phase_PHASE_DRAIN}
 	assert.Equal(t, d.fleet.Direct(ctx, drain), 0)
--- a/internal/entry/dispatch/generate.go
+++ b/internal/entry/dispatch/generate.go
@@ -15,6 +15,7 @@
 	"fescuestand/internal/entry/fleet"
 	"fescuestand/internal/entry/stream"
 	"fescuestand/internal/policy/admit"
+	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/sheet"
 )
@@ -23,9 +24,8 @@
 	// maxAttempts bounds the attempts of one completion, moves included: an
 	// engine is moved seldom, so that more means a fault that no retry mends.
 	maxAttempts = 12
-	// maxRefusals bounds the attempts of a completion that no engine has taken:
-	// where three refuse, its caller should hear it while it can ask elsewhere.
-	maxRefusals = 3
+	// longest stands in for a deadline where none is set.
+	longest = time.Hour
 	// placeWait is how long an admitted request waits for an endpoint to open
 	// again, such as between two phases of a planned change.
 	placeWait = 500 * time.Millisecond
@@ -84,7 +84,6 @@
 		return err
 	}
 	s.began = d.clk.Now()
-	d.budget.Request(s.began, s.pool.Name, g.Name)
 	err = s.run(ctx)
 	gate.leave(t, s.measured(err))
 	s.count(ctx, err)
@@ -120,8 +119,11 @@
 func (s *session) run(ctx context.Context) error {
 	var last error
 	for n := range maxAttempts {
-		if n > 0 && !s.again(ctx, last, n) {
-			break
+		if n > 0 {
+			again, err := s.again(ctx, last, n)
+			if last = err; !again {
+				break
+			}
 		}
 		place, x, err := s.place(ctx)
 		if err != nil {
@@ -133,6 +135,7 @@
 		last = s.attempt(ctx, place, x)
 		if last == nil {
 			s.d.suspects.Clear(s.d.clk.Now(), s.print)
+			s.d.retries.Success(s.pool.Name, s.g.Name)
 			return nil
 		}
 		if ctx.Err() != nil || errors.Is(last, errSink) {
@@ -153,28 +156,34 @@
 	return numbered(ctx, err, s.touched, s.asm.Next() > 0)
 }
 
-// again tells whether another attempt may be made after err.
+// again tells whether another attempt may be made after err, and waits as long
+// as that should. Otherwise it returns the completion's last error.
 //
 // A planned move costs no budget: it isn't a fault. Neither does the rest of a
 // stream that the attempt has carried on, nor one that no engine has touched
 // since: the budget is against retries that do the same work again and again,
 // and a stream that has begun must not be cut for others' faults.
-func (s *session) again(ctx context.Context, err error, n int) bool {
+func (s *session) again(ctx context.Context, err error, n int) (bool, error) {
+	pause := time.Duration(n) * placeStep
 	switch {
 	case errors.Is(err, errMoved), s.asm.Next() > s.from:
-		return true
+		return true, err
 	case s.asm.Next() > 0 && untouched(err):
-	case untouched(err) && n >= maxRefusals:
-		return false
-	case !s.d.budget.Retry(s.d.clk.Now(), s.pool.Name, s.g.Name):
-		return false
-	}
-	if untouched(err) {
 		// An engine that refuses, as after a crash, has to become known as
 		// such before the attempts are used up.
-		wait(ctx, time.Duration(n)*placeStep)
+	default:
+		now := s.d.clk.Now()
+		d := s.d.retries.Failed(now, retry.Attempt{
+			Pool: s.pool.Name, Caller: s.g.Name, Idempotent: true, Tries: n,
+			Deadline: deadlineOf(ctx, s.d.clk), Err: numbered(ctx, err, !untouched(err), false),
+		})
+		if !d.Retry {
+			return false, d.Err
+		}
+		pause = d.After
 	}
-	return ctx.Err() == nil
+	wait(ctx, pause)
+	return ctx.Err() == nil, err
 }
 
 // measured is what the request showed about the pool's rates.
@@ -216,9 +225,12 @@
 	return deadline
 }
 
+// deadlineOf returns ctx's deadline on clk; a context without one gets longest.
 func deadlineOf(ctx context.Context, clk clock.Clock) clock.Time {
-	at, _ := ctx.Deadline()
-	return clk.Now().Add(time.Until(at))
+	if at, ok := ctx.Deadline(); ok {
+		return clk.Now().Add(time.Until(at))
+	}
+	return clk.Now().Add(longest)
 }
 
 func findClass(s *sheet.Sheet, name string) (*sheet.Class, *code.Error) {
--- a/internal/entry/dispatch/service.go
+++ b/internal/entry/dispatch/service.go
@@ -11,6 +11,7 @@
 	"fescuestand/internal/entry/callerapi"
 	"fescuestand/internal/entry/fleet"
 	"fescuestand/internal/policy/admit"
+	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/sheet"
 )
@@ -55,7 +56,6 @@
 	}
 	// The endpoint counts it at once: nothing comes between here and there.
 	g.placed(t)
-	d.budget.Request(d.clk.Now(), pool, c.Name)
 	return func(ok bool) {
 		g.leave(t, admit.Measured{OK: ok, Output: 1})
 		if ok && ctx.Err() == nil {
@@ -65,44 +65,33 @@
 }
 
 // Lookup calls an idempotent operation, again on another endpoint if the first
-// fails and the budget allows it.
+// fails and the retry policy allows it.
 func (d *Dispatcher) Lookup(ctx context.Context, c *callerapi.Call) ([]byte, error) {
 	pool := fleet.ServicePool(c.Service)
 	var exclude []*route.Endpoint
-	var last error
 	touched := false
-	for n := range maxAttempts {
-		if n > 0 && (ctx.Err() != nil || !d.budget.Retry(d.clk.Now(), pool, c.Name)) {
-			break
-		}
-		body, ep, err := d.callAnother(ctx, pool, exclude, &driver.Call{
+	for n := 1; ; n++ {
+		body, ep, err := d.callOnce(ctx, pool, exclude, &driver.Call{
 			Attempt: d.newAttempt(), Operation: c.Operation, Body: c.Body,
 		})
 		if err == nil {
+			d.retries.Success(pool, c.Name)
 			return body, nil
 		}
-		if ep == nil && last != nil {
-			break
-		}
-		last = err
 		touched = touched || !untouched(err) && ep != nil
-		exclude = append(exclude, ep)
 		if ep == nil {
-			break
+			return nil, numbered(ctx, err, touched, false)
 		}
+		next := d.retries.Failed(d.clk.Now(), retry.Attempt{
+			Pool: pool, Caller: c.Name, Idempotent: true, Tries: n,
+			Deadline: deadlineOf(ctx, d.clk), Err: numbered(ctx, err, !untouched(err), false),
+		})
+		if !next.Retry || ctx.Err() != nil {
+			return nil, numbered(ctx, next.Err, touched, false)
+		}
+		exclude = append(exclude, ep)
+		wait(ctx, next.After)
 	}
-	return nil, numbered(ctx, last, touched, false)
-}
-
-// callAnother sends one call to an endpoint that has not failed it yet, or to
-// one that has if there is no other: a service with one endpoint depends on
-// that.
-func (d *Dispatcher) callAnother(ctx context.Context, pool string, failed []*route.Endpoint, call *driver.Call) (body []byte, ep *route.Endpoint, err error) {
-	body, ep, err = d.callOnce(ctx, pool, failed, call)
-	if ep == nil && len(failed) > 0 {
-		return d.callOnce(ctx, pool, nil, call)
-	}
-	return body, ep, err
 }
 
 // callOnce sends one call to one endpoint; ep is nil if there was none.
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -22,6 +22,7 @@
 	"fescuestand/internal/logclient"
 	"fescuestand/internal/membership"
 	"fescuestand/internal/peer"
+	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/replica"
 	"fescuestand/internal/wire"
@@ -76,7 +77,7 @@
 	u.suspects = suspect.NewRegister()
 	u.dispatch = dispatch.New(dispatch.Options{
 		Fleet: u.fleet, Clock: o.Clock, Writer: o.Incarnation,
-		Budget: dispatch.NewShareBudget(), Suspects: u.suspects, Exchange: u.exchangeEvidence,
+		Retries: retry.New(retry.Config{}, seedOf(o.Incarnation)), Suspects: u.suspects, Exchange: u.exchangeEvidence,
 	})
 	maxWindow := commit.WindowFor(s.Commits.Retention.D())
 	u.table = commit.NewTable(o.Clock, maxWindow+commit.MaxAhead)
