--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -22,6 +22,7 @@
 	"fescuestand/internal/logclient"
 	"fescuestand/internal/membership"
 	"fescuestand/internal/peer"
+	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/replica"
 	"fescuestand/internal/wire"
@@ -58,6 +59,7 @@
 	commits  *commit.Committer
 	journal  *journal
 	backend  *backend
+	account  *account
 	front    *forward.Front
 	server   *http.Server
 	peers    *peer.Server
@@ -75,7 +77,7 @@
 	u.suspects = suspect.NewRegister()
 	u.dispatch = dispatch.New(dispatch.Options{
 		Fleet: u.fleet, Clock: o.Clock, Writer: o.Incarnation,
-		Budget: dispatch.NewShareBudget(), Suspects: u.suspects, Exchange: u.exchangeEvidence,
+		Retries: retry.New(retry.Config{}, seedOf(o.Incarnation)), Suspects: u.suspects, Exchange: u.exchangeEvidence,
 	})
 	maxWindow := commit.WindowFor(s.Commits.Retention.D())
 	u.table = commit.NewTable(o.Clock, maxWindow+commit.MaxAhead)
@@ -85,7 +87,8 @@
 		Window: u.window, MaxWindow: maxWindow,
 	}, u.table, u.journal, u.dispatch)
 	u.backend = &backend{own: s, views: o.Replica.View, dispatch: u.dispatch, commits: u.commits}
-	handler := callerapi.NewHandler(u.backend)
+	u.account = newAccount(u.backend, o.Clock)
+	handler := callerapi.NewHandler(u.account)
 	u.front = &forward.Front{
 		Next: handler, Peers: pool{o.Peers}, Away: u.away,
 		Choose: u.backend.peers, Refuse: handler.Refuse,
@@ -182,9 +185,12 @@
 
 // followSheet hands each sheet in force to the fleet.
 func (u *Unit) followSheet(ctx context.Context) error {
+	version := uint64(0)
 	for {
 		changed := u.o.Replica.Updated()
-		if v := u.o.Replica.View(); v.Sheet != nil {
+		if v := u.o.Replica.View(); v.Sheet != nil && v.Version > version {
+			version = v.Version
+			u.account.follow(v.Sheet)
 			u.fleet.SetSheet(ctx, v.Sheet, v.Version)
 		}
 		select {
