--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -218,6 +218,7 @@
 			e.apply(o)
 			o.drainEvents()
 			o.publish()
+			o.acknowledge()
 		case <-sweep.C:
 			o.lapseDirectives()
 			for _, e := range f.router.Sweep(f.clk.Now()) {
--- a/internal/entry/fleet/owner.go
+++ b/internal/entry/fleet/owner.go
@@ -22,7 +22,8 @@
 	endpoints  map[string]*endpoint
 	directives map[string]*directive
 	published  []route.Endpoint
-	dirty      bool // the index has to be published too
+	dirty      bool            // the index has to be published too
+	acks       []chan struct{} // closed once the present events show in the table
 }
 
 // endpoint is one engine or endpoint of a plain service.
@@ -55,6 +56,14 @@
 	}
 }
 
+// acknowledge tells those who wait that their directive is in the table.
+func (o *owner) acknowledge() {
+	for _, ch := range o.acks {
+		close(ch)
+	}
+	o.acks = nil
+}
+
 type sheetChanged struct {
 	sheet   *sheet.Sheet
 	version uint64
@@ -164,7 +173,7 @@
 // keep it away for ever.
 func (e directed) apply(o *owner) {
 	if e.done != nil {
-		defer close(e.done)
+		o.acks = append(o.acks, e.done)
 	}
 	name := e.d.GetEngine()
 	old := o.directives[name]
