--- a/internal/entry/dispatch/generate.go
+++ b/internal/entry/dispatch/generate.go
@@ -43,6 +43,7 @@
 	out      callerapi.Sink
 	pool     *sheet.Pool
 	priority int
+	urgent   bool   // of a class above the lowest priority
 	print    uint64 // fingerprint of model and prompt
 	pieces   []uint64
 	asm      stream.Assembler
@@ -110,7 +111,7 @@
 	_, _ = h.WriteString(g.Model + "\x00" + g.Adapter + "\x00")
 	_, _ = h.Write(g.Prompt)
 	return &session{
-		d: d, g: g, out: out, pool: pool, priority: class.Priority, print: h.Sum64(),
+		d: d, g: g, out: out, pool: pool, priority: class.Priority, urgent: urgent(sh.Classes, class), print: h.Sum64(),
 		pieces: route.Pieces(nil, g.Model, g.Prompt, pieceBytes),
 	}, class, nil
 }
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -44,7 +44,7 @@
 		Pool:      s.pool.Name,
 		Artifact:  route.Artifact{Model: s.g.Model, Version: s.g.Version, Adapter: s.g.Adapter},
 		Workspace: s.g.Workspace, Pieces: s.pieces, Prompt: len(s.g.Prompt) / bytesPerToken,
-		Exclude: exclude, Urgent: s.priority > 0, Prefilled: s.kv != nil,
+		Exclude: exclude, Urgent: s.urgent, Prefilled: s.kv != nil,
 	}
 	if verdict == suspect.Suspect {
 		ep := s.d.isolate(s.print, s.pool.Name, exclude)
