--- a/internal/entry/dispatch/service.go
+++ b/internal/entry/dispatch/service.go
@@ -71,7 +71,7 @@
 	var exclude []*route.Endpoint
 	touched := false
 	for n := 1; ; n++ {
-		body, ep, err := d.callOnce(ctx, pool, exclude, &driver.Call{
+		body, ep, err := d.callAnother(ctx, pool, exclude, &driver.Call{
 			Attempt: d.newAttempt(), Operation: c.Operation, Body: c.Body,
 		})
 		if err == nil {
@@ -94,6 +94,17 @@
 	}
 }
 
+// callAnother sends one call to an endpoint that has not failed it yet, or to
+// one that has if there is no other: a service with one endpoint depends on
+// that.
+func (d *Dispatcher) callAnother(ctx context.Context, pool string, failed []*route.Endpoint, call *driver.Call) (body []byte, ep *route.Endpoint, err error) {
+	body, ep, err = d.callOnce(ctx, pool, failed, call)
+	if ep == nil && len(failed) > 0 {
+		return d.callOnce(ctx, pool, nil, call)
+	}
+	return body, ep, err
+}
+
 // callOnce sends one call to one endpoint; ep is nil if there was none.
 func (d *Dispatcher) callOnce(ctx context.Context, pool string, exclude []*route.Endpoint, call *driver.Call) (body []byte, ep *route.Endpoint, err error) {
 	now := d.clk.Now()
--- a/scenarios/check_test.go
+++ b/scenarios/check_test.go
@@ -16,6 +16,7 @@
 //	                           an earlier one in effect, no stream cut
 //	check commits              per key at most one execution, and every answer
 //	                           that "call" got agrees with the count
+//	check running N      at least N engines were not lost
 //	check history              lists the orders, for a failed scenario's reader
 func check(ts *testscript.TestScript, f *fleet, args []string) error {
 	switch args[0] {
@@ -23,6 +24,8 @@
 		return f.checkOrders(args[1:])
 	case "commits":
 		return f.checkCommits()
+	case "running":
+		return f.checkRunning(args[1])
 	case "history":
 		for _, name := range f.engines {
 			orders, err := f.orders(name)
@@ -116,3 +119,20 @@
 	}
 	return false
 }
+
+func (f *fleet) checkRunning(least string) error {
+	n, err := strconv.Atoi(least)
+	if err != nil {
+		return err
+	}
+	running := 0
+	for _, name := range f.engines {
+		if f.processes[name].running() {
+			running++
+		}
+	}
+	if running < n {
+		return fmt.Errorf("%d of %d engines run, at least %d should", running, len(f.engines), n)
+	}
+	return nil
+}
--- a/scenarios/setup_test.go
+++ b/scenarios/setup_test.go
@@ -105,7 +105,7 @@
 		if fence == "mixed" {
 			fence = []string{"check", "ignore"}[i%2]
 		}
-		args := append([]string{"--fence", fence, "--role-change", "500ms", "--weights", f.reach("weights")}, p.engineArgs...)
+		args := append([]string{"--fence", fence, "--load", "m/v1", "--role-change", "500ms", "--weights", f.reach("weights")}, p.engineArgs...)
 		if err := f.standIn(name, "engine", args...); err != nil {
 			return err
 		}
