--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -7,10 +7,16 @@
 	"io"
 	"os"
 	"os/signal"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
+	"fescuestand/internal/driver"
+	"fescuestand/internal/fold"
 	"fescuestand/internal/kernel"
+	"fescuestand/internal/logclient"
+	"fescuestand/internal/node"
+	"fescuestand/internal/replica"
 )
 
 // Exit codes of fescuectl besides the kernel's.
@@ -76,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	_, list, err := s.platform()
+	lg, list, err := s.platform()
 	if err != nil {
 		return err
 	}
@@ -84,12 +90,34 @@
 	if err != nil {
 		return err
 	}
+	if holdings, err := readHoldings(c.ctx, s, lg); err == nil {
+		f.addHolders(holdings)
+	} else {
+		f.LogError = err.Error()
+	}
 	if c.JSON {
 		return f.WriteJSON(c.out)
 	}
 	return f.WriteText(c.out)
 }
 
+// holdingsTimeout bounds the read of the control stream. During an outage of
+// the log the rest of the status must not wait for it.
+const holdingsTimeout = 3 * time.Second
+
+func readHoldings(ctx context.Context, s *Settings, lg driver.Log) ([]fold.Holding, error) {
+	ctx, cancel := context.WithTimeout(ctx, holdingsTimeout)
+	defer cancel()
+	client := newClient(lg)
+	defer func() { _ = client.Close() }()
+	return replica.Holdings(ctx, client, s.Streams.Control)
+}
+
+// newClient returns a log client under an incarnation of its own.
+func newClient(lg driver.Log) *logclient.Client {
+	return logclient.New(logclient.Options{Log: lg, Writer: node.NewIncarnation(), VM: "fescuectl"})
+}
+
 // Main runs fescuectl and returns its exit code.
 func Main(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
--- a/internal/operator/publish.go
+++ b/internal/operator/publish.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	client := logclient.New(logclient.Options{Log: lg, Writer: node.NewIncarnation(), VM: "fescuectl"})
+	client := newClient(lg)
 	defer func() { _ = client.Close() }()
 	version, err := c.publish(client, s, body)
 	if err != nil {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -9,13 +9,14 @@
 	"time"
 
 	"fescuestand/internal/driver"
+	"fescuestand/internal/fold"
 	"fescuestand/internal/status"
 )
 
 // FleetStatus is the answer of `fescuectl status`.
 type FleetStatus struct {
 	At       time.Time    `json:"at"`
-	ListLost string       `json:"vm_list_error,omitempty"`
+	LogError string       `json:"log_error,omitempty"` // why no holders are shown
 	VMs      []VMStatus   `json:"vms"`
 	Engines  []EngineView `json:"engines"`
 }
@@ -28,7 +29,7 @@
 	Token  uint64 `json:"token,omitempty"`
 }
 
-// ReadStatus asks every VM of the list.
+// ReadStatus asks every VM of the list. Holders are left out; see addHolders.
 func ReadStatus(ctx context.Context, list driver.VMList) (*FleetStatus, error) {
 	vms, err := list.List(ctx)
 	if err != nil {
@@ -53,15 +54,10 @@
 			inFlight[e.Name] += e.InFlight
 		}
 	}
-	scopes := map[string]status.Scope{}
-	for _, s := range newest.Scopes {
-		scopes[s.Engine] = s
-	}
 	views := make([]EngineView, 0, len(newest.Endpoints))
 	for _, e := range newest.Endpoints {
 		e.InFlight = inFlight[e.Name]
-		s := scopes[e.Name]
-		views = append(views, EngineView{Endpoint: e, Holder: s.Holder, Token: s.Token})
+		views = append(views, EngineView{Endpoint: e})
 	}
 	return views
 }
@@ -76,6 +72,19 @@
 	return newest
 }
 
+// addHolders shows who holds each engine by the log's word.
+func (f *FleetStatus) addHolders(holdings []fold.Holding) {
+	byEngine := map[string]fold.Holding{}
+	for _, h := range holdings {
+		byEngine[h.Scope] = h
+	}
+	for i := range f.Engines {
+		if h, ok := byEngine[f.Engines[i].Name]; ok && !h.Released {
+			f.Engines[i].Holder, f.Engines[i].Token = h.VM, h.Token
+		}
+	}
+}
+
 // WriteJSON prints the status for programs.
 func (f *FleetStatus) WriteJSON(w io.Writer) error {
 	enc := json.NewEncoder(w)
@@ -96,6 +105,9 @@
 		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%d\t%s\n",
 			e.Name, e.Pool, e.Zone, dash(e.Role), e.Phase, e.InFlight, dash(e.Holder), e.Token, e.Reason)
 	}
+	if f.LogError != "" {
+		fmt.Fprintf(tw, "\nno holders: %s\n", f.LogError)
+	}
 	return tw.Flush()
 }
 
--- a/internal/policy/roles/config.go
+++ b/internal/policy/roles/config.go
@@ -36,7 +36,8 @@
 	// a batch misses the objective between tokens soon, since a full batch
 	// alone takes nine tenths of it.
 	PrefillUse = 0.85
-	DecodeUse  = 0.70
+	// DecodeUse is the same for decode; see PrefillUse.
+	DecodeUse = 0.70
 
 	// Payback is how long a change is expected to serve. The mix holds for
 	// minutes; a window shorter than that makes no change worth its loss, and
