--- a/internal/entry/dispatch/generate.go
+++ b/internal/entry/dispatch/generate.go
@@ -14,8 +14,8 @@
 	"fescuestand/internal/entry/callerapi"
 	"fescuestand/internal/entry/fleet"
 	"fescuestand/internal/entry/stream"
-	"fescuestand/internal/entry/suspect"
 	"fescuestand/internal/policy/admit"
+	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/sheet"
 )
@@ -24,9 +24,8 @@
 	// maxAttempts bounds the attempts of one completion, moves included: an
 	// engine is moved seldom, so that more means a fault that no retry mends.
 	maxAttempts = 12
-	// maxRefusals bounds the attempts of a completion that no engine has taken:
-	// where three refuse, its caller should hear it while it can ask elsewhere.
-	maxRefusals = 3
+	// longest stands in for a deadline where none is set.
+	longest = time.Hour
 	// placeWait is how long an admitted request waits for an endpoint to open
 	// again, such as between two phases of a planned change.
 	placeWait = 500 * time.Millisecond
@@ -44,6 +43,7 @@
 	out      callerapi.Sink
 	pool     *sheet.Pool
 	priority int
+	urgent   bool   // of a class above the lowest priority
 	print    uint64 // fingerprint of model and prompt
 	pieces   []uint64
 	asm      stream.Assembler
@@ -85,7 +85,6 @@
 		return err
 	}
 	s.began = d.clk.Now()
-	d.budget.Request(s.began, s.pool.Name, g.Name)
 	err = s.run(ctx)
 	gate.leave(t, s.measured(err))
 	s.count(ctx, err)
@@ -112,7 +111,7 @@
 	_, _ = h.WriteString(g.Model + "\x00" + g.Adapter + "\x00")
 	_, _ = h.Write(g.Prompt)
 	return &session{
-		d: d, g: g, out: out, pool: pool, priority: class.Priority, print: h.Sum64(),
+		d: d, g: g, out: out, pool: pool, priority: class.Priority, urgent: urgent(sh.Classes, class), print: h.Sum64(),
 		pieces: route.Pieces(nil, g.Model, g.Prompt, pieceBytes),
 	}, class, nil
 }
@@ -121,8 +120,11 @@
 func (s *session) run(ctx context.Context) error {
 	var last error
 	for n := range maxAttempts {
-		if n > 0 && !s.again(ctx, last, n) {
-			break
+		if n > 0 {
+			again, err := s.again(ctx, last, n)
+			if last = err; !again {
+				break
+			}
 		}
 		place, x, err := s.place(ctx)
 		if err != nil {
@@ -134,6 +136,7 @@
 		last = s.attempt(ctx, place, x)
 		if last == nil {
 			s.d.suspects.Clear(s.d.clk.Now(), s.print)
+			s.d.retries.Success(s.pool.Name, s.g.Name)
 			return nil
 		}
 		if ctx.Err() != nil || errors.Is(last, errSink) {
@@ -154,88 +157,34 @@
 	return numbered(ctx, err, s.touched, s.asm.Next() > 0)
 }
 
-// again tells whether another attempt may be made after err.
+// again tells whether another attempt may be made after err, and waits as long
+// as that should. Otherwise it returns the completion's last error.
 //
 // A planned move costs no budget: it isn't a fault. Neither does the rest of a
 // stream that the attempt has carried on, nor one that no engine has touched
 // since: the budget is against retries that do the same work again and again,
 // and a stream that has begun must not be cut for others' faults.
-func (s *session) again(ctx context.Context, err error, n int) bool {
+func (s *session) again(ctx context.Context, err error, n int) (bool, error) {
+	pause := time.Duration(n) * placeStep
 	switch {
 	case errors.Is(err, errMoved), s.asm.Next() > s.from:
-		return true
+		return true, err
 	case s.asm.Next() > 0 && untouched(err):
-	case untouched(err) && n >= maxRefusals:
-		return false
-	case !s.d.budget.Retry(s.d.clk.Now(), s.pool.Name, s.g.Name):
-		return false
-	}
-	if untouched(err) {
 		// An engine that refuses, as after a crash, has to become known as
 		// such before the attempts are used up.
-		wait(ctx, time.Duration(n)*placeStep)
-	}
-	return ctx.Err() == nil
-}
-
-// place chooses where the next attempt goes, and counts it there.
-func (s *session) place(ctx context.Context) (*route.Decision, *exposure, error) {
-	giveUp := s.d.clk.Now().Add(placeWait)
-	exclude := s.exclude
-	for {
+	default:
 		now := s.d.clk.Now()
-		verdict := s.d.suspects.Judge(now, s.print)
-		if verdict == suspect.Guilty {
-			return nil, nil, errGuilty
-		}
-		d, err := s.pick(now, verdict, exclude)
-		if err == nil {
-			s.d.router.Sent(now, &d.Dispatch)
-			s.placed()
-			return d, s.expose(now, verdict, d), nil
-		}
-		if now >= giveUp && verdict != suspect.Suspect {
-			return nil, nil, err
-		}
-		// Every other engine may be excluded or away; a short wait beats a
-		// refusal, and an excluded one is better than none. A suspect waits
-		// until an engine is free of others.
-		exclude = nil
-		if wait(ctx, placeStep); ctx.Err() != nil {
-			return nil, nil, endOf(ctx)
+		d := s.d.retries.Failed(now, retry.Attempt{
+			Pool: s.pool.Name, Caller: s.g.Name, Idempotent: true, Tries: n,
+			Deadline: deadlineOf(ctx, s.d.clk), Err: numbered(ctx, err, !untouched(err), false),
+		})
+		if !d.Retry {
+			return false, d.Err
 		}
+		pause = d.After
 	}
-}
-
-func (s *session) pick(now clock.Time, verdict suspect.Verdict, exclude []*route.Endpoint) (*route.Decision, error) {
-	req := &route.Request{
-		Pool:      s.pool.Name,
-		Artifact:  route.Artifact{Model: s.g.Model, Version: s.g.Version, Adapter: s.g.Adapter},
-		Workspace: s.g.Workspace, Pieces: s.pieces, Prompt: len(s.g.Prompt) / bytesPerToken,
-		Exclude: exclude, Urgent: s.priority > 0, Prefilled: s.kv != nil,
-	}
-	if verdict == suspect.Suspect {
-		ep := s.d.isolate(s.print, s.pool.Name, exclude)
-		if ep == nil {
-			return nil, code.New(code.NoEndpoint, "every engine holds another suspect")
-		}
-		req.Isolate, req.Exclude, req.Prefilled = true, s.d.others(s.pool.Name, ep), true
-	}
-	d, err := s.d.router.Pick(now, req)
-	if err != nil {
-		return nil, err
-	}
-	return &d, nil
-}
-
-// expose notes what a crash during the attempt would say of the request.
-func (s *session) expose(now clock.Time, verdict suspect.Verdict, d *route.Decision) *exposure {
-	x := &exposure{crash: suspect.Crash{Endpoint: d.Endpoint.Name}, began: now, verdict: verdict}
-	if e := s.engine(d); e != nil {
-		x.crash.Incarnation = e.Incarnation()
-	}
-	x.clearAt = now.Add(time.Duration(clearFactor*float64(s.ran)) + clearMargin)
-	return x
+	wait(ctx, pause)
+	return ctx.Err() == nil, err
 }
 
 // measured is what the request showed about the pool's rates.
@@ -258,6 +207,7 @@
 }
 
 func (s *session) count(ctx context.Context, err error) {
+	s.d.streams.dropped.Add(uint64(s.asm.Dropped()))
 	s.d.counts.add(s.pool.Name, func(t *Totals) {
 		t.OutputTokens += uint64(s.asm.Next())
 		if err == nil && ctx.Err() == nil {
@@ -276,9 +226,12 @@
 	return deadline
 }
 
+// deadlineOf returns ctx's deadline on clk; a context without one gets longest.
 func deadlineOf(ctx context.Context, clk clock.Clock) clock.Time {
-	at, _ := ctx.Deadline()
-	return clk.Now().Add(time.Until(at))
+	if at, ok := ctx.Deadline(); ok {
+		return clk.Now().Add(time.Until(at))
+	}
+	return clk.Now().Add(longest)
 }
 
 func findClass(s *sheet.Sheet, name string) (*sheet.Class, *code.Error) {
--- a/internal/entry/fleet/owner.go
+++ b/internal/entry/fleet/owner.go
@@ -22,7 +22,8 @@
 	endpoints  map[string]*endpoint
 	directives map[string]*directive
 	published  []route.Endpoint
-	dirty      bool // the index has to be published too
+	dirty      bool            // the index has to be published too
+	acks       []chan struct{} // closed once the present events show in the table
 }
 
 // endpoint is one engine or endpoint of a plain service.
@@ -33,6 +34,8 @@
 	stop    context.CancelFunc
 	failed  int // polls in a row
 	state   *driver.EngineState
+	stateAt clock.Time    // when it was asked for
+	kick    chan struct{} // wakes the poller
 	report  *driver.LoadReport
 }
 
@@ -53,6 +56,14 @@
 	}
 }
 
+// acknowledge tells those who wait that their directive is in the table.
+func (o *owner) acknowledge() {
+	for _, ch := range o.acks {
+		close(ch)
+	}
+	o.acks = nil
+}
+
 type sheetChanged struct {
 	sheet   *sheet.Sheet
 	version uint64
@@ -121,11 +132,11 @@
 	if err == nil {
 		var d driver.Engine
 		if d, err = open(t); err == nil {
-			e := &Engine{Engine: d, Name: name}
+			e := &Engine{Engine: d, Name: name, kick: make(chan struct{}, 1)}
 			moved := make(chan struct{})
 			e.moved.Store(&moved)
 			e.setPhase(o.directiveOf(name).GetPhase())
-			o.start(name, &endpoint{target: t, engine: e})
+			o.start(name, &endpoint{target: t, engine: e, kick: e.kick})
 			return
 		}
 	}
@@ -162,7 +173,7 @@
 // keep it away for ever.
 func (e directed) apply(o *owner) {
 	if e.done != nil {
-		defer close(e.done)
+		o.acks = append(o.acks, e.done)
 	}
 	name := e.d.GetEngine()
 	old := o.directives[name]
@@ -176,15 +187,18 @@
 		old.heard = o.f.clk.Now()
 		return
 	}
-	o.directives[name] = &directive{d: e.d, heard: o.f.clk.Now()}
+	now := o.f.clk.Now()
+	o.directives[name] = &directive{d: e.d, came: now, heard: now}
 	if ep := o.endpoints[name]; ep != nil && ep.engine != nil {
 		ep.engine.setPhase(e.d.GetPhase())
+		ep.engine.Refresh()
 	}
 }
 
 // directive is the newest one of an engine.
 type directive struct {
 	d      *wire.Directive
+	came   clock.Time // when it was first heard
 	heard  clock.Time
 	lapsed bool
 }
@@ -211,3 +225,12 @@
 	}
 	return nil
 }
+
+// newState returns the engine's own state unless a directive came after it was
+// asked for: an engine that has just changed would be taken for what it was.
+func (o *owner) newState(name string, ep *endpoint) *driver.EngineState {
+	if d := o.directives[name]; d != nil && !d.lapsed && d.came > ep.stateAt {
+		return nil
+	}
+	return ep.state
+}
