Streams whose every record has expired are restored or begun anew

Cause: an outage beyond the retention with all processes replaced left nobody who could judge a publish or claim an engine, for ever. Weighed: a command for operators (they'd have to know), the newest checkpoint of any age (there is none), restoring from what the living have in force. The last for the sheet; authority ends for all readers alike and claims wait out what a former holder may still do.

--- a/internal/fold/authority.go
+++ b/internal/fold/authority.go
@@ -40,6 +40,7 @@
 	scopes    map[string]*Holding
 	writers   map[string]*holder // those that hold a scope
 	lastPoint Point
+	begun     uint64 // offset of the newest record that began the state anew
 	off       guardsOff
 }
 
@@ -207,6 +208,10 @@
 		return
 	}
 	a.lastPoint = Point{Offset: it.Offset, Time: it.Time}
+	if cp.Begin {
+		a.begin(it.Offset)
+		return
+	}
 	if a.established || cp.Upto+1 < a.from && !a.off.gapCheck {
 		return
 	}
@@ -221,6 +226,22 @@
 	}
 }
 
+// begin ends every holding.
+//
+// Failure: every process was gone, or cut off, for longer than the retention;
+// the last checkpoint has expired and nobody can ever claim again. A process
+// that finds no state and hears nobody renew begins anew. All readers obey,
+// those that know a state too, so that all agree afterwards whatever each knew;
+// what a former holder may still do is for the leases to wait out.
+func (a *Authority) begin(offset uint64) {
+	a.established, a.begun, a.held = true, offset, nil
+	a.scopes, a.writers = map[string]*Holding{}, map[string]*holder{}
+}
+
+// Begun returns the offset of the newest record that began the state anew, 0
+// if there is none.
+func (a *Authority) Begun() uint64 { return a.begun }
+
 func (a *Authority) restore(cp *wire.AuthorityCheckpoint) {
 	marks := make(map[string]*wire.WriterSeq, len(cp.Writers))
 	for _, w := range cp.Writers {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -60,13 +60,16 @@
 // Tracker follows the control stream for one process. It isn't safe for
 // concurrent use.
 type Tracker struct {
-	opt     Options
-	self    string
-	began   clock.Time
-	writers map[string]*writer
-	own     renewal
-	sent    map[uint64]clock.Time // own records on their way, by number
-	read    map[uint64]renewal    // own records read before Sent told their time
+	opt   Options
+	self  string
+	began clock.Time
+	// unclaimed is until when a scope that nobody is known to hold may still
+	// be used by a holder of before the state began anew.
+	unclaimed clock.Time
+	writers   map[string]*writer
+	own       renewal
+	sent      map[uint64]clock.Time // own records on their way, by number
+	read      map[uint64]renewal    // own records read before Sent told their time
 }
 
 // NewTracker returns the tracker of the process with incarnation self. What
@@ -84,6 +87,9 @@
 		t.began = now
 		return
 	}
+	if it.Entry.GetAuthorityCheckpoint().GetBegin() {
+		t.unclaimed = now.Add(t.opt.TTL + t.opt.Margin + t.opt.MaxFlight)
+	}
 	if it.Writer == t.self {
 		t.readOwn(now, it)
 	}
@@ -170,7 +176,10 @@
 // holder sent just before the lease ended and that arrives after the new
 // holder's. The claim waits for the longest flight of an order besides.
 func (t *Tracker) Claimable(now clock.Time, h fold.Holding, ignoresFence bool) bool {
-	return h.Token == 0 || h.Released || now >= t.lapse(h, ignoresFence)
+	if h.Token == 0 {
+		return now >= t.unclaimed
+	}
+	return h.Released || now >= t.lapse(h, ignoresFence)
 }
 
 func (t *Tracker) lapse(h fold.Holding, ignoresFence bool) clock.Time {
@@ -222,6 +231,17 @@
 	return false
 }
 
+// AnyRecent reports whether any other process was read within the last TTL and
+// margin.
+func (t *Tracker) AnyRecent(now clock.Time) bool {
+	for id, w := range t.writers {
+		if id != t.self && now.Sub(w.read) <= t.opt.TTL+t.opt.Margin {
+			return true
+		}
+	}
+	return false
+}
+
 // IdleRenew returns how often a process that holds nothing needs to be heard.
 func (o *Options) IdleRenew(renew time.Duration) time.Duration {
 	const perWindow = 4 // so that three may be lost
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
-	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
 	"fescuestand/internal/driver"
 	"fescuestand/internal/fold"
@@ -131,49 +129,3 @@
 	s.pulling = false
 	s.adopt(e.sheet, "peer")
 }
-
-// pacer spaces the checkpoints of this process.
-type pacer struct {
-	due     clock.Time // when this process writes unless another has
-	waiting bool
-	writing bool
-}
-
-// checkpointSpread is over how long the processes spread their turns, so that
-// usually one of them writes.
-const checkpointSpread = 10 * time.Second
-
-// checkpoint writes the state of the config stream again when that is due. Two
-// processes that write at once do no harm: the fold takes a checkpoint only
-// when it knows nothing yet. A wall clock that is off makes checkpoints too
-// frequent, or leaves them to the rule by retention; see CheckpointDue.
-func (s *state) checkpoint(ctx context.Context) {
-	r := s.r
-	if !r.opt.Checkpoint || s.ckpt.writing || !s.fold.Established() {
-		return
-	}
-	progress := r.opt.Log.Progress(r.opt.Stream)
-	if !progress.Read || !logclient.CheckpointDue(s.fold.LastCheckpoint(), progress, time.Now(), r.opt.CheckpointEvery) {
-		s.ckpt.waiting = false
-		return
-	}
-	if !s.ckpt.waiting {
-		s.ckpt.waiting = true
-		s.ckpt.due = s.now().Add(rand.N(checkpointSpread))
-	}
-	if s.now() < s.ckpt.due {
-		return
-	}
-	s.ckpt.writing, s.ckpt.waiting = true, false
-	entry := &wire.Entry{Kind: &wire.Entry_ConfigCheckpoint{ConfigCheckpoint: s.fold.Checkpoint()}}
-	r.wg.Go(func() {
-		_, err := r.opt.Log.Append(ctx, r.opt.Stream, entry)
-		log.WithError(err).WithField("stream", r.opt.Stream).Info("checkpoint written")
-		_ = r.postWait(ctx, written{})
-	})
-}
-
-// written ends the writing of a checkpoint, well or not.
-type written struct{}
-
-func (written) apply(s *state) { s.ckpt.writing = false }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -276,6 +276,36 @@
 	})
 }
 
+// Story: the log is down for longer than it keeps records, and all VMs are
+// replaced one after another meanwhile. They hand the sheet to each other, but
+// no record of it is left. Operators must be able to publish again.
+func TestSheetIsRestoredWhenNoRecordIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.start("vm0", false)
+		time.Sleep(time.Second)
+		v, err := f.publish(0, "one")
+		assert.NilError(t, err)
+		time.Sleep(2 * checkpointSpread)
+		f.log.SetDown(true)
+		f.start("vm1", false)
+		time.Sleep(5 * time.Second)
+		f.stop["vm0"]()
+		f.mu.Lock()
+		delete(f.stop, "vm0")
+		delete(f.reps, "vm0")
+		f.mu.Unlock()
+		f.log.Expire("config", f.log.End("config"))
+		f.log.SetDown(false)
+		time.Sleep(restoreAfter + 2*checkpointSpread)
+		assert.Equal(t, f.reps["vm1"].View().Version, v.Offset)
+		next, err := f.publish(v.Offset, "two")
+		assert.NilError(t, err)
+		assert.Assert(t, next.Accepted, "%v", next)
+	})
+}
+
 // Story: the publish's answer is lost for good and the record never appears.
 // The operator must hear that it can't count, not "unknown" for ever; if it
 // does appear later, it must stay without effect.
