A leaving VM is heard by peers with a call under way; publish history settles unknowns

Cause 1: TestLeavingIsHeardAtOnce failed in 1 of 300 runs, 2 of 100 with -race (go test -count=N -run LeavingIsHeard ./internal/replica): urgent gossip skipped a peer to which a call was under way, whose content was composed before. Ruled out: the test's 20 ms, four times what a call takes there. Change: the skipped call follows as soon as the one under way has ended.

--- a/internal/replica/gossip.go
+++ b/internal/replica/gossip.go
@@ -97,10 +97,11 @@
 		var round []string
 		round, turns = nextRound(peers, turns, r.opt.Fanout, all)
 		for _, vm := range round {
-			if addr := peers[vm]; busy.start(vm) {
+			if addr := peers[vm]; busy.start(vm, all) {
 				wg.Go(func() {
-					defer busy.end(vm)
-					r.exchange(ctx, addr)
+					for again := true; again; again = busy.end(vm) && ctx.Err() == nil {
+						r.exchange(ctx, addr)
+					}
 				})
 			}
 		}
@@ -154,25 +155,38 @@
 }
 
 // inFlight keeps a slow peer from gathering calls.
+//
+// Failure: a VM is told to leave while a call to a peer is under way, which was
+// composed before. Skipped as busy, that peer would hear of it a round of turns
+// later and go on naming the VM to callers. An urgent call is not skipped but
+// made as soon as the one under way has ended.
 type inFlight struct {
 	mu  sync.Mutex
-	vms map[string]bool
+	vms map[string]bool // whether another call has to follow
 }
 
-func (f *inFlight) start(vm string) bool {
+// start tells whether the caller is to make the call.
+func (f *inFlight) start(vm string, urgent bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.vms[vm] {
+	if follow, busy := f.vms[vm]; busy {
+		f.vms[vm] = follow || urgent
 		return false
 	}
-	f.vms[vm] = true
+	f.vms[vm] = false
 	return true
 }
 
-func (f *inFlight) end(vm string) {
+// end tells whether the call has to be made again.
+func (f *inFlight) end(vm string) (again bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.vms[vm] {
+		f.vms[vm] = false
+		return true
+	}
 	delete(f.vms, vm)
+	return false
 }
 
 // followList reads the VM list again and again; while it is down the last
--- a/internal/replica/history_test.go
+++ b/internal/replica/history_test.go
@@ -27,7 +27,8 @@
 type historyOutput struct {
 	version  uint64 // accepted or read
 	accepted bool
-	notRun   bool // told that it can't count
+	notRun   bool   // told that it can't count
+	unknown  string // publish id, if the operator was told that the verdict is to come
 }
 
 // acceptedModel is the accepted version as one register: a publish takes
@@ -135,9 +136,33 @@
 		})
 	}
 	wg.Wait()
+	settleUnknown(t, l, rec.ops)
 	return rec.ops
 }
 
+// settleUnknown gives the publishes without a verdict the one that the log
+// shows in the end. They may have taken effect at any time since they began.
+func settleUnknown(t *testing.T, l *logtest.Log, ops []porcupine.Operation) {
+	l.SetFate(nil)
+	c := logclient.New(logclient.Options{Log: l, Writer: "auditor", VM: "room"})
+	defer func() { assert.NilError(t, c.Close()) }()
+	_, verdicts, err := Current(t.Context(), c, "config")
+	assert.NilError(t, err)
+	for i := range ops {
+		o := ops[i].Output.(historyOutput)
+		if o.unknown == "" {
+			continue
+		}
+		settled := historyOutput{notRun: true}
+		for _, v := range verdicts {
+			if v.PublishId == o.unknown {
+				settled = historyOutput{version: v.Offset, accepted: v.Accepted}
+			}
+		}
+		ops[i].Output, ops[i].Return = settled, time.Now().UnixNano()
+	}
+}
+
 func readVersion(t *testing.T, l *logtest.Log, op int) uint64 {
 	c := logclient.New(logclient.Options{Log: l, Writer: fmt.Sprint("reader", op), VM: "room"})
 	defer func() { assert.NilError(t, c.Close()) }()
@@ -153,6 +178,9 @@
 	defer cancel()
 	v, err := Publish(ctx, c, "config", id, publishEntry(base, id))
 	if err != nil {
+		if code.Of(err).Run == code.Unknown {
+			return historyOutput{unknown: id}
+		}
 		assert.Check(t, code.Of(err).Run == code.NotRun, "%v", err)
 		return historyOutput{notRun: true}
 	}
