--- a/internal/policy/admit/serve.go
+++ b/internal/policy/admit/serve.go
@@ -134,6 +134,9 @@
 	return q.expiry[0].latestStart() + 1, true
 }
 
+// Len returns the number of queued requests.
+func (q *Queue) Len() int { return len(q.expiry) }
+
 // Cancel takes a request out whose caller has gone.
 func (q *Queue) Cancel(r *Request) {
 	switch r.state {
--- a/internal/policy/policytest/entry.go
+++ b/internal/policy/policytest/entry.go
@@ -119,11 +119,6 @@
 		e.swept = now
 		e.router.Sweep(now)
 	}
-	c := e.router.Capacity(now, pool, route.Artifact{}, "")
-	if c.Slots != e.slots {
-		e.slots = c.Slots
-		e.queue.SetCapacity(now, c.Slots)
-	}
 }
 
 func (e *entry) publish(now clock.Time, v *loadtest.View) {
@@ -232,11 +227,19 @@
 }
 
 func (a admission) Next(now clock.Time, v *loadtest.View) (*loadtest.Request, []loadtest.Refused) {
+	if a.queue.Len() == 0 && a.slots > 0 {
+		return nil, nil
+	}
 	a.sync(now, v)
 	c := a.router.Capacity(now, pool, route.Artifact{}, "")
-	r, dropped := a.queue.Next(now, admit.Room{Normal: c.Normal, Urgent: c.Urgent})
+	var dropped []admit.Refusal
+	if c.Slots != a.slots {
+		a.slots = c.Slots
+		dropped = a.queue.SetCapacity(now, c.Slots)
+	}
+	r, late := a.queue.Next(now, admit.Room{Normal: c.Normal, Urgent: c.Urgent})
 	var refused []loadtest.Refused
-	for _, d := range dropped {
+	for _, d := range append(dropped, late...) {
 		q := d.Request.Value.(*loadtest.Request)
 		refused = append(refused, loadtest.Refused{Request: q, Code: d.Err.Code})
 		delete(a.reqs, q.ID)
--- a/internal/policy/route/doc.go
+++ b/internal/policy/route/doc.go
@@ -17,7 +17,8 @@
 //
 // The choice is the lowest estimated time to the first token among few
 // candidates: the two engines that rendezvous hashing prefers for the prompt's
-// first pieces, unless their load is over a bound, and two drawn at random.
+// first pieces, unless their load is over a bound, one in turn and one drawn
+// at random.
 // The estimate is the queued prefill and the slots taken, from the newest
 // report and what this entry sent since it was taken; plus the prefill of what
 // is not believed to be cached; corrected by the endpoint's measured slowness
--- a/internal/policy/route/health.go
+++ b/internal/policy/route/health.go
@@ -78,10 +78,12 @@
 	r.sendingAt = now
 	for i := range r.Table().peers {
 		p := &r.Table().peers[i]
-		var sent int64
+		var sent, runs int64
 		for _, e := range p.eps {
 			sent += e.live.sentWork.Load()
+			runs += max(e.live.runs.Load()-e.live.ownRuns.Load(), 0)
 		}
+		n := int64(len(p.eps))
 		rate := float64(sent-p.sentWork) / float64(span) / float64(len(p.eps))
 		if p.sentWork == 0 {
 			rate = 0
@@ -91,6 +93,7 @@
 		others := min(1000*p.rate*float64(r.cfg.Entries-1), 1000)
 		for _, e := range p.eps {
 			e.live.others.Store(int64(others))
+			e.live.othersRuns.Store((runs + n/2) / n)
 		}
 	}
 }
--- a/internal/policy/route/live.go
+++ b/internal/policy/route/live.go
@@ -31,15 +31,17 @@
 // changes of the table. Traffic goroutines use the atomics; mu guards the rest.
 type live struct {
 	// Read for every endpoint of a cell by each decision, so kept together.
-	runs     atomic.Int64 // reported, and changes by this entry since the report
-	ownRuns  atomic.Int64
-	outUntil atomic.Int64 // ejected until
-	takenAt  atomic.Int64 // when the newest report was taken; zero without any
-	work     atomic.Int64 // nanoseconds of queued prefill, kept like runs
-	ownWork  [lanes]atomic.Int64
-	others   atomic.Int64 // thousandths of its time that other entries' prefill takes
-	rampFrom atomic.Int64 // full share again at rampFrom + Ramp
-	lim      *limit.Limiter
+	runs       atomic.Int64 // reported, and changes by this entry since the report
+	ownRuns    atomic.Int64
+	outUntil   atomic.Int64 // ejected until
+	takenAt    atomic.Int64 // when the newest report was taken; zero without any
+	work       atomic.Int64 // nanoseconds of queued prefill, kept like runs
+	ownWork    [lanes]atomic.Int64
+	othersRuns atomic.Int64 // mean of other entries' requests at the pool's endpoints
+	stay       atomic.Int64 // nanoseconds that a request stays at the endpoint
+	others     atomic.Int64 // thousandths of its time that other entries' prefill takes
+	rampFrom   atomic.Int64 // full share again at rampFrom + Ramp
+	lim        *limit.Limiter
 
 	first    ewma // measured over expected time to the first token
 	step     ewma // measured over nominal time between tokens
@@ -134,7 +136,9 @@
 // nanoseconds, by all entries as well as can be told.
 func (l *live) load(now clock.Time, cfg *Config) (runs, work int64) {
 	own := l.ownRuns.Load()
-	if !l.fresh(now, cfg) {
+	at := l.takenAt.Load()
+	age := max(int64(now)-at, 0)
+	if at == 0 || age > int64(cfg.Stale) {
 		// Without a usable report the other entries are taken to send as
 		// much as this one: they follow the same policy.
 		n := int64(cfg.Entries)
@@ -143,13 +147,19 @@
 	// The engine has worked since the report, but the other entries have gone
 	// on sending. Without their part an engine that is always busy would look
 	// idle by the age of its report.
-	drained := (int64(now) - l.takenAt.Load()) / 1000 * (1000 - l.others.Load())
+	drained := age / 1000 * (1000 - l.others.Load())
 	work = max(l.work.Load()-drained, 0)
 	runs = l.runs.Load()
 	if cfg.Off.NoOwnCounts {
 		return runs, work
 	}
-	return max(runs, own), work
+	// What the report says of the others is worth less the more of their
+	// requests have ended since: at a service that answers in milliseconds,
+	// an older report tells of another queue. The estimate goes over to the
+	// mean of the pool with the report's age.
+	others := max(runs-own, 0)
+	stay := l.stay.Load()
+	return own + (others*stay+l.othersRuns.Load()*age+(stay+age)/2)/(stay+age), work
 }
 
 // ewma is an exponentially weighted mean that forgets with time as well as
--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -28,7 +28,7 @@
 
 // The reasons.
 const (
-	LeastWait Reason = iota // the better of two drawn at random
+	LeastWait Reason = iota // the better of two, one in turn and one at random
 	Affinity                // preferred for the prompt's prefix
 	CacheHit                // believed to have cached a prefix of the prompt
 	Isolated
@@ -150,14 +150,27 @@
 	if len(req.Pieces) > 0 && !req.Prefilled && !r.cfg.Off.NoAffinity {
 		r.preferred(now, req, ws, s, &best)
 	}
-	for range 2 {
-		if e := r.draw(now, req, s.eps); e != nil && e != best.ep {
-			best = better(best, r.score(now, req, e, LeastWait))
-		}
+	if e := r.inTurn(now, req, s); e != nil && e != best.ep {
+		best = better(best, r.score(now, req, e, LeastWait))
+	}
+	if e := r.draw(now, req, s.eps); e != nil && e != best.ep {
+		best = better(best, r.score(now, req, e, LeastWait))
 	}
 	return best, best.ep != nil
 }
 
+// inTurn returns the next endpoint in turn if it is eligible. One of the two
+// choices goes in turn rather than at random: where nothing tells endpoints
+// apart, turns spread the requests more evenly than chance. Entries take their
+// turns from different places.
+func (r *Router) inTurn(now clock.Time, req *Request, s *set) *Endpoint {
+	e := s.eps[(r.seed+s.turn.Add(1))%uint64(len(s.eps))]
+	if !r.eligible(now, req, e, uint32(r.random())) {
+		return nil
+	}
+	return e
+}
+
 func better(a, b candidate) candidate {
 	if b.score < a.score {
 		return b
--- a/internal/policy/route/router.go
+++ b/internal/policy/route/router.go
@@ -52,6 +52,7 @@
 		if isNew {
 			l = &live{lim: limit.NewLimiter(r.limitOf(e))}
 		}
+		l.stay.Store(e.slotNanos*e.slots + 1)
 		l.mu.Lock()
 		back := (isNew && started) || (!isNew && l.state == Away)
 		if back && e.State == Open {
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -18,6 +18,10 @@
 	}
 	wait, run := r.estimate(now, req, e, c.cached)
 	c.score = float64(wait + run)
+	if e.Role == Decode && !req.Prefilled {
+		// The prefill would hold up the streams of the batch.
+		c.score += float64(run) * float64(e.live.runs.Load()) / float64(e.slots)
+	}
 	if !r.cfg.Off.NoCalibration {
 		c.score *= e.slowness(now)
 	}
--- a/internal/policy/route/table.go
+++ b/internal/policy/route/table.go
@@ -98,6 +98,7 @@
 type set struct {
 	eps    []*Endpoint
 	hashes []uint64 // of eps, side by side for rendezvous hashing
+	turn   atomic.Uint64
 	meanAt atomic.Int64
 	mean   atomic.Uint64 // load over slots, as bits of a float64
 }
@@ -111,8 +112,9 @@
 }
 
 // meanAge is how old the mean load of a set may be. At the design size a cell
-// gets about 90 requests a second, so a mean misses one request or two.
-const meanAge = 10 * time.Millisecond
+// of 100 runners gets about 90 requests a second, so that the mean misses a
+// tenth of a request per runner; reports are older than that anyway.
+const meanAge = 100 * time.Millisecond
 
 // meanLoad returns the mean share of slots that are taken.
 func (s *set) meanLoad(now clock.Time, cfg *Config) float64 {
