--- a/internal/policy/loadtest/clairvoyant.go
+++ b/internal/policy/loadtest/clairvoyant.go
@@ -16,6 +16,8 @@
 	// distance in engines from the best split at which it moves one.
 	Window time.Duration
 	Band   float64
+	// Lean weighs the demand on decode against that on prefill.
+	Lean float64
 	// Away bounds the engines that change at once.
 	Away int
 
@@ -33,10 +35,12 @@
 // Clairvoyants are the plans from which a comparison takes the best.
 func Clairvoyants() []Clairvoyant {
 	return []Clairvoyant{
-		{Window: 20 * time.Second, Band: 0.75, Away: 2},
-		{Window: 30 * time.Second, Band: 1.25, Away: 1},
-		{Window: 60 * time.Second, Band: 1.25, Away: 1},
-		{Window: 60 * time.Second, Band: 1.75, Away: 1},
+		{Window: 20 * time.Second, Band: 0.75, Away: 2, Lean: 1},
+		{Window: 60 * time.Second, Band: 1.25, Away: 1, Lean: 1},
+		{Window: 20 * time.Second, Band: 0.75, Away: 2, Lean: 1.2},
+		{Window: 40 * time.Second, Band: 1.25, Away: 1, Lean: 1.2},
+		{Window: 60 * time.Second, Band: 1.75, Away: 1, Lean: 1.2},
+		{Window: 30 * time.Second, Band: 1, Away: 1, Lean: 1.4},
 	}
 }
 
@@ -94,7 +98,7 @@
 		prefill += c.prompt[i] * computed / c.model.PrefillRate
 		decode += c.output[i] / c.model.DecodeRate()
 	}
-	return prefill, decode
+	return prefill, decode * c.Lean
 }
 
 func (c *Clairvoyant) role(e *EngineView) Role {
--- a/internal/policy/roles/config.go
+++ b/internal/policy/roles/config.go
@@ -30,10 +30,15 @@
 }
 
 const (
-	// TargetUse is the share of its rate up to which a role serves work on
-	// time. Above it, waits of a queue with arrivals in bursts pass the
-	// first-token objective.
-	TargetUse = 0.85
+	// PrefillUse is the share of its rate up to which a prefill engine serves
+	// on time. Its queue is ordered by priority, so it may run long before
+	// callers notice.
+	PrefillUse = 0.85
+
+	// DecodeUse is the same of a decode engine. A stream that waits for its
+	// place in a batch misses the objective between tokens soon, since a full
+	// batch alone takes nine tenths of it.
+	DecodeUse = 0.70
 
 	// Payback is how long a change is expected to serve. The mix holds for
 	// minutes; a window shorter than that makes no change worth its loss, and
--- a/internal/policy/roles/planner.go
+++ b/internal/policy/roles/planner.go
@@ -203,11 +203,8 @@
 
 // weigh picks the direction of a change and whether it is worth its price.
 func (p *Planner) weigh(now clock.Time, v outlook) (Role, Reason) {
-	to := Prefill
-	prefill, decode := p.forecast(to)
-	if share(v.split.prefill, prefill) > share(v.split.decode, decode) {
-		to = Decode
-	}
+	prefill, decode := p.forecast(Prefill)
+	to := v.split.shorter(prefill, decode)
 	p.lasting(now, v, to)
 	return to, p.reason(v, to)
 }
--- a/internal/policy/roles/split.go
+++ b/internal/policy/roles/split.go
@@ -1,6 +1,9 @@
 package roles
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // split is the ready engines of each role. A mixed engine counts half in each.
 type split struct{ prefill, decode float64 }
@@ -42,14 +45,22 @@
 // exactly returns the work on time for a known demand. A request needs both
 // roles, so the shorter one sets the share.
 func (s split) exactly(prefill, decode float64) float64 {
-	return min(1, share(s.prefill, prefill), share(s.decode, decode)) * (prefill + decode)
+	return min(1, share(PrefillUse*s.prefill, prefill), share(DecodeUse*s.decode, decode)) * (prefill + decode)
 }
 
-func share(engines, demand float64) float64 {
+// shorter returns the role that can serve the smaller share of its demand.
+func (s split) shorter(prefill, decode float64) Role {
+	if share(PrefillUse*s.prefill, prefill) > share(DecodeUse*s.decode, decode) {
+		return Decode
+	}
+	return Prefill
+}
+
+func share(capacity, demand float64) float64 {
 	if demand <= 0 {
-		return 1
+		return math.Inf(1)
 	}
-	return max(TargetUse*engines/demand, 0)
+	return max(capacity/demand, 0)
 }
 
 // weigh returns the gain and the loss in engine seconds of moving one engine.
@@ -59,7 +70,7 @@
 	now := s.served(prefill, decode)
 	after := s.after(to, 1).served(prefill, decode)
 	during := s.without(to.other(), 1).served(prefill, decode)
-	use := min(1, (prefill+decode)/(TargetUse*(s.prefill+s.decode)))
+	use := min(1, (prefill/PrefillUse+decode/DecodeUse)/(s.prefill+s.decode))
 	gain = (after - now) * payback.Seconds()
 	loss = (now-during)*away.Seconds() + use*(away+Warmup).Seconds()
 	return gain, loss
