--- a/internal/control/chaos_test.go
+++ b/internal/control/chaos_test.go
@@ -22,7 +22,7 @@
 	chaosProcs  = 3
 	chaosSettle = 3 * time.Minute
 	// maxUnguarded is how many seeds may pass before the test without its guard
-	// must have found a fault; one in three finds some.
+	// must have found a fault; the first ten usually do.
 	maxUnguarded = 60
 )
 
