Progress of a stream gives its retries back

A stream that had used three attempts for moves and refusals was cut by the first failure without progress: attempts were counted over the whole stream.

--- a/internal/entry/dispatch/generate.go
+++ b/internal/entry/dispatch/generate.go
@@ -50,6 +50,7 @@
 	from     int // where the present attempt began
 	exclude  []*route.Endpoint
 	kv       *driver.KVHandle // of the attempt that was moved
+	tries    int              // attempts in a row that failed without progress
 	touched  bool             // an attempt may have been executed
 	began    clock.Time
 	ran      time.Duration // how long the attempt ran that a crash ended
@@ -168,14 +169,16 @@
 	pause := time.Duration(n) * placeStep
 	switch {
 	case errors.Is(err, errMoved), s.asm.Next() > s.from:
+		s.tries = 0
 		return true, err
 	case s.asm.Next() > 0 && untouched(err):
 		// An engine that refuses, as after a crash, has to become known as
 		// such before the attempts are used up.
 	default:
+		s.tries++
 		now := s.d.clk.Now()
 		d := s.d.retries.Failed(now, retry.Attempt{
-			Pool: s.pool.Name, Caller: s.g.Name, Idempotent: true, Tries: n,
+			Pool: s.pool.Name, Caller: s.g.Name, Idempotent: true, Tries: s.tries,
 			Deadline: deadlineOf(ctx, s.d.clk), Err: numbered(ctx, err, !untouched(err), false),
 		})
 		if !d.Retry {
