Engines' batch sizes are learned from their reports

An engine that runs 2 requests at once was taken for one of 32: of 100 questions at once 28 ended late in its own queue. A report with requests waiting shows the batch's size. The first burst at an unknown engine stays as before. The entry tests check for leaked goroutines at their end.

--- a/internal/entry/fleet/owner.go
+++ b/internal/entry/fleet/owner.go
@@ -33,6 +33,7 @@
 	service driver.Service
 	stop    context.CancelFunc
 	failed  int // polls in a row
+	slots   int // requests that it runs at once, as far as was seen
 	state   *driver.EngineState
 	stateAt clock.Time    // when it was asked for
 	kick    chan struct{} // wakes the poller
@@ -136,7 +137,7 @@
 			moved := make(chan struct{})
 			e.moved.Store(&moved)
 			e.setPhase(o.directiveOf(name).GetPhase())
-			o.start(name, &endpoint{target: t, engine: e, kick: e.kick})
+			o.start(name, &endpoint{target: t, engine: e, kick: e.kick, slots: defaultSlots})
 			return
 		}
 	}
@@ -148,7 +149,7 @@
 	if err == nil {
 		var d driver.Service
 		if d, err = open(t); err == nil {
-			o.start(name, &endpoint{target: t, service: d})
+			o.start(name, &endpoint{target: t, service: d, slots: serviceSlots})
 			return
 		}
 	}
--- a/internal/entry/fleet/poll.go
+++ b/internal/entry/fleet/poll.go
@@ -124,7 +124,25 @@
 	}
 	e.ep.failed = 0
 	e.ep.report = &e.report
+	e.ep.learnSlots(&e.report)
 	if e.state != nil {
 		e.ep.state, e.ep.stateAt = e.state, e.asked
 	}
 }
+
+// learnSlots takes the size of a batch from a report that shows requests
+// waiting behind it.
+//
+// Failure: an engine runs fewer requests at once than assumed. Its queue, not
+// the entry's, then holds the rest: they are admitted on a forecast that is
+// wrong by that factor, and end late. A batch that lost a few requests since the
+// last report isn't smaller; a tenth either way is no news.
+func (ep *endpoint) learnSlots(r *driver.LoadReport) {
+	if r.Queued == 0 || r.Running == 0 {
+		ep.slots = max(ep.slots, min(r.Running, defaultSlots))
+		return
+	}
+	if near := ep.slots / 10; r.Running < ep.slots-near || r.Running > ep.slots+near {
+		ep.slots = r.Running
+	}
+}
--- a/internal/entry/fleet/table.go
+++ b/internal/entry/fleet/table.go
@@ -90,7 +90,7 @@
 
 func serviceOf(s *sheet.Service, e *sheet.ServiceEndpoint, ep *endpoint) route.Endpoint {
 	r := route.Endpoint{
-		Name: e.Name, Pool: ServicePool(s.Name), Zone: e.Zone, Slots: serviceSlots, Base: serviceBase,
+		Name: e.Name, Pool: ServicePool(s.Name), Zone: e.Zone, Slots: ep.slots, Base: serviceBase,
 	}
 	if ep.failed >= suspectAfter {
 		r.State = route.Suspect
@@ -101,7 +101,7 @@
 func (o *owner) engineOf(p *sheet.Pool, e *sheet.Engine, ep *endpoint) route.Endpoint {
 	d, state := o.directiveOf(e.Name), o.newState(e.Name, ep)
 	r := route.Endpoint{
-		Name: e.Name, Pool: p.Name, Zone: e.Zone, Slots: defaultSlots,
+		Name: e.Name, Pool: p.Name, Zone: e.Zone, Slots: ep.slots,
 		Role: roleOf(p, e, state, d), State: stateOf(e, ep, state, d), Serves: servesOf(p, ep),
 		PrefillPerToken: perToken(defaultPrefillRate), DecodePerToken: defaultDecodeStep, Base: engineBase,
 	}
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/clock"
@@ -39,7 +40,7 @@
 	if os.Getenv("FESCUE_LOG") == "" {
 		log.SetHandler(discard.New())
 	}
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
 
 // world is a whole deployment in one process, on loopback.
@@ -80,6 +81,7 @@
 	w := &world{t: t, ctx: ctx, running: running, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(func() {
 		w.client.CloseIdleConnections()
+		http.DefaultClient.CloseIdleConnections()
 		stop()
 		w.entryWG.Wait()
 		cancel()
