--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -41,3 +43,48 @@
 		}
 	}
 }
+
+var (
+	testName     = regexp.MustCompile(`\bTest[A-Z]\w+`)
+	scenarioName = regexp.MustCompile(`promise\d_\w+`)
+)
+
+// A proof that is renamed or removed must not stay on the page.
+func TestPromisesNameProofsThatExist(t *testing.T) {
+	b, err := os.ReadFile("PROMISES.md")
+	assert.NilError(t, err)
+	tests := testsOfTheTree(t)
+	for _, name := range testName.FindAllString(string(b), -1) {
+		assert.Check(t, tests[name], "no test %s", name)
+	}
+	named := map[string]bool{}
+	for _, name := range scenarioName.FindAllString(string(b), -1) {
+		named[name] = true
+		_, err := os.Stat("../scenarios/" + name + ".txtar")
+		assert.Check(t, err)
+	}
+	files, err := filepath.Glob("../scenarios/promise*.txtar")
+	assert.NilError(t, err)
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), ".txtar")
+		assert.Check(t, named[name], "scenario %s stands behind no promise", name)
+	}
+}
+
+// testsOfTheTree returns the names of all test functions under internal.
+func testsOfTheTree(t *testing.T) map[string]bool {
+	t.Helper()
+	found := map[string]bool{}
+	err := filepath.WalkDir("../internal", func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		b, err := os.ReadFile(path)
+		for _, name := range testName.FindAllString(string(b), -1) {
+			found[name] = true
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	return found
+}
