--- a/internal/policy/route/doc.go
+++ b/internal/policy/route/doc.go
@@ -13,7 +13,9 @@
 //     (NoBound);
 //   - an endpoint that answers errors fast looks idle and draws the pool's
 //     traffic (NoErrorCost, NoEjection), and a common fault ejects a whole
-//     pool (NoMaxOut).
+//     pool (NoMaxOut);
+//   - several entries fill every queue that looked empty in the last report,
+//     and requests wait where admission can no longer refuse them (NoAhead).
 //
 // The choice is the lowest estimated time to the first token among few
 // candidates: the two engines that rendezvous hashing prefers for the prompt's
@@ -25,7 +27,12 @@
 // and error rate and the distance of its availability zone. The grounds for
 // the figures stand with the constants.
 //
-// A Table is built by the control goroutine and published through an atomic
+// What one entry has outstanding is bounded by windows that follow the waits
+// it measures itself, and an engine's streams by their measured time between
+// tokens.
+//
+// What is known of an endpoint takes 20 kB, so an entry's table should hold
+// its own cell (CellOf) and no others once there are several. A Table is built by the control goroutine and published through an atomic
 // pointer. Traffic goroutines share counters by atomics; a decision takes no
 // lock and allocates nothing.
 package route
