--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(GO) run ./internal/demo/run --bin $(BIN) --deployment $(DEPLOYMENT)
 
 test: ## run every test
-	$(GO) test -race -timeout 20m ./...
+	$(GO) test -race -count=1 -timeout 20m ./... # -count=1: the scenarios build the binaries, which the test cache does not see
 
 bench: ## print the measures behind docs/CAPACITY.md and docs/MEASUREMENTS.md
 	$(GO) test -run '^$$' -bench . -benchmem ./...
