--- a/internal/policy/route/health.go
+++ b/internal/policy/route/health.go
@@ -234,6 +234,8 @@
 	Step      float64 // measured over nominal time between tokens
 	Errors    float64
 	Ejections int
+	Reports   uint64
+	Late      uint64 // reports older than one already seen
 	CacheGaps uint64
 	ReportAge time.Duration // -1 without a report
 }
@@ -271,6 +273,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s.Ejections = l.ejections
+	s.Reports, s.Late = l.reports, l.late
 	s.CacheGaps = l.seq.gaps
 	return s
 }
--- a/internal/policy/route/live.go
+++ b/internal/policy/route/live.go
@@ -56,7 +56,7 @@
 	ejectedAt clock.Time
 	state     State
 	reports   uint64
-	oldSeen   uint64
+	late      uint64 // reports older than one already seen
 
 	sentWork atomic.Int64 // nanoseconds of prefill that this entry ever sent
 	recent   [buckets]bucket
@@ -98,7 +98,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if int64(r.TakenAt) <= l.takenAt.Load() {
-		l.oldSeen++
+		l.late++
 		return
 	}
 	l.reports++
--- a/internal/policy/route/pick.go
+++ b/internal/policy/route/pick.go
@@ -42,9 +42,10 @@
 
 // Decision is where a request goes.
 type Decision struct {
-	Dispatch               // the endpoint that answers
-	Prefill  Dispatch      // an engine that prefills and hands its KV cache over
-	Reason   Reason        //
+	// Dispatch is for the endpoint that answers.
+	Dispatch
+	Prefill  Dispatch // an engine that prefills and hands its KV cache over
+	Reason   Reason
 	Cached   int           // pieces believed to be cached at the endpoint
 	Score    time.Duration // estimated time to the first token, with penalties
 	Transfer time.Duration // of the KV cache
