Engines at rest are read every 2.5 s; control measured at eight VMs

Eight VMs, ten engines, real processes at rest on loopback, 20 s each: a holder took 9.9 KB/s with a read each second, 6.4 KB/s with one each 2 s, 5.7 KB/s with one each 2.5 s (1.5 sent, 4.3 received), 0.65% of a core, 17.8 MB; the other control processes 2.9 KB/s, 0.30%, 17.1 MB.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -63,8 +63,11 @@
 	defaultRenew      = 2 * time.Second
 	defaultCheckpoint = 10 * time.Minute
 	// tickEvery paces the decisions. An engine's state is read at this pace
-	// while it changes, and every idleTicks otherwise.
+	// while it changes, and every restTicks otherwise: ten engines read each
+	// second took 9.9 KB/s of the 6 KB/s that control may use.
 	tickEvery = 250 * time.Millisecond
+	restTicks = 10
+	// idleTicks paces the role planner and the status report.
 	idleTicks = 4
 	// callTimeout bounds a read of an engine and a call to an entry.
 	callTimeout = time.Second
--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -139,7 +139,7 @@
 func (s *state) readEngines() {
 	for i, e := range s.held() {
 		resting := e.known && e.readFrom != 0 && e.memory.Idle() && !e.state.Changing
-		if e.reading || resting && (s.ticks+i)%idleTicks != 0 {
+		if e.reading || resting && (s.ticks+i)%restTicks != 0 {
 			continue
 		}
 		if e.conn == nil && !s.open(e) {
