A dead engine stops neither the role planner nor the away share for good

Cause: a process that took a pool over with one engine dead waited for its state for ever and counted it as away for ever; a pool of four could then never change. After: 10 s without an answer plans without it, 60 s counts it as lost. Withdrawn and removed engines: test added, no order to either.

--- a/internal/control/authority.go
+++ b/internal/control/authority.go
@@ -191,7 +191,8 @@
 		return
 	}
 	log.WithField("engine", e.name).WithField("token", token).WithField("was", e.token).Info("authority")
-	e.takeover(token, s.now().Add(s.orderWait(e)))
+	now := s.now()
+	e.takeover(now, token, now.Add(s.orderWait(e)))
 }
 
 // orderWait is how long the first order waits after a takeover. At an engine
--- a/internal/control/engines.go
+++ b/internal/control/engines.go
@@ -31,6 +31,7 @@
 
 	lease      atomic.Pointer[leaseEnd]
 	token      uint64
+	taken      clock.Time // when the token was learnt
 	orderFrom  clock.Time
 	claimable  clock.Time // since when it could be claimed, 0 if it can't
 	releasing  uint64     // token of a holding that was given up
@@ -56,8 +57,8 @@
 }
 
 // takeover forgets everything that was known under another token.
-func (e *engine) takeover(token uint64, orderFrom clock.Time) {
-	e.token, e.orderFrom = token, orderFrom
+func (e *engine) takeover(now clock.Time, token uint64, orderFrom clock.Time) {
+	e.taken, e.token, e.orderFrom = now, token, orderFrom
 	e.memory, e.step = reconcile.Memory{}, reconcile.Step{}
 	e.readFrom, e.known, e.reserved = 0, false, driver.Loaded{}
 	e.announced = announcement{}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -32,7 +32,8 @@
 const lostAfter = 60 * time.Second
 
 func (s *state) lost(e *engine) bool {
-	return e.token != 0 && e.readFrom == 0 && e.answered != 0 && s.now().Sub(e.answered) > lostAfter
+	silent := s.now().Sub(max(e.answered, e.taken))
+	return e.token != 0 && e.readFrom == 0 && silent > lostAfter
 }
 
 // poolCount is how a pool stands.
@@ -93,7 +94,7 @@
 	count := map[driver.Role]int{}
 	for _, name := range p.spec.Engines {
 		e := s.engines[name]
-		if e.spec.Withdrawn {
+		if e.spec.Withdrawn || !e.known {
 			continue
 		}
 		r := p.role(e)
@@ -151,13 +152,21 @@
 	}
 }
 
+// unreadAfter is how long an engine may leave a new holder without an answer
+// before the pool is planned without it: one dead engine must not stop the
+// planner for good, and engines just taken over must not be planned unread.
+const unreadAfter = 10 * time.Second
+
 // holdsWhole reports whether this process holds every engine of a pool and
 // knows its state: two processes that plan for parts of a pool would both
 // answer the same shortage.
 func (s *state) holdsWhole(p *pool) bool {
 	for _, name := range p.spec.Engines {
 		e := s.engines[name]
-		if e == nil || e.token == 0 || e.releasing == e.token || !e.known {
+		if e == nil || e.token == 0 || e.releasing == e.token {
+			return false
+		}
+		if !e.known && s.now().Sub(e.taken) < unreadAfter {
 			return false
 		}
 	}
--- a/internal/control/recovery_test.go
+++ b/internal/control/recovery_test.go
@@ -8,6 +8,10 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/driver"
+	"fescuestand/internal/sheet"
+	"fescuestand/internal/wire"
 )
 
 // slowStore gives ten seconds of its rate for a model.
@@ -83,3 +87,54 @@
 	}
 	return len(scopes) > 0
 }
+
+// Story: operators withdraw one engine that still carries a stream and take
+// another off the sheet. The stream ends by itself, neither engine gets an
+// order, and the one withdrawn takes work again when the sheet says so.
+func TestWithdrawnAndRemovedEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, true)
+		defer w.close()
+		p := w.start("vm0")
+		eventually(t, 15*time.Second, "held", p.holdsAll)
+		time.Sleep(5 * time.Second)
+		w.setInFlight("e1", 1)
+		w.change(func(s *sheet.Sheet) {
+			s.Engines[1].Withdrawn = true
+			s.Engines = s.Engines[:2]
+			s.Pools[0].Engines = []string{"e0", "e1"}
+		})
+		eventually(t, 5*time.Second, "drain", func() bool { return w.phase("e1") == wire.Phase_PHASE_DRAIN })
+		time.Sleep(5 * time.Second)
+		w.setInFlight("e1", 0)
+		eventually(t, 5*time.Second, "withdrawn", func() bool { return w.phase("e1") == wire.Phase_PHASE_WITHDRAWN })
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, p.c.Left(), 2, "the removed engine was released")
+		w.change(func(s *sheet.Sheet) { s.Engines[1].Withdrawn = false })
+		eventually(t, 10*time.Second, "open", func() bool { return w.phase("e1") == wire.Phase_PHASE_OPEN })
+		for _, e := range w.engines {
+			assert.Equal(t, len(e.ordersTaken()), 0)
+		}
+	})
+}
+
+// Story: one engine of a planned pool is dead when a process takes the pool
+// over. The others must still be split between the roles.
+func TestDeadEngineDoesNotStopTheSplit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4, true)
+		defer w.close()
+		w.engines["e3"].down = true
+		w.change(func(s *sheet.Sheet) {
+			s.Pools[0].Roles = sheet.Roles{Planned: true, MinPrefill: 1, MinDecode: 1}
+		})
+		w.start("vm0")
+		eventually(t, 2*time.Minute, "split", func() bool {
+			n := map[driver.Role]int{}
+			for _, e := range []string{"e0", "e1", "e2"} {
+				n[w.role(e)]++
+			}
+			return n[driver.RolePrefill] == 1 && n[driver.RoleDecode] == 2
+		})
+	})
+}
