Only a process whose reads go well may conclude that no state is known

Cause: with reads cut and appends open, a process that had met a gap heard nobody renew and would have begun the authority anew under live holders: safe, since claims wait, but every engine would have lost its holder for nothing.

--- a/internal/control/checkpoint.go
+++ b/internal/control/checkpoint.go
@@ -59,7 +59,8 @@
 // fold.Authority for the failure.
 func (s *state) beginAnew(p logclient.Progress) {
 	now := s.now()
-	if !p.Read || s.ckpt.writing {
+	if !p.Fresh() || s.ckpt.writing {
+		s.ckpt.lost = 0
 		return
 	}
 	if s.ckpt.lost == 0 {
--- a/internal/replica/checkpoint.go
+++ b/internal/replica/checkpoint.go
@@ -68,7 +68,8 @@
 // state before the oldest record still kept, and what follows is judged by all
 // alike on top of it. Without a sheet in force the stream begins with none.
 func (s *state) restore(ctx context.Context, p logclient.Progress) {
-	if !p.Read || p.First <= 1 {
+	if !p.Fresh() || p.First <= 1 {
+		s.ckpt.lost = 0
 		return
 	}
 	if s.ckpt.lost == 0 {
