Admission by the deadline alone; a refused class is probed

With the first-token objective as a bound the forecast refused questions that were whole within their deadline.

A class that the forecast refuses while none of it runs taught it nothing and stayed refused for ever: after slow times 0 of 60 questions were served by idle engines. One request of the class at a time now goes through (TestForecastRecoversAfterSlowTimes and its twin).

--- a/internal/entry/dispatch/gate.go
+++ b/internal/entry/dispatch/gate.go
@@ -30,9 +30,12 @@
 
 	mu      sync.Mutex
 	queue   *admit.Queue
-	granted int // let through, not yet counted at an endpoint
+	inside  map[string]int // queued and running, by class
+	granted int            // let through, not yet counted at an endpoint
 	queued  int
 	tokens  int // prompt tokens queued
+
+	offProbe bool // trust the forecast alone, for comparison
 }
 
 // turn is one request at a gate. Its answer is nil when it may go on.
@@ -56,7 +59,7 @@
 			Urgent: urgent(s.Classes, &c),
 		})
 	}
-	return &gate{router: r, clk: clk, pool: pool, serves: serves, classes: s.Classes, queue: admit.NewQueue(cfg)}
+	return &gate{router: r, clk: clk, pool: pool, serves: serves, classes: s.Classes, queue: admit.NewQueue(cfg), inside: map[string]int{}}
 }
 
 // urgent tells whether a class goes before another one at the engines, as all
@@ -117,13 +120,35 @@
 	}
 	v := g.queue.Offer(g.clk.Now(), &t.req)
 	g.tell(v.Dropped)
+	if v.Err != nil && g.mayProbe(t, v.Err) {
+		v = g.queue.Offer(g.clk.Now(), &t.req)
+		g.tell(v.Dropped)
+	}
 	if v.Err != nil {
 		return v.Err
 	}
 	g.count(t, 1)
+	g.inside[t.req.Class]++
 	return nil
 }
 
+// mayProbe lets a request through whose class the forecast refuses although
+// none of the class is queued or running.
+//
+// Failure: engines were slow for a while, and the forecast learned so from the
+// answers of a class. Then it refuses the whole class, gets no answers to learn
+// from, and refuses it for ever, on idle engines. One request at a time goes
+// through on its own deadline, which its context keeps, and teaches the
+// forecast.
+func (g *gate) mayProbe(t *turn, refusal *code.Error) bool {
+	if g.offProbe || refusal.Code != code.DeadlineInfeasible || g.inside[t.req.Class] > 0 {
+		return false
+	}
+	t.req.FirstBy = 0
+	t.req.Deadline = g.clk.Now().Add(longest)
+	return true
+}
+
 // giveUp takes out a request whose caller has gone or whose time is over. Its
 // turn may have come at the same moment.
 func (g *gate) giveUp(ctx context.Context, t *turn) *code.Error {
@@ -132,10 +157,12 @@
 	case err := <-t.answer:
 		if err == nil {
 			g.settle(t)
+			g.inside[t.req.Class]--
 			g.queue.Cancel(&t.req)
 		}
 	default:
 		g.count(t, -1)
+		g.inside[t.req.Class]--
 		g.queue.Cancel(&t.req)
 	}
 	g.mu.Unlock()
@@ -169,6 +196,7 @@
 func (g *gate) leave(t *turn, m admit.Measured) {
 	g.mu.Lock()
 	g.settle(t)
+	g.inside[t.req.Class]--
 	g.queue.Done(g.clk.Now(), &t.req, m)
 	g.mu.Unlock()
 	g.pump()
@@ -212,6 +240,7 @@
 	for _, d := range dropped {
 		t := d.Request.Value.(*turn)
 		g.count(t, -1)
+		g.inside[t.req.Class]--
 		t.answer <- d.Err
 	}
 }
--- a/internal/entry/dispatch/generate.go
+++ b/internal/entry/dispatch/generate.go
@@ -77,9 +77,8 @@
 		ID: g.RequestID, Class: class.Name, Workspace: g.Workspace, Caller: g.Name,
 		Prompt: prompt, MaxOutput: g.MaxTokens, Deadline: deadlineOf(ctx, d.clk),
 	}}
-	if first := class.FirstToken.D(); first > 0 {
-		t.req.FirstBy = d.clk.Now().Add(first)
-	}
+	// The class's first-token objective is no bound for admission: a request that
+	// misses it is still whole and on time, and the burn report shows the miss.
 	s.placed = func() { gate.placed(t) }
 	if err := gate.enter(ctx, t); err != nil {
 		d.counts.add(s.pool.Name, func(t *Totals) { t.Refused++ })
