--- a/internal/policy/roles/config.go
+++ b/internal/policy/roles/config.go
@@ -30,13 +30,14 @@
 }
 
 const (
-	// PrefillUse and DecodeUse are the shares of their rates up to which the
-	// roles serve on time. A prefill queue is ordered by priority, so it may
-	// run long before callers notice. A stream that waits for its place in
-	// a batch misses the objective between tokens soon, since a full batch
-	// alone takes nine tenths of it.
+	// PrefillUse is the share of its rate up to which a prefill engine serves
+	// on time. Its queue is ordered by priority, so it may run long before
+	// callers notice.
 	PrefillUse = 0.85
-	// DecodeUse is the same for decode; see PrefillUse.
+
+	// DecodeUse is the same of a decode engine. A stream that waits for its
+	// place in a batch misses the objective between tokens soon, since a full
+	// batch alone takes nine tenths of it.
 	DecodeUse = 0.70
 
 	// Payback is how long a change is expected to serve. The mix holds for
