--- a/internal/commit/run.go
+++ b/internal/commit/run.go
@@ -19,6 +19,9 @@
 	}
 	work, cancel := detached(ctx)
 	defer cancel()
+	// A process that has given up its drain must not wait for the deadline.
+	stop := context.AfterFunc(c.ctx, cancel)
+	defer stop()
 	body, err := c.disp.Dispatch(work, &Call{
 		Service: p.req.Service, Operation: p.req.Operation,
 		Key: p.req.Key, Attempt: p.attempt, Body: p.req.Body,
--- a/internal/entry/forward/serve.go
+++ b/internal/entry/forward/serve.go
@@ -67,9 +67,16 @@
 func (w *frameWriter) Write(b []byte) (int, error) {
 	w.WriteHeader(http.StatusOK)
 	w.data = append(w.data, b...)
+	if len(w.data) >= frameBytes {
+		return len(b), w.emit(false)
+	}
 	return len(b), w.err
 }
 
+// frameBytes is from which size on gathered bytes go out unasked: far below the
+// longest message between peers.
+const frameBytes = 256 << 10
+
 // FlushError is what http.ResponseController calls.
 func (w *frameWriter) FlushError() error {
 	if len(w.data) == 0 {
