--- a/internal/policy/roles/measure_test.go
+++ b/internal/policy/roles/measure_test.go
@@ -216,14 +216,17 @@
 // BenchmarkPrice prints what a price of role changes costs in goodput.
 func BenchmarkPrice(b *testing.B) {
 	for b.Loop() {
-		for _, cfg := range []loadtest.Config{loadtest.Lakeshore(), loadtest.Cevallos()} {
-			var all []func() loadtest.Policy
-			for _, price := range []float64{0, 5, 10, 20, 40, 60, 80, 120} {
-				sheet := lakeshoreSheet()
-				sheet.Price = price
-				all = append(all, entries(fmt.Sprintf("price %.0f", price), morning, planned(sheet, nil)))
+		for _, load := range swingLoads {
+			for _, d := range deployments() {
+				d.cfg.Workload.Load = load
+				var all []func() loadtest.Policy
+				for _, price := range []float64{0, 5, 10, 20, 40, 60, 80, 120} {
+					sheet := d.sheet
+					sheet.Price = price
+					all = append(all, entries(fmt.Sprintf("price %.0f", price), morning, planned(sheet, nil)))
+				}
+				show(fmt.Sprintf("prices, %s, load %.1f", d.cfg.Name, load), measure(d.cfg, all...))
 			}
-			show("prices, "+cfg.Name, measure(cfg, all...))
 		}
 	}
 }
