--- a/internal/policy/route/live.go
+++ b/internal/policy/route/live.go
@@ -37,10 +37,11 @@
 	takenAt    atomic.Int64 // when the newest report was taken; zero without any
 	work       atomic.Int64 // nanoseconds of queued prefill, kept like runs
 	ownWork    [lanes]atomic.Int64
-	othersRuns atomic.Int64 // mean of other entries' requests at the pool's endpoints
-	stay       atomic.Int64 // nanoseconds that a request stays at the endpoint
-	others     atomic.Int64 // thousandths of its time that other entries' prefill takes
-	rampFrom   atomic.Int64 // full share again at rampFrom + Ramp
+	othersRuns atomic.Int64  // mean of other entries' requests at the pool's endpoints
+	stay       atomic.Int64  // nanoseconds that a request stays at the endpoint
+	others     atomic.Int64  // thousandths of its time that other entries' prefill takes
+	batch      atomic.Uint64 // bits of the number of streams it may run, zero until measured
+	rampFrom   atomic.Int64  // full share again at rampFrom + Ramp
 	lim        *limit.Limiter
 
 	first    ewma // measured over expected time to the first token
@@ -55,7 +56,7 @@
 	ejectedAt clock.Time
 	state     State
 	reports   uint64
-	oldSeen   uint64
+	late      uint64 // reports older than one already seen
 
 	sentWork atomic.Int64 // nanoseconds of prefill that this entry ever sent
 	recent   [buckets]bucket
@@ -97,7 +98,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if int64(r.TakenAt) <= l.takenAt.Load() {
-		l.oldSeen++
+		l.late++
 		return
 	}
 	l.reports++
