Adapters are served end to end; a new version under load

Cause: an adapter is ordered under its own version, requests name the model's; router and stand-in compared the two, so that no adapter request could be served (reported by reading, then seen as 'not-loaded'). Change: the router maps a loaded adapter to the pool's model version; the engine stand-in asks for the model version and any version of the adapter.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -93,10 +93,11 @@
 	RoleMixed   Role = "mixed"
 )
 
-// Loaded names a model or adapter version in an engine's memory.
+// Loaded names a model version, or an adapter version on top of a model, in an
+// engine's memory.
 type Loaded struct {
 	Model   string `json:"model"`
-	Version string `json:"version"`
+	Version string `json:"version"` // of the adapter if there is one, else of the model
 	Adapter string `json:"adapter,omitempty"`
 }
 
--- a/internal/entry/fleet/table.go
+++ b/internal/entry/fleet/table.go
@@ -170,7 +170,7 @@
 	var arts []route.Artifact
 	if ep.state != nil && len(ep.state.Loaded) > 0 {
 		for _, l := range ep.state.Loaded {
-			arts = append(arts, route.Artifact{Model: l.Model, Version: l.Version, Adapter: l.Adapter})
+			arts = append(arts, artifactOf(p, l))
 		}
 		return arts
 	}
@@ -180,3 +180,12 @@
 	}
 	return arts
 }
+
+// artifactOf is what requests ask for to get l. They name an adapter without
+// its version, on the model version that the sheet has for the pool.
+func artifactOf(p *sheet.Pool, l driver.Loaded) route.Artifact {
+	if l.Adapter == "" {
+		return route.Artifact{Model: l.Model, Version: l.Version}
+	}
+	return route.Artifact{Model: l.Model, Version: p.Version, Adapter: l.Adapter}
+}
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -84,7 +84,6 @@
 
 // refusal returns why the engine can't run the sequence, or nothing.
 func (r *run) refusal(s *sequence) string {
-	wants := driver.Loaded{Model: s.req.Model, Version: s.req.Version, Adapter: s.req.Adapter}
 	switch {
 	case r.ctx.Err() != nil:
 		return "down"
@@ -92,7 +91,7 @@
 		return "changing"
 	case s.prefillOnly && r.role == driver.RoleDecode, !s.prefillOnly && r.role == driver.RolePrefill:
 		return "wrong-role"
-	case len(r.cfg.Loaded) > 0 && !slices.Contains(r.loaded, wants):
+	case len(r.cfg.Loaded) > 0 && !r.serves(s):
 		return "not-loaded"
 	case len(r.queue) >= r.cfg.MaxQueue:
 		return "queue-full"
@@ -100,6 +99,18 @@
 	return ""
 }
 
+// serves tells whether the model version is loaded and, if the sequence names
+// an adapter, any version of that on top of it.
+func (r *run) serves(s *sequence) bool {
+	model := driver.Loaded{Model: s.req.Model, Version: s.req.Version}
+	if !slices.Contains(r.loaded, model) {
+		return false
+	}
+	return s.req.Adapter == "" || slices.ContainsFunc(r.loaded, func(l driver.Loaded) bool {
+		return l.Model == s.req.Model && l.Adapter == s.req.Adapter
+	})
+}
+
 // fetchKV takes an exported KV cache over from the engine that holds it. An
 // engine that can't get it computes it again.
 func (r *run) fetchKV(ctx context.Context, h *driver.KVHandle) bool {
--- a/scenarios/await_test.go
+++ b/scenarios/await_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,7 +27,7 @@
 //	await in-force VERSION VM...   the entry uses this version or a higher one
 //	await holder ENGINE [not=VM]   somebody holds it; sets HOLDER and TOKEN
 //	await role ENGINE ROLE         by the engine's own word
-//	await loaded ENGINE MODEL/VERSION
+//	await loaded ENGINE MODEL/VERSION[/ADAPTER]
 //	await addresses VM with=VM2 | without=VM2
 //	await line PROCESS REGEXP      in the process's log
 //	await executed KEY             at any endpoint of the plain service
@@ -47,8 +48,8 @@
 	case "role":
 		return f.awaitState(args[0], func(s *driver.EngineState) bool { return !s.Changing && string(s.Role) == args[1] })
 	case "loaded":
-		model, version, _ := strings.Cut(args[1], "/")
-		return f.awaitState(args[0], func(s *driver.EngineState) bool { return isLoaded(s, model, version) })
+		want := parseLoaded(args[1])
+		return f.awaitState(args[0], func(s *driver.EngineState) bool { return !s.Changing && slices.Contains(s.Loaded, want) })
 	case "addresses":
 		return f.awaitAddresses(args)
 	case "line":
@@ -146,13 +147,10 @@
 	return nil
 }
 
-func isLoaded(s *driver.EngineState, model, version string) bool {
-	for _, l := range s.Loaded {
-		if l.Model == model && l.Version == version {
-			return true
-		}
-	}
-	return false
+func parseLoaded(text string) driver.Loaded {
+	model, rest, _ := strings.Cut(text, "/")
+	version, adapter, _ := strings.Cut(rest, "/")
+	return driver.Loaded{Model: model, Version: version, Adapter: adapter}
 }
 
 func (f *fleet) awaitAddresses(args []string) error {
