--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -20,6 +20,10 @@
 	models = 15
 )
 
+// poolSizes are none, today's fleet with its plain service, and the models of the
+// design size.
+var poolSizes = []int{0, 2, 5, models}
+
 // runnerSizes are today's fleet, a cell, the design size of one model group
 // and the whole fleet.
 var runnerSizes = []int{12, 120, 430, 4300}
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -19,25 +19,10 @@
 
 // contribute adds what this entry measured to its gossip.
 func (u *Unit) contribute(g *wire.Gossip) {
-	for name, e := range u.fleet.Engines() {
-		if n := e.InFlight(); n > 0 {
-			g.Loads = append(g.Loads, &wire.EngineLoad{Endpoint: name, InFlight: uint32(n)})
-		}
-	}
 	queues := u.dispatch.Queues()
-	total := &wire.PoolLoad{}
 	for name, t := range u.dispatch.Counts().Snapshot() {
-		p := poolLoad(name, t, queues[name])
-		g.Pools = append(g.Pools, p)
-		total.Requests += p.Requests
-		total.PromptTokens += p.PromptTokens
-		total.OutputTokens += p.OutputTokens
-		total.Refused += p.Refused
-		total.Queued += p.Queued
-		total.QueuedPromptTokens += p.QueuedPromptTokens
-		total.OnTime += p.OnTime
+		g.Pools = append(g.Pools, poolLoad(name, t, queues[name]))
 	}
-	g.Total = total
 	g.Crashes = u.suspects.Share(u.o.Clock.Now())
 }
 
