Test that entries use engines that changed their role

A prefill step takes 256 ms, so an engine that turns to decode begins with one stream and gains one a report.

--- a/internal/policy/roles/swing_test.go
+++ b/internal/policy/roles/swing_test.go
@@ -173,3 +173,19 @@
 	t.Logf("burst: %d changes", r.RoleChanges)
 	assert.Assert(t, r.RoleChanges <= 2)
 }
+
+// Entries learn an engine's speed in one role and must not hold it against the
+// engine in the next: a prefill step takes a quarter of a second, which no
+// decode engine would be forgiven. Where they do, each change of role leaves an
+// engine that gets next to no work, and callers fare worse than with fixed
+// roles.
+func TestEntriesUseEnginesThatChangedRole(t *testing.T) {
+	cfg := oneSwing()
+	cfg.Workload.Load = 0.9
+	moving := loadtest.Run(cfg, entries("ours", morning, planned(lakeshoreSheet(), nil))(), 1)
+	fixed := loadtest.Run(cfg, entries("fixed roles", morning, nil)(), 1)
+	t.Logf("moving %.2f/s, %.2f engines; fixed %.2f/s, %.2f engines",
+		moving.Goodput(), moving.Work(cfg.Model), fixed.Goodput(), fixed.Work(cfg.Model))
+	assert.Assert(t, moving.Goodput() > 0.97*fixed.Goodput())
+	assert.Assert(t, moving.Work(cfg.Model) > 1.05*fixed.Work(cfg.Model))
+}
