A commit waits for a place instead of being given up

Cause: of 200 commits sent at once through one entry 184 were refused as 'given up before dispatch' (4004), while the service was idle: the gate counts a call as placed when it lets it through, but a commit counts at an endpoint only after its intent is in the log, so all 200 passed and met 16 places. Ruled out: the log's budget (intents were all in), the endpoints' own limit. Weighed: holding the gate's place until dispatch (a slow log would then hold up lookups), or waiting at dispatch; the second is built, bounded by permit.

--- a/internal/entry/dispatch/service.go
+++ b/internal/entry/dispatch/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"fescuestand/internal/code"
 	"fescuestand/internal/commit"
@@ -16,6 +17,10 @@
 	"fescuestand/internal/sheet"
 )
 
+// callStep is the pause between two looks for a place: about what a call of a
+// plain service takes.
+const callStep = 5 * time.Millisecond
+
 // Operation returns the named operation of the sheet in force.
 func (d *Dispatcher) Operation(service, operation string) (*sheet.Operation, error) {
 	sh, bad := d.sheet()
@@ -125,11 +130,17 @@
 
 // Dispatch implements commit.Dispatcher. Another endpoint is tried only while
 // it is sure that no endpoint has the call.
+//
+// Failure: a burst of commits is let through before any of them counts at an
+// endpoint, since its intent is on its way to the log. Most then find every
+// endpoint full for the few milliseconds that a call takes. Given up there,
+// each would cost the log a void and its caller a refusal; so it waits for a
+// place, as long as permit lets it.
 func (d *Dispatcher) Dispatch(ctx context.Context, c *commit.Call, permit func() error) ([]byte, error) {
 	pool := fleet.ServicePool(c.Service)
 	var exclude []*route.Endpoint
 	var last error
-	for range maxAttempts {
+	for n := 0; n < maxAttempts; {
 		if err := permit(); err != nil {
 			return nil, errors.Join(last, err)
 		}
@@ -139,14 +150,17 @@
 		body, ep, err := d.callOnce(ctx, pool, exclude, &driver.Call{
 			Attempt: c.Attempt, Operation: c.Operation, Key: c.Key, Body: c.Body,
 		})
-		if ep == nil {
-			return nil, errors.Join(driver.ErrNotSent, last, err)
-		}
-		if err == nil || !untouched(err) {
+		if err == nil || ep != nil && !untouched(err) {
 			return body, err
 		}
-		last = err
+		last = errors.Join(driver.ErrNotSent, err)
+		if ep == nil {
+			exclude = nil
+			wait(ctx, callStep)
+			continue
+		}
 		exclude = append(exclude, ep)
+		n++
 	}
 	return nil, last
 }
