--- a/cmd/fescue-entry/main.go
+++ b/cmd/fescue-entry/main.go
@@ -9,10 +9,7 @@
 	_ "fescuestand/internal/driver/httpdriver"
 	"fescuestand/internal/entry"
 	"fescuestand/internal/kernel"
-	"fescuestand/internal/logclient"
-	"fescuestand/internal/node"
-	"fescuestand/internal/peer"
-	"fescuestand/internal/replica"
+	"fescuestand/internal/process"
 	"fescuestand/internal/status"
 )
 
@@ -26,29 +23,14 @@
 	if err != nil {
 		return kernel.Options{}, nil, err
 	}
-	incarnation := node.NewIncarnation()
-	service, err := s.OpenLog()
+	parts, err := process.New(&s.Settings, "entry")
 	if err != nil {
 		return kernel.Options{}, nil, err
 	}
-	vms, err := s.OpenVMList()
-	if err != nil {
-		return kernel.Options{}, nil, err
-	}
-	client := logclient.New(logclient.Options{Log: service, Writer: incarnation, VM: s.VM})
-	peers := peer.NewPool(entry.HelloOf(s, incarnation))
-	copyOf := replica.New(replica.Options{
-		Log: client, VMs: vms, Peers: peers, Clock: clock.Boot{}, Stream: s.Streams.Config,
-		VM: s.VM, Process: "entry", Incarnation: incarnation,
-		Every: s.Gossip.Every.D(), Suspect: s.Gossip.Suspect.D(), Gone: s.Gossip.Gone.D(), Checkpoint: true,
-	})
 	unit := entry.New(entry.Options{
-		Settings: s, Incarnation: incarnation, Replica: copyOf, Log: client, Peers: peers, Clock: clock.Boot{},
+		Settings: s, Incarnation: parts.Incarnation, Replica: parts.Replica, Log: parts.Log, Peers: parts.Peers, Clock: clock.Boot{},
 	})
 	expvar.Publish("entry", expvar.Func(unit.Metrics))
-	units := []kernel.Unit{
-		kernel.Closing("log", client), kernel.Closing("peers", peers), copyOf, unit,
-		status.NewServer(s.Addresses.Status, unit.Status, unit.Burn),
-	}
+	units := append(parts.Units(), unit, status.NewServer(s.Addresses.Status, unit.Status, unit.Burn))
 	return kernel.Options{LongestDrain: s.LongestDrain.D()}, units, nil
 }
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -24,6 +24,7 @@
 	"fescuestand/internal/peer"
 	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
+	"fescuestand/internal/process"
 	"fescuestand/internal/replica"
 	"fescuestand/internal/wire"
 )
@@ -39,6 +40,9 @@
 	recordWait = 5 * time.Second
 )
 
+// processName is what peers know this process by.
+const processName = "entry"
+
 // Options of the Unit.
 type Options struct {
 	Settings    *Settings
@@ -101,15 +105,7 @@
 }
 
 func (u *Unit) hello() *wire.Hello {
-	return HelloOf(u.o.Settings, u.o.Incarnation)
-}
-
-// HelloOf returns what an entry says of itself to peers.
-func HelloOf(s *Settings, incarnation string) *wire.Hello {
-	return &wire.Hello{
-		Protocol: peer.Protocol, Deployment: s.Deployment, Vm: s.VM, Zone: s.Zone,
-		Incarnation: incarnation, Process: "entry",
-	}
+	return process.Hello(&u.o.Settings.Settings, processName, u.o.Incarnation)
 }
 
 // window returns the sheet's commit window; none before the first sheet.
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -26,6 +26,7 @@
 	"fescuestand/internal/logclient"
 	"fescuestand/internal/node"
 	"fescuestand/internal/peer"
+	"fescuestand/internal/process"
 	"fescuestand/internal/replica"
 	"fescuestand/internal/settings"
 	"fescuestand/internal/standin/engine"
@@ -180,7 +181,7 @@
 	client := w.logClient(incarnation)
 	vms, err := s.OpenVMList()
 	assert.NilError(w.t, err)
-	peers := peer.NewPool(HelloOf(s, incarnation))
+	peers := peer.NewPool(process.Hello(&s.Settings, processName, incarnation))
 	r := replica.New(replica.Options{
 		Log: client, VMs: vms, Peers: peers, Stream: "config", VM: vm.Name, Process: "entry",
 		Incarnation: incarnation, Every: 50 * time.Millisecond,
