One package for requests that crash engines; batch bound forgets a role change

Cause 1: the logic stood twice; policy/poison was never wired. Its tests go with it; policy/suspect's and the poison scenario hold the same promise. policy/suspect moves beside the other decisions, since it needs no network. Cause 2: the router shrank an engine's batch by a prefill step of 256 ms and kept that batch when the engine turned to decode. Also: the fault test of commits settles each key after the faults and asks for a quarter of the keys again, as at first; it had been eased to 'more than none'.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -23,11 +23,11 @@
 	"fescuestand/internal/entry/callerapi"
 	"fescuestand/internal/entry/dispatch"
 	"fescuestand/internal/entry/fleet"
-	"fescuestand/internal/entry/suspect"
 	"fescuestand/internal/logclient"
 	"fescuestand/internal/logclient/logtest"
 	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
+	"fescuestand/internal/policy/suspect"
 	"fescuestand/internal/settings"
 	"fescuestand/internal/sheet"
 )
--- a/internal/entry/commits_test.go
+++ b/internal/entry/commits_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"fescuestand/internal/code"
+
 	"fescuestand/internal/standin/engine"
 	"fescuestand/internal/standin/oracle"
 	"fescuestand/internal/standin/service"
@@ -17,6 +19,8 @@
 
 // fates is what the sendings of one key were told.
 type fates struct {
+	body                 string
+	issued               time.Time
 	ran, notRun, unknown int
 	wrong                []string
 }
@@ -53,13 +57,12 @@
 	for i := range keys {
 		time.Sleep(25 * time.Millisecond)
 		key, body := fmt.Sprintf("key-%d", i), fmt.Sprintf(`{"id":%d}`, i)
-		f := &fates{}
+		f := &fates{body: body, issued: time.Now()}
 		told[key] = f
-		issued := time.Now()
 		for n := range 3 {
 			wg.Go(func() {
 				for try := range 2 {
-					a, err := w.topup(w.entries[(i+n+try)%3].addr, key, body, n+try > 0, issued)
+					a, err := w.topup(w.entries[(i+n+try)%3].addr, key, body, n+try > 0, f.issued)
 					mu.Lock()
 					f.add(a, err, body)
 					mu.Unlock()
@@ -71,9 +74,32 @@
 	wg.Wait()
 	close(stop)
 	faulty.Wait()
+	w.settle(t, told)
 	judge(t, told, w.executions())
 }
 
+// settle sends each key again, without further faults, until its answer is
+// final: it ran, or nobody can know. Only so does the share of keys that ran not
+// depend on how fast the machine was in between.
+func (w *world) settle(t *testing.T, told map[string]*fates) {
+	w.fault(w.logAddr, `{"name":"clear"}`)
+	for _, addr := range w.services {
+		w.fault(addr, `{"name":"clear"}`)
+	}
+	const patience = 300 // tries; ends a hung test only
+	for key, f := range told {
+		for n := 0; ; n++ {
+			a, err := w.topup(w.entries[n%3].addr, key, f.body, true, f.issued)
+			f.add(a, err, f.body)
+			if err == nil && (a.header.Get("Run") == "ran" || a.refusal.Code == int(code.CommitUnknown)) {
+				break
+			}
+			assert.Assert(t, n < patience, "%s has no final answer: %+v %v", key, a, err)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
 func (f *fates) add(a *answer, err error, body string) {
 	switch {
 	case err != nil, a.header.Get("Run") == "unknown":
@@ -100,7 +126,7 @@
 		assert.Check(t, len(f.wrong) == 0, "%s got %v", key, f.wrong)
 	}
 	t.Logf("%d keys, %d executed; answers ran %d, not-run %d, unknown %d", len(told), executed, sum.ran, sum.notRun, sum.unknown)
-	assert.Check(t, executed > 0)
+	assert.Check(t, executed > len(told)/4)
 }
 
 // misbehave lets the log and the services fail in turn.
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -10,8 +10,8 @@
 	"fescuestand/internal/driver"
 	"fescuestand/internal/entry/fleet"
 	"fescuestand/internal/entry/stream"
-	"fescuestand/internal/entry/suspect"
 	"fescuestand/internal/policy/route"
+	"fescuestand/internal/policy/suspect"
 )
 
 const (
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -14,9 +14,9 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
 	"fescuestand/internal/entry/fleet"
-	"fescuestand/internal/entry/suspect"
 	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
+	"fescuestand/internal/policy/suspect"
 	"fescuestand/internal/sheet"
 )
 
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -18,9 +18,9 @@
 	"fescuestand/internal/driver"
 	"fescuestand/internal/entry/callerapi"
 	"fescuestand/internal/entry/fleet"
-	"fescuestand/internal/entry/suspect"
 	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
+	"fescuestand/internal/policy/suspect"
 	"fescuestand/internal/sheet"
 	"fescuestand/internal/wire"
 )
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -6,8 +6,8 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
-	"fescuestand/internal/entry/suspect"
 	"fescuestand/internal/policy/route"
+	"fescuestand/internal/policy/suspect"
 )
 
 // place chooses where the next attempt goes, and counts it there.
--- a/internal/policy/route/batch.go
+++ b/internal/policy/route/batch.go
@@ -29,7 +29,7 @@
 // the same reports, so they agree without talking.
 func (r *Router) adaptBatch(now clock.Time, e *Endpoint) {
 	objective := float64(r.cfg.BetweenTokens)
-	if objective == 0 || e.decodeStepNanos == 0 {
+	if objective == 0 || e.decodeStepNanos == 0 || e.Role == Prefill {
 		return
 	}
 	l := e.live
--- a/internal/policy/route/router.go
+++ b/internal/policy/route/router.go
@@ -59,6 +59,7 @@
 			l.rampFrom.Store(int64(now))
 			l.cache.forget()
 			l.clean()
+			l.batch.Store(0)
 		}
 		l.state = e.State
 		l.mu.Unlock()
