Entries count themselves instead of being told by a setting

Cause: each entry took its part of the engines for one of eight, by a setting's default, while three VMs served; its forecast of the queue and its windows were too small by nearly three, and it refused drafts that there was room for. Ruled out: the engines' own limit (batches of 10 to 20 of 32 while refusing).

--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -172,6 +172,9 @@
 	f.post(ctx, sheetChanged{s, version})
 }
 
+// SetEntries tells how many entries share the endpoints.
+func (f *Fleet) SetEntries(ctx context.Context, n int) { f.post(ctx, entriesChanged{n}) }
+
 // Direct takes a directive. The returned in-flight count is this entry's work
 // still on the engine.
 func (f *Fleet) Direct(ctx context.Context, d *wire.Directive) (inFlight int) {
--- a/internal/entry/fleet/owner.go
+++ b/internal/entry/fleet/owner.go
@@ -67,6 +67,15 @@
 	o.acks = nil
 }
 
+// entriesChanged tells how many entries share the endpoints. What each may have
+// outstanding follows from it, so the table is published anew.
+type entriesChanged struct{ n int }
+
+func (e entriesChanged) apply(o *owner) {
+	o.f.router.SetEntries(e.n)
+	o.published = nil
+}
+
 type sheetChanged struct {
 	sheet   *sheet.Sheet
 	version uint64
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -13,8 +13,6 @@
 type Settings struct {
 	node.Settings
 	Commits CommitSettings `json:"commits"`
-	// Entries is how many entry VMs share the endpoints.
-	Entries int `json:"entries"`
 }
 
 // CommitSettings says what the platform's log service grants.
@@ -30,14 +28,10 @@
 // keep.
 const defaultRetention = 24 * time.Hour
 
-// defaultEntries is the size of today's deployments.
-const defaultEntries = 8
-
 // Defaults returns settings with every optional key set.
 func Defaults() *Settings {
 	return &Settings{
 		Settings: node.Defaults(),
-		Entries:  defaultEntries,
 		Commits: CommitSettings{
 			Retention:      settings.Duration(defaultRetention),
 			DispatchWithin: settings.Duration(commit.DefaultDispatchWithin),
@@ -59,9 +53,6 @@
 		p.Add("commits.retention", code.BadSettings, "is %s; allowed: more than %s, or no commit could run",
 			s.Commits.Retention.D(), commit.MaxAhead+commit.LogMargin)
 	}
-	if s.Entries < 1 {
-		p.Add("entries", code.BadSettings, "is %d; allowed: 1 or more", s.Entries)
-	}
 	if s.Commits.DispatchWithin <= 0 {
 		p.Add("commits.dispatch_within", code.BadSettings, "is %s; allowed: more than 0", s.Commits.DispatchWithin.D())
 	}
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -77,7 +77,7 @@
 func New(o Options) *Unit {
 	u := &Unit{o: o}
 	s := o.Settings
-	u.fleet = fleet.New(route.Config{Zone: s.Zone, Cells: s.Cells, Entries: s.Entries}, o.Clock, seedOf(o.Incarnation))
+	u.fleet = fleet.New(route.Config{Zone: s.Zone, Cells: s.Cells}, o.Clock, seedOf(o.Incarnation))
 	u.suspects = suspect.NewRegister()
 	u.dispatch = dispatch.New(dispatch.Options{
 		Fleet: u.fleet, Clock: o.Clock, Writer: o.Incarnation,
@@ -166,7 +166,7 @@
 	group.Go(func() error { return u.dispatch.Run(ctx) })
 	group.Go(func() error { return u.journal.follow(ctx, u.table) })
 	group.Go(func() error { return u.journal.awaitEnd(ctx, u.table) })
-	group.Go(func() error { return u.followSheet(ctx) })
+	group.Go(func() error { return u.followView(ctx) })
 	group.Go(func() error { return u.peers.Serve(ctx, u.peerLn) })
 	group.Go(func() error {
 		stop := context.AfterFunc(ctx, func() { _ = u.server.Close() })
@@ -179,11 +179,16 @@
 	return group.Wait()
 }
 
-// followSheet hands each sheet in force to the fleet.
-func (u *Unit) followSheet(ctx context.Context) error {
-	version := uint64(0)
+// followView hands each sheet in force to the fleet, and how many entries share
+// the endpoints: the usable VMs, this one among them.
+func (u *Unit) followView(ctx context.Context) error {
+	version, entries := uint64(0), 0
 	for {
 		changed := u.o.Replica.Updated()
+		if n := len(u.backend.usable()); n > 0 && n != entries {
+			entries = n
+			u.fleet.SetEntries(ctx, n)
+		}
 		if v := u.o.Replica.View(); v.Sheet != nil && v.Version > version {
 			version = v.Version
 			u.account.follow(v.Sheet)
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -176,7 +176,6 @@
 	s.Addresses = node.Addresses{Caller: vm.Caller, Peer: vm.Peer, Status: vm.Status}
 	s.Log, s.VMList, s.WeightStore = target(w.logAddr), target(w.vmAddr), target(w.logAddr)
 	s.LongestDrain = settings.Duration(30 * time.Second)
-	s.Entries = 1
 	incarnation := node.NewIncarnation()
 	client := w.logClient(incarnation)
 	vms, err := s.OpenVMList()
--- a/internal/policy/route/batch.go
+++ b/internal/policy/route/batch.go
@@ -38,7 +38,7 @@
 	if batch == 0 {
 		batch = most
 	}
-	runs, _ := l.load(now, &r.cfg)
+	runs, _ := r.load(now, l)
 	step := l.step.value(now, 1) * float64(e.decodeStepNanos)
 	switch {
 	case step > stepHigh*objective && float64(runs) <= batchDrained*batch:
--- a/internal/policy/route/capacity.go
+++ b/internal/policy/route/capacity.go
@@ -34,7 +34,10 @@
 }
 
 // part is this entry's share of n slots, rounded up.
-func (r *Router) part(n int) int { return (n + r.cfg.Entries - 1) / r.cfg.Entries }
+func (r *Router) part(n int) int {
+	entries := r.sharers()
+	return (n + entries - 1) / entries
+}
 
 // room is the capacity of one set of endpoints.
 type room struct {
@@ -72,7 +75,7 @@
 	if e.Role == Prefill || r.cfg.Off.NoAhead || !e.live.fresh(now, &r.cfg) {
 		return int(free)
 	}
-	runs, _ := e.live.load(now, &r.cfg)
+	runs, _ := r.load(now, e.live)
 	return int(min(free, r.batchOf(e)-runs))
 }
 
--- a/internal/policy/route/dispatch.go
+++ b/internal/policy/route/dispatch.go
@@ -54,7 +54,7 @@
 // progress notes that one request less awaits its first token.
 func (r *Router) progress(now clock.Time, l *live) {
 	l.awaiting.Add(-1)
-	_, work := l.load(now, &r.cfg)
+	_, work := r.load(now, l)
 	rest := time.Duration(max(work, l.ownPrefill()))
 	l.dueAt.Store(int64(now.Add(r.patience(rest))))
 }
--- a/internal/policy/route/health.go
+++ b/internal/policy/route/health.go
@@ -90,7 +90,7 @@
 		}
 		p.sentWork = sent
 		p.rate += sampleWeight * (rate - p.rate)
-		others := min(1000*p.rate*float64(r.cfg.Entries-1), 1000)
+		others := min(1000*p.rate*float64(r.sharers()-1), 1000)
 		for _, e := range p.eps {
 			e.live.others.Store(int64(others))
 			e.live.othersRuns.Store((runs + n/2) / n)
@@ -254,7 +254,7 @@
 
 func (r *Router) statsOf(now clock.Time, e *Endpoint) EndpointStats {
 	l := e.live
-	runs, work := l.load(now, &r.cfg)
+	runs, work := r.load(now, l)
 	s := EndpointStats{
 		Name: e.Name, Pool: e.Pool, State: e.State,
 		Out:      int64(now) < l.outUntil.Load(),
--- a/internal/policy/route/live.go
+++ b/internal/policy/route/live.go
@@ -135,14 +135,14 @@
 
 // load returns the requests at the endpoint and the prefill queued there in
 // nanoseconds, by all entries as well as can be told.
-func (l *live) load(now clock.Time, cfg *Config) (runs, work int64) {
+func (r *Router) load(now clock.Time, l *live) (runs, work int64) {
 	own := l.ownRuns.Load()
 	at := l.takenAt.Load()
 	age := max(int64(now)-at, 0)
-	if at == 0 || age > int64(cfg.Stale) {
+	if at == 0 || age > int64(r.cfg.Stale) {
 		// Without a usable report the other entries are taken to send as
 		// much as this one: they follow the same policy.
-		n := int64(cfg.Entries)
+		n := int64(r.sharers())
 		return own * n, l.ownPrefill() * n
 	}
 	// The engine has worked since the report, but the other entries have gone
@@ -151,7 +151,7 @@
 	drained := age / 1000 * (1000 - l.others.Load())
 	work = max(l.work.Load()-drained, 0)
 	runs = l.runs.Load()
-	if cfg.Off.NoOwnCounts {
+	if r.cfg.Off.NoOwnCounts {
 		return runs, work
 	}
 	// What the report says of the others is worth less the more of their
--- a/internal/policy/route/prefer.go
+++ b/internal/policy/route/prefer.go
@@ -50,7 +50,7 @@
 // prefix. All entries compute the same ones without talking. An engine over
 // the bound is passed over, or a hot prefix would overload it.
 func (r *Router) preferred(now clock.Time, req *Request, ws uint64, s *set, best *candidate) {
-	mean := s.meanLoad(now, &r.cfg)
+	mean := r.meanLoad(now, s)
 	long := req.Pieces[min(len(req.Pieces), homeDepth)-1]
 	r.scoreHomes(now, req, s, mix(ws^long), mean, best)
 	if first := req.Pieces[0]; first != long {
@@ -91,7 +91,7 @@
 // over the mean. One request more than that is always allowed, or a small or
 // idle pool would have no affinity.
 func (r *Router) overBound(now clock.Time, e *Endpoint, mean float64) bool {
-	runs, _ := e.live.load(now, &r.cfg)
+	runs, _ := r.load(now, e.live)
 	return float64(runs) > r.cfg.Bound*mean*float64(e.slots)+1
 }
 
@@ -100,7 +100,7 @@
 	var found *Endpoint
 	least := int64(math.MaxInt64)
 	for _, e := range s.eps {
-		runs, _ := e.live.load(now, &r.cfg)
+		runs, _ := r.load(now, e.live)
 		if runs < least && r.eligible(now, req, e, 0) {
 			found, least = e, runs
 		}
--- a/internal/policy/route/route_test.go
+++ b/internal/policy/route/route_test.go
@@ -98,13 +98,13 @@
 	send(11 * sec)
 	r.Done(11*sec, &first, Canceled)
 	r.Report(e.Name, Report{TakenAt: 10*sec + sec/2, Running: 5, PrefillTokens: 1000})
-	runs, work := e.live.load(11*sec, &r.cfg)
+	runs, work := r.load(11*sec, e.live)
 	assert.Equal(t, runs, int64(5+1-1))
 	assert.Equal(t, time.Duration(work), 600*time.Millisecond)
 	r.Report(e.Name, Report{TakenAt: 10 * sec, Running: 50}) // older
-	runs, _ = e.live.load(11*sec, &r.cfg)
+	runs, _ = r.load(11*sec, e.live)
 	assert.Equal(t, runs, int64(5))
-	runs, _ = e.live.load(60*sec, &r.cfg) // stale: own counts only
+	runs, _ = r.load(60*sec, e.live) // stale: own counts only
 	assert.Equal(t, runs, int64(1))
 }
 
--- a/internal/policy/route/router.go
+++ b/internal/policy/route/router.go
@@ -17,7 +17,9 @@
 	draws atomic.Uint64
 	seed  uint64
 	turn  atomic.Uint64
-	count [reasons]atomic.Int64
+	// entries is how many entries share the endpoints.
+	entries atomic.Int64
+	count   [reasons]atomic.Int64
 
 	sendingAt clock.Time // of the last measurement by Sweep
 
@@ -31,10 +33,18 @@
 // different seeds, so that they don't make the same choices.
 func NewRouter(cfg Config, seed uint64) *Router {
 	r := &Router{cfg: cfg.withDefaults(), seed: mix(seed), lives: map[string]*live{}, shared: map[peersKey]*shared{}}
+	r.SetEntries(r.cfg.Entries)
 	r.table.Store(NewTable(cfg, nil))
 	return r
 }
 
+// SetEntries tells how many entries share the endpoints from now on; before, it
+// is what the configuration says. Windows follow with the next table.
+func (r *Router) SetEntries(n int) { r.entries.Store(int64(max(n, 1))) }
+
+// sharers is how many entries share the endpoints.
+func (r *Router) sharers() int { return int(r.entries.Load()) }
+
 // Table returns the table in force.
 func (r *Router) Table() *Table { return r.table.Load() }
 
@@ -79,7 +89,7 @@
 	if c.Start == 0 {
 		// One entry's fair part of the slots, doubled: entries are seldom all
 		// busy at once, and the limiter takes back what is too much.
-		c.Start = max(2*int(e.slots)/r.cfg.Entries, 1)
+		c.Start = max(2*int(e.slots)/r.sharers(), 1)
 	}
 	return c
 }
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -53,7 +53,7 @@
 // estimate returns the time that req would wait at e, and the time that its
 // own prefill or fixed work takes there.
 func (r *Router) estimate(now clock.Time, req *Request, e *Endpoint, cached int) (wait, run int64) {
-	runs, work := e.live.load(now, &r.cfg)
+	runs, work := r.load(now, e.live)
 	wait = work
 	if req.Urgent {
 		wait = min(work, int64(r.cfg.PieceTokens)*e.prefillNanos) + e.live.ownWork[urgent].Load()
--- a/internal/policy/route/table.go
+++ b/internal/policy/route/table.go
@@ -117,7 +117,7 @@
 const meanAge = 100 * time.Millisecond
 
 // meanLoad returns the mean share of slots that are taken.
-func (s *set) meanLoad(now clock.Time, cfg *Config) float64 {
+func (r *Router) meanLoad(now clock.Time, s *set) float64 {
 	at := s.meanAt.Load()
 	if at != 0 && int64(now)-at < int64(meanAge) || !s.meanAt.CompareAndSwap(at, int64(now)) {
 		return math.Float64frombits(s.mean.Load())
@@ -127,7 +127,7 @@
 		if e.State != Open || int64(now) < e.live.outUntil.Load() {
 			continue
 		}
-		n, _ := e.live.load(now, cfg)
+		n, _ := r.load(now, e.live)
 		runs += n
 		slots += e.slots
 	}
--- a/internal/policy/route/window.go
+++ b/internal/policy/route/window.go
@@ -141,7 +141,7 @@
 				open++
 			}
 		}
-		s.windows[normal].resize(max(open, 1), r.cfg.Ahead, r.cfg.Entries)
-		s.windows[urgent].resize(max(open, 1), r.cfg.UrgentAhead, r.cfg.Entries)
+		s.windows[normal].resize(max(open, 1), r.cfg.Ahead, r.sharers())
+		s.windows[urgent].resize(max(open, 1), r.cfg.UrgentAhead, r.sharers())
 	}
 }
