--- a/internal/entry/fleet/fleet.go
+++ b/internal/entry/fleet/fleet.go
@@ -23,11 +23,16 @@
 )
 
 const (
-	// pollEvery is the time between two load reports of one endpoint.
-	pollEvery = 500 * time.Millisecond
+	// pollEvery is the time between two load reports of one endpoint, and
+	// learnEvery that between the first learnPolls: what an engine can do at once
+	// is learned from its reports, and until then a burst is let through to it
+	// that it can't serve in time.
+	pollEvery  = time.Second
+	learnEvery = 500 * time.Millisecond
+	learnPolls = 20
 	// stateShare and cacheShare are how many polls go by between two questions
 	// for the state and for cache events.
-	stateShare = 8
+	stateShare = 4
 	cacheShare = 2
 	// pollTimeout bounds one poll: a frozen endpoint accepts and says nothing.
 	pollTimeout = time.Second
--- a/internal/entry/fleet/poll.go
+++ b/internal/entry/fleet/poll.go
@@ -15,15 +15,20 @@
 //
 // Polls are most of what an entry spends on control: each is a few hundred
 // bytes. Reports lag by themselves and are corrected by what was sent since, so
-// that two a second do; state is asked for when a directive or a fault says
-// that it changes, and rarely otherwise.
+// that one a second does: in the load test goodput stays the same up to one in
+// four seconds (docs/MEASUREMENTS.md). State is asked for when a directive or a
+// fault says that it changes, and rarely otherwise.
 func (f *Fleet) poll(ctx context.Context, name string, ep *endpoint) {
 	p := &poller{f: f, name: name, ep: ep, state: true}
 	for n := 0; ctx.Err() == nil; n++ {
 		p.state = p.state || n%stateShare == 0
 		p.once(ctx, n%cacheShare == 0)
+		every := pollEvery
+		if n < learnPolls {
+			every = learnEvery
+		}
 		// Entries that poll in step would find the endpoint busy together.
-		wait := time.NewTimer(pollEvery/2 + rand.N(pollEvery))
+		wait := time.NewTimer(every/2 + rand.N(every))
 		select {
 		case <-ctx.Done():
 		case <-wait.C:
