Each request that is not answered whole is one log line with its reason

Weighed: a line each, bounded to 50 a second with a count of those left out, or counts only; the first, since operators ask who and why. Also: what is wrong with the request itself (codes 1xxx but a passed deadline) no longer burns the error budget.

--- a/internal/entry/account.go
+++ b/internal/entry/account.go
@@ -25,8 +25,9 @@
 // of answers.
 type account struct {
 	callerapi.Backend
-	clk  clock.Clock
-	burn *burn.Recorder
+	clk      clock.Clock
+	burn     *burn.Recorder
+	refusals *refusals
 
 	mu      sync.Mutex
 	results map[result]uint64
@@ -43,7 +44,7 @@
 	if err != nil {
 		panic("entry: no objectives are always valid: " + err.Error())
 	}
-	return &account{Backend: b, clk: clk, burn: r, results: map[result]uint64{}}
+	return &account{Backend: b, clk: clk, burn: r, refusals: newRefusals(), results: map[result]uint64{}}
 }
 
 // follow takes over the objectives of a sheet.
@@ -71,10 +72,13 @@
 	err := a.Backend.Generate(ctx, g, timed)
 	now := a.clk.Now()
 	a.count(err)
+	if err != nil {
+		a.refusals.log(&g.Caller, g.Class, err)
+	}
 	switch {
 	case err == nil:
 		a.burn.Answer(now, g.Class, ctx.Err() == nil, now.Sub(began))
-	case code.Of(err).Code == code.CallerGone:
+	case callersFault(err):
 	case code.Of(err).Run == code.NotRun:
 		a.burn.Refused(now, g.Class)
 	default:
@@ -87,7 +91,10 @@
 func (a *account) Call(ctx context.Context, c *callerapi.Call) (callerapi.Reply, error) {
 	reply, err := a.Backend.Call(ctx, c)
 	a.count(err)
-	if c.Key != "" {
+	if err != nil {
+		a.refusals.log(&c.Caller, c.Service+"/"+c.Operation, err)
+	}
+	if c.Key != "" && (err == nil || !callersFault(err)) {
 		known := err == nil || code.Of(err).Run != code.Unknown
 		a.burn.Commit(a.clk.Now(), c.Service, known)
 	}
