--- a/internal/commit/run.go
+++ b/internal/commit/run.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// record appends e, after a delay, until the log has surely taken it or Close gives up. Both
-// kinds of record may stand in the log twice without harm.
+// record appends e, after a delay, until the log has surely taken it or Close
+// gives up. Both kinds of record may stand in the log twice without harm.
 func (c *Committer) record(delay time.Duration, e *wire.Entry) (recorded <-chan struct{}) {
 	done := make(chan struct{})
 	c.pending.Add(1)
--- a/internal/control/chaos_test.go
+++ b/internal/control/chaos_test.go
@@ -29,8 +29,9 @@
 // Story: processes are killed and started again, cut off from the log, frozen
 // with orders in their hands; appends are lost, doubled and late; engines crash
 // in the middle of changes; entries don't answer; operators change the sheet
-// all the while; the log drops its records. No engine may ever hold two orders, take one from a former
-// holder or cut a stream, and once the faults end the fleet matches the sheet.
+// all the while; the log drops its records. No engine may ever hold two orders,
+// take one from a former holder or cut a stream, and once the faults end the
+// fleet matches the sheet.
 func TestAnyFaultsTogether(t *testing.T) {
 	for seed := range uint64(chaosSeeds) {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
--- a/internal/entry/dispatch/isolate.go
+++ b/internal/entry/dispatch/isolate.go
@@ -32,8 +32,9 @@
 )
 
 // isolate picks the engine for a suspect, nil if each holds another one: a
-// crash of both would convict an innocent. All entries rank the engines of one request alike, so that copies
-// of it that several entries hold meet on one engine and cost no more.
+// crash of both would convict an innocent. All entries rank the engines of one
+// request alike, so that copies of it that several entries hold meet on one
+// engine and cost no more.
 func (d *Dispatcher) isolate(fp uint64, pool string, exclude []*route.Endpoint) *route.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/policy/roles/measure_test.go
+++ b/internal/policy/roles/measure_test.go
@@ -192,7 +192,8 @@
 	}).median)
 }
 
-// swingLoads are the offered loads of the swings: with some room to spare, and nearly full.
+// swingLoads are the offered loads of the swings: with some room to spare, and
+// nearly full.
 var swingLoads = []float64{0.8, 0.9}
 
 // BenchmarkSwings prints the tables of docs/MEASUREMENTS.md for the mix that
--- a/internal/policy/route/doc.go
+++ b/internal/policy/route/doc.go
@@ -32,7 +32,8 @@
 // tokens.
 //
 // What is known of an endpoint takes 20 kB, so an entry's table should hold
-// its own cell (CellOf) and no others once there are several. A Table is built by the control goroutine and published through an atomic
-// pointer. Traffic goroutines share counters by atomics; a decision takes no
-// lock and allocates nothing.
+// its own cell (CellOf) and no others once there are several. A Table is built
+// by the control goroutine and published through an atomic pointer. Traffic
+// goroutines share counters by atomics; a decision takes no lock and allocates
+// nothing.
 package route
--- a/internal/reconcile/next.go
+++ b/internal/reconcile/next.go
@@ -33,8 +33,8 @@
 }
 
 // DefaultTimes returns the times in use. Drafts and replies finish within
-// seconds, the longest streams in under two minutes. A failed load means a weight store in trouble, which
-// tries in quick succession would make worse.
+// seconds, the longest streams in under two minutes. A failed load means a
+// weight store in trouble, which tries in quick succession would make worse.
 func DefaultTimes() Times {
 	return Times{
 		MaxFlight: 2 * time.Second,
