Race detector where it pays; a caller in a plain log outage knows it was not written

Cause 2: with the log refusing every append, a commit whose deadline came while the client waited for its next try was answered 'unknown'. Nothing can be in the log then: the caller's entries are taken out of the batch and it hears 'not run'. Before: TestCallerWhoseAppendWasRefusedMayWithdrawIt got unknown; after: not-run, and the entries never appear. Lost answers stay unknown as before.

--- a/internal/logclient/append.go
+++ b/internal/logclient/append.go
@@ -35,6 +35,7 @@
 	pending []*call
 	flying  bool
 	failing time.Time // first failure of the append on its way; zero if none
+	resting []*call   // batch between two tries, while none may be in the log
 	seq     uint64    // last number that may have reached the log
 }
 
@@ -101,6 +102,10 @@
 		}
 		return Receipt{}, code.Wrap(code.LogDown, cause, "append to %s not begun in time", q.stream)
 	}
+	if i := slices.Index(q.resting, cl); i >= 0 {
+		q.resting = slices.Delete(q.resting, i, i+1)
+		return Receipt{}, code.Wrap(code.LogDown, cause, "append to %s refused until now, and withdrawn", q.stream)
+	}
 	return Receipt{Seq: cl.seq}, lost(cause, q.stream)
 }
 
@@ -120,8 +125,7 @@
 			q.finish(batch, outcome{err: code.Wrap(code.LogDown, err, "append to %s not begun", q.stream)}, false)
 			continue
 		}
-		o, mayBeThere := q.send(batch)
-		q.finish(batch, o, mayBeThere)
+		q.finish(q.send(batch))
 	}
 }
 
@@ -152,6 +156,9 @@
 	if mayBeThere {
 		q.seq++
 	}
+	if len(batch) == 0 {
+		return // all have left: the log still fails, and the next append finds out
+	}
 	q.failing = time.Time{}
 	o.receipt.Seq = batch[0].seq
 	for _, cl := range batch {
@@ -159,37 +166,65 @@
 	}
 }
 
-// send tries one batch until it is in, or is given up.
+// send tries one batch until it is in, or is given up. It returns those who
+// still wait for the outcome.
 //
 // Failure: the log applies an append and its answer is lost. Sent again under
 // a new number it would count twice; reported as not written it would be taken
-// for safe to repeat. Every try carries the same bytes with the same number,
-// so that readers drop the copies, and after one try with a lost answer the
-// outcome can only be "written" or "unknown".
-func (q *queue) send(batch []*call) (o outcome, mayBeThere bool) {
-	var entries []*wire.Entry
-	for _, cl := range batch {
-		entries = append(entries, cl.entries...)
-	}
-	data, err := fold.Encode(q.c.opt.Writer, q.c.opt.VM, batch[0].seq, entries)
-	if err != nil {
-		return outcome{err: code.Wrap(code.Internal, err, "encoding a record")}, false
-	}
+// for safe to repeat. From the first such try on, every try carries the same
+// bytes with the same number, so that readers drop the copies, and the outcome
+// can only be "written" or "unknown".
+//
+// As long as each try was certainly refused, as in a plain outage, a caller may
+// leave between two tries and knows that its entries were not written: they are
+// taken out before the next one.
+func (q *queue) send(batch []*call) (left []*call, o outcome, mayBeThere bool) {
+	var data []byte
 	started := time.Now()
 	for try := 0; ; try++ {
+		if !mayBeThere {
+			var err error
+			if data, err = q.encode(batch); err != nil {
+				return batch, outcome{err: code.Wrap(code.Internal, err, "encoding a record")}, false
+			}
+		}
 		offset, err := q.attempt(data)
 		q.c.setHealth(err)
 		if err == nil {
-			return outcome{receipt: Receipt{Offset: offset}}, true
+			return batch, outcome{receipt: Receipt{Offset: offset}}, true
 		}
 		mayBeThere = mayBeThere || !certainlyAbsent(err)
 		q.markFailing(err, try)
-		if time.Since(started) > q.c.opt.GiveUp || !q.c.pause(q.c.ctx, try) {
-			return q.givenUp(err, mayBeThere), mayBeThere
+		if !mayBeThere {
+			q.rest(batch)
+		}
+		again := time.Since(started) <= q.c.opt.GiveUp && q.c.pause(q.c.ctx, try)
+		if !mayBeThere {
+			batch = q.rest(nil)
+		}
+		if !again || len(batch) == 0 {
+			return batch, q.givenUp(err, mayBeThere), mayBeThere
 		}
 	}
 }
 
+func (q *queue) encode(batch []*call) ([]byte, error) {
+	var entries []*wire.Entry
+	for _, cl := range batch {
+		entries = append(entries, cl.entries...)
+	}
+	return fold.Encode(q.c.opt.Writer, q.c.opt.VM, batch[0].seq, entries)
+}
+
+// rest puts a batch where its callers may leave it, and returns what is left
+// of the one that was there.
+func (q *queue) rest(batch []*call) (left []*call) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	left, q.resting = q.resting, batch
+	return left
+}
+
 func (q *queue) givenUp(err error, mayBeThere bool) outcome {
 	if mayBeThere {
 		return outcome{err: lost(err, q.stream)}
--- a/internal/logclient/client_test.go
+++ b/internal/logclient/client_test.go
@@ -202,3 +202,50 @@
 		assert.Equal(t, c.Progress("s").Next, uint64(8))
 	})
 }
+
+// Story: the log refuses everything, as in a plain outage. A caller with a short
+// deadline leaves while the client waits for its next try. It must hear that
+// nothing was written, and when the log is back its entries must not appear.
+func TestCallerWhoLeavesAnOutageKnowsItWasNotWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := logtest.New()
+		l.SetDown(true)
+		c := newClient(t, l)
+		stays := make(chan error, 1)
+		go func() {
+			_, err := c.Append(t.Context(), "s", entry("stays"))
+			stays <- err
+		}()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		_, err := c.Append(ctx, "s", entry("leaves"))
+		assert.Equal(t, code.Of(err).Run, code.NotRun)
+		assert.Equal(t, code.Of(err).Code, code.LogDown)
+		l.SetDown(false)
+		assert.NilError(t, <-stays)
+		read, stop := context.WithTimeout(t.Context(), time.Second)
+		defer stop()
+		assert.DeepEqual(t, ids(collect(read, c, 1)()), []string{"stays"})
+	})
+}
+
+// The same, with the caller's own append on its way when it leaves.
+func TestCallerWhoseAppendWasRefusedMayWithdrawIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := logtest.New()
+		l.SetDown(true)
+		c := newClient(t, l)
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		_, err := c.Append(ctx, "s", entry("leaves"))
+		assert.Equal(t, code.Of(err).Run, code.NotRun)
+		l.SetDown(false)
+		time.Sleep(time.Minute)
+		_, err = c.Append(t.Context(), "s", entry("next"))
+		assert.NilError(t, err)
+		read, stop := context.WithTimeout(t.Context(), time.Second)
+		defer stop()
+		assert.DeepEqual(t, ids(collect(read, c, 1)()), []string{"next"})
+	})
+}
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -8,6 +9,8 @@
 	"slices"
 	"strings"
 
+	"github.com/rogpeppe/go-internal/testscript"
+
 	"fescuestand/internal/driver/httpdriver/httpapi"
 )
 
@@ -52,6 +55,16 @@
 	}
 }
 
+// failOnRace fails the scenario if a process has reported a data race.
+func (f *fleet) failOnRace(t testscript.T) {
+	for _, p := range f.processes {
+		b, err := os.ReadFile(p.log)
+		if err == nil && bytes.Contains(b, []byte("WARNING: DATA RACE")) {
+			t.Fatal(p.name, "reported a data race:", string(b))
+		}
+	}
+}
+
 // run starts a process under a name that the scenario can refer to.
 func (f *fleet) run(name string, args ...string) error {
 	if p, ok := f.processes[name]; ok && p.running() {
