--- a/internal/standin/vmlist/vmlist.go
+++ b/internal/standin/vmlist/vmlist.go
@@ -29,7 +29,7 @@
 
 // New returns a list that shows vms at once and later changes after lag.
 func New(vms []httpapi.VM, lag time.Duration) *List {
-	return &List{lag: lag, faults: httpjson.NewFaults(FaultOutage), changes: []change{{vms: vms}}}
+	return &List{lag: lag, faults: httpjson.NewFaults(FaultOutage), changes: []change{{vms: slices.Clone(vms)}}}
 }
 
 // Handler returns the list's HTTP interface.
