One way to set defaults, and what nothing read is gone

Found on a last reading of the whole change: the same setDefault stood in four packages (commit, control, logclient, replica), where cmp.Or of the standard library does it; control's checkpoint interval stood twice, as its default and as a constant handed in; a peer link kept a Hello that nobody read; 'entry' was written out beside its constant.

--- a/cmd/fescue-control/main.go
+++ b/cmd/fescue-control/main.go
@@ -34,7 +34,6 @@
 		Replica: parts.Replica, Log: parts.Log, Peers: parts.Peers, Weights: weights, Clock: clock.Boot{},
 		Stream: s.Streams.Control, VM: s.VM, Incarnation: parts.Incarnation,
 		Lease: s.LeaseOptions(), Renew: s.Lease.Renew.D(), Times: s.Times(),
-		CheckpointEvery: control.CheckpointEvery,
 	})
 	report := func() status.Report { return reportOf(s, parts, unit) }
 	units := append(parts.Units(), unit, status.NewServer(s.Addresses.Status, report, nil))
--- a/internal/commit/options.go
+++ b/internal/commit/options.go
@@ -1,6 +1,7 @@
 package commit
 
 import (
+	"cmp"
 	"time"
 
 	"fescuestand/internal/clock"
@@ -84,22 +85,16 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.DispatchWithin, DefaultDispatchWithin)
-	setDefault(&o.VoidWait, DefaultVoidWait)
-	setDefault(&o.RunningFor, DefaultRunningFor)
-	setDefault(&o.ReplayWait, DefaultReplayWait)
-	setDefault(&o.OutcomeDelay, DefaultOutcomeDelay)
-	setDefault(&o.LogBackoff, DefaultLogBackoff)
-	setDefault(&o.LogRetry, DefaultLogRetry)
-	setDefault(&o.MaxPending, DefaultMaxPending)
-	setDefault(&o.MaxOutcome, DefaultMaxOutcome)
+	o.DispatchWithin = cmp.Or(o.DispatchWithin, DefaultDispatchWithin)
+	o.VoidWait = cmp.Or(o.VoidWait, DefaultVoidWait)
+	o.RunningFor = cmp.Or(o.RunningFor, DefaultRunningFor)
+	o.ReplayWait = cmp.Or(o.ReplayWait, DefaultReplayWait)
+	o.OutcomeDelay = cmp.Or(o.OutcomeDelay, DefaultOutcomeDelay)
+	o.LogBackoff = cmp.Or(o.LogBackoff, DefaultLogBackoff)
+	o.LogRetry = cmp.Or(o.LogRetry, DefaultLogRetry)
+	o.MaxPending = cmp.Or(o.MaxPending, DefaultMaxPending)
+	o.MaxOutcome = cmp.Or(o.MaxOutcome, DefaultMaxOutcome)
 	if o.Clock == nil {
 		o.Clock = clock.Boot{}
 	}
 }
-
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,6 +7,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -57,10 +58,12 @@
 }
 
 const (
-	defaultTTL        = 6 * time.Second
-	defaultMargin     = time.Second
-	defaultMaxFlight  = 2 * time.Second
-	defaultRenew      = 2 * time.Second
+	defaultTTL       = 6 * time.Second
+	defaultMargin    = time.Second
+	defaultMaxFlight = 2 * time.Second
+	defaultRenew     = 2 * time.Second
+	// defaultCheckpoint is far ahead of any retention that keeps a day's
+	// records.
 	defaultCheckpoint = 10 * time.Minute
 	// tickEvery paces the decisions. An engine's state is read at this pace
 	// while it changes, and every restTicks otherwise: ten engines read each
@@ -78,11 +81,11 @@
 )
 
 func (o *Options) defaults() {
-	setDefault(&o.Lease.TTL, defaultTTL)
-	setDefault(&o.Lease.Margin, defaultMargin)
-	setDefault(&o.Lease.MaxFlight, defaultMaxFlight)
-	setDefault(&o.Renew, defaultRenew)
-	setDefault(&o.CheckpointEvery, defaultCheckpoint)
+	o.Lease.TTL = cmp.Or(o.Lease.TTL, defaultTTL)
+	o.Lease.Margin = cmp.Or(o.Lease.Margin, defaultMargin)
+	o.Lease.MaxFlight = cmp.Or(o.Lease.MaxFlight, defaultMaxFlight)
+	o.Renew = cmp.Or(o.Renew, defaultRenew)
+	o.CheckpointEvery = cmp.Or(o.CheckpointEvery, defaultCheckpoint)
 	if o.Times == (reconcile.Times{}) {
 		o.Times = reconcile.DefaultTimes()
 	}
@@ -95,13 +98,6 @@
 	}
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 func openRegistered(_ string, t driver.Target) (driver.Engine, error) {
 	open, err := driver.Engines.Get(t.Driver)
 	if err != nil {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"time"
-
 	"fescuestand/internal/code"
 	"fescuestand/internal/lease"
 	"fescuestand/internal/node"
@@ -71,7 +69,3 @@
 		Retry:     s.Changes.Retry.D(),
 	}
 }
-
-// CheckpointEvery is the longest age of the newest checkpoint of a stream. It
-// is far ahead of any retention that keeps a day's records.
-const CheckpointEvery = 10 * time.Minute
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -19,7 +19,7 @@
 func (u *Unit) Status() status.Report {
 	v, s := u.o.Replica.View(), u.o.Settings
 	r := status.Report{
-		VM: s.VM, Zone: s.Zone, Process: "entry", Incarnation: u.o.Incarnation,
+		VM: s.VM, Zone: s.Zone, Process: processName, Incarnation: u.o.Incarnation,
 		Ready: v.Ready, Commits: u.table.Ready(), Leaving: u.leaving.Load(), SheetVersion: v.Version,
 		Log:      status.Log{Healthy: v.Log.Healthy, LastError: v.Log.LastError, Offset: v.Offset},
 		Requests: int(u.active.Load()), Endpoints: u.endpoints(),
--- a/internal/logclient/client.go
+++ b/internal/logclient/client.go
@@ -8,6 +8,7 @@
 package logclient
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -82,19 +83,12 @@
 }
 
 func (o *Options) defaults() {
-	setDefault(&o.Rate, defaultRate)
-	setDefault(&o.Burst, defaultBurst)
-	setDefault(&o.Attempt, defaultAttempt)
-	setDefault(&o.GiveUp, defaultGiveUp)
-	setDefault(&o.FailFast, defaultFailFast)
-	setDefault(&o.Poll, defaultPoll)
-}
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
+	o.Rate = cmp.Or(o.Rate, defaultRate)
+	o.Burst = cmp.Or(o.Burst, defaultBurst)
+	o.Attempt = cmp.Or(o.Attempt, defaultAttempt)
+	o.GiveUp = cmp.Or(o.GiveUp, defaultGiveUp)
+	o.FailFast = cmp.Or(o.FailFast, defaultFailFast)
+	o.Poll = cmp.Or(o.Poll, defaultPoll)
 }
 
 // Close stops the appends on their way; their callers get an unknown outcome.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -34,7 +34,6 @@
 type link struct {
 	mu       sync.Mutex
 	session  *yamux.Session
-	remote   *wire.Hello
 	failures int
 	notUntil time.Time
 }
@@ -175,33 +174,32 @@
 	if wait := time.Until(l.notUntil); wait > 0 {
 		return nil, code.New(code.PeerGone, "%s failed %d times; next try in %s", addr, l.failures, wait.Round(time.Millisecond)).WithRetryAfter(wait)
 	}
-	session, remote, err := dial(ctx, addr, hello)
+	session, err := dial(ctx, addr, hello)
 	if err != nil {
 		l.failures++
 		l.notUntil = time.Now().Add(backoff(l.failures))
 		return nil, err
 	}
-	l.session, l.remote, l.failures = session, remote, 0
+	l.session, l.failures = session, 0
 	return session, nil
 }
 
-func dial(ctx context.Context, addr string, hello *wire.Hello) (*yamux.Session, *wire.Hello, error) {
+func dial(ctx context.Context, addr string, hello *wire.Hello) (*yamux.Session, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, nil, code.Wrap(code.PeerGone, err, "dial")
+		return nil, code.Wrap(code.PeerGone, err, "dial")
 	}
-	remote, err := handshake(conn, hello)
-	if err != nil {
+	if _, err := handshake(conn, hello); err != nil {
 		_ = conn.Close()
-		return nil, nil, err
+		return nil, err
 	}
 	session, err := yamux.Client(conn, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
-		return nil, nil, code.Wrap(code.PeerGone, err, "session with %s", addr)
+		return nil, code.Wrap(code.PeerGone, err, "session with %s", addr)
 	}
-	return session, remote, nil
+	return session, nil
 }
 
 func backoff(failures int) time.Duration {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -78,26 +79,19 @@
 )
 
 func (o *Options) defaults() {
-	setDefault(&o.Every, defaultEvery)
+	o.Every = cmp.Or(o.Every, defaultEvery)
 	if o.Process != processEntry {
 		o.Every *= controlTurns
 	}
-	setDefault(&o.Suspect, defaultSuspect)
-	setDefault(&o.Gone, defaultGone)
-	setDefault(&o.Fanout, defaultFanout)
-	setDefault(&o.CheckpointEvery, defaultCheckpointEvery)
+	o.Suspect = cmp.Or(o.Suspect, defaultSuspect)
+	o.Gone = cmp.Or(o.Gone, defaultGone)
+	o.Fanout = cmp.Or(o.Fanout, defaultFanout)
+	o.CheckpointEvery = cmp.Or(o.CheckpointEvery, defaultCheckpointEvery)
 	if o.Clock == nil {
 		o.Clock = clock.Boot{}
 	}
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Replica is the copy of one process. One goroutine owns it.
 type Replica struct {
 	opt    Options
