--- a/internal/policy/place/cache.go
+++ b/internal/policy/place/cache.go
@@ -15,8 +15,26 @@
 // rest is taken by requests that run or wait to be handed over.
 const cacheShare = 0.85
 
+// unsizedTokens is the memory that an engine is taken to have until the
+// configuration says: after a restart of a VM the endpoints, and what they have
+// cached, are heard from peers before the configuration is read.
+const unsizedTokens = 1 << 19
+
 func newCache(tokens int) cache {
-	return cache{capacity: int(cacheShare * float64(tokens)), order: list.New(), at: map[uint64]*list.Element{}}
+	c := cache{order: list.New(), at: map[uint64]*list.Element{}}
+	c.resize(tokens)
+	return c
+}
+
+// resize takes the engine's memory as the configuration has it now. A belief
+// that kept the size of the moment in which its engine was first heard of would
+// keep nothing for the engine's whole life if that was before the configuration.
+func (c *cache) resize(tokens int) {
+	if tokens <= 0 {
+		tokens = unsizedTokens
+	}
+	c.capacity = int(cacheShare * float64(tokens))
+	c.yield()
 }
 
 // prefix returns the tokens of the leading parts that are cached: a part counts
@@ -36,12 +54,14 @@
 // request's own part isn't asked for again, but takes memory from the others
 // until it yields.
 func (c *cache) add(parts []Part) {
-	if c.capacity == 0 {
-		return
-	}
 	for i := len(parts) - 1; i >= 0; i-- {
 		c.touch(parts[i])
 	}
+	c.yield()
+}
+
+// yield forgets the least recently used parts that no longer fit.
+func (c *cache) yield() {
 	for c.used > c.capacity {
 		last := c.order.Back()
 		p, _ := c.order.Remove(last).(Part)
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -134,8 +134,8 @@
 	load    reportedLoad
 }
 
-func newState(e *catalog.Endpoint, cacheTokens int) *state {
-	return &state{ep: e, hash: hashOf(e.ID), speed: 1, cache: newCache(cacheTokens), jobs: map[*Ticket]struct{}{}}
+func newState(e *catalog.Endpoint) *state {
+	return &state{ep: e, hash: hashOf(e.ID), speed: 1, cache: newCache(0), jobs: map[*Ticket]struct{}{}}
 }
 
 // reportedLoad is what an endpoint said of itself with an answer.
@@ -154,9 +154,10 @@
 	for _, e := range v.All() {
 		s := p.known[e.ID]
 		if s == nil || s.ep.Born != e.Born || s.ep.Address != e.Address {
-			s = newState(e, p.engines[e.Service].CacheTokens)
+			s = newState(e)
 		}
 		s.ep = e
+		s.cache.resize(p.engines[e.Service].CacheTokens)
 		next[e.ID] = s
 	}
 	p.known = next
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -235,6 +235,28 @@
 	assert.Equal(t, w.plan(t, 0, pr).Cached, 0)
 }
 
+// All VMs restart at once. Each hears of the engines, and of what they have cached,
+// from its peers before it has read the configuration that says how much they can
+// keep. Nothing was believed to be cached from then on, and every shared part was
+// read again for the rest of the day.
+func TestWhatIsCachedIsBelievedBeforeTheConfigurationIsKnown(t *testing.T) {
+	s := catalog.NewStore(&clock.Manual{})
+	for _, e := range split(2, 2) {
+		s.SetEndpoint(e)
+	}
+	p := New("z", 1)
+	p.Follow(s.View())
+	early, late := prompt(1, 5000, 300), prompt(2, 5000, 300)
+	p.HearCached(Key("p0"), early.Parts)
+	s.SetConfig(catalog.NewConfig(1, nil, []*catalog.Service{{Name: "labels", Engine: &catalog.Engine{CacheTokens: 12_000}}}))
+	p.Follow(s.View())
+	p.HearCached(Key("p0"), late.Parts)
+	assert.Equal(t, p.known["p0"].cache.prefix(early.Parts), 0, "the memory that is declared holds one of both")
+	assert.Equal(t, p.known["p0"].cache.prefix(late.Parts), 5300)
+	p.HearCached(Key("p1"), early.Parts)
+	assert.Equal(t, p.known["p1"].cache.prefix(early.Parts), 5300)
+}
+
 // failing plays calls of a service with three endpoints, of which the first
 // fails a share of its calls, and returns how many callers met a failure.
 func failing(t *testing.T, share int, kind Outcome) (failures, calls int) {
--- a/internal/policy/place/ticket.go
+++ b/internal/policy/place/ticket.go
@@ -35,7 +35,7 @@
 	defer p.mu.Unlock()
 	s := p.known[e.ID]
 	if s == nil {
-		s = newState(e, 0)
+		s = newState(e)
 	}
 	t := &Ticket{s: s, work: work, sentAt: now}
 	t.expected = p.wait(now, s) + work
