--- a/internal/policy/place/health.go
+++ b/internal/policy/place/health.go
@@ -22,7 +22,7 @@
 	// endpoint fails again: an endpoint that restarts is back within seconds.
 	firstOut   = 500 * time.Millisecond
 	longestOut = 4 * time.Second
-	// maxOutShare of a service's endpoints may be left out; the load of the
+	// maxOutShare of the endpoints that do the same work may be left out; the load of the
 	// others grows to twice of theirs at most.
 	maxOutShare = 0.5
 )
@@ -62,15 +62,20 @@
 	h.outs++
 }
 
-// healthy returns the states of open endpoints that work may go to. When too
-// many would be left out all are returned: the fault is then elsewhere.
-func (p *Planner) healthy(now clock.Time, open []*catalog.Endpoint, exclude map[string]bool) []*state {
+// within returns the states of the open endpoints that exclude doesn't name.
+func (p *Planner) within(open []*catalog.Endpoint, exclude map[string]bool) []*state {
 	all := make([]*state, 0, len(open))
 	for _, e := range open {
 		if s := p.known[e.ID]; s != nil && !exclude[e.ID] {
 			all = append(all, s)
 		}
 	}
+	return all
+}
+
+// healthy returns those of all, which do the same work, that work may go to. When
+// too many would be left out all are returned: the fault is then elsewhere.
+func healthy(now clock.Time, all []*state) []*state {
 	limit := medianFailures(all) + failMargin
 	good := make([]*state, 0, len(all))
 	for _, s := range all {
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -302,6 +302,20 @@
 	assert.Assert(t, w.p.Endpoint(0, w.open, map[string]bool{"a": true, "b": true}) == nil)
 }
 
+// Five engines prefill and one decodes, after the others were lost. Two streams in a
+// row break off at it, as its callers' connections are cut. Left out as one bad
+// engine of six, it left every prompt without an engine to run at, and callers were
+// refused while it was idle.
+func TestTheLastDecodeEngineIsNotLeftOut(t *testing.T) {
+	w := newWorld(t, split(5, 1)...)
+	for range 2 * inRow {
+		w.p.End(0, w.p.Send(0, w.open[0], 0), Bad)
+	}
+	assert.Equal(t, w.open[0].Stage, catalog.Decode)
+	assert.Equal(t, w.plan(t, 0, prompt(1, 5000, 7000)).Engine.ID, w.open[0].ID)
+	assert.Equal(t, w.p.Target(0, w.open, w.open[1], nil).ID, w.open[0].ID)
+}
+
 // An engine answers that it isn't the one that is asked for: it has restarted,
 // and the entries don't show it yet. Asked again by each request, each would be
 // turned away.
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -58,15 +58,19 @@
 // candidates are the engines in reach, by what they can do.
 type candidates struct{ prefill, decode []*state }
 
+// candidates judges the engines of each stage among themselves: the last decode
+// engine of a service is a small share of it, and left out as one of many it would
+// leave nobody to run what the others prefill.
 func (p *Planner) candidates(now clock.Time, open []*catalog.Endpoint, exclude map[string]bool) candidates {
 	var c candidates
-	for _, s := range p.healthy(now, open, exclude) {
+	for _, s := range p.within(open, exclude) {
 		if s.ep.Stage == catalog.Prefill {
 			c.prefill = append(c.prefill, s)
 		} else {
 			c.decode = append(c.decode, s)
 		}
 	}
+	c.prefill, c.decode = healthy(now, c.prefill), healthy(now, c.decode)
 	return c
 }
 
@@ -203,7 +207,7 @@
 func (p *Planner) Endpoint(now clock.Time, open []*catalog.Endpoint, exclude map[string]bool) *catalog.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.healthy(now, open, exclude)
+	list := healthy(now, p.within(open, exclude))
 	if len(list) == 0 {
 		return nil
 	}
