--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -73,15 +73,10 @@
 	leastBurden      = 1
 	enginesPerBurden = 6
 	mostBurden       = 4
-	// slotBurden weighs it at a decode engine for each of its slots, up to
-	// mostDecodeBurden: it delays each token of each stream there, and a busy
-	// engine has streams in two thirds of its slots. With 16 slots a prompt
-	// weighs 2 there, with 96 slots 3, at 2.4 times the time that it takes a
-	// prefill engine. 3 where slots are few hands prompts over that needn't be,
-	// 2 where they are many crowds the decode engines: half of the longest
-	// questions were refused.
-	slotBurden       = 0.13
-	mostDecodeBurden = 3
+	// streamBurden weighs it at a decode engine for each stream that runs there:
+	// every one of them stands still while a chunk of the prompt is read, and
+	// the longer they take the more of them there are.
+	streamBurden = 0.3
 	// coldCredit is the part of a shared prefix's prefill time by which its
 	// preferred engine is favoured while nobody has it cached.
 	coldCredit = 0.5
@@ -236,13 +231,10 @@
 // burden is what a prefill costs others: those who come after it, and at a decode
 // engine the streams that run there, whose tokens it delays. engines is how many
 // could do it.
-func (s *state) burden(work time.Duration, engines int) time.Duration {
+func (s *state) burden(work time.Duration, engines, streams int) time.Duration {
 	weight := min(leastBurden+float64(engines)/enginesPerBurden, mostBurden)
 	if s.ep.Stage == catalog.Decode {
-		weight = mostDecodeBurden
-		if s.ep.Slots > 0 {
-			weight = min(slotBurden*float64(s.ep.Slots), mostDecodeBurden)
-		}
+		weight = max(weight, streamBurden*float64(streams))
 	}
 	return time.Duration(weight * float64(work))
 }
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -72,6 +72,19 @@
 	assert.Assert(t, plan.Prefill == nil)
 }
 
+// One decode engine is left, with sixty streams. It still read the short prompts by
+// itself, so that all streams stood still for each of them, took longer, and became
+// more: callers left streams that no longer moved, while prefill engines were idle.
+func TestABusyDecodeEngineReadsNoPrompts(t *testing.T) {
+	w := newWorld(t, split(3, 1)...)
+	assert.Assert(t, w.plan(t, 0, prompt(1, 100, 200)).Prefill == nil, "an idle one does")
+	for range 60 {
+		w.p.Send(0, w.open[0], 0)
+	}
+	assert.Equal(t, w.open[0].Stage, catalog.Decode)
+	assert.Assert(t, w.plan(t, 0, prompt(1, 100, 200)).Prefill != nil)
+}
+
 func TestWithoutPrefillEnginesDecodeEnginesDoTheWhole(t *testing.T) {
 	w := newWorld(t, split(0, 2)...)
 	plan := w.plan(t, 0, prompt(1, 5000, 7000))
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -91,7 +91,7 @@
 		o := option{s: s, wait: p.wait(now, s)}
 		o.work, o.cached = s.work(pr)
 		o.first = o.wait + o.work + firstTime
-		o.score = o.first + s.burden(o.work, len(list)) - s.credit(pr, o.cached, preferred)
+		o.score = o.first + s.burden(o.work, len(list), s.running+p.peerRunning(now, s.key())) - s.credit(pr, o.cached, preferred)
 		if s.ep.Zone != p.zone {
 			o.score += zoneTime
 		}
