--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -327,6 +327,24 @@
 	assert.Equal(t, p.arrivals.Load(), int32(1))
 }
 
+// A manual of 8,000 tokens has been handed over to a decode engine, which keeps it.
+// The next short question on it was read at the prefill engine all the same, and the
+// whole manual moved once more.
+func TestADecodeEngineKeepsWhatItTookOver(t *testing.T) {
+	w := newWorld(t)
+	w.route(stream)
+	p, d := engines(t, w, prefilled, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+		return events(c, 1, 2, true)
+	}, 1)
+	_, _, err := w.request(t, "POST", "/x/", "", "Tokens", "9000", "Parts", "1:8000 2:1000")
+	assert.NilError(t, err)
+	_, body, err := w.request(t, "POST", "/x/", "", "Id", "2", "Tokens", "8300", "Parts", "1:8000 3:300")
+	assert.NilError(t, err)
+	assert.Equal(t, ids(body), "1 2")
+	assert.Equal(t, p.arrivals.Load(), int32(1))
+	assert.Equal(t, d.arrivals.Load(), int32(2))
+}
+
 // The decode engine has restarted and turns the request away. The KV cache still
 // waits at the prefill engine: another decode engine takes it, and the prompt
 // isn't read twice.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -93,7 +93,7 @@
 // maxHandOver bounds the answer to a prefill, a line of JSON.
 const maxHandOver = 64 << 10
 
-// cached notes that e has read the prompt.
+// cached notes that e has the prompt cached: it has read it, or taken it over.
 func (x *execution) cached(t *place.Ticket, e *catalog.Endpoint, pr *place.Prompt) {
 	x.g.o.Planner.Prefilled(x.now(), t, pr.Parts)
 	if pr.SharedTokens() >= toldShared {
@@ -121,9 +121,7 @@
 	if resp != nil {
 		r = x.pump(resp, ans, func() {
 			watch.progress()
-			if s.KV == nil {
-				x.cached(t, s.Endpoint, pr)
-			}
+			x.cached(t, s.Endpoint, pr)
 		}, watch)
 	}
 	x.note(s.Endpoint, t, r)
