--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -38,6 +38,7 @@
 	Urgency   int           // 0 is first
 	Prefill   bool          // prefill only, and keep the KV cache
 	KV        *HandOver     // KV cache to go on from
+	Fetch     string        // address of the engine from which to fetch what it has of the prompt
 	LastEvent string        // the stream goes on after this event
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,7 +22,7 @@
 		return r
 	}
 	if plan.Prefill == nil {
-		return x.stream(&Send{Endpoint: plan.Engine}, pr, &plan)
+		return x.stream(&Send{Endpoint: plan.Engine, Fetch: sourceOf(&plan)}, pr, &plan)
 	}
 	kv, r := x.prefill(&plan, pr)
 	if kv == nil {
@@ -57,11 +57,13 @@
 // another engine whatever became of it.
 func (x *execution) prefill(plan *place.Plan, pr *place.Prompt) (*HandOver, result) {
 	e := plan.Prefill
-	ctx, cancel := context.WithTimeout(x.ctx, silentFirst+firstFactor*(plan.Wait+plan.Work))
+	ctx, cancel := context.WithTimeout(x.ctx, silentFirst+firstFactor*(plan.Wait+plan.Fetch+plan.Work))
 	defer cancel()
+	s := &Send{Endpoint: e, Prefill: true, Fetch: sourceOf(plan)}
 	t := x.g.o.Planner.Send(x.now(), e, plan.Work)
+	x.fetches(t, s)
 	x.g.o.Sent(plan.Work)
-	resp, _, r := x.send(ctx, &Send{Endpoint: e, Prefill: true})
+	resp, _, r := x.send(ctx, s)
 	var h *HandOver
 	if resp != nil {
 		h, r = x.readHandOver(resp, e)
@@ -74,6 +76,22 @@
 	return h, r
 }
 
+// sourceOf is the address that the plan's prefilling engine fetches from, empty for
+// none.
+func sourceOf(plan *place.Plan) string {
+	if plan.Source == nil {
+		return ""
+	}
+	return plan.Source.Address
+}
+
+// fetches notes an exchange whose engine fetches first.
+func (x *execution) fetches(t *place.Ticket, s *Send) {
+	if s.Fetch != "" {
+		x.g.o.Planner.Fetches(t)
+	}
+}
+
 func (x *execution) readHandOver(resp *exchange.Response, e *catalog.Endpoint) (*HandOver, result) {
 	defer resp.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHandOver))
@@ -113,6 +131,7 @@
 		work = 0
 	}
 	t := x.g.o.Planner.Send(x.now(), s.Endpoint, work)
+	x.fetches(t, s)
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	watch := x.watch(cancel, t, s, plan)
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -33,7 +33,7 @@
 	others := map[string]bool{s.Endpoint.ID: true}
 	maps.Copy(others, x.tried)
 	w := &watchdog{gap: silentGap}
-	w.timer = time.AfterFunc(silentFirst+firstFactor*(plan.Wait+plan.Work), func() {
+	w.timer = time.AfterFunc(silentFirst+firstFactor*(plan.Wait+plan.Fetch+plan.Work), func() {
 		x.g.o.Planner.Stuck(x.now(), t)
 		switch {
 		case !repeat:
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -187,11 +187,15 @@
 
 // transfer is the time to hand a prompt's KV cache over to e.
 func (p *Planner) transfer(e *catalog.Endpoint, tokens int) time.Duration {
-	perToken := p.engines[e.Service].TokenTransfer
-	if perToken == 0 {
-		perToken = usualTransfer
+	return handOverTime + time.Duration(tokens)*p.perToken(e)
+}
+
+// perToken is the time in which one token's KV cache goes to e within its zone.
+func (p *Planner) perToken(e *catalog.Endpoint) time.Duration {
+	if t := p.engines[e.Service].TokenTransfer; t > 0 {
+		return t
 	}
-	return handOverTime + time.Duration(tokens)*perToken
+	return usualTransfer
 }
 
 // wait is the predicted time until a prompt that is sent now starts at s: the
@@ -214,11 +218,16 @@
 // work is the predicted time of a prefill at s.
 func (s *state) work(pr *Prompt) (t time.Duration, cached int) {
 	cached = s.cache.prefix(pr.Parts)
+	return s.workAfter(pr, cached), cached
+}
+
+// workAfter is the predicted time to prefill what follows the cached tokens of pr.
+func (s *state) workAfter(pr *Prompt, cached int) time.Duration {
 	rate := prefillRate
 	if s.ep.Stage == catalog.Decode {
 		rate = decodeRate
 	}
-	return time.Duration(float64(workOf(max(pr.Tokens-cached, 1), cached, rate)) * s.speed), cached
+	return time.Duration(float64(workOf(max(pr.Tokens-cached, 1), cached, rate)) * s.speed)
 }
 
 // workOf is the time to prefill fresh tokens after cached ones.
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -14,11 +14,13 @@
 	// the whole.
 	Prefill *catalog.Endpoint
 	Engine  *catalog.Endpoint
-	Cached  int           // tokens believed to be cached where the prefill runs
-	First   time.Duration // predicted time to the first event
-	Work    time.Duration // predicted prefill work
-	Wait    time.Duration // predicted time until the prefill starts
-	Engines int           // that could have prefilled it
+	Source  *catalog.Endpoint // from which the prefilling engine fetches what it lacks; nil for none
+	Cached  int               // tokens believed to be cached where the prefill runs, after the fetch
+	Fetch   time.Duration     // predicted time of the fetch
+	First   time.Duration     // predicted time to the first event
+	Work    time.Duration     // predicted prefill work
+	Wait    time.Duration     // predicted time until the prefill starts
+	Engines int               // that could have prefilled it
 }
 
 // Plan returns the plan with the earliest predicted first event among the open
@@ -27,8 +29,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.candidates(now, open, exclude)
-	whole, haveWhole := p.best(now, c.decode, pr)
-	split, haveSplit := p.best(now, c.prefill, pr)
+	from := c.sourcesOf(pr)
+	whole, haveWhole := p.best(now, c.decode, pr, from)
+	split, haveSplit := p.best(now, c.prefill, pr, from)
 	target := p.leastRunning(now, c.decode, split.s)
 	if haveSplit && target != nil {
 		over := p.transfer(target.ep, pr.Tokens)
@@ -37,9 +40,11 @@
 	}
 	switch {
 	case haveSplit && target != nil && (!haveWhole || split.score < whole.score):
-		return Plan{Prefill: split.s.ep, Engine: target.ep, Cached: split.cached, First: split.first, Work: split.work, Wait: split.wait, Engines: len(c.prefill)}, true
+		plan := split.plan(len(c.prefill))
+		plan.Prefill, plan.Engine = split.s.ep, target.ep
+		return plan, true
 	case haveWhole:
-		return Plan{Engine: whole.s.ep, Cached: whole.cached, First: whole.first, Work: whole.work, Wait: whole.wait, Engines: len(c.decode)}, true
+		return whole.plan(len(c.decode)), true
 	}
 	return Plan{}, false
 }
@@ -77,20 +82,35 @@
 // option is one engine for a prompt's prefill.
 type option struct {
 	s      *state
+	source *state // that it fetches from, nil for none
 	cached int
+	fetch  time.Duration
 	work   time.Duration
 	wait   time.Duration
 	first  time.Duration
 	score  time.Duration // first, with what favours and hinders the engine
 }
 
-func (p *Planner) best(now clock.Time, list []*state, pr *Prompt) (option, bool) {
+// plan is the plan in which the option's engine does the whole. engines is how many
+// could have.
+func (o *option) plan(engines int) Plan {
+	p := Plan{Engine: o.s.ep, Cached: o.cached, Fetch: o.fetch, First: o.first, Work: o.work, Wait: o.wait, Engines: engines}
+	if o.source != nil {
+		p.Source = o.source.ep
+	}
+	return p
+}
+
+func (p *Planner) best(now clock.Time, list []*state, pr *Prompt, from sources) (option, bool) {
 	var best option
 	preferred := preferredFor(list, sharedID(pr.Parts))
 	for _, s := range p.choices(list, preferred, pr) {
 		o := option{s: s, wait: p.wait(now, s)}
 		o.work, o.cached = s.work(pr)
-		o.first = o.wait + o.work + firstTime
+		if f, ok := p.bestFetch(s, pr, from, o.cached, o.work); ok {
+			o.source, o.cached, o.fetch, o.work = f.from, f.cached, f.takes, f.work
+		}
+		o.first = o.wait + o.fetch + o.work + firstTime
 		o.score = o.first + s.burden(o.work, len(list), s.running+p.peerRunning(now, s.key())) - s.credit(pr, o.cached, preferred)
 		if s.ep.Zone != p.zone {
 			o.score += zoneTime
--- a/internal/policy/place/ticket.go
+++ b/internal/policy/place/ticket.go
@@ -12,6 +12,7 @@
 	s        *state
 	work     time.Duration // of the prefill, zero if there is none
 	expected time.Duration // wait and work at the sending
+	fetches  bool          // the engine fetches a part of the prompt first
 	sentAt   clock.Time
 	ended    bool
 }
@@ -47,6 +48,14 @@
 	return t
 }
 
+// Fetches notes that the engine of t fetches a part of the prompt before it reads
+// the rest.
+func (p *Planner) Fetches(t *Ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.fetches = true
+}
+
 // count adds an exchange to the demand. A prefill at a decode engine is counted
 // as the time that it would take at a prefill engine.
 func (p *Planner) count(now clock.Time, t *Ticket, work time.Duration) {
@@ -87,9 +96,10 @@
 	maxWaitShare = 0.25
 )
 
-// learn corrects the predicted speed by a measurement.
+// learn corrects the predicted speed by a measurement. A fetch takes its own time,
+// which says nothing of the engine's.
 func (s *state) learn(took time.Duration, t *Ticket) {
-	if t.work < minLearned || float64(t.expected-t.work) > maxWaitShare*float64(t.work) {
+	if t.fetches || t.work < minLearned || float64(t.expected-t.work) > maxWaitShare*float64(t.work) {
 		return
 	}
 	ratio := float64(max(took, 0)) / float64(t.expected)
