--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -76,7 +76,7 @@
 	// streamBurden weighs it at a decode engine for each stream that runs there:
 	// every one of them stands still while a chunk of the prompt is read, and
 	// the longer they take the more of them there are.
-	streamBurden = 0.3
+	streamBurden = 0.08
 	// coldCredit is the part of a shared prefix's prefill time by which its
 	// preferred engine is favoured while nobody has it cached.
 	coldCredit = 0.5
