--- /dev/null
+++ b/internal/cachesync/cachesync_test.go
@@ -0,0 +1,194 @@
+package cachesync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
+	"fescuestand/internal/policy/place"
+	"fescuestand/internal/wire"
+)
+
+// deployment is a set of VMs whose messages arrive at once, before engines that
+// count how often they are asked.
+type deployment struct {
+	mu    sync.Mutex
+	asked map[string]int
+	held  []place.Part
+	vms   []*vm
+}
+
+type vm struct {
+	*deployment
+	addr     string
+	planner  *place.Planner
+	informed bool
+	unit     Unit
+}
+
+// Cached implements Lister.
+func (d *deployment) Cached(_ context.Context, e *catalog.Endpoint) ([]place.Part, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asked[e.ID]++
+	if e.ID == "mute" {
+		return nil, errors.New("no answer")
+	}
+	return d.held, nil
+}
+
+// Informed implements Members.
+func (v *vm) Informed() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var out []string
+	for _, other := range v.vms {
+		if other != v && other.informed {
+			out = append(out, other.addr)
+		}
+	}
+	return out
+}
+
+// Heard implements Members.
+func (v *vm) Heard() []string {
+	var out []string
+	for _, other := range v.vms {
+		out = append(out, other.addr)
+	}
+	return out
+}
+
+// SetInformed implements Members.
+func (v *vm) SetInformed() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.informed = true
+}
+
+// start starts n VMs that know the engines with the given ids.
+func start(t *testing.T, n int, first bool, held []place.Part, ids ...string) *deployment {
+	t.Helper()
+	d := &deployment{asked: map[string]int{}, held: held}
+	store := catalog.NewStore(clock.Boot{})
+	store.SetConfig(catalog.NewConfig(1, nil, []*catalog.Service{{Name: "m", Engine: &catalog.Engine{CacheTokens: 900_000}}, {Name: "plain"}}))
+	for _, id := range ids {
+		store.SetEndpoint(&catalog.Endpoint{ID: id, Service: "m", Stage: catalog.Decode, Sequence: 1})
+	}
+	store.SetEndpoint(&catalog.Endpoint{ID: "call", Service: "plain", Sequence: 1})
+	for i := range n {
+		v := &vm{deployment: d, planner: place.New("z", uint64(i))}
+		v.planner.Follow(store.View())
+		srv := httptest.NewServer(&Share{v.planner})
+		t.Cleanup(srv.Close)
+		v.addr = strings.TrimPrefix(srv.URL, "http://")
+		v.unit = Unit{
+			Clock: clock.Boot{}, Planner: v.planner, Catalog: store, Members: v, Engines: d, Own: v.addr, NothingCached: first,
+			Tell: func(c *wire.CachedPrefix) {
+				for _, other := range d.vms {
+					other.planner.HearCached(c.GetEndpoint(), Parts(c))
+				}
+			},
+		}
+		d.vms = append(d.vms, v)
+	}
+	return d
+}
+
+// cachedAt tells whether v believes that all of parts are cached at the engine.
+func (v *vm) cachedAt(engine string, parts []place.Part) bool {
+	for _, c := range v.planner.Caches() {
+		if c.Endpoint == place.Key(engine) {
+			return len(c.Parts) == len(parts)
+		}
+	}
+	return false
+}
+
+func parts(n int) []place.Part {
+	var out []place.Part
+	for i := range n {
+		out = append(out, place.Part{ID: uint64(i + 1), Tokens: 1000})
+	}
+	return out
+}
+
+// All VMs of a deployment lose power at once; the engines keep their caches. Each VM
+// took every shared part for cold, and the engines read again what they had.
+func TestAfterALossOfAllVMsEachEngineIsAskedOnce(t *testing.T) {
+	held := parts(3*chunkParts + 1)
+	d := start(t, 3, false, held, "a", "b", "c", "d", "mute")
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	for _, v := range d.vms {
+		done.Go(func() { _ = v.unit.Run(ctx) })
+	}
+	for !d.allAsked(5) {
+		assert.Assert(t, clock.Sleep(t.Context(), 10*time.Millisecond))
+	}
+	cancel()
+	done.Wait()
+	for _, id := range []string{"a", "b", "c", "d", "mute"} {
+		assert.Equal(t, d.asked[id], 1, id)
+		for _, v := range d.vms {
+			assert.Equal(t, v.cachedAt(id, held), id != "mute", id)
+		}
+	}
+	assert.Equal(t, d.asked["call"], 0)
+}
+
+func (d *deployment) allAsked(n int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.asked) == n
+}
+
+// One VM of three is restarted. What it believed is known to the others: no engine
+// has to be disturbed for it.
+func TestAVMThatStartsAsksOneThatKnows(t *testing.T) {
+	d := start(t, 3, false, nil, "a", "b")
+	known, fresh := d.vms[1], d.vms[0]
+	known.informed = true
+	for i, id := range []string{"a", "b"} {
+		known.planner.HearCached(place.Key(id), parts(10+i))
+	}
+	assert.NilError(t, fresh.unit.Run(t.Context()))
+	assert.Assert(t, fresh.informed)
+	assert.Equal(t, len(d.asked), 0, fmt.Sprint(d.asked))
+	assert.Assert(t, fresh.cachedAt("a", parts(10)) && fresh.cachedAt("b", parts(11)))
+}
+
+func TestNobodyIsAskedAtTheFirstStart(t *testing.T) {
+	d := start(t, 2, true, parts(1), "a")
+	assert.NilError(t, d.vms[0].unit.Run(t.Context()))
+	assert.Equal(t, len(d.asked), 0)
+	assert.Assert(t, d.vms[0].informed)
+}
+
+func TestWhatIsNoListOfCachesIsAnError(t *testing.T) {
+	_, err := decode(strings.NewReader("\xff\xff"))
+	assert.Assert(t, err != nil)
+}
+
+// FuzzCaches feeds the answer of another VM: whatever it is, it is read or an error.
+func FuzzCaches(f *testing.F) {
+	f.Add([]byte{10, 11, 13, 1, 0, 0, 0, 18, 0, 26, 1, 5})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		all, err := decode(strings.NewReader(string(data)))
+		if err != nil {
+			return
+		}
+		for _, c := range all.GetEngines() {
+			assert.Assert(t, len(Parts(c)) <= len(c.GetTokens()))
+		}
+	})
+}
--- a/internal/configsync/puller.go
+++ b/internal/configsync/puller.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
+	"io"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/keyedlog"
+	"fescuestand/internal/peerhttp"
 )
 
 const (
@@ -34,7 +34,7 @@
 	clock  clock.Clock
 	own    func() uint64 // version in force
 	config *keyedlog.Follower
-	http   *http.Client
+	peers  *peerhttp.Client
 
 	mu     sync.Mutex
 	newest uint64     // version that a peer has told
@@ -45,9 +45,7 @@
 
 // NewPuller returns a puller that feeds config; own returns the version in force.
 func NewPuller(c clock.Clock, own func() uint64, config *keyedlog.Follower) *Puller {
-	// A kept connection may have gone silent, and pulls are rare.
-	tr := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	return &Puller{clock: c, own: own, config: config, http: &http.Client{Transport: tr}}
+	return &Puller{clock: c, own: own, config: config, peers: peerhttp.New()}
 }
 
 // Heard takes the version that the VM at addr serves by.
@@ -90,18 +88,11 @@
 func (p *Puller) get(addr string) (keyedlog.Entry, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
-	if err != nil {
-		return keyedlog.Entry{}, err
-	}
-	resp, err := p.http.Do(req)
-	if err != nil {
-		return keyedlog.Entry{}, err
-	}
-	// What could go wrong has shown in the read.
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return keyedlog.Entry{}, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return unpack(resp.Body)
+	var e keyedlog.Entry
+	err := p.peers.Get(ctx, addr, Path, func(body io.Reader) error {
+		var err error
+		e, err = unpack(body)
+		return err
+	})
+	return e, err
 }
--- a/internal/configsync/share.go
+++ b/internal/configsync/share.go
@@ -20,8 +20,8 @@
 	"fescuestand/internal/wire"
 )
 
-// path is where a VM answers for its configuration.
-const path = "/configuration"
+// Path is where a VM answers for its configuration.
+const Path = "/configuration"
 
 // Share is an http.Handler that gives the newest configuration to other VMs.
 type Share struct {
@@ -41,7 +41,7 @@
 func (s *Share) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := s.body()
 	switch {
-	case r.URL.Path != path, err == nil && body == nil:
+	case r.URL.Path != Path, err == nil && body == nil:
 		w.WriteHeader(http.StatusNotFound)
 	case err != nil:
 		log.WithError(err).Error("configuration not encoded")
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fescuestand/internal/cachesync"
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/policy/crash"
@@ -57,29 +58,9 @@
 	x.Changes.take(b)
 	x.HeardConfig(from, b.GetConfigVersion())
 	for _, c := range b.GetCached() {
-		x.Planner.HearCached(c.GetEndpoint(), partsOf(c))
+		x.Planner.HearCached(c.GetEndpoint(), cachesync.Parts(c))
 	}
 	for _, c := range b.GetCrashes() {
 		x.Crashes.Note(now, c.GetRequest(), c.GetEndpoint())
 	}
 }
-
-// CachedPrefix tells that e has read a prompt.
-func CachedPrefix(e *catalog.Endpoint, parts []place.Part) *wire.CachedPrefix {
-	c := &wire.CachedPrefix{Endpoint: place.Key(e.ID)}
-	for _, p := range parts {
-		c.Part = append(c.Part, p.ID)
-		c.Tokens = append(c.Tokens, uint32(p.Tokens))
-	}
-	return c
-}
-
-func partsOf(c *wire.CachedPrefix) []place.Part {
-	parts := make([]place.Part, 0, len(c.GetPart()))
-	for i, id := range c.GetPart() {
-		if i < len(c.GetTokens()) {
-			parts = append(parts, place.Part{ID: id, Tokens: int(c.GetTokens()[i])})
-		}
-	}
-	return parts
-}
--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -233,7 +233,7 @@
 	return &wire.Beat{
 		Incarnation: m.own.Incarnation, Zone: m.own.Zone, Caller: m.own.Caller, Peer: m.own.Peer,
 		Ready: m.ready, Leaving: m.leaving, ReadAgeMs: m.readAge(m.clock.Now()),
-		Capacity: m.own.Capacity,
+		Capacity: m.own.Capacity, Informed: m.informed,
 	}
 }
 
@@ -259,6 +259,7 @@
 		u.members.hear(heard{
 			Node:  Node{b.GetIncarnation(), b.GetZone(), b.GetCaller(), b.GetPeer(), b.GetCapacity()},
 			ready: b.GetReady(), leaving: b.GetLeaving(), readAgeMs: b.GetReadAgeMs(), busy: len(b.GetOutstanding()) > 0,
+			informed: b.GetInformed(),
 		})
 		u.members.introduce(b.GetIntroduces())
 		u.content.Take(b.GetPeer(), &b)
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -44,6 +44,7 @@
 	busyAt   clock.Time // when it last told of requests in hand, zero if never
 	ready    bool
 	leaving  bool
+	informed bool       // it knows what engines have cached
 	reads    bool       // it reads the endpoints' entries
 	readAt   clock.Time // when it last did
 }
@@ -60,6 +61,7 @@
 	introduced map[string]clock.Time // addresses that peers told and that weren't heard yet
 	ready      bool
 	leaving    bool
+	informed   bool
 	readAt     clock.Time // last read of the endpoints' entries
 }
 
@@ -140,6 +142,7 @@
 type heard struct {
 	Node
 	ready, leaving bool
+	informed       bool
 	readAgeMs      uint32
 	busy           bool // it has requests in hand
 }
@@ -164,6 +167,7 @@
 	if h.busy {
 		k.busyAt = now
 	}
+	k.informed = h.informed
 	k.reads = h.readAgeMs > 0
 	k.readAt = now.Add(-time.Duration(h.readAgeMs) * time.Millisecond)
 }
--- a/internal/policy/place/cache.go
+++ b/internal/policy/place/cache.go
@@ -78,3 +78,14 @@
 	c.at[p.ID] = c.order.PushFront(p)
 	c.used += p.Tokens
 }
+
+// parts returns the parts that are worth steering for, the most recently used first.
+func (c *cache) parts() []Part {
+	var out []Part
+	for e := c.order.Front(); e != nil; e = e.Next() {
+		if p, _ := e.Value.(Part); p.Tokens >= minShared {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- a/internal/policy/place/peers.go
+++ b/internal/policy/place/peers.go
@@ -73,6 +73,27 @@
 	}
 }
 
+// Cache is what an engine is believed to have cached, the most recently used part
+// first.
+type Cache struct {
+	Endpoint uint32 // its Key
+	Parts    []Part
+}
+
+// Caches returns what this VM believes, for one that knows nothing yet: parts that
+// are worth steering for.
+func (p *Planner) Caches() []Cache {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Cache
+	for _, s := range p.known {
+		if parts := s.cache.parts(); len(parts) > 0 {
+			out = append(out, Cache{s.key(), parts})
+		}
+	}
+	return out
+}
+
 // peerWork is the peers' outstanding work at the endpoint with the given Key.
 func (p *Planner) peerWork(now clock.Time, key uint32) time.Duration {
 	var sum time.Duration
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fescuestand/internal/authority"
+	"fescuestand/internal/cachesync"
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/configsync"
@@ -43,6 +44,8 @@
 	DecodeEndpoint(id string, data []byte) (*catalog.Endpoint, error)
 	// Engine gives orders over connections of pool.
 	Engine(pool *exchange.Pool) orders.Engine
+	// Caches asks engines what they have cached, over connections of pool.
+	Caches(pool *exchange.Pool) cachesync.Lister
 	// Readiness answers the platform's checks of this VM.
 	Readiness(m *gossip.Members) http.Handler
 	// Directory answers callers that ask where to connect.
@@ -146,14 +149,33 @@
 			Load: n.planner.Running, Demand: n.demand, Ordered: n.ordered,
 		},
 		&follower{n},
+		n.cachesUnit(),
 		gateway.NewServer("front", at.Callers, n.gateway, linger),
 		gateway.NewServer("ready", at.Ready, n.adapter.Readiness(n.members), linger),
 		gateway.NewServer("directory", at.Directory, n.adapter.Directory(n.members), linger),
-		gateway.NewServer("peers", n.o.Self.Peer, &n.share, 0),
+		gateway.NewServer("peers", n.o.Self.Peer, n.forPeers(), 0),
 		gateway.NewServer("metrics", at.Metrics, expvar.Handler(), 0),
 	}
 }
 
+// forPeers answers other VMs.
+func (n *Node) forPeers() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+configsync.Path, &n.share)
+	mux.Handle("GET "+cachesync.Path, &cachesync.Share{Planner: n.planner})
+	return mux
+}
+
+func (n *Node) cachesUnit() *cachesync.Unit {
+	return &cachesync.Unit{
+		Clock: n.clock, Planner: n.planner, Catalog: n.catalog, Members: n.members, Engines: n.adapter.Caches(n.pool),
+		Own: n.o.Self.Peer, NothingCached: n.o.FirstStart,
+		Tell: func(c *wire.CachedPrefix) {
+			n.gossip.Tell(func(b *wire.Beat) { b.Cached = append(b.Cached, c) })
+		},
+	}
+}
+
 // KernelOptions returns what the kernel needs to know of the process.
 func (n *Node) KernelOptions() kernel.Options { return kernel.Options{LongestDrain: n.o.LongestDrain} }
 
@@ -197,7 +219,7 @@
 }
 
 func (n *Node) cached(e *catalog.Endpoint, parts []place.Part) {
-	n.gossip.Tell(func(b *wire.Beat) { b.Cached = append(b.Cached, gateway.CachedPrefix(e, parts)) })
+	n.gossip.Tell(func(b *wire.Beat) { b.Cached = append(b.Cached, cachesync.Prefix(e, parts)) })
 }
 
 func (n *Node) crashed(fingerprint uint64, endpoint string) {
