--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -8,12 +8,19 @@
 // sending of its last confirmed renewal, by a clock that counts suspension, and
 // a new one waits until the last holder must have stopped and all that it sent
 // has arrived.
+//
+// The platform's store keeps a record of the VM that acted last: a holder writes it
+// before it acts for the first time. A holder that finds itself there, once nobody
+// else can write it any more, takes turns with nobody, and needn't wait on: a VM
+// that was restarted, or cut off from the store for a while, goes on where it was.
 package authority
 
 import (
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"fescuestand/internal/clock"
 )
 
@@ -34,6 +41,19 @@
 	startSpan = 4 * time.Second
 )
 
+// Step is what a holder has to do at the record before it may act.
+type Step uint8
+
+// The steps.
+const (
+	Nothing Step = iota
+	Read         // see who acted last
+	Write        // put this VM there
+)
+
+// Holding tells a step's outcome from that of an earlier holding.
+type Holding uint64
+
 // Authority is one process's. It is safe for concurrent use.
 type Authority struct {
 	turn       time.Duration // within which two holders must not take turns
@@ -44,6 +64,9 @@
 	since      clock.Time
 	renewed    clock.Time // when the last confirmed renewal was sent
 	generation int64
+	holding    Holding
+	read       bool // the record has been read in this holding
+	recorded   bool // it names this VM
 }
 
 // New returns an authority that isn't held, of a process that starts now. turn is
@@ -59,7 +82,7 @@
 }
 
 // settle is how long a holding that began at since must last before its holder
-// may act.
+// may act as the successor of another VM.
 func (a *Authority) settle(since clock.Time) time.Duration {
 	if since < a.firstUntil {
 		return firstSettle
@@ -73,15 +96,49 @@
 	defer a.mu.Unlock()
 	lapsed := sentAt.Sub(a.renewed) > hold
 	if owned && (!a.owned || lapsed) {
-		a.since = sentAt
+		a.since, a.read, a.recorded = sentAt, false, false
+		a.holding++
+		log.WithField("generation", generation).WithField("settles_ms", a.settle(sentAt).Milliseconds()).Info("duty dealt")
+	}
+	if a.owned && !owned {
+		log.WithField("generation", generation).Info("duty lost")
 	}
 	a.owned, a.renewed, a.generation = owned, sentAt, generation
 }
 
+// Next returns what has to be done at the record. An earlier holder may write it
+// until hold after this one was dealt the duty; only then does it say who acted
+// last.
+func (a *Authority) Next(now clock.Time) (Step, Holding) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	held := now.Sub(a.since)
+	switch {
+	case !a.owned || a.recorded || now.Sub(a.renewed) >= hold:
+	case !a.read && held >= hold:
+		return Read, a.holding
+	case a.read && held >= a.settle(a.since):
+		return Write, a.holding
+	}
+	return Nothing, a.holding
+}
+
+// Done takes a step's outcome: whether the record names this VM, or, with ok unset,
+// that the step failed and begins anew with a reading.
+func (a *Authority) Done(h Holding, own, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h != a.holding {
+		return
+	}
+	a.read = ok
+	a.recorded = ok && own
+}
+
 // May returns the fencing token to act with, and whether the process may act.
 func (a *Authority) May(now clock.Time) (fence int64, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	ok = a.owned && now.Sub(a.renewed) < hold && now.Sub(a.since) >= a.settle(a.since)
+	ok = a.owned && a.recorded && now.Sub(a.renewed) < hold
 	return a.generation, ok
 }
--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -1,6 +1,8 @@
 package authority
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -14,8 +16,26 @@
 	renew = 1500 * time.Millisecond
 )
 
-// may tells whether a may act, leaving the fencing token aside.
+// record is the store's, written and read without delay.
+type record struct{ last string }
+
+// keep does the next step of a, which belongs to vm, at the record.
+func (r *record) keep(a *Authority, vm string, at time.Duration) {
+	step, h := a.Next(clock.Time(at))
+	if step == Write {
+		r.last = vm
+	}
+	if step != Nothing {
+		a.Done(h, r.last == vm, true)
+	}
+}
+
+// may tells whether a may act, leaving the fencing token aside, after it has done at
+// the record what it has to; the last to act was another VM.
 func may(a *Authority, at time.Duration) bool {
+	r := record{"another"}
+	r.keep(a, "vm", at)
+	r.keep(a, "vm", at)
 	_, ok := a.May(clock.Time(at))
 	return ok
 }
@@ -91,3 +111,60 @@
 	a.Renewed(clock.Time(2700*time.Millisecond), false, 2)
 	assert.Assert(t, !may(a, 2800*time.Millisecond))
 }
+
+// A VM that gives orders is killed and starts again under the name that the group
+// knows. The duty is still its own. It waited as if another VM might act, in which no
+// engine changed its stage: with one decode engine left callers were refused for
+// fifteen seconds.
+func TestARestartedHolderGoesOnOnceNobodyElseCanHaveActed(t *testing.T) {
+	r := record{"vm"}
+	a := New(turn, false, 0)
+	for at := time.Duration(0); at < 3*time.Second; at += 50 * time.Millisecond {
+		if at%renew == 0 {
+			a.Renewed(clock.Time(at), true, 4)
+		}
+		r.keep(a, "vm", at)
+		_, ok := a.May(clock.Time(at))
+		assert.Equal(t, ok, at >= hold, "at %s", at)
+	}
+}
+
+// Two VMs are dealt the duty in turn, over and over; one of them is frozen, cut off or
+// restarted now and then, at moments that a seed draws. An order of one must not
+// follow an order of the other within the time of a turn.
+func TestTwoHoldersNeverTakeTurnsTooSoon(t *testing.T) {
+	const tick = 20 * time.Millisecond
+	acted := 0
+	for seed := range uint64(300) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		r := record{}
+		vms := []*Authority{New(turn, false, 0), New(turn, false, 0)}
+		owner, generation := 0, int64(1)
+		next := []time.Duration{0, 0} // renewal
+		last, lastAt := -1, time.Duration(-1<<40)
+		for at := time.Duration(0); at < 60*time.Second; at += tick {
+			if rng.IntN(200) == 0 { // dealt anew, at times to the same VM
+				owner, generation = rng.IntN(2), generation+1
+			}
+			if rng.IntN(400) == 0 { // restarted
+				vms[rng.IntN(2)] = New(turn, false, clock.Time(at))
+			}
+			for i, a := range vms {
+				if at >= next[i] && rng.IntN(4) > 0 { // some renewals fail
+					a.Renewed(clock.Time(at), owner == i, generation)
+					next[i] = at + renew
+				}
+				if rng.IntN(3) > 0 {
+					r.keep(a, fmt.Sprint(i), at)
+				}
+				if _, ok := a.May(clock.Time(at)); !ok {
+					continue
+				}
+				assert.Assert(t, last == i || at-lastAt >= turn, "seed %d: %d at %s, %d at %s", seed, last, lastAt, i, at)
+				last, lastAt = i, at
+				acted++
+			}
+		}
+	}
+	assert.Assert(t, acted > 0)
+}
--- /dev/null
+++ b/internal/authority/keeper.go
@@ -0,0 +1,64 @@
+package authority
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"fescuestand/internal/clock"
+)
+
+// Record is kept by the platform's store: the VM that acted last.
+type Record interface {
+	// LastHolder returns the VM, empty if there is none, and the record's version.
+	LastHolder(ctx context.Context) (vm string, version int64, err error)
+	// SetLastHolder replaces the record if it still has that version.
+	SetLastHolder(ctx context.Context, vm string, version int64) error
+}
+
+// Keeper does the steps at the record. It is a kernel unit.
+type Keeper struct {
+	Authority *Authority
+	Record    Record
+	Clock     clock.Clock
+	VM        string // this one's name in the record: the same after a restart
+
+	version int64 // of the record that was read last
+}
+
+// keepPeriod is the time between two looks.
+const keepPeriod = 100 * time.Millisecond
+
+// Name implements kernel.Unit.
+func (k *Keeper) Name() string { return "duty" }
+
+// Run implements kernel.Runner.
+func (k *Keeper) Run(ctx context.Context) error {
+	tick := time.NewTicker(keepPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			k.look(ctx)
+		}
+	}
+}
+
+func (k *Keeper) look(ctx context.Context) {
+	step, holding := k.Authority.Next(k.Clock.Now())
+	switch step {
+	case Nothing:
+	case Read:
+		vm, version, err := k.Record.LastHolder(ctx)
+		k.version = version
+		k.Authority.Done(holding, vm == k.VM, err == nil)
+		log.WithError(err).WithField("last_holder", vm).WithField("own", vm == k.VM).Info("duty record read")
+	case Write:
+		err := k.Record.SetLastHolder(ctx, k.VM, k.version)
+		k.Authority.Done(holding, err == nil, err == nil)
+		log.WithError(err).WithField("last_holder", k.VM).Info("duty record written")
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,6 +19,8 @@
 	Crashes *crash.Register
 	Catalog *catalog.Store
 	Changes *Changes
+	// Ordered is told of each engine that another VM has ordered to change.
+	Ordered func(id string)
 	// HeardConfig is told which version of the configuration a VM serves by.
 	HeardConfig func(vm string, version uint64)
 }
@@ -54,6 +56,7 @@
 	})
 	for _, id := range b.GetChanging() {
 		x.Planner.Changing(now, id)
+		x.Ordered(id)
 	}
 	x.Changes.take(b)
 	x.HeardConfig(from, b.GetConfigVersion())
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -56,6 +57,40 @@
 	Ordered func(id string)
 
 	planners map[string]*stages.Planner
+
+	mu    sync.Mutex
+	heard map[string]clock.Time // engines that another VM has ordered to change
+}
+
+// Heard notes that another VM has ordered an engine to change.
+func (u *Unit) Heard(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.heard == nil {
+		u.heard = map[string]clock.Time{}
+	}
+	u.heard[id] = u.Clock.Now()
+}
+
+// takeHeard hands what was heard to the planner of a service's engines.
+func (u *Unit) takeHeard(p *stages.Planner, open []*catalog.Endpoint) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, e := range open {
+		at, ok := u.heard[e.ID]
+		if !ok {
+			continue
+		}
+		delete(u.heard, e.ID)
+		p.Ordered(at, stages.Change{ID: e.ID, To: otherStage(e.Stage)})
+	}
+}
+
+func otherStage(s catalog.Stage) catalog.Stage {
+	if s == catalog.Prefill {
+		return catalog.Decode
+	}
+	return catalog.Prefill
 }
 
 // Name implements kernel.Unit.
@@ -76,10 +111,9 @@
 	}
 }
 
+// look plans also where another VM gives the orders: how long a split has been off
+// is known then by whichever VM has to act next.
 func (u *Unit) look(ctx context.Context) {
-	if _, ok := u.Authority.May(u.Clock.Now()); !ok {
-		return
-	}
 	v := u.Catalog.View()
 	if v.Config == nil {
 		return
@@ -103,8 +137,9 @@
 	}
 	d := u.Demand()
 	d.Slots = slots
-	c, ok := p.Plan(u.Clock.Now(), engines, d)
-	if !ok {
+	u.takeHeard(p, open)
+	c, wanted := p.Plan(u.Clock.Now(), engines, d)
+	if _, may := u.Authority.May(u.Clock.Now()); !wanted || !may {
 		return
 	}
 	for _, e := range open {
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -48,6 +48,12 @@
 
 // run starts a unit before four decode engines.
 func run(t *testing.T, f *fake, may bool) (ordered *[]string) {
+	t.Helper()
+	_, ordered = start(t, f, may)
+	return ordered
+}
+
+func start(t *testing.T, f *fake, may bool) (u *Unit, ordered *[]string) {
 	t.Helper()
 	store := catalog.NewStore(clock.Boot{})
 	store.SetConfig(catalog.NewConfig(1, nil, []*catalog.Service{{Name: "m", Engine: &catalog.Engine{Slots: 96}}, {Name: "plain"}}))
@@ -60,9 +66,14 @@
 		a.Renewed(now.Add(-4*time.Second), true, 5)
 		a.Renewed(now.Add(-2*time.Second), true, 5)
 		a.Renewed(now, true, 5)
+		for _, want := range []authority.Step{authority.Read, authority.Write} {
+			step, holding := a.Next(now)
+			assert.Equal(t, step, want)
+			a.Done(holding, step == authority.Write, true)
+		}
 	}
 	ordered = &[]string{}
-	u := &Unit{
+	u = &Unit{
 		Catalog: store, Authority: a, Engine: f, Clock: clock.Boot{}, Load: func(string) int { return 0 },
 		Demand: func() stages.Demand { return stages.Demand{} }, Ordered: func(id string) { *ordered = append(*ordered, id) },
 	}
@@ -76,7 +87,7 @@
 		}
 	}()
 	t.Cleanup(func() { cancel(); <-done })
-	return ordered
+	return u, ordered
 }
 
 func TestTheHolderSplitsTheFleet(t *testing.T) {
@@ -100,6 +111,17 @@
 	assert.Equal(t, len(f.given()), 0)
 }
 
+// Another VM has just ordered two of four engines to prefill and hands the duty on.
+// Their entries don't show it yet: the next holder would order the other two.
+func TestWhatAnotherVMHasOrderedIsNotOrderedAgain(t *testing.T) {
+	f := &fake{}
+	u, _ := start(t, f, true)
+	u.Heard("e0")
+	u.Heard("e1")
+	time.Sleep(4 * time.Second)
+	assert.Equal(t, len(f.given()), 0)
+}
+
 // An engine still carries out an order of the holder before. A second order would
 // be carried out after it.
 func TestABusyEngineIsNotOrdered(t *testing.T) {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -42,6 +42,8 @@
 	DecodeConfig(data []byte) (*catalog.Config, error)
 	// DecodeEndpoint reads a record of Endpoints.
 	DecodeEndpoint(id string, data []byte) (*catalog.Endpoint, error)
+	// Duty keeps the VM that gave orders last.
+	Duty() authority.Record
 	// Engine gives orders over connections of pool.
 	Engine(pool *exchange.Pool) orders.Engine
 	// Caches asks engines what they have cached, over connections of pool.
@@ -103,6 +105,7 @@
 	gossip  *gossip.Unit
 	pool    *exchange.Pool
 	duty    *authority.Authority
+	orders  *orders.Unit
 	config  *keyedlog.Follower
 	fleet   *keyedlog.Follower
 	changes *gateway.Changes
@@ -119,9 +122,14 @@
 	n.duty = authority.New(o.Turn, o.FirstStart, c.Now())
 	n.planner = place.New(o.Self.Zone, seedOf(o.Self.Incarnation))
 	n.budget = repeat.New(o.Budget)
+	n.orders = &orders.Unit{
+		Catalog: n.catalog, Authority: n.duty, Engine: a.Engine(n.pool), Clock: c,
+		Load: n.planner.Running, Demand: n.demand, Ordered: n.ordered,
+	}
 	n.followers()
 	n.gossip = gossip.NewUnit(n.members, &gateway.Exchange{
-		Clock: c, Planner: n.planner, Crashes: n.crashes, Catalog: n.catalog, Changes: n.changes, HeardConfig: n.puller.Heard,
+		Clock: c, Planner: n.planner, Crashes: n.crashes, Catalog: n.catalog, Changes: n.changes,
+		Ordered: n.orders.Heard, HeardConfig: n.puller.Heard,
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Codec: a.Codec(), Catalog: n.catalog, Planner: n.planner, Budget: n.budget, Crashes: n.crashes,
@@ -144,10 +152,8 @@
 	return []kernel.Unit{
 		n.gossip,
 		gossip.NewRegistration(n.adapter, n.members, n.renewed),
-		&orders.Unit{
-			Catalog: n.catalog, Authority: n.duty, Engine: n.adapter.Engine(n.pool), Clock: n.clock,
-			Load: n.planner.Running, Demand: n.demand, Ordered: n.ordered,
-		},
+		&authority.Keeper{Authority: n.duty, Record: n.adapter.Duty(), Clock: n.clock, VM: n.o.Self.Peer},
+		n.orders,
 		&follower{n},
 		n.cachesUnit(),
 		gateway.NewServer("front", at.Callers, n.gateway, linger),
