--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"fescuestand/internal/policy/ontime"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
+	"fescuestand/internal/policy/serving"
 )
 
 // Options of a Gateway.
@@ -43,11 +44,15 @@
 	o       Options
 	metrics *Metrics
 	held    ontime.Held
+	rate    serving.Meter
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway { return &Gateway{o: o, metrics: newMetrics()} }
 
+// Rate returns the requests a second, zero if they are not known yet.
+func (g *Gateway) Rate() float64 { return g.rate.Rate(g.o.Clock.Now()) }
+
 // Metrics returns the counters.
 func (g *Gateway) Metrics() *Metrics { return g.metrics }
 
@@ -62,6 +67,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	arrived := g.o.Clock.Now()
+	g.rate.Note(arrived)
 	view := g.o.Catalog.View()
 	c, route, refused := g.accept(w, r, view)
 	if refused != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"fescuestand/internal/cachesync"
@@ -19,6 +20,8 @@
 	Crashes *crash.Register
 	Catalog *catalog.Store
 	Changes *Changes
+	// Rate is how many requests a second this VM gets.
+	Rate func() float64
 	// Ordered is told of each engine that another VM has ordered to change.
 	Ordered func(id string)
 	// HeardConfig is told which version of the configuration a VM serves by.
@@ -31,6 +34,7 @@
 		b.ConfigVersion = c.Version
 	}
 	x.Changes.fill(b)
+	b.Requests = uint32(math.Ceil(x.Rate()))
 	d := x.Planner.Demand(x.Clock.Now())
 	b.Demand = &wire.Demand{PrefillMs: uint32(1000 * d.Prefill), CentiStreams: uint32(100 * d.Streams)}
 	for _, r := range x.Planner.Outstanding() {
--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -182,6 +182,7 @@
 func (u *Unit) beat(toAll bool) {
 	b := u.own()
 	u.content.Fill(b)
+	u.members.setRequests(b.GetRequests())
 	u.idle = len(b.GetOutstanding()) == 0
 	u.take(b, toAll)
 	if !toAll {
@@ -259,7 +260,7 @@
 		u.members.hear(heard{
 			Node:  Node{b.GetIncarnation(), b.GetZone(), b.GetCaller(), b.GetPeer(), b.GetCapacity()},
 			ready: b.GetReady(), leaving: b.GetLeaving(), readAgeMs: b.GetReadAgeMs(), busy: len(b.GetOutstanding()) > 0,
-			informed: b.GetInformed(),
+			informed: b.GetInformed(), requests: b.GetRequests(),
 		})
 		u.members.introduce(b.GetIntroduces())
 		u.content.Take(b.GetPeer(), &b)
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/policy/serving"
 )
 
 const (
@@ -45,6 +46,7 @@
 	ready    bool
 	leaving  bool
 	informed bool       // it knows what engines have cached
+	requests uint32     // a second that it gets, zero if not known
 	reads    bool       // it reads the endpoints' entries
 	readAt   clock.Time // when it last did
 }
@@ -62,6 +64,7 @@
 	ready      bool
 	leaving    bool
 	informed   bool
+	requests   uint32
 	readAt     clock.Time // last read of the endpoints' entries
 }
 
@@ -143,6 +146,7 @@
 	Node
 	ready, leaving bool
 	informed       bool
+	requests       uint32 // a second
 	readAgeMs      uint32
 	busy           bool // it has requests in hand
 }
@@ -167,7 +171,7 @@
 	if h.busy {
 		k.busyAt = now
 	}
-	k.informed = h.informed
+	k.informed, k.requests = h.informed, h.requests
 	k.reads = h.readAgeMs > 0
 	k.readAt = now.Add(-time.Duration(h.readAgeMs) * time.Millisecond)
 }
@@ -183,73 +187,46 @@
 	return k.heardLately(now)
 }
 
-// serving returns the VMs that callers are sent to, in no order.
-func (m *Members) serving() []Node {
+// serving returns the VMs that callers are sent to.
+func (m *Members) serving() []serving.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	var nodes []Node
+	var vms []serving.VM
+	rate := uint32(0)
+	add := func(n *Node, requests uint32) {
+		capacity := n.Capacity
+		if capacity == 0 {
+			capacity = m.own.Capacity
+		}
+		vms = append(vms, serving.VM{Address: n.Caller, Zone: n.Zone, Capacity: capacity})
+		rate += requests
+	}
 	if m.ready && !m.leaving {
-		nodes = append(nodes, m.own)
+		add(&m.own, m.requests)
 	}
 	for _, k := range m.known {
 		if k.alive(now) {
-			nodes = append(nodes, k.Node)
+			add(&k.Node, k.requests)
 		}
 	}
-	return largest(nodes, m.own.Capacity)
+	return serving.Choose(vms, float64(rate))
 }
 
 // Callers returns the callers' addresses of the VMs that take them, those in
 // zone first.
 func (m *Members) Callers(zone string) []string {
-	nodes := m.serving()
-	slices.SortFunc(nodes, func(a, b Node) int {
-		if near := rank(a.Zone, zone) - rank(b.Zone, zone); near != 0 {
-			return near
-		}
-		return cmp.Compare(a.Caller, b.Caller)
+	vms := m.serving()
+	slices.SortFunc(vms, func(a, b serving.VM) int {
+		return cmp.Or(rank(a.Zone, zone)-rank(b.Zone, zone), cmp.Compare(a.Address, b.Address))
 	})
-	out := make([]string, len(nodes))
-	for i, n := range nodes {
-		out[i] = n.Caller
+	out := make([]string, len(vms))
+	for i, v := range vms {
+		out[i] = v.Address
 	}
 	return out
 }
 
-// smallShare of the largest VM's capacity makes a VM a small one, and
-// enoughShare of all capacity is what the others must have to do without them.
-const (
-	smallShare  = 0.5
-	enoughShare = 0.5
-)
-
-// largest leaves the small VMs out if the others can carry the load. Callers
-// choose among the addresses at random: a VM with a twentieth of another's link
-// would get as many requests, and its callers would wait for it.
-func largest(nodes []Node, unknown uint32) []Node {
-	top, all := uint32(0), uint32(0)
-	for i := range nodes {
-		if nodes[i].Capacity == 0 {
-			nodes[i].Capacity = unknown
-		}
-		top = max(top, nodes[i].Capacity)
-		all += nodes[i].Capacity
-	}
-	var large []Node
-	sum := uint32(0)
-	for _, n := range nodes {
-		if float64(n.Capacity) >= smallShare*float64(top) {
-			large = append(large, n)
-			sum += n.Capacity
-		}
-	}
-	if float64(sum) < enoughShare*float64(all) {
-		return nodes
-	}
-	return large
-}
-
 // Serving is how many VMs callers are sent to.
 func (m *Members) Serving() int { return max(len(m.serving()), 1) }
 
--- /dev/null
+++ b/internal/policy/serving/serving_test.go
@@ -0,0 +1,84 @@
+package serving
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+)
+
+func fleet(n, perZone int, capacity uint32) []VM {
+	var out []VM
+	for i := range n {
+		out = append(out, VM{Address: fmt.Sprintf("10.0.0.%02d:1", i), Zone: fmt.Sprint("z", i/perZone), Capacity: capacity})
+	}
+	return out
+}
+
+func perZone(vms []VM) map[string]int {
+	out := map[string]int{}
+	for _, v := range vms {
+		out[v.Zone]++
+	}
+	return out
+}
+
+// Nine VMs in three zones get 100 requests a second, of which each could take 180.
+// Spread over all nine, connections to endpoints lie idle until they are closed.
+func TestASmallLoadIsServedByOneVMOfEachZone(t *testing.T) {
+	vms := fleet(9, 3, 180)
+	assert.DeepEqual(t, perZone(Choose(vms, 100)), map[string]int{"z0": 1, "z1": 1, "z2": 1})
+	assert.Equal(t, len(Choose(vms, 200)), 5, "four times the load")
+	assert.Equal(t, len(Choose(vms, 10_000)), 9)
+	assert.Equal(t, len(Choose(vms, 0)), 9, "a load that isn't known")
+}
+
+// A VM that is named is lost. Another one of its zone takes its place, and the
+// callers of the others stay where they are.
+func TestALostVMIsReplacedInItsZone(t *testing.T) {
+	vms := fleet(9, 3, 180)
+	before := Choose(vms, 100)
+	after := Choose(vms[1:], 100)
+	assert.DeepEqual(t, perZone(after), perZone(before))
+	assert.DeepEqual(t, after[1:], before[1:])
+	assert.Assert(t, after[0] != before[0])
+	assert.Equal(t, len(Choose(vms[:2], 100)), 2)
+	assert.Equal(t, len(Choose(nil, 100)), 0)
+}
+
+// Ten VMs have twenty times the link of the fifty others. Callers choose among the
+// addresses at random, so that the small ones would get most requests.
+func TestSmallVMsAreNamedOnlyWhereTheyAreNeeded(t *testing.T) {
+	named := func(large int) int {
+		vms := fleet(51, 51, 30)
+		for i := range large {
+			vms[i].Capacity = 360
+		}
+		return len(Choose(vms, 0))
+	}
+	assert.Equal(t, named(10), 10)
+	assert.Equal(t, named(0), 51)
+	assert.Equal(t, named(2), 51, "two can't carry the load of fifty")
+}
+
+// Traffic begins at its full rate. Averaged from nothing, it would look small, and
+// callers would be sent to a few VMs that can't carry it.
+func TestARateIsKnownSoonAndWhole(t *testing.T) {
+	var m Meter
+	start := clock.Time(time.Hour)
+	now := start
+	assert.Equal(t, m.Rate(now), 0.0)
+	for range 300 {
+		m.Note(now)
+		now = now.Add(10 * time.Millisecond)
+		if now.Sub(start) < knownAfter {
+			assert.Equal(t, m.Rate(now), 0.0)
+		}
+	}
+	assert.Assert(t, math.Abs(m.Rate(now)-100) < 5, "%f", m.Rate(now))
+	assert.Assert(t, m.Rate(now.Add(time.Minute)) < 10, "it falls with time")
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -127,15 +127,15 @@
 		Load: n.planner.Running, Demand: n.demand, Ordered: n.ordered,
 	}
 	n.followers()
-	n.gossip = gossip.NewUnit(n.members, &gateway.Exchange{
-		Clock: c, Planner: n.planner, Crashes: n.crashes, Catalog: n.catalog, Changes: n.changes,
-		Ordered: n.orders.Heard, HeardConfig: n.puller.Heard,
-	})
 	n.gateway = gateway.New(gateway.Options{
 		Codec: a.Codec(), Catalog: n.catalog, Planner: n.planner, Budget: n.budget, Crashes: n.crashes,
 		Pool: n.pool, Clock: c, Leaving: n.members.Leaving,
 		VMs: n.members.Serving, Sent: n.sent, Cached: n.cached, Crashed: n.crashed,
 	})
+	n.gossip = gossip.NewUnit(n.members, &gateway.Exchange{
+		Clock: c, Planner: n.planner, Crashes: n.crashes, Catalog: n.catalog, Changes: n.changes,
+		Rate: n.gateway.Rate, Ordered: n.orders.Heard, HeardConfig: n.puller.Heard,
+	})
 	return n
 }
 
