--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -409,9 +409,10 @@
 		assert.Equal(t, e.Zone, "z0", "cache %d", i)
 	}
 	for _, e := range all {
-		if e.Zone == "z0" {
-			w.p.Send(0, e, 0)
-			w.p.Send(0, e, 0)
+		for range otherZoneRequests + 1 {
+			if e.Zone == "z0" {
+				w.p.Send(0, e, 0)
+			}
 		}
 	}
 	assert.Assert(t, w.p.Target(0, w.open, source, nil).Zone != "z0", "a loaded zone is left")
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -166,8 +166,8 @@
 	return best
 }
 
-// leastRunning is the decode engine with the fewest requests; a transfer within
-// the source's zone takes half the time, which is worth a request.
+// leastRunning is the decode engine with the fewest requests, within the source's
+// zone where it can be.
 func (p *Planner) leastRunning(now clock.Time, list []*state, source *state) *state {
 	var best *state
 	var least float64
@@ -206,11 +206,16 @@
 		n += float64(s.ep.Slots) // it would wait, or be turned away
 	}
 	if source != nil && s.ep.Zone != source.ep.Zone {
-		n++
+		n += otherZoneRequests
 	}
 	return n
 }
 
+// otherZoneRequests is how many requests fewer a decode engine of another zone must
+// have than one in the source's: a transfer between zones holds both links for
+// twice as long, and the next ones wait behind it.
+const otherZoneRequests = 3
+
 // decodeSharePerSecond weighs prefill work that waits at a decode engine against
 // running requests: 100 ms of it slows the engine's streams about as much as
 // three more requests in its batch.
