--- a/internal/policy/place/fetch.go
+++ b/internal/policy/place/fetch.go
@@ -9,6 +9,9 @@
 const (
 	// fetchTime is the fixed time of a fetch between two engines.
 	fetchTime = 10 * time.Millisecond
+	// fetchBurden weighs a fetch against the request's own wait: the transfers of
+	// both links wait behind it, those of hand-overs among them.
+	fetchBurden = 1
 	// otherZoneTransfer times a transfer within a zone is one between two.
 	otherZoneTransfer = 2
 )
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -111,7 +111,7 @@
 			o.source, o.cached, o.fetch, o.work = f.from, f.cached, f.takes, f.work
 		}
 		o.first = o.wait + o.fetch + o.work + firstTime
-		o.score = o.first + s.burden(o.work, len(list), s.running+p.peerRunning(now, s.key())) - s.credit(pr, o.cached, preferred)
+		o.score = o.first + fetchBurden*o.fetch + s.burden(o.work, len(list), s.running+p.peerRunning(now, s.key())) - s.credit(pr, o.cached, preferred)
 		if s.ep.Zone != p.zone {
 			o.score += zoneTime
 		}
