--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -12,6 +12,7 @@
 	"fescuestand/internal/code"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/policy/ontime"
+	"fescuestand/internal/policy/place"
 )
 
 // plainAnswer is a whole answer of an endpoint.
@@ -49,7 +50,7 @@
 	if ep == nil {
 		return result{outcome: notSent, code: code.NoEndpoint}
 	}
-	t := x.g.o.Planner.Send(x.now(), ep, 0)
+	t := x.g.o.Planner.Send(x.now(), ep, place.Job{})
 	ctx, cancel := x.callContext()
 	defer cancel()
 	resp, ans, r := x.send(ctx, &Send{Endpoint: ep})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -60,8 +60,7 @@
 	ctx, cancel := context.WithTimeout(x.ctx, silentFirst+firstFactor*(plan.Wait+plan.Fetch+plan.Work))
 	defer cancel()
 	s := &Send{Endpoint: e, Prefill: true, Fetch: sourceOf(plan)}
-	t := x.g.o.Planner.Send(x.now(), e, plan.Work)
-	x.fetches(t, s)
+	t := x.g.o.Planner.Send(x.now(), e, plan.Job())
 	x.g.o.Sent(plan.Work)
 	resp, _, r := x.send(ctx, s)
 	var h *HandOver
@@ -85,13 +84,6 @@
 	return plan.Source.Address
 }
 
-// fetches notes an exchange whose engine fetches first.
-func (x *execution) fetches(t *place.Ticket, s *Send) {
-	if s.Fetch != "" {
-		x.g.o.Planner.Fetches(t)
-	}
-}
-
 func (x *execution) readHandOver(resp *exchange.Response, e *catalog.Endpoint) (*HandOver, result) {
 	defer resp.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHandOver))
@@ -126,12 +118,11 @@
 // stream does one exchange of a stream with its engine.
 func (x *execution) stream(s *Send, pr *place.Prompt, plan *place.Plan) result {
 	s.LastEvent = x.lastEvent
-	work := plan.Work
+	job := plan.Job()
 	if s.KV != nil {
-		work = 0
+		job = place.Job{Taken: pr.Tokens}
 	}
-	t := x.g.o.Planner.Send(x.now(), s.Endpoint, work)
-	x.fetches(t, s)
+	t := x.g.o.Planner.Send(x.now(), s.Endpoint, job)
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	watch := x.watch(cancel, t, s, plan)
--- a/internal/policy/place/fetch.go
+++ b/internal/policy/place/fetch.go
@@ -73,7 +73,7 @@
 		if src.s == nil || src.s == s || src.tokens-cached < minShared {
 			continue
 		}
-		f := fetch{from: src.s, cached: src.tokens, work: s.workAfter(pr, src.tokens)}
+		f := fetch{from: src.s, cached: src.tokens, work: p.workAfter(s, pr, src.tokens)}
 		f.takes = p.fetchTime(s.ep, src.s.ep, src.tokens-cached)
 		if f.takes+f.work < best.takes+best.work {
 			best = f
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -31,26 +31,9 @@
 	"fescuestand/internal/clock"
 )
 
-// The figures of an engine and their grounds. Times were measured on idle
-// engines of the users' sheets, over prompts of 0 to 32,000 tokens.
 const (
-	// prefillRate and decodeRate are the prompt tokens that an engine prefills
-	// in a second, at a stage for prefill and at one for decoding: chunks of
-	// 2,048 tokens at 157 a millisecond, or of 512 at half of that, each
-	// with a step of 3.55 ms.
-	prefillRate = 123_000.0
-	decodeRate  = 51_000.0
-	// pairTime is the attention's part of a prefill: nanoseconds for a pair of
-	// tokens of one prompt. It is what makes the longest prompts slow.
-	pairTime = 0.109
-	// firstTime passes between the end of a prefill and its answer, with the
-	// exchange's own; it doesn't keep the engine from other work.
-	firstTime = 31 * time.Millisecond
-	// handOverTime is the fixed time of a KV transfer: a second exchange
-	// within the region, the transfer's set-up and a step of the decode engine.
-	handOverTime = 20 * time.Millisecond
 	// usualTransfer is assumed for one token's KV cache where the configuration
-	// doesn't say: 18 kB over 370 Gbit/s.
+	// doesn't say.
 	usualTransfer = 400 * time.Nanosecond
 	// zoneTime is what an exchange with another availability zone adds.
 	zoneTime = 3 * time.Millisecond
@@ -109,12 +92,15 @@
 	meter meter
 
 	engines map[string]catalog.Engine // by service, as the configuration has them
+	speeds  speeds
 }
 
 // New returns a planner for a VM in zone. Planners of different VMs take
 // different seeds, so that ties are broken differently.
 func New(zone string, seed uint64) *Planner {
-	return &Planner{zone: zone, seed: seed, known: map[string]*state{}, peers: map[string]peerReport{}}
+	return &Planner{
+		zone: zone, seed: seed, known: map[string]*state{}, peers: map[string]peerReport{}, speeds: speeds{},
+	}
 }
 
 // state is what is believed of one endpoint.
@@ -123,7 +109,7 @@
 	hash    uint64               // of its id
 	jobs    map[*Ticket]struct{} // prefills sent and not finished
 	running int                  // this VM's exchanges that have not ended
-	speed   float64              // measured over predicted prefill time
+	speed   float64              // prefill time over that of its service's engines
 	cache   cache
 	health  health
 	load    reportedLoad
@@ -187,7 +173,7 @@
 
 // transfer is the time to hand a prompt's KV cache over to e.
 func (p *Planner) transfer(e *catalog.Endpoint, tokens int) time.Duration {
-	return handOverTime + time.Duration(tokens)*p.perToken(e)
+	return p.speeds.of(e.Service).handOver.Value() + time.Duration(tokens)*p.perToken(e)
 }
 
 // perToken is the time in which one token's KV cache goes to e within its zone.
@@ -203,38 +189,28 @@
 // slower than predicted shows only by their number, less the work that is done
 // and whose answers are under way.
 func (p *Planner) wait(now clock.Time, s *state) time.Duration {
-	return max(s.outstanding()+p.peerWork(now, s.key())-firstTime, 0)
+	return max(s.outstanding()+p.peerWork(now, s.key())-p.fixed(s), 0)
 }
 
 // outstanding is the work that this VM has sent to s and that isn't answered.
 func (s *state) outstanding() time.Duration {
 	var sum time.Duration
 	for t := range s.jobs {
-		sum += t.work
+		sum += t.job.Work
 	}
 	return sum
 }
 
 // work is the predicted time of a prefill at s.
-func (s *state) work(pr *Prompt) (t time.Duration, cached int) {
+func (p *Planner) work(s *state, pr *Prompt) (t time.Duration, cached int) {
 	cached = s.cache.prefix(pr.Parts)
-	return s.workAfter(pr, cached), cached
+	return p.workAfter(s, pr, cached), cached
 }
 
 // workAfter is the predicted time to prefill what follows the cached tokens of pr.
-func (s *state) workAfter(pr *Prompt, cached int) time.Duration {
-	rate := prefillRate
-	if s.ep.Stage == catalog.Decode {
-		rate = decodeRate
-	}
-	return time.Duration(float64(workOf(max(pr.Tokens-cached, 1), cached, rate)) * s.speed)
-}
-
-// workOf is the time to prefill fresh tokens after cached ones.
-func workOf(fresh, cached int, rate float64) time.Duration {
-	n := float64(fresh)
-	pairs := n * (float64(cached) + n/2)
-	return time.Duration(n/rate*float64(time.Second) + pairs*pairTime)
+func (p *Planner) workAfter(s *state, pr *Prompt, cached int) time.Duration {
+	f := p.speeds.figures(s.ep)
+	return time.Duration(float64(f.Work(max(pr.Tokens-cached, 1), cached)) * s.speed)
 }
 
 // burden is what a prefill costs others: those who come after it, and at a decode
@@ -250,7 +226,7 @@
 
 // credit favours the engine that all VMs prefer for the prompt's longest shared
 // prefix, while the prefix isn't cached there.
-func (s *state) credit(pr *Prompt, cached int, preferred *state) time.Duration {
+func (p *Planner) credit(s *state, pr *Prompt, cached int, preferred *state) time.Duration {
 	if s != preferred {
 		return 0
 	}
@@ -258,7 +234,7 @@
 	if shared < minShared {
 		return 0
 	}
-	return time.Duration(coldCredit * float64(shared) / prefillRate * float64(time.Second))
+	return time.Duration(coldCredit * float64(p.speeds.figures(s.ep).Work(shared, cached)))
 }
 
 // SharedTokens is the length of the parts that other prompts may share.
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -21,8 +21,13 @@
 	Work    time.Duration     // predicted prefill work
 	Wait    time.Duration     // predicted time until the prefill starts
 	Engines int               // that could have prefilled it
+
+	fresh int // tokens that the engine reads
 }
 
+// Job is the prefill of the plan.
+func (p *Plan) Job() Job { return Job{Work: p.Work, Fetch: p.Fetch, fresh: p.fresh, cached: p.Cached} }
+
 // Plan returns the plan with the earliest predicted first event among the open
 // endpoints but those in exclude. It returns false if no engine can take pr.
 func (p *Planner) Plan(now clock.Time, open []*catalog.Endpoint, pr *Prompt, exclude map[string]bool) (Plan, bool) {
@@ -40,11 +45,11 @@
 	}
 	switch {
 	case haveSplit && target != nil && (!haveWhole || split.score < whole.score):
-		plan := split.plan(len(c.prefill))
+		plan := split.plan(pr, len(c.prefill))
 		plan.Prefill, plan.Engine = split.s.ep, target.ep
 		return plan, true
 	case haveWhole:
-		return whole.plan(len(c.decode)), true
+		return whole.plan(pr, len(c.decode)), true
 	}
 	return Plan{}, false
 }
@@ -93,8 +98,11 @@
 
 // plan is the plan in which the option's engine does the whole. engines is how many
 // could have.
-func (o *option) plan(engines int) Plan {
-	p := Plan{Engine: o.s.ep, Cached: o.cached, Fetch: o.fetch, First: o.first, Work: o.work, Wait: o.wait, Engines: engines}
+func (o *option) plan(pr *Prompt, engines int) Plan {
+	p := Plan{
+		Engine: o.s.ep, Cached: o.cached, Fetch: o.fetch, First: o.first, Work: o.work, Wait: o.wait, Engines: engines,
+		fresh: max(pr.Tokens-o.cached, 1),
+	}
 	if o.source != nil {
 		p.Source = o.source.ep
 	}
@@ -106,12 +114,12 @@
 	preferred := preferredFor(list, sharedID(pr.Parts))
 	for _, s := range p.choices(list, preferred, pr) {
 		o := option{s: s, wait: p.wait(now, s)}
-		o.work, o.cached = s.work(pr)
+		o.work, o.cached = p.work(s, pr)
 		if f, ok := p.bestFetch(s, pr, from, o.cached, o.work); ok {
 			o.source, o.cached, o.fetch, o.work = f.from, f.cached, f.takes, f.work
 		}
-		o.first = o.wait + o.fetch + o.work + firstTime
-		o.score = o.first + fetchBurden*o.fetch + s.burden(o.work, len(list), s.running+p.peerRunning(now, s.key())) - s.credit(pr, o.cached, preferred)
+		o.first = o.wait + o.fetch + o.work + p.fixed(s)
+		o.score = o.first + fetchBurden*o.fetch + s.burden(o.work, len(list), s.running+p.peerRunning(now, s.key())) - p.credit(s, pr, o.cached, preferred)
 		if s.ep.Zone != p.zone {
 			o.score += zoneTime
 		}
--- a/internal/policy/place/ticket.go
+++ b/internal/policy/place/ticket.go
@@ -7,12 +7,22 @@
 	"fescuestand/internal/clock"
 )
 
+// Job is what an exchange asks of its engine before the first event. The zero value is
+// an exchange without a prompt.
+type Job struct {
+	Work  time.Duration // of the prefill
+	Fetch time.Duration // of the fetch before it
+	Taken int           // tokens of a KV cache that the engine takes over
+
+	fresh  int // tokens that are read
+	cached int // tokens that are cached before them
+}
+
 // Ticket counts one exchange at an endpoint from its sending to its end.
 type Ticket struct {
 	s        *state
-	work     time.Duration // of the prefill, zero if there is none
+	job      Job
 	expected time.Duration // wait and work at the sending
-	fetches  bool          // the engine fetches a part of the prompt first
 	sentAt   clock.Time
 	ended    bool
 }
@@ -29,41 +39,31 @@
 	Unjudged         // ended by the caller; says nothing about the endpoint
 )
 
-// Send counts an exchange that is about to start at e with the given prefill
-// work.
-func (p *Planner) Send(now clock.Time, e *catalog.Endpoint, work time.Duration) *Ticket {
+// Send counts an exchange that is about to start at e.
+func (p *Planner) Send(now clock.Time, e *catalog.Endpoint, job Job) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.known[e.ID]
 	if s == nil {
 		s = newState(e)
 	}
-	t := &Ticket{s: s, work: work, sentAt: now}
-	t.expected = p.wait(now, s) + work
+	t := &Ticket{s: s, job: job, sentAt: now}
+	t.expected = p.wait(now, s) + job.Work
 	s.running++
-	p.count(now, t, work)
-	if work > 0 {
+	p.count(now, t)
+	if job.Work > 0 {
 		s.jobs[t] = struct{}{}
 	}
 	return t
 }
 
-// Fetches notes that the engine of t fetches a part of the prompt before it reads
-// the rest.
-func (p *Planner) Fetches(t *Ticket) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	t.fetches = true
-}
-
 // count adds an exchange to the demand. A prefill at a decode engine is counted
 // as the time that it would take at a prefill engine.
-func (p *Planner) count(now clock.Time, t *Ticket, work time.Duration) {
+func (p *Planner) count(now clock.Time, t *Ticket) {
 	if t.s.ep.Stage == catalog.Decode {
-		work = time.Duration(float64(work) * decodeRate / prefillRate)
 		p.meter.stream(now, 1)
 	}
-	p.meter.sent(now, work)
+	p.meter.sent(now, p.speeds.atPrefill(t.s.ep, t.job.Work))
 }
 
 // Prefilled notes that the exchange's prefill is over: its first event came, or
@@ -71,10 +71,14 @@
 func (p *Planner) Prefilled(now clock.Time, t *Ticket, parts []Part) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	took := now.Sub(t.sentAt)
 	if _, pending := t.s.jobs[t]; pending {
-		t.s.learn(now.Sub(t.sentAt)-firstTime, t)
+		p.learn(took, t)
 		delete(t.s.jobs, t)
 	}
+	if t.job.Taken > 0 {
+		p.speeds.of(t.s.ep.Service).handOver.Add(took - time.Duration(t.job.Taken)*p.perToken(t.s.ep))
+	}
 	t.s.cache.add(parts)
 }
 
@@ -88,21 +92,38 @@
 	maxSpeed = 2.0
 )
 
-// minLearned is the least work that says something of an engine's speed, and
-// maxWaitShare the most of its time that may have been spent waiting: a wait
-// measures the other VMs' work, not the engine's speed.
 const (
-	minLearned   = 8 * time.Millisecond
+	// minLearned is the least work that says something of an engine's speed
+	// against others.
+	minLearned = 8 * time.Millisecond
+	// maxWaitShare is the most of a prefill's time that may have been spent
+	// waiting, beside a little, for it to say something: a wait measures the
+	// other VMs' work, not the engine's speed.
 	maxWaitShare = 0.25
+	littleWait   = 2 * time.Millisecond
 )
 
-// learn corrects the predicted speed by a measurement. A fetch takes its own time,
-// which says nothing of the engine's.
-func (s *state) learn(took time.Duration, t *Ticket) {
-	if t.fetches || t.work < minLearned || float64(t.expected-t.work) > maxWaitShare*float64(t.work) {
+// learn takes the time of a prefill: it corrects what is known of the service's
+// engines, and of this one against them. A fetch takes its own time, which says
+// nothing of either.
+func (p *Planner) learn(took time.Duration, t *Ticket) {
+	waited := t.expected - t.job.Work
+	if t.job.Fetch > 0 || waited > max(time.Duration(maxWaitShare*float64(t.job.Work)), littleWait) {
 		return
 	}
-	ratio := float64(max(took, 0)) / float64(t.expected)
+	fixed := p.fixed(t.s)
+	if t.job.Work >= minLearned {
+		t.s.learn(took-fixed, t.expected)
+	}
+	if t.job.fresh > 0 {
+		usual := time.Duration(float64(took-fixed) / t.s.speed)
+		p.speeds.model(t.s.ep).Answered(t.job.fresh, t.job.cached, fixed+usual)
+	}
+}
+
+// learn corrects the engine's speed by a measurement.
+func (s *state) learn(took, expected time.Duration) {
+	ratio := float64(max(took, 0)) / float64(expected)
 	ratio = min(max(ratio, 0.5), 2) // one outlier moves the estimate by a tenth at most
 	s.speed = min(max(s.speed*(1+speedWeight*(ratio-1)), minSpeed), maxSpeed)
 }
