--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -115,9 +115,7 @@
 }
 
 // SoonToBusy sends the next beat early to the VMs that serve callers: it carries
-// load, which others don't need between two beats. On a day of 61 VMs of which six
-// served, 0.22 GB went between zones with it and KV caches that stay in their zone,
-// 0.35 GB without both.
+// load, which others don't need between two beats.
 func (u *Unit) SoonToBusy() {
 	select {
 	case u.soon <- struct{}{}:
--- a/internal/gossip/informed.go
+++ b/internal/gossip/informed.go
@@ -12,13 +12,6 @@
 	m.informed = true
 }
 
-// setRequests takes the rate of this VM's requests.
-func (m *Members) setRequests(perSecond uint32) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.requests = perSecond
-}
-
 // Informed returns the addresses of the VMs that know what engines have cached,
 // those of this VM's zone first.
 func (m *Members) Informed() []string {
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -5,15 +5,12 @@
 package gossip
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"fescuestand/internal/clock"
-	"fescuestand/internal/policy/serving"
 )
 
 const (
@@ -82,6 +79,13 @@
 	m.ready = ready
 }
 
+// setRequests takes the rate of this VM's requests.
+func (m *Members) setRequests(perSecond uint32) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.requests = perSecond
+}
+
 // Leave marks this VM as one that stops.
 func (m *Members) Leave() {
 	m.mu.Lock()
@@ -187,56 +191,6 @@
 	return k.heardLately(now)
 }
 
-// serving returns the VMs that callers are sent to.
-func (m *Members) serving() []serving.VM {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.clock.Now()
-	var vms []serving.VM
-	rate := uint32(0)
-	add := func(n *Node, requests uint32) {
-		capacity := n.Capacity
-		if capacity == 0 {
-			capacity = m.own.Capacity
-		}
-		vms = append(vms, serving.VM{Address: n.Caller, Zone: n.Zone, Capacity: capacity})
-		rate += requests
-	}
-	if m.ready && !m.leaving {
-		add(&m.own, m.requests)
-	}
-	for _, k := range m.known {
-		if k.alive(now) {
-			add(&k.Node, k.requests)
-		}
-	}
-	return serving.Choose(vms, float64(rate))
-}
-
-// Callers returns the callers' addresses of the VMs that take them, those in
-// zone first.
-func (m *Members) Callers(zone string) []string {
-	vms := m.serving()
-	slices.SortFunc(vms, func(a, b serving.VM) int {
-		return cmp.Or(rank(a.Zone, zone)-rank(b.Zone, zone), cmp.Compare(a.Address, b.Address))
-	})
-	out := make([]string, len(vms))
-	for i, v := range vms {
-		out[i] = v.Address
-	}
-	return out
-}
-
-// Serving is how many VMs callers are sent to.
-func (m *Members) Serving() int { return max(len(m.serving()), 1) }
-
-func rank(zone, wanted string) int {
-	if zone == wanted {
-		return 0
-	}
-	return 1
-}
-
 // Count returns how many VMs there are: this one and those that were heard or
 // listed lately. It errs to the high side.
 func (m *Members) Count() int {
--- a/internal/policy/ontime/ontime.go
+++ b/internal/policy/ontime/ontime.go
@@ -21,8 +21,7 @@
 )
 
 const (
-	// targetMargin is left of the target for what a prediction misses: its
-	// error was 12 ms in the median.
+	// targetMargin is left of the target for what a prediction misses.
 	targetMargin = 10 * time.Millisecond
 	// patienceMargin is left of the callers' patience for the same, and for
 	// what arrives meanwhile.
@@ -90,8 +89,7 @@
 // Urgency ranks a prompt by its slack, the time that it could wait and still be
 // on time. By the routes' priority alone, long prompts, which have the least
 // slack, wait for all short ones and are late at half the load that they could
-// bear: with it the worst-served kind of eight simulated days had 0.30 of its
-// worth, by slack 0.35, at the same mean.
+// bear.
 func Urgency(left, work time.Duration) int {
 	slack := left - work - fixedTime
 	return min(max(int(slack/urgencyStep), 0), LeastUrgent)
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -14,8 +14,10 @@
 // costs those who come after. The prediction adds the prefill work that is
 // outstanding at the engine, by this VM's own count and by what the other VMs
 // told last, to the time for the part of the prompt that the engine isn't
-// believed to have cached. Where a prompt's shared part is cached nowhere, all
-// VMs favour the same engine for it.
+// believed to have cached, or for fetching that from an engine which has it. How
+// fast the engines of a service are is learned from their answers (package speed).
+// Where a prompt's shared part is cached nowhere, all VMs favour the same engine
+// for it.
 //
 // The package does no I/O and reads no clock. A Planner is safe for concurrent
 // use.
@@ -42,32 +44,6 @@
 	peerStale = 2 * time.Second
 )
 
-// The weights of what a choice costs others.
-const (
-	// leastBurden weighs the work of a prefill against the request's own wait.
-	// Without it a prompt goes to an idle engine that has none of it cached,
-	// and under load every engine reads every shared part again. The weight
-	// grows by one for each enginesPerBurden engines up to mostBurden: a shared
-	// part is soon cached at each of six, and waiting for one of them is
-	// waiting behind a sixth of all prompts; forty-five would read it forty-five
-	// times. On two days of 61 VMs and 89 engines the worth at a weight of 2 was
-	// 0.70 and 0.64, at 4 it was 0.75 and 0.69; on a quiet day of 9 engines 4
-	// refused 14 to 18 of a thousand requests and 2 refused 8.
-	leastBurden      = 1
-	enginesPerBurden = 6
-	mostBurden       = 4
-	// streamBurden weighs it at a decode engine for each stream that runs there:
-	// every one of them stands still while a chunk of the prompt is read, and
-	// the longer they take the more of them there are.
-	streamBurden = 0.08
-	// coldCredit is the part of a shared prefix's prefill time by which its
-	// preferred engine is favoured while nobody has it cached.
-	coldCredit = 0.5
-	// minShared is the length from which a shared part is worth steering for:
-	// a few milliseconds of prefill.
-	minShared = 256
-)
-
 // Part is one piece of a prompt.
 type Part struct {
 	ID     uint64
@@ -213,30 +189,6 @@
 	return time.Duration(float64(f.Work(max(pr.Tokens-cached, 1), cached)) * s.speed)
 }
 
-// burden is what a prefill costs others: those who come after it, and at a decode
-// engine the streams that run there, whose tokens it delays. engines is how many
-// could do it.
-func (s *state) burden(work time.Duration, engines, streams int) time.Duration {
-	weight := min(leastBurden+float64(engines)/enginesPerBurden, mostBurden)
-	if s.ep.Stage == catalog.Decode {
-		weight = max(weight, streamBurden*float64(streams))
-	}
-	return time.Duration(weight * float64(work))
-}
-
-// credit favours the engine that all VMs prefer for the prompt's longest shared
-// prefix, while the prefix isn't cached there.
-func (p *Planner) credit(s *state, pr *Prompt, cached int, preferred *state) time.Duration {
-	if s != preferred {
-		return 0
-	}
-	shared := pr.SharedTokens() - cached
-	if shared < minShared {
-		return 0
-	}
-	return time.Duration(coldCredit * float64(p.speeds.figures(s.ep).Work(shared, cached)))
-}
-
 // SharedTokens is the length of the parts that other prompts may share.
 func (pr *Prompt) SharedTokens() int {
 	n := 0
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -54,17 +54,6 @@
 	return Plan{}, false
 }
 
-// Target returns the decode engine that a KV cache at holder goes to.
-func (p *Planner) Target(now clock.Time, open []*catalog.Endpoint, holder *catalog.Endpoint, exclude map[string]bool) *catalog.Endpoint {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c := p.candidates(now, open, exclude)
-	if s := p.leastRunning(now, c.decode, p.known[holder.ID]); s != nil {
-		return s.ep
-	}
-	return nil
-}
-
 // candidates are the engines in reach, by what they can do.
 type candidates struct{ prefill, decode []*state }
 
@@ -174,107 +163,8 @@
 	return best
 }
 
-// leastRunning is the decode engine with the fewest requests, within the source's
-// zone where it can be.
-func (p *Planner) leastRunning(now clock.Time, list []*state, source *state) *state {
-	var best *state
-	var least float64
-	start := int(p.turn() % uint32(max(len(list), 1)))
-	near, far := len(list), len(list)
-	if len(list) > 2*maxChoices {
-		near, far = maxChoices, farChoices
-	}
-	for i := range list {
-		s := list[(start+i)%len(list)]
-		left := &near
-		if source != nil && s.ep.Zone != source.ep.Zone {
-			left = &far
-		}
-		if *left == 0 {
-			continue
-		}
-		*left--
-		if n := p.decodeLoad(now, s, source); best == nil || n < least {
-			best, least = s, n
-		}
-	}
-	return best
-}
-
-// farChoices is how many decode engines of other zones are looked at in a large
-// fleet, for the case that those of the source's zone are full. Looked at without
-// regard to zones, a third of the KV caches crossed them, at twice the time.
-const farChoices = 2
-
-// decodeLoad is the load of a decode engine, in requests.
-func (p *Planner) decodeLoad(now clock.Time, s, source *state) float64 {
-	running := s.running + p.peerRunning(now, s.key())
-	n := float64(running) + p.wait(now, s).Seconds()*decodeSharePerSecond
-	if s.ep.Slots > 0 && running >= s.ep.Slots {
-		n += float64(s.ep.Slots) // it would wait, or be turned away
-	}
-	if source != nil && s.ep.Zone != source.ep.Zone {
-		n += otherZoneRequests
-	}
-	return n
-}
-
-// otherZoneRequests is how many requests fewer a decode engine of another zone must
-// have than one in the source's: a transfer between zones holds both links for
-// twice as long, and the next ones wait behind it.
-const otherZoneRequests = 3
-
-// decodeSharePerSecond weighs prefill work that waits at a decode engine against
-// running requests: 100 ms of it slows the engine's streams about as much as
-// three more requests in its batch.
-const decodeSharePerSecond = 30.0
-
 // turn returns a pseudo-random number that the seed fixes.
 func (p *Planner) turn() uint32 {
 	p.seed = splitmix.Mix(p.seed)
 	return uint32(p.seed >> 33)
 }
-
-// Endpoint returns the endpoint of a plain service with the fewest requests for
-// its slots, or nil.
-func (p *Planner) Endpoint(now clock.Time, open []*catalog.Endpoint, exclude map[string]bool) *catalog.Endpoint {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := healthy(now, p.within(open, exclude))
-	if len(list) == 0 {
-		return nil
-	}
-	start := int(p.turn())
-	var best *state
-	var least float64
-	for i := range list {
-		s := list[(start+i)%len(list)]
-		n := (p.requests(now, s) + 1) / float64(max(s.ep.Slots, 1))
-		if s.ep.Zone != p.zone {
-			n += otherZone
-		}
-		if best == nil || n < least {
-			best, least = s, n
-		}
-	}
-	return best.ep
-}
-
-// otherZone is the load, as a share of an endpoint's slots, that an endpoint in
-// this VM's zone may have over one in another: a round trip between zones
-// takes 2.8 ms, a fifth of the shortest call.
-const otherZone = 0.2
-
-// requests are those that s is believed to have: by this VM's and its peers'
-// counts, or by what s said with an answer that is still fresh.
-func (p *Planner) requests(now clock.Time, s *state) float64 {
-	n := float64(s.running + p.peerRunning(now, s.key()))
-	if now.Sub(s.load.at) < loadFresh {
-		n = max(n, float64(s.load.requests))
-	}
-	return n
-}
-
-// loadFresh is how long an endpoint's own figure says something: calls take
-// tens of milliseconds.
-const loadFresh = 100 * time.Millisecond
--- a/internal/vm/capacity.go
+++ b/internal/vm/capacity.go
@@ -1,9 +1,9 @@
 package vm
 
 const (
-	// requestCPU is the processor time of a request, measured over a day of 843
-	// requests a second on 61 VMs with their beats, and requestMbit what it puts
-	// on the VM's link: a prompt of 12 kB comes in and goes out twice.
+	// requestCPU is the processor time of a request with its share of the beats,
+	// in seconds, and requestMbit what it puts on the VM's link: a prompt comes in
+	// and goes out twice.
 	requestCPU  = 0.0022
 	requestMbit = 0.3
 	// unknownCapacity is assumed where the limits don't say.
