--- a/internal/cachesync/cachesync_test.go
+++ b/internal/cachesync/cachesync_test.go
@@ -33,6 +33,7 @@
 	planner  *place.Planner
 	informed bool
 	unit     Unit
+	started  time.Time
 }
 
 // Cached implements Lister.
@@ -59,15 +60,20 @@
 	return out
 }
 
-// Heard implements Members.
+// Heard implements Members: one more VM is heard each hearStep.
 func (v *vm) Heard() []string {
-	var out []string
+	out := []string{v.addr}
 	for _, other := range v.vms {
-		out = append(out, other.addr)
+		if other != v && len(out) <= int(time.Since(v.started)/hearStep) {
+			out = append(out, other.addr)
+		}
 	}
 	return out
 }
 
+// hearStep is a beat's time.
+const hearStep = 60 * time.Millisecond
+
 // SetInformed implements Members.
 func (v *vm) SetInformed() {
 	v.mu.Lock()
@@ -86,7 +92,7 @@
 	}
 	store.SetEndpoint(&catalog.Endpoint{ID: "call", Service: "plain", Sequence: 1})
 	for i := range n {
-		v := &vm{deployment: d, planner: place.New("z", uint64(i))}
+		v := &vm{deployment: d, started: time.Now(), planner: place.New("z", uint64(i))}
 		v.planner.Follow(store.View())
 		srv := httptest.NewServer(&Share{v.planner})
 		t.Cleanup(srv.Close)
@@ -123,10 +129,12 @@
 }
 
 // All VMs of a deployment lose power at once; the engines keep their caches. Each VM
-// took every shared part for cold, and the engines read again what they had.
+// took every shared part for cold, and the engines read again what they had. The VMs
+// hear of each other one by one: asked by each that takes it for its own, an engine
+// would stand still for six lists.
 func TestAfterALossOfAllVMsEachEngineIsAskedOnce(t *testing.T) {
 	held := parts(3*chunkParts + 1)
-	d := start(t, 3, false, held, "a", "b", "c", "d", "mute")
+	d := start(t, 7, false, held, "a", "b", "c", "d", "mute")
 	ctx, cancel := context.WithCancel(t.Context())
 	var done sync.WaitGroup
 	for _, v := range d.vms {
--- a/internal/cachesync/unit.go
+++ b/internal/cachesync/unit.go
@@ -20,8 +20,11 @@
 	// step is the time between two looks for a VM that knows.
 	step = 50 * time.Millisecond
 	// patience is how long a VM that knows is waited for, once the engines are
-	// known, which mostly a VM's beat has brought.
-	patience = 150 * time.Millisecond
+	// known and no other VM was heard for the first time, mostPatience at most.
+	// VMs that start together hear of each other within a few beats; before that
+	// each would take most engines for its own to ask.
+	patience     = 150 * time.Millisecond
+	mostPatience = 1500 * time.Millisecond
 	// learnFor is how long a VM counts as one that doesn't know after it has asked
 	// engines: the others' lists are under way to it.
 	learnFor = 2 * time.Second
@@ -75,19 +78,16 @@
 	if u.NothingCached {
 		return nil
 	}
-	var since clock.Time // when the engines were known
+	var w wait
 	for clock.Sleep(ctx, step) {
 		engines := u.engines()
 		if len(engines) == 0 {
 			continue
 		}
-		if since == 0 {
-			since = u.Clock.Now()
-		}
 		if u.askVMs(ctx) {
 			return nil
 		}
-		if u.Clock.Now().Sub(since) >= patience {
+		if w.over(u.Clock.Now(), len(u.Members.Heard())) {
 			u.askEngines(ctx, engines)
 			clock.Sleep(ctx, learnFor)
 			return nil
@@ -96,6 +96,24 @@
 	return ctx.Err()
 }
 
+// wait is that for a VM that knows.
+type wait struct {
+	since   clock.Time // when the engines were known
+	heard   int        // most VMs that were heard
+	grownAt clock.Time
+}
+
+// over tells whether to wait no more, when heard VMs are heard now.
+func (w *wait) over(now clock.Time, heard int) bool {
+	if w.since == 0 {
+		w.since = now
+	}
+	if heard > w.heard {
+		w.heard, w.grownAt = heard, now
+	}
+	return now.Sub(w.grownAt) >= patience || now.Sub(w.since) >= mostPatience
+}
+
 // engines returns those that are known.
 func (u *Unit) engines() []*catalog.Endpoint {
 	v := u.Catalog.View()
@@ -139,11 +157,11 @@
 	return all, err
 }
 
-// askEngines asks the engines that fall to this VM and tells the others.
+// askEngines asks the engines that fall to this VM and tells the others. An engine
+// of which another VM has told a list isn't asked again.
 func (u *Unit) askEngines(ctx context.Context, engines []*catalog.Endpoint) {
-	vms := u.Members.Heard()
 	for _, e := range engines {
-		if ownerOf(e.ID, vms) != u.Own {
+		if ownerOf(e.ID, u.Members.Heard()) != u.Own || u.Planner.CachedParts(e.ID) >= chunkParts {
 			continue
 		}
 		parts, err := u.list(ctx, e)
--- a/internal/policy/place/peers.go
+++ b/internal/policy/place/peers.go
@@ -94,6 +94,17 @@
 	return out
 }
 
+// CachedParts is how many parts the engine with the given id is believed to have
+// cached, of those that are worth steering for.
+func (p *Planner) CachedParts(id string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.known[id]; s != nil {
+		return len(s.cache.parts())
+	}
+	return 0
+}
+
 // peerWork is the peers' outstanding work at the endpoint with the given Key.
 func (p *Planner) peerWork(now clock.Time, key uint32) time.Duration {
 	var sum time.Duration
