--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -51,7 +51,8 @@
 
 // vmPackages are what fescue-node consists of.
 var vmPackages = []string{
-	"vm", "gateway", "gossip", "catalog", "configsync", "keyedlog", "orders", "exchange", "eventlog", "kernel",
+	"vm", "gateway", "gossip", "catalog", "configsync", "cachesync", "authority", "keyedlog", "orders", "exchange",
+	"eventlog", "kernel",
 }
 
 // An on-call engineer meets a line that no page explains, or looks for one that
