--- a/internal/cachesync/cachesync_test.go
+++ b/internal/cachesync/cachesync_test.go
@@ -72,7 +72,7 @@
 }
 
 // hearStep is a beat's time.
-const hearStep = 60 * time.Millisecond
+const hearStep = 35 * time.Millisecond
 
 // SetInformed implements Members.
 func (v *vm) SetInformed() {
--- a/internal/cachesync/unit.go
+++ b/internal/cachesync/unit.go
@@ -24,7 +24,7 @@
 	// VMs that start together hear of each other within a few beats; before that
 	// each would take most engines for its own to ask.
 	patience     = 150 * time.Millisecond
-	mostPatience = 1500 * time.Millisecond
+	mostPatience = 300 * time.Millisecond
 	// learnFor is how long a VM counts as one that doesn't know after it has asked
 	// engines: the others' lists are under way to it.
 	learnFor = 2 * time.Second
