--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -11,7 +11,7 @@
 //
 // The platform's store keeps a record of the VM that acted last: a holder writes it
 // before it acts for the first time. A holder that finds itself there, once nobody
-// else can write it any more, takes turns with nobody, and needn't wait on: a VM
+// else can write it any more, was the last to act and needs to wait for nobody: a VM
 // that was restarted, or cut off from the store for a while, goes on where it was.
 package authority
 
--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -35,8 +35,8 @@
 	mostStreams = 32
 	// mostPrefill is the largest share that prefills. Decode engines can do
 	// what prefill engines do, more slowly, but not the other way round: a
-	// fleet that followed a mix of long prompts further and then lost decode
-	// engines refused a tenth of its requests until it had changed back.
+	// fleet that follows a mix of long prompts further and then loses decode
+	// engines refuses requests until it has changed back.
 	mostPrefill = 0.5
 	// leastDemand of the engines must be needed for a mix to count as measured.
 	leastDemand = 0.1
