--- a/internal/authority/keeper.go
+++ b/internal/authority/keeper.go
@@ -35,16 +35,7 @@
 
 // Run implements kernel.Runner.
 func (k *Keeper) Run(ctx context.Context) error {
-	tick := time.NewTicker(keepPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			k.look(ctx)
-		}
-	}
+	return clock.Every(ctx, keepPeriod, func() { k.look(ctx) })
 }
 
 func (k *Keeper) look(ctx context.Context) {
--- a/internal/clock/sleep.go
+++ b/internal/clock/sleep.go
@@ -16,3 +16,18 @@
 		return false
 	}
 }
+
+// Every calls step each period until ctx ends, and returns why it ended. A step that
+// takes longer than a period delays the next one; missed ones are left out.
+func Every(ctx context.Context, period time.Duration, step func()) error {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			step()
+		}
+	}
+}
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -75,18 +75,11 @@
 
 // Run keeps the gates moving until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	tick := time.NewTicker(tickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			for _, g := range d.allGates() {
-				g.pump()
-			}
+	return clock.Every(ctx, tickEvery, func() {
+		for _, g := range d.allGates() {
+			g.pump()
 		}
-	}
+	})
 }
 
 func (d *Dispatcher) allGates() []*gate {
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -99,16 +99,7 @@
 // Run implements kernel.Runner.
 func (u *Unit) Run(ctx context.Context) error {
 	u.planners = map[string]*stages.Planner{}
-	tick := time.NewTicker(period)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			u.look(ctx)
-		}
-	}
+	return clock.Every(ctx, period, func() { u.look(ctx) })
 }
 
 // look plans also where another VM gives the orders: how long a split has been off
