Two layers of membership: all VMs probe, the front beats

Cause: each VM sent its beats to all others. Their period grew with the number of VMs (3 ms a VM, doubled for idle ones) while silence was a fixed 1.2 s: at 195 VMs one late beat made an idle VM count as dead, from about 210 on every idle VM would. All renewed their place in the group each 1.5 s, where 80 partitions list 80 members at most.

Ruled out: longer silence (callers would be named dead VMs), relays of the full mesh (bytes grow with the square).

Change: internal/swim keeps the list of all VMs: probes in a shuffled order, indirect ones, records with versions that their VM refutes by, urgent ones pushed to three VMs at a time, an exchange of the whole list after a start or an alarm. The front, those that are named to callers and the next in turn, keep the beats with load; others hear news passed on from VM to VM. Only the front joins the group, reads the store for all, and is told of caches. Found on the way: what a VM had once lacked counted against it for ever, so that each later change made it read the store (TestAChangeThatWasHeardInTimeIsNotRead); VMs that start told each other all endpoints as news.

Checks: TestAnIntroducedVMThatIsNeverHeardIsForgotten tested code that is gone, TestVMsThatAreGoneAreForgotten in swim takes its place. TestAStoreThatIsAwayIsCalledByFew asks for the front at the age where it asked for all, and for all three seconds later. The unit of caches no longer ends; its tests wait for what it tells instead of its end.

--- a/internal/cachesync/unit.go
+++ b/internal/cachesync/unit.go
@@ -19,6 +19,10 @@
 const (
 	// step is the time between two looks for a VM that knows.
 	step = 50 * time.Millisecond
+	// frontPeriod is the time between two looks whether this VM is one of the front,
+	// and awayFor how long it may be none and still be told all that the front is.
+	frontPeriod = 250 * time.Millisecond
+	awayFor     = time.Second
 	// patience is how long a VM that knows is waited for, once the engines are
 	// known and no other VM was heard for the first time, mostPatience at most.
 	// VMs that start together hear of each other within a few beats; before that
@@ -51,8 +55,11 @@
 	Informed() []string
 	// Heard returns the addresses of the VMs that are heard, with this one's.
 	Heard() []string
-	// SetInformed tells the others that this VM knows.
-	SetInformed()
+	// SetInformed tells the others whether this VM knows.
+	SetInformed(informed bool)
+	// Front tells whether this VM places requests, or is one of those that will
+	// next.
+	Front() bool
 }
 
 // Unit is the kernel unit.
@@ -72,28 +79,64 @@
 // Name implements kernel.Unit.
 func (u *Unit) Name() string { return "caches" }
 
-// Run implements kernel.Runner. It ends once this VM knows.
+// Run implements kernel.Runner. A VM learns when it comes to the front, and what it
+// knew counts for nothing once it has been away from it.
 func (u *Unit) Run(ctx context.Context) error {
-	defer u.Members.SetInformed()
-	if u.NothingCached {
-		return nil
+	learnt := u.NothingCached
+	for {
+		for !u.Members.Front() {
+			if !clock.Sleep(ctx, frontPeriod) {
+				return ctx.Err()
+			}
+		}
+		if !learnt && !u.learn(ctx) {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			continue
+		}
+		u.Members.SetInformed(true)
+		if !u.stay(ctx) {
+			return ctx.Err()
+		}
+		u.Members.SetInformed(false)
+		learnt = false
+	}
+}
+
+// stay returns true once this VM has left the front for a while.
+func (u *Unit) stay(ctx context.Context) bool {
+	seen := u.Clock.Now()
+	for clock.Sleep(ctx, frontPeriod) {
+		now := u.Clock.Now()
+		if u.Members.Front() {
+			seen = now
+		}
+		if now.Sub(seen) > awayFor {
+			return true
+		}
 	}
+	return false
+}
+
+// learn returns true once this VM knows what engines have cached, and false if it
+// left the front before.
+func (u *Unit) learn(ctx context.Context) bool {
 	var w wait
-	for clock.Sleep(ctx, step) {
+	for u.Members.Front() && clock.Sleep(ctx, step) {
 		engines := u.engines()
 		if len(engines) == 0 {
 			continue
 		}
 		if u.askVMs(ctx) {
-			return nil
+			return true
 		}
 		if w.over(u.Clock.Now(), len(u.Members.Heard())) {
 			u.askEngines(ctx, engines)
-			clock.Sleep(ctx, learnFor)
-			return nil
+			return clock.Sleep(ctx, learnFor)
 		}
 	}
-	return ctx.Err()
+	return false
 }
 
 // wait is that for a VM that knows.
--- a/internal/configsync/puller.go
+++ b/internal/configsync/puller.go
@@ -61,6 +61,7 @@
 		return
 	case p.behind == 0:
 		p.behind = now
+		go p.again(addr, version)
 		return
 	case now.Sub(p.behind) >= storeAfter:
 		p.behind = now
@@ -72,6 +73,12 @@
 	}
 }
 
+// again looks once more after a while: it may take long until another VM tells.
+func (p *Puller) again(addr string, version uint64) {
+	time.Sleep(pullAfter)
+	p.Heard(addr, version)
+}
+
 // pull gets the configuration of the VM at addr.
 func (p *Puller) pull(addr string) {
 	e, err := p.get(addr)
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -59,6 +59,60 @@
 	assert.Equal(t, len(beatOf(reader).GetChanges()), 0)
 }
 
+// Guards against hundreds of VMs that start together and tell each other all endpoints.
+func TestWhatIsReadAtAStartIsNotTold(t *testing.T) {
+	c := &clock.Manual{T: 1}
+	x := NewChanges(c, nil)
+	x.Know(keyedlog.Entry{Key: "a", Value: []byte("1"), Offset: 3, Newest: true})
+	b := beatOf(x)
+	assert.Equal(t, len(b.GetChanges()), 0)
+	assert.Equal(t, b.GetLastChange(), uint64(3))
+}
+
+// Guards against hundreds of VMs that read the store because a change, passed on from VM
+// to VM, overtook the one before it.
+func TestAChangeThatOvertakesAnotherIsNoReasonToRead(t *testing.T) {
+	c := &clock.Manual{T: 1}
+	reader := NewChanges(c, nil)
+	x, applied, reads := listener(t, c)
+	reader.Know(keyedlog.Entry{Key: "a", Value: []byte("1"), Offset: 3})
+	reader.Know(keyedlog.Entry{Key: "b", Value: []byte("1"), Offset: 4})
+	told := beatOf(reader)
+	told.Probe = &wire.Probe{}
+	first, second := told.GetChanges()[0], told.GetChanges()[1]
+	pass := func(changes ...*wire.Change) { x.take(&wire.Beat{Changes: changes, Probe: &wire.Probe{}}) }
+	pass(second)
+	x.Know(keyedlog.Entry{Key: "b", Offset: 4, Heard: true})
+	pass(first)
+	x.Know(keyedlog.Entry{Key: "a", Offset: 3, Heard: true})
+	c.T = c.T.Add(behindFor)
+	pass()
+	assert.DeepEqual(t, applied, map[string]string{"a": "1", "b": "1"})
+	assert.Equal(t, len(reads), 0)
+
+	pass(&wire.Change{Key: "d", Offset: 6, Previous: 5})
+	c.T = c.T.Add(behindFor)
+	pass()
+	select {
+	case <-reads:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the store isn't read for a change that never came")
+	}
+}
+
+// Guards against a read of the store by each VM for each change: what a VM once lacked
+// and then heard must not count against it when the next change comes.
+func TestAChangeThatWasHeardInTimeIsNotRead(t *testing.T) {
+	c := &clock.Manual{T: 1}
+	x, _, reads := listener(t, c)
+	for offset := range uint64(5) {
+		x.take(&wire.Beat{LastChange: offset + 1})
+		x.take(&wire.Beat{Changes: []*wire.Change{{Key: "e", Offset: offset + 1, Previous: offset}}, LastChange: offset + 1})
+		c.T = c.T.Add(2 * behindFor)
+	}
+	assert.Equal(t, len(reads), 0)
+}
+
 // Half of ninety engines are replaced within seconds, more changes at a time than
 // a beat carries. A VM that took those it was told for all would go on sending to
 // engines that have left.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,6 +26,10 @@
 	Ordered func(id string)
 	// HeardConfig is told which version of the configuration a VM serves by.
 	HeardConfig func(vm string, version uint64)
+	// News is called when there is something that all VMs must know.
+	News func()
+
+	recent crashNews
 }
 
 // Fill implements gossip.Content.
@@ -44,8 +48,36 @@
 	}
 }
 
+// FillNews implements gossip.Content.
+func (x *Exchange) FillNews(b *wire.Beat) {
+	if c := x.Catalog.View().Config; c != nil {
+		b.ConfigVersion = c.Version
+	}
+	x.Changes.pass(b)
+	b.Crashes = x.recent.tell(x.Clock.Now())
+}
+
+// Crashed has a crash told to all VMs.
+func (x *Exchange) Crashed(c *wire.Crash) { x.recent.add(x.Clock.Now(), c) }
+
 // Take implements gossip.Content.
 func (x *Exchange) Take(from string, b *wire.Beat) {
+	if b.GetProbe() == nil {
+		x.takeLoad(from, b)
+	}
+	x.Changes.take(b)
+	x.HeardConfig(from, b.GetConfigVersion())
+	now := x.Clock.Now()
+	for _, c := range b.GetCrashes() {
+		if x.Crashes.Note(now, c.GetRequest(), c.GetEndpoint()) {
+			x.recent.add(now, c)
+			x.News()
+		}
+	}
+}
+
+// takeLoad takes what only VMs of the front tell.
+func (x *Exchange) takeLoad(from string, b *wire.Beat) {
 	now := x.Clock.Now()
 	reports := make([]place.Report, 0, len(b.GetOutstanding()))
 	for _, o := range b.GetOutstanding() {
@@ -62,12 +94,7 @@
 		x.Planner.Changing(now, id)
 		x.Ordered(id)
 	}
-	x.Changes.take(b)
-	x.HeardConfig(from, b.GetConfigVersion())
 	for _, c := range b.GetCached() {
 		x.Planner.HearCached(c.GetEndpoint(), cachesync.Parts(c))
 	}
-	for _, c := range b.GetCrashes() {
-		x.Crashes.Note(now, c.GetRequest(), c.GetEndpoint())
-	}
 }
--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"fescuestand/internal/swim"
 	"fescuestand/internal/wire"
 )
 
@@ -20,26 +21,29 @@
 	// peers have outstanding is then known within a tenth of the time that a
 	// caller waits for a first event.
 	beatPeriod = 100 * time.Millisecond
-	// perPeer lengthens the period with the number of peers, so that a VM
-	// sends and takes at most 330 datagrams a second, 2% of a core.
+	// perPeer lengthens the period with the number of VMs that are told, so that a
+	// VM sends and takes at most 330 datagrams a second, 2% of a core.
 	perPeer = 3 * time.Millisecond
-	// idleFactor lengthens the period of a VM that has nothing outstanding, as
-	// most of a large deployment have; it stays well below silence.
+	// idleFactor lengthens the period of a VM that has nothing outstanding.
 	idleFactor = 2
 	// urgentDivisor of the period is the pause before a beat that carries
 	// something urgent: a long prefill that others must know of.
 	urgentDivisor = 8
 	// maxDatagram fits the usual limit of a packet several times over, and
-	// bounds what a beat carries of prefixes.
-	maxDatagram = 8 << 10
+	// bounds what a beat carries of prefixes and of members.
+	maxDatagram = 32 << 10
+	// longestStep bounds the pause between two looks at the list.
+	longestStep = time.Second
 	// maxTold bounds what one beat carries besides the load.
 	maxTold = 128
 )
 
 // Content fills and takes the parts of a beat that others own.
 type Content interface {
-	// Fill adds what this VM tells.
+	// Fill adds what this VM tells the front: its load, and news.
 	Fill(b *wire.Beat)
+	// FillNews adds what all VMs must know.
+	FillNews(b *wire.Beat)
 	// Take takes what the VM with the given address told.
 	Take(from string, b *wire.Beat)
 }
@@ -52,18 +56,21 @@
 	listen  string
 
 	// Of the sending goroutine:
-	idle bool      // the last beat told of no request
-	due  time.Time // of the next beat to all
+	idle    bool      // the last beat told of no request
+	told    int       // VMs that it went to
+	due     time.Time // of the next beat to the whole front
+	busyAt  time.Time // when there was a request in hand, zero if never
+	pending chan struct{}
 
 	mu    sync.Mutex
 	next  *wire.Beat // what is told once, with the next beat
-	toAll bool       // the early beat goes to all VMs
+	toAll bool       // the early beat goes to the whole front
 	soon  chan struct{}
 }
 
 // NewUnit returns a unit that listens on the own node's datagram address.
 func NewUnit(m *Members, c Content) *Unit {
-	return &Unit{members: m, content: c, listen: m.own.Peer, next: &wire.Beat{}, soon: make(chan struct{}, 1)}
+	return &Unit{members: m, content: c, listen: m.own.Peer, next: &wire.Beat{}, soon: make(chan struct{}, 1), pending: make(chan struct{}, 1)}
 }
 
 // Name implements kernel.Unit.
@@ -87,6 +94,7 @@
 	defer stop()
 	group.Go(func() error { return u.receive(ctx) })
 	group.Go(func() error { return u.send(ctx) })
+	group.Go(func() error { return u.probe(ctx) })
 	return group.Wait()
 }
 
@@ -94,9 +102,52 @@
 func (u *Unit) Drain(context.Context) error {
 	u.members.Leave()
 	u.Soon()
+	u.Push()
 	return nil
 }
 
+// Push tells a few VMs at once what all must know; they pass it on.
+func (u *Unit) Push() {
+	u.members.push()
+	u.stepSoon()
+}
+
+// stepSoon has the list look at once at what is due.
+func (u *Unit) stepSoon() {
+	select {
+	case u.pending <- struct{}{}:
+	default:
+	}
+}
+
+// probe does what the list of all VMs has due.
+func (u *Unit) probe(ctx context.Context) error {
+	for {
+		out, next := u.members.step()
+		u.sendAll(out)
+		u.members.logCensus()
+		t := time.NewTimer(min(max(next.Sub(u.members.clock.Now()), 0), longestStep))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-t.C:
+		case <-u.pending:
+			t.Stop()
+		}
+	}
+}
+
+// sendAll sends messages of the list, with the news that all must know.
+func (u *Unit) sendAll(out []swim.Send) {
+	for i := range out {
+		b := probeBeat(&out[i].Message)
+		_, b.NewestReadMs = u.members.told()
+		u.content.FillNews(b)
+		u.sendTo([]string{out[i].To}, b)
+	}
+}
+
 // Tell changes what the next beat carries once.
 func (u *Unit) Tell(add func(b *wire.Beat)) {
 	u.mu.Lock()
@@ -106,7 +157,7 @@
 	}
 }
 
-// Soon sends the next beat early, to all: it carries something urgent.
+// Soon sends the next beat early, to the whole front: it carries something urgent.
 func (u *Unit) Soon() {
 	u.mu.Lock()
 	u.toAll = true
@@ -167,33 +218,39 @@
 	}
 }
 
-// period is the time between two beats to all.
-func (u *Unit) period() time.Duration {
-	period := max(beatPeriod, time.Duration(u.members.Count()-1)*perPeer)
-	if u.idle {
+// period is the time between two beats to the whole front.
+func (u *Unit) period() time.Duration { return beatPeriodFor(u.told, u.idle) }
+
+// beatPeriodFor is the period of a VM that tells n others.
+func beatPeriodFor(n int, idle bool) time.Duration {
+	period := max(beatPeriod, time.Duration(n)*perPeer)
+	if idle {
 		period *= idleFactor
 	}
 	return period
 }
 
-// beat tells all VMs, or only those that serve callers, how this one is.
+// beat tells the whole front, or only those that serve callers, how this one is.
 func (u *Unit) beat(toAll bool) {
-	b := u.own()
+	own := u.members.ownRecord()
+	b := beatOf(&own)
+	b.ReadAgeMs, _ = u.members.told()
 	u.content.Fill(b)
 	u.members.setRequests(b.GetRequests())
+	b.Requests = own.Requests
 	u.idle = len(b.GetOutstanding()) == 0
+	if !u.idle {
+		u.busyAt = time.Now()
+	}
 	u.take(b, toAll)
 	if !toAll {
 		u.sendTo(u.members.busy(), b)
 		return
 	}
+	targets := u.members.beatTargets(!u.busyAt.IsZero() && time.Since(u.busyAt) < busyFor)
+	u.told = len(targets)
 	u.due = time.Now().Add(u.period())
-	old, newcomers := u.members.peers()
-	u.sendTo(old, b)
-	if len(newcomers) > 0 {
-		b.Introduces = u.members.introductions()
-		u.sendTo(newcomers, b)
-	}
+	u.sendTo(targets, b)
 }
 
 // take adds what is told once. What all must hear waits for a beat to all.
@@ -225,17 +282,6 @@
 	}
 }
 
-func (u *Unit) own() *wire.Beat {
-	m := u.members
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return &wire.Beat{
-		Incarnation: m.own.Incarnation, Zone: m.own.Zone, Caller: m.own.Caller, Peer: m.own.Peer,
-		Ready: m.ready, Leaving: m.leaving, ReadAgeMs: m.readAge(m.clock.Now()),
-		Capacity: m.own.Capacity, Informed: m.informed,
-	}
-}
-
 func (u *Unit) receive(ctx context.Context) error {
 	buf := make([]byte, maxDatagram)
 	for {
@@ -255,12 +301,13 @@
 			log.WithError(err).WithField("bytes", n).Warn("datagram not understood")
 			continue
 		}
-		u.members.hear(heard{
-			Node:  Node{b.GetIncarnation(), b.GetZone(), b.GetCaller(), b.GetPeer(), b.GetCapacity()},
-			ready: b.GetReady(), leaving: b.GetLeaving(), readAgeMs: b.GetReadAgeMs(), busy: len(b.GetOutstanding()) > 0,
-			informed: b.GetInformed(), requests: b.GetRequests(),
-		})
-		u.members.introduce(b.GetIntroduces())
+		u.members.hearRead(b.GetNewestReadMs())
+		if b.GetProbe() != nil {
+			u.sendAll(u.members.receive(probeOf(&b)))
+			u.stepSoon()
+		} else {
+			u.members.hear(heard{Record: senderOf(&b), readAgeMs: b.GetReadAgeMs(), busy: len(b.GetOutstanding()) > 0})
+		}
 		u.content.Take(b.GetPeer(), &b)
 	}
 }
--- /dev/null
+++ b/internal/gossip/census.go
@@ -0,0 +1,63 @@
+package gossip
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"fescuestand/internal/clock"
+)
+
+// censusPeriod is the least time between two lines on the VMs: a line for each VM and
+// change would be many thousands where hundreds of VMs start together.
+const censusPeriod = time.Second
+
+// Census counts the VMs as one of them sees them, itself included.
+type Census struct {
+	Alive   int
+	Silent  int // remembered, and not believed to live
+	Leaving int
+	Front   int
+	Named   int // to callers
+}
+
+// Census returns the counts as they are now.
+func (m *Members) Census() Census {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.census(m.clock.Now())
+}
+
+func (m *Members) census(now clock.Time) Census {
+	c := m.choose(now)
+	n := Census{Alive: 1, Front: len(c.front), Named: len(c.named)}
+	for _, e := range m.list.Entries() {
+		switch {
+		case !e.Alive(now):
+			n.Silent++
+		case e.Leaving:
+			n.Leaving++
+		default:
+			n.Alive++
+		}
+	}
+	return n
+}
+
+// logCensus logs the counts if they have changed.
+func (m *Members) logCensus() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	if m.countedAt != 0 && now.Sub(m.countedAt) < censusPeriod {
+		return
+	}
+	n := m.census(now)
+	if n == m.counted {
+		return
+	}
+	m.counted, m.countedAt = n, now
+	_, front := m.chosen.front[m.own.Peer]
+	log.WithField("alive", n.Alive).WithField("silent", n.Silent).WithField("leaving", n.Leaving).
+		WithField("front", n.Front).WithField("named", n.Named).WithField("in_front", front).Info("VMs counted")
+}
--- a/internal/gossip/group.go
+++ b/internal/gossip/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -11,14 +12,14 @@
 )
 
 const (
-	// joinPeriod keeps this VM listed: three tries within joinTTL.
+	// joinPeriod keeps a VM of the front listed: three tries within joinTTL.
 	joinPeriod = 1500 * time.Millisecond
 	// joinTTL is how long a VM that vanished stays listed.
 	joinTTL = 5 * time.Second
-	// listPeriod is the time between two reads of the list. Who is alive is
-	// known from beats, and VMs introduce each other; the list is for the first
-	// contact.
-	listPeriod = 30 * time.Second
+	// listPeriod is the time between two reads of the list by up to idleUnit VMs.
+	// VMs know of each other by what they tell; the list is for the first contact,
+	// and for parts of a deployment that have lost sight of each other.
+	listPeriod = time.Minute
 	// retryPeriod follows a join that failed: three more tries before joinTTL
 	// is over. A store that is away is charged for each.
 	retryPeriod = 750 * time.Millisecond
@@ -28,6 +29,9 @@
 	// within some renewals of the others.
 	firstPeriod = 300 * time.Millisecond
 	earlyPeriod = 1500 * time.Millisecond
+	// outsidePeriod is the time between two looks of a VM that isn't one of the
+	// front, whether it has come to be.
+	outsidePeriod = 250 * time.Millisecond
 	// leaveTimeout bounds the farewell to the group.
 	leaveTimeout = time.Second
 )
@@ -53,11 +57,12 @@
 	group   Group
 	members *Members
 	renewed func(sentAt clock.Time, h Holding)
+	listed  chan struct{} // closed after the first try to read the list
 }
 
 // NewRegistration returns the unit. renewed is told of each confirmed renewal.
 func NewRegistration(g Group, m *Members, renewed func(sentAt clock.Time, h Holding)) *Registration {
-	return &Registration{g, m, renewed}
+	return &Registration{group: g, members: m, renewed: renewed, listed: make(chan struct{})}
 }
 
 // Name implements kernel.Unit.
@@ -83,11 +88,23 @@
 	return nil
 }
 
+// join keeps this VM in the group while it is one of the front, or holds the duty. The
+// others needn't be listed: each renewal is a call of the store, and their number would
+// grow with that of the VMs. A VM that starts reads the list first, and doesn't join if
+// enough others stand there.
 func (r *Registration) join(ctx context.Context) error {
+	select {
+	case <-r.listed:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	return every(ctx, func() time.Duration {
 		if r.members.Leaving() {
 			return joinPeriod
 		}
+		if !r.members.Front() && !r.members.Duty() {
+			return outsidePeriod
+		}
 		sentAt := r.members.clock.Now()
 		h, err := r.group.Join(ctx, r.members.own, joinTTL)
 		if err != nil {
@@ -100,6 +117,7 @@
 }
 
 func (r *Registration) list(ctx context.Context) error {
+	var once sync.Once
 	return every(ctx, func() time.Duration {
 		nodes, err := r.group.Members(ctx)
 		if err != nil {
@@ -107,13 +125,14 @@
 		} else {
 			r.members.List(nodes)
 		}
+		once.Do(func() { close(r.listed) })
 		switch {
 		case !r.members.Known():
 			return firstPeriod
 		case r.members.Alone():
 			return earlyPeriod
 		}
-		return listPeriod
+		return listPeriod * time.Duration(max(r.members.Count(), idleUnit)) / idleUnit
 	})
 }
 
--- a/internal/gossip/informed.go
+++ b/internal/gossip/informed.go
@@ -5,13 +5,6 @@
 	"slices"
 )
 
-// SetInformed tells that this VM knows what engines have cached.
-func (m *Members) SetInformed() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.informed = true
-}
-
 // Informed returns the addresses of the VMs that know what engines have cached,
 // those of this VM's zone first.
 func (m *Members) Informed() []string {
@@ -19,9 +12,9 @@
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	var list []Node
-	for _, k := range m.known {
-		if k.informed && k.heardLately(now) {
-			list = append(list, k.Node)
+	for _, e := range m.list.Entries() {
+		if e.Informed && e.Alive(now) {
+			list = append(list, e.Node)
 		}
 	}
 	slices.SortFunc(list, func(a, b Node) int {
@@ -34,16 +27,16 @@
 	return out
 }
 
-// Heard returns the addresses for datagrams of the VMs that are heard, and this
-// VM's own, in order.
+// Heard returns the addresses for datagrams of the VMs of the front that are heard,
+// and this VM's own, in order.
 func (m *Members) Heard() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	out := []string{m.own.Peer}
-	for addr, k := range m.known {
-		if k.heardLately(now) {
-			out = append(out, addr)
+	for peer := range m.choose(now).front {
+		if l := m.links[peer]; l != nil && peer != m.own.Peer && l.heardLately(now) {
+			out = append(out, peer)
 		}
 	}
 	slices.Sort(out)
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -1,162 +1,150 @@
 // Package gossip keeps the gateways of a deployment aware of each other. The
-// platform's member group says who there is; datagrams, several a second, say
-// who is alive and what each has outstanding. Neither is needed for the other
-// to go on: the store may be away, datagrams may be lost.
+// platform's member group names a few for the first contact; datagrams say who is
+// alive and what each has outstanding. Neither is needed for the other to go on:
+// the store may be away, datagrams may be lost.
+//
+// There are two layers. All VMs keep a list of all by probing each other now and
+// then (package swim); what a VM spends on it doesn't grow with their number. The
+// front, those that serve callers and the next in turn, tell each other their load
+// several times a second. Each VM works out the front from its list, so that no
+// message is needed to agree on it.
 package gossip
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/swim"
 )
 
 const (
-	// silence is how long a VM may be unheard until callers are no longer sent
-	// to it. With beats each 100 to 360 ms several in a row are missing.
-	silence = 1200 * time.Millisecond
-	// unheard is how long a listed VM that was never heard counts as alive:
-	// it starts as this one does.
-	unheard = 2 * time.Second
-	// forget is how long a VM that is neither listed nor heard is remembered.
-	forget = 10 * time.Second
+	// silence is how long a VM of the front may be unheard until callers are no
+	// longer sent to it: several beats in a row are missing.
+	silence = swim.Silence
+	// countedFor is how long a VM that fell silent still counts as one with which
+	// the others share what they may spend.
+	countedFor = 10 * time.Second
+	// aloneAfter is how long no other VM is heard until this one looks for others
+	// in the platform's list.
+	aloneAfter = 2 * time.Second
 )
 
-// Node is what a VM tells of itself.
-type Node struct {
-	Incarnation string // of its process
-	Zone        string
-	Caller      string // address for callers
-	Peer        string // address for datagrams
-	Capacity    uint32 // requests a second that the VM can take, zero if not known
-}
-
-// member is a VM as this one sees it.
-type member struct {
-	Node
-	listedAt clock.Time // newest list of the group that names it
-	firstAt  clock.Time
-	heardAt  clock.Time // zero if never
-	busyAt   clock.Time // when it last told of requests in hand, zero if never
-	ready    bool
-	leaving  bool
-	informed bool       // it knows what engines have cached
-	requests uint32     // a second that it gets, zero if not known
-	reads    bool       // it reads the endpoints' entries
-	readAt   clock.Time // when it last did
-}
+// Node is what a VM is, for as long as its process runs.
+type Node = swim.Node
 
 // Members is the table of VMs. It is safe for concurrent use.
 type Members struct {
-	clock clock.Clock
-	own   Node
-
+	clock   clock.Clock
+	own     Node
 	started clock.Time
 
-	mu         sync.Mutex
-	known      map[string]*member    // by address for datagrams
-	introduced map[string]clock.Time // addresses that peers told and that weren't heard yet
-	ready      bool
-	leaving    bool
-	informed   bool
-	requests   uint32
-	readAt     clock.Time // last read of the endpoints' entries
+	mu      sync.Mutex
+	list    *swim.Detector
+	links   map[string]*link // to the VMs that exchange beats with this one, by address for datagrams
+	chosen  chosen
+	readAt  clock.Time // last read of the endpoints' entries
+	newest  clock.Time // newest read of them by any VM, as far as known
+	beatAt  clock.Time // last look for missing beats
+	heardAt clock.Time // last datagram of any VM
+
+	counted   Census // last one that was logged
+	countedAt clock.Time
 }
 
 // NewMembers returns a table that holds this VM only.
 func NewMembers(c clock.Clock, own Node) *Members {
-	return &Members{
-		clock: c, own: own, started: c.Now(), known: map[string]*member{}, introduced: map[string]clock.Time{},
+	now := c.Now()
+	r := swim.Record{Node: own, Version: uint64(time.Now().UnixMilli())}
+	m := &Members{
+		clock: c, own: own, started: now, links: map[string]*link{},
+		list: swim.New(r, xxhash.Sum64String(own.Incarnation+own.Peer), now),
+	}
+	m.list.Accused = func(peer string, unheard time.Duration) {
+		log.WithField("vm", peer).WithField("unheard_ms", unheard.Milliseconds()).Info("VM is silent")
 	}
+	return m
 }
 
-// SetReady tells whether this VM takes callers.
-func (m *Members) SetReady(ready bool) {
+// change changes what this VM tells of itself.
+func (m *Members) change(change func(r *swim.Record)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.ready = ready
+	m.list.Change(m.clock.Now(), change)
+	m.chosen.stale = true
+}
+
+// SetReady tells whether this VM takes callers.
+func (m *Members) SetReady(ready bool) { m.change(func(r *swim.Record) { r.Ready = ready }) }
+
+// SetDuty tells whether this VM has been dealt the duty of giving orders.
+func (m *Members) SetDuty(duty bool) { m.change(func(r *swim.Record) { r.Duty = duty }) }
+
+// SetInformed tells whether this VM knows what engines have cached.
+func (m *Members) SetInformed(informed bool) {
+	m.change(func(r *swim.Record) { r.Informed = informed })
 }
 
+// Leave marks this VM as one that stops.
+func (m *Members) Leave() { m.change(func(r *swim.Record) { r.Leaving = true }) }
+
+// rateStep of the rate of requests, and rateShare of what the VM can take, is the
+// least change that is told: naming VMs by it has room for several times the rate.
+const (
+	rateStep  = 0.25
+	rateShare = 0.05
+)
+
 // setRequests takes the rate of this VM's requests.
 func (m *Members) setRequests(perSecond uint32) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.requests = perSecond
+	m.change(func(r *swim.Record) {
+		told, now := float64(r.Requests), float64(perSecond)
+		least := max(rateStep*told, rateShare*float64(r.Capacity))
+		if told == 0 && now > 0 || math.Abs(now-told) > least {
+			r.Requests = perSecond
+		}
+	})
 }
 
-// Leave marks this VM as one that stops.
-func (m *Members) Leave() {
+// ownRecord is what this VM tells of itself.
+func (m *Members) ownRecord() swim.Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.leaving = true
+	return *m.list.Own()
 }
 
 // Ready tells whether this VM takes callers.
 func (m *Members) Ready() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.ready && !m.leaving
+	r := m.ownRecord()
+	return r.Ready && !r.Leaving
 }
 
 // Leaving tells whether this VM was told to stop.
-func (m *Members) Leaving() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.leaving
-}
+func (m *Members) Leaving() bool { return m.ownRecord().Leaving }
+
+// Duty tells whether this VM has been dealt the duty of giving orders.
+func (m *Members) Duty() bool { return m.ownRecord().Duty }
 
 // List takes the group's members.
 func (m *Members) List(nodes []Node) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.clock.Now()
-	for _, n := range nodes {
-		if n.Peer == m.own.Peer {
-			continue
-		}
-		k := m.known[n.Peer]
-		if k == nil {
-			k = m.add(now, n)
-		}
-		if k.Incarnation != n.Incarnation && k.heardAt == 0 {
-			k.Node = n
-		}
-		k.listedAt = now
-	}
-	m.prune(now)
-}
-
-func (m *Members) add(now clock.Time, n Node) *member {
-	k := &member{Node: n, firstAt: now, ready: true}
-	m.known[n.Peer] = k
-	delete(m.introduced, n.Peer)
-	log.WithField("vm", n.Peer).WithField("zone", n.Zone).Info("VM joins")
-	return k
-}
-
-func (m *Members) prune(now clock.Time) {
-	for addr, k := range m.known {
-		if now.Sub(k.listedAt) > forget && now.Sub(k.heardAt) > forget {
-			delete(m.known, addr)
-			log.WithField("vm", addr).Info("VM forgotten")
-		}
-	}
+	m.list.List(m.clock.Now(), nodes)
+	m.chosen.stale = true
 }
 
 // heard is what a beat says of its sender.
 type heard struct {
-	Node
-	ready, leaving bool
-	informed       bool
-	requests       uint32 // a second
-	readAgeMs      uint32
-	busy           bool // it has requests in hand
+	swim.Record
+	readAgeMs uint32
+	busy      bool // it has requests in hand
 }
 
-// Hear takes a beat. A beat of an earlier process under the same address can
-// overtake one of its successor; it then counts until the next beat.
+// hear takes a beat that tells load.
 func (m *Members) hear(h heard) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -164,76 +152,77 @@
 		return
 	}
 	now := m.clock.Now()
-	k := m.known[h.Peer]
-	if k == nil {
-		k = m.add(now, h.Node)
+	m.noteHeard(now, &h.Record)
+	m.list.Heard(now, h.Record)
+	l := m.links[h.Peer]
+	if l == nil {
+		l = &link{wantedAt: now}
+		m.links[h.Peer] = l
 	}
-	if k.leaving != h.leaving {
-		log.WithField("vm", h.Peer).WithField("leaving", h.leaving).Info("VM tells its state")
+	l.take(now, &h)
+	if l.reads {
+		m.newest = max(m.newest, l.readAt)
 	}
-	k.Node, k.ready, k.leaving, k.heardAt = h.Node, h.ready, h.leaving, now
-	if h.busy {
-		k.busyAt = now
-	}
-	k.informed, k.requests = h.informed, h.requests
-	k.reads = h.readAgeMs > 0
-	k.readAt = now.Add(-time.Duration(h.readAgeMs) * time.Millisecond)
 }
 
-// alive tells whether callers may be sent to k.
-func (k *member) alive(now clock.Time) bool {
-	if k.leaving || !k.ready {
-		return false
-	}
-	if k.heardAt == 0 {
-		return now.Sub(k.firstAt) < unheard
+// receive takes a message of the list and returns the answers.
+func (m *Members) receive(msg *swim.Message) []swim.Send {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	m.noteHeard(now, &msg.From)
+	m.chosen.stale = m.chosen.stale || len(msg.Updates) > 0
+	return m.list.Receive(now, msg)
+}
+
+// noteHeard notes whether a datagram of a VM may change which VMs are chosen.
+func (m *Members) noteHeard(now clock.Time, r *swim.Record) {
+	m.heardAt = now
+	e := m.list.Entries()[r.Peer]
+	if e == nil || e.Record != *r || !e.Alive(now) {
+		m.chosen.stale = true
 	}
-	return k.heardLately(now)
 }
 
-// Count returns how many VMs there are: this one and those that were heard or
-// listed lately. It errs to the high side.
-func (m *Members) Count() int {
+// step does what the list has due, and returns when it is due again.
+func (m *Members) step() ([]swim.Send, clock.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return 1 + len(m.known)
+	out := m.list.Step(m.clock.Now())
+	return out, m.list.Next()
 }
 
-// Known tells whether any other VM has been listed or heard.
-func (m *Members) Known() bool { return m.Count() > 1 }
+// push has news told to a few VMs at once.
+func (m *Members) push() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list.Push(m.clock.Now())
+}
 
-// Alone tells whether no other VM has been heard lately.
-func (m *Members) Alone() bool {
+// Count returns how many VMs there are: this one and those that are believed to
+// live or did lately. It errs to the high side.
+func (m *Members) Count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.clock.Now()
-	for _, k := range m.known {
-		if k.heardLately(now) {
-			return false
-		}
-	}
-	return true
+	return m.count(m.clock.Now())
 }
 
-// heardLately tells whether k's beats arrive.
-func (k *member) heardLately(now clock.Time) bool {
-	return k.heardAt != 0 && now.Sub(k.heardAt) < silence
+func (m *Members) count(now clock.Time) int {
+	n := 1
+	for _, e := range m.list.Entries() {
+		if e.Alive(now) || !e.Absent(now, countedFor) {
+			n++
+		}
+	}
+	return n
 }
 
-// busyFor is how long a VM that had requests in hand counts as one that serves
-// callers: longer than the pauses between its requests.
-const busyFor = 2 * time.Second
+// Known tells whether any other VM has been listed or heard.
+func (m *Members) Known() bool { return m.Count() > 1 }
 
-// busy returns the addresses of the VMs that serve callers.
-func (m *Members) busy() []string {
+// Alone tells whether no other VM has been heard lately.
+func (m *Members) Alone() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.clock.Now()
-	var out []string
-	for addr, k := range m.known {
-		if k.busyAt != 0 && now.Sub(k.busyAt) < busyFor {
-			out = append(out, addr)
-		}
-	}
-	return out
+	return m.heardAt == 0 || m.clock.Now().Sub(m.heardAt) > aloneAfter
 }
--- a/internal/gossip/readers.go
+++ b/internal/gossip/readers.go
@@ -30,6 +30,8 @@
 	// and all of them in vain if the store is away then.
 	idlePause  = 25 * time.Second
 	idleSpread = 15 * time.Second
+	// idleUnit VMs or fewer read that often each; more VMs read less often.
+	idleUnit = 64
 	// freshRead is the age of a reader's view from which it counts as lost: two
 	// reads are missing.
 	freshRead = 1500 * time.Millisecond
@@ -39,34 +41,43 @@
 	// which is away for all isn't called by all.
 	standIns    = 8
 	standInStep = time.Second
+	// toldLate is how much later than in the front it is known elsewhere that a
+	// view is fresh.
+	toldLate = 3 * time.Second
 )
 
 // ReadPause is how long this VM may wait until it reads the endpoints' entries
-// from the store again. The VMs agree on the readers by an order of all, so
-// that no message is needed for it: the first ones read, and those after them
-// while too few before them have a fresh view.
+// from the store again. The VMs of the front agree on the readers by an order of
+// all, so that no message is needed for it: the first ones read, and those after
+// them while too few before them have a fresh view. The others read only when
+// nobody has had one for a while.
 func (m *Members) ReadPause() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	if m.settling(now) {
-		return m.IdlePause() // it has read everything at its start
+		return m.idlePause(now) // it has read everything at its start
 	}
-	rank, fresh, newest := m.before(now)
-	reading := readers
-	if fresh < readers {
-		reading = standIns << min(max(newest-freshRead, 0)/standInStep, maxDoublings)
-	}
-	if rank < reading {
+	before := m.before(now)
+	if before.rank < before.reading(now) {
 		return leadPause
 	}
-	return m.IdlePause()
+	return m.idlePause(now)
 }
 
 // IdlePause is how long this VM may go without a read of its own while others
 // read for it.
 func (m *Members) IdlePause() time.Duration {
-	return idlePause + time.Duration(xxhash.Sum64String(m.own.Peer)%uint64(idleSpread))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.idlePause(m.clock.Now())
+}
+
+// idlePause grows with the number of VMs, so that the reads of all don't: a change
+// that was missed shows by what the others tell.
+func (m *Members) idlePause(now clock.Time) time.Duration {
+	pause := idlePause + time.Duration(xxhash.Sum64String(m.own.Peer)%uint64(idleSpread))
+	return pause * time.Duration(max(m.count(now), idleUnit)) / idleUnit
 }
 
 // maxDoublings of standIns are more VMs than there are.
@@ -77,30 +88,79 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	rank, _, _ := m.before(now)
-	return rank < configReaders && !m.settling(now)
+	if m.settling(now) || !m.inFront(now, m.own.Peer) {
+		return false
+	}
+	return m.before(now).rank < configReaders
+}
+
+// predecessors are the VMs that come before this one in the order by which they read
+// for all.
+type predecessors struct {
+	rank   int        // how many they are
+	fresh  int        // how many of them have a fresh view
+	newest clock.Time // when the newest view was read, zero if none is known
+	front  bool       // this VM is one of the front
 }
 
-// before looks at the VMs that are heard and come before this one in the order
-// by which they read for all: how many they are, how many of them have a fresh
-// view, and the age of the newest.
-func (m *Members) before(now clock.Time) (count, fresh int, newest time.Duration) {
-	newest = math.MaxInt64
-	for _, k := range m.known {
-		if !k.heardLately(now) || k.leaving || !precedes(&k.Node, &m.own) {
+// reading is how many VMs, from the first on, should read.
+func (p *predecessors) reading(now clock.Time) int {
+	limit := freshRead
+	if !p.front {
+		limit += toldLate
+	} else if p.fresh >= readers {
+		return readers
+	}
+	age := time.Duration(math.MaxInt64)
+	if p.newest != 0 {
+		age = now.Sub(p.newest)
+	}
+	if !p.front && age < limit {
+		return 0
+	}
+	return standIns << min(max(age-limit, 0)/standInStep, maxDoublings)
+}
+
+// before looks at the VMs that come before this one: of the front those that are
+// heard, and after them all others that live.
+func (m *Members) before(now clock.Time) predecessors {
+	c := m.choose(now)
+	_, front := c.front[m.own.Peer]
+	p := predecessors{front: front, newest: max(m.newest, m.readAt)}
+	if front {
+		m.beforeInFront(now, c, &p)
+		return p
+	}
+	p.rank = len(c.front)
+	for peer, e := range m.list.Entries() {
+		if _, in := c.front[peer]; !in && !e.Leaving && e.Alive(now) && precedes(&e.Node, &m.own) {
+			p.rank++
+		}
+	}
+	return p
+}
+
+func (m *Members) beforeInFront(now clock.Time, c *chosen, p *predecessors) {
+	p.newest = 0
+	for peer := range c.front {
+		e, l := m.list.Entries()[peer], m.links[peer]
+		if e == nil || l == nil || e.Leaving || !l.heardLately(now) || !precedes(&e.Node, &m.own) {
 			continue
 		}
-		count++
-		if !k.reads {
+		p.rank++
+		if !l.reads {
 			continue
 		}
-		age := now.Sub(k.readAt)
-		newest = min(newest, age)
-		if age < freshRead {
-			fresh++
+		p.newest = max(p.newest, l.readAt)
+		if now.Sub(l.readAt) < freshRead {
+			p.fresh++
 		}
 	}
-	return count, fresh, newest
+}
+
+// heardLately tells whether the VM's beats arrive.
+func (l *link) heardLately(now clock.Time) bool {
+	return l.heardAt != 0 && now.Sub(l.heardAt) < silence
 }
 
 // precedes tells whether a reads before b: large VMs first, since what they read
@@ -129,10 +189,29 @@
 	m.readAt = m.clock.Now()
 }
 
-// readAge is the wire's form of the age of this VM's view.
-func (m *Members) readAge(now clock.Time) uint32 {
-	if m.readAt == 0 {
+// told is what a beat tells of the endpoints' entries: the age of this VM's view, and
+// of the newest view of any.
+func (m *Members) told() (own, newest uint32) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	return ageMs(now, m.readAt), ageMs(now, max(m.newest, m.readAt))
+}
+
+// hearRead takes the age of the newest view that another VM knows of.
+func (m *Members) hearRead(newestMs uint32) {
+	if newestMs == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.newest = max(m.newest, m.clock.Now().Add(-time.Duration(newestMs)*time.Millisecond))
+}
+
+// ageMs is the wire's form of the age of a view: zero if there is none.
+func ageMs(now, at clock.Time) uint32 {
+	if at == 0 {
 		return 0
 	}
-	return uint32(min(now.Sub(m.readAt), time.Hour).Milliseconds()) + 1
+	return uint32(min(now.Sub(at), time.Hour).Milliseconds()) + 1
 }
--- a/internal/policy/serving/serving.go
+++ b/internal/policy/serving/serving.go
@@ -29,11 +29,18 @@
 	// them.
 	smallShare  = 0.5
 	enoughShare = 0.5
+	// leastFront is how many VMs know the load of all, and frontFactor how many for
+	// each that is named: those that are named next take over with what they know.
+	leastFront  = 16
+	frontFactor = 2
+	// unknownFront is how many they are at most while the load isn't known.
+	unknownFront = 32
 )
 
 // VM is one that takes callers.
 type VM struct {
 	Address  string // for callers
+	Peer     string // address for other VMs
 	Zone     string
 	Capacity uint32 // requests a second
 }
@@ -58,6 +65,34 @@
 	return inTurn
 }
 
+// Front returns the VMs that Choose names and those that are next in turn, which stand
+// by with the knowledge that placing requests needs. The others need none of it.
+func Front(vms []VM, rate float64) []VM {
+	named := Choose(vms, rate)
+	n := max(leastFront, frontFactor*len(named))
+	if rate <= 0 {
+		n = min(n, unknownFront)
+	}
+	if len(vms) <= n {
+		return vms
+	}
+	return inOrder(vms)[:n]
+}
+
+// inOrder orders VMs as they are named: all large ones first.
+func inOrder(vms []VM) []VM {
+	large := largest(vms)
+	if len(large) == len(vms) {
+		return byZoneInTurn(vms)
+	}
+	isLarge := make(map[string]bool, len(large))
+	for _, v := range large {
+		isLarge[v.Address] = true
+	}
+	small := slices.DeleteFunc(slices.Clone(vms), func(v VM) bool { return isLarge[v.Address] })
+	return append(byZoneInTurn(large), byZoneInTurn(small)...)
+}
+
 // byZoneInTurn orders VMs so that each zone has its first before one has a second;
 // within a zone the larger ones come first.
 func byZoneInTurn(vms []VM) []VM {
--- /dev/null
+++ b/internal/swim/message.go
@@ -0,0 +1,30 @@
+package swim
+
+// Kind tells what a Message asks or answers.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	News       Kind = iota // nothing is asked
+	Ping                   // asks for an Ack
+	Ack                    // answers a Ping or a PingOther
+	PingOther              // asks to ping Target
+	AskTable               // asks for all records, unless the Digest is the same
+	TableChunk             // some of them
+)
+
+// Message is what one VM sends another.
+type Message struct {
+	From    Record
+	Kind    Kind
+	Seq     uint32 // of a question, repeated by its answer
+	Target  string // of PingOther: the address for datagrams
+	Digest  uint64 // of AskTable: of the records that the sender has
+	Updates []Record
+}
+
+// Send is a message on its way.
+type Send struct {
+	To string // address for datagrams
+	Message
+}
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -122,6 +122,7 @@
 	if !e.Heard {
 		n.gossip.Soon() // those that don't read the store wait for it
 	}
+	n.news()
 }
 
 func (n *Node) applyEndpoint(e keyedlog.Entry) {
@@ -136,6 +137,7 @@
 	}
 	if n.catalog.SetEndpoint(ep) {
 		n.changes.Know(e)
+		n.news()
 	}
 }
 
@@ -150,5 +152,6 @@
 	}
 	if changed {
 		n.changes.Know(e)
+		n.news()
 	}
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -93,24 +93,25 @@
 
 // Node is the process of a VM.
 type Node struct {
-	o       Options
-	adapter Adapter
-	clock   clock.Clock
-	catalog *catalog.Store
-	members *gossip.Members
-	planner *place.Planner
-	budget  *repeat.Budget
-	crashes *crash.Register
-	gateway *gateway.Gateway
-	gossip  *gossip.Unit
-	pool    *exchange.Pool
-	duty    *authority.Authority
-	orders  *orders.Unit
-	config  *keyedlog.Follower
-	fleet   *keyedlog.Follower
-	changes *gateway.Changes
-	puller  *configsync.Puller
-	share   configsync.Share
+	o        Options
+	adapter  Adapter
+	clock    clock.Clock
+	catalog  *catalog.Store
+	members  *gossip.Members
+	planner  *place.Planner
+	budget   *repeat.Budget
+	crashes  *crash.Register
+	gateway  *gateway.Gateway
+	gossip   *gossip.Unit
+	exchange *gateway.Exchange
+	pool     *exchange.Pool
+	duty     *authority.Authority
+	orders   *orders.Unit
+	config   *keyedlog.Follower
+	fleet    *keyedlog.Follower
+	changes  *gateway.Changes
+	puller   *configsync.Puller
+	share    configsync.Share
 }
 
 // New wires a process. Its units do nothing until the kernel runs them.
@@ -132,10 +133,11 @@
 		Pool: n.pool, Clock: c, Leaving: n.members.Leaving,
 		VMs: n.members.Serving, Sent: n.sent, Cached: n.cached, Crashed: n.crashed,
 	})
-	n.gossip = gossip.NewUnit(n.members, &gateway.Exchange{
+	n.exchange = &gateway.Exchange{
 		Clock: c, Planner: n.planner, Crashes: n.crashes, Catalog: n.catalog, Changes: n.changes,
-		Rate: n.gateway.Rate, Ordered: n.orders.Heard, HeardConfig: n.puller.Heard,
-	})
+		Rate: n.gateway.Rate, Ordered: n.orders.Heard, HeardConfig: n.puller.Heard, News: n.news,
+	}
+	n.gossip = gossip.NewUnit(n.members, n.exchange)
 	return n
 }
 
@@ -232,13 +234,18 @@
 	if !n.crashes.Note(n.clock.Now(), fingerprint, endpoint) {
 		return
 	}
-	n.gossip.Tell(func(b *wire.Beat) {
-		b.Crashes = append(b.Crashes, &wire.Crash{Request: fingerprint, Endpoint: endpoint})
-	})
+	c := &wire.Crash{Request: fingerprint, Endpoint: endpoint}
+	n.gossip.Tell(func(b *wire.Beat) { b.Crashes = append(b.Crashes, c) })
 	n.gossip.Soon()
+	n.exchange.Crashed(c)
+	n.news()
 }
 
+// news has something told that all VMs must know.
+func (n *Node) news() { n.gossip.Push() }
+
 func (n *Node) renewed(sentAt clock.Time, h gossip.Holding) {
+	n.members.SetDuty(h.Duty)
 	n.duty.Renewed(sentAt, h.Duty && !n.members.Leaving(), h.Generation)
 }
 
