--- a/internal/policy/serving/serving.go
+++ b/internal/policy/serving/serving.go
@@ -33,8 +33,9 @@
 	// each that is named: those that are named next take over with what they know.
 	leastFront  = 16
 	frontFactor = 2
-	// unknownFront is how many they are at most while the load isn't known.
-	unknownFront = 32
+	// unknownNamed VMs are named at most, and are the front, while the load isn't
+	// known: more would place the first requests of all without each other's counts.
+	unknownNamed = 32
 )
 
 // VM is one that takes callers.
@@ -47,12 +48,12 @@
 
 // Choose returns the VMs to name under a load of rate requests a second, in the
 // order in which they are wanted. All VMs that know the same choose the same. A rate
-// of zero isn't known: all large ones are named.
+// of zero isn't known: many large ones are named.
 func Choose(vms []VM, rate float64) []VM {
 	large := largest(vms)
 	inTurn := byZoneInTurn(large)
 	if rate <= 0 {
-		return inTurn
+		return inTurn[:min(len(inTurn), unknownNamed)]
 	}
 	least := max(leastNamed, zones(large))
 	sum := 0.0
@@ -71,7 +72,7 @@
 	named := Choose(vms, rate)
 	n := max(leastFront, frontFactor*len(named))
 	if rate <= 0 {
-		n = min(n, unknownFront)
+		n = unknownNamed
 	}
 	if len(vms) <= n {
 		return vms
--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -90,12 +90,12 @@
 	return p+q > leastDemand*float64(engines)
 }
 
-// share of the engines that is to prefill. Without traffic to measure, a mix is
-// assumed that needs both stages alike where engines have many slots, and more
-// decode engines where they have few.
+// share of the engines that is to prefill. Without traffic to measure, as many are to
+// prefill as ever may: too few decode engines are replaced soon once traffic shows it,
+// and too few prefill engines only in the time of many changes.
 func (d Demand) share(engines int) float64 {
 	if !d.measured(engines) {
-		return d.perEngine() / (d.perEngine() + mostStreams)
+		return mostPrefill
 	}
 	p, q := d.need()
 	return min(p/(p+q), mostPrefill)
