--- a/internal/cachesync/unit.go
+++ b/internal/cachesync/unit.go
@@ -19,10 +19,10 @@
 const (
 	// step is the time between two looks for a VM that knows.
 	step = 50 * time.Millisecond
-	// frontPeriod is the time between two looks whether this VM is one of the front,
-	// and awayFor how long it may be none and still be told all that the front is.
-	frontPeriod = 250 * time.Millisecond
-	awayFor     = time.Second
+	// activePeriod is the time between two looks whether this VM is one of the active set,
+	// and awayFor how long it may be none and still be told all that the active set is.
+	activePeriod = 250 * time.Millisecond
+	awayFor      = time.Second
 	// patience is how long a VM that knows is waited for, once the engines are
 	// known and no other VM was heard for the first time, mostPatience at most.
 	// VMs that start together hear of each other within a few beats; before that
@@ -57,9 +57,9 @@
 	Heard() []string
 	// SetInformed tells the others whether this VM knows.
 	SetInformed(informed bool)
-	// Front tells whether this VM places requests, or is one of those that will
+	// Active tells whether this VM places requests, or is one of those that will
 	// next.
-	Front() bool
+	Active() bool
 }
 
 // Unit is the kernel unit.
@@ -79,13 +79,13 @@
 // Name implements kernel.Unit.
 func (u *Unit) Name() string { return "caches" }
 
-// Run implements kernel.Runner. A VM learns when it comes to the front, and what it
+// Run implements kernel.Runner. A VM learns when it becomes active, and what it
 // knew counts for nothing once it has been away from it.
 func (u *Unit) Run(ctx context.Context) error {
 	learnt := u.NothingCached
 	for {
-		for !u.Members.Front() {
-			if !clock.Sleep(ctx, frontPeriod) {
+		for !u.Members.Active() {
+			if !clock.Sleep(ctx, activePeriod) {
 				return ctx.Err()
 			}
 		}
@@ -104,12 +104,12 @@
 	}
 }
 
-// stay returns true once this VM has left the front for a while.
+// stay returns true once this VM has left the active set for a while.
 func (u *Unit) stay(ctx context.Context) bool {
 	seen := u.Clock.Now()
-	for clock.Sleep(ctx, frontPeriod) {
+	for clock.Sleep(ctx, activePeriod) {
 		now := u.Clock.Now()
-		if u.Members.Front() {
+		if u.Members.Active() {
 			seen = now
 		}
 		if now.Sub(seen) > awayFor {
@@ -120,10 +120,10 @@
 }
 
 // learn returns true once this VM knows what engines have cached, and false if it
-// left the front before.
+// left the active set before.
 func (u *Unit) learn(ctx context.Context) bool {
 	var w wait
-	for u.Members.Front() && clock.Sleep(ctx, step) {
+	for u.Members.Active() && clock.Sleep(ctx, step) {
 		engines := u.engines()
 		if len(engines) == 0 {
 			continue
--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -47,7 +47,7 @@
 	change *wire.Change
 	at     clock.Time
 	heard  bool // of another VM
-	left   int  // messages to VMs outside the front that carry it
+	left   int  // messages to VMs outside the active set that carry it
 }
 
 // NewChanges returns the exchange of fleet's changes.
@@ -76,7 +76,7 @@
 }
 
 // fill adds the changes of the last moments that this VM has read from the store to a
-// beat for the front.
+// beat for the active set.
 func (x *Changes) fill(b *wire.Beat) {
 	x.add(b, func(t *told) bool { return !t.heard })
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// takeLoad takes what only VMs of the front tell.
+// takeLoad takes what only VMs of the active set tell.
 func (x *Exchange) takeLoad(from string, b *wire.Beat) {
 	now := x.Clock.Now()
 	reports := make([]place.Report, 0, len(b.GetOutstanding()))
--- a/internal/gossip/front.go
+++ b/internal/gossip/active.go
@@ -12,7 +12,7 @@
 
 const (
 	// linkFor is how long a VM is told load after it has told its own: VMs whose
-	// lists differ for a moment don't agree on the front.
+	// lists differ for a moment don't agree on the active set.
 	linkFor = 2 * time.Second
 	// busyFor is how long a VM that had requests in hand counts as one that serves
 	// callers: longer than the pauses between its requests.
@@ -45,31 +45,31 @@
 
 // chosen are the VMs that are chosen by the list as it is.
 type chosen struct {
-	at    clock.Time
-	stale bool
-	named []serving.VM        // to callers
-	front map[string]struct{} // by address for datagrams
+	at     clock.Time
+	stale  bool
+	named  []serving.VM        // to callers
+	active map[string]struct{} // by address for datagrams
 }
 
 // choose returns the choice as it is now.
 func (m *Members) choose(now clock.Time) *chosen {
 	c := &m.chosen
-	if c.front != nil && !c.stale && now.Sub(c.at) < chosenFor {
+	if c.active != nil && !c.stale && now.Sub(c.at) < chosenFor {
 		return c
 	}
 	ready, all, rate := m.candidates(now)
 	c.named = serving.Choose(ready, rate)
-	c.front = map[string]struct{}{}
-	for _, v := range serving.Front(all, rate) {
-		c.front[v.Peer] = struct{}{}
+	c.active = map[string]struct{}{}
+	for _, v := range serving.Active(all, rate) {
+		c.active[v.Peer] = struct{}{}
 	}
 	for peer, e := range m.list.Entries() {
 		if e.Duty && e.Alive(now) {
-			c.front[peer] = struct{}{}
+			c.active[peer] = struct{}{}
 		}
 	}
 	if own := m.list.Own(); own.Duty {
-		c.front[own.Peer] = struct{}{}
+		c.active[own.Peer] = struct{}{}
 	}
 	c.at, c.stale = now, false
 	return c
@@ -99,30 +99,30 @@
 	return ready, all, rate
 }
 
-// Front tells whether this VM is one of the front.
-func (m *Members) Front() bool {
+// Active tells whether this VM is one of the active set.
+func (m *Members) Active() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.inFront(m.clock.Now(), m.own.Peer)
+	return m.isActive(m.clock.Now(), m.own.Peer)
 }
 
-func (m *Members) inFront(now clock.Time, peer string) bool {
-	_, in := m.choose(now).front[peer]
+func (m *Members) isActive(now clock.Time, peer string) bool {
+	_, in := m.choose(now).active[peer]
 	return in
 }
 
-// beatTargets returns the addresses that this VM tells its load: the front, if it
+// beatTargets returns the addresses that this VM tells its load: the active set, if it
 // is one of it or serves callers all the same, and those that tell theirs.
 func (m *Members) beatTargets(busy bool) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	c := m.choose(now)
-	_, front := c.front[m.own.Peer]
-	m.watch(now, front)
+	_, active := c.active[m.own.Peer]
+	m.watch(now, active)
 	targets := map[string]struct{}{}
-	if front || busy {
-		for peer := range c.front {
+	if active || busy {
+		for peer := range c.active {
 			targets[peer] = struct{}{}
 		}
 	}
@@ -139,19 +139,19 @@
 	return out
 }
 
-// watch accuses the VMs of the front whose beats are missing, if this VM is one of
+// watch accuses the VMs of the active set whose beats are missing, if this VM is one of
 // it, and drops links that are no longer needed.
-func (m *Members) watch(now clock.Time, front bool) {
+func (m *Members) watch(now clock.Time, active bool) {
 	stopped := now.Sub(m.beatAt) > stalled
 	m.beatAt = now
-	for peer := range m.chosen.front {
-		if m.links[peer] == nil && front && peer != m.own.Peer {
+	for peer := range m.chosen.active {
+		if m.links[peer] == nil && active && peer != m.own.Peer {
 			m.links[peer] = &link{wantedAt: now}
 		}
 	}
 	for peer, l := range m.links {
-		_, wanted := m.chosen.front[peer]
-		wanted = wanted && front
+		_, wanted := m.chosen.active[peer]
+		wanted = wanted && active
 		if !wanted || stopped {
 			l.wantedAt = now
 		}
@@ -167,10 +167,10 @@
 	}
 }
 
-// silenceNow is how long a VM of the front may be unheard: more than several of its
-// beats, whose period grows with the front.
+// silenceNow is how long a VM of the active set may be unheard: more than several of its
+// beats, whose period grows with the active set.
 func (m *Members) silenceNow() time.Duration {
-	return max(silence, silentBeats*beatPeriodFor(len(m.chosen.front), true))
+	return max(silence, silentBeats*beatPeriodFor(len(m.chosen.active), true))
 }
 
 // silentBeats is how many beats in a row are missing from a silent VM.
--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -40,7 +40,7 @@
 
 // Content fills and takes the parts of a beat that others own.
 type Content interface {
-	// Fill adds what this VM tells the front: its load, and news.
+	// Fill adds what this VM tells the active set: its load, and news.
 	Fill(b *wire.Beat)
 	// FillNews adds what all VMs must know.
 	FillNews(b *wire.Beat)
@@ -58,13 +58,13 @@
 	// Of the sending goroutine:
 	idle    bool      // the last beat told of no request
 	told    int       // VMs that it went to
-	due     time.Time // of the next beat to the whole front
+	due     time.Time // of the next beat to the whole active set
 	busyAt  time.Time // when there was a request in hand, zero if never
 	pending chan struct{}
 
 	mu    sync.Mutex
 	next  *wire.Beat // what is told once, with the next beat
-	toAll bool       // the early beat goes to the whole front
+	toAll bool       // the early beat goes to the whole active set
 	soon  chan struct{}
 }
 
@@ -157,7 +157,7 @@
 	}
 }
 
-// Soon sends the next beat early, to the whole front: it carries something urgent.
+// Soon sends the next beat early, to the whole active set: it carries something urgent.
 func (u *Unit) Soon() {
 	u.mu.Lock()
 	u.toAll = true
@@ -218,7 +218,7 @@
 	}
 }
 
-// period is the time between two beats to the whole front.
+// period is the time between two beats to the whole active set.
 func (u *Unit) period() time.Duration { return beatPeriodFor(u.told, u.idle) }
 
 // beatPeriodFor is the period of a VM that tells n others.
@@ -230,7 +230,7 @@
 	return period
 }
 
-// beat tells the whole front, or only those that serve callers, how this one is.
+// beat tells the whole active set, or only those that serve callers, how this one is.
 func (u *Unit) beat(toAll bool) {
 	own := u.members.ownRecord()
 	b := beatOf(&own)
--- a/internal/gossip/census.go
+++ b/internal/gossip/census.go
@@ -17,7 +17,7 @@
 	Alive   int
 	Silent  int // remembered, and not believed to live
 	Leaving int
-	Front   int
+	Active  int
 	Named   int // to callers
 }
 
@@ -30,7 +30,7 @@
 
 func (m *Members) census(now clock.Time) Census {
 	c := m.choose(now)
-	n := Census{Alive: 1, Front: len(c.front), Named: len(c.named)}
+	n := Census{Alive: 1, Active: len(c.active), Named: len(c.named)}
 	for _, e := range m.list.Entries() {
 		switch {
 		case !e.Alive(now):
@@ -57,7 +57,7 @@
 		return
 	}
 	m.counted, m.countedAt = n, now
-	_, front := m.chosen.front[m.own.Peer]
+	_, active := m.chosen.active[m.own.Peer]
 	log.WithField("alive", n.Alive).WithField("silent", n.Silent).WithField("leaving", n.Leaving).
-		WithField("front", n.Front).WithField("named", n.Named).WithField("in_front", front).Info("VMs counted")
+		WithField("active", n.Active).WithField("named", n.Named).WithField("is_active", active).Info("VMs counted")
 }
--- a/internal/gossip/group.go
+++ b/internal/gossip/group.go
@@ -6,13 +6,14 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"fescuestand/internal/clock"
 )
 
 const (
-	// joinPeriod keeps a VM of the front listed: three tries within joinTTL.
+	// joinPeriod keeps a VM of the active set listed: three tries within joinTTL.
 	joinPeriod = 1500 * time.Millisecond
 	// joinTTL is how long a VM that vanished stays listed.
 	joinTTL = 5 * time.Second
@@ -29,9 +30,21 @@
 	// within some renewals of the others.
 	firstPeriod = 300 * time.Millisecond
 	earlyPeriod = 1500 * time.Millisecond
-	// outsidePeriod is the time between two looks of a VM that isn't one of the
-	// front, whether it has come to be.
+	// outsidePeriod is the time between two looks of a VM that isn't in the group,
+	// whether it has come to be one of the active set, and startPeriod that of one
+	// that has just started.
 	outsidePeriod = 250 * time.Millisecond
+	startPeriod   = 50 * time.Millisecond
+	// joinSpread spreads the first joins of VMs that start together and find nobody
+	// listed: the others contact the first ones, and most needn't join.
+	joinSpread = 500 * time.Millisecond
+	// knownAfter is how long after its start a VM that has found others knows enough
+	// of them to tell whether it is one of the active set.
+	knownAfter = 1500 * time.Millisecond
+	// leaveAfter is how long a VM stays in the group that is no longer one of the
+	// set. It leaves then, so that what it was dealt doesn't lie idle until it
+	// lapses; the active set of a moment comes and goes with the load.
+	leaveAfter = 10 * time.Second
 	// leaveTimeout bounds the farewell to the group.
 	leaveTimeout = time.Second
 )
@@ -58,6 +71,10 @@
 	members *Members
 	renewed func(sentAt clock.Time, h Holding)
 	listed  chan struct{} // closed after the first try to read the list
+
+	// Of the joining goroutine:
+	joined bool
+	seenAt clock.Time // when this VM was last one of the active set, or held the duty
 }
 
 // NewRegistration returns the unit. renewed is told of each confirmed renewal.
@@ -79,19 +96,14 @@
 // Drain implements kernel.Drainer.
 func (r *Registration) Drain(ctx context.Context) error {
 	r.members.Leave()
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	if err := r.group.Leave(ctx, r.members.own); err != nil {
-		// The entry lapses by itself; the beats have said it already.
-		log.WithError(err).Warn("group not left")
-	}
+	r.leave(ctx) // if the call is lost, the entry lapses; the beats have said it already
 	return nil
 }
 
-// join keeps this VM in the group while it is one of the front, or holds the duty. The
+// join keeps this VM in the group while it is one of the active set, or holds the duty. The
 // others needn't be listed: each renewal is a call of the store, and their number would
-// grow with that of the VMs. A VM that starts reads the list first, and doesn't join if
-// enough others stand there.
+// grow with that of the VMs. Nor may they be dealt the duty, of which nobody would make
+// use until it is dealt anew. So a VM that starts reads the list first.
 func (r *Registration) join(ctx context.Context) error {
 	select {
 	case <-r.listed:
@@ -99,23 +111,71 @@
 		return ctx.Err()
 	}
 	return every(ctx, func() time.Duration {
-		if r.members.Leaving() {
+		switch {
+		case r.members.Leaving():
 			return joinPeriod
-		}
-		if !r.members.Front() && !r.members.Duty() {
+		case r.joined && r.superfluous():
+			r.leave(ctx)
 			return outsidePeriod
+		case !r.joined && !r.wanted():
+			return r.lookAgain()
 		}
-		sentAt := r.members.clock.Now()
-		h, err := r.group.Join(ctx, r.members.own, joinTTL)
-		if err != nil {
-			log.WithError(err).Warn("group not joined")
-			return retryPeriod
-		}
-		r.renewed(sentAt, h)
-		return joinPeriod
+		return r.renew(ctx)
 	})
 }
 
+// lookAgain is the time until a VM that isn't in the group looks again whether it is to
+// join. Those that have just started look often: somebody must be listed first.
+func (r *Registration) lookAgain() time.Duration {
+	if r.members.clock.Now().Sub(r.members.started) < knownAfter {
+		return startPeriod
+	}
+	return outsidePeriod
+}
+
+// wanted tells whether this VM is to join.
+func (r *Registration) wanted() bool {
+	m := r.members
+	age := m.clock.Now().Sub(m.started)
+	switch {
+	case m.Duty(), m.listedItself():
+		return true
+	case !m.Known():
+		return age >= time.Duration(xxhash.Sum64String(m.own.Peer)%uint64(joinSpread))
+	}
+	return age >= knownAfter && m.Active()
+}
+
+// superfluous tells whether this VM has been none of the active set for long.
+func (r *Registration) superfluous() bool {
+	now := r.members.clock.Now()
+	if r.seenAt == 0 || r.members.Active() || r.members.Duty() {
+		r.seenAt = now
+	}
+	return now.Sub(r.seenAt) > leaveAfter
+}
+
+func (r *Registration) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := r.group.Leave(ctx, r.members.own); err != nil {
+		log.WithError(err).Warn("group not left")
+	}
+	r.joined = false // it lapses by itself if the call was lost
+}
+
+func (r *Registration) renew(ctx context.Context) time.Duration {
+	sentAt := r.members.clock.Now()
+	h, err := r.group.Join(ctx, r.members.own, joinTTL)
+	r.joined = true
+	if err != nil {
+		log.WithError(err).Warn("group not joined")
+		return retryPeriod
+	}
+	r.renewed(sentAt, h)
+	return joinPeriod
+}
+
 func (r *Registration) list(ctx context.Context) error {
 	var once sync.Once
 	return every(ctx, func() time.Duration {
--- a/internal/gossip/informed.go
+++ b/internal/gossip/informed.go
@@ -27,14 +27,14 @@
 	return out
 }
 
-// Heard returns the addresses for datagrams of the VMs of the front that are heard,
+// Heard returns the addresses for datagrams of the VMs of the active set that are heard,
 // and this VM's own, in order.
 func (m *Members) Heard() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	out := []string{m.own.Peer}
-	for peer := range m.choose(now).front {
+	for peer := range m.choose(now).active {
 		if l := m.links[peer]; l != nil && peer != m.own.Peer && l.heardLately(now) {
 			out = append(out, peer)
 		}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -5,13 +5,14 @@
 //
 // There are two layers. All VMs keep a list of all by probing each other now and
 // then (package swim); what a VM spends on it doesn't grow with their number. The
-// front, those that serve callers and the next in turn, tell each other their load
-// several times a second. Each VM works out the front from its list, so that no
+// active set, those that serve callers and the next in turn, tell each other their load
+// several times a second. Each VM works that set out from its list, so that no
 // message is needed to agree on it.
 package gossip
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,11 +20,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/policy/serving"
 	"fescuestand/internal/swim"
 )
 
 const (
-	// silence is how long a VM of the front may be unheard until callers are no
+	// silence is how long a VM of the active set may be unheard until callers are no
 	// longer sent to it: several beats in a row are missing.
 	silence = swim.Silence
 	// countedFor is how long a VM that fell silent still counts as one with which
@@ -52,6 +54,8 @@
 	beatAt  clock.Time // last look for missing beats
 	heardAt clock.Time // last datagram of any VM
 
+	listed bool // the platform's list has named this VM
+
 	counted   Census // last one that was logged
 	countedAt clock.Time
 }
@@ -99,15 +103,26 @@
 	rateShare = 0.05
 )
 
-// setRequests takes the rate of this VM's requests.
+// setRequests takes the rate of this VM's requests. The few that come to a VM which
+// isn't named are told as none: told by each of hundreds of VMs, they would wrongly add
+// up to as much as the others get.
 func (m *Members) setRequests(perSecond uint32) {
-	m.change(func(r *swim.Record) {
-		told, now := float64(r.Requests), float64(perSecond)
-		least := max(rateStep*told, rateShare*float64(r.Capacity))
-		if told == 0 && now > 0 || math.Abs(now-told) > least {
-			r.Requests = perSecond
-		}
-	})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	told := m.list.Own().Requests
+	least := rateShare * float64(m.own.Capacity)
+	named := slices.ContainsFunc(m.choose(now).named, func(v serving.VM) bool { return v.Peer == m.own.Peer })
+	switch change := math.Abs(float64(perSecond) - float64(told)); {
+	case !named && float64(perSecond) < least:
+		perSecond = 0
+	case (told == 0) == (perSecond == 0) && change <= max(least, rateStep*float64(told)):
+		return
+	}
+	if perSecond != told {
+		m.list.Change(now, func(r *swim.Record) { r.Requests = perSecond })
+		m.chosen.stale = true
+	}
 }
 
 // ownRecord is what this VM tells of itself.
@@ -135,6 +150,15 @@
 	defer m.mu.Unlock()
 	m.list.List(m.clock.Now(), nodes)
 	m.chosen.stale = true
+	m.listed = m.listed || slices.ContainsFunc(nodes, func(n Node) bool { return n.Peer == m.own.Peer })
+}
+
+// listedItself tells whether the platform's list has named this VM: an earlier process
+// of it has a place there, and perhaps the duty.
+func (m *Members) listedItself() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
 }
 
 // heard is what a beat says of its sender.
--- a/internal/gossip/readers.go
+++ b/internal/gossip/readers.go
@@ -41,13 +41,13 @@
 	// which is away for all isn't called by all.
 	standIns    = 8
 	standInStep = time.Second
-	// toldLate is how much later than in the front it is known elsewhere that a
+	// toldLate is how much later than in the active set it is known elsewhere that a
 	// view is fresh.
 	toldLate = 3 * time.Second
 )
 
 // ReadPause is how long this VM may wait until it reads the endpoints' entries
-// from the store again. The VMs of the front agree on the readers by an order of
+// from the store again. The VMs of the active set agree on the readers by an order of
 // all, so that no message is needed for it: the first ones read, and those after
 // them while too few before them have a fresh view. The others read only when
 // nobody has had one for a while.
@@ -88,7 +88,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	if m.settling(now) || !m.inFront(now, m.own.Peer) {
+	if m.settling(now) || !m.isActive(now, m.own.Peer) {
 		return false
 	}
 	return m.before(now).rank < configReaders
@@ -100,13 +100,13 @@
 	rank   int        // how many they are
 	fresh  int        // how many of them have a fresh view
 	newest clock.Time // when the newest view was read, zero if none is known
-	front  bool       // this VM is one of the front
+	active bool       // this VM is one of the active set
 }
 
 // reading is how many VMs, from the first on, should read.
 func (p *predecessors) reading(now clock.Time) int {
 	limit := freshRead
-	if !p.front {
+	if !p.active {
 		limit += toldLate
 	} else if p.fresh >= readers {
 		return readers
@@ -115,34 +115,34 @@
 	if p.newest != 0 {
 		age = now.Sub(p.newest)
 	}
-	if !p.front && age < limit {
+	if !p.active && age < limit {
 		return 0
 	}
 	return standIns << min(max(age-limit, 0)/standInStep, maxDoublings)
 }
 
-// before looks at the VMs that come before this one: of the front those that are
+// before looks at the VMs that come before this one: of the active set those that are
 // heard, and after them all others that live.
 func (m *Members) before(now clock.Time) predecessors {
 	c := m.choose(now)
-	_, front := c.front[m.own.Peer]
-	p := predecessors{front: front, newest: max(m.newest, m.readAt)}
-	if front {
-		m.beforeInFront(now, c, &p)
+	_, active := c.active[m.own.Peer]
+	p := predecessors{active: active, newest: max(m.newest, m.readAt)}
+	if active {
+		m.beforeActive(now, c, &p)
 		return p
 	}
-	p.rank = len(c.front)
+	p.rank = len(c.active)
 	for peer, e := range m.list.Entries() {
-		if _, in := c.front[peer]; !in && !e.Leaving && e.Alive(now) && precedes(&e.Node, &m.own) {
+		if _, in := c.active[peer]; !in && !e.Leaving && e.Alive(now) && precedes(&e.Node, &m.own) {
 			p.rank++
 		}
 	}
 	return p
 }
 
-func (m *Members) beforeInFront(now clock.Time, c *chosen, p *predecessors) {
+func (m *Members) beforeActive(now clock.Time, c *chosen, p *predecessors) {
 	p.newest = 0
-	for peer := range c.front {
+	for peer := range c.active {
 		e, l := m.list.Entries()[peer], m.links[peer]
 		if e == nil || l == nil || e.Leaving || !l.heardLately(now) || !precedes(&e.Node, &m.own) {
 			continue
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +18,10 @@
 )
 
 const (
-	// period is the time between two looks; one engine is ordered at a look.
-	period = 500 * time.Millisecond
+	// period is the time between two looks, and ordersAtOnce how many engines are
+	// ordered at a look at most.
+	period       = 500 * time.Millisecond
+	ordersAtOnce = 4
 	// callTimeout bounds each call to an engine. An order must have left
 	// within the time that authority counts it as under way.
 	callTimeout = 800 * time.Millisecond
@@ -129,13 +132,15 @@
 	d := u.Demand()
 	d.Slots = slots
 	u.takeHeard(p, open)
-	c, wanted := p.Plan(u.Clock.Now(), engines, d)
-	if _, may := u.Authority.May(u.Clock.Now()); !wanted || !may {
-		return
-	}
-	for _, e := range open {
-		if e.ID == c.ID {
-			u.order(ctx, p, e, c)
+	for range ordersAtOnce {
+		c, wanted := p.Plan(u.Clock.Now(), slices.Clone(engines), d)
+		if _, may := u.Authority.May(u.Clock.Now()); !wanted || !may {
+			return
+		}
+		for _, e := range open {
+			if e.ID == c.ID {
+				u.order(ctx, p, e, c)
+			}
 		}
 	}
 }
--- a/internal/policy/serving/serving.go
+++ b/internal/policy/serving/serving.go
@@ -29,11 +29,11 @@
 	// them.
 	smallShare  = 0.5
 	enoughShare = 0.5
-	// leastFront is how many VMs know the load of all, and frontFactor how many for
+	// leastActive is how many VMs know the load of all, and activeFactor how many for
 	// each that is named: those that are named next take over with what they know.
-	leastFront  = 16
-	frontFactor = 2
-	// unknownNamed VMs are named at most, and are the front, while the load isn't
+	leastActive  = 16
+	activeFactor = 2
+	// unknownNamed VMs are named at most, and are the active set, while the load isn't
 	// known: more would place the first requests of all without each other's counts.
 	unknownNamed = 32
 )
@@ -66,11 +66,11 @@
 	return inTurn
 }
 
-// Front returns the VMs that Choose names and those that are next in turn, which stand
+// Active returns the VMs that Choose names and those that are next in turn, which stand
 // by with the knowledge that placing requests needs. The others need none of it.
-func Front(vms []VM, rate float64) []VM {
+func Active(vms []VM, rate float64) []VM {
 	named := Choose(vms, rate)
-	n := max(leastFront, frontFactor*len(named))
+	n := max(leastActive, activeFactor*len(named))
 	if rate <= 0 {
 		n = unknownNamed
 	}
--- a/internal/swim/detector.go
+++ b/internal/swim/detector.go
@@ -246,6 +246,9 @@
 		return
 	}
 	if !r.supersedes(&e.Record) {
+		if r.Version == e.Version && r.Silent == e.Silent {
+			d.rumors.heardAgain(r.Peer)
+		}
 		return
 	}
 	urgent := r.urgent(&e.Record)
--- a/internal/swim/rumors.go
+++ b/internal/swim/rumors.go
@@ -42,6 +42,19 @@
 	r.all[peer] = m
 }
 
+// heardAgain notes that another VM passes the same record on: the more do, the fewer
+// are left that don't know it.
+func (r *rumors) heardAgain(peer string) {
+	m := r.all[peer]
+	if m == nil {
+		return
+	}
+	m.left--
+	if m.left <= 0 && m.push <= 0 {
+		delete(r.all, peer)
+	}
+}
+
 // next returns the addresses of the records that the next message carries: those
 // that were told least often, the newest first. Each counts as told.
 func (r *rumors) next() []string {
