--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -38,6 +38,9 @@
 	// fleet that follows a mix of long prompts further and then loses decode
 	// engines refuses requests until it has changed back.
 	mostPrefill = 0.5
+	// decodeMargin times the decode engines that the streams need are kept before an
+	// engine more than needed goes on prefilling: a burst brings as many streams more.
+	decodeMargin = 1.25
 	// leastDemand of the engines must be needed for a mix to count as measured.
 	leastDemand = 0.1
 	// leastOfStage engines keep each stage, so that one may crash.
@@ -138,6 +141,26 @@
 	return min(max(p, leastOfStage), n-leastOfStage)
 }
 
+// off is by how many engines too many prefill, negative for too few. Where there are
+// more engines than the demand keeps well busy, those that prefill beyond it are left:
+// a burst of prompts makes first events late sooner than one of streams.
+func off(have, n int, d Demand) int {
+	least := Prefillers(n, d)
+	most := least
+	if d.measured(n) {
+		_, decode := d.need()
+		spare := min(n-int(math.Ceil(decodeMargin*decode)), int(mostPrefill*float64(n)))
+		most = max(least, min(spare, n-leastOfStage))
+	}
+	switch {
+	case have < least:
+		return have - least
+	case have > most:
+		return have - most
+	}
+	return 0
+}
+
 // Plan returns the engine to change now, if any.
 func (p *Planner) Plan(now clock.Time, engines []Engine, d Demand) (Change, bool) {
 	have := 0
@@ -148,7 +171,7 @@
 		}
 	}
 	n := len(engines)
-	wrong := have - Prefillers(n, d)
+	wrong := off(have, n, d)
 	slack, wait, away := 0, settled, n
 	switch {
 	case d.measured(n) && wrong < 0:
--- a/internal/policy/stages/stages_test.go
+++ b/internal/policy/stages/stages_test.go
@@ -43,6 +43,31 @@
 	}
 }
 
+// Guards against a fleet that follows a calm mix down to as few prefill engines as it
+// needs, and has too few of them for the next burst of prompts. Pattern: more engines
+// than the mix keeps busy, bursts of prompts.
+func TestSpareEnginesGoOnPrefilling(t *testing.T) {
+	calm := Demand{Prefill: 6.5, Streams: 200, Slots: 12}
+	assert.Equal(t, Prefillers(79, calm), 22)
+	for _, tc := range []struct {
+		name string
+		have int
+		d    Demand
+		want int
+	}{
+		{"as many as needed", 22, calm, 0},
+		{"more, and decode engines to spare", 39, calm, 0},
+		{"more than half", 45, calm, 6},
+		{"too few", 15, calm, -7},
+		{"decode engines needed", 39, Demand{Prefill: 6.5, Streams: 400, Slots: 12}, 25},
+		{"none to spare", 39, Demand{Prefill: 20, Streams: 300, Slots: 12}, 4},
+	} {
+		assert.Equal(t, off(tc.have, 79, tc.d), tc.want, tc.name)
+	}
+	assert.Equal(t, off(6, 12, Demand{}), 0)
+	assert.Equal(t, off(7, 12, Demand{}), 1, "without traffic")
+}
+
 // settle plays a fleet whose engines take three seconds to change and returns
 // how many changes it took.
 func settle(t *testing.T, engines []Engine, span time.Duration) int {
