--- a/internal/swim/detector.go
+++ b/internal/swim/detector.go
@@ -29,6 +29,8 @@
 	// time until the whole list is asked for then.
 	alarmAfter = 3
 	alarmTable = 1200 * time.Millisecond
+	// calmAfter is how long after an alarm everything is passed on to its end.
+	calmAfter = 30 * time.Second
 	// helpAfter is how long a probe waits for its answer until others are asked
 	// to try, and silentAfter until the VM counts as silent.
 	helpAfter   = 150 * time.Millisecond
@@ -246,9 +248,6 @@
 		return
 	}
 	if !r.supersedes(&e.Record) {
-		if r.Version == e.Version && r.Silent == e.Silent {
-			d.rumors.heardAgain(r.Peer)
-		}
 		return
 	}
 	urgent := r.urgent(&e.Record)
@@ -272,7 +271,7 @@
 
 // spread begins to pass the record of peer on.
 func (d *Detector) spread(now clock.Time, peer string, urgent bool) {
-	d.rumors.add(peer, len(d.entries)+1, urgent)
+	d.rumors.add(now, peer, len(d.entries)+1, urgent)
 	if urgent {
 		d.pushSoon(now, pushDelay)
 	}
--- a/internal/swim/message.go
+++ b/internal/swim/message.go
@@ -19,7 +19,7 @@
 	Kind    Kind
 	Seq     uint32 // of a question, repeated by its answer
 	Target  string // of PingOther: the address for datagrams
-	Digest  uint64 // of AskTable: of the records that the sender has
+	Digest  uint64 // of AskTable: of the records that the sender has; of TableChunk: the same one, if the sender has the same
 	Updates []Record
 }
 
--- a/internal/swim/rumors.go
+++ b/internal/swim/rumors.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"math/bits"
 	"slices"
+	"time"
+
+	"fescuestand/internal/clock"
 )
 
 const (
@@ -16,6 +19,9 @@
 	pushRounds = 2
 	// maxUpdates records fit a datagram of 2 kB.
 	maxUpdates = 20
+	// settledAfter is how long a record is passed on in any case: for a moment two
+	// VMs may know the same and the others not.
+	settledAfter = 3 * time.Second
 )
 
 // rumor is a record that is being passed on.
@@ -24,6 +30,7 @@
 	left  int // transmissions
 	push  int // rounds of the urgent ones
 	since uint64
+	at    clock.Time // when it began
 }
 
 // rumors are the records that this VM passes on, by address.
@@ -33,25 +40,22 @@
 }
 
 // add begins to pass the record of peer on, among size VMs.
-func (r *rumors) add(peer string, size int, urgent bool) {
+func (r *rumors) add(now clock.Time, peer string, size int, urgent bool) {
 	r.n++
-	m := &rumor{peer: peer, left: moreTransmits + bits.Len(uint(size)), since: r.n}
+	m := &rumor{peer: peer, left: moreTransmits + bits.Len(uint(size)), since: r.n, at: now}
 	if urgent {
 		m.push = pushRounds
 	}
 	r.all[peer] = m
 }
 
-// heardAgain notes that another VM passes the same record on: the more do, the fewer
-// are left that don't know it.
-func (r *rumors) heardAgain(peer string) {
-	m := r.all[peer]
-	if m == nil {
-		return
-	}
-	m.left--
-	if m.left <= 0 && m.push <= 0 {
-		delete(r.all, peer)
+// settle ends the passing on of what another VM, chosen at random, has all come to know
+// too: the others know it, or will learn it by the whole list.
+func (r *rumors) settle(now clock.Time) {
+	for peer, m := range r.all {
+		if m.push <= 0 && now.Sub(m.at) > settledAfter {
+			delete(r.all, peer)
+		}
 	}
 }
 
--- a/internal/swim/step.go
+++ b/internal/swim/step.go
@@ -203,9 +203,9 @@
 	case PingOther:
 		return d.pingFor(now, m)
 	case AskTable:
-		return d.table(m)
+		return d.table(now, m)
 	case TableChunk:
-		d.tableAnswered(now)
+		d.tableAnswered(now, m)
 	case News:
 	}
 	return nil
--- a/internal/swim/table.go
+++ b/internal/swim/table.go
@@ -26,9 +26,11 @@
 
 // table returns the whole list in as many messages as it needs, or an empty message
 // if the VM that asks believes the same.
-func (d *Detector) table(asked *Message) []Send {
+func (d *Detector) table(now clock.Time, asked *Message) []Send {
 	m := Message{From: d.own, Kind: TableChunk}
 	if asked.Digest == d.digest() {
+		d.settle(now)
+		m.Digest = asked.Digest
 		return []Send{{asked.From.Peer, m}}
 	}
 	var out []Send
@@ -48,7 +50,10 @@
 
 // tableAnswered puts the next question off, by chance, so that VMs which start
 // together don't ask together.
-func (d *Detector) tableAnswered(now clock.Time) {
+func (d *Detector) tableAnswered(now clock.Time, m *Message) {
+	if m.Digest != 0 {
+		d.settle(now)
+	}
 	if !d.asking {
 		return // another part of the same answer
 	}
@@ -67,6 +72,14 @@
 	}
 }
 
+// settle stops passing on what another VM has all come to know too, unless many VMs fell
+// silent or came back lately: what is told of them then changes too fast for that.
+func (d *Detector) settle(now clock.Time) {
+	if now > d.alarm.until.Add(calmAfter) {
+		d.rumors.settle(now)
+	}
+}
+
 // digest is the same for two VMs that believe the same of all, but for what is not
 // urgent.
 func (d *Detector) digest() uint64 {
