Callers come back later to a VM that has long been starting

Ruled out: shorter calls of the store (it answers nobody until 37.7 s).

Change: policy/ontime.Starting: 0.3 s, as long again as the VM has tried, and up to 0.7 s by chance.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/code"
+	"fescuestand/internal/policy/ontime"
 )
 
 // refusal is a final answer of this VM's own.
@@ -59,10 +61,6 @@
 	return &refusal{code: c, why: why, run: code.NotRun}
 }
 
-// startingAgain is when to come back to a VM that knows no configuration yet:
-// a first read of the store takes tens of milliseconds.
-const startingAgain = 300 * time.Millisecond
-
 // quarantineAgain is when to come back with a request that is believed to crash
 // its endpoints: as late as callers come back at all.
 const quarantineAgain = 10 * time.Second
@@ -73,7 +71,7 @@
 	c, err := g.o.Codec.Decode(r)
 	if v.Config == nil {
 		f := refuse(code.NotReady, "no configuration is known yet")
-		f.again = startingAgain
+		f.again = ontime.Starting(g.o.Clock.Now().Sub(g.started), rand.Uint64())
 		return c, nil, f
 	}
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,13 +42,16 @@
 // Gateway is the handler of callers' requests.
 type Gateway struct {
 	o       Options
+	started clock.Time
 	metrics *Metrics
 	held    ontime.Held
 	rate    serving.Meter
 }
 
 // New returns a gateway.
-func New(o Options) *Gateway { return &Gateway{o: o, metrics: newMetrics()} }
+func New(o Options) *Gateway {
+	return &Gateway{o: o, started: o.Clock.Now(), metrics: newMetrics()}
+}
 
 // Rate returns the requests a second, zero if they are not known yet.
 func (g *Gateway) Rate() float64 { return g.rate.Rate(g.o.Clock.Now()) }
