A large active set keeps its readers

Cause, found by reading: the beats of an active set of 300 VMs come 1.8 s apart, and a VM whose beats are missing for 1.2 s was not counted among the readers, so that each took itself for the first and read for all. Only the silence after which a VM is accused grew with the set.

Change: the same growing time tells whether beats arrive, and is added to the age from which a view is lost. TestALargeActiveSetKeepsItsReaders fails without it.

--- a/internal/gossip/informed.go
+++ b/internal/gossip/informed.go
@@ -35,7 +35,7 @@
 	now := m.clock.Now()
 	out := []string{m.own.Peer}
 	for peer := range m.choose(now).active {
-		if l := m.links[peer]; l != nil && peer != m.own.Peer && l.heardLately(now) {
+		if l := m.links[peer]; l != nil && peer != m.own.Peer && m.beatsArrive(now, l) {
 			out = append(out, peer)
 		}
 	}
--- a/internal/gossip/readers.go
+++ b/internal/gossip/readers.go
@@ -97,28 +97,26 @@
 // predecessors are the VMs that come before this one in the order by which they read
 // for all.
 type predecessors struct {
-	rank   int        // how many they are
-	fresh  int        // how many of them have a fresh view
-	newest clock.Time // when the newest view was read, zero if none is known
-	active bool       // this VM is one of the active set
+	rank   int           // how many they are
+	fresh  int           // how many of them have a fresh view
+	newest clock.Time    // when the newest view was read, zero if none is known
+	active bool          // this VM is one of the active set
+	limit  time.Duration // age of a view that isn't fresh any more
 }
 
 // reading is how many VMs, from the first on, should read.
 func (p *predecessors) reading(now clock.Time) int {
-	limit := freshRead
-	if !p.active {
-		limit += toldLate
-	} else if p.fresh >= readers {
+	if p.active && p.fresh >= readers {
 		return readers
 	}
 	age := time.Duration(math.MaxInt64)
 	if p.newest != 0 {
 		age = now.Sub(p.newest)
 	}
-	if !p.active && age < limit {
+	if !p.active && age < p.limit {
 		return 0
 	}
-	return standIns << min(max(age-limit, 0)/standInStep, maxDoublings)
+	return standIns << min(max(age-p.limit, 0)/standInStep, maxDoublings)
 }
 
 // before looks at the VMs that come before this one: of the active set those that are
@@ -126,11 +124,12 @@
 func (m *Members) before(now clock.Time) predecessors {
 	c := m.choose(now)
 	_, active := c.active[m.own.Peer]
-	p := predecessors{active: active, newest: max(m.newest, m.readAt)}
+	p := predecessors{active: active, newest: max(m.newest, m.readAt), limit: m.freshFor()}
 	if active {
 		m.beforeActive(now, c, &p)
 		return p
 	}
+	p.limit += toldLate
 	p.rank = len(c.active)
 	for peer, e := range m.list.Entries() {
 		if _, in := c.active[peer]; !in && !e.Leaving && e.Alive(now) && precedes(&e.Node, &m.own) {
@@ -144,7 +143,7 @@
 	p.newest = 0
 	for peer := range c.active {
 		e, l := m.list.Entries()[peer], m.links[peer]
-		if e == nil || l == nil || e.Leaving || !l.heardLately(now) || !precedes(&e.Node, &m.own) {
+		if e == nil || l == nil || e.Leaving || !m.beatsArrive(now, l) || !precedes(&e.Node, &m.own) {
 			continue
 		}
 		p.rank++
@@ -152,17 +151,21 @@
 			continue
 		}
 		p.newest = max(p.newest, l.readAt)
-		if now.Sub(l.readAt) < freshRead {
+		if now.Sub(l.readAt) < p.limit {
 			p.fresh++
 		}
 	}
 }
 
-// heardLately tells whether the VM's beats arrive.
-func (l *link) heardLately(now clock.Time) bool {
-	return l.heardAt != 0 && now.Sub(l.heardAt) < silence
+// beatsArrive tells whether the beats of the VM at the other end of l do.
+func (m *Members) beatsArrive(now clock.Time, l *link) bool {
+	return l.heardAt != 0 && now.Sub(l.heardAt) < m.silenceNow()
 }
 
+// freshFor is the age from which a view counts as lost. It grows with the time between
+// two beats, by which views are told.
+func (m *Members) freshFor() time.Duration { return freshRead + m.silenceNow() - silence }
+
 // precedes tells whether a reads before b: large VMs first, since what they read
 // they pass on, then by a hash of the address.
 func precedes(a, b *Node) bool {
--- a/internal/gossip/readers_test.go
+++ b/internal/gossip/readers_test.go
@@ -118,3 +118,27 @@
 	assert.Equal(t, m.ReadPause(), leadPause)
 	assert.Assert(t, m.ReadsConfig())
 }
+
+// Guards against an active set so large that its beats come seconds apart: each VM of it
+// would hear nobody, and read for all.
+func TestALargeActiveSetKeepsItsReaders(t *testing.T) {
+	const vms = 300
+	c := &clock.Manual{T: clock.Time(time.Hour)}
+	m := NewMembers(c, sized(0))
+	m.SetReady(true)
+	beat := func() {
+		for i := 1; i < vms; i++ {
+			r := swim.Record{Node: sized(i), Version: 1, Ready: true, Requests: 50}
+			m.hear(heard{Record: r, readAgeMs: 1})
+		}
+	}
+	beat()
+	c.T = c.T.Add(settleFor)
+	beat()
+	assert.Assert(t, len(m.choose(c.T).active) > 100)
+	period := beatPeriodFor(vms, true)
+	assert.Assert(t, period > silence)
+	c.T = c.T.Add(period)
+	assert.Assert(t, m.ReadPause() >= idlePause)
+	assert.Assert(t, !m.ReadsConfig())
+}
