--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
-	"fescuestand/internal/swim"
 	"fescuestand/internal/wire"
 )
 
@@ -32,8 +31,6 @@
 	// maxDatagram fits the usual limit of a packet several times over, and
 	// bounds what a beat carries of prefixes and of members.
 	maxDatagram = 32 << 10
-	// longestStep bounds the pause between two looks at the list.
-	longestStep = time.Second
 	// maxTold bounds what one beat carries besides the load.
 	maxTold = 128
 )
@@ -55,22 +52,25 @@
 	pc      net.PacketConn
 	listen  string
 
-	// Of the sending goroutine:
-	idle    bool      // the last beat told of no request
-	told    int       // VMs that it went to
-	due     time.Time // of the next beat to the whole active set
-	busyAt  time.Time // when there was a request in hand, zero if never
-	pending chan struct{}
+	// Of the goroutine that sends beats:
+	idle   bool      // the last beat told of no request
+	told   int       // VMs that it went to
+	due    time.Time // of the next beat to the whole active set
+	busyAt time.Time // when there was a request in hand, zero if never
 
 	mu    sync.Mutex
 	next  *wire.Beat // what is told once, with the next beat
 	toAll bool       // the early beat goes to the whole active set
-	soon  chan struct{}
+
+	soon     chan struct{} // wakes the goroutine that sends beats
+	stepSoon chan struct{} // wakes the one that does what the list has due
 }
 
 // NewUnit returns a unit that listens on the own node's datagram address.
 func NewUnit(m *Members, c Content) *Unit {
-	return &Unit{members: m, content: c, listen: m.own.Peer, next: &wire.Beat{}, soon: make(chan struct{}, 1), pending: make(chan struct{}, 1)}
+	return &Unit{
+		members: m, content: c, listen: m.own.Peer, next: &wire.Beat{}, soon: make(chan struct{}, 1), stepSoon: make(chan struct{}, 1),
+	}
 }
 
 // Name implements kernel.Unit.
@@ -106,48 +106,6 @@
 	return nil
 }
 
-// Push tells a few VMs at once what all must know; they pass it on.
-func (u *Unit) Push() {
-	u.members.push()
-	u.stepSoon()
-}
-
-// stepSoon has the list look at once at what is due.
-func (u *Unit) stepSoon() {
-	select {
-	case u.pending <- struct{}{}:
-	default:
-	}
-}
-
-// probe does what the list of all VMs has due.
-func (u *Unit) probe(ctx context.Context) error {
-	for {
-		out, next := u.members.step()
-		u.sendAll(out)
-		u.members.logCensus()
-		t := time.NewTimer(min(max(next.Sub(u.members.clock.Now()), 0), longestStep))
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return ctx.Err()
-		case <-t.C:
-		case <-u.pending:
-			t.Stop()
-		}
-	}
-}
-
-// sendAll sends messages of the list, with the news that all must know.
-func (u *Unit) sendAll(out []swim.Send) {
-	for i := range out {
-		b := probeBeat(&out[i].Message)
-		_, b.NewestReadMs = u.members.told()
-		u.content.FillNews(b)
-		u.sendTo([]string{out[i].To}, b)
-	}
-}
-
 // Tell changes what the next beat carries once.
 func (u *Unit) Tell(add func(b *wire.Beat)) {
 	u.mu.Lock()
@@ -168,8 +126,13 @@
 // SoonToBusy sends the next beat early to the VMs that serve callers: it carries
 // load, which others don't need between two beats.
 func (u *Unit) SoonToBusy() {
+	wake(u.soon)
+}
+
+// wake has the goroutine that waits for c look again.
+func wake(c chan<- struct{}) {
 	select {
-	case u.soon <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -304,7 +267,7 @@
 		u.members.hearRead(b.GetNewestReadMs())
 		if b.GetProbe() != nil {
 			u.sendAll(u.members.receive(probeOf(&b)))
-			u.stepSoon()
+			wake(u.stepSoon)
 		} else {
 			u.members.hear(heard{Record: senderOf(&b), readAgeMs: b.GetReadAgeMs(), busy: len(b.GetOutstanding()) > 0})
 		}
