A fleet of thousands of endpoints starts in batches, and isn't told change by change

Each changed entry made a new view of all endpoints, 3,000 times 3,000 at a start; and each VM told, and pushed, what it had read for itself, so that every change came to every VM hundreds of times.

Change: the entries of one read make one view; only those that read for all tell what they have read; of more than 128 changes within 1.2 s the rest is left to be read from the store.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -34,6 +34,8 @@
 	outageAt clock.Time            // last moment at which the store was away
 	outage   bool                  // the store has been away at all
 	changed  chan struct{}
+	holds    int  // batches that are being applied
+	held     bool // a view is due when they end
 }
 
 type tombstone struct {
@@ -185,8 +187,31 @@
 	}
 }
 
+// Hold puts off new views until Release: a view lists all endpoints, and the first read
+// of a large fleet changes each of them.
+func (s *Store) Hold() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holds++
+}
+
+// Release ends what Hold began.
+func (s *Store) Release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holds--
+	if s.holds == 0 && s.held {
+		s.publish()
+	}
+}
+
 // publish is called with the lock held.
 func (s *Store) publish() {
+	if s.holds > 0 {
+		s.held = true
+		return
+	}
+	s.held = false
 	s.view.Store(newView(s.config, s.known))
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -17,6 +17,9 @@
 	// maxChanges is how many changes a beat carries; VMs that miss others read
 	// them from the store.
 	maxChanges = 32
+	// mostTold changes within tellFor are told. More come when a whole fleet starts
+	// or is replaced; the others then read them from the store at once.
+	mostTold = 4 * maxChanges
 	// passOn is how many messages to other VMs carry a change from each VM that
 	// comes to know it: each VM gets it as often in the mean.
 	passOn = 10
@@ -31,6 +34,9 @@
 type Changes struct {
 	clock clock.Clock
 	fleet *keyedlog.Follower
+	// Reads tells whether this VM reads the store for all. What another one has
+	// read for itself the others know, or will read too.
+	Reads func() bool
 
 	mu     sync.Mutex
 	recent []told
@@ -52,7 +58,7 @@
 
 // NewChanges returns the exchange of fleet's changes.
 func NewChanges(c clock.Clock, fleet *keyedlog.Follower) *Changes {
-	return &Changes{clock: c, fleet: fleet, previous: map[int64]int64{}}
+	return &Changes{clock: c, fleet: fleet, previous: map[int64]int64{}, Reads: func() bool { return true }}
 }
 
 // Know notes a change that is in force here and passes it on. What a VM reads at its
@@ -60,7 +66,7 @@
 func (x *Changes) Know(e keyedlog.Entry) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if e.Newest {
+	if e.Newest || !e.Heard && !x.Reads() {
 		x.last = max(x.last, e.Offset)
 		return
 	}
@@ -71,7 +77,11 @@
 	if e.Offset == x.lacking {
 		x.lacking = 0
 	}
-	x.recent = append(x.recent, told{c, x.clock.Now(), e.Heard, passOn})
+	now := x.clock.Now()
+	x.recent = slices.DeleteFunc(x.recent, func(t told) bool { return now.Sub(t.at) >= tellFor })
+	if len(x.recent) < mostTold {
+		x.recent = append(x.recent, told{c, now, e.Heard, passOn})
+	}
 	x.last = max(x.last, e.Offset)
 }
 
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -69,6 +69,31 @@
 	assert.Equal(t, b.GetLastChange(), uint64(3))
 }
 
+// Guards against hundreds of VMs that each tell what each has read for itself.
+func TestOnlyReadersTellWhatTheyRead(t *testing.T) {
+	c := &clock.Manual{T: 1}
+	x := NewChanges(c, nil)
+	x.Reads = func() bool { return false }
+	x.Know(keyedlog.Entry{Key: "a", Offset: 3})
+	b := beatOf(x)
+	assert.Equal(t, len(b.GetChanges()), 0)
+	assert.Equal(t, b.GetLastChange(), uint64(3))
+	x.Know(keyedlog.Entry{Key: "b", Offset: 4, Heard: true})
+	x.pass(b)
+	assert.Equal(t, len(b.GetChanges()), 1, "what was heard is passed on")
+}
+
+// Guards against beats full of changes for as long as thousands of endpoints start.
+func TestAFleetThatStartsIsNotToldChangeByChange(t *testing.T) {
+	c := &clock.Manual{T: 1}
+	x := NewChanges(c, nil)
+	for i := range 3000 {
+		x.Know(keyedlog.Entry{Key: fmt.Sprint(i), Offset: int64(i + 1)})
+	}
+	assert.Equal(t, len(x.recent), mostTold)
+	assert.Equal(t, beatOf(x).GetLastChange(), uint64(3000))
+}
+
 // Guards against hundreds of VMs that read the store because a change, passed on from VM
 // to VM, overtook the one before it.
 func TestAChangeThatOvertakesAnotherIsNoReasonToRead(t *testing.T) {
--- a/internal/gossip/readers.go
+++ b/internal/gossip/readers.go
@@ -65,6 +65,9 @@
 	return m.idlePause(now)
 }
 
+// Reads tells whether this VM reads the endpoints' entries for all.
+func (m *Members) Reads() bool { return m.ReadPause() == leadPause }
+
 // IdlePause is how long this VM may go without a read of its own while others
 // read for it.
 func (m *Members) IdlePause() time.Duration {
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -53,6 +53,8 @@
 	Read func()
 	// Lost is called after each read that failed.
 	Lost func()
+	// Begin and End are called around the entries of one read.
+	Begin, End func()
 	// OneKey tells that only one key matters, so that what lies before a record
 	// that was heard needn't be read.
 	OneKey bool
@@ -71,7 +73,8 @@
 func New(name string, source Source) *Follower {
 	return &Follower{
 		Name: name, Source: source, Lost: func() {}, Read: func() {}, Pause: func() time.Duration { return 0 },
-		Wait:    func() time.Duration { return 0 },
+		Wait:  func() time.Duration { return 0 },
+		Begin: func() {}, End: func() {},
 		offsets: map[string]int64{}, nudged: make(chan struct{}, 1),
 	}
 }
@@ -188,6 +191,8 @@
 	if err != nil {
 		return err
 	}
+	f.Begin()
+	defer f.End()
 	for _, e := range entries {
 		f.apply(e)
 	}
@@ -237,6 +242,8 @@
 	if err != nil {
 		return err
 	}
+	f.Begin()
+	defer f.End()
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key] = true
--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -41,6 +41,10 @@
 	// decodeMargin times the decode engines that the streams need are kept before an
 	// engine more than needed goes on prefilling: a burst brings as many streams more.
 	decodeMargin = 1.25
+	// mostUnseen engines at most are made to prefill while there is no traffic: they
+	// carry what comes first, and a fleet of thousands isn't turned round for a mix
+	// that nobody has seen.
+	mostUnseen = 48
 	// leastDemand of the engines must be needed for a mix to count as measured.
 	leastDemand = 0.1
 	// leastOfStage engines keep each stage, so that one may crash.
@@ -147,7 +151,9 @@
 func off(have, n int, d Demand) int {
 	least := Prefillers(n, d)
 	most := least
-	if d.measured(n) {
+	if !d.measured(n) {
+		least = min(least, mostUnseen)
+	} else {
 		_, decode := d.need()
 		spare := min(n-int(math.Ceil(decodeMargin*decode)), int(mostPrefill*float64(n)))
 		most = max(least, min(spare, n-leastOfStage))
--- a/internal/policy/stages/stages_test.go
+++ b/internal/policy/stages/stages_test.go
@@ -64,6 +64,9 @@
 	} {
 		assert.Equal(t, off(tc.have, 79, tc.d), tc.want, tc.name)
 	}
+	assert.Equal(t, off(170, 999, Demand{Slots: 12}), 0, "a large fleet without traffic")
+	assert.Equal(t, off(10, 999, Demand{Slots: 12}), -38)
+	assert.Equal(t, off(600, 999, Demand{Slots: 12}), 100)
 	assert.Equal(t, off(6, 12, Demand{}), 0)
 	assert.Equal(t, off(7, 12, Demand{}), 1, "without traffic")
 }
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -39,9 +39,10 @@
 	n.config.Wait, n.config.Pause = n.configWait, n.configPause
 	n.puller = configsync.NewPuller(n.clock, n.version, n.config)
 	n.fleet = keyedlog.New("fleet", n.adapter.Endpoints())
-	n.fleet.Apply = n.applyEndpoint
+	n.fleet.Apply, n.fleet.Begin, n.fleet.End = n.applyEndpoint, n.catalog.Hold, n.catalog.Release
 	n.fleet.Pause, n.fleet.Read, n.fleet.Lost = n.members.ReadPause, n.members.HaveRead, n.catalog.Unreachable
 	n.changes = gateway.NewChanges(n.clock, n.fleet)
+	n.changes.Reads = n.members.Reads
 }
 
 // configWait is how long a read of the configuration waits for a newer one.
