--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -102,6 +102,41 @@
 	assert.DeepEqual(t, f.given(), []string{"e0 prefill accepted=2 fence=5", "e1 prefill accepted=2 fence=5"})
 }
 
+// Guards against a fleet that comes up with too few engines of a stage and is turned one
+// engine at a look: the first traffic would find it half done.
+func TestSeveralEnginesAreOrderedAtALook(t *testing.T) {
+	f := &fake{}
+	c := &clock.Manual{T: clock.Time(time.Hour)}
+	store := catalog.NewStore(c)
+	store.SetConfig(catalog.NewConfig(1, nil, []*catalog.Service{{Name: "m", Engine: &catalog.Engine{Slots: 12}}}))
+	for i := range 40 {
+		store.SetEndpoint(&catalog.Endpoint{ID: fmt.Sprintf("e%02d", i), Service: "m", Stage: catalog.Decode, Sequence: 1})
+	}
+	a := authority.New(0, true, c.T)
+	u := &Unit{
+		Catalog: store, Authority: a, Engine: f, Clock: c, Load: func(string) int { return 0 },
+		Demand: func() stages.Demand { return stages.Demand{} }, Ordered: func(string) {}, planners: map[string]*stages.Planner{},
+	}
+	look := func() {
+		a.Renewed(c.T, true, 5)
+		if step, holding := a.Next(c.T); step != authority.Nothing {
+			a.Done(holding, step == authority.Write, true)
+		}
+		u.look(t.Context())
+		c.T = c.T.Add(period)
+	}
+	for len(f.given()) == 0 {
+		look()
+	}
+	assert.Equal(t, len(f.given()), ordersAtOnce)
+	look()
+	assert.Equal(t, len(f.given()), 2*ordersAtOnce)
+	for range 6 {
+		look()
+	}
+	assert.Equal(t, len(f.given()), 20, "half of them")
+}
+
 // Every process runs the unit. One that doesn't hold the authority must not give
 // an order, whatever it believes of the fleet.
 func TestWithoutAuthorityNothingIsOrdered(t *testing.T) {
