--- a/internal/cachesync/cachesync_test.go
+++ b/internal/cachesync/cachesync_test.go
@@ -155,10 +155,8 @@
 	return out
 }
 
-// All VMs of a deployment lose power at once; the engines keep their caches. Each VM
-// took every shared part for cold, and the engines read again what they had. The VMs
-// hear of each other one by one: asked by each that takes it for its own, an engine
-// would stand still for six lists.
+// Guards against engines that stand still because each VM which starts asks them for their
+// lists.
 func TestAfterALossOfAllVMsEachEngineIsAskedOnce(t *testing.T) {
 	held := parts(3*chunkParts + 1)
 	d := start(t, 7, false, held, "a", "b", "c", "d", "mute")
@@ -187,8 +185,7 @@
 	return len(d.asked) == n
 }
 
-// One VM of three is restarted. What it believed is known to the others: no engine
-// has to be disturbed for it.
+// Guards against engines being asked for what another VM knows.
 func TestAVMThatStartsAsksOneThatKnows(t *testing.T) {
 	d := start(t, 3, false, nil, "a", "b")
 	known, fresh := d.vms[1], d.vms[0]
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -138,9 +138,8 @@
 	assert.Equal(t, len(reads), 0)
 }
 
-// Half of ninety engines are replaced within seconds, more changes at a time than
-// a beat carries. A VM that took those it was told for all would go on sending to
-// engines that have left.
+// Guards against work sent to endpoints that left in a moment of more changes than a beat
+// carries.
 func TestAChangeThatNoBeatCarriedIsReadFromTheStore(t *testing.T) {
 	c := &clock.Manual{T: 1}
 	reader := NewChanges(c, nil)
@@ -158,8 +157,7 @@
 	}
 }
 
-// All beats that carried a change were lost. A later one says that its sender
-// knows of it.
+// Guards against a change whose beats were all lost.
 func TestAChangeThatWasNotHeardIsReadAfterAWhile(t *testing.T) {
 	c := &clock.Manual{T: 1}
 	x, _, reads := listener(t, c)
--- a/internal/gossip/beat_test.go
+++ b/internal/gossip/beat_test.go
@@ -84,9 +84,8 @@
 	})
 }
 
-// Six of sixty VMs serve callers. Load that is told early to all of them is most of
-// what goes between zones; a crash that is not told to all lets a request crash
-// engines through each VM.
+// Guards against load being told early to VMs that don't serve, and against a crash that
+// some aren't told.
 func TestEarlyLoadGoesToVMsThatServeAndNewsToAll(t *testing.T) {
 	c, m := newMembers()
 	m.hear(heard{Record: swim.Record{Node: node(1), Ready: true}, busy: true})
@@ -116,8 +115,7 @@
 	assert.Assert(t, !u.allWanted(), "once")
 }
 
-// Datagrams of other programs, or torn ones, arrive at the port. Nothing of them
-// may stop the beats.
+// Guards against torn datagrams, or those of other programs, that stop the beats.
 func TestForeignDatagramsAreDropped(t *testing.T) {
 	var h hub
 	u, m := start(t, &h)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -37,8 +37,8 @@
 	assert.DeepEqual(t, m.Callers("z1"), []string{"10.0.0.1:1", "10.0.0.3:1", "10.0.0.0:1", "10.0.0.2:1"})
 }
 
-// A deployment gets few requests: one VM of each zone is named, and another one for
-// a VM that is silent.
+// Guards against a few requests being spread over all VMs, and against a silent one among
+// those named.
 func TestAFewVMsAreNamedForAFewRequests(t *testing.T) {
 	c, m := newMembers()
 	m.own.Capacity = 100
@@ -56,8 +56,7 @@
 	assert.DeepEqual(t, m.Callers("z0"), []string{"10.0.0.0:1", "10.0.0.2:1", "10.0.0.3:1"})
 }
 
-// A VM is told to stop and tells the others. An address answer that still named
-// it would bring it callers that it can't serve to the end.
+// Guards against callers that a VM which was told to stop can't serve to the end.
 func TestALeavingVMIsNamedNoMore(t *testing.T) {
 	_, m := newMembers()
 	m.hear(heard{Record: swim.Record{Node: node(1), Ready: true}})
@@ -69,8 +68,7 @@
 	assert.Assert(t, !m.Ready())
 }
 
-// A VM is frozen or cut off. Its entry in the group lives on for seconds, in
-// which callers would connect to it and wait.
+// Guards against callers being sent to a frozen VM for as long as the group lists it.
 func TestASilentVMIsNamedNoMore(t *testing.T) {
 	c, m := newMembers()
 	m.List([]Node{node(1)})
@@ -88,8 +86,7 @@
 	forget  = 10 * time.Second
 )
 
-// All VMs start at once. Each is listed before it is heard; an answer without the
-// others would send all callers to one VM.
+// Guards against all callers being sent to one VM while all start at once.
 func TestAListedVMCountsUntilItShouldHaveBeenHeard(t *testing.T) {
 	c, m := newMembers()
 	m.List([]Node{node(0), node(1)})
@@ -135,8 +132,7 @@
 
 func (g *group) Leave(context.Context, Node) error { return errDown }
 
-// The store is away when a VM starts. The VM must go on trying, and be listed as
-// soon as the store is back.
+// Guards against a VM that gives up on the group because the store was away at its start.
 func TestRegistrationOutlivesAnOutage(t *testing.T) {
 	g := &group{down: true, list: []Node{node(5)}}
 	c, m := newMembers()
--- a/internal/gossip/readers_test.go
+++ b/internal/gossip/readers_test.go
@@ -40,8 +40,8 @@
 	return often
 }
 
-// Two of sixty VMs read for all. When they are lost others must take their place
-// by themselves, and when no view stays fresh more and more read.
+// Guards against all VMs reading the store, and against nobody reading it after the readers
+// are lost.
 func TestAFewVMsReadForAll(t *testing.T) {
 	assert.Equal(t, pauses(60, nil, 0), readers)
 	assert.Equal(t, pauses(60, map[int]bool{1: true, 2: true, 3: true, 4: true, 5: true}, 0), readers)
@@ -49,8 +49,7 @@
 	assert.Equal(t, pauses(8, nil, freshRead), 8)
 }
 
-// The store is away for nine seconds. Each of sixty VMs that called it twice a
-// second all the while would be charged for a thousand calls that do nothing.
+// Guards against a thousand calls that do nothing while the store is away.
 func TestAStoreThatIsAwayIsCalledByFew(t *testing.T) {
 	assert.Equal(t, pauses(60, nil, freshRead), standIns)
 	assert.Equal(t, pauses(60, nil, freshRead+2*standInStep), 4*standIns)
@@ -58,8 +57,8 @@
 	assert.Equal(t, pauses(60, nil, freshRead+toldLate+3*standInStep), 60, "all")
 }
 
-// The store turns the two readers away and serves the others. Two of these must
-// go on reading for as long as it lasts, or a leaving endpoint gets work.
+// Guards against leaving endpoints that get work because the store turns the two readers
+// away.
 func TestReadersThatTheStoreTurnsAwayAreReplaced(t *testing.T) {
 	const vms = 10
 	order := make([]Node, vms)
@@ -91,8 +90,7 @@
 	}
 }
 
-// Large VMs carry what the others ask for; a small one would pass a configuration
-// of a thousand routes on for seconds.
+// Guards against a small VM that passes a large configuration on for seconds.
 func TestLargeVMsReadForTheSmallOnes(t *testing.T) {
 	m := settled(node(0))
 	m.own.Capacity = 30
@@ -108,8 +106,7 @@
 	assert.Equal(t, m.ReadPause(), leadPause)
 }
 
-// A VM that has just started hears nobody yet. Did it take itself for the first
-// of all, each of sixty VMs would read for all at every start.
+// Guards against each VM taking itself for the first of all when it starts.
 func TestAVMThatHasJustStartedDoesNotReadForAll(t *testing.T) {
 	c, m := newMembers()
 	assert.Assert(t, m.ReadPause() >= idlePause)
--- a/internal/gossip/start_test.go
+++ b/internal/gossip/start_test.go
@@ -6,8 +6,7 @@
 	"gotest.tools/v3/poll"
 )
 
-// Ten VMs start together, and the group has listed only one of them so far. They
-// must know each other before callers come, without reading the list for long.
+// Guards against VMs that know only the one which the group has listed when callers come.
 func TestVMsIntroduceEachOther(t *testing.T) {
 	const vms = 10
 	var hubs [vms]hub
--- a/internal/policy/serving/serving_test.go
+++ b/internal/policy/serving/serving_test.go
@@ -27,8 +27,8 @@
 	return out
 }
 
-// Nine VMs in three zones get 100 requests a second, of which each could take 180.
-// Spread over all nine, connections to endpoints lie idle until they are closed.
+// Guards against connections to endpoints that lie idle until they are closed, under a
+// small load.
 func TestASmallLoadIsServedByOneVMOfEachZone(t *testing.T) {
 	vms := fleet(9, 3, 180)
 	assert.DeepEqual(t, perZone(Choose(vms, 100)), map[string]int{"z0": 1, "z1": 1, "z2": 1})
@@ -37,8 +37,7 @@
 	assert.Equal(t, len(Choose(vms, 0)), 9, "a load that isn't known")
 }
 
-// A VM that is named is lost. Another one of its zone takes its place, and the
-// callers of the others stay where they are.
+// Guards against all callers moving when one VM is lost.
 func TestALostVMIsReplacedInItsZone(t *testing.T) {
 	vms := fleet(9, 3, 180)
 	before := Choose(vms, 100)
@@ -50,8 +49,7 @@
 	assert.Equal(t, len(Choose(nil, 100)), 0)
 }
 
-// Ten VMs have twenty times the link of the fifty others. Callers choose among the
-// addresses at random, so that the small ones would get most requests.
+// Guards against small VMs that get as many requests as large ones.
 func TestSmallVMsAreNamedOnlyWhereTheyAreNeeded(t *testing.T) {
 	named := func(large int) int {
 		vms := fleet(51, 51, 30)
@@ -99,8 +97,7 @@
 	assert.Equal(t, len(Active(vms[:9], 10)), 9, "all of a few VMs")
 }
 
-// Traffic begins at its full rate. Averaged from nothing, it would look small, and
-// callers would be sent to a few VMs that can't carry it.
+// Guards against a rate that looks small at the start of traffic.
 func TestARateIsKnownSoonAndWhole(t *testing.T) {
 	var m Meter
 	start := clock.Time(time.Hour)
