--- a/internal/gossip/census.go
+++ b/internal/gossip/census.go
@@ -12,8 +12,8 @@
 // change would be many thousands where hundreds of VMs start together.
 const censusPeriod = time.Second
 
-// Census counts the VMs as one of them sees them, itself included.
-type Census struct {
+// census counts the VMs as one of them sees them, itself included.
+type census struct {
 	Alive   int
 	Silent  int // remembered, and not believed to live
 	Leaving int
@@ -21,16 +21,10 @@
 	Named   int // to callers
 }
 
-// Census returns the counts as they are now.
-func (m *Members) Census() Census {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.census(m.clock.Now())
-}
-
-func (m *Members) census(now clock.Time) Census {
+// census returns the counts as they are now.
+func (m *Members) census(now clock.Time) census {
 	c := m.choose(now)
-	n := Census{Alive: 1, Active: len(c.active), Named: len(c.named)}
+	n := census{Alive: 1, Active: len(c.active), Named: len(c.named)}
 	for _, e := range m.list.Entries() {
 		switch {
 		case !e.Alive(now):
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -56,7 +56,7 @@
 
 	listed bool // the platform's list has named this VM
 
-	counted   Census // last one that was logged
+	counted   census // last one that was logged
 	countedAt clock.Time
 }
 
@@ -234,7 +234,7 @@
 func (m *Members) count(now clock.Time) int {
 	n := 1
 	for _, e := range m.list.Entries() {
-		if e.Alive(now) || !e.Absent(now, countedFor) {
+		if !e.Absent(now, countedFor) {
 			n++
 		}
 	}
