--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -6,6 +6,8 @@
 import (
 	"strings"
 	"time"
+
+	"fescuestand/internal/workspace"
 )
 
 // Kind says what may be repeated of a route's requests.
@@ -40,6 +42,7 @@
 	Gap         time.Duration // longest pause between events that callers hope for
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // endpoints that one request may be sent to
+	Anonymous   bool          // no key is needed
 	Shares      []Share
 }
 
@@ -81,10 +84,21 @@
 	StageChange time.Duration
 }
 
+// Scaling says how many endpoints of a service may be ordered, and what they cost.
+type Scaling struct {
+	Min, Max int           // endpoints of a zone, spot ones included
+	Boot     time.Duration // from the order to the first request
+	// SpotPrice is the price of a spot endpoint as a share of that of another one of
+	// its zone, zero where there are none.
+	SpotPrice  float64
+	ZonePrices map[string]float64 // of an endpoint's second, by availability zone
+}
+
 // Service is a set of endpoints that do the same work.
 type Service struct {
-	Name   string
-	Engine *Engine // nil for a plain service
+	Name    string
+	Engine  *Engine  // nil for a plain service
+	Scaling *Scaling // nil if the endpoints aren't ordered by this system
 }
 
 // Config is one version of the operators' configuration.
@@ -92,7 +106,10 @@
 	Version  uint64
 	Services map[string]*Service
 	MaxBody  int64 // bytes of a request's body, zero for no limit
-	routes   map[string][]*Route
+	// Workspaces are those whose keys requests must bear; it is nil where requests
+	// bear none.
+	Workspaces *workspace.Directory
+	routes     map[string][]*Route
 }
 
 // NewConfig returns a configuration with the routes in force for their hosts.
--- a/internal/catalog/fleet.go
+++ b/internal/catalog/fleet.go
@@ -25,6 +25,7 @@
 	Slots    int
 	Stage    Stage
 	Draining bool // takes no new work
+	Spot     bool // may be reclaimed at short notice
 }
 
 // supersedes tells whether e says something newer than old of the same id. An
--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -25,6 +25,7 @@
 	UnknownPath        Code = 1017
 	CallerGone         Code = 1018
 	UnsupportedFeature Code = 1019
+	UnknownAPIKey      Code = 1020
 
 	QueueFull          Code = 2001
 	DeadlineInfeasible Code = 2002
@@ -56,6 +57,7 @@
 	UnknownSetting Code = 5002
 	MissingSetting Code = 5003
 	DuplicateName  Code = 5004
+	BadWorkspace   Code = 5005
 	BadSheet       Code = 5101
 	RacingPublish  Code = 5102
 	PublishUnknown Code = 5103
@@ -76,6 +78,7 @@
 	WeightStoreBusy Code = 6012
 	ForwardLoop     Code = 6013
 	BadUsage        Code = 6014
+	StaleKeys       Code = 6015
 	Internal        Code = 6999
 )
 
@@ -101,6 +104,7 @@
 	UnknownPath:        {"unknown-path", 404, false, "No such operation of the caller interface."},
 	CallerGone:         {"caller-gone", 499, false, "The caller closed its connection."},
 	UnsupportedFeature: {"unsupported-feature", 501, false, "The endpoint's driver lacks what the request needs."},
+	UnknownAPIKey:      {"unknown-api-key", 401, false, "The configuration in force names no workspace that holds the API key, or the request bears none."},
 
 	QueueFull:          {"queue-full", 503, true, "The queue is full; come back after the stated time."},
 	DeadlineInfeasible: {"deadline-infeasible", 503, true, "At the measured rates the answer could not be on time."},
@@ -132,6 +136,7 @@
 	UnknownSetting: {"unknown-setting", 400, false, "The settings file has a key that no module takes."},
 	MissingSetting: {"missing-setting", 400, false, "A required key is absent from the settings."},
 	DuplicateName:  {"duplicate-name", 400, false, "A name that must be unique stands twice."},
+	BadWorkspace:   {"bad-workspace", 400, false, "A workspace has no name, or a key that is empty, can't be sent or is another's."},
 	BadSheet:       {"bad-sheet", 400, false, "The sheet is not valid; every reason is listed."},
 	RacingPublish:  {"racing-publish", 409, true, "Another publish replaced the base version first."},
 	PublishUnknown: {"publish-unknown", 504, true, "The log's answer was lost; `fescuectl status` shows the verdict."},
@@ -152,5 +157,6 @@
 	WeightStoreBusy: {"weight-store-busy", 503, true, "The weight store's rate limit is reached."},
 	ForwardLoop:     {"forward-loop", 508, false, "The request was already passed on once."},
 	BadUsage:        {"bad-usage", 400, false, "The command line is wrong."},
+	StaleKeys:       {"stale-keys", 503, true, "The VM can't tell whether the API key is still valid: it has had no word of the store for too long."},
 	Internal:        {"internal", 500, false, "A fault of the system itself."},
 }
--- /dev/null
+++ b/internal/freshness/freshness_test.go
@@ -0,0 +1,192 @@
+package freshness
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+)
+
+const (
+	accept = 5 * time.Second
+	deny   = 3 * time.Second
+)
+
+func newTracker() (*clock.Manual, *Tracker) {
+	c := &clock.Manual{T: clock.Time(time.Hour)}
+	return c, New(c, Limits{accept, deny})
+}
+
+func TestKnowledgeAges(t *testing.T) {
+	c, tr := newTracker()
+	assert.Equal(t, tr.Verdict(), Stale)
+	tr.Read(c.T)
+	for _, step := range []struct {
+		after time.Duration
+		want  Verdict
+	}{{0, Judge}, {deny, Judge}, {deny + 1, Accept}, {accept, Accept}, {accept + 1, Stale}} {
+		tr.Read(clock.Time(time.Hour)) // an older read changes nothing
+		c.T = clock.Time(time.Hour).Add(step.after)
+		assert.Equal(t, tr.Verdict(), step.want, "after %s", step.after)
+	}
+	tr.Read(c.T)
+	assert.Equal(t, tr.Verdict(), Judge)
+}
+
+// Guards against a message that waited in the socket of a suspended process and made its knowledge look new.
+func TestAnAnswerThatWaitedIsAsOldAsItsQuestion(t *testing.T) {
+	c, tr := newTracker()
+	asked := c.T
+	c.T = c.T.Add(10 * time.Second)
+	tr.Confirmed(asked, 0, 0)
+	assert.Equal(t, tr.Verdict(), Stale)
+}
+
+// Guards against freshness that is taken over without the version that it stands for.
+func TestAnAnswerCountsOnlyWithItsVersion(t *testing.T) {
+	c, tr := newTracker()
+	tr.InForce(3)
+	tr.Confirmed(c.T, 0, 4)
+	assert.Equal(t, tr.Verdict(), Stale)
+	tr.InForce(4)
+	assert.Equal(t, tr.Verdict(), Judge)
+}
+
+// Guards against a configuration that isn't understood and whose revoked keys would go on working.
+func TestAVersionThatIsNotUnderstoodEndsFreshness(t *testing.T) {
+	c, tr := newTracker()
+	tr.Read(c.T)
+	tr.Block()
+	c.T = c.T.Add(accept + 1)
+	tr.Read(c.T)
+	assert.Equal(t, tr.Verdict(), Stale)
+	tr.InForce(5)
+	tr.Read(c.T)
+	assert.Equal(t, tr.Verdict(), Judge)
+}
+
+// Guards against impossible answers: from the future, or of a negative age.
+func TestImpossibleAnswersAreDropped(t *testing.T) {
+	c, tr := newTracker()
+	tr.Confirmed(c.T.Add(time.Second), 0, 0)
+	tr.Confirmed(c.T, -time.Second, 0)
+	assert.Equal(t, tr.Verdict(), Stale)
+}
+
+// published is the history of a store in which each version replaces the one before.
+type published []clock.Time
+
+// at returns the newest version that was published by then.
+func (p published) at(t clock.Time) uint64 {
+	v := uint64(0)
+	for i, at := range p {
+		if at <= t {
+			v = uint64(i + 1)
+		}
+	}
+	return v
+}
+
+// message is an answer under way.
+type message struct {
+	to      int
+	arrives clock.Time
+	asked   clock.Time
+	age     time.Duration
+	version uint64
+}
+
+// simulate runs VMs of which two read the store, and all ask each other. Some are
+// suspended, messages are late, repeated or lost, and the store turns VMs away. It
+// returns the longest time for which a VM accepted keys of a version that had been
+// replaced. trusting takes the age of an answer from its arrival.
+func simulate(seed uint64, trusting bool) time.Duration {
+	const (
+		vms  = 8
+		step = clock.Time(50 * time.Millisecond)
+		end  = clock.Time(60 * time.Second)
+	)
+	rng := rand.New(rand.NewPCG(seed, 7))
+	now := &clock.Manual{T: 1}
+	var history published
+	var trackers []*Tracker
+	asleep := make([]clock.Time, vms)
+	versions := make([]uint64, vms)
+	for range vms {
+		trackers = append(trackers, New(now, Limits{accept, deny}))
+	}
+	var inFlight []message
+	worst := time.Duration(0)
+	for ; now.T < end; now.T += step {
+		if rng.IntN(60) == 0 {
+			history = append(history, now.T)
+		}
+		for i, tr := range trackers {
+			if rng.IntN(300) == 0 {
+				asleep[i] = now.T.Add(time.Duration(rng.IntN(12)) * time.Second)
+			}
+			if asleep[i] > now.T {
+				continue
+			}
+			if i < 2 && rng.IntN(8) == 0 {
+				versions[i] = history.at(now.T)
+				tr.InForce(versions[i])
+				tr.Read(now.T)
+			}
+			if rng.IntN(6) == 0 {
+				from := trackers[rng.IntN(vms)]
+				if age, v, ok := from.Age(); ok && rng.IntN(5) > 0 {
+					late := clock.Time(rng.IntN(200)) * clock.Time(time.Millisecond)
+					if rng.IntN(20) == 0 {
+						late += clock.Time(rng.IntN(8)) * clock.Time(time.Second)
+					}
+					m := message{i, now.T + late, now.T, age, v}
+					inFlight = append(inFlight, m)
+					if rng.IntN(10) == 0 {
+						m.arrives += clock.Time(3 * time.Second)
+						inFlight = append(inFlight, m)
+					}
+				}
+			}
+			for _, m := range inFlight {
+				if m.to != i || m.arrives > now.T || m.arrives < now.T-clock.Time(20*time.Second) {
+					continue
+				}
+				asked := m.asked
+				if trusting {
+					asked = now.T
+				}
+				tr.Confirmed(asked, m.age, m.version)
+				if m.version > versions[i] && rng.IntN(3) == 0 {
+					versions[i] = m.version // the version is fetched
+					tr.InForce(m.version)
+				}
+			}
+			if tr.Verdict() != Stale && int(versions[i]) < len(history) {
+				worst = max(worst, now.T.Sub(history[versions[i]]))
+			}
+		}
+	}
+	return worst
+}
+
+// Guards against keys that work longer than their bound at a VM that was suspended, cut off, or told late.
+func TestNoKeyOutlivesItsBound(t *testing.T) {
+	for seed := range uint64(200) {
+		assert.Assert(t, simulate(seed, false) <= accept, "seed %d", seed)
+	}
+}
+
+// The check above fails where the age of an answer counts from its arrival.
+func TestNoKeyOutlivesItsBoundNeedsTheMomentOfTheQuestion(t *testing.T) {
+	broken := 0
+	for seed := range uint64(50) {
+		if simulate(seed, true) > accept {
+			broken++
+		}
+	}
+	assert.Assert(t, broken > 0)
+}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -81,6 +81,9 @@
 	if route == nil {
 		return c, nil, refuse(code.UnknownPath, "no route of the host matches the path")
 	}
+	if refused := g.authorize(c, route, v.Config); refused != nil {
+		return c, nil, refused
+	}
 	body, refused := readBody(w, r, v.Config.MaxBody)
 	if refused != nil {
 		return c, nil, refused
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,6 +11,7 @@
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/policy/place"
+	"fescuestand/internal/workspace"
 )
 
 // Call is one request of a caller.
@@ -29,6 +30,10 @@
 	Parts       []place.Part
 	LastEvent   string // the caller has the events of a stream up to this one
 	Fingerprint uint64 // what repeats of one request by its caller have in common
+
+	HasKey    bool // the caller sent an API key
+	Key       workspace.Digest
+	Workspace *workspace.Workspace // that holds the key, nil where requests need none
 }
 
 // Send is one exchange with an endpoint.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -35,6 +35,7 @@
 	lastEvent    string          // passed on to the caller
 	failure      *plainAnswer    // newest failure that an endpoint answered
 	started      bool            // the answer's header has been sent
+	counted      bool            // as one that an endpoint has begun to run
 	held         bool            // it has waited for an idle engine
 	cachedTokens int             // tokens believed to be cached, at the first placement
 	sharedTokens int             // tokens of the prompt's shared parts
@@ -127,6 +128,9 @@
 // send does one exchange up to the response's header and says what an error
 // means.
 func (x *execution) send(ctx context.Context, s *Send) (*exchange.Response, Answer, result) {
+	if r, ok := x.authorized(); !ok {
+		return nil, Answer{}, r
+	}
 	if !x.permit() {
 		return nil, Answer{}, result{outcome: notSent, code: code.RetryBudgetSpent, err: errBudget}
 	}
@@ -135,16 +139,17 @@
 		Method: x.c.Method, Target: x.c.Target, Host: x.c.Host,
 		Header: x.g.o.Codec.Header(x.c, s), Body: x.c.Body, Once: !x.route.Repeatable(),
 	}
+	sentAt := x.now()
 	resp, err := x.g.o.Pool.Do(ctx, s.Endpoint.Address, req)
 	if err != nil {
-		return nil, Answer{}, x.sendFailed(s, err)
+		return nil, Answer{}, x.sendFailed(s, sentAt, err)
 	}
 	ans := x.g.o.Codec.Answer(x.c, resp.Status, resp.Header)
 	x.arrived(s, !ans.NotRun)
 	switch {
 	case ans.Foreign:
 		resp.Close()
-		x.ran(s)
+		x.ran(s, sentAt)
 		return nil, ans, result{outcome: lost, code: code.BadAnswer, err: errForeign}
 	case ans.NotRun:
 		resp.Close()
@@ -153,7 +158,7 @@
 		}
 		return nil, ans, result{outcome: notRun, code: code.EndpointRefused, err: errRefused}
 	}
-	x.ran(s)
+	x.ran(s, sentAt)
 	return resp, ans, result{}
 }
 
@@ -180,14 +185,19 @@
 }
 
 // ran counts an exchange in which the request may have run; reading a prompt
-// isn't running it.
-func (x *execution) ran(s *Send) {
-	if !s.Prefill {
-		x.runs++
+// isn't running it. A plain endpoint begins when the request reaches it, an engine
+// with the first event.
+func (x *execution) ran(s *Send, sentAt clock.Time) {
+	if s.Prefill {
+		return
+	}
+	x.runs++
+	if x.route.Kind != catalog.Stream {
+		x.began(sentAt)
 	}
 }
 
-func (x *execution) sendFailed(s *Send, err error) result {
+func (x *execution) sendFailed(s *Send, sentAt clock.Time, err error) result {
 	if errors.Is(err, driver.ErrNotSent) {
 		if x.ctx.Err() != nil {
 			return result{outcome: gone, err: err}
@@ -195,7 +205,7 @@
 		return result{outcome: notSent, code: code.EndpointCut, err: err}
 	}
 	x.arrived(s, false)
-	x.ran(s)
+	x.ran(s, sentAt)
 	if x.ctx.Err() != nil {
 		return result{outcome: gone, err: err}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,11 +11,13 @@
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/exchange"
+	"fescuestand/internal/freshness"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/ontime"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
 	"fescuestand/internal/policy/serving"
+	"fescuestand/internal/workspace"
 )
 
 // Options of a Gateway.
@@ -37,6 +39,10 @@
 	Cached func(e *catalog.Endpoint, parts []place.Part)
 	// Crashed is told of each endpoint that a request may have crashed.
 	Crashed func(fingerprint uint64, endpoint string)
+	// Keys says whether keys can be judged by what this VM knows.
+	Keys func() freshness.Verdict
+	// Began is told of each request that an endpoint has begun to run.
+	Began func(at clock.Time, w *workspace.Workspace)
 }
 
 // Gateway is the handler of callers' requests.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,8 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/place"
+	"fescuestand/internal/truetime"
+	"fescuestand/internal/usage"
 	"fescuestand/internal/wire"
 )
 
@@ -28,6 +30,10 @@
 	HeardConfig func(vm string, version uint64)
 	// News is called when there is something that all VMs must know.
 	News func()
+	// Time estimates the time of day, and Usage counts requests by it. Both are nil
+	// where requests aren't counted.
+	Time  *truetime.Estimator
+	Usage *usage.Book
 
 	recent crashNews
 }
@@ -57,6 +63,39 @@
 	b.Crashes = x.recent.tell(x.Clock.Now())
 }
 
+// FillTotals implements gossip.Content.
+func (x *Exchange) FillTotals(b *wire.Beat) {
+	if x.Usage == nil {
+		return
+	}
+	b.WallMs = x.Time.Own().UnixMilli()
+	for _, t := range x.Usage.Tell(x.Clock.Now()) {
+		w := &wire.UsageWindow{Window: t.Window}
+		for name, n := range t.Counts {
+			w.Workspace = append(w.Workspace, name)
+			w.Requests = append(w.Requests, n)
+		}
+		b.Usage = append(b.Usage, w)
+	}
+}
+
+// takeTotals takes what FillTotals of another VM has added.
+func (x *Exchange) takeTotals(from string, b *wire.Beat) {
+	if b.GetWallMs() != 0 {
+		x.Time.Heard(from, time.UnixMilli(b.GetWallMs()))
+	}
+	for _, w := range b.GetUsage() {
+		requests := w.GetRequests()
+		counts := make(usage.Counts, len(requests))
+		for i, name := range w.GetWorkspace() {
+			if i < len(requests) {
+				counts[name] = requests[i]
+			}
+		}
+		x.Usage.Hear(from+" "+b.GetIncarnation(), usage.Totals{Window: w.GetWindow(), Counts: counts})
+	}
+}
+
 // Crashed has a crash told to all VMs.
 func (x *Exchange) Crashed(c *wire.Crash) { x.recent.add(x.Clock.Now(), c) }
 
@@ -64,6 +103,9 @@
 func (x *Exchange) Take(from string, b *wire.Beat) {
 	if b.GetProbe() == nil {
 		x.takeLoad(from, b)
+		if x.Usage != nil {
+			x.takeTotals(from, b)
+		}
 	}
 	x.Changes.take(b)
 	x.HeardConfig(from, b.GetConfigVersion())
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -91,11 +91,19 @@
 // its route's priority if callers hope for no certain time.
 func (x *execution) urgency() int {
 	if x.route.Target == 0 {
-		return min(max(x.route.Priority, 0), ontime.LeastUrgent)
+		return min(max(x.priority(), 0), ontime.LeastUrgent)
 	}
 	return ontime.Urgency(x.route.Target-x.now().Sub(x.c.Arrived), x.work)
 }
 
+// priority is that of the call's workspace, or of its route.
+func (x *execution) priority() int {
+	if w := x.c.Workspace; w != nil && w.Priority != nil {
+		return *w.Priority
+	}
+	return x.route.Priority
+}
+
 // readAnswer reads an answer to its end and passes it on if it is a success, or
 // a failure that will not be repeated.
 func (x *execution) readAnswer(resp *exchange.Response, ans Answer) result {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,7 +47,7 @@
 			break
 		}
 	}
-	if r.outcome == notRun || r.outcome == notSent || r.outcome == gone {
+	if r.outcome == notRun || r.outcome == notSent || r.outcome == gone || r.outcome == refused {
 		go x.g.release(*kv)
 	}
 	return r
@@ -161,6 +161,7 @@
 		}
 		if !begun {
 			begun = true
+			x.began(x.now())
 			first()
 		}
 		w.progress()
--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -41,12 +41,17 @@
 	Fill(b *wire.Beat)
 	// FillNews adds what all VMs must know.
 	FillNews(b *wire.Beat)
+	// FillTotals adds what the whole active set is told less often.
+	FillTotals(b *wire.Beat)
 	// Take takes what the VM with the given address told.
 	Take(from string, b *wire.Beat)
 }
 
 // Unit sends and receives beats. It is a kernel unit.
 type Unit struct {
+	// Knowledge is kept new by asking other VMs, unless it is nil.
+	Knowledge Knowledge
+
 	members *Members
 	content Content
 	pc      net.PacketConn
@@ -95,6 +100,9 @@
 	group.Go(func() error { return u.receive(ctx) })
 	group.Go(func() error { return u.send(ctx) })
 	group.Go(func() error { return u.probe(ctx) })
+	if u.Knowledge != nil {
+		group.Go(func() error { return u.askAround(ctx) })
+	}
 	return group.Wait()
 }
 
@@ -210,6 +218,7 @@
 		u.sendTo(u.members.busy(), b)
 		return
 	}
+	u.content.FillTotals(b)
 	targets := u.members.beatTargets(!u.busyAt.IsZero() && time.Since(u.busyAt) < busyFor)
 	u.told = len(targets)
 	u.due = time.Now().Add(u.period())
@@ -264,6 +273,12 @@
 			log.WithError(err).WithField("bytes", n).Warn("datagram not understood")
 			continue
 		}
+		if b.GetKnowledge() != nil {
+			if u.Knowledge != nil {
+				u.takeKnowledge(&b)
+			}
+			continue
+		}
 		u.members.hearRead(b.GetNewestReadMs())
 		if b.GetProbe() != nil {
 			u.sendAll(u.members.receive(probeOf(&b)))
--- a/internal/gossip/beat_test.go
+++ b/internal/gossip/beat_test.go
@@ -23,6 +23,8 @@
 
 func (h *hub) Fill(b *wire.Beat) { b.ConfigVersion = 7 }
 
+func (h *hub) FillTotals(*wire.Beat) {}
+
 func (h *hub) FillNews(b *wire.Beat) { b.ConfigVersion = 7 }
 
 func (h *hub) Take(_ string, b *wire.Beat) {
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -32,8 +32,9 @@
 	// Newest returns the newest record of each key, and the offset to read on
 	// from to see every later one.
 	Newest(ctx context.Context) (entries []Entry, next int64, err error)
-	// Read returns the records from offset from on. It waits up to wait for
-	// the first one, and fails with driver.ErrExpired if they are gone.
+	// Read returns the records from offset from on, up to the end that the log had. It
+	// waits up to wait for the first one, and fails with driver.ErrExpired if they are
+	// gone.
 	Read(ctx context.Context, from int64, wait time.Duration) (entries []Entry, next int64, err error)
 }
 
@@ -49,8 +50,11 @@
 	Pause func() time.Duration
 	// Apply takes a change. Offsets of one key only grow.
 	Apply func(Entry)
-	// Read is called after each read that succeeded.
-	Read func()
+	// Read is called after each read that succeeded, once what it found is applied,
+	// with the moment at which it was sent.
+	Read func(sentAt clock.Time)
+	// Clock gives that moment.
+	Clock clock.Clock
 	// Lost is called after each read that failed.
 	Lost func()
 	// Begin and End are called around the entries of one read.
@@ -66,13 +70,14 @@
 	next    int64
 	started bool
 	failing bool
+	sentAt  clock.Time // when the newest call of the source was sent
 	nudged  chan struct{}
 }
 
 // New returns a follower of source; its other fields are set by the caller.
 func New(name string, source Source) *Follower {
 	return &Follower{
-		Name: name, Source: source, Lost: func() {}, Read: func() {}, Pause: func() time.Duration { return 0 },
+		Name: name, Source: source, Lost: func() {}, Read: func(clock.Time) {}, Clock: clock.Boot{}, Pause: func() time.Duration { return 0 },
 		Wait:  func() time.Duration { return 0 },
 		Begin: func() {}, End: func() {},
 		offsets: map[string]int64{}, nudged: make(chan struct{}, 1),
@@ -115,7 +120,7 @@
 		}
 		f.note(err)
 		if err == nil {
-			f.Read()
+			f.Read(f.sentAt)
 		} else {
 			f.Lost()
 		}
@@ -204,6 +209,7 @@
 // on may have gone silent, and the records are read on another one.
 func (f *Follower) read(ctx context.Context) ([]Entry, int64, error) {
 	wait, from := f.Wait(), f.from()
+	f.sentAt = f.Clock.Now()
 	if wait == 0 {
 		return f.Source.Read(ctx, from, 0)
 	}
@@ -220,6 +226,7 @@
 	}()
 	entries, next, err := f.Source.Read(waiting, from, wait)
 	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+		f.sentAt = f.Clock.Now()
 		return f.Source.Read(ctx, f.from(), 0)
 	}
 	return entries, next, err
@@ -238,6 +245,7 @@
 // start reads the newest records. A key that was known and is absent has ended
 // while its record was out of sight.
 func (f *Follower) start(ctx context.Context) error {
+	f.sentAt = f.Clock.Now()
 	entries, next, err := f.Source.Newest(ctx)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/policy/autoscale/autoscale.go
@@ -0,0 +1,223 @@
+// Package autoscale decides how many endpoints of a service are ordered, in which
+// availability zone, and which of them may be reclaimed.
+//
+// Load pattern: a fleet is rented by the second, and spot endpoints, which cost a
+// fraction of the others, are taken back a whole zone at once with a few seconds'
+// notice, while no others are to be had there, or anywhere, for a while. A fleet that
+// just carries the load then loses a third of its answers until it is ordered anew. So
+// as many spot endpoints stand in each zone that the other zones carry the load
+// without it, beside a few that can't be reclaimed, and a zone that is empty is made
+// up for elsewhere.
+//
+// The package does no I/O and reads no clock.
+package autoscale
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"fescuestand/internal/clock"
+)
+
+const (
+	// needSpan is how long the greatest need is remembered: a mix that swings comes
+	// back sooner.
+	needSpan = 30 * time.Second
+	// shrinkShare of the fleet must be too much before any of it is given back.
+	shrinkShare = 0.15
+	// regularShare of the endpoints that are needed can't be reclaimed.
+	regularShare = 0.1
+	// worthwhile is the price of a spot endpoint, as a share of another's, from which
+	// it isn't worth its risk.
+	worthwhile = 0.6
+	// askAgain is the time between two questions to a zone that had no spot endpoints.
+	askAgain = 2 * time.Second
+)
+
+// Pool is what takes work in one availability zone.
+type Pool struct {
+	Zone    string
+	Price   float64 // of a regular endpoint's second
+	Regular int     // endpoints that can't be reclaimed
+	Spot    int
+}
+
+func (p Pool) total() int { return p.Regular + p.Spot }
+
+// Limits of a service.
+type Limits struct {
+	Min, Max  int     // endpoints of a zone
+	SpotPrice float64 // as a share of a regular endpoint's, zero if there are none
+}
+
+// spot tells whether spot endpoints are worth having.
+func (l Limits) spot() bool { return l.SpotPrice > 0 && l.SpotPrice < worthwhile }
+
+// Target is how many endpoints a zone is to have.
+type Target struct {
+	Zone    string
+	Regular int
+	Spot    int
+}
+
+// Planner plans one service. It isn't safe for concurrent use.
+type Planner struct {
+	need    float64 // greatest need of the last needSpan
+	needAt  clock.Time
+	size    int // endpoints that are wanted in all, zero if not known
+	emptyAt map[string]clock.Time
+}
+
+// NewPlanner returns a planner without history.
+func NewPlanner() *Planner { return &Planner{emptyAt: map[string]clock.Time{}} }
+
+// NoneAvailable notes that a zone had no spot endpoints to give.
+func (p *Planner) NoneAvailable(now clock.Time, zone string) { p.emptyAt[zone] = now }
+
+// Available notes that a zone gives spot endpoints.
+func (p *Planner) Available(zone string) { delete(p.emptyAt, zone) }
+
+// empty tells whether a zone had none when it was asked last.
+func (p *Planner) empty(zone string) bool {
+	_, ok := p.emptyAt[zone]
+	return ok
+}
+
+// Plan returns the targets of all zones. need is how many endpoints the load keeps well
+// busy, zero if it isn't measured; the fleet then keeps the size that it has.
+func (p *Planner) Plan(now clock.Time, pools []Pool, l Limits, need float64) []Target {
+	pools = slices.Clone(pools)
+	slices.SortFunc(pools, func(a, b Pool) int { return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Zone, b.Zone)) })
+	p.note(now, need)
+	p.resize(pools, l)
+	if !l.spot() {
+		return spread(pools, l, p.size)
+	}
+	return p.mixed(now, pools, l)
+}
+
+// note remembers the greatest need.
+func (p *Planner) note(now clock.Time, need float64) {
+	if need >= p.need || now.Sub(p.needAt) > needSpan {
+		p.need, p.needAt = need, now
+	}
+}
+
+// resize decides the size of the whole fleet. It grows at once and shrinks late.
+func (p *Planner) resize(pools []Pool, l Limits) {
+	standing := 0
+	for _, z := range pools {
+		standing += z.total()
+	}
+	if p.need == 0 {
+		p.size = max(p.size, standing)
+		return
+	}
+	wanted := int(math.Ceil(p.need * margin(len(pools), l)))
+	if p.size == 0 {
+		p.size = standing
+	}
+	if wanted > p.size || float64(wanted) < (1-shrinkShare)*float64(p.size) {
+		p.size = wanted
+	}
+	p.size = min(max(p.size, l.Min*len(pools)), l.Max*len(pools))
+}
+
+// margin is the size of the fleet over the need: all zones but one are to carry it.
+func margin(zones int, l Limits) float64 {
+	if !l.spot() || zones < 2 {
+		return 1
+	}
+	return float64(zones) / float64(zones-1)
+}
+
+// spread divides regular endpoints evenly, the cheapest zones first.
+func spread(pools []Pool, l Limits, size int) []Target {
+	out := make([]Target, len(pools))
+	for i, z := range pools {
+		n := (size + len(pools) - 1 - i) / len(pools)
+		out[i] = Target{Zone: z.Zone, Regular: min(max(n, l.Min), l.Max)}
+	}
+	return out
+}
+
+// mixed divides the fleet into spot endpoints and a few regular ones.
+func (p *Planner) mixed(now clock.Time, pools []Pool, l Limits) []Target {
+	regular := p.regular(pools, l)
+	spot := max(p.size-regular, 0)
+	open := 0
+	for _, z := range pools {
+		if p.empty(z.Zone) {
+			spot = max(spot-z.Spot, 0)
+			continue
+		}
+		open++
+	}
+	out := make([]Target, len(pools))
+	for i, z := range pools {
+		out[i] = Target{Zone: z.Zone, Regular: max(l.Min, 1)}
+		regular -= out[i].Regular
+		switch {
+		case !p.empty(z.Zone):
+			out[i].Spot = ceilDiv(spot, open)
+		case now.Sub(p.emptyAt[z.Zone]) >= askAgain:
+			out[i].Spot = max(z.Spot, ceilDiv(p.size, len(pools))-out[i].Regular)
+		default:
+			out[i].Spot = z.Spot
+		}
+	}
+	out[0].Regular += max(regular, 0)
+	p.makeUp(pools, l, out)
+	keepUntilReplaced(pools, l, out)
+	return out
+}
+
+func ceilDiv(a, b int) int { return (a + b - 1) / b }
+
+// regular is how many endpoints are to be regular ones.
+func (p *Planner) regular(pools []Pool, l Limits) int {
+	n := int(math.Ceil(regularShare * float64(p.size)))
+	return max(n, max(l.Min, 1)*len(pools))
+}
+
+// makeUp orders regular endpoints for what the load needs while no zone has spot ones.
+func (p *Planner) makeUp(pools []Pool, l Limits, out []Target) {
+	standing := 0
+	for i, z := range pools {
+		if !p.empty(z.Zone) {
+			return
+		}
+		standing += out[i].Regular + z.Spot
+	}
+	lacking := int(math.Ceil(p.need)) - standing
+	for i, z := range pools {
+		if lacking <= 0 {
+			return
+		}
+		add := min(lacking, l.Max-z.Spot-out[i].Regular)
+		out[i].Regular += max(add, 0)
+		lacking -= max(add, 0)
+	}
+}
+
+// keepUntilReplaced keeps endpoints of which a zone has too many until those that
+// replace them have come, and the two kinds together within the limits.
+func keepUntilReplaced(pools []Pool, l Limits, out []Target) {
+	lacking := 0
+	for i, z := range pools {
+		out[i].Spot = max(min(out[i].Spot, l.Max-max(out[i].Regular, z.Regular)), 0)
+		lacking += max(out[i].Spot-z.Spot, 0)
+	}
+	for i, z := range pools {
+		kept := min(max(z.Spot-out[i].Spot, 0), lacking)
+		out[i].Spot += kept
+		lacking -= kept
+	}
+	for i, z := range pools {
+		kept := min(max(z.Regular-out[i].Regular, 0), lacking)
+		out[i].Regular += kept
+		lacking -= kept
+	}
+}
--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -91,6 +91,12 @@
 	return d.Prefill / prefillLoad, d.Streams / d.perEngine()
 }
 
+// Engines returns how many engines the demand keeps well busy.
+func (d Demand) Engines() float64 {
+	p, q := d.need()
+	return p + q
+}
+
 // measured tells whether there is enough traffic to go by.
 func (d Demand) measured(engines int) bool {
 	p, q := d.need()
--- /dev/null
+++ b/internal/usage/book.go
@@ -0,0 +1,147 @@
+// Package usage counts the requests of each workspace by windows of the time of day
+// and reports each window once.
+//
+// Each VM counts what it has served and tells the others its totals, so that what a VM
+// has counted outlives it. Totals replace older ones of the same process, so that a
+// message may be lost, late or repeated.
+package usage
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"fescuestand/internal/clock"
+)
+
+// Counts are requests by the name of their workspace.
+type Counts map[string]uint32
+
+// add adds c2 to c.
+func (c Counts) add(c2 Counts) {
+	for name, n := range c2 {
+		c[name] += n
+	}
+}
+
+// raise replaces counts by larger ones of c2.
+func (c Counts) raise(c2 Counts) {
+	for name, n := range c2 {
+		c[name] = max(c[name], n)
+	}
+}
+
+const (
+	// keptWindows of each process are remembered.
+	keptWindows = 8
+	// tellPeriod is the time between two tellings of totals that have changed, and
+	// repeatPeriod that between two of all.
+	tellPeriod   = 500 * time.Millisecond
+	repeatPeriod = 2 * time.Second
+)
+
+// Totals are what one process has counted in one window.
+type Totals struct {
+	Window int64
+	Counts Counts
+}
+
+// Book holds the totals of all processes. It is safe for concurrent use.
+type Book struct {
+	mu       sync.Mutex
+	own      map[int64]Counts
+	changed  map[int64]bool // own windows that changed since they were told
+	others   map[string]map[int64]Counts
+	newest   int64
+	told     clock.Time
+	repeated clock.Time
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{own: map[int64]Counts{}, changed: map[int64]bool{}, others: map[string]map[int64]Counts{}}
+}
+
+// Note counts a request of this process.
+func (b *Book) Note(window int64, workspace string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin(window)
+	c := b.own[window]
+	if c == nil {
+		c = Counts{}
+		b.own[window] = c
+	}
+	c[workspace]++
+	b.changed[window] = true
+}
+
+// begin drops the oldest windows when a newer one begins.
+func (b *Book) begin(window int64) {
+	if window <= b.newest {
+		return
+	}
+	b.newest = window
+	old := func(w int64, _ Counts) bool { return w <= window-keptWindows }
+	maps.DeleteFunc(b.own, old)
+	for source, windows := range b.others {
+		maps.DeleteFunc(windows, old)
+		if len(windows) == 0 {
+			delete(b.others, source)
+		}
+	}
+}
+
+// Tell returns the own totals that are due to be told.
+func (b *Book) Tell(now clock.Time) []Totals {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.told) < tellPeriod {
+		return nil
+	}
+	b.told = now
+	all := now.Sub(b.repeated) >= repeatPeriod
+	if all {
+		b.repeated = now
+	}
+	var out []Totals
+	for w, c := range b.own {
+		if all && w > b.newest-keptWindows/2 || b.changed[w] {
+			out = append(out, Totals{w, maps.Clone(c)})
+		}
+	}
+	clear(b.changed)
+	return out
+}
+
+// Hear takes totals that another process has told.
+func (b *Book) Hear(process string, t Totals) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.newest != 0 && t.Window <= b.newest-keptWindows {
+		return
+	}
+	windows := b.others[process]
+	if windows == nil {
+		windows = map[int64]Counts{}
+		b.others[process] = windows
+	}
+	c := windows[t.Window]
+	if c == nil {
+		c = Counts{}
+		windows[t.Window] = c
+	}
+	c.raise(t.Counts)
+}
+
+// Sum returns the totals of all processes in a window.
+func (b *Book) Sum(window int64) Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := Counts{}
+	sum.add(b.own[window])
+	for _, windows := range b.others {
+		sum.add(windows[window])
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,240 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+)
+
+// Guards against counts that are lost, doubled or taken back by messages that are lost, repeated or late.
+func TestTotalsAreMergedByProcess(t *testing.T) {
+	b := NewBook()
+	b.Note(7, "north")
+	b.Note(7, "north")
+	b.Hear("vm-2", Totals{7, Counts{"north": 3, "south": 1}})
+	b.Hear("vm-2", Totals{7, Counts{"north": 5, "south": 1}})
+	b.Hear("vm-2", Totals{7, Counts{"north": 3}})
+	b.Hear("vm-2 restarted", Totals{7, Counts{"south": 2}})
+	assert.DeepEqual(t, b.Sum(7), Counts{"north": 7, "south": 3})
+	assert.DeepEqual(t, b.Sum(6), Counts{})
+}
+
+func TestTotalsAreToldWhenTheyChangeAndNowAndThen(t *testing.T) {
+	b := NewBook()
+	now := clock.Time(time.Minute)
+	b.Note(7, "north")
+	assert.Equal(t, len(b.Tell(now)), 1)
+	now = now.Add(tellPeriod)
+	assert.Equal(t, len(b.Tell(now)), 0)
+	b.Note(8, "north")
+	now = now.Add(tellPeriod)
+	assert.DeepEqual(t, b.Tell(now), []Totals{{8, Counts{"north": 1}}})
+	now = now.Add(repeatPeriod)
+	assert.Equal(t, len(b.Tell(now)), 2)
+}
+
+func TestOldWindowsAreForgotten(t *testing.T) {
+	b := NewBook()
+	b.Note(7, "north")
+	b.Hear("vm-2", Totals{7, Counts{"north": 1}})
+	b.Note(7+keptWindows, "north")
+	b.Hear("vm-3", Totals{7, Counts{"north": 1}})
+	assert.Equal(t, len(b.Sum(7)), 0)
+}
+
+var errAway = errors.New("away")
+
+// platform keeps the records and takes the reports. At times it fails, loses its
+// answers, or carries a write out later.
+type platform struct {
+	rng      *rand.Rand
+	clock    *clock.Manual
+	faults   bool
+	records  []Totals
+	late     []lateWrite
+	reports  map[int64]Counts
+	conflict bool
+	fences   []int64
+}
+
+type lateWrite struct {
+	at      clock.Time
+	t       Totals
+	version int64
+}
+
+func (p *platform) fails(in int) bool { return p.faults && p.rng.IntN(in) == 0 }
+
+// settle carries out the late writes that are due.
+func (p *platform) settle() {
+	p.late = slices.DeleteFunc(p.late, func(w lateWrite) bool {
+		if w.at > p.clock.T {
+			return false
+		}
+		p.write(w.t, w.version)
+		return true
+	})
+}
+
+func (p *platform) write(t Totals, version int64) bool {
+	if version != int64(len(p.records)) {
+		return false
+	}
+	p.records = append(p.records, Totals{t.Window, maps.Clone(t.Counts)})
+	return true
+}
+
+func (p *platform) Decided(context.Context) ([]Totals, int64, error) {
+	p.settle()
+	if p.fails(4) {
+		return nil, 0, errAway
+	}
+	return p.records, int64(len(p.records)), nil
+}
+
+func (p *platform) Decide(_ context.Context, t Totals, version int64) error {
+	p.settle()
+	switch {
+	case p.fails(4):
+		return errAway
+	case p.fails(4):
+		p.late = append(p.late, lateWrite{p.clock.T.Add(time.Duration(p.rng.IntN(5000)) * time.Millisecond), t, version})
+		return errAway
+	case !p.write(t, version):
+		return errors.New("another version")
+	case p.fails(4):
+		return errAway
+	}
+	return nil
+}
+
+func (p *platform) ReportUsage(_ context.Context, t Totals, fence int64) error {
+	p.settle()
+	if p.fails(4) {
+		return errAway
+	}
+	if before, ok := p.reports[t.Window]; ok && !maps.Equal(before, t.Counts) {
+		p.conflict = true
+	}
+	p.reports[t.Window] = maps.Clone(t.Counts)
+	p.fences = append(p.fences, fence)
+	if p.fails(4) {
+		return errAway
+	}
+	return nil
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+func newPlatform(seed uint64) *platform {
+	return &platform{
+		rng: rand.New(rand.NewPCG(seed, 3)), clock: &clock.Manual{T: clock.Time(time.Minute)}, reports: map[int64]Counts{},
+	}
+}
+
+func (p *platform) reporter(b *Book, may func() bool) *Reporter {
+	return &Reporter{
+		Book: b, Records: p, Billing: p, Clock: p.clock, TrueTime: func(at clock.Time) time.Time { return start.Add(time.Duration(at)) },
+		May: func() (int64, bool) { return 4, may() }, Window: 5 * time.Second, Due: 10 * time.Second, reported: map[int64]bool{},
+	}
+}
+
+func (p *platform) window() int64 {
+	return WindowOf(start.Add(time.Duration(p.clock.T)), 5*time.Second)
+}
+
+func TestAWindowIsReportedOnceItHasSettled(t *testing.T) {
+	p := newPlatform(1)
+	b := NewBook()
+	r := p.reporter(b, func() bool { return true })
+	w := p.window()
+	b.Note(w, "north")
+	p.clock.T = p.clock.T.Add(5*time.Second + settle - time.Millisecond)
+	r.look(t.Context())
+	assert.Equal(t, len(p.reports), 0)
+	p.clock.T = p.clock.T.Add(2 * time.Millisecond)
+	r.look(t.Context())
+	r.look(t.Context())
+	assert.DeepEqual(t, p.reports, map[int64]Counts{w: {"north": 1}})
+	assert.DeepEqual(t, p.fences, []int64{4})
+}
+
+// Guards against a window whose requests are all unknown: a report of nothing would contradict one with counts.
+func TestAWindowWithoutKnownRequestsIsNotReported(t *testing.T) {
+	p := newPlatform(1)
+	r := p.reporter(NewBook(), func() bool { return true })
+	p.clock.T = p.clock.T.Add(time.Minute)
+	r.look(t.Context())
+	assert.Equal(t, len(p.records)+len(p.reports), 0)
+}
+
+// holders run three VMs for a minute, each with its own view of the counts; the duty moves,
+// and at times two believe that they hold it.
+func holders(t *testing.T, p *platform) {
+	t.Helper()
+	var books []*Book
+	var reporters []*Reporter
+	owner, second := 0, 0
+	for i := range 3 {
+		books = append(books, NewBook())
+		reporters = append(reporters, p.reporter(books[i], func() bool { return owner == i || second == i }))
+	}
+	for range 600 {
+		p.clock.T = p.clock.T.Add(100 * time.Millisecond)
+		if p.rng.IntN(20) == 0 {
+			second, owner = owner, p.rng.IntN(3)
+		}
+		from := p.rng.IntN(3)
+		books[from].Note(p.window(), fmt.Sprint("w", p.rng.IntN(3)))
+		for _, told := range books[from].Tell(p.clock.T) {
+			for i, b := range books {
+				if i != from && p.rng.IntN(3) > 0 {
+					b.Hear(fmt.Sprint(from), told)
+				}
+			}
+		}
+		reporters[p.rng.IntN(3)].look(t.Context())
+	}
+}
+
+// Guards against two reports of one window that differ, whatever is late, lost or repeated.
+func TestNoTwoReportsOfAWindowDiffer(t *testing.T) {
+	for seed := range uint64(300) {
+		p := newPlatform(seed)
+		p.faults = true
+		holders(t, p)
+		assert.Assert(t, !p.conflict, "seed %d", seed)
+		assert.Assert(t, len(p.reports) > 5, "seed %d: %d windows", seed, len(p.reports))
+	}
+}
+
+// undecided reports what it knows without a record.
+type undecided struct{ *platform }
+
+func (u undecided) Decided(context.Context) ([]Totals, int64, error) { return nil, 0, nil }
+func (u undecided) Decide(context.Context, Totals, int64) error      { return nil }
+
+// The check above fails where windows aren't decided before they are reported.
+func TestReportsDifferWithoutTheRecord(t *testing.T) {
+	p := newPlatform(5)
+	b, c := NewBook(), NewBook()
+	w := p.window()
+	b.Note(w, "north")
+	c.Note(w, "south")
+	p.clock.T = p.clock.T.Add(8 * time.Second)
+	for _, book := range []*Book{b, c} {
+		r := p.reporter(book, func() bool { return true })
+		r.Records = undecided{p}
+		r.look(t.Context())
+	}
+	assert.Assert(t, p.conflict)
+}
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"fescuestand/internal/clock"
 	"fescuestand/internal/configsync"
 	"fescuestand/internal/gateway"
 	"fescuestand/internal/keyedlog"
@@ -24,6 +25,10 @@
 	// others learn from it, so that its read must end while a change can still
 	// come into force in time.
 	readerWait = 1200 * time.Millisecond
+	// freshWait replaces it where keys are judged by how new the configuration is.
+	freshWait = 400 * time.Millisecond
+	// confirmedAge is the age of what is known from which a read is overdue.
+	confirmedAge = 1500 * time.Millisecond
 	// configPause follows each read of the configuration: of versions that come
 	// in quick succession one is taken for several, a fifth of the time in which
 	// a change must be in force.
@@ -36,11 +41,15 @@
 func (n *Node) followers() {
 	n.config = keyedlog.New("config", n.adapter.Configs())
 	n.config.Apply, n.config.OneKey = n.applyConfig, true
-	n.config.Wait, n.config.Pause = n.configWait, n.configPause
+	n.config.Wait, n.config.Pause, n.config.Clock = n.configWait, n.configPause, n.clock
+	if n.fresh != nil {
+		n.config.Read = n.fresh.Read
+	}
 	n.puller = configsync.NewPuller(n.clock, n.version, n.config)
 	n.fleet = keyedlog.New("fleet", n.adapter.Endpoints())
 	n.fleet.Apply, n.fleet.Begin, n.fleet.End = n.applyEndpoint, n.catalog.Hold, n.catalog.Release
-	n.fleet.Pause, n.fleet.Read, n.fleet.Lost = n.members.ReadPause, n.members.HaveRead, n.catalog.Unreachable
+	n.fleet.Pause, n.fleet.Lost = n.members.ReadPause, n.catalog.Unreachable
+	n.fleet.Read = func(clock.Time) { n.members.HaveRead() }
 	n.changes = gateway.NewChanges(n.clock, n.fleet)
 	n.changes.Reads = n.members.Reads
 }
@@ -48,17 +57,24 @@
 // configWait is how long a read of the configuration waits for a newer one.
 func (n *Node) configWait() time.Duration {
 	switch {
+	case n.confirms():
+		return freshWait
 	case !n.members.ReadsConfig():
 		return 0
-	case n.members.ReadPause() < readerWait:
+	case n.members.Reads():
 		return readerWait
 	}
 	return configWait
 }
 
+// confirms tells whether this VM reads the store so often that others can judge keys by
+// what it knows.
+func (n *Node) confirms() bool { return n.fresh != nil && n.members.Reads() }
+
+
 // configPause is the time between two reads of the configuration.
 func (n *Node) configPause() time.Duration {
-	if n.members.ReadsConfig() {
+	if n.members.ReadsConfig() || n.confirms() {
 		return configPause
 	}
 	return n.members.IdlePause()
@@ -95,6 +111,7 @@
 	defer tick.Stop()
 	for {
 		f.n.catalog.Settle()
+		f.n.confirmSoon()
 		f.n.members.SetReady(f.n.catalog.View().Config != nil)
 		if f.n.members.Known() {
 			f.n.budget.SetMembers(f.n.members.Count())
@@ -107,18 +124,37 @@
 	}
 }
 
+// confirmSoon ends a read that waits for long at a VM that has become one on whose reads
+// the others rely.
+func (n *Node) confirmSoon() {
+	if !n.confirms() {
+		return
+	}
+	now := n.clock.Now()
+	if age, _, ok := n.fresh.Age(); ok && age > confirmedAge && now.Sub(n.nudgedAt) > confirmedAge {
+		n.nudgedAt = now
+		n.config.Nudge()
+	}
+}
+
 func (n *Node) applyConfig(e keyedlog.Entry) {
 	if e.Key != ConfigKey || e.Value == nil {
 		return
 	}
 	c, err := n.adapter.DecodeConfig(e.Value)
 	if err != nil {
+		if n.fresh != nil {
+			n.fresh.Block()
+		}
 		log.WithError(err).WithField("offset", e.Offset).Error("configuration not understood")
 		return
 	}
 	if !n.catalog.SetConfig(c) {
 		return
 	}
+	if n.fresh != nil {
+		n.fresh.InForce(c.Version)
+	}
 	n.share.Set(e)
 	if !e.Heard {
 		n.gossip.Soon() // those that don't read the store wait for it
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -17,6 +17,7 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/configsync"
 	"fescuestand/internal/exchange"
+	"fescuestand/internal/freshness"
 	"fescuestand/internal/gateway"
 	"fescuestand/internal/gossip"
 	"fescuestand/internal/kernel"
@@ -26,6 +27,9 @@
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
 	"fescuestand/internal/policy/stages"
+	"fescuestand/internal/scaling"
+	"fescuestand/internal/truetime"
+	"fescuestand/internal/usage"
 	"fescuestand/internal/wire"
 )
 
@@ -52,6 +56,18 @@
 	Readiness(m *gossip.Members) http.Handler
 	// Directory answers callers that ask where to connect.
 	Directory(m *gossip.Members) http.Handler
+	// UsageRecords keeps the windows of usage that are decided, and Billing takes the
+	// reports.
+	UsageRecords() usage.Records
+	Billing() usage.Billing
+	// Provider rents endpoints out. It is nil where none are ordered.
+	Provider() scaling.Provider
+}
+
+// Usage says how the requests of workspaces are reported.
+type Usage struct {
+	Window time.Duration // zero if they aren't
+	Due    time.Duration // after a window's end
 }
 
 // Options of a VM's process, as they hold for its whole life: a VM with other
@@ -63,6 +79,10 @@
 	Turn time.Duration
 	// FirstStart tells that the whole deployment starts for the first time.
 	FirstStart bool
+	// Keys bound the age of the configuration by which API keys are judged. It is nil
+	// where requests bear none.
+	Keys  *freshness.Limits
+	Usage Usage
 	// Linger is how long a VM that was told to stop still takes requests.
 	Linger time.Duration
 	// LongestDrain is how long it has to finish those in hand.
@@ -112,6 +132,10 @@
 	changes  *gateway.Changes
 	puller   *configsync.Puller
 	share    configsync.Share
+	fresh    *freshness.Tracker // nil where requests bear no keys
+	nudgedAt clock.Time         // when a read of the configuration was hurried
+	time     *truetime.Estimator
+	usage    *usage.Book
 }
 
 // New wires a process. Its units do nothing until the kernel runs them.
@@ -127,17 +151,28 @@
 		Catalog: n.catalog, Authority: n.duty, Engine: a.Engine(n.pool), Clock: c,
 		Load: n.planner.Running, Demand: n.demand, Ordered: n.ordered,
 	}
+	if o.Keys != nil {
+		n.fresh = freshness.New(c, *o.Keys)
+	}
+	n.time, n.usage = truetime.New(c, time.Now), usage.NewBook()
 	n.followers()
 	n.gateway = gateway.New(gateway.Options{
 		Codec: a.Codec(), Catalog: n.catalog, Planner: n.planner, Budget: n.budget, Crashes: n.crashes,
 		Pool: n.pool, Clock: c, Leaving: n.members.Leaving,
 		VMs: n.members.Serving, Sent: n.sent, Cached: n.cached, Crashed: n.crashed,
+		Keys: n.judgeKeys, Began: n.began,
 	})
 	n.exchange = &gateway.Exchange{
 		Clock: c, Planner: n.planner, Crashes: n.crashes, Catalog: n.catalog, Changes: n.changes,
 		Rate: n.gateway.Rate, Ordered: n.orders.Heard, HeardConfig: n.puller.Heard, News: n.news,
 	}
+	if o.Usage.Window > 0 {
+		n.exchange.Time, n.exchange.Usage = n.time, n.usage
+	}
 	n.gossip = gossip.NewUnit(n.members, n.exchange)
+	if n.fresh != nil {
+		n.gossip.Knowledge = &knowledge{n}
+	}
 	return n
 }
 
@@ -151,7 +186,7 @@
 // Units returns the parts that the kernel runs.
 func (n *Node) Units() []kernel.Unit {
 	at, linger := n.o.Addresses, n.o.Linger
-	return []kernel.Unit{
+	units := []kernel.Unit{
 		n.gossip,
 		gossip.NewRegistration(n.adapter, n.members, n.renewed),
 		&authority.Keeper{Authority: n.duty, Record: n.adapter.Duty(), Clock: n.clock, VM: n.o.Self.Peer},
@@ -164,6 +199,7 @@
 		gateway.NewServer("peers", n.o.Self.Peer, n.forPeers(), 0),
 		gateway.NewServer("metrics", at.Metrics, expvar.Handler(), 0),
 	}
+	return append(units, n.duties()...)
 }
 
 // forPeers answers other VMs.
