--- a/internal/policy/autoscale/autoscale.go
+++ b/internal/policy/autoscale/autoscale.go
@@ -22,12 +22,16 @@
 )
 
 const (
-	// needSpan is how long the greatest need is remembered: a mix that swings comes
+	// needSpan is how long the greatest need is remembered, and how long a need must
+	// have been measured until any endpoint is given back: a mix that swings comes
 	// back sooner.
 	needSpan = 30 * time.Second
-	// shrinkShare of the fleet must be too much before any of it is given back.
+	// shrinkShare of the fleet must be too much before any of it is given back, and
+	// growShare of what is wanted is ordered beyond it, so that a need that rises
+	// steadily isn't followed endpoint by endpoint.
 	shrinkShare = 0.15
-	// regularShare of the endpoints that are needed can't be reclaimed.
+	growShare   = 0.1
+	// regularShare of the endpoints can't be reclaimed.
 	regularShare = 0.1
 	// worthwhile is the price of a spot endpoint, as a share of another's, from which
 	// it isn't worth its risk.
@@ -64,9 +68,10 @@
 
 // Planner plans one service. It isn't safe for concurrent use.
 type Planner struct {
-	need    float64 // greatest need of the last needSpan
-	needAt  clock.Time
-	size    int // endpoints that are wanted in all, zero if not known
+	need    float64    // greatest need of the last needSpan, zero if not measured
+	needAt  clock.Time // when it was measured
+	since   clock.Time // when the first need was measured
+	size    int        // endpoints that are wanted in all, zero if not known
 	emptyAt map[string]clock.Time
 }
 
@@ -91,7 +96,7 @@
 	pools = slices.Clone(pools)
 	slices.SortFunc(pools, func(a, b Pool) int { return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Zone, b.Zone)) })
 	p.note(now, need)
-	p.resize(pools, l)
+	p.resize(now, pools, l)
 	if !l.spot() {
 		return spread(pools, l, p.size)
 	}
@@ -100,27 +105,29 @@
 
 // note remembers the greatest need.
 func (p *Planner) note(now clock.Time, need float64) {
+	if need > 0 && p.since == 0 {
+		p.since = now
+	}
 	if need >= p.need || now.Sub(p.needAt) > needSpan {
 		p.need, p.needAt = need, now
 	}
 }
 
-// resize decides the size of the whole fleet. It grows at once and shrinks late.
-func (p *Planner) resize(pools []Pool, l Limits) {
-	standing := 0
-	for _, z := range pools {
-		standing += z.total()
-	}
-	if p.need == 0 {
-		p.size = max(p.size, standing)
-		return
-	}
-	wanted := int(math.Ceil(p.need * margin(len(pools), l)))
+// resize decides the size of the whole fleet, which begins as the one that stands. It
+// grows at once and shrinks late.
+func (p *Planner) resize(now clock.Time, pools []Pool, l Limits) {
 	if p.size == 0 {
-		p.size = standing
+		for _, z := range pools {
+			p.size += z.total()
+		}
 	}
-	if wanted > p.size || float64(wanted) < (1-shrinkShare)*float64(p.size) {
-		p.size = wanted
+	wanted := p.need * margin(len(pools), l)
+	known := p.since != 0 && now.Sub(p.since) > needSpan
+	switch {
+	case wanted > float64(p.size):
+		p.size = int(math.Ceil((1 + growShare) * wanted))
+	case known && wanted > 0 && wanted < (1-shrinkShare)*float64(p.size):
+		p.size = int(math.Ceil(wanted))
 	}
 	p.size = min(max(p.size, l.Min*len(pools)), l.Max*len(pools))
 }
@@ -143,28 +150,16 @@
 	return out
 }
 
-// mixed divides the fleet into spot endpoints and a few regular ones.
+// mixed divides the fleet into spot endpoints, as many in each zone, and a few regular
+// ones in the cheapest.
 func (p *Planner) mixed(now clock.Time, pools []Pool, l Limits) []Target {
 	regular := p.regular(pools, l)
-	spot := max(p.size-regular, 0)
-	open := 0
-	for _, z := range pools {
-		if p.empty(z.Zone) {
-			spot = max(spot-z.Spot, 0)
-			continue
-		}
-		open++
-	}
+	share := ceilDiv(max(p.size-regular, 0), len(pools))
 	out := make([]Target, len(pools))
 	for i, z := range pools {
-		out[i] = Target{Zone: z.Zone, Regular: max(l.Min, 1)}
+		out[i] = Target{Zone: z.Zone, Regular: max(l.Min, 1), Spot: share}
 		regular -= out[i].Regular
-		switch {
-		case !p.empty(z.Zone):
-			out[i].Spot = ceilDiv(spot, open)
-		case now.Sub(p.emptyAt[z.Zone]) >= askAgain:
-			out[i].Spot = max(z.Spot, ceilDiv(p.size, len(pools))-out[i].Regular)
-		default:
+		if p.empty(z.Zone) && now.Sub(p.emptyAt[z.Zone]) < askAgain {
 			out[i].Spot = z.Spot
 		}
 	}
@@ -182,23 +177,35 @@
 	return max(n, max(l.Min, 1)*len(pools))
 }
 
-// makeUp orders regular endpoints for what the load needs while no zone has spot ones.
+// makeUp orders what the load needs beyond the zones that give no spot endpoints: spot
+// ones in the others, or regular ones where there are none.
 func (p *Planner) makeUp(pools []Pool, l Limits, out []Target) {
-	standing := 0
+	lacking, open := int(math.Ceil(p.need)), 0
 	for i, z := range pools {
-		if !p.empty(z.Zone) {
-			return
+		lacking -= out[i].Regular
+		if p.empty(z.Zone) {
+			lacking -= z.Spot
+			continue
 		}
-		standing += out[i].Regular + z.Spot
+		open++
+		lacking -= out[i].Spot
 	}
-	lacking := int(math.Ceil(p.need)) - standing
 	for i, z := range pools {
 		if lacking <= 0 {
 			return
 		}
-		add := min(lacking, l.Max-z.Spot-out[i].Regular)
-		out[i].Regular += max(add, 0)
-		lacking -= max(add, 0)
+		room := max(l.Max-out[i].Regular-out[i].Spot, 0)
+		switch {
+		case open == 0:
+			add := min(lacking, room)
+			out[i].Regular += add
+			lacking -= add
+		case !p.empty(z.Zone):
+			add := min(ceilDiv(lacking, open), room)
+			out[i].Spot += add
+			lacking -= add
+			open--
+		}
 	}
 }
 
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -122,13 +123,14 @@
 		return
 	}
 	l := autoscale.Limits{Min: s.Scaling.Min, Max: s.Scaling.Max, SpotPrice: s.Scaling.SpotPrice}
-	for _, t := range known.planner.Plan(u.Clock.Now(), pools, l, u.Need(s.Name)) {
+	need := u.Need(s.Name)
+	for _, t := range known.planner.Plan(u.Clock.Now(), pools, l, need) {
 		if !may {
 			continue
 		}
 		i := slices.IndexFunc(pools, func(p autoscale.Pool) bool { return p.Zone == t.Zone })
-		u.order(ctx, s, Order{s.Name, t.Zone, t.Spot, true}, pools[i].Spot)
-		u.order(ctx, s, Order{s.Name, t.Zone, t.Regular, false}, pools[i].Regular)
+		u.order(ctx, s, Order{s.Name, t.Zone, t.Spot, true}, pools[i].Spot, need)
+		u.order(ctx, s, Order{s.Name, t.Zone, t.Regular, false}, pools[i].Regular, need)
 	}
 }
 
@@ -156,7 +158,7 @@
 }
 
 // order gives an order if the last one was another, or has had no effect.
-func (u *Unit) order(ctx context.Context, s *catalog.Service, o Order, standing int) {
+func (u *Unit) order(ctx context.Context, s *catalog.Service, o Order, standing int, need float64) {
 	now := u.Clock.Now()
 	sub := subject{o.Service, o.Zone, o.Spot}
 	last, known := u.given[sub]
@@ -174,7 +176,7 @@
 	defer cancel()
 	err := u.Provider.Scale(ctx, o, fence)
 	log.WithError(err).WithField("service", o.Service).WithField("zone", o.Zone).WithField("spot", o.Spot).
-		WithField("count", o.Count).WithField("standing", standing).WithField("fence", fence).Info("endpoints ordered")
+		WithField("count", o.Count).WithField("standing", standing).WithField("need", math.Round(need)).WithField("fence", fence).Info("endpoints ordered")
 	switch {
 	case err == nil:
 		u.given[sub] = given{o.Count, now}
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -71,7 +71,6 @@
 // what it knows.
 func (n *Node) confirms() bool { return n.fresh != nil && n.members.Reads() }
 
-
 // configPause is the time between two reads of the configuration.
 func (n *Node) configPause() time.Duration {
 	if n.members.ReadsConfig() || n.confirms() {
