--- a/internal/policy/autoscale/autoscale.go
+++ b/internal/policy/autoscale/autoscale.go
@@ -48,8 +48,6 @@
 	Spot    int
 }
 
-func (p Pool) total() int { return p.Regular + p.Spot }
-
 // Limits of a service.
 type Limits struct {
 	Min, Max  int     // endpoints of a zone
@@ -113,13 +111,11 @@
 	}
 }
 
-// resize decides the size of the whole fleet, which begins as the one that stands. It
-// grows at once and shrinks late.
+// resize decides the size of the whole fleet, which is the one that stands until the
+// need is measured. It grows at once and shrinks late.
 func (p *Planner) resize(now clock.Time, pools []Pool, l Limits) {
-	if p.size == 0 {
-		for _, z := range pools {
-			p.size += z.total()
-		}
+	if p.need == 0 || p.size == 0 {
+		p.size = max(p.size, standing(pools))
 	}
 	wanted := p.need * margin(len(pools), l)
 	known := p.since != 0 && now.Sub(p.since) > needSpan
@@ -132,6 +128,17 @@
 	p.size = min(max(p.size, l.Min*len(pools)), l.Max*len(pools))
 }
 
+// standing is the size of the fleet that the pools are, or from which they are being
+// changed: while one kind replaces the other, both stand.
+func standing(pools []Pool) int {
+	regular, spot := 0, 0
+	for _, z := range pools {
+		regular += z.Regular
+		spot += z.Spot
+	}
+	return max(regular, int(float64(spot)/(1-regularShare)))
+}
+
 // margin is the size of the fleet over the need: all zones but one are to carry it.
 func margin(zones int, l Limits) float64 {
 	if !l.spot() || zones < 2 {
