--- a/internal/gossip/beat_test.go
+++ b/internal/gossip/beat_test.go
@@ -45,11 +45,18 @@
 
 // start runs a unit on a free port of the loopback and returns its address.
 func start(t *testing.T, h *hub) (*Unit, *Members) {
+	t.Helper()
+	return startKnowing(t, h, nil)
+}
+
+// startKnowing runs a unit that keeps knowledge new.
+func startKnowing(t *testing.T, h *hub, k Knowledge) (*Unit, *Members) {
 	t.Helper()
 	addr := loopback.FreeAddress()
 	m := NewMembers(clock.Boot{}, Node{Incarnation: addr, Caller: addr, Peer: addr})
 	m.SetReady(true)
 	u := NewUnit(m, h)
+	u.Knowledge = k
 	ctx, cancel := context.WithCancel(t.Context())
 	assert.NilError(t, u.Provision(ctx))
 	done := make(chan struct{})
