--- a/internal/policy/autoscale/autoscale.go
+++ b/internal/policy/autoscale/autoscale.go
@@ -111,14 +111,14 @@
 	}
 }
 
-// resize decides the size of the whole fleet, which is the one that stands until the
-// need is measured. It grows at once and shrinks late.
+// resize decides the size of the whole fleet. It grows at once and shrinks late: until
+// the need has been measured for long enough, the fleet that stands is taken for it.
 func (p *Planner) resize(now clock.Time, pools []Pool, l Limits) {
-	if p.need == 0 || p.size == 0 {
-		p.size = max(p.size, standing(pools))
+	known := p.known(now)
+	if !known {
+		p.size = max(p.size, standing(pools, l))
 	}
 	wanted := p.need * margin(len(pools), l)
-	known := p.since != 0 && now.Sub(p.since) > needSpan
 	switch {
 	case wanted > float64(p.size):
 		p.size = int(math.Ceil((1 + growShare) * wanted))
@@ -128,15 +128,19 @@
 	p.size = min(max(p.size, l.Min*len(pools)), l.Max*len(pools))
 }
 
-// standing is the size of the fleet that the pools are, or from which they are being
-// changed: while one kind replaces the other, both stand.
-func standing(pools []Pool) int {
+// known tells whether the need has been measured for long enough to give endpoints back.
+func (p *Planner) known(now clock.Time) bool { return p.since != 0 && now.Sub(p.since) > needSpan }
+
+// standing is the size of the fleet of which the pools are a part: while spot endpoints
+// replace the regular ones, both stand, and a zone may have been reclaimed.
+func standing(pools []Pool, l Limits) int {
 	regular, spot := 0, 0
 	for _, z := range pools {
 		regular += z.Regular
 		spot += z.Spot
 	}
-	return max(regular, int(float64(spot)/(1-regularShare)))
+	before := margin(len(pools), l) * float64(regular)
+	return int(math.Ceil(max(before, float64(spot)/(1-regularShare))))
 }
 
 // margin is the size of the fleet over the need: all zones but one are to carry it.
@@ -169,6 +173,9 @@
 		if p.empty(z.Zone) && now.Sub(p.emptyAt[z.Zone]) < askAgain {
 			out[i].Spot = z.Spot
 		}
+		if !p.known(now) {
+			out[i].Spot = max(out[i].Spot, z.Spot)
+		}
 	}
 	out[0].Regular += max(regular, 0)
 	p.makeUp(pools, l, out)
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -15,8 +15,8 @@
 	// period is the time between two looks for windows to report.
 	period = 300 * time.Millisecond
 	// settle is how long after its end a window is decided: the totals of all VMs
-	// have been told twice.
-	settle = 2600 * time.Millisecond
+	// have been told at least twice.
+	settle = 1500 * time.Millisecond
 	// giveUp is how long before it is due a window that could not be reported is
 	// given up.
 	giveUp = 100 * time.Millisecond
