--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -66,6 +66,14 @@
 	// maxAway is the share of the engines that may be on their way to another
 	// stage while there is traffic.
 	maxAway = 0.05
+	// newFor is how long an engine counts as a new one, which a change of stage costs
+	// nothing: it has no requests yet and nothing cached.
+	newFor = 3 * time.Second
+	// newLoad is how many requests a new engine may have got already.
+	newLoad = 2
+	// newAway is the share of the engines that may be on their way to another stage
+	// for new ones to be sent there too.
+	newAway = 0.25
 	// orderLife is how long an order is believed in: a change takes 3 s and
 	// shows in the engine's entry within another.
 	orderLife = 8 * time.Second
@@ -130,8 +138,9 @@
 // Planner plans one service. It isn't safe for concurrent use.
 type Planner struct {
 	ordered map[string]order
-	off     clock.Time // since when the split is off
-	wrong   int        // by how many engines, negative for too few that prefill
+	off     clock.Time            // since when the split is off
+	wrong   int                   // by how many engines, negative for too few that prefill
+	seen    map[string]clock.Time // when engines were first seen, zero if with the first
 }
 
 type order struct {
@@ -155,15 +164,7 @@
 // more engines than the demand keeps well busy, those that prefill beyond it are left:
 // a burst of prompts makes first events late sooner than one of streams.
 func off(have, n int, d Demand) int {
-	least := Prefillers(n, d)
-	most := least
-	if !d.measured(n) {
-		least = min(least, mostUnseen)
-	} else {
-		_, decode := d.need()
-		spare := min(n-int(math.Ceil(decodeMargin*decode)), int(mostPrefill*float64(n)))
-		most = max(least, min(spare, n-leastOfStage))
-	}
+	least, most := bounds(n, d)
 	switch {
 	case have < least:
 		return have - least
@@ -173,6 +174,20 @@
 	return 0
 }
 
+// bounds returns how many of n engines are to prefill at least and at most.
+func bounds(n int, d Demand) (least, most int) {
+	least = Prefillers(n, d)
+	if !d.measured(n) {
+		return min(least, mostUnseen), least
+	}
+	_, decode := d.need()
+	spare := min(n-int(math.Ceil(decodeMargin*decode)), int(mostPrefill*float64(n)))
+	return least, max(least, min(spare, n-leastOfStage))
+}
+
+// slackOf is by how many of n engines too few may prefill while there is traffic.
+func slackOf(n int) int { return max(int(tolerated*float64(n)), 1) }
+
 // Plan returns the engine to change now, if any.
 func (p *Planner) Plan(now clock.Time, engines []Engine, d Demand) (Change, bool) {
 	have := 0
@@ -183,11 +198,15 @@
 		}
 	}
 	n := len(engines)
+	p.see(now, engines)
+	if c, ok := p.turnNew(now, engines, have, d); ok {
+		return c, true
+	}
 	wrong := off(have, n, d)
 	slack, wait, away := 0, settled, n
 	switch {
 	case d.measured(n) && wrong < 0:
-		slack, wait, away = max(int(tolerated*float64(n)), 1), persistent, max(int(maxAway*float64(n)), 1)
+		slack, wait, away = slackOf(n), persistent, max(int(maxAway*float64(n)), 1)
 	case d.measured(n):
 		wait = lacking
 	}
@@ -197,6 +216,36 @@
 	return p.pick(engines, wrong)
 }
 
+// see notes which engines are new, and forgets those that have gone.
+func (p *Planner) see(now clock.Time, engines []Engine) {
+	seen := make(map[string]clock.Time, len(engines))
+	for _, e := range engines {
+		at, known := p.seen[e.ID]
+		if !known && p.seen != nil {
+			at = now
+		}
+		seen[e.ID] = at
+	}
+	p.seen = seen
+}
+
+// turnNew returns a new engine that is to prefill. Engines that replace others come in
+// shares that needn't fit the mix; to turn them at once spares those that work.
+func (p *Planner) turnNew(now clock.Time, engines []Engine, have int, d Demand) (Change, bool) {
+	n := len(engines)
+	_, most := bounds(n, d)
+	if n < leastEngines || !d.measured(n) || most-have <= slackOf(n) || float64(len(p.ordered)) >= newAway*float64(n) {
+		return Change{}, false
+	}
+	for _, e := range engines {
+		at := p.seen[e.ID]
+		if _, moving := p.ordered[e.ID]; !moving && e.Stage == catalog.Decode && e.Load <= newLoad && at != 0 && now.Sub(at) <= newFor {
+			return Change{e.ID, catalog.Prefill}, true
+		}
+	}
+	return Change{}, false
+}
+
 // persists tells whether the split has been off in one direction, by more than
 // slack, for a while. Once it has, it is corrected until it fits.
 func (p *Planner) persists(now clock.Time, wrong, slack int, wait time.Duration) bool {
--- a/internal/policy/stages/stages_test.go
+++ b/internal/policy/stages/stages_test.go
@@ -200,3 +200,36 @@
 	}
 	assert.Equal(t, len(p.ordered), 1)
 }
+
+// Guards against a zone whose engines are replaced by ones that nearly all decode: prompts
+// were read at decode engines for ten seconds. Pattern: a third of the engines is
+// reclaimed, and as many new ones come.
+func TestNewEnginesAreSentToPrefillAtOnce(t *testing.T) {
+	d := Demand{Prefill: 12, Streams: 300, Slots: 16}
+	p := NewPlanner()
+	now := clock.Time(time.Hour)
+	engines := fleet(60, 60)
+	_, changed := p.Plan(now, engines, d)
+	assert.Assert(t, !changed)
+	engines = engines[:40:40]
+	engines = append(engines, fleet(60, 60)[60:100]...)
+	for i := range 40 {
+		engines = append(engines, Engine{ID: fmt.Sprintf("new%02d", i), Stage: catalog.Decode})
+	}
+	turned := 0
+	for {
+		c, ok := p.Plan(now, engines, d)
+		if !ok {
+			break
+		}
+		assert.Equal(t, c.ID[:3], "new")
+		assert.Equal(t, c.To, catalog.Prefill)
+		p.Ordered(now, c)
+		turned++
+	}
+	assert.Assert(t, turned >= 6 && turned <= 20, "%d", turned)
+	now = now.Add(newFor + time.Second)
+	engines = engines[turned:]
+	_, changed = p.Plan(now, engines, d)
+	assert.Assert(t, !changed, "an engine that isn't new any more is left alone")
+}
