--- a/internal/policy/autoscale/autoscale.go
+++ b/internal/policy/autoscale/autoscale.go
@@ -191,10 +191,14 @@
 	return max(n, max(l.Min, 1)*len(pools))
 }
 
-// makeUp orders what the load needs beyond the zones that give no spot endpoints: spot
-// ones in the others, or regular ones where there are none.
+// makeUp orders what the zones that give no spot endpoints lack: spot ones in the others,
+// which may be reclaimed next, or, where there are none, as many regular ones as the
+// load needs.
 func (p *Planner) makeUp(pools []Pool, l Limits, out []Target) {
-	lacking, open := int(math.Ceil(p.need)), 0
+	lacking, open := p.size, 0
+	if p.allEmpty(pools) {
+		lacking = int(math.Ceil(p.need))
+	}
 	for i, z := range pools {
 		lacking -= out[i].Regular
 		if p.empty(z.Zone) {
@@ -223,6 +227,11 @@
 	}
 }
 
+// allEmpty tells whether no zone gives spot endpoints.
+func (p *Planner) allEmpty(pools []Pool) bool {
+	return !slices.ContainsFunc(pools, func(z Pool) bool { return !p.empty(z.Zone) })
+}
+
 // keepUntilReplaced keeps endpoints of which a zone has too many until those that
 // replace them have come, and the two kinds together within the limits.
 func keepUntilReplaced(pools []Pool, l Limits, out []Target) {
