--- a/internal/gossip/callers.go
+++ b/internal/gossip/callers.go
@@ -23,14 +23,6 @@
 	return out
 }
 
-// Rate is how many requests a second all VMs that take callers get, zero if there are none.
-func (m *Members) Rate() float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	_, _, rate := m.candidates(m.clock.Now())
-	return rate
-}
-
 // Serving is how many VMs callers are sent to.
 func (m *Members) Serving() int {
 	m.mu.Lock()
--- a/internal/policy/autoscale/autoscale.go
+++ b/internal/policy/autoscale/autoscale.go
@@ -33,8 +33,6 @@
 	growShare   = 0.1
 	// regularShare of the endpoints can't be reclaimed.
 	regularShare = 0.1
-	// comfort times the need is the fleet that bears a burst.
-	comfort = 1.3
 	// worthwhile is the price of a spot endpoint, as a share of another's, from which
 	// it isn't worth its risk.
 	worthwhile = 0.6
@@ -90,32 +88,17 @@
 	return ok
 }
 
-// Load is what is known of a service's requests.
-type Load struct {
-	Need float64 // endpoints that are kept well busy, zero if that isn't measured
-	// Idle tells that there has been no request yet: endpoints are given back before
-	// those that replace them have come.
-	Idle bool
-}
-
-// Plan returns the targets of all zones. A fleet whose need isn't measured keeps the size
-// that it has.
-func (p *Planner) Plan(now clock.Time, pools []Pool, l Limits, load Load) []Target {
+// Plan returns the targets of all zones. need is how many endpoints the load keeps well
+// busy, zero if it isn't measured; the fleet then keeps the size that it has.
+func (p *Planner) Plan(now clock.Time, pools []Pool, l Limits, need float64) []Target {
 	pools = slices.Clone(pools)
 	slices.SortFunc(pools, func(a, b Pool) int { return cmp.Or(cmp.Compare(a.Price, b.Price), cmp.Compare(a.Zone, b.Zone)) })
-	p.note(now, load.Need)
+	p.note(now, need)
 	p.resize(now, pools, l)
 	if !l.spot() {
 		return spread(pools, l, p.size)
 	}
-	out := p.mixed(now, pools, l)
-	if !load.Idle {
-		keepUntilReplaced(pools, l, out)
-	}
-	for i := range out {
-		out[i].Spot = max(min(out[i].Spot, l.Max-out[i].Regular), 0)
-	}
-	return out
+	return p.mixed(now, pools, l)
 }
 
 // note remembers the greatest need.
@@ -196,6 +179,7 @@
 	}
 	out[0].Regular += max(regular, 0)
 	p.makeUp(pools, l, out)
+	keepUntilReplaced(pools, l, out)
 	return out
 }
 
@@ -209,11 +193,11 @@
 
 // makeUp orders what the zones that give no spot endpoints lack: spot ones in the others,
 // which may be reclaimed next, or, where there are none, as many regular ones as the
-// load needs for a while.
+// load needs.
 func (p *Planner) makeUp(pools []Pool, l Limits, out []Target) {
 	lacking, open := p.size, 0
 	if p.allEmpty(pools) {
-		lacking = int(math.Ceil(comfort * p.need))
+		lacking = int(math.Ceil(p.need))
 	}
 	for i, z := range pools {
 		lacking -= out[i].Regular
--- a/internal/policy/autoscale/autoscale_test.go
+++ b/internal/policy/autoscale/autoscale_test.go
@@ -21,7 +21,6 @@
 	coming  []arrival
 	dry     map[string]bool
 	orders  int
-	idle    bool
 }
 
 type arrival struct {
@@ -47,7 +46,7 @@
 func (r *region) run(span time.Duration, need float64) {
 	for end := r.now.Add(span); r.now < end; r.now = r.now.Add(step) {
 		r.arrive()
-		for _, t := range r.planner.Plan(r.now, r.pools, r.limits, Load{Need: need, Idle: r.idle}) {
+		for _, t := range r.planner.Plan(r.now, r.pools, r.limits, need) {
 			for i := range r.pools {
 				if r.pools[i].Zone == t.Zone {
 					r.follow(i, t)
@@ -131,18 +130,6 @@
 	assert.Assert(t, least >= 90, "%d", least)
 }
 
-// Pattern: a deployment that starts, with no request yet.
-func TestBeforeTheFirstRequestEndpointsAreGivenBackAtOnce(t *testing.T) {
-	r := newRegion(30)
-	r.idle = true
-	r.run(step, 0)
-	regular, _ := r.standing()
-	assert.Equal(t, regular, 14)
-	r.run(boot+step, 0)
-	_, spot := r.standing()
-	assert.Equal(t, spot, 123)
-}
-
 // Pattern: the spot endpoints of a zone are taken at once, and none are to be had anywhere.
 func TestTheOtherZonesCarryTheLoadOfOneThatIsReclaimed(t *testing.T) {
 	for zone := range 3 {
@@ -249,7 +236,7 @@
 	r.limits = Limits{Min: 2, Max: 12, SpotPrice: 0.2}
 	for _, need := range []float64{0, 500, 1} {
 		for range 100 {
-			for _, target := range r.planner.Plan(r.now, r.pools, r.limits, Load{Need: need, Idle: r.idle}) {
+			for _, target := range r.planner.Plan(r.now, r.pools, r.limits, need) {
 				assert.Assert(t, target.Regular >= 2 && target.Regular+target.Spot <= 12, "%v", target)
 			}
 			r.run(step, need)
--- a/internal/scaling/scaling.go
+++ b/internal/scaling/scaling.go
@@ -57,8 +57,9 @@
 	Catalog  *catalog.Store
 	Provider Provider
 	Clock    clock.Clock
-	// Load is what is known of a service's requests.
-	Load func(service string) autoscale.Load
+	// Need is how many endpoints of a service the load keeps well busy, zero if it
+	// isn't known.
+	Need func(service string) float64
 	// May returns the fencing token to act with, and whether this process may act.
 	May func() (fence int64, ok bool)
 
@@ -122,18 +123,14 @@
 		return
 	}
 	l := autoscale.Limits{Min: s.Scaling.Min, Max: s.Scaling.Max, SpotPrice: s.Scaling.SpotPrice}
-	load := u.Load(s.Name)
-	for _, t := range known.planner.Plan(u.Clock.Now(), pools, l, load) {
+	need := u.Need(s.Name)
+	for _, t := range known.planner.Plan(u.Clock.Now(), pools, l, need) {
 		if !may {
 			continue
 		}
 		i := slices.IndexFunc(pools, func(p autoscale.Pool) bool { return p.Zone == t.Zone })
-		spot, regular := Order{s.Name, t.Zone, t.Spot, true}, Order{s.Name, t.Zone, t.Regular, false}
-		if t.Regular < pools[i].Regular { // both kinds together have a limit
-			u.order(ctx, s, regular, pools[i].Regular, load.Need)
-		}
-		u.order(ctx, s, spot, pools[i].Spot, load.Need)
-		u.order(ctx, s, regular, pools[i].Regular, load.Need)
+		u.order(ctx, s, Order{s.Name, t.Zone, t.Spot, true}, pools[i].Spot, need)
+		u.order(ctx, s, Order{s.Name, t.Zone, t.Regular, false}, pools[i].Regular, need)
 	}
 }
 
--- a/internal/vm/duties.go
+++ b/internal/vm/duties.go
@@ -7,7 +7,6 @@
 	"fescuestand/internal/freshness"
 	"fescuestand/internal/gateway"
 	"fescuestand/internal/kernel"
-	"fescuestand/internal/policy/autoscale"
 	"fescuestand/internal/policy/stages"
 	"fescuestand/internal/scaling"
 	"fescuestand/internal/usage"
@@ -25,7 +24,7 @@
 		})
 	}
 	if p := n.adapter.Provider(); p != nil {
-		units = append(units, &scaling.Unit{Catalog: n.catalog, Provider: p, Clock: n.clock, Load: n.load, May: n.may})
+		units = append(units, &scaling.Unit{Catalog: n.catalog, Provider: p, Clock: n.clock, Need: n.need, May: n.may})
 	}
 	return units
 }
@@ -35,25 +34,23 @@
 
 func (n *Node) may() (fence int64, ok bool) { return n.duty.May(n.clock.Now()) }
 
-// load is what is known of a service's requests.
-func (n *Node) load(service string) autoscale.Load {
+// need is how many endpoints of a service the load keeps well busy, zero if it isn't
+// known.
+func (n *Node) need(service string) float64 {
 	v := n.View()
 	s := v.Config.Services[service]
-	l := autoscale.Load{Idle: n.o.FirstStart && n.members.Rate() == 0}
 	if s == nil || s.Engine == nil {
-		return l
+		return 0
 	}
 	d := n.demand()
 	d.Slots = s.Engine.Slots
-	l.Need = measured(d, len(v.Open(service)))
-	return l
+	return measured(d, len(v.Open(service)))
 }
 
 // leastNeed is the share of the endpoints that must be needed for a load to count as
 // measured.
 const leastNeed = 0.1
 
-// measured is the need of a demand, zero if there is too little to go by.
 func measured(d stages.Demand, endpoints int) float64 {
 	need := d.Engines()
 	if need < leastNeed*float64(endpoints) {
