--- a/internal/policy/autoscale/autoscale.go
+++ b/internal/policy/autoscale/autoscale.go
@@ -33,6 +33,8 @@
 	growShare   = 0.1
 	// regularShare of the endpoints can't be reclaimed.
 	regularShare = 0.1
+	// comfort times the need is the fleet that bears a burst.
+	comfort = 1.3
 	// worthwhile is the price of a spot endpoint, as a share of another's, from which
 	// it isn't worth its risk.
 	worthwhile = 0.6
@@ -193,11 +195,11 @@
 
 // makeUp orders what the zones that give no spot endpoints lack: spot ones in the others,
 // which may be reclaimed next, or, where there are none, as many regular ones as the
-// load needs.
+// load needs for a while.
 func (p *Planner) makeUp(pools []Pool, l Limits, out []Target) {
 	lacking, open := p.size, 0
 	if p.allEmpty(pools) {
-		lacking = int(math.Ceil(p.need))
+		lacking = int(math.Ceil(comfort * p.need))
 	}
 	for i, z := range pools {
 		lacking -= out[i].Regular
