--- a/internal/policy/autoscale/autoscale.go
+++ b/internal/policy/autoscale/autoscale.go
@@ -32,7 +32,7 @@
 	shrinkShare = 0.15
 	growShare   = 0.1
 	// regularShare of the endpoints can't be reclaimed.
-	regularShare = 0.1
+	regularShare = 0.03
 	// comfort times the need is the fleet that bears a burst.
 	comfort = 1.3
 	// worthwhile is the price of a spot endpoint, as a share of another's, from which
