--- a/internal/policy/autoscale/autoscale.go
+++ b/internal/policy/autoscale/autoscale.go
@@ -32,7 +32,7 @@
 	shrinkShare = 0.15
 	growShare   = 0.1
 	// regularShare of the endpoints can't be reclaimed.
-	regularShare = 0.03
+	regularShare = 0.2
 	// comfort times the need is the fleet that bears a burst.
 	comfort = 1.3
 	// worthwhile is the price of a spot endpoint, as a share of another's, from which
@@ -180,6 +180,9 @@
 		}
 	}
 	out[0].Regular += max(regular, 0)
+	for i := range out {
+		out[i].Spot = min(out[i].Spot, max(l.Max-out[i].Regular, 0))
+	}
 	p.makeUp(pools, l, out)
 	keepUntilReplaced(pools, l, out)
 	return out
@@ -193,45 +196,34 @@
 	return max(n, max(l.Min, 1)*len(pools))
 }
 
-// makeUp orders what the zones that give no spot endpoints lack: spot ones in the others,
-// which may be reclaimed next, or, where there are none, as many regular ones as the
-// load needs for a while.
+// makeUp orders spot endpoints, which may be reclaimed next, for what the fleet lacks in
+// zones that give none or have no room, and regular ones for what the load needs then.
 func (p *Planner) makeUp(pools []Pool, l Limits, out []Target) {
-	lacking, open := p.size, 0
-	if p.allEmpty(pools) {
-		lacking = int(math.Ceil(comfort * p.need))
-	}
+	lacking := p.size - planned(out)
 	for i, z := range pools {
-		lacking -= out[i].Regular
-		if p.empty(z.Zone) {
-			lacking -= z.Spot
-			continue
+		if !p.empty(z.Zone) {
+			out[i].Spot += add(&lacking, l, out[i])
 		}
-		open++
-		lacking -= out[i].Spot
 	}
-	for i, z := range pools {
-		if lacking <= 0 {
-			return
-		}
-		room := max(l.Max-out[i].Regular-out[i].Spot, 0)
-		switch {
-		case open == 0:
-			add := min(lacking, room)
-			out[i].Regular += add
-			lacking -= add
-		case !p.empty(z.Zone):
-			add := min(ceilDiv(lacking, open), room)
-			out[i].Spot += add
-			lacking -= add
-			open--
-		}
+	lacking = int(math.Ceil(comfort*p.need)) - planned(out)
+	for i := range pools {
+		out[i].Regular += add(&lacking, l, out[i])
+	}
+}
+
+// planned is how many endpoints the targets are.
+func planned(out []Target) (n int) {
+	for _, t := range out {
+		n += t.Regular + t.Spot
 	}
+	return n
 }
 
-// allEmpty tells whether no zone gives spot endpoints.
-func (p *Planner) allEmpty(pools []Pool) bool {
-	return !slices.ContainsFunc(pools, func(z Pool) bool { return !p.empty(z.Zone) })
+// add returns how many of the lacking endpoints a zone has room for.
+func add(lacking *int, l Limits, t Target) int {
+	n := max(min(*lacking, l.Max-t.Regular-t.Spot), 0)
+	*lacking -= n
+	return n
 }
 
 // keepUntilReplaced keeps endpoints of which a zone has too many until those that
--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -234,7 +234,7 @@
 func (p *Planner) turnNew(now clock.Time, engines []Engine, have int, d Demand) (Change, bool) {
 	n := len(engines)
 	_, most := bounds(n, d)
-	if n < leastEngines || !d.measured(n) || most-have <= slackOf(n) || float64(len(p.ordered)) >= newAway*float64(n) {
+	if n < leastEngines || most-have <= slackOf(n) || float64(len(p.ordered)) >= newAway*float64(n) {
 		return Change{}, false
 	}
 	for _, e := range engines {
