--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -26,7 +26,7 @@
 	// come into force in time.
 	readerWait = 1200 * time.Millisecond
 	// freshWait replaces it where keys are judged by how new the configuration is.
-	freshWait = 400 * time.Millisecond
+	freshWait = 600 * time.Millisecond
 	// confirmedAge is the age of what is known from which a read is overdue.
 	confirmedAge = 1500 * time.Millisecond
 	// configPause follows each read of the configuration: of versions that come
@@ -68,8 +68,8 @@
 }
 
 // confirms tells whether this VM reads the store so often that others can judge keys by
-// what it knows.
-func (n *Node) confirms() bool { return n.fresh != nil && n.members.Reads() }
+// what it knows. While the store is away its reads of the endpoints show the return.
+func (n *Node) confirms() bool { return n.fresh != nil && n.members.Reads() && n.members.HasRead() }
 
 // configPause is the time between two reads of the configuration.
 func (n *Node) configPause() time.Duration {
