--- a/internal/policy/autoscale/autoscale.go
+++ b/internal/policy/autoscale/autoscale.go
@@ -199,22 +199,26 @@
 // makeUp orders spot endpoints, which may be reclaimed next, for what the fleet lacks in
 // zones that give none or have no room, and regular ones for what the load needs then.
 func (p *Planner) makeUp(pools []Pool, l Limits, out []Target) {
-	lacking := p.size - planned(out)
+	lacking := p.size - p.expected(pools, out)
 	for i, z := range pools {
 		if !p.empty(z.Zone) {
 			out[i].Spot += add(&lacking, l, out[i])
 		}
 	}
-	lacking = int(math.Ceil(comfort*p.need)) - planned(out)
+	lacking = int(math.Ceil(comfort*p.need)) - p.expected(pools, out)
 	for i := range pools {
 		out[i].Regular += add(&lacking, l, out[i])
 	}
 }
 
-// planned is how many endpoints the targets are.
-func planned(out []Target) (n int) {
-	for _, t := range out {
+// expected is how many endpoints the targets will bring. A zone that had no spot ones is
+// expected to have none also when it is asked again.
+func (p *Planner) expected(pools []Pool, out []Target) (n int) {
+	for i, t := range out {
 		n += t.Regular + t.Spot
+		if p.empty(t.Zone) {
+			n -= max(t.Spot-pools[i].Spot, 0)
+		}
 	}
 	return n
 }
--- a/internal/policy/autoscale/autoscale_test.go
+++ b/internal/policy/autoscale/autoscale_test.go
@@ -170,6 +170,19 @@
 	assert.Equal(t, regular, before)
 }
 
+// Guards against a make-up that is called off each time the empty zone is asked again, and never comes.
+func TestTheMakeUpStandsWhileTheEmptyZoneIsAskedAgain(t *testing.T) {
+	r := newRegion(30)
+	r.run(20*time.Second, 70)
+	r.reclaim(2)
+	r.run(time.Second, 70)
+	r.orders = 0
+	r.run(boot+4*time.Second, 70)
+	regular, spot := r.standing()
+	assert.Assert(t, regular+spot >= 115, "%d regular, %d spot", regular, spot)
+	assert.Assert(t, r.orders <= 2, "%d orders", r.orders)
+}
+
 // Pattern: all zones are reclaimed and dry.
 func TestRegularEndpointsAreOrderedWhereThereAreNoOthers(t *testing.T) {
 	r := newRegion(30)
