--- a/internal/policy/autoscale/autoscale_test.go
+++ b/internal/policy/autoscale/autoscale_test.go
@@ -94,6 +94,7 @@
 	}
 	r.orders++
 	if n < due {
+		r.cancel(zone, spot, due-max(n, *standing))
 		*standing = min(*standing, n)
 		return false
 	}
@@ -101,6 +102,18 @@
 	return true
 }
 
+// cancel calls endpoints off that are coming.
+func (r *region) cancel(zone int, spot bool, n int) {
+	for i := range r.coming {
+		a := &r.coming[i]
+		if a.zone == zone && a.spot == spot {
+			off := min(n, a.n)
+			a.n -= off
+			n -= off
+		}
+	}
+}
+
 // reclaim takes the spot endpoints of a zone.
 func (r *region) reclaim(zone int) {
 	r.pools[zone].Spot = 0
