--- a/internal/policy/autoscale/autoscale.go
+++ b/internal/policy/autoscale/autoscale.go
@@ -163,8 +163,9 @@
 	return out
 }
 
-// mixed divides the fleet into spot endpoints, as many in each zone, and a few regular
-// ones in the cheapest.
+// mixed divides the fleet into spot endpoints, as many in each zone, and regular ones in
+// the cheapest. A zone that had no spot ones is expected to have none also when it is
+// asked again: what makes up for it stands meanwhile.
 func (p *Planner) mixed(now clock.Time, pools []Pool, l Limits) []Target {
 	regular := p.regular(pools, l)
 	share := ceilDiv(max(p.size-regular, 0), len(pools))
@@ -172,7 +173,7 @@
 	for i, z := range pools {
 		out[i] = Target{Zone: z.Zone, Regular: max(l.Min, 1), Spot: share}
 		regular -= out[i].Regular
-		if p.empty(z.Zone) && now.Sub(p.emptyAt[z.Zone]) < askAgain {
+		if p.empty(z.Zone) {
 			out[i].Spot = z.Spot
 		}
 		if !p.known(now) {
@@ -185,6 +186,11 @@
 	}
 	p.makeUp(pools, l, out)
 	keepUntilReplaced(pools, l, out)
+	for i, z := range pools {
+		if p.empty(z.Zone) && now.Sub(p.emptyAt[z.Zone]) >= askAgain {
+			out[i].Spot = max(out[i].Spot, min(share, l.Max-out[i].Regular))
+		}
+	}
 	return out
 }
 
@@ -199,26 +205,22 @@
 // makeUp orders spot endpoints, which may be reclaimed next, for what the fleet lacks in
 // zones that give none or have no room, and regular ones for what the load needs then.
 func (p *Planner) makeUp(pools []Pool, l Limits, out []Target) {
-	lacking := p.size - p.expected(pools, out)
+	lacking := p.size - planned(out)
 	for i, z := range pools {
 		if !p.empty(z.Zone) {
 			out[i].Spot += add(&lacking, l, out[i])
 		}
 	}
-	lacking = int(math.Ceil(comfort*p.need)) - p.expected(pools, out)
+	lacking = int(math.Ceil(comfort*p.need)) - planned(out)
 	for i := range pools {
 		out[i].Regular += add(&lacking, l, out[i])
 	}
 }
 
-// expected is how many endpoints the targets will bring. A zone that had no spot ones is
-// expected to have none also when it is asked again.
-func (p *Planner) expected(pools []Pool, out []Target) (n int) {
-	for i, t := range out {
+// planned is how many endpoints the targets are.
+func planned(out []Target) (n int) {
+	for _, t := range out {
 		n += t.Regular + t.Spot
-		if p.empty(t.Zone) {
-			n -= max(t.Spot-pools[i].Spot, 0)
-		}
 	}
 	return n
 }
