--- a/internal/policy/autoscale/autoscale_test.go
+++ b/internal/policy/autoscale/autoscale_test.go
@@ -250,9 +250,8 @@
 	for need := 60.0; need <= 100; need++ {
 		r.run(step, need)
 	}
-	regular, spot := r.standing()
 	r.run(boot, 100)
-	regular, spot = r.standing()
+	regular, spot := r.standing()
 	assert.Assert(t, regular+spot >= 150, "%d regular, %d spot", regular, spot)
 	assert.Assert(t, r.orders < 40, "%d orders", r.orders)
 }
