New engines of a fleet without traffic are turned up to the bound that holds for the others

Cause: found by reading: thousands of engines that come up one after the other all count as new, and half of them would be ordered to prefill before there is traffic. The test fails without the change.

--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -233,7 +233,10 @@
 // shares that needn't fit the mix; to turn them at once spares those that work.
 func (p *Planner) turnNew(now clock.Time, engines []Engine, have int, d Demand) (Change, bool) {
 	n := len(engines)
-	_, most := bounds(n, d)
+	least, most := bounds(n, d)
+	if !d.measured(n) {
+		most = least
+	}
 	if n < leastEngines || most-have <= slackOf(n) || float64(len(p.ordered)) >= newAway*float64(n) {
 		return Change{}, false
 	}
--- a/internal/policy/stages/stages_test.go
+++ b/internal/policy/stages/stages_test.go
@@ -233,3 +233,23 @@
 	_, changed = p.Plan(now, engines, d)
 	assert.Assert(t, !changed, "an engine that isn't new any more is left alone")
 }
+
+// Guards against thousands of engines that start one after the other and are all turned for a mix that nobody has seen.
+func TestALargeFleetThatComesUpSlowlyIsNotTurnedRound(t *testing.T) {
+	p := NewPlanner()
+	now := clock.Time(time.Hour)
+	turned := 0
+	for n := 100; n <= 3000; n += 100 {
+		engines := fleet(0, n)
+		for {
+			c, ok := p.Plan(now, engines, Demand{Slots: 16})
+			if !ok {
+				break
+			}
+			p.Ordered(now, c)
+			turned++
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	assert.Assert(t, turned <= mostUnseen, "%d", turned)
+}
