--- a/internal/policy/stages/stages_test.go
+++ b/internal/policy/stages/stages_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -242,7 +243,7 @@
 	for n := 100; n <= 3000; n += 100 {
 		engines := fleet(0, n)
 		for {
-			c, ok := p.Plan(now, engines, Demand{Slots: 16})
+			c, ok := p.Plan(now, slices.Clone(engines), Demand{Slots: 16})
 			if !ok {
 				break
 			}
