Log and metric of the limits that endpoints name

Answers are decoded into a notice, each VM keeps what each lifetime of an endpoint said last, and a line tells when that begins, changes and ends, with the request that bore it. Nothing is decided by it yet.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -53,6 +53,7 @@
 var vmPackages = []string{
 	"vm", "gateway", "gossip", "catalog", "configsync", "cachesync", "authority", "keyedlog", "orders", "exchange",
 	"eventlog", "kernel", "freshness", "usage", "scaling",
+	"policy/backpressure",
 }
 
 // An on-call engineer meets a line that no page explains, or looks for one that
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -10,6 +10,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/workspace"
 )
@@ -74,4 +75,5 @@
 	Sealed   bool // it bears the endpoint's signature
 	Foreign  bool // it belongs to another request
 	Requests int  // running and waiting at the endpoint, -1 if it doesn't say
+	Notice   backpressure.Notice
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -146,6 +146,9 @@
 	}
 	ans := x.g.o.Codec.Answer(x.c, resp.Status, resp.Header)
 	x.arrived(s, !ans.NotRun)
+	if !ans.Foreign {
+		x.g.o.Pressure.Answered(x.now(), sentAt, s.Endpoint, x.c.ID, ans.Notice)
+	}
 	switch {
 	case ans.Foreign:
 		resp.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/freshness"
+	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/ontime"
 	"fescuestand/internal/policy/place"
@@ -27,8 +28,10 @@
 	Planner *place.Planner
 	Budget  *repeat.Budget
 	Crashes *crash.Register
-	Pool    *exchange.Pool
-	Clock   clock.Clock
+	// Pressure is what endpoints say of the work that they take.
+	Pressure *backpressure.Register
+	Pool     *exchange.Pool
+	Clock    clock.Clock
 	// Leaving tells whether this VM was told to stop.
 	Leaving func() bool
 	// VMs is how many gateways share the endpoints.
@@ -121,6 +124,7 @@
 		changed := g.o.Catalog.Changed()
 		v := g.o.Catalog.View()
 		g.o.Planner.Follow(v)
+		g.o.Pressure.Follow(g.o.Clock.Now(), v)
 		keep := map[string]bool{}
 		for _, e := range v.All() {
 			keep[e.Address] = true
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -22,6 +22,7 @@
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/exchange"
+	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
@@ -71,7 +72,7 @@
 func (codec) Answer(c *Call, _ int, h http.Header) Answer {
 	return Answer{
 		NotRun: h.Get("Not-Run")+h.Get("Gone") != "", Gone: h.Get("Gone") != "", Sealed: h.Get("Seal") != "",
-		Foreign: h.Get("Id") != "" && h.Get("Id") != c.ID, Requests: -1,
+		Foreign: h.Get("Id") != "" && h.Get("Id") != c.ID, Requests: -1, Notice: backpressure.ParseLimit(h.Get("Limit")),
 	}
 }
 
@@ -175,7 +176,7 @@
 	w.budget = repeat.New(repeat.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
 	w.budget.SetMembers(1)
 	w.gateway = New(Options{
-		Codec: codec{}, Catalog: w.store, Planner: place.New("z", 1), Budget: w.budget, Crashes: w.crashes,
+		Codec: codec{}, Catalog: w.store, Planner: place.New("z", 1), Budget: w.budget, Crashes: w.crashes, Pressure: backpressure.New(),
 		Pool: exchange.NewPool(), Clock: clock.Boot{}, Leaving: w.leaving.Load,
 		VMs: func() int { return 1 }, Sent: func(time.Duration) {}, Cached: func(*catalog.Endpoint, []place.Part) {},
 		Crashed: func(fingerprint uint64, endpoint string) {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -23,6 +23,7 @@
 	"fescuestand/internal/kernel"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/orders"
+	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
@@ -121,6 +122,7 @@
 	planner  *place.Planner
 	budget   *repeat.Budget
 	crashes  *crash.Register
+	pressure *backpressure.Register
 	gateway  *gateway.Gateway
 	gossip   *gossip.Unit
 	exchange *gateway.Exchange
@@ -141,7 +143,7 @@
 // New wires a process. Its units do nothing until the kernel runs them.
 func New(o Options, a Adapter) *Node {
 	c := clock.Boot{}
-	n := &Node{o: o, adapter: a, clock: c, catalog: catalog.NewStore(c), crashes: crash.New()}
+	n := &Node{o: o, adapter: a, clock: c, catalog: catalog.NewStore(c), crashes: crash.New(), pressure: backpressure.New()}
 	n.members = gossip.NewMembers(c, o.Self)
 	n.pool = exchange.NewPool()
 	n.duty = authority.New(o.Turn, o.FirstStart, c.Now())
@@ -158,7 +160,7 @@
 	n.followers()
 	n.gateway = gateway.New(gateway.Options{
 		Codec: a.Codec(), Catalog: n.catalog, Planner: n.planner, Budget: n.budget, Crashes: n.crashes,
-		Pool: n.pool, Clock: c, Leaving: n.members.Leaving,
+		Pressure: n.pressure, Pool: n.pool, Clock: c, Leaving: n.members.Leaving,
 		VMs: n.members.Serving, Sent: n.sent, Cached: n.cached, Crashed: n.crashed,
 		Keys: n.judgeKeys, Began: n.began,
 	})
@@ -233,12 +235,13 @@
 	ConfigVersion uint64
 	Endpoints     int
 	VMs           int // that callers are sent to
+	Limited       int // endpoints that name a limit of requests
 }
 
 // Metrics returns the counters as they are now.
 func (n *Node) Metrics() Metrics {
 	v := n.View()
-	m := Metrics{Snapshot: n.gateway.Metrics().Snapshot(), Endpoints: len(v.All()), VMs: n.members.Serving(), ConfigVersion: n.version()}
+	m := Metrics{Snapshot: n.gateway.Metrics().Snapshot(), Endpoints: len(v.All()), VMs: n.members.Serving(), ConfigVersion: n.version(), Limited: n.pressure.Limited()}
 	return m
 }
 
