VMs together keep the limits that endpoints name

Cause: no code read what an endpoint says of itself with an answer beside its load.

Change: package policy/backpressure. Each VM keeps a replica of one token bucket for all and a part of its own by its share of the callers' requests; sends go with the beats, and what an endpoint has said goes to all VMs of the active set at once. Placement leaves out who takes nothing now; one gate at the send, which every path crosses, takes the token. Without room a request waits while it can be on time, else it is refused at once (2008) with the time at which there will be room. What wasn't sent is no fault of the endpoint.

Why it works: the sum of the parts is the limit, whatever is unheard; the common bucket corrects parts that are wrong.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 # goroutines, in which the race detector finds nothing that it does not find in
 # the same code under internal/entry and in the scenarios, whose binaries it is
 # built into; and its runtime has crashed in them (ThreadSanitizer CHECK).
-SIMULATED := commit|swim|control|fold|lease|reconcile|replica|policy/loadtest|policy/policytest|policy/roles
+SIMULATED := policy/backpressure|commit|swim|control|fold|lease|reconcile|replica|policy/loadtest|policy/policytest|policy/roles
 
 test: ## run every test, with the race detector where it pays
 	@# -count=1: the scenarios build the binaries, which the test cache does not see.
--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -34,6 +34,7 @@
 	ShedForPriority    Code = 2005
 	RetryBudgetSpent   Code = 2006
 	CommitLogBudget    Code = 2007
+	EndpointsLimited   Code = 2008
 
 	NoEndpoint      Code = 3001
 	EndpointFailed  Code = 3002
@@ -112,6 +113,7 @@
 	HotKey:             {"hot-key", 429, true, "Too many requests for one key at once."},
 	ShedForPriority:    {"shed-for-priority", 503, true, "Dropped from the queue for work of higher priority."},
 	RetryBudgetSpent:   {"retry-budget-spent", 503, true, "An endpoint failed and the retry budget is spent."},
+	EndpointsLimited:   {"endpoints-limited", 503, true, "The endpoints have named limits that leave no room for the request now."},
 	CommitLogBudget:    {"commit-log-budget", 503, true, "The append budget of the log is spent for now."},
 
 	NoEndpoint:      {"no-endpoint", 503, true, "No endpoint of the pool takes work now."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -50,8 +50,8 @@
 
 // HandOver names a KV cache that waits at an engine.
 type HandOver struct {
-	Address string // of the engine that keeps it
-	Handle  string
+	Holder *catalog.Endpoint
+	Handle string
 }
 
 // Codec translates between calls and the platform's HTTP.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -36,13 +36,14 @@
 	failure      *plainAnswer    // newest failure that an endpoint answered
 	started      bool            // the answer's header has been sent
 	counted      bool            // as one that an endpoint has begun to run
-	held         bool            // it has waited for an idle engine
-	cachedTokens int             // tokens believed to be cached, at the first placement
-	sharedTokens int             // tokens of the prompt's shared parts
-	prefillEnd   time.Duration   // from the arrival to the hand-over, zero without one
-	work         time.Duration   // of the prefill, by the newest placement
-	predicted    time.Duration   // to the first event, at the first placement
-	first        time.Duration   // from the arrival to the first event
+	held         bool            // it has waited for an idle engine, or for room
+	queued       queued
+	cachedTokens int           // tokens believed to be cached, at the first placement
+	sharedTokens int           // tokens of the prompt's shared parts
+	prefillEnd   time.Duration // from the arrival to the hand-over, zero without one
+	work         time.Duration // of the prefill, by the newest placement
+	predicted    time.Duration // to the first event, at the first placement
+	first        time.Duration // from the arrival to the first event
 	trace        []attemptTrace
 }
 
@@ -67,6 +68,7 @@
 // run makes attempts until one decides the answer.
 func (x *execution) run() {
 	x.g.o.Budget.Request(x.now(), x.service)
+	defer func() { x.queued.leave() }()
 	var last result
 	for tries := 0; ; tries++ {
 		if tries > 0 && !x.mayRepeat(&last) {
@@ -134,6 +136,10 @@
 	if !x.permit() {
 		return nil, Answer{}, result{outcome: notSent, code: code.RetryBudgetSpent, err: errBudget}
 	}
+	if !x.g.o.Pressure.Take(x.now(), s.Endpoint) {
+		x.keepPermit()
+		return nil, Answer{}, result{outcome: notSent, code: code.EndpointsLimited, err: errLimited}
+	}
 	s.Left, s.Urgency = x.left(), x.urgency()
 	req := &exchange.Request{
 		Method: x.c.Method, Target: x.c.Target, Host: x.c.Host,
@@ -177,6 +183,13 @@
 	return x.g.o.Budget.Take(x.now(), x.service)
 }
 
+// keepPermit keeps what permit took for the next arrival.
+func (x *execution) keepPermit() {
+	if x.arrivals > 0 {
+		x.prepaid.Add(1)
+	}
+}
+
 // arrived counts an arrival at an endpoint. The first call that only prefills
 // is none if the engine accepts it.
 func (x *execution) arrived(s *Send, accepted bool) {
@@ -219,14 +232,18 @@
 func (x *execution) note(e *catalog.Endpoint, t *place.Ticket, r result) {
 	x.trace = append(x.trace, attemptTrace{e.ID, r.outcome.String()})
 	x.tried[e.ID] = true
-	x.g.o.Planner.End(x.now(), t, judgement(r.outcome))
+	x.g.o.Planner.End(x.now(), t, judgement(&r))
 	if r.outcome == lost && !x.started && errors.Is(r.err, driver.ErrCut) {
 		x.g.o.Crashed(x.c.Fingerprint, e.ID)
 	}
 }
 
-func judgement(o outcome) place.Outcome {
-	switch o {
+// judgement is what r says of its endpoint.
+func judgement(r *result) place.Outcome {
+	if r.code == code.EndpointsLimited {
+		return place.Unjudged // it wasn't asked
+	}
+	switch r.outcome {
 	case answered:
 		return place.Good
 	case notRun:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -55,6 +56,7 @@
 	metrics *Metrics
 	held    ontime.Held
 	rate    serving.Meter
+	queues  sync.Map // of *queue, by service
 }
 
 // New returns a gateway.
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,7 +13,9 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
 	"fescuestand/internal/keyedlog"
+	"fescuestand/internal/policy/place"
 	"fescuestand/internal/wire"
 )
 
@@ -74,7 +77,7 @@
 // beats is what makes and takes the beats of a world's VM.
 func (w *world) beats() *Exchange {
 	return &Exchange{
-		Clock: clock.Boot{}, Planner: w.gateway.o.Planner, Crashes: w.crashes, Catalog: w.store,
+		Clock: clock.Boot{}, Planner: w.gateway.o.Planner, Pressure: w.gateway.o.Pressure, Crashes: w.crashes, Catalog: w.store,
 		Changes: NewChanges(clock.Boot{}, keyedlog.New("fleet", nil)), Rate: w.gateway.Rate,
 		Ordered: func(string) {}, HeardConfig: func(string, uint64) {}, News: func() {},
 	}
@@ -115,3 +118,38 @@
 	}
 	assert.Assert(t, l.most() <= l.allowed(vms), "%d requests in 4 s, allowed %d", l.most(), l.allowed(vms))
 }
+
+// Guards against requests that are refused although room for them comes in time, and against
+// ones that wait although it doesn't.
+func TestARequestWaitsForRoomWhileItCanBeOnTime(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		perSecond float64
+		want      int
+	}{
+		{"room comes in time", 50, http.StatusOK},
+		{"room comes too late", 1, http.StatusServiceUnavailable},
+	} {
+		w := newWorld(t)
+		w.route(catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 2, Target: 500 * time.Millisecond})
+		w.endpoint("i-1", catalog.Whole, serve(t, (&limited{perSecond: tc.perSecond}).serve))
+		_, _, err := w.request(t, "GET", "/x/", "")
+		assert.NilError(t, err)
+		resp, body, err := w.request(t, "GET", "/x/", "")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, tc.want, tc.name+": "+body)
+		if tc.want != http.StatusOK {
+			assert.Assert(t, strings.HasPrefix(body, "2008"), body)
+			again, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, again > 0.3, "%g s", again)
+		}
+	}
+}
+
+// Guards against an endpoint that is left out for a fault of its own because a VM had no room
+// left to send it a request.
+func TestWhatIsNotSentForALimitIsNoFaultOfTheEndpoint(t *testing.T) {
+	r := result{outcome: notSent, code: code.EndpointsLimited}
+	assert.Equal(t, judgement(&r), place.Unjudged)
+}
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+
+	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+	"fescuestand/internal/policy/ontime"
+)
+
+// queue lists the requests that wait for the endpoints of a service to take one, by the order
+// of their arrival there.
+type queue struct {
+	mu      sync.Mutex
+	next    uint64
+	waiting map[uint64]struct{}
+}
+
+// enter adds a request and returns its number.
+func (q *queue) enter() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.next++
+	q.waiting[q.next] = struct{}{}
+	return q.next
+}
+
+func (q *queue) leave(number uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.waiting, number)
+}
+
+// ahead is how many wait before the request with the given number.
+func (q *queue) ahead(number uint64) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for other := range q.waiting {
+		if other < number {
+			n++
+		}
+	}
+	return n
+}
+
+// queueOf returns the queue of a service.
+func (g *Gateway) queueOf(service string) *queue {
+	q, _ := g.queues.LoadOrStore(service, &queue{waiting: map[uint64]struct{}{}})
+	return q.(*queue)
+}
+
+// place in a queue.
+type queued struct {
+	queue  *queue // nil before the first wait
+	number uint64
+	until  clock.Time // after which waiting is of no use
+}
+
+// leave ends the wait.
+func (p *queued) leave() {
+	if p.queue != nil {
+		p.queue.leave(p.number)
+		p.queue = nil
+	}
+}
+
+// awaitRoom waits a moment for endpoints whose limits leave no room now. It returns false,
+// with the result to end with, if none of them names a limit or if waiting is of no use.
+func (x *execution) awaitRoom() (result, bool) {
+	if x.queued.queue == nil {
+		q := x.g.queueOf(x.service)
+		x.queued = queued{queue: q, number: q.enter(), until: x.roomUntil()}
+	}
+	wait, limited := x.g.o.Pressure.Wait(x.now(), x.untried(), x.queued.queue.ahead(x.queued.number))
+	switch {
+	case !limited:
+		return result{outcome: notSent, code: code.NoEndpoint}, false
+	case x.now().Add(wait) > x.queued.until:
+		again := ontime.Again(wait, x.c.Fingerprint^uint64(x.now()))
+		return result{outcome: refused, code: code.EndpointsLimited, err: errLimited, again: again}, false
+	}
+	x.held = true
+	if !clock.Sleep(x.ctx, holdStep) {
+		return result{outcome: gone}, false
+	}
+	return result{}, true
+}
+
+// untried are the endpoints that could run the request and haven't been tried.
+func (x *execution) untried() []*catalog.Endpoint {
+	return slices.DeleteFunc(slices.Clone(x.open()), func(e *catalog.Endpoint) bool {
+		return x.tried[e.ID] || e.Stage == catalog.Prefill
+	})
+}
+
+// roomUntil is until when a request may wait for room: as long as its answer can be on time,
+// or, if an endpoint has worked for it, as long as callers wait for an event.
+func (x *execution) roomUntil() clock.Time {
+	switch {
+	case x.started || x.prefilled || x.arrivals > 0:
+		return x.now().Add(leastPatience)
+	case x.route.Target > 0:
+		return x.c.Arrived.Add(x.route.Target)
+	}
+	return x.deadline
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 	"fescuestand/internal/cachesync"
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/truetime"
@@ -17,11 +18,12 @@
 // Exchange fills and takes the beats that gateways send each other. It
 // implements gossip.Content.
 type Exchange struct {
-	Clock   clock.Clock
-	Planner *place.Planner
-	Crashes *crash.Register
-	Catalog *catalog.Store
-	Changes *Changes
+	Clock    clock.Clock
+	Planner  *place.Planner
+	Pressure *backpressure.Register
+	Crashes  *crash.Register
+	Catalog  *catalog.Store
+	Changes  *Changes
 	// Rate is how many requests a second this VM gets.
 	Rate func() float64
 	// Ordered is told of each engine that another VM has ordered to change.
@@ -50,6 +52,7 @@
 	b.Requests = uint32(math.Ceil(x.Rate()))
 	d := x.Planner.Demand(x.Clock.Now())
 	b.Demand = &wire.Demand{PrefillMs: uint32(1000 * d.Prefill), CentiStreams: uint32(100 * d.Streams)}
+	b.Notices = noticesOf(x.Pressure.Tell(x.Clock.Now()))
 	for _, r := range x.Planner.Outstanding() {
 		b.Outstanding = append(b.Outstanding, &wire.Outstanding{
 			Endpoint: r.Endpoint, Running: uint32(r.Running), PendingUs: uint32(r.Pending.Microseconds()),
@@ -57,6 +60,33 @@
 	}
 }
 
+// noticesOf writes what is told of the endpoints' limits.
+func noticesOf(told []backpressure.Told) []*wire.EndpointNotice {
+	out := make([]*wire.EndpointNotice, 0, len(told))
+	for _, t := range told {
+		n := &wire.EndpointNotice{Endpoint: uint64(t.Endpoint), Sent: t.Sent}
+		if t.Said {
+			n.SaidAgeMs, n.Limited, n.Limit = 1+uint32(t.Age.Milliseconds()), t.Limited, float32(t.Limit)
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// toldOf reads what noticesOf has written.
+func toldOf(notices []*wire.EndpointNotice) []backpressure.Told {
+	out := make([]backpressure.Told, 0, len(notices))
+	for _, n := range notices {
+		t := backpressure.Told{Endpoint: backpressure.Lifetime(n.GetEndpoint()), Sent: n.GetSent()}
+		if age := n.GetSaidAgeMs(); age > 0 && backpressure.Valid(float64(n.GetLimit())) {
+			t.Said, t.Age = true, time.Duration(age-1)*time.Millisecond
+			t.Limited, t.Limit = n.GetLimited(), float64(n.GetLimit())
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
 // FillNews implements gossip.Content.
 func (x *Exchange) FillNews(b *wire.Beat) {
 	if c := x.Catalog.View().Config; c != nil {
@@ -121,6 +151,7 @@
 	x.Planner.Hear(now, from, reports, place.Demand{
 		Prefill: float64(d.GetPrefillMs()) / 1000, Streams: float64(d.GetCentiStreams()) / 100,
 	})
+	x.Pressure.Hear(now, from, float64(b.GetRequests()), toldOf(b.GetNotices()))
 	for _, id := range b.GetChanging() {
 		x.Planner.Changing(now, id)
 		x.Ordered(id)
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -25,7 +25,10 @@
 	for {
 		plan, ok := x.g.o.Planner.Plan(x.now(), x.open(), pr, x.tried)
 		if !ok {
-			return plan, result{outcome: notSent, code: code.NoEndpoint}, false
+			if r, again := x.awaitRoom(); !again {
+				return plan, r, false
+			}
+			continue
 		}
 		x.predict(&plan, pr)
 		x.work = plan.Work
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -47,8 +47,11 @@
 // answer on.
 func (x *execution) callAttempt() result {
 	ep := x.g.o.Planner.Endpoint(x.now(), x.open(), x.tried)
-	if ep == nil {
-		return result{outcome: notSent, code: code.NoEndpoint}
+	for ep == nil {
+		if r, again := x.awaitRoom(); !again {
+			return r
+		}
+		ep = x.g.o.Planner.Endpoint(x.now(), x.open(), x.tried)
 	}
 	t := x.g.o.Planner.Send(x.now(), ep, place.Job{})
 	ctx, cancel := x.callContext()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,7 +38,7 @@
 	for range maxRefusals {
 		// A prefill may wait for seconds, in which engines leave: the choice
 		// of the decode engine is made after it.
-		e := x.g.o.Planner.Target(x.now(), x.open(), plan.Prefill, x.tried)
+		e := x.target(plan.Prefill)
 		if e == nil || x.ctx.Err() != nil {
 			break
 		}
@@ -53,6 +53,18 @@
 	return r
 }
 
+// target is the decode engine that takes the KV cache at holder over, nil if there is none.
+func (x *execution) target(holder *catalog.Endpoint) *catalog.Endpoint {
+	for {
+		if e := x.g.o.Planner.Target(x.now(), x.open(), holder, x.tried); e != nil {
+			return e
+		}
+		if _, again := x.awaitRoom(); !again {
+			return nil
+		}
+	}
+}
+
 // prefill has the plan's prefill engine read the prompt. It can be repeated at
 // another engine whatever became of it.
 func (x *execution) prefill(plan *place.Plan, pr *place.Prompt) (*HandOver, result) {
@@ -97,7 +109,7 @@
 	if err != nil {
 		return nil, result{outcome: failed, code: code.BadAnswer, err: err}
 	}
-	return &HandOver{e.Address, handle}, result{outcome: answered}
+	return &HandOver{e, handle}, result{outcome: answered}
 }
 
 // maxHandOver bounds the answer to a prefill, a line of JSON.
@@ -219,7 +231,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	method, target := g.o.Codec.Release(h.Handle)
-	resp, err := g.o.Pool.Do(ctx, h.Address, &exchange.Request{Method: method, Target: target, Host: h.Address})
+	g.o.Pressure.Count(g.o.Clock.Now(), h.Holder)
+	at := h.Holder.Address
+	resp, err := g.o.Pool.Do(ctx, at, &exchange.Request{Method: method, Target: target, Host: at})
 	if err != nil {
 		return // it lapses by itself
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -61,7 +61,7 @@
 		h.Set("Only", "prefill")
 	}
 	if s.KV != nil {
-		h.Set("Kv", s.KV.Address+"/"+s.KV.Handle)
+		h.Set("Kv", s.KV.Holder.Address+"/"+s.KV.Handle)
 	}
 	if s.LastEvent != "" {
 		h.Set("Last", s.LastEvent)
@@ -176,7 +176,7 @@
 	w.budget = repeat.New(repeat.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
 	w.budget.SetMembers(1)
 	w.gateway = New(Options{
-		Codec: codec{}, Catalog: w.store, Planner: place.New("z", 1), Budget: w.budget, Crashes: w.crashes, Pressure: backpressure.New(),
+		Codec: codec{}, Catalog: w.store, Planner: place.New("z", 1), Budget: w.budget, Crashes: w.crashes, Pressure: backpressure.New(1),
 		Pool: exchange.NewPool(), Clock: clock.Boot{}, Leaving: w.leaving.Load,
 		VMs: func() int { return 1 }, Sent: func(time.Duration) {}, Cached: func(*catalog.Endpoint, []place.Part) {},
 		Crashed: func(fingerprint uint64, endpoint string) {
@@ -186,6 +186,7 @@
 			w.crashes.Note(clock.Boot{}.Now(), fingerprint, endpoint)
 		},
 	})
+	w.gateway.o.Planner.Admits = w.gateway.o.Pressure.Admits
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = w.gateway.Follow(ctx) }()
--- a/internal/policy/backpressure/notice.go
+++ b/internal/policy/backpressure/notice.go
@@ -15,6 +15,9 @@
 	Unreadable bool
 }
 
+// Valid tells whether an endpoint can mean such a limit.
+func Valid(limit float64) bool { return limit >= 0 && !math.IsInf(limit, 1) }
+
 // ParseLimit reads the decimal number of requests a second that an endpoint names. An
 // empty text names no limit.
 func ParseLimit(text string) Notice {
@@ -23,7 +26,7 @@
 		return Notice{}
 	}
 	limit, err := strconv.ParseFloat(text, 64)
-	if err != nil || limit < 0 || math.IsNaN(limit) || math.IsInf(limit, 0) {
+	if err != nil || !Valid(limit) {
 		return Notice{Unreadable: true}
 	}
 	return Notice{Limited: true, Limit: limit}
--- a/internal/policy/backpressure/register.go
+++ b/internal/policy/backpressure/register.go
@@ -1,8 +1,18 @@
-// Package backpressure keeps what endpoints say, with their answers, of the work that they
+// Package backpressure keeps to what endpoints say, with their answers, of the work that they
 // take.
 //
 // Load pattern: an endpoint in need names a rate of requests that it takes from all VMs
-// together, for as long as it says so.
+// together, for as long as it says so. Each VM sees only its own sends. If each kept the limit
+// by itself, four of them would send four times as much; with an equal part for each, the parts
+// of those that have no use for them are lost, and of a small limit nobody's part is a request.
+//
+// So each VM keeps a replica of one token bucket for all: its own sends are taken from it at
+// once and those of the others as they tell them. What a replica doesn't know yet is bounded by
+// a second bucket, this VM's part by its share of the callers' requests. While the common bucket
+// is well filled, a VM may exceed its part by a little. A VM that doesn't hear of the others
+// assumes that they are like itself.
+//
+// What an endpoint says holds for its lifetime, whatever becomes of its address.
 //
 // The package does no I/O and reads no clock. A Register is safe for concurrent use.
 package backpressure
@@ -12,36 +22,72 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/splitmix"
 )
 
-// Lifetime is one start of an endpoint's process. What it says holds no longer.
-type Lifetime struct {
-	ID   string
-	Born int64
-}
+// Lifetime stands for one start of an endpoint's process, also in messages.
+type Lifetime uint64
 
 // LifetimeOf returns the lifetime that e describes.
-func LifetimeOf(e *catalog.Endpoint) Lifetime { return Lifetime{e.ID, e.Born} }
+func LifetimeOf(e *catalog.Endpoint) Lifetime {
+	return Lifetime(xxhash.Sum64String(e.ID) ^ splitmix.Mix(uint64(e.Born)))
+}
 
-// Register is what one VM knows.
+// Register is what one VM knows of the endpoints' limits.
 type Register struct {
-	mu    sync.Mutex
-	known map[Lifetime]*record
+	// Requests is the rate of callers' requests at this VM, and VMs is how many serve
+	// callers. They are set before the first use.
+	Requests func() float64
+	VMs      func() int
+	// News is called when an endpoint has said something that other VMs should know soon.
+	News func()
+
+	mu      sync.Mutex
+	known   map[Lifetime]*record
+	peers   map[string]peer
+	seed    uint64
+	share   float64 // of the callers' requests that come to this VM
+	sharedT clock.Time
+	vms     int // that share the limits
+	guards  guards
+}
+
+// guards are the parts of the mechanism that a simulation can switch off.
+type guards struct {
+	noDebits bool // sends of other VMs aren't taken from the common bucket
+	noParts  bool // a VM has no part of its own
+	equal    bool // parts are equal, whatever the VMs' rates
 }
 
 // record is what is known of one lifetime.
 type record struct {
-	limit    float64 // requests a second
 	limited  bool
-	saidAt   clock.Time // when the endpoint last named a limit
+	limit    float64    // requests a second, as last named
+	saidAt   clock.Time // when an endpoint's answer last told of its limit, to any VM
+	toldAt   clock.Time // the same of an answer to this VM, zero if there was none
+	newsAt   clock.Time // when that last changed
+	beganAt  clock.Time // when the present limit became known
 	loggedAt clock.Time
+
+	all   bucket            // of all VMs
+	own   bucket            // this VM's part
+	sent  uint32            // requests of this process
+	usedT clock.Time        // the last of them
+	heard map[string]uint32 // those of other processes, by VM
 }
 
-// New returns an empty register.
-func New() *Register { return &Register{known: map[Lifetime]*record{}} }
+// New returns an empty register of a VM that knows of no other. Those of different processes
+// take different seeds, so that their parts of a small limit fall due one after the other.
+func New(seed uint64) *Register {
+	return &Register{
+		Requests: func() float64 { return 0 }, VMs: func() int { return 1 }, News: func() {},
+		known: map[Lifetime]*record{}, peers: map[string]peer{}, seed: seed,
+	}
+}
 
 // Limited is how many endpoints name a limit.
 func (r *Register) Limited() int {
@@ -58,33 +104,73 @@
 
 // Answered takes what e said with its answer to the request id, which was sent at sentAt.
 func (r *Register) Answered(now, sentAt clock.Time, e *catalog.Endpoint, id string, n Notice) {
+	if r.answered(now, sentAt, e, id, n) {
+		r.News()
+	}
+}
+
+// answered returns whether the answer says something new.
+func (r *Register) answered(now, sentAt clock.Time, e *catalog.Endpoint, id string, n Notice) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	life := LifetimeOf(e)
-	rec := r.known[life]
+	rec := r.known[LifetimeOf(e)]
+	if rec == nil && !n.Limited && !n.Unreadable {
+		return false
+	}
 	if rec == nil {
-		if !n.Limited && !n.Unreadable {
-			return
-		}
-		rec = &record{}
-		r.known[life] = rec
+		rec = r.add(LifetimeOf(e))
+	}
+	line := func() *log.Entry {
+		return log.WithField("endpoint", e.ID).WithField("service", e.Service).WithField("per_second", rec.limit).WithField("id", id)
 	}
 	switch {
 	case n.Unreadable:
 		if rec.mayLog(now) {
-			line(e, id, rec).Warn("endpoint's limit not understood")
+			line().Warn("endpoint's limit not understood")
 		}
-	case n.Limited:
-		changed := !rec.limited || rec.limit != n.Limit
-		rec.limited, rec.limit, rec.saidAt = true, n.Limit, now
-		if changed && rec.mayLog(now) {
-			line(e, id, rec).Info("endpoint names a limit")
-		}
-	case rec.limited && sentAt > rec.saidAt:
-		// An answer that was under way when the limit was named says nothing of it.
-		rec.limited = false
-		line(e, id, rec).Info("endpoint names no limit")
+		return false
+	case !n.Limited && sentAt <= rec.saidAt:
+		return false // under way when the limit was named
 	}
+	changed := r.set(now, now, rec, n.Limited, n.Limit)
+	rec.toldAt = now
+	if !changed {
+		return false
+	}
+	rec.newsAt = now
+	switch {
+	case !n.Limited:
+		line().Info("endpoint names no limit")
+	case rec.mayLog(now):
+		line().Info("endpoint names a limit")
+	}
+	return true
+}
+
+func (r *Register) add(life Lifetime) *record {
+	rec := &record{heard: map[string]uint32{}}
+	r.known[life] = rec
+	return rec
+}
+
+// set takes what the endpoint said at saidAt. It returns whether that differs from what was
+// known.
+func (r *Register) set(now, saidAt clock.Time, rec *record, limited bool, limit float64) bool {
+	changed := limited != rec.limited || limited && limit != rec.limit
+	if limited && !rec.limited {
+		rec.all, rec.own, rec.beganAt = bucket{at: now}, bucket{level: r.draw(), at: now}, now
+	}
+	rec.limited, rec.saidAt = limited, saidAt
+	if limited {
+		rec.limit = limit
+	}
+	return changed
+}
+
+// draw returns a pseudo-random number of 0 to 1.
+func (r *Register) draw() float64 {
+	r.seed = splitmix.Mix(r.seed)
+	return float64(r.seed>>11) / (1 << 53)
 }
 
 // logPause is the least time between two lines on one endpoint's limits.
@@ -99,11 +185,6 @@
 	return true
 }
 
-// line begins a log line on what e said with its answer to the request id.
-func line(e *catalog.Endpoint, id string, rec *record) *log.Entry {
-	return log.WithField("endpoint", e.ID).WithField("service", e.Service).WithField("per_second", rec.limit).WithField("id", id)
-}
-
 // forgetAfter is how long what an endpoint said is kept when its entry is missing: entries
 // come back after an outage of their store.
 const forgetAfter = time.Minute
--- a/internal/policy/backpressure/register_test.go
+++ b/internal/policy/backpressure/register_test.go
@@ -16,7 +16,7 @@
 func at(d time.Duration) clock.Time { return clock.Time(time.Hour).Add(d) }
 
 func TestALimitHoldsWhileTheEndpointNamesIt(t *testing.T) {
-	r := New()
+	r := New(1)
 	named := Notice{Limited: true, Limit: 8}
 	r.Answered(at(10), at(0), endpoint, "1", Notice{})
 	assert.Equal(t, r.Limited(), 0)
@@ -31,7 +31,7 @@
 }
 
 func TestANewProcessOfAnEndpointHasNamedNothing(t *testing.T) {
-	r := New()
+	r := New(1)
 	r.Answered(at(10), at(0), endpoint, "1", Notice{Limited: true, Limit: 8})
 	again := *endpoint
 	again.Born++
--- a/internal/policy/ontime/ontime.go
+++ b/internal/policy/ontime/ontime.go
@@ -96,8 +96,11 @@
 }
 
 // again is when what waits now has been worked off, and a random time more.
-func again(r Request) time.Duration {
-	return max(r.Wait, r.Ahead, leastAgain) + time.Duration(r.Draw%uint64(againSpread))
+func again(r Request) time.Duration { return Again(max(r.Wait, r.Ahead), r.Draw) }
+
+// Again is when to come back with a request that there will be room for after wait.
+func Again(wait time.Duration, draw uint64) time.Duration {
+	return max(wait, leastAgain) + time.Duration(draw%uint64(againSpread))
 }
 
 // Held counts the work of the requests that wait at this VM. It is safe for
--- a/internal/policy/place/calls.go
+++ b/internal/policy/place/calls.go
@@ -12,7 +12,7 @@
 func (p *Planner) Endpoint(now clock.Time, open []*catalog.Endpoint, exclude map[string]bool) *catalog.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := healthy(now, p.within(open, exclude))
+	list := healthy(now, p.within(now, open, exclude))
 	if len(list) == 0 {
 		return nil
 	}
--- a/internal/policy/place/health.go
+++ b/internal/policy/place/health.go
@@ -62,11 +62,13 @@
 	h.outs++
 }
 
-// within returns the states of the open endpoints that exclude doesn't name.
-func (p *Planner) within(open []*catalog.Endpoint, exclude map[string]bool) []*state {
+// within returns the states of the open endpoints that take a request now and that exclude
+// doesn't name.
+func (p *Planner) within(now clock.Time, open []*catalog.Endpoint, exclude map[string]bool) []*state {
 	all := make([]*state, 0, len(open))
 	for _, e := range open {
-		if s := p.known[e.ID]; s != nil && !exclude[e.ID] {
+		s := p.known[e.ID]
+		if s != nil && !exclude[e.ID] && (p.Admits == nil || p.Admits(now, e)) {
 			all = append(all, s)
 		}
 	}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -58,6 +58,10 @@
 
 // Planner holds one VM's beliefs about the endpoints.
 type Planner struct {
+	// Admits tells whether an endpoint takes a request now. It is set before the first use;
+	// all do if it is nil.
+	Admits func(now clock.Time, e *catalog.Endpoint) bool
+
 	zone string
 
 	mu    sync.Mutex
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -62,7 +62,7 @@
 // leave nobody to run what the others prefill.
 func (p *Planner) candidates(now clock.Time, open []*catalog.Endpoint, exclude map[string]bool) candidates {
 	var c candidates
-	for _, s := range p.within(open, exclude) {
+	for _, s := range p.within(now, open, exclude) {
 		if s.ep.Stage == catalog.Prefill {
 			c.prefill = append(c.prefill, s)
 		} else {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -143,7 +143,7 @@
 // New wires a process. Its units do nothing until the kernel runs them.
 func New(o Options, a Adapter) *Node {
 	c := clock.Boot{}
-	n := &Node{o: o, adapter: a, clock: c, catalog: catalog.NewStore(c), crashes: crash.New(), pressure: backpressure.New()}
+	n := &Node{o: o, adapter: a, clock: c, catalog: catalog.NewStore(c), crashes: crash.New(), pressure: backpressure.New(seedOf(o.Self.Incarnation))}
 	n.members = gossip.NewMembers(c, o.Self)
 	n.pool = exchange.NewPool()
 	n.duty = authority.New(o.Turn, o.FirstStart, c.Now())
@@ -164,14 +164,17 @@
 		VMs: n.members.Serving, Sent: n.sent, Cached: n.cached, Crashed: n.crashed,
 		Keys: n.judgeKeys, Began: n.began,
 	})
+	n.planner.Admits = n.pressure.Admits
+	n.pressure.Requests, n.pressure.VMs = n.gateway.Rate, n.members.Serving
 	n.exchange = &gateway.Exchange{
-		Clock: c, Planner: n.planner, Crashes: n.crashes, Catalog: n.catalog, Changes: n.changes,
+		Clock: c, Planner: n.planner, Pressure: n.pressure, Crashes: n.crashes, Catalog: n.catalog, Changes: n.changes,
 		Rate: n.gateway.Rate, Ordered: n.orders.Heard, HeardConfig: n.puller.Heard, News: n.news,
 	}
 	if o.Usage.Window > 0 {
 		n.exchange.Time, n.exchange.Usage = n.time, n.usage
 	}
 	n.gossip = gossip.NewUnit(n.members, n.exchange)
+	n.pressure.News = n.gossip.Soon
 	if n.fresh != nil {
 		n.gossip.Knowledge = &knowledge{n}
 	}
