Requests that an endpoint has worked for come first to the room that limits leave

A stream that breaks off, or a prompt that has been read, waited for room behind requests that nobody had worked for, and up to two seconds from then instead of until its caller leaves. A request that endpoints have only refused waits as long as a new one.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
@@ -74,7 +75,11 @@
 		q := x.g.queueOf(x.service)
 		x.queued = queued{queue: q, number: q.enter(), until: x.roomUntil()}
 	}
-	wait, limited := x.g.o.Pressure.Wait(x.now(), x.untried(), x.queued.queue.ahead(x.queued.number))
+	ahead := 0
+	if !x.begun() {
+		ahead = x.queued.queue.ahead(x.queued.number)
+	}
+	wait, limited := x.g.o.Pressure.Wait(x.now(), x.untried(), ahead)
 	switch {
 	case !limited:
 		return result{outcome: notSent, code: code.NoEndpoint}, false
@@ -96,12 +101,20 @@
 	})
 }
 
+// begun tells whether an endpoint has worked for the request, in vain if it doesn't go on.
+func (x *execution) begun() bool { return x.started || x.prefilled }
+
+// roomMargin is left of what callers wait, for an event to be made and to reach them.
+const roomMargin = 300 * time.Millisecond
+
 // roomUntil is until when a request may wait for room: as long as its answer can be on time,
-// or, if an endpoint has worked for it, as long as callers wait for an event.
+// or, if an endpoint has worked for it, as long as its caller waits for the next event.
 func (x *execution) roomUntil() clock.Time {
 	switch {
-	case x.started || x.prefilled || x.arrivals > 0:
-		return x.now().Add(leastPatience)
+	case x.started:
+		return x.now().Add(leastPatience - roomMargin)
+	case x.prefilled:
+		return x.c.Arrived.Add(x.firstPatience() - roomMargin)
 	case x.route.Target > 0:
 		return x.c.Arrived.Add(x.route.Target)
 	}
