Soak: endpoints name limits, and what comes to them is counted

After the faults one endpoint of each service names a small limit, one that it takes nothing, others text that is no limit, for 11 s; callers go on.

--- a/scenarios/soak_check_test.go
+++ b/scenarios/soak_check_test.go
@@ -46,6 +46,7 @@
 	s.checkAnswers()
 	s.checkRuns()
 	s.checkOrders()
+	s.checkLimits()
 	s.checkRecovery()
 }
 
--- a/scenarios/soak_faults_test.go
+++ b/scenarios/soak_faults_test.go
@@ -46,6 +46,7 @@
 	for _, heal := range heals {
 		heal()
 	}
+	s.limit()
 	time.Sleep(soakRecovery + soakProbe)
 	stop()
 	time.Sleep(soakPatience)
--- a/scenarios/soak_proof_test.go
+++ b/scenarios/soak_proof_test.go
@@ -21,6 +21,7 @@
 		answer soakAnswer
 		runs   int // of the answer's request
 		order  []string
+		limits []limited
 		want   string
 	}{
 		"nothing is wrong":          {seed: 2, answer: whole, runs: 1},
@@ -31,10 +32,11 @@
 		"a cut by planned work":     {seed: 1, answer: soakAnswer{id: "o", path: once, status: 200}, runs: 1, want: "cut off by planned work"},
 		"orders by turns":           {seed: 2, answer: whole, runs: 1, order: []string{`{"stage":"prefill","holder":"a","fence":1}`, `{"stage":"decode","holder":"b","fence":2,"expected":1}`}, want: "b orders"},
 		"an old token":              {seed: 2, answer: whole, runs: 1, order: []string{`{"stage":"prefill","holder":"a","fence":4}`, `{"stage":"decode","holder":"b","fence":3,"expected":1}`}, want: "token 3"},
+		"more than a limit":         {seed: 2, answer: soakAnswer{id: "r", path: reads, status: 200, whole: true}, runs: 6, limits: []limited{{"e", 0, now.Add(-time.Minute), now.Add(time.Minute)}}, want: "e named 0 requests a second and got 6 in 4s, allowed 5"},
 		"a service that isn't back": {seed: 2, answer: soakAnswer{id: "r", path: reads, status: 503}, want: "0 of 1 requests served"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &soak{t: t, seed: tc.seed, ledger: standin.NewLedger(), answers: []soakAnswer{tc.answer}, configs: []published{{1, "s", now}}}
+			s := &soak{t: t, seed: tc.seed, ledger: standin.NewLedger(), answers: []soakAnswer{tc.answer}, configs: []published{{1, "s", now}}, limits: tc.limits}
 			e := &standin.Endpoint{ID: "e", Service: "s", Slots: 8}
 			assert.NilError(t, e.Start("127.0.0.1:0", s.ledger))
 			t.Cleanup(e.Crash)
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -54,6 +54,7 @@
 	configs   []published
 	answers   []soakAnswer
 	next      int // number of the newest endpoint
+	limits    []limited
 
 	complaints []string
 }
