--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -239,12 +239,13 @@
 	Endpoints     int
 	VMs           int // that callers are sent to
 	Limited       int // endpoints that name a limit of requests
+	Leaving       int // endpoints that have said that they leave
 }
 
 // Metrics returns the counters as they are now.
 func (n *Node) Metrics() Metrics {
 	v := n.View()
-	m := Metrics{Snapshot: n.gateway.Metrics().Snapshot(), Endpoints: len(v.All()), VMs: n.members.Serving(), ConfigVersion: n.version(), Limited: n.pressure.Limited()}
+	m := Metrics{Snapshot: n.gateway.Metrics().Snapshot(), Endpoints: len(v.All()), VMs: n.members.Serving(), ConfigVersion: n.version(), Limited: n.pressure.Limited(), Leaving: n.pressure.Leaving()}
 	return m
 }
 
