An endpoint whose answer says that it leaves gets no new work

Cause: a VM learned of a leaving from the endpoint's entry only, and the store was away.

Change: the catalog takes the endpoint's own word for its lifetime. Views show it as draining whatever its entry says, so that placement, stages, orders, fetches of caches and rented fleets all go by it; a new process under the same id takes work. The entry's own change is still passed on to other VMs. The word goes to the active set at once and from VM to VM with the probes, as crashes do. The gate before each send asks the newest view, so that what was chosen, held or read before the news goes elsewhere (3011, no fault of the endpoint).

Ways weighed: a flag in the register of limits was built first (placement and gate only); stages and scaling would have gone on to count and order endpoints that leave.

--- a/internal/catalog/fleet.go
+++ b/internal/catalog/fleet.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Stage is the part of a model request that an engine does.
 type Stage uint8
@@ -38,6 +41,13 @@
 	return e.Sequence >= old.Sequence
 }
 
+// draining returns e as one that takes no new work.
+func (e *Endpoint) draining() *Endpoint {
+	c := *e
+	c.Draining = true
+	return &c
+}
+
 // View is an immutable state of the catalog.
 type View struct {
 	Config    *Config // nil before the first one
@@ -48,20 +58,36 @@
 // Open returns the endpoints of a service that take work, in order of their ids.
 func (v *View) Open(service string) []*Endpoint { return v.endpoints[service] }
 
+// Working is how many endpoints take work.
+func (v *View) Working() int {
+	n := 0
+	for _, open := range v.endpoints {
+		n += len(open)
+	}
+	return n
+}
+
 // All returns every endpoint, those that drain too, in order of their ids.
 func (v *View) All() []*Endpoint { return v.all }
 
-func newView(c *Config, known map[string]*Endpoint) *View {
+// Takes tells whether the view has e as it is and lets it take new work.
+func (v *View) Takes(e *Endpoint) bool {
+	open := v.endpoints[e.Service]
+	i, found := slices.BinarySearchFunc(open, e.ID, func(o *Endpoint, id string) int { return cmp.Compare(o.ID, id) })
+	return found && open[i].Born == e.Born
+}
+
+// newView returns the view of the reported endpoints. Those whose lifetime is in leaving drain
+// whatever they report: their answers are newer.
+func newView(c *Config, known map[string]*Endpoint, leaving map[string]notice) *View {
 	v := &View{Config: c, endpoints: map[string][]*Endpoint{}, all: make([]*Endpoint, 0, len(known))}
 	for _, e := range known {
+		if n, left := leaving[e.ID]; left && n.born == e.Born && !e.Draining {
+			e = e.draining()
+		}
 		v.all = append(v.all, e)
 	}
-	slices.SortFunc(v.all, func(a, b *Endpoint) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(v.all, func(a, b *Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	for _, e := range v.all {
 		if !e.Draining {
 			v.endpoints[e.Service] = append(v.endpoints[e.Service], e)
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -30,6 +30,7 @@
 	config   *Config
 	known    map[string]*Endpoint
 	removed  map[string]tombstone
+	leaving  map[string]notice     // of endpoints whose answers said that they leave
 	lapsing  map[string]clock.Time // entries to be removed, and when
 	outageAt clock.Time            // last moment at which the store was away
 	outage   bool                  // the store has been away at all
@@ -43,13 +44,19 @@
 	at   clock.Time
 }
 
+// notice is what an endpoint's answer said of its lifetime.
+type notice struct {
+	born int64
+	at   clock.Time
+}
+
 // NewStore returns a store without a configuration.
 func NewStore(c clock.Clock) *Store {
 	s := &Store{
-		clock: c, known: map[string]*Endpoint{}, removed: map[string]tombstone{},
+		clock: c, known: map[string]*Endpoint{}, removed: map[string]tombstone{}, leaving: map[string]notice{},
 		lapsing: map[string]clock.Time{}, changed: make(chan struct{}),
 	}
-	s.view.Store(newView(nil, nil))
+	s.view.Store(newView(nil, nil, nil))
 	return s
 }
 
@@ -108,6 +115,23 @@
 	return c == *a
 }
 
+// SetLeaving takes an endpoint's own word, in an answer, that it leaves: the lifetime that began at
+// born takes no new work from then on, whatever its entry says. While the store is away the entry
+// can't say so. It returns whether that is new.
+func (s *Store) SetLeaving(id string, born int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.leaving[id]; ok && old.born >= born {
+		return false
+	}
+	s.leaving[id] = notice{born, s.clock.Now()}
+	log.WithField("endpoint", id).WithField("born", born).Info("endpoint says that it leaves")
+	if e := s.known[id]; e != nil && e.Born == born && !e.Draining {
+		s.publish()
+	}
+	return true
+}
+
 // RemoveEndpoint takes the end of an endpoint's entry. Around an outage of the
 // store the entry is kept until returnGrace after the store's return, since
 // live endpoints couldn't renew theirs and will write again. It returns whether
@@ -182,6 +206,11 @@
 			delete(s.removed, id)
 		}
 	}
+	for id, n := range s.leaving {
+		if s.known[id] == nil && now.Sub(n.at) > forgetAfter {
+			delete(s.leaving, id)
+		}
+	}
 	if changed {
 		s.publish()
 	}
@@ -212,7 +241,7 @@
 		return
 	}
 	s.held = false
-	s.view.Store(newView(s.config, s.known))
+	s.view.Store(newView(s.config, s.known, s.leaving))
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -46,6 +46,7 @@
 	WrongRole       Code = 3008
 	StaleFence      Code = 3009
 	Quarantined     Code = 3010
+	EndpointLeft    Code = 3011
 
 	CommitUnknown   Code = 4001
 	CommitRunning   Code = 4002
@@ -120,6 +121,7 @@
 	EndpointFailed:  {"endpoint-failed", 502, true, "The endpoint answered with an error of its own."},
 	EndpointCut:     {"endpoint-cut", 502, true, "The connection to the endpoint broke before the answer was whole."},
 	EndpointRefused: {"endpoint-refused", 503, true, "The endpoint refused the work without running it."},
+	EndpointLeft:    {"endpoint-left", 503, true, "The endpoint left before the request was sent to it."},
 	Poison:          {"poison", 422, false, "The request crashed the endpoints that ran it and is given up."},
 	BadAnswer:       {"bad-answer", 502, true, "The endpoint's answer failed its check."},
 	DeadlineMissed:  {"deadline-missed", 504, false, "The deadline passed while the work ran."},
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -136,9 +136,9 @@
 	if !x.permit() {
 		return nil, Answer{}, result{outcome: notSent, code: code.RetryBudgetSpent, err: errBudget}
 	}
-	if !x.g.o.Pressure.Take(x.now(), s.Endpoint) {
+	if r, ok := x.mayGo(s.Endpoint); !ok {
 		x.keepPermit()
-		return nil, Answer{}, result{outcome: notSent, code: code.EndpointsLimited, err: errLimited}
+		return nil, Answer{}, r
 	}
 	s.Left, s.Urgency = x.left(), x.urgency()
 	req := &exchange.Request{
@@ -153,7 +153,7 @@
 	ans := x.g.o.Codec.Answer(x.c, resp.Status, resp.Header)
 	x.arrived(s, !ans.NotRun)
 	if !ans.Foreign {
-		x.g.o.Pressure.Answered(x.now(), sentAt, s.Endpoint, x.c.ID, ans.Notice)
+		x.g.heed(s.Endpoint, sentAt, x.c.ID, ans.Notice)
 	}
 	switch {
 	case ans.Foreign:
@@ -183,6 +183,18 @@
 	return x.g.o.Budget.Take(x.now(), x.service)
 }
 
+// mayGo tells whether e takes the request at this moment: what a VM knew when it chose e may be
+// over. No request leaves without it.
+func (x *execution) mayGo(e *catalog.Endpoint) (result, bool) {
+	switch {
+	case !x.g.o.Catalog.View().Takes(e):
+		return result{outcome: notSent, code: code.EndpointLeft, err: errLeft}, false
+	case !x.g.o.Pressure.Take(x.now(), e):
+		return result{outcome: notSent, code: code.EndpointsLimited, err: errLimited}, false
+	}
+	return result{}, true
+}
+
 // keepPermit keeps what permit took for the next arrival.
 func (x *execution) keepPermit() {
 	if x.arrivals > 0 {
@@ -240,7 +252,7 @@
 
 // judgement is what r says of its endpoint.
 func judgement(r *result) place.Outcome {
-	if r.code == code.EndpointsLimited {
+	if r.code == code.EndpointsLimited || r.code == code.EndpointLeft {
 		return place.Unjudged // it wasn't asked
 	}
 	switch r.outcome {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,8 @@
 	Sent func(work time.Duration)
 	// Cached is told of each prefix that an engine has read for this VM.
 	Cached func(e *catalog.Endpoint, parts []place.Part)
+	// Leaves is told of each answer by which an endpoint says that it leaves.
+	Leaves func(e *catalog.Endpoint)
 	// Crashed is told of each endpoint that a request may have crashed.
 	Crashed func(fingerprint uint64, endpoint string)
 	// Keys says whether keys can be judged by what this VM knows.
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -12,9 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/catalog"
-	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
-	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/wire"
 )
@@ -65,24 +63,15 @@
 func beat(all []*world) {
 	for i, from := range all {
 		b := &wire.Beat{Peer: strconv.Itoa(i)}
-		from.beats().Fill(b)
+		from.beats.Fill(b)
 		for j, to := range all {
 			if j != i {
-				to.beats().Take(b.GetPeer(), b)
+				to.beats.Take(b.GetPeer(), b)
 			}
 		}
 	}
 }
 
-// beats is what makes and takes the beats of a world's VM.
-func (w *world) beats() *Exchange {
-	return &Exchange{
-		Clock: clock.Boot{}, Planner: w.gateway.o.Planner, Pressure: w.gateway.o.Pressure, Crashes: w.crashes, Catalog: w.store,
-		Changes: NewChanges(clock.Boot{}, keyedlog.New("fleet", nil)), Rate: w.gateway.Rate,
-		Ordered: func(string) {}, HeardConfig: func(string, uint64) {}, News: func() {},
-	}
-}
-
 // Guards against an endpoint in need that gets requests at the rate of before it named a limit.
 func TestALimitThatAnEndpointNamesIsKept(t *testing.T) {
 	w := newWorld(t)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/notices.go
@@ -8,6 +8,7 @@
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
+	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/ontime"
 )
 
@@ -47,6 +48,14 @@
 	return n
 }
 
+// heed takes what e said with its answer to the request id, which was sent at sentAt.
+func (g *Gateway) heed(e *catalog.Endpoint, sentAt clock.Time, id string, n backpressure.Notice) {
+	if n.Leaving {
+		g.o.Leaves(e)
+	}
+	g.o.Pressure.Answered(g.o.Clock.Now(), sentAt, e, id, n)
+}
+
 // queueOf returns the queue of a service.
 func (g *Gateway) queueOf(service string) *queue {
 	q, _ := g.queues.LoadOrStore(service, &queue{waiting: map[uint64]struct{}{}})
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -39,6 +39,7 @@
 	errEncoded = errors.New("the answer is encoded")
 	errTooLate = errors.New("the first event would come after the caller has left")
 	errBudget  = errors.New("the budget of repeats is spent")
+	errLeft    = errors.New("the endpoint left before the request was sent")
 	errLimited = errors.New("the endpoints have named limits that leave no room now")
 	errSeal    = errors.New("the answer lacks the endpoint's signature")
 )
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -37,7 +37,8 @@
 	Time  *truetime.Estimator
 	Usage *usage.Book
 
-	recent crashNews
+	crashes news[*wire.Crash]
+	leaving news[*wire.LeavingEndpoint]
 }
 
 // Fill implements gossip.Content.
@@ -52,6 +53,7 @@
 	b.Requests = uint32(math.Ceil(x.Rate()))
 	d := x.Planner.Demand(x.Clock.Now())
 	b.Demand = &wire.Demand{PrefillMs: uint32(1000 * d.Prefill), CentiStreams: uint32(100 * d.Streams)}
+	b.LeavingEndpoints = x.leaving.tell(x.Clock.Now())
 	b.Notices = noticesOf(x.Pressure.Tell(x.Clock.Now()))
 	for _, r := range x.Planner.Outstanding() {
 		b.Outstanding = append(b.Outstanding, &wire.Outstanding{
@@ -93,7 +95,8 @@
 		b.ConfigVersion = c.Version
 	}
 	x.Changes.pass(b)
-	b.Crashes = x.recent.tell(x.Clock.Now())
+	b.Crashes = x.crashes.tell(x.Clock.Now())
+	b.LeavingEndpoints = x.leaving.tell(x.Clock.Now())
 }
 
 // Totals implements gossip.Content.
@@ -116,7 +119,19 @@
 func ProcessName(vm, incarnation string) string { return vm + " " + incarnation }
 
 // Crashed has a crash told to all VMs.
-func (x *Exchange) Crashed(c *wire.Crash) { x.recent.add(x.Clock.Now(), c) }
+func (x *Exchange) Crashed(c *wire.Crash) { x.crashes.add(x.Clock.Now(), c) }
+
+// Leaves takes an endpoint's own word that it leaves, and has it told to all VMs.
+func (x *Exchange) Leaves(e *catalog.Endpoint) {
+	x.takeLeaving(&wire.LeavingEndpoint{Id: e.ID, Born: e.Born})
+}
+
+func (x *Exchange) takeLeaving(l *wire.LeavingEndpoint) {
+	if x.Catalog.SetLeaving(l.GetId(), l.GetBorn()) {
+		x.leaving.add(x.Clock.Now(), l)
+		x.News()
+	}
+}
 
 // Take implements gossip.Content.
 func (x *Exchange) Take(from string, b *wire.Beat) {
@@ -128,10 +143,13 @@
 	}
 	x.Changes.take(b)
 	x.HeardConfig(from, b.GetConfigVersion())
+	for _, l := range b.GetLeavingEndpoints() {
+		x.takeLeaving(l)
+	}
 	now := x.Clock.Now()
 	for _, c := range b.GetCrashes() {
 		if x.Crashes.Note(now, c.GetRequest(), c.GetEndpoint()) {
-			x.recent.add(now, c)
+			x.crashes.add(now, c)
 			x.News()
 		}
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -22,6 +22,7 @@
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/exchange"
+	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/place"
@@ -165,6 +166,7 @@
 	budget  *repeat.Budget
 	crashes *crash.Register
 	leaving atomic.Bool
+	beats   *Exchange
 
 	mu      sync.Mutex
 	crashed []string
@@ -186,6 +188,12 @@
 			w.crashes.Note(clock.Boot{}.Now(), fingerprint, endpoint)
 		},
 	})
+	w.beats = &Exchange{
+		Clock: clock.Boot{}, Planner: w.gateway.o.Planner, Pressure: w.gateway.o.Pressure, Crashes: w.crashes, Catalog: w.store,
+		Changes: NewChanges(clock.Boot{}, keyedlog.New("fleet", nil)), Rate: w.gateway.Rate,
+		Ordered: func(string) {}, HeardConfig: func(string, uint64) {}, News: func() {},
+	}
+	w.gateway.o.Leaves = w.beats.Leaves
 	w.gateway.o.Planner.Admits = w.gateway.o.Pressure.Admits
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/internal/policy/backpressure/register.go
+++ b/internal/policy/backpressure/register.go
@@ -72,7 +72,6 @@
 	newsAt   clock.Time // when that last changed
 	beganAt  clock.Time // when the present limit became known
 	loggedAt clock.Time
-	leaving  bool
 
 	all   bucket            // of all VMs
 	own   bucket            // this VM's part
@@ -103,19 +102,6 @@
 	return n
 }
 
-// Leaving is how many endpoints have said that they leave.
-func (r *Register) Leaving() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	n := 0
-	for _, rec := range r.known {
-		if rec.leaving {
-			n++
-		}
-	}
-	return n
-}
-
 // Answered takes what e said with its answer to the request id, which was sent at sentAt.
 func (r *Register) Answered(now, sentAt clock.Time, e *catalog.Endpoint, id string, n Notice) {
 	if r.answered(now, sentAt, e, id, n) {
@@ -128,7 +114,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.known[LifetimeOf(e)]
-	if rec == nil && n == (Notice{}) {
+	if rec == nil && !n.Limited && !n.Unreadable {
 		return false
 	}
 	if rec == nil {
@@ -137,10 +123,6 @@
 	line := func() *log.Entry {
 		return log.WithField("endpoint", e.ID).WithField("service", e.Service).WithField("per_second", rec.limit).WithField("id", id)
 	}
-	if n.Leaving && !rec.leaving {
-		rec.leaving = true
-		line().Info("endpoint says that it leaves")
-	}
 	switch {
 	case n.Unreadable:
 		if rec.mayLog(now) {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -161,7 +161,7 @@
 	n.gateway = gateway.New(gateway.Options{
 		Codec: a.Codec(), Catalog: n.catalog, Planner: n.planner, Budget: n.budget, Crashes: n.crashes,
 		Pressure: n.pressure, Pool: n.pool, Clock: c, Leaving: n.members.Leaving,
-		VMs: n.members.Serving, Sent: n.sent, Cached: n.cached, Crashed: n.crashed,
+		VMs: n.members.Serving, Sent: n.sent, Cached: n.cached, Crashed: n.crashed, Leaves: n.leaves,
 		Keys: n.judgeKeys, Began: n.began,
 	})
 	n.planner.Admits = n.pressure.Admits
@@ -239,13 +239,13 @@
 	Endpoints     int
 	VMs           int // that callers are sent to
 	Limited       int // endpoints that name a limit of requests
-	Leaving       int // endpoints that have said that they leave
+	Draining      int // endpoints that take no new work
 }
 
 // Metrics returns the counters as they are now.
 func (n *Node) Metrics() Metrics {
 	v := n.View()
-	m := Metrics{Snapshot: n.gateway.Metrics().Snapshot(), Endpoints: len(v.All()), VMs: n.members.Serving(), ConfigVersion: n.version(), Limited: n.pressure.Limited(), Leaving: n.pressure.Leaving()}
+	m := Metrics{Snapshot: n.gateway.Metrics().Snapshot(), Endpoints: len(v.All()), VMs: n.members.Serving(), ConfigVersion: n.version(), Limited: n.pressure.Limited(), Draining: len(v.All()) - v.Working()}
 	return m
 }
 
@@ -285,6 +285,9 @@
 	n.news()
 }
 
+// leaves takes an endpoint's own word that it leaves.
+func (n *Node) leaves(e *catalog.Endpoint) { n.exchange.Leaves(e) }
+
 // news has something told that all VMs must know.
 func (n *Node) news() { n.gossip.Push() }
 
