An endpoint that asks for time is left alone by the VM that it has told

What callers saw: a refused exchange more for each of them.

Cause: the time to come back of a refusal was not read.

Change: the time, in seconds or as a date, is kept for the endpoint's lifetime at the VM that was told, the longest one holds, placement and the gate before each send go by it, and a request that finds all endpoints so waits if it can be on time or is told when one of them is back.

--- a/internal/policy/backpressure/limit.go
+++ b/internal/policy/backpressure/limit.go
@@ -70,6 +70,9 @@
 }
 
 func (r *Register) admits(now clock.Time, rec *record) bool {
+	if now < rec.until || !rec.limited {
+		return now >= rec.until
+	}
 	r.fill(now, rec)
 	switch {
 	case rec.all.level < 1 && !r.guards.noDebits:
@@ -88,7 +91,7 @@
 		return true
 	}
 	rec := r.known[LifetimeOf(e)]
-	return rec == nil || !rec.limited || r.admits(now, rec)
+	return rec == nil || r.admits(now, rec)
 }
 
 // Take counts a request that is about to be sent to e. It returns false if e takes none now.
@@ -99,13 +102,15 @@
 		return true
 	}
 	rec := r.known[LifetimeOf(e)]
-	if rec == nil || !rec.limited {
+	if rec == nil {
 		return true
 	}
 	if !r.admits(now, rec) {
 		return false
 	}
-	rec.count(now)
+	if rec.limited {
+		rec.count(now)
+	}
 	return true
 }
 
@@ -127,15 +132,23 @@
 	rec.usedT = now
 }
 
-// Wait is the time until this VM's part of the limits of list has room for one more request
-// than the queued ones. It returns false if none of them names a limit.
+// Wait is the time until one of list takes one more request than the queued ones: as this VM's part
+// of their limits has room, or as the time is over for which one wants to be left alone. It
+// returns false if none of them asks for either.
 func (r *Register) Wait(now clock.Time, list []*catalog.Endpoint, queued int) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var perSecond, level float64
+	soonest := longestAway
 	for _, e := range list {
 		rec := r.known[LifetimeOf(e)]
-		if rec == nil || !rec.limited {
+		switch {
+		case rec == nil:
+			continue
+		case now < rec.until:
+			soonest = min(soonest, rec.until.Sub(now))
+			continue
+		case !rec.limited:
 			continue
 		}
 		r.fill(now, rec)
@@ -143,10 +156,10 @@
 		level += min(rec.own.level, rec.all.level)
 	}
 	if perSecond == 0 {
-		return 0, false
+		return soonest, soonest < longestAway
 	}
 	missing := max(float64(queued)+1-level, 0)
-	return time.Duration(missing / perSecond * float64(time.Second)), true
+	return min(time.Duration(missing/perSecond*float64(time.Second)), soonest), true
 }
 
 // shareNow is the part of the callers' requests that comes to this VM.
--- a/internal/policy/backpressure/notice.go
+++ b/internal/policy/backpressure/notice.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Notice is what an endpoint says, with an answer, of the work that it takes.
@@ -11,6 +13,8 @@
 	Limited bool
 	Limit   float64 // requests a second from all VMs together, if Limited
 	Leaving bool    // it wants no new requests, of any VM
+	// Away is how long it wants no requests of the VM that it answers.
+	Away time.Duration
 	// Unreadable tells that the endpoint said something that can't be read: the limit that
 	// it named before still holds.
 	Unreadable bool
@@ -20,11 +24,16 @@
 type Fields struct {
 	Limit   string // a decimal number of requests a second
 	Leaving string // 1 if it leaves
+	Again   string // seconds, or a date, after which to come back; of refusals only
+	Now     time.Time
 }
 
 // Parse reads an endpoint's notice.
 func Parse(f Fields) Notice {
 	n := parseLimit(f.Limit)
+	away, ok := parseAgain(f.Again, f.Now)
+	n.Away = away
+	n.Unreadable = n.Unreadable || !ok
 	if f.Leaving = strings.TrimSpace(f.Leaving); f.Leaving == "" {
 		return n
 	}
@@ -34,6 +43,26 @@
 	return n
 }
 
+// longestAway bounds the time for which an endpoint may ask.
+const longestAway = 24 * time.Hour
+
+// parseAgain reads a time to come back, which may be a date of HTTP. It returns false if that
+// can't be read.
+func parseAgain(text string, now time.Time) (time.Duration, bool) {
+	text = strings.TrimSpace(text)
+	if text == "" {
+		return 0, true
+	}
+	if at, err := http.ParseTime(text); err == nil {
+		return min(max(at.Sub(now), 0), longestAway), true
+	}
+	s, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(s >= 0) {
+		return 0, false
+	}
+	return time.Duration(min(s, longestAway.Seconds()) * float64(time.Second)), true
+}
+
 // Valid tells whether an endpoint can mean such a limit.
 func Valid(limit float64) bool { return limit >= 0 && !math.IsInf(limit, 1) }
 
--- a/internal/policy/backpressure/notice_test.go
+++ b/internal/policy/backpressure/notice_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
 
+var newYear = time.Date(2027, time.January, 1, 0, 0, 0, 0, time.UTC)
+
 func TestParse(t *testing.T) {
 	for fields, want := range map[Fields]Notice{
 		{}:                              {},
@@ -26,17 +29,27 @@
 		{Leaving: "soon"}:               {Unreadable: true},
 		{Limit: "2", Leaving: "1"}:      {Limited: true, Limit: 2, Leaving: true},
 		{Limit: "many", Leaving: " 1 "}: {Unreadable: true, Leaving: true},
+		{Again: "2"}:                    {Away: 2 * time.Second},
+		{Again: "0.25"}:                 {Away: 250 * time.Millisecond},
+		{Again: "3600"}:                 {Away: time.Hour},
+		{Again: "1e30"}:                 {Away: longestAway},
+		{Again: "-1"}:                   {Unreadable: true},
+		{Again: "NaN"}:                  {Unreadable: true},
+		{Again: "later"}:                {Unreadable: true},
+		{Again: "Fri, 01 Jan 2027 00:00:05 GMT", Now: newYear}: {Away: 5 * time.Second},
+		{Again: "Thu, 31 Dec 2026 23:00:00 GMT", Now: newYear}: {},
 	} {
 		assert.Equal(t, Parse(fields), want, "%+v", fields)
 	}
 }
 
 func FuzzParse(f *testing.F) {
-	f.Add("7.9", "1")
-	f.Add("-0", "soon")
-	f.Add("0x1p-2", "")
-	f.Fuzz(func(t *testing.T, limit, leaving string) {
-		n := Parse(Fields{Limit: limit, Leaving: leaving})
+	f.Add("7.9", "1", "2")
+	f.Add("-0", "soon", "1e300")
+	f.Add("0x1p-2", "", "Fri, 01 Jan 2027 00:00:05 GMT")
+	f.Fuzz(func(t *testing.T, limit, leaving, again string) {
+		n := Parse(Fields{Limit: limit, Leaving: leaving, Again: again, Now: newYear})
+		assert.Assert(t, n.Away >= 0 && n.Away <= longestAway)
 		assert.Assert(t, n.Limit >= 0)
 	})
 }
--- a/internal/policy/backpressure/register.go
+++ b/internal/policy/backpressure/register.go
@@ -1,5 +1,5 @@
 // Package backpressure keeps to what endpoints say, with their answers, of the work that they
-// take.
+// take: a limit for all VMs together, and a time for which one VM is to leave them alone.
 //
 // Load pattern: an endpoint in need names a rate of requests that it takes from all VMs
 // together, for as long as it says so. Each VM sees only its own sends. If each kept the limit
@@ -72,6 +72,8 @@
 	newsAt   clock.Time // when that last changed
 	beganAt  clock.Time // when the present limit became known
 	loggedAt clock.Time
+	seenAt   clock.Time // when its entry was last there
+	until    clock.Time // this VM is to leave it alone
 
 	all   bucket            // of all VMs
 	own   bucket            // this VM's part
@@ -114,7 +116,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.known[LifetimeOf(e)]
-	if rec == nil && !n.Limited && !n.Unreadable {
+	if rec == nil && !n.Limited && !n.Unreadable && n.Away == 0 {
 		return false
 	}
 	if rec == nil {
@@ -123,6 +125,12 @@
 	line := func() *log.Entry {
 		return log.WithField("endpoint", e.ID).WithField("service", e.Service).WithField("per_second", rec.limit).WithField("id", id)
 	}
+	if until := now.Add(n.Away); n.Away > 0 && until > rec.until {
+		rec.until = until
+		if rec.mayLog(now) {
+			line().WithField("ms", n.Away.Milliseconds()).Info("endpoint asks for time")
+		}
+	}
 	switch {
 	case n.Unreadable:
 		if rec.mayLog(now) {
@@ -132,6 +140,7 @@
 	case !n.Limited && sentAt <= rec.saidAt:
 		return false // under way when the limit was named
 	}
+	begins := n.Limited && !rec.limited
 	changed := r.set(now, now, rec, n.Limited, n.Limit)
 	rec.toldAt = now
 	if !changed {
@@ -141,7 +150,7 @@
 	switch {
 	case !n.Limited:
 		line().Info("endpoint names no limit")
-	case rec.mayLog(now):
+	case begins || rec.mayLog(now):
 		line().Info("endpoint names a limit")
 	}
 	return true
@@ -201,7 +210,10 @@
 		present[LifetimeOf(e)] = true
 	}
 	for life, rec := range r.known {
-		if !present[life] && now.Sub(rec.saidAt) > forgetAfter {
+		if present[life] {
+			rec.seenAt = now
+		}
+		if !present[life] && now.Sub(max(rec.saidAt, rec.seenAt)) > forgetAfter {
 			delete(r.known, life)
 		}
 	}
--- a/internal/policy/backpressure/register_test.go
+++ b/internal/policy/backpressure/register_test.go
@@ -30,6 +30,24 @@
 	assert.Equal(t, r.Limited(), 0)
 }
 
+func TestAnEndpointIsLeftAloneForAsLongAsItAsks(t *testing.T) {
+	r := New(1)
+	assert.Assert(t, r.Take(at(0), endpoint))
+	r.Answered(at(10), at(0), endpoint, "1", Notice{Away: 2 * time.Second})
+	r.Answered(at(20), at(0), endpoint, "2", Notice{Away: time.Second})
+	r.Answered(at(30), at(0), endpoint, "3", Notice{})
+	late := at(2*time.Second + 9)
+	assert.Assert(t, !r.Admits(late, endpoint) && !r.Take(late, endpoint), "the longest time holds")
+	wait, asked := r.Wait(at(time.Second+10), []*catalog.Endpoint{endpoint}, 3)
+	assert.Assert(t, asked)
+	assert.Equal(t, wait, time.Second)
+	assert.Assert(t, r.Admits(at(2*time.Second+10), endpoint))
+	assert.Equal(t, len(r.Tell(late)), 0, "it concerns this VM only")
+	again := *endpoint
+	again.Born++
+	assert.Assert(t, r.Admits(late, &again), "another process has asked for nothing")
+}
+
 func TestANewProcessOfAnEndpointHasNamedNothing(t *testing.T) {
 	r := New(1)
 	r.Answered(at(10), at(0), endpoint, "1", Notice{Limited: true, Limit: 8})
