--- a/scenarios/soak_check_test.go
+++ b/scenarios/soak_check_test.go
@@ -47,6 +47,8 @@
 	s.checkRuns()
 	s.checkOrders()
 	s.checkLimits()
+	s.checkLeaving()
+	s.checkAway()
 	s.checkRecovery()
 }
 
--- a/scenarios/soak_faults_test.go
+++ b/scenarios/soak_faults_test.go
@@ -47,6 +47,8 @@
 		heal()
 	}
 	s.limit()
+	s.leave()
+	s.turnAway()
 	time.Sleep(soakRecovery + soakProbe)
 	stop()
 	time.Sleep(soakPatience)
--- a/scenarios/soak_proof_test.go
+++ b/scenarios/soak_proof_test.go
@@ -22,6 +22,8 @@
 		runs   int // of the answer's request
 		order  []string
 		limits []limited
+		left   time.Duration // before the runs
+		away   []away
 		want   string
 	}{
 		"nothing is wrong":          {seed: 2, answer: whole, runs: 1},
@@ -33,13 +35,19 @@
 		"orders by turns":           {seed: 2, answer: whole, runs: 1, order: []string{`{"stage":"prefill","holder":"a","fence":1}`, `{"stage":"decode","holder":"b","fence":2,"expected":1}`}, want: "b orders"},
 		"an old token":              {seed: 2, answer: whole, runs: 1, order: []string{`{"stage":"prefill","holder":"a","fence":4}`, `{"stage":"decode","holder":"b","fence":3,"expected":1}`}, want: "token 3"},
 		"more than a limit":         {seed: 2, answer: soakAnswer{id: "r", path: reads, status: 200, whole: true}, runs: 6, limits: []limited{{"e", 0, now.Add(-time.Minute), now.Add(time.Minute)}}, want: "e named 0 requests a second and got 6 in 4s, allowed 5"},
+		"work for a leaving one":    {seed: 2, answer: soakAnswer{id: "r", path: reads, status: 200, whole: true}, runs: 1, left: time.Minute, want: "after its answers said that it leaves"},
+		"no time for one that asks": {seed: 2, answer: soakAnswer{id: "r", path: reads, status: 200, whole: true}, runs: 13, away: []away{{"e", now.Add(-time.Second), now.Add(time.Hour)}}, want: "e asked for time and got 13 requests"},
 		"a service that isn't back": {seed: 2, answer: soakAnswer{id: "r", path: reads, status: 503}, want: "0 of 1 requests served"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := &soak{t: t, seed: tc.seed, ledger: standin.NewLedger(), answers: []soakAnswer{tc.answer}, configs: []published{{1, "s", now}}, limits: tc.limits}
+			s := &soak{t: t, seed: tc.seed, ledger: standin.NewLedger(), answers: []soakAnswer{tc.answer}, configs: []published{{1, "s", now}}, limits: tc.limits, away: tc.away}
 			e := &standin.Endpoint{ID: "e", Service: "s", Slots: 8}
 			assert.NilError(t, e.Start("127.0.0.1:0", s.ledger))
 			t.Cleanup(e.Crash)
+			if tc.left > 0 {
+				e.LeaveSince(now.Add(-tc.left))
+				s.left = append(s.left, e)
+			}
 			for range tc.runs {
 				post(t, e, tc.answer.path, "x", tc.answer.id)
 			}
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -55,6 +55,8 @@
 	answers   []soakAnswer
 	next      int // number of the newest endpoint
 	limits    []limited
+	left      []*standin.Endpoint // whose answers alone said that they leave
+	away      []away
 
 	complaints []string
 }
