A request that the budget of repeats kept back is no fault of its endpoint

Each such attempt was noted as one that the endpoint didn't answer; two in a row leave it out for 0.5 to 4 s, all the more while many requests fail and room is scarce.

Cause: an attempt that wasn't sent was judged by its outcome alone, whoever kept it back. Now only a connection that can't be made is held against the endpoint. Test: TestWhatAVMDecidesIsNoFaultOfTheEndpoint (retry-budget-spent was judged bad before; shown failing before the change).

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -252,7 +252,7 @@
 
 // judgement is what r says of its endpoint.
 func judgement(r *result) place.Outcome {
-	if r.code == code.EndpointsLimited || r.code == code.EndpointLeft {
+	if r.outcome == notSent && r.code != code.EndpointCut {
 		return place.Unjudged // it wasn't asked
 	}
 	switch r.outcome {
