An engine whose report says that it leaves is not ordered, and all VMs hear of it

The report that is asked before each order names the engine's state; only its stage, its orders and whether it is busy were read.

--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -41,6 +41,7 @@
 	Stage    catalog.Stage
 	Busy     bool  // an order is being carried out
 	Accepted int64 // orders accepted since its start
+	Leaving  bool  // it takes no new work
 }
 
 // ErrRefused means that the engine didn't take the order.
@@ -58,6 +59,8 @@
 	Demand func() stages.Demand
 	// Ordered is told of each engine that was ordered to change.
 	Ordered func(id string)
+	// Leaves is told of each engine whose report says that it leaves.
+	Leaves func(e *catalog.Endpoint)
 
 	planners map[string]*stages.Planner
 
@@ -153,9 +156,12 @@
 	defer cancel()
 	entry := log.WithField("endpoint", e.ID).WithField("to", c.To)
 	r, err := u.Engine.Report(ctx, e)
-	if err != nil || r.Busy || r.Stage == c.To {
+	if r.Leaving {
+		u.Leaves(e)
+	}
+	if err != nil || r.Busy || r.Leaving || r.Stage == c.To {
 		p.Ordered(u.Clock.Now(), c) // left alone for a while
-		entry.WithError(err).WithField("busy", r.Busy).WithField("stage", r.Stage).Info("engine not ordered")
+		entry.WithError(err).WithField("busy", r.Busy).WithField("leaving", r.Leaving).WithField("stage", r.Stage).Info("engine not ordered")
 		return
 	}
 	fence, ok := u.Authority.May(u.Clock.Now())
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -20,6 +20,7 @@
 type fake struct {
 	mu     sync.Mutex
 	busy   bool
+	leaves bool
 	lost   bool
 	orders []string
 }
@@ -27,7 +28,7 @@
 func (f *fake) Report(context.Context, *catalog.Endpoint) (Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Report{Stage: catalog.Decode, Busy: f.busy, Accepted: 2}, nil
+	return Report{Stage: catalog.Decode, Busy: f.busy, Leaving: f.leaves, Accepted: 2}, nil
 }
 
 func (f *fake) Order(_ context.Context, e *catalog.Endpoint, to catalog.Stage, r Report, fence int64) error {
@@ -77,6 +78,7 @@
 		Catalog: store, Authority: a, Engine: f, Clock: clock.Boot{}, Load: func(string) int { return 0 },
 		Demand: func() stages.Demand { return stages.Demand{} }, Ordered: func(id string) { *ordered = append(*ordered, id) },
 	}
+	u.Leaves = func(e *catalog.Endpoint) { store.SetLeaving(e.ID, e.Born) }
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = u.Run(ctx) }()
@@ -90,6 +92,19 @@
 	return u, ordered
 }
 
+// Guards against an order for an engine that leaves, and against a VM that keeps its word to itself.
+func TestAnEngineWhoseReportSaysThatItLeavesIsNotOrdered(t *testing.T) {
+	f := &fake{leaves: true}
+	u, _ := start(t, f, true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if u.Catalog.View().Working() < 4 {
+			return poll.Success()
+		}
+		return poll.Continue("no engine is known to leave")
+	}, poll.WithTimeout(10*time.Second))
+	assert.Equal(t, len(f.given()), 0)
+}
+
 func TestTheHolderSplitsTheFleet(t *testing.T) {
 	f := &fake{}
 	run(t, f, true)
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -166,6 +166,7 @@
 	})
 	n.planner.Admits = n.pressure.Admits
 	n.pressure.Requests, n.pressure.VMs = n.gateway.Rate, n.members.Serving
+	n.orders.Leaves = n.leaves
 	n.exchange = &gateway.Exchange{
 		Clock: c, Planner: n.planner, Pressure: n.pressure, Crashes: n.crashes, Catalog: n.catalog, Changes: n.changes,
 		Rate: n.gateway.Rate, Ordered: n.orders.Heard, HeardConfig: n.puller.Heard, News: n.news,
