Each change of an endpoint that a VM has missed is read or heard

Cause: a beat carries 32 changes; of a batch of 44 or 70 the oldest are left out, and a VM that doesn't hear the first beat has to notice the gap. It kept one offset that it lacked: a second one was not noted, and was forgotten when the first came. A gap below the newest change that was heard was not seen at all, and a read that failed was not made again.

Change: each change names the one before it; what isn't known by hearing or by an own read of the store is noted, each by itself, and read after half a second, three times at most.

Tests: TestEachMissingChangeIsReadOrHeard, TestAGapBelowTheNewestChangeIsSeen (both failed before: "the store isn't read").

--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -26,6 +27,11 @@
 	// behindFor is how long a peer may know of a change that was not told here
 	// before it is read from the store.
 	behindFor = 500 * time.Millisecond
+	// mostReads is how often the store is read for one missing change: a record that was
+	// replaced by a newer one of its key never comes.
+	mostReads = 3
+	// mostHeard bounds the changes that are remembered as heard.
+	mostHeard = 8 * maxChanges
 )
 
 // Changes passes the changes of the endpoints' entries on that this VM reads or
@@ -44,9 +50,16 @@
 	behind clock.Time // since when a peer has known a newer one, zero if none
 	newer  int64      // its offset
 
-	previous  map[int64]int64 // offsets of the changes before those being heard, by offset
-	lacking   int64           // offset of a change that others know and that wasn't heard, zero if none
-	lackingAt clock.Time
+	previous map[int64]int64    // offsets of the changes before those being heard, by offset
+	read     int64              // offset up to which this VM has read the store itself
+	heard    map[int64]struct{} // offsets after it that were told here
+	missing  map[int64]*missing // offsets of changes that others know and that weren't
+}
+
+// missing is a change that other VMs know.
+type missing struct {
+	at    clock.Time // since when, or when the store was last read for it
+	reads int
 }
 
 type told struct {
@@ -58,7 +71,7 @@
 
 // NewChanges returns the exchange of fleet's changes.
 func NewChanges(c clock.Clock, fleet *keyedlog.Follower) *Changes {
-	return &Changes{clock: c, fleet: fleet, previous: map[int64]int64{}, Reads: func() bool { return true }}
+	return &Changes{clock: c, fleet: fleet, previous: map[int64]int64{}, heard: map[int64]struct{}{}, missing: map[int64]*missing{}, Reads: func() bool { return true }}
 }
 
 // Know notes a change that is in force here and passes it on. What a VM reads at its
@@ -66,6 +79,7 @@
 func (x *Changes) Know(e keyedlog.Entry) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.note(e.Offset)
 	if e.Newest || !e.Heard && !x.Reads() {
 		x.last = max(x.last, e.Offset)
 		return
@@ -74,9 +88,6 @@
 	if e.Heard {
 		c.Previous = uint64(x.previous[e.Offset])
 	}
-	if e.Offset == x.lacking {
-		x.lacking = 0
-	}
 	now := x.clock.Now()
 	x.recent = slices.DeleteFunc(x.recent, func(t told) bool { return now.Sub(t.at) >= tellFor })
 	if len(x.recent) < mostTold {
@@ -115,11 +126,8 @@
 
 // take applies what a peer tells.
 func (x *Changes) take(b *wire.Beat) {
+	x.hearing(b.GetChanges())
 	for _, c := range b.GetChanges() {
-		passedOn := b.GetProbe() != nil
-		if x.gap(c, passedOn) {
-			x.fleet.Nudge()
-		}
 		e := keyedlog.Entry{
 			Key: c.GetKey(), Offset: int64(c.GetOffset()), Kept: time.Duration(c.GetKeptMs()) * time.Millisecond,
 		}
@@ -128,53 +136,93 @@
 		}
 		x.fleet.Hear(e)
 	}
-	x.heard(b.GetChanges())
-	if x.missing(int64(b.GetLastChange())) || x.lacks() {
+	gap := x.gaps(b.GetChanges()) && b.GetProbe() == nil
+	if gap || x.behindPeer(int64(b.GetLastChange())) || x.overdue() {
 		x.fleet.Nudge()
 	}
 }
 
-// heard forgets what was noted of changes while they were being heard.
-func (x *Changes) heard(changes []*wire.Change) {
+// hearing notes which changes are being heard.
+func (x *Changes) hearing(changes []*wire.Change) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, c := range changes {
-		delete(x.previous, int64(c.GetOffset()))
+		x.previous[int64(c.GetOffset())] = int64(c.GetPrevious())
+		x.note(int64(c.GetOffset()))
+		x.last = max(x.last, int64(c.GetOffset()))
 	}
 }
 
-// gap tells whether a change came between c and what is known here: more changes
-// at a time than a beat carries, or a lost beat. An endpoint whose leaving was
-// missed so would get work for as long as the store isn't read. Of changes that are
-// passed on from VM to VM the earlier one may come by another way a moment later.
-func (x *Changes) gap(c *wire.Change, passedOn bool) bool {
+// note notes that a change is known.
+func (x *Changes) note(offset int64) {
+	delete(x.missing, offset)
+	if offset > x.read {
+		x.heard[offset] = struct{}{}
+	}
+}
+
+// gaps notes the changes that came before those that were heard and that weren't. It returns
+// whether there are new ones: more changes at a time than a beat carries, or a lost beat. An
+// endpoint whose leaving was missed so would get work for as long as the store isn't read. Of
+// changes that are passed on from VM to VM the earlier one may come by another way a moment later.
+func (x *Changes) gaps(changes []*wire.Change) (found bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	known, previous := x.last, int64(c.GetPrevious())
-	x.previous[int64(c.GetOffset())] = previous
-	x.last = max(x.last, int64(c.GetOffset()))
-	if int64(c.GetOffset()) == x.lacking {
-		x.lacking = 0
+	for _, c := range changes {
+		delete(x.previous, int64(c.GetOffset()))
+		before := int64(c.GetPrevious())
+		_, heard := x.heard[before]
+		if before <= x.read || heard || x.missing[before] != nil {
+			continue
+		}
+		x.missing[before] = &missing{at: x.clock.Now()}
+		found = true
 	}
-	if passedOn && previous > known && x.lacking == 0 {
-		x.lacking, x.lackingAt = previous, x.clock.Now()
+	x.forget()
+	return found
+}
+
+// forget keeps what is remembered bounded: what is older counts as known.
+func (x *Changes) forget() {
+	if len(x.heard) <= mostHeard {
+		return
 	}
-	return previous > known && !passedOn
+	offsets := slices.Sorted(maps.Keys(x.heard))
+	x.knowAll(offsets[len(offsets)-mostHeard/2])
 }
 
-// lacks tells, once, whether a change has been lacking for too long.
-func (x *Changes) lacks() bool {
+// HaveRead notes that this VM has read the store up to the offset end itself.
+func (x *Changes) HaveRead(end int64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.lacking == 0 || x.clock.Now().Sub(x.lackingAt) < behindFor {
-		return false
+	x.knowAll(end - 1)
+}
+
+func (x *Changes) knowAll(upTo int64) {
+	x.read = max(x.read, upTo)
+	maps.DeleteFunc(x.heard, func(offset int64, _ struct{}) bool { return offset <= x.read })
+	maps.DeleteFunc(x.missing, func(offset int64, _ *missing) bool { return offset <= x.read })
+}
+
+// overdue tells whether the store is to be read for a change that has been missing for too long.
+func (x *Changes) overdue() (due bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.clock.Now()
+	for offset, m := range x.missing {
+		if now.Sub(m.at) < behindFor {
+			continue
+		}
+		m.at, due = now, true
+		if m.reads++; m.reads == mostReads {
+			delete(x.missing, offset)
+		}
 	}
-	x.lacking = 0
-	return true
+	return due
 }
 
-// missing tells whether a peer has known a newer change for too long.
-func (x *Changes) missing(last int64) bool {
+// behindPeer tells whether a peer has known a newer change for too long.
+func (x *Changes) behindPeer(last int64) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.clock.Now()
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -38,6 +38,16 @@
 	return NewChanges(c, f), applied, src.reads
 }
 
+// awaitRead waits for a read of the store.
+func awaitRead(t *testing.T, reads <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-reads:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the store isn't read")
+	}
+}
+
 func beatOf(x *Changes) *wire.Beat {
 	b := &wire.Beat{}
 	x.fill(b)
@@ -94,6 +104,41 @@
 	assert.Equal(t, beatOf(x).GetLastChange(), uint64(3000))
 }
 
+// Guards against an endpoint that gets work for half a minute after its leaving: two changes are
+// missing, and when the first of them comes the other one is forgotten.
+func TestEachMissingChangeIsReadOrHeard(t *testing.T) {
+	c := &clock.Manual{T: 1}
+	x, _, reads := listener(t, c)
+	pass := func(changes ...*wire.Change) { x.take(&wire.Beat{Changes: changes, Probe: &wire.Probe{}}) }
+	pass(&wire.Change{Key: "a", Offset: 5, Previous: 4})
+	pass(&wire.Change{Key: "b", Offset: 8, Previous: 7})
+	pass(&wire.Change{Key: "c", Offset: 4})
+	c.T = c.T.Add(behindFor)
+	pass()
+	awaitRead(t, reads)
+	c.T = c.T.Add(behindFor)
+	pass()
+	awaitRead(t, reads) // the change may not have been there yet
+	x.HaveRead(9)
+	c.T = c.T.Add(behindFor)
+	pass()
+	assert.Equal(t, len(reads), 0)
+}
+
+// Guards against a change that is missed because a later one was heard first: an older one than
+// that doesn't look like a gap.
+func TestAGapBelowTheNewestChangeIsSeen(t *testing.T) {
+	c := &clock.Manual{T: 1}
+	x, _, reads := listener(t, c)
+	x.Know(keyedlog.Entry{Key: "a", Offset: 2, Newest: true})
+	pass := func(changes ...*wire.Change) { x.take(&wire.Beat{Changes: changes, Probe: &wire.Probe{}}) }
+	pass(&wire.Change{Key: "d", Offset: 9, Previous: 2})
+	pass(&wire.Change{Key: "b", Offset: 6, Previous: 5})
+	c.T = c.T.Add(behindFor)
+	pass()
+	awaitRead(t, reads)
+}
+
 // Guards against hundreds of VMs that read the store because a change, passed on from VM
 // to VM, overtook the one before it.
 func TestAChangeThatOvertakesAnotherIsNoReasonToRead(t *testing.T) {
@@ -118,11 +163,7 @@
 	pass(&wire.Change{Key: "d", Offset: 6, Previous: 5})
 	c.T = c.T.Add(behindFor)
 	pass()
-	select {
-	case <-reads:
-	case <-time.After(5 * time.Second):
-		t.Fatal("the store isn't read for a change that never came")
-	}
+	awaitRead(t, reads)
 }
 
 // Guards against a read of the store by each VM for each change: what a VM once lacked
@@ -150,11 +191,7 @@
 		reader.Know(keyedlog.Entry{Key: fmt.Sprint(i), Offset: int64(i + 2)})
 	}
 	x.take(beatOf(reader))
-	select {
-	case <-reads:
-	case <-time.After(5 * time.Second):
-		t.Fatal("the store isn't read")
-	}
+	awaitRead(t, reads)
 }
 
 // Guards against a change whose beats were all lost.
@@ -165,9 +202,5 @@
 	assert.Equal(t, len(reads), 0)
 	c.T = c.T.Add(behindFor)
 	x.take(&wire.Beat{LastChange: 9})
-	select {
-	case <-reads:
-	case <-time.After(5 * time.Second):
-		t.Fatal("the store isn't read")
-	}
+	awaitRead(t, reads)
 }
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -49,7 +49,10 @@
 	n.fleet = keyedlog.New("fleet", n.adapter.Endpoints())
 	n.fleet.Apply, n.fleet.Begin, n.fleet.End = n.applyEndpoint, n.catalog.Hold, n.catalog.Release
 	n.fleet.Pause, n.fleet.Lost = n.members.ReadPause, n.catalog.Unreachable
-	n.fleet.Read = func(clock.Time) { n.members.HaveRead() }
+	n.fleet.Read = func(clock.Time) {
+		n.members.HaveRead()
+		n.changes.HaveRead(n.fleet.Next())
+	}
 	n.changes = gateway.NewChanges(n.clock, n.fleet)
 	n.changes.Reads = n.members.Reads
 }
