--- a/scenarios/soak_check_test.go
+++ b/scenarios/soak_check_test.go
@@ -67,6 +67,10 @@
 
 func (s *soak) checkAnswers() {
 	runs := s.runsOf()
+	arrivals := map[string]int{}
+	for _, r := range s.ledger.Arrivals() {
+		arrivals[r.ID]++
+	}
 	for i := range s.answers {
 		a := &s.answers[i]
 		if a.wrong != "" {
@@ -83,7 +87,8 @@
 			s.complain("%s %s: status %d", a.id, a.path, a.status)
 		}
 		if a.cutOff() && s.planned() {
-			s.complain("%s %s at %s: cut off by planned work after %s: %v", a.id, a.path, a.vm, a.answered.Sub(a.sent), a.err)
+			s.complain("%s %s at %s at %s: cut off by planned work after %s, %d times at an endpoint: %v",
+				a.id, a.path, a.vm, a.sent.Format(time.StampMilli), a.answered.Sub(a.sent), arrivals[a.id], a.err)
 		}
 	}
 }
