Callers are told to come back within seconds where limits leave no room; names

A VM with hardly any callers has a part of a limit that takes hours to make a request, and an endpoint may ask for an hour: the caller is better served by another VM. Fields are named At where they hold moments; an unused field of a test is gone.

--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -12,6 +12,14 @@
 	"fescuestand/internal/policy/ontime"
 )
 
+// heed takes what e said with its answer to the request id, which was sent at sentAt.
+func (g *Gateway) heed(e *catalog.Endpoint, sentAt clock.Time, id string, n backpressure.Notice) {
+	if n.Leaving {
+		g.o.Leaves(e)
+	}
+	g.o.Pressure.Answered(g.o.Clock.Now(), sentAt, e, id, n)
+}
+
 // queue lists the requests that wait for the endpoints of a service to take one, by the order
 // of their arrival there.
 type queue struct {
@@ -48,21 +56,13 @@
 	return n
 }
 
-// heed takes what e said with its answer to the request id, which was sent at sentAt.
-func (g *Gateway) heed(e *catalog.Endpoint, sentAt clock.Time, id string, n backpressure.Notice) {
-	if n.Leaving {
-		g.o.Leaves(e)
-	}
-	g.o.Pressure.Answered(g.o.Clock.Now(), sentAt, e, id, n)
-}
-
 // queueOf returns the queue of a service.
 func (g *Gateway) queueOf(service string) *queue {
 	q, _ := g.queues.LoadOrStore(service, &queue{waiting: map[uint64]struct{}{}})
 	return q.(*queue)
 }
 
-// place in a queue.
+// queued is a request's place in a queue.
 type queued struct {
 	queue  *queue // nil before the first wait
 	number uint64
@@ -93,7 +93,7 @@
 	case !limited:
 		return result{outcome: notSent, code: code.NoEndpoint}, false
 	case x.now().Add(wait) > x.queued.until:
-		again := ontime.Again(wait, x.c.Fingerprint^uint64(x.now()))
+		again := ontime.Again(min(wait, longestAgain), x.c.Fingerprint^uint64(x.now()))
 		return result{outcome: refused, code: code.EndpointsLimited, err: errLimited, again: again}, false
 	}
 	x.held = true
@@ -103,6 +103,10 @@
 	return result{}, true
 }
 
+// longestAgain bounds the time to come back: another VM may have room sooner, and another endpoint
+// may come.
+const longestAgain = 5 * time.Second
+
 // untried are the endpoints that could run the request and haven't been tried.
 func (x *execution) untried() []*catalog.Endpoint {
 	return slices.DeleteFunc(slices.Clone(x.open()), func(e *catalog.Endpoint) bool {
--- a/internal/policy/backpressure/limit.go
+++ b/internal/policy/backpressure/limit.go
@@ -129,7 +129,7 @@
 	rec.all.take(1, rec.rate())
 	rec.own.take(1, rec.rate())
 	rec.sent++
-	rec.usedT = now
+	rec.usedAt = now
 }
 
 // Wait is the time until one of list takes one more request than the queued ones: as this VM's part
@@ -164,7 +164,7 @@
 
 // shareNow is the part of the callers' requests that comes to this VM.
 func (r *Register) shareNow(now clock.Time) float64 {
-	if r.share > 0 && now.Sub(r.sharedT) < shareFor {
+	if r.share > 0 && now.Sub(r.sharedAt) < shareFor {
 		return r.share
 	}
 	own := max(r.Requests(), leastRequests)
@@ -178,7 +178,7 @@
 		n++
 	}
 	vms := max(r.VMs(), n)
-	r.share, r.sharedT, r.vms = own/(sum+sum/float64(n)*float64(vms-n)), now, vms
+	r.share, r.sharedAt, r.vms = own/(sum+sum/float64(n)*float64(vms-n)), now, vms
 	if r.guards.equal {
 		r.share = 1 / float64(vms)
 	}
--- a/internal/policy/backpressure/limit_test.go
+++ b/internal/policy/backpressure/limit_test.go
@@ -51,14 +51,13 @@
 // sim is the running state.
 type sim struct {
 	*fleet
-	rng   *rand.Rand
-	now   clock.Time
-	vm    []*Register
-	due   []clock.Time
-	rate  []float64
-	eps   []*catalog.Endpoint
-	came  [][]clock.Time
-	alive int
+	rng  *rand.Rand
+	now  clock.Time
+	vm   []*Register
+	due  []clock.Time
+	rate []float64
+	eps  []*catalog.Endpoint
+	came [][]clock.Time
 }
 
 func (f *fleet) run(seed uint64) outcome {
--- a/internal/policy/backpressure/register.go
+++ b/internal/policy/backpressure/register.go
@@ -46,14 +46,14 @@
 	// News is called when an endpoint has said something that other VMs should know soon.
 	News func()
 
-	mu      sync.Mutex
-	known   map[Lifetime]*record
-	peers   map[string]peer
-	seed    uint64
-	share   float64 // of the callers' requests that come to this VM
-	sharedT clock.Time
-	vms     int // that share the limits
-	guards  guards
+	mu       sync.Mutex
+	known    map[Lifetime]*record
+	peers    map[string]peer
+	seed     uint64
+	share    float64 // of the callers' requests that come to this VM
+	sharedAt clock.Time
+	vms      int // that share the limits
+	guards   guards
 }
 
 // guards are the parts of the mechanism that a simulation can switch off.
@@ -75,11 +75,11 @@
 	seenAt   clock.Time // when its entry was last there
 	until    clock.Time // this VM is to leave it alone
 
-	all   bucket            // of all VMs
-	own   bucket            // this VM's part
-	sent  uint32            // requests of this process
-	usedT clock.Time        // the last of them
-	heard map[string]uint32 // those of other processes, by VM
+	all    bucket            // of all VMs
+	own    bucket            // this VM's part
+	sent   uint32            // requests of this process
+	usedAt clock.Time        // the last of them
+	heard  map[string]uint32 // those of other processes, by VM
 }
 
 // New returns an empty register of a VM that knows of no other. Those of different processes
--- a/internal/policy/backpressure/told.go
+++ b/internal/policy/backpressure/told.go
@@ -40,7 +40,7 @@
 	defer r.mu.Unlock()
 	var out []Told
 	for life, rec := range r.known {
-		if now.Sub(max(rec.usedT, rec.newsAt)) > tellFor || len(out) == maxTold {
+		if now.Sub(max(rec.usedAt, rec.newsAt)) > tellFor || len(out) == maxTold {
 			continue
 		}
 		t := Told{Endpoint: life, Sent: rec.sent}
