A missing change is not forgotten among the many that follow it

Found in reading the change before: what is remembered as heard is bounded, and the bound dropped what was missing with it. Test: TestAMissingChangeIsNotForgottenAmongMany.

--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -51,7 +51,7 @@
 	newer  int64      // its offset
 
 	previous map[int64]int64    // offsets of the changes before those being heard, by offset
-	read     int64              // offset up to which this VM has read the store itself
+	read     int64              // offset up to which changes are known, or missing
 	heard    map[int64]struct{} // offsets after it that were told here
 	missing  map[int64]*missing // offsets of changes that others know and that weren't
 }
@@ -182,26 +182,28 @@
 	return found
 }
 
-// forget keeps what is remembered bounded: what is older counts as known.
+// forget keeps what is remembered as heard bounded. What is older counts as known, but for what
+// is missing.
 func (x *Changes) forget() {
 	if len(x.heard) <= mostHeard {
 		return
 	}
 	offsets := slices.Sorted(maps.Keys(x.heard))
-	x.knowAll(offsets[len(offsets)-mostHeard/2])
+	x.hadBefore(offsets[len(offsets)-mostHeard/2])
+}
+
+// hadBefore notes that changes up to an offset need not be remembered as heard.
+func (x *Changes) hadBefore(offset int64) {
+	x.read = max(x.read, offset)
+	maps.DeleteFunc(x.heard, func(offset int64, _ struct{}) bool { return offset <= x.read })
 }
 
 // HaveRead notes that this VM has read the store up to the offset end itself.
 func (x *Changes) HaveRead(end int64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.knowAll(end - 1)
-}
-
-func (x *Changes) knowAll(upTo int64) {
-	x.read = max(x.read, upTo)
-	maps.DeleteFunc(x.heard, func(offset int64, _ struct{}) bool { return offset <= x.read })
-	maps.DeleteFunc(x.missing, func(offset int64, _ *missing) bool { return offset <= x.read })
+	x.hadBefore(end - 1)
+	maps.DeleteFunc(x.missing, func(offset int64, _ *missing) bool { return offset < end })
 }
 
 // overdue tells whether the store is to be read for a change that has been missing for too long.
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -139,6 +139,21 @@
 	awaitRead(t, reads)
 }
 
+// Guards against a missing change that is forgotten among the many that follow it.
+func TestAMissingChangeIsNotForgottenAmongMany(t *testing.T) {
+	c := &clock.Manual{T: 1}
+	x, _, reads := listener(t, c)
+	pass := func(changes ...*wire.Change) { x.take(&wire.Beat{Changes: changes, Probe: &wire.Probe{}}) }
+	pass(&wire.Change{Key: "a", Offset: 5, Previous: 4})
+	for i := range uint64(4 * mostHeard) {
+		pass(&wire.Change{Key: "b", Offset: 6 + i, Previous: 5 + i})
+	}
+	assert.Assert(t, len(x.heard) <= mostHeard)
+	c.T = c.T.Add(behindFor)
+	pass()
+	awaitRead(t, reads)
+}
+
 // Guards against hundreds of VMs that read the store because a change, passed on from VM
 // to VM, overtook the one before it.
 func TestAChangeThatOvertakesAnotherIsNoReasonToRead(t *testing.T) {
