A request that is also answered is not taken for one that crashes endpoints

Change: a VM remembers which requests were answered, in a table of fixed size, and doesn't refuse one that was answered within 30 s of the losses. A request that crashes its endpoints never is. Test: TestARequestThatIsAlsoAnsweredIsNotRefused (new; without the table it is refused). What remains: a VM that has just started and has not answered the request yet goes by what the others tell.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -78,6 +78,9 @@
 		if last.answer != nil {
 			x.failure = last.answer
 		}
+		if last.outcome == answered {
+			x.g.o.Crashes.Answered(x.now(), x.c.Fingerprint)
+		}
 		if last.outcome == answered || last.outcome == gone || last.outcome == refused {
 			break
 		}
--- a/internal/policy/crash/crash.go
+++ b/internal/policy/crash/crash.go
@@ -30,12 +30,23 @@
 	refuseFor = 2 * time.Minute
 	// maxKnown bounds the memory.
 	maxKnown = 4096
+	// answeredSlots is how many answered requests are remembered at most, those that come
+	// often the most surely.
+	answeredSlots = 4096
 )
 
 // Register remembers crashes by request.
 type Register struct {
 	mu    sync.Mutex
 	known map[uint64]*record
+	// answered are requests that an endpoint has run to a good end, by their number modulo
+	// the slots.
+	answered [answeredSlots]success
+}
+
+type success struct {
+	request uint64
+	at      clock.Time
 }
 
 type record struct {
@@ -79,9 +90,25 @@
 	return len(rec.endpoints)
 }
 
-// Refuse tells whether the request is to be refused.
+// Answered notes that an endpoint has run the request to a good end.
+func (r *Register) Answered(now clock.Time, request uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered[request%answeredSlots] = success{request, now}
+}
+
+// Refuse tells whether the request is to be refused. One that was also answered at the time of
+// the losses isn't their cause: many callers ask for the same, and endpoints that fail together
+// are running it.
 func (r *Register) Refuse(now clock.Time, request uint64) bool {
-	return r.Losses(now, request) >= convicting
+	return r.Losses(now, request) >= convicting && !r.acquitted(request)
+}
+
+func (r *Register) acquitted(request uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, rec := r.answered[request%answeredSlots], r.known[request]
+	return rec != nil && s.request == request && s.at != 0 && s.at.Add(remember) > rec.last
 }
 
 // makeRoom drops what no longer counts, and everything if that isn't enough: a
--- a/internal/policy/crash/crash_test.go
+++ b/internal/policy/crash/crash_test.go
@@ -34,6 +34,24 @@
 	assert.Equal(t, r.Losses(0, 7), 1)
 }
 
+// Guards against a lookup that many callers ask for and that is refused for minutes, since three
+// endpoints that were cut off were running it.
+func TestARequestThatIsAlsoAnsweredIsNotRefused(t *testing.T) {
+	r := New()
+	now := clock.Time(time.Hour)
+	r.Answered(now, 7)
+	for _, e := range []string{"a", "b", "c"} {
+		r.Note(now.Add(time.Second), 7, e)
+		r.Note(now.Add(time.Second), 8, e)
+	}
+	assert.Assert(t, !r.Refuse(now.Add(time.Second), 7))
+	assert.Assert(t, r.Refuse(now.Add(time.Second), 8))
+	for _, e := range []string{"d", "e", "f"} {
+		r.Note(now.Add(2*remember), 7, e)
+	}
+	assert.Assert(t, r.Refuse(now.Add(2*remember), 7), "it has not been answered for long")
+}
+
 func TestOldLossesDoNotAddUp(t *testing.T) {
 	r := New()
 	now := clock.Time(0)
