One VM asks an endpoint whether its limit still holds

The parts of a small limit fall due at random moments, and lapse.

Change: where no VM has heard of a limit for 2 s, the VM whose rank for that endpoint is highest among those that have callers may send one request.

--- a/internal/policy/backpressure/limit.go
+++ b/internal/policy/backpressure/limit.go
@@ -4,8 +4,11 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/splitmix"
 )
 
 const (
@@ -24,6 +27,9 @@
 	// leastLimit, in requests a second, is used of a smaller limit: without a request now
 	// and then nobody would learn that it is over.
 	leastLimit = 0.2
+	// unheardFor is how long no VM may have heard of a limit until one VM asks whether it
+	// still holds.
+	unheardFor = 2 * time.Second
 	// leastRequests a second are assumed of a VM that has hardly any.
 	leastRequests = 0.1
 	// shareFor is how long a VM's share holds before it is worked out again.
@@ -69,10 +75,13 @@
 	rec.own.lapse(part)
 }
 
-func (r *Register) admits(now clock.Time, rec *record) bool {
+func (r *Register) admits(now clock.Time, life Lifetime, rec *record) bool {
 	if now < rec.until || !rec.limited {
 		return now >= rec.until
 	}
+	if now.Sub(max(rec.saidAt, rec.usedAt)) > unheardFor && r.asks(now, life) {
+		return true
+	}
 	r.fill(now, rec)
 	switch {
 	case rec.all.level < 1 && !r.guards.noDebits:
@@ -83,6 +92,22 @@
 	return rec.all.level >= float64(max(r.vms, 2)) && rec.own.level > -overdraft
 }
 
+// asks tells whether this VM is the one that asks an endpoint whether its limit still holds: one
+// of those that have callers, another one for each endpoint.
+func (r *Register) asks(now clock.Time, life Lifetime) bool {
+	own := rankOf(r.Self, life)
+	for vm, p := range r.peers {
+		if now.Sub(p.at) <= peerStale && p.requests > leastRequests && rankOf(vm, life) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func rankOf(vm string, life Lifetime) uint64 {
+	return splitmix.Mix(xxhash.Sum64String(vm) ^ uint64(life))
+}
+
 // Admits tells whether e takes a request now.
 func (r *Register) Admits(now clock.Time, e *catalog.Endpoint) bool {
 	r.mu.Lock()
@@ -90,8 +115,9 @@
 	if len(r.known) == 0 {
 		return true
 	}
-	rec := r.known[LifetimeOf(e)]
-	return rec == nil || r.admits(now, rec)
+	life := LifetimeOf(e)
+	rec := r.known[life]
+	return rec == nil || r.admits(now, life, rec)
 }
 
 // Take counts a request that is about to be sent to e. It returns false if e takes none now.
@@ -101,11 +127,12 @@
 	if len(r.known) == 0 {
 		return true
 	}
-	rec := r.known[LifetimeOf(e)]
+	life := LifetimeOf(e)
+	rec := r.known[life]
 	if rec == nil {
 		return true
 	}
-	if !r.admits(now, rec) {
+	if !r.admits(now, life, rec) {
 		return false
 	}
 	if rec.limited {
--- a/internal/policy/backpressure/limit_test.go
+++ b/internal/policy/backpressure/limit_test.go
@@ -31,9 +31,9 @@
 
 // outcome of a simulation.
 type outcome struct {
-	most   int     // requests at one endpoint in some 4 s
-	served float64 // of what the limits allow, or of the load if that is less
-	late   float64 // requests at an endpoint in the last second
+	most   int           // requests at one endpoint in some 4 s
+	served float64       // of what the limits allow, or of the load if that is less
+	again  time.Duration // from the end of the limit to the first request at an endpoint, the longest
 }
 
 const (
@@ -91,6 +91,7 @@
 func (s *sim) newVM(i int) *Register {
 	r := New(s.rng.Uint64())
 	r.guards = s.guards
+	r.Self = fmt.Sprint(i)
 	r.Requests = func() float64 {
 		if s.now < at(s.idle) {
 			return 0
@@ -159,13 +160,10 @@
 				first++
 			}
 			o.most = max(o.most, k-first+1)
-			if t >= at(simLength-time.Second) {
-				o.late++
-			}
 		}
 		total += len(came)
+		o.again = max(o.again, s.after(came))
 	}
-	o.late /= float64(len(s.came))
 	could := min(s.load, s.limit*float64(s.endpoints)) * (simLength - s.idle).Seconds()
 	o.served = float64(total) / could
 	return o
@@ -210,3 +208,31 @@
 		})
 	}
 }
+
+// after is the time from the end of the limit to the first of came.
+func (s *sim) after(came []clock.Time) time.Duration {
+	for _, t := range came {
+		if t >= at(s.ends) {
+			return t.Sub(at(s.ends))
+		}
+	}
+	return simLength
+}
+
+// Guards against an endpoint that gets nothing for many seconds after its limit is over, since no
+// VM asks it.
+func TestTheEndOfALimitIsNoticedSoon(t *testing.T) {
+	for _, f := range []fleet{
+		{vms: 4, endpoints: 1, limit: 0, load: 60, period: 100 * time.Millisecond, ends: 15 * time.Second},
+		{vms: 54, endpoints: 1, limit: 0.1, load: 200, period: 330 * time.Millisecond, ends: 15 * time.Second},
+		{vms: 54, endpoints: 1, limit: 0.1, load: 200, weights: []float64{9, 0, 0, 1}, period: 330 * time.Millisecond, ends: 15 * time.Second},
+	} {
+		for seed := range uint64(10) {
+			o := f.run(seed)
+			assert.Assert(t, o.again < 2*unheardFor, "%d VMs, seed %d: %s", f.vms, seed, o.again)
+			until := f
+			until.ends = 0
+			assert.Assert(t, until.run(seed).most <= f.allowed(), "%d VMs, seed %d", f.vms, seed)
+		}
+	}
+}
--- a/internal/policy/backpressure/register.go
+++ b/internal/policy/backpressure/register.go
@@ -39,6 +39,8 @@
 
 // Register is what one VM knows of the endpoints' limits.
 type Register struct {
+	// Self is this VM's name among those that it hears of.
+	Self string
 	// Requests is the rate of callers' requests at this VM, and VMs is how many serve
 	// callers. They are set before the first use.
 	Requests func() float64
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -165,6 +165,7 @@
 		Keys: n.judgeKeys, Began: n.began,
 	})
 	n.planner.Admits = n.pressure.Admits
+	n.pressure.Self = o.Self.Peer
 	n.pressure.Requests, n.pressure.VMs = n.gateway.Rate, n.members.Serving
 	n.orders.Leaves = n.leaves
 	n.exchange = &gateway.Exchange{
