--- a/internal/policy/backpressure/limit.go
+++ b/internal/policy/backpressure/limit.go
@@ -93,15 +93,20 @@
 }
 
 // asks tells whether this VM is the one that asks an endpoint whether its limit still holds: one
-// of those that have callers, another one for each endpoint.
+// of those that have callers, another one for each endpoint. A VM that hears no other leaves it to
+// them.
 func (r *Register) asks(now clock.Time, life Lifetime) bool {
-	own := rankOf(r.Self, life)
+	own, heard := rankOf(r.Self, life), r.VMs() <= 1
 	for vm, p := range r.peers {
-		if now.Sub(p.at) <= peerStale && p.requests > leastRequests && rankOf(vm, life) > own {
+		if now.Sub(p.at) > peerStale {
+			continue
+		}
+		heard = true
+		if p.requests > leastRequests && rankOf(vm, life) > own {
 			return false
 		}
 	}
-	return true
+	return heard
 }
 
 func rankOf(vm string, life Lifetime) uint64 {
--- a/internal/policy/backpressure/limit_test.go
+++ b/internal/policy/backpressure/limit_test.go
@@ -185,6 +185,7 @@
 	"hundreds of VMs, a small limit":                       {vms: 195, endpoints: 5, limit: 1, load: 100, period: 600 * time.Millisecond},
 	"messages are lost":                                    {vms: 8, endpoints: 9, limit: 8, load: 200, period: 100 * time.Millisecond, loss: 0.3},
 	"a VM that is cut off":                                 {vms: 4, endpoints: 9, limit: 8, load: 200, period: 100 * time.Millisecond, alone: 1},
+	"no VM hears another":                                  {vms: 8, endpoints: 3, limit: 0.5, load: 60, period: 100 * time.Millisecond, alone: 8},
 	"half of the VMs known":                                {vms: 8, endpoints: 9, limit: 8, load: 200, period: 100 * time.Millisecond, believed: 4},
 	"VMs that start anew":                                  {vms: 9, endpoints: 9, limit: 8, load: 200, period: 100 * time.Millisecond, restart: 10 * time.Second},
 	"endpoints that take nothing":                          {vms: 8, endpoints: 3, limit: 0, load: 60, period: 100 * time.Millisecond},
