--- a/scenarios/soak_notices_test.go
+++ b/scenarios/soak_notices_test.go
@@ -132,7 +132,7 @@
 	for _, a := range s.ledger.Arrivals() {
 		at, leaves := said[a.Endpoint]
 		if leaves && a.At.Sub(at) > soakBound && s.calm(a.At) {
-			s.complain("%s reached %s %s after its answers said that it leaves", a.ID, a.Endpoint, a.At.Sub(at))
+			s.complain("%q %s reached %s %s after its answers said that it leaves", a.ID, a.Path, a.Endpoint, a.At.Sub(at))
 		}
 	}
 }
