Observability: the store's era, newest records read and older records dropped are logged

No decision changes: the era of each answer of the store is decoded and logged when it rises (package era), a follower logs what it drops as older and from where it goes on after reading the newest records.

--- /dev/null
+++ b/internal/era/era.go
@@ -0,0 +1,97 @@
+// Package era tracks the eras of a store that may be restored from an older copy of itself.
+//
+// A restore undoes what the store has acknowledged since the copy was made, and begins a new era.
+// Offsets, generations and the conditions of writes are given out again in the new era, so that two
+// of them can be compared by their numbers only if they are of the same era.
+package era
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"fescuestand/internal/clock"
+)
+
+// Era numbers a period between two restores of the store. A later era has a higher number.
+type Era uint64
+
+// None is the era of a store that doesn't report any, and of a message that doesn't state one.
+const None Era = 0
+
+// RewriteTime is the time after a restore within which operators and endpoints write again what the
+// store has lost of theirs.
+const RewriteTime = 2 * time.Second
+
+// Tracker tracks the newest era that this process knows of. It is safe for concurrent use.
+type Tracker struct {
+	clock    clock.Clock
+	onChange []func(Era)
+
+	mu      sync.Mutex
+	current Era
+	since   clock.Time // earliest time at which current is known to have begun already
+}
+
+// NewTracker returns a tracker that knows no era.
+func NewTracker(c clock.Clock) *Tracker { return &Tracker{clock: c} }
+
+// OnChange has f called for each new era, including the first one. It must be called before the
+// tracker is used.
+func (t *Tracker) OnChange(f func(Era)) { t.onChange = append(t.onChange, f) }
+
+// Observe records the era of an answer of the store.
+func (t *Tracker) Observe(e Era, call string) {
+	if t.merge(e, 0) {
+		log.WithField("era", uint64(e)).WithField("call", call).Info("store era observed")
+		t.notify(e)
+	}
+}
+
+// Merge records that another VM knows of an era and has done so for age.
+func (t *Tracker) Merge(e Era, age time.Duration, vm string) {
+	if t.merge(e, max(age, 0)) {
+		log.WithField("era", uint64(e)).WithField("vm", vm).Info("store era received from VM")
+		t.notify(e)
+	}
+}
+
+// merge returns whether e is a new era.
+func (t *Tracker) merge(e Era, age time.Duration) bool {
+	if e == None {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since := t.clock.Now().Add(-age)
+	switch {
+	case e > t.current:
+		t.current, t.since = e, since
+		return true
+	case e == t.current:
+		t.since = min(t.since, since)
+	}
+	return false
+}
+
+func (t *Tracker) notify(e Era) {
+	for _, f := range t.onChange {
+		f(e)
+	}
+}
+
+// Current returns the newest era, or None.
+func (t *Tracker) Current() Era {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current
+}
+
+// Since returns the newest era and the earliest time at which it is known to have begun already. Both
+// are zero if no era is known.
+func (t *Tracker) Since() (Era, clock.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current, t.since
+}
--- /dev/null
+++ b/internal/era/era_test.go
@@ -0,0 +1,45 @@
+package era
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+)
+
+func TestTheNewestEraIsKept(t *testing.T) {
+	c := &clock.Manual{T: clock.Time(time.Hour)}
+	tr := NewTracker(c)
+	var changes []Era
+	tr.OnChange(func(e Era) { changes = append(changes, e) })
+	tr.Observe(None, "read")
+	assert.Equal(t, tr.Current(), None)
+	for _, e := range []Era{2, 2, 1, 4, 3} {
+		tr.Observe(e, "read")
+	}
+	assert.Equal(t, tr.Current(), Era(4))
+	assert.DeepEqual(t, changes, []Era{2, 4})
+}
+
+// Guards against a VM that takes an era for younger than another VM knows it to be, or for older than
+// any VM does.
+func TestTheAgeOfAnEraIsTheLongestKnown(t *testing.T) {
+	c := &clock.Manual{T: clock.Time(time.Hour)}
+	start := c.T
+	tr := NewTracker(c)
+	tr.Observe(2, "read")
+	c.T = c.T.Add(time.Second)
+	tr.Merge(2, 500*time.Millisecond, "vm")
+	tr.Merge(1, time.Minute, "vm")
+	_, since := tr.Since()
+	assert.Equal(t, since, start)
+	tr.Merge(2, 3*time.Second, "vm")
+	_, since = tr.Since()
+	assert.Equal(t, since, start.Add(-2*time.Second))
+	tr.Observe(3, "read")
+	e, since := tr.Since()
+	assert.Equal(t, e, Era(3))
+	assert.Equal(t, since, c.T)
+}
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -272,6 +272,7 @@
 		}
 	}
 	f.nextOffset, f.started = nextOffset, true
+	log.WithField("log", f.Name).WithField("keys", len(entries)).WithField("next", nextOffset).Info("newest records read")
 	return nil
 }
 
@@ -281,6 +282,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if newest, ok := f.offsets[e.Key]; ok && e.Offset < newest {
+		log.WithField("log", f.Name).WithField("key", e.Key).WithField("offset", e.Offset).WithField("newest", newest).
+			WithField("from_peer", e.FromPeer).Info("older record dropped")
 		return
 	}
 	f.offsets[e.Key] = e.Offset
