An endpoint that writes its entry again is kept by all VMs

Cause: around an outage a reader tells the other VMs that an entry ended and how long it is kept. The endpoint writes its entry again, with a higher sequence number only; the reader cancels its own removal, but the report counts as unchanged, so that nobody else hears of it and all others remove a live endpoint until their next own read, 25 to 40 s later. Change: a report that cancels a removal counts as a change, and is announced.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -84,7 +84,8 @@
 	return true
 }
 
-// SetEndpoint merges an endpoint's report of itself. It returns whether the report changes the view.
+// SetEndpoint merges an endpoint's report of itself. It returns whether the report changes the view or
+// cancels a scheduled removal: other VMs, which have scheduled it too, need the report then.
 func (s *Store) SetEndpoint(e *Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -95,10 +96,11 @@
 	if old != nil && !e.supersedes(old) {
 		return false
 	}
+	_, expiring := s.expiring[e.ID]
 	delete(s.expiring, e.ID)
 	if old != nil && equalExceptSequence(old, e) {
 		s.reported[e.ID] = e // views keep the old report, which differs in the sequence number only
-		return false
+		return expiring
 	}
 	delete(s.removed, e.ID)
 	s.reported[e.ID] = e
