--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 # simulated seconds on a few goroutines; the same code runs under the race detector in internal/entry and
 # in the scenarios, whose binaries are built with it. Its runtime has also crashed in these simulations
 # (ThreadSanitizer CHECK).
-SIMULATED := policy/backpressure|commit|swim|control|fold|lease|reconcile|replica|policy/loadtest|policy/policytest|policy/roles
+SIMULATED := restoresim|policy/backpressure|commit|swim|control|fold|lease|reconcile|replica|policy/loadtest|policy/policytest|policy/roles
 
 # SKIP lists tests to skip, as TestName or TestName/subtest, separated by spaces.
 empty :=
--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -12,6 +12,10 @@
 // acts. A leader that finds its own VM there, at a time when no other VM can write the record any
 // more, was the last to act and needn't wait. So a VM that was restarted, or cut off from the
 // store for a while, resumes without the takeover wait.
+//
+// A restore of the store undoes changes of the group and of the record, and begins a new era. A
+// record that was written in an earlier era doesn't show who acted last, since a later one may have
+// been undone, and a generation may have been given to another VM before.
 package authority
 
 import (
@@ -21,6 +25,7 @@
 	"github.com/apex/log"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 )
 
 const (
@@ -63,6 +68,7 @@
 	leading      bool
 	leadingSince clock.Time
 	renewedAt    clock.Time // when the last confirmed renewal was sent
+	era          era.Era    // of that renewal
 	generation   int64
 	term         Term
 	recordRead   bool // the record has been read in this term
@@ -89,20 +95,38 @@
 	return leaseDuration + maxOrderFlight + a.minLeaderGap
 }
 
-// RecordRenewal records the result of a renewal that was sent at sentAt.
-func (a *Authority) RecordRenewal(sentAt clock.Time, leading bool, generation int64) {
+// RecordRenewal records the result of a renewal that was sent at sentAt and answered in an era. An
+// answer of an earlier era than the last one is ignored.
+func (a *Authority) RecordRenewal(sentAt clock.Time, leading bool, e era.Era, generation int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if e < a.era {
+		return
+	}
 	lapsed := sentAt.Sub(a.renewedAt) > leaseDuration
 	if leading && (!a.leading || lapsed) {
 		a.leadingSince, a.recordRead, a.recordIsOwn = sentAt, false, false
 		a.term++
-		log.WithField("generation", generation).WithField("settles_ms", a.takeoverWait(sentAt).Milliseconds()).Info("leadership granted")
+		log.WithField("generation", generation).WithField("era", uint64(e)).WithField("settles_ms", a.takeoverWait(sentAt).Milliseconds()).Info("leadership granted")
 	}
 	if a.leading && !leading {
-		log.WithField("generation", generation).Info("leadership lost")
+		log.WithField("generation", generation).WithField("era", uint64(e)).Info("leadership lost")
+	}
+	a.leading, a.renewedAt, a.era, a.generation = leading, sentAt, e, generation
+}
+
+// generationBits is the number of bits of a fencing token that hold the generation. Tokens stay below
+// 2^53, so that each JSON implementation reads them exactly, up to era 2^21.
+const generationBits = 32
+
+// fencingToken returns a token that grows with each change of the assignments, also when a restore of
+// the store has made generations start again from a lower one. In the first era, and without eras, it
+// is the generation itself, as in earlier versions.
+func fencingToken(e era.Era, generation int64) int64 {
+	if e == era.None {
+		return generation
 	}
-	a.leading, a.renewedAt, a.generation = leading, sentAt, generation
+	return int64(e-era.First)<<generationBits + generation
 }
 
 // NextStep returns what to do with the record. An earlier leader may write it until leaseDuration
@@ -138,5 +162,5 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ok = a.leading && a.recordIsOwn && now.Sub(a.renewedAt) < leaseDuration
-	return a.generation, ok
+	return fencingToken(a.era, a.generation), ok
 }
--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 )
 
 const (
@@ -44,7 +45,7 @@
 	a := New(minLeaderGap, false, 0)
 	for at := time.Duration(0); at <= 9*time.Second; at += renewInterval {
 		assert.Equal(t, stepAndMayAct(a, at), at > leaseDuration+maxOrderFlight+minLeaderGap, "at %s", at)
-		a.RecordRenewal(clock.Time(at), true, 4)
+		a.RecordRenewal(clock.Time(at), true, era.None, 4)
 	}
 	fence, ok := a.MayAct(clock.Time(9 * time.Second))
 	assert.Assert(t, ok)
@@ -56,12 +57,12 @@
 // suspension, so that its last renewal is too old to act on.
 func TestFrozenLeaderDoesNotActAfterResume(t *testing.T) {
 	a := New(minLeaderGap, true, 0)
-	a.RecordRenewal(0, true, 1)
-	a.RecordRenewal(clock.Time(renewInterval), true, 1)
+	a.RecordRenewal(0, true, era.None, 1)
+	a.RecordRenewal(clock.Time(renewInterval), true, era.None, 1)
 	assert.Assert(t, stepAndMayAct(a, renewInterval+leaseDuration-time.Millisecond))
 	assert.Assert(t, !stepAndMayAct(a, renewInterval+10*time.Second))
 	// When it becomes leader again, a new term starts.
-	a.RecordRenewal(clock.Time(renewInterval+10*time.Second), true, 3)
+	a.RecordRenewal(clock.Time(renewInterval+10*time.Second), true, era.None, 3)
 	assert.Assert(t, !stepAndMayAct(a, renewInterval+11*time.Second))
 }
 
@@ -72,13 +73,13 @@
 	for _, cutOff := range []bool{false, true} {
 		first, second := New(minLeaderGap, true, 0), New(minLeaderGap, true, 0)
 		const leadsFrom = 200 * time.Millisecond
-		first.RecordRenewal(clock.Time(100*time.Millisecond), true, 1)
+		first.RecordRenewal(clock.Time(100*time.Millisecond), true, era.None, 1)
 		for at := time.Duration(0); at < 10*time.Second; at += 10 * time.Millisecond {
 			if at >= leadsFrom && (at-leadsFrom)%renewInterval == 0 {
-				second.RecordRenewal(clock.Time(at), true, 2)
+				second.RecordRenewal(clock.Time(at), true, era.None, 2)
 			}
 			if !cutOff && at >= renewInterval && at%renewInterval == 0 {
-				first.RecordRenewal(clock.Time(at), false, 2)
+				first.RecordRenewal(clock.Time(at), false, era.None, 2)
 			}
 			assert.Assert(t, !stepAndMayAct(first, at) || !stepAndMayAct(second, at), "both at %s", at)
 		}
@@ -93,20 +94,20 @@
 	const leadsFrom = time.Hour
 	a := New(minLeaderGap, true, 0)
 	for at := time.Duration(0); at < leadsFrom; at += renewInterval {
-		a.RecordRenewal(clock.Time(at), false, 1)
+		a.RecordRenewal(clock.Time(at), false, era.None, 1)
 	}
 	for at := leadsFrom; at <= leadsFrom+6*renewInterval; at += renewInterval {
-		a.RecordRenewal(clock.Time(at), true, 2)
+		a.RecordRenewal(clock.Time(at), true, era.None, 2)
 		assert.Equal(t, stepAndMayAct(a, at), at-leadsFrom >= leaseDuration+maxOrderFlight+minLeaderGap, "at %s", at-leadsFrom)
 	}
 }
 
 func TestLostLeadershipEndsAtOnce(t *testing.T) {
 	a := New(minLeaderGap, true, 0)
-	a.RecordRenewal(0, true, 1)
-	a.RecordRenewal(clock.Time(2*time.Second), true, 1)
+	a.RecordRenewal(0, true, era.None, 1)
+	a.RecordRenewal(clock.Time(2*time.Second), true, era.None, 1)
 	assert.Assert(t, stepAndMayAct(a, 2600*time.Millisecond))
-	a.RecordRenewal(clock.Time(2700*time.Millisecond), false, 2)
+	a.RecordRenewal(clock.Time(2700*time.Millisecond), false, era.None, 2)
 	assert.Assert(t, !stepAndMayAct(a, 2800*time.Millisecond))
 }
 
@@ -118,7 +119,7 @@
 	a := New(minLeaderGap, false, 0)
 	for at := time.Duration(0); at < 3*time.Second; at += 50 * time.Millisecond {
 		if at%renewInterval == 0 {
-			a.RecordRenewal(clock.Time(at), true, 4)
+			a.RecordRenewal(clock.Time(at), true, era.None, 4)
 		}
 		r.runStep(a, "vm", at)
 		_, ok := a.MayAct(clock.Time(at))
@@ -147,7 +148,7 @@
 			}
 			for i, a := range vms {
 				if at >= nextRenewal[i] && rng.IntN(4) > 0 { // some renewals fail
-					a.RecordRenewal(clock.Time(at), owner == i, generation)
+					a.RecordRenewal(clock.Time(at), owner == i, era.None, generation)
 					nextRenewal[i] = at + renewInterval
 				}
 				if rng.IntN(3) > 0 {
--- a/internal/authority/keeper.go
+++ b/internal/authority/keeper.go
@@ -7,14 +7,22 @@
 	"github.com/apex/log"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 )
 
+// LastLeader names the VM that acted last as leader, and the store's era in which it wrote that.
+type LastLeader struct {
+	VM  string
+	Era era.Era
+}
+
 // LeaderRecord is the platform's stored record of the VM that acted last as leader.
 type LeaderRecord interface {
-	// LastLeader returns that VM, empty if there is none, and the record's version.
-	LastLeader(ctx context.Context) (vm string, version int64, err error)
-	// SetLastLeader replaces the record if it still has the given version.
-	SetLastLeader(ctx context.Context, vm string, version int64) error
+	// LastLeader returns that VM, none if there is no record, and the record's version.
+	LastLeader(ctx context.Context) (last LastLeader, version era.Position, err error)
+	// SetLastLeader replaces the record if it still has the given version. It fails if the store's
+	// era isn't that of the version.
+	SetLastLeader(ctx context.Context, vm string, version era.Position) error
 }
 
 // Keeper performs the steps of an Authority on the record. It is a kernel unit.
@@ -24,7 +32,7 @@
 	Clock     clock.Clock
 	VM        string // this VM's name in the record, unchanged by a restart
 
-	version int64 // of the record when it was last read
+	version era.Position // of the record when it was last read
 }
 
 // stepInterval is the interval between checks for a pending step.
@@ -43,10 +51,12 @@
 	switch step {
 	case NoStep:
 	case ReadRecord:
-		vm, version, err := k.Record.LastLeader(ctx)
+		last, version, err := k.Record.LastLeader(ctx)
 		k.version = version
-		k.Authority.RecordStepResult(term, vm == k.VM, err == nil)
-		log.WithError(err).WithField("last_holder", vm).WithField("own", vm == k.VM).Info("leader record read")
+		own := last.VM == k.VM && last.Era == version.Era
+		k.Authority.RecordStepResult(term, own, err == nil)
+		log.WithError(err).WithField("last_holder", last.VM).WithField("written_in", uint64(last.Era)).WithField("era", uint64(version.Era)).
+			WithField("own", own).Info("leader record read")
 	case WriteRecord:
 		err := k.Record.SetLastLeader(ctx, k.VM, k.version)
 		k.Authority.RecordStepResult(term, err == nil, err == nil)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -88,7 +88,7 @@
 	s.SetEndpoint(d)
 	s.SetEndpoint(endpoint("a", 100, 5))
 	assert.Equal(t, len(s.View().Available("labels")), 0)
-	s.RemoveEndpoint("a")
+	s.RemoveEndpoint("a", false)
 	s.SetEndpoint(endpoint("a", 100, 5))
 	assert.Equal(t, len(s.View().All()), 0)
 
@@ -107,8 +107,8 @@
 	s.SetEndpoint(endpoint("gone", 1, 1))
 	s.RecordOutage()
 	c.T = c.T.Add(500 * time.Millisecond)
-	s.RemoveEndpoint("back")
-	s.RemoveEndpoint("gone")
+	s.RemoveEndpoint("back", false)
+	s.RemoveEndpoint("gone", false)
 	assert.DeepEqual(t, ids(s.View().Available("labels")), []string{"back", "gone"})
 
 	c.T = c.T.Add(time.Second)
@@ -133,12 +133,12 @@
 	reader.RecordOutage()
 	c.T = c.T.Add(500 * time.Millisecond)
 	for _, id := range []string{"back", "gone"} {
-		changed, kept := reader.RemoveEndpoint(id)
+		changed, kept := reader.RemoveEndpoint(id, false)
 		assert.Assert(t, changed)
 		assert.Equal(t, kept, outageGrace-500*time.Millisecond)
-		assert.Assert(t, listener.ExpireAfter(id, kept))
+		assert.Assert(t, listener.ExpireAfter(id, false, kept))
 	}
-	assert.Assert(t, !listener.ExpireAfter("unknown", time.Second))
+	assert.Assert(t, !listener.ExpireAfter("unknown", false, time.Second))
 	c.T = c.T.Add(time.Second)
 	listener.SetEndpoint(endpoint("back", 1, 2))
 	listener.RemoveExpired()
@@ -153,8 +153,8 @@
 	s := NewStore(c)
 	s.SetEndpoint(endpoint("a", 1, 1))
 	changed := s.Changed()
-	s.RemoveEndpoint("a")
-	s.RemoveEndpoint("a")
+	s.RemoveEndpoint("a", false)
+	s.RemoveEndpoint("a", false)
 	<-changed
 	assert.Equal(t, len(s.View().All()), 0)
 }
--- a/internal/catalog/fleet.go
+++ b/internal/catalog/fleet.go
@@ -32,8 +32,9 @@
 }
 
 // supersedes reports whether e is at least as new as old, a report of the same id. A report of an
-// older process can reach the store after one of its successor; it must not restore a draining
-// state that has ended or an address that is no longer served.
+// older process can reach the store after one of its successor, and a restored store has older reports;
+// such a report must not restore a draining state that has ended, an address that is no longer served,
+// or an endpoint that leaves.
 func (e *Endpoint) supersedes(old *Endpoint) bool {
 	if e.Born != old.Born {
 		return e.Born > old.Born
--- a/internal/catalog/leaving_test.go
+++ b/internal/catalog/leaving_test.go
@@ -54,7 +54,7 @@
 	s.RemoveExpired()
 	s.SetEndpoint(report(1, 1))
 	assert.Equal(t, len(s.View().Available("s")), 0)
-	s.RemoveEndpoint("i-1")
+	s.RemoveEndpoint("i-1", false)
 	c.T = c.T.Add(tombstoneTTL + time.Second)
 	s.RemoveExpired()
 	assert.Equal(t, len(s.leaving), 0)
--- a/internal/catalog/rewrite_test.go
+++ b/internal/catalog/rewrite_test.go
@@ -15,7 +15,7 @@
 	s := NewStore(c)
 	s.SetEndpoint(&Endpoint{ID: "e", Sequence: 4, Service: "m"})
 	s.RecordOutage()
-	changed, kept := s.RemoveEndpoint("e")
+	changed, kept := s.RemoveEndpoint("e", false)
 	assert.Assert(t, changed && kept > 0)
 	assert.Assert(t, s.SetEndpoint(&Endpoint{ID: "e", Sequence: 5, Service: "m"}))
 	assert.Assert(t, !s.SetEndpoint(&Endpoint{ID: "e", Sequence: 6, Service: "m"}))
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -31,7 +31,7 @@
 	reported       map[string]*Endpoint
 	removed        map[string]tombstone
 	leaving        map[string]leavingNotice // of endpoints that announced in an answer that they leave
-	expiring       map[string]clock.Time    // when to remove expired entries that are kept for now
+	expiring       map[string]expiry        // of entries that ended and are kept for now
 	lastOutage     clock.Time               // last time at which the platform's store was unavailable
 	hadOutage      bool                     // lastOutage is set
 	changed        chan struct{}
@@ -39,9 +39,27 @@
 	publishPending bool // publish a view when the last batch ends
 }
 
+// tombstone is the last report of a removed endpoint.
 type tombstone struct {
 	last *Endpoint
 	at   clock.Time
+	// missing means that no deletion of the entry was read: the store was restored and lacks it. The
+	// endpoint may write the same report again.
+	missing bool
+}
+
+// rejects reports whether e is from before the removal.
+func (t *tombstone) rejects(e *Endpoint) bool {
+	if t.missing {
+		return !e.supersedes(t.last)
+	}
+	return e.Born <= t.last.Born && e.Sequence <= t.last.Sequence
+}
+
+// expiry is the scheduled removal of an endpoint.
+type expiry struct {
+	until   clock.Time
+	missing bool // as in tombstone
 }
 
 // leavingNotice is an endpoint's announcement that the process started at born leaves.
@@ -54,7 +72,7 @@
 func NewStore(c clock.Clock) *Store {
 	s := &Store{
 		clock: c, reported: map[string]*Endpoint{}, removed: map[string]tombstone{}, leaving: map[string]leavingNotice{},
-		expiring: map[string]clock.Time{}, changed: make(chan struct{}),
+		expiring: map[string]expiry{}, changed: make(chan struct{}),
 	}
 	s.view.Store(newView(nil, nil, nil))
 	return s
@@ -89,11 +107,13 @@
 func (s *Store) SetEndpoint(e *Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t, ok := s.removed[e.ID]; ok && e.Born <= t.last.Born && e.Sequence <= t.last.Sequence {
+	if t, ok := s.removed[e.ID]; ok && t.rejects(e) {
+		logDropped(e, t.last, true)
 		return false
 	}
 	old := s.reported[e.ID]
 	if old != nil && !e.supersedes(old) {
+		logDropped(e, old, false)
 		return false
 	}
 	_, expiring := s.expiring[e.ID]
@@ -110,6 +130,13 @@
 	return true
 }
 
+// logDropped logs that e is dropped, as it isn't newer than the report known.
+func logDropped(e, known *Endpoint, removed bool) {
+	log.WithField("endpoint", e.ID).WithField("born", e.Born).WithField("sequence", e.Sequence).WithField("draining", e.Draining).
+		WithField("known_born", known.Born).WithField("known_sequence", known.Sequence).WithField("known_draining", known.Draining).
+		WithField("removed", removed).Info("older endpoint report dropped")
+}
+
 func equalExceptSequence(a, b *Endpoint) bool {
 	c := *b
 	c.Sequence = a.Sequence
@@ -134,11 +161,11 @@
 	return true
 }
 
-// RemoveEndpoint handles the end of an endpoint's entry in the platform's store. Around an outage of
-// that store the endpoint is kept until outageGrace after the store is available again, since live
-// endpoints couldn't renew their entries and will write them again. It returns whether the endpoint
-// existed, and for how long it is still kept.
-func (s *Store) RemoveEndpoint(id string) (changed bool, kept time.Duration) {
+// RemoveEndpoint handles the end of an endpoint's entry in the platform's store; missing means that no
+// deletion was read and the entry isn't there. Around an outage of that store the endpoint is kept until
+// outageGrace after the store is available again, since live endpoints couldn't renew their entries and
+// will write them again. It returns whether the endpoint existed, and for how long it is still kept.
+func (s *Store) RemoveEndpoint(id string, missing bool) (changed bool, kept time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.reported[id] == nil {
@@ -146,9 +173,9 @@
 	}
 	now := s.clock.Now()
 	if s.hadOutage && now.Sub(s.lastOutage) < outageGrace {
-		return true, s.scheduleRemoval(id, s.lastOutage.Add(outageGrace)).Sub(now)
+		return true, s.scheduleRemoval(id, expiry{s.lastOutage.Add(outageGrace), missing}).Sub(now)
 	}
-	s.remove(id, now)
+	s.remove(id, missing, now)
 	s.publish()
 	return true, 0
 }
@@ -157,29 +184,29 @@
 // end of its entry. That VM has observed the outage around which the entry expired; this one may not
 // have called the platform's store meanwhile, and would remove live endpoints at once. ExpireAfter
 // returns whether the endpoint existed.
-func (s *Store) ExpireAfter(id string, kept time.Duration) bool {
+func (s *Store) ExpireAfter(id string, missing bool, kept time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.reported[id] == nil {
 		return false
 	}
-	s.scheduleRemoval(id, s.clock.Now().Add(kept))
+	s.scheduleRemoval(id, expiry{s.clock.Now().Add(kept), missing})
 	return true
 }
 
-// scheduleRemoval schedules the removal of an endpoint for the time until, unless one is scheduled
-// already, and returns the time of the removal.
-func (s *Store) scheduleRemoval(id string, until clock.Time) clock.Time {
-	if at, scheduled := s.expiring[id]; scheduled {
-		return at
+// scheduleRemoval schedules the removal of an endpoint, unless one is scheduled already, and returns
+// the time of the removal.
+func (s *Store) scheduleRemoval(id string, e expiry) clock.Time {
+	if scheduled, ok := s.expiring[id]; ok {
+		return scheduled.until
 	}
-	s.expiring[id] = until
-	return until
+	s.expiring[id] = e
+	return e.until
 }
 
-func (s *Store) remove(id string, now clock.Time) {
-	log.WithField("endpoint", id).Info("endpoint gone")
-	s.removed[id] = tombstone{s.reported[id], now}
+func (s *Store) remove(id string, missing bool, now clock.Time) {
+	log.WithField("endpoint", id).WithField("missing", missing).Info("endpoint gone")
+	s.removed[id] = tombstone{s.reported[id], now, missing}
 	delete(s.reported, id)
 	delete(s.expiring, id)
 }
@@ -198,9 +225,9 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	changed := false
-	for id, until := range s.expiring {
-		if now >= until {
-			s.remove(id, now)
+	for id, e := range s.expiring {
+		if now >= e.until {
+			s.remove(id, e.missing, now)
 			changed = true
 		}
 	}
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -15,17 +15,20 @@
 	"gotest.tools/v3/poll"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 	"fescuestand/internal/keyedlog"
 )
 
 // emptyLog is a store without entries that counts the reads.
 type emptyLog struct{ reads atomic.Int32 }
 
-func (l *emptyLog) Newest(context.Context) ([]keyedlog.Entry, int64, error) { return nil, 0, nil }
+func (l *emptyLog) Newest(context.Context) ([]keyedlog.Entry, era.Position, error) {
+	return nil, era.Position{}, nil
+}
 
-func (l *emptyLog) Read(context.Context, int64, time.Duration) ([]keyedlog.Entry, int64, error) {
+func (l *emptyLog) Read(context.Context, era.Position, time.Duration) ([]keyedlog.Entry, era.Position, error) {
 	l.reads.Add(1)
-	return nil, 0, nil
+	return nil, era.Position{}, nil
 }
 
 // vm is a VM with a version in force that receives reports of other VMs' versions.
@@ -89,7 +92,7 @@
 	peer := serve(t, handler)
 	v := newVM(t)
 	for _, version := range []int{7, 9} {
-		handler.Set(keyedlog.Entry{Key: "config", Value: make([]byte, version), Offset: int64(version)})
+		handler.Set(keyedlog.Entry{Key: "config", Value: make([]byte, version), Position: era.Position{Offset: int64(version)}})
 		v.clock.T = v.clock.T.Add(minPullInterval)
 		v.receive(peer, uint64(version), pullDelay)
 		eventually(t, func() bool { return v.version.Load() == uint64(version) && v.idle() }, "the configuration in force")
--- a/internal/configsync/puller.go
+++ b/internal/configsync/puller.go
@@ -88,7 +88,7 @@
 	if err == nil {
 		p.follower.ReceiveEntry(e)
 	}
-	log.WithError(err).WithField("vm", addr).WithField("offset", e.Offset).WithField("version", p.inForce()).Info("VM queried for configuration")
+	log.WithError(err).WithField("vm", addr).WithField("era", uint64(e.Position.Era)).WithField("offset", e.Position.Offset).WithField("version", p.inForce()).Info("VM queried for configuration")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pulling = false
--- a/internal/configsync/share.go
+++ b/internal/configsync/share.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
+	"fescuestand/internal/era"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/wire"
 )
@@ -68,7 +69,7 @@
 }
 
 func encode(e *keyedlog.Entry) ([]byte, error) {
-	data, err := proto.Marshal(&wire.Change{Key: e.Key, Value: e.Value, Offset: uint64(e.Offset)})
+	data, err := proto.Marshal(&wire.Change{Key: e.Key, Value: e.Value, Offset: uint64(e.Position.Offset), Era: uint64(e.Position.Era)})
 	if err != nil {
 		return nil, err
 	}
@@ -101,5 +102,6 @@
 	if err := proto.Unmarshal(data, &c); err != nil {
 		return keyedlog.Entry{}, err
 	}
-	return keyedlog.Entry{Key: c.GetKey(), Value: c.GetValue(), Offset: int64(c.GetOffset())}, nil
+	p := era.Position{Era: era.Era(c.GetEra()), Offset: int64(c.GetOffset())}
+	return keyedlog.Entry{Key: c.GetKey(), Value: c.GetValue(), Position: p}, nil
 }
--- a/internal/era/era.go
+++ b/internal/era/era.go
@@ -20,6 +20,9 @@
 // None is the era of a store that doesn't report any, and of a message that doesn't state one.
 const None Era = 0
 
+// First is the lowest era that a store reports.
+const First Era = 1
+
 // RewriteTime is the time after a restore within which operators and endpoints write again what the
 // store has lost of theirs.
 const RewriteTime = 2 * time.Second
@@ -88,6 +91,14 @@
 	return t.current
 }
 
+// SettledBy reports whether RewriteTime had passed at the time at since the newest era began, so that
+// the store then had again what operators and endpoints had written before the restore.
+func (t *Tracker) SettledBy(at clock.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current == None || at.Sub(t.since) >= RewriteTime
+}
+
 // Since returns the newest era and the earliest time at which it is known to have begun already. Both
 // are zero if no era is known.
 func (t *Tracker) Since() (Era, clock.Time) {
--- a/internal/era/era_test.go
+++ b/internal/era/era_test.go
@@ -43,3 +43,23 @@
 	assert.Equal(t, e, Era(3))
 	assert.Equal(t, since, c.T)
 }
+
+// Guards against reads that count as showing all published configurations right after a restore, when
+// the operators have not written again yet what the store lost.
+func TestAnEraSettles(t *testing.T) {
+	c := &clock.Manual{T: clock.Time(time.Hour)}
+	tr := NewTracker(c)
+	assert.Assert(t, tr.SettledBy(c.T), "a store without eras isn't restored")
+	tr.Observe(2, "read")
+	assert.Assert(t, !tr.SettledBy(c.T.Add(RewriteTime-1)))
+	assert.Assert(t, tr.SettledBy(c.T.Add(RewriteTime)))
+}
+
+func TestPositionsOfALaterEraAreLater(t *testing.T) {
+	ordered := []Position{{None, 9}, {1, 0}, {1, 7}, {2, 3}}
+	for i, p := range ordered {
+		for j, q := range ordered {
+			assert.Equal(t, p.Before(q), i < j)
+		}
+	}
+}
--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/wire"
 )
@@ -39,8 +40,12 @@
 // VM has read from the store, forwards those that it has received, and applies those that peers
 // send. A VM then needs the store only to find changes that it has missed. Two VMs, the readers,
 // read it for all.
+//
+// Missing changes are found by the offsets of those that were received. Offsets of different eras of
+// the store can't be compared, so that this starts anew with each era.
 type Changes struct {
 	clock    clock.Clock
+	eras     *era.Tracker
 	follower *keyedlog.Follower
 	// IsReader reports whether this VM reads the store for all VMs. A change that another VM has
 	// read for itself isn't announced: the other VMs have it, or will read it too.
@@ -48,7 +53,9 @@
 
 	mu           sync.Mutex
 	recent       []announcedChange
+	era          era.Era    // era in which the offsets below count
 	newestOffset int64      // offset of the newest change that this VM has
+	soughtOffset int64      // offset of the newest change at a peer for which this VM has read the store
 	behindSince  clock.Time // since when a peer has had a newer one, zero if none has
 	peerOffset   int64      // the peer's newest offset at that time
 
@@ -71,9 +78,10 @@
 	forwardsLeft int  // messages to VMs outside the active set that still carry it
 }
 
-// NewChanges returns a Changes that passes received changes to follower.
-func NewChanges(c clock.Clock, follower *keyedlog.Follower) *Changes {
-	return &Changes{clock: c, follower: follower, previous: map[int64]int64{}, received: map[int64]struct{}{}, missing: map[int64]*missingChange{}, IsReader: func() bool { return true }}
+// NewChanges returns a Changes that passes received changes to follower. eras are the eras of the store
+// that this VM knows of.
+func NewChanges(c clock.Clock, eras *era.Tracker, follower *keyedlog.Follower) *Changes {
+	return &Changes{clock: c, eras: eras, follower: follower, previous: map[int64]int64{}, received: map[int64]struct{}{}, missing: map[int64]*missingChange{}, IsReader: func() bool { return true }}
 }
 
 // RecordApplied records a change that this VM has applied, and announces it to other VMs. Entries
@@ -81,21 +89,46 @@
 func (x *Changes) RecordApplied(e keyedlog.Entry) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.markReceived(e.Offset)
-	if e.Initial || !e.FromPeer && !x.IsReader() {
-		x.newestOffset = max(x.newestOffset, e.Offset)
-		return
+	x.enterEra(e.Position.Era)
+	c := &wire.Change{
+		Key: e.Key, Value: e.Value, Offset: uint64(e.Position.Offset), Era: uint64(e.Position.Era),
+		Previous: uint64(x.newestOffset), KeptMs: uint32(max(e.GracePeriod, 0).Milliseconds()),
+		Unordered: e.Missing || e.Position.Era != x.era,
 	}
-	c := &wire.Change{Key: e.Key, Value: e.Value, Offset: uint64(e.Offset), Previous: uint64(x.newestOffset), KeptMs: uint32(max(e.GracePeriod, 0).Milliseconds())}
 	if e.FromPeer {
-		c.Previous = uint64(x.previous[e.Offset])
+		c.Previous = uint64(x.previous[e.Position.Offset])
+	}
+	if !c.Unordered {
+		x.markReceived(e.Position.Offset)
+		x.newestOffset = max(x.newestOffset, e.Position.Offset)
 	}
+	if !e.Initial && (e.FromPeer || x.IsReader()) {
+		x.announce(c, e.FromPeer)
+	}
+}
+
+// announce has a change included in this VM's beats for announceFor. The caller holds mu.
+func (x *Changes) announce(c *wire.Change, fromPeer bool) {
 	now := x.clock.Now()
 	x.recent = slices.DeleteFunc(x.recent, func(t announcedChange) bool { return now.Sub(t.at) >= announceFor })
 	if len(x.recent) < maxRecentChanges {
-		x.recent = append(x.recent, announcedChange{c, now, e.FromPeer, forwardsPerChange})
+		x.recent = append(x.recent, announcedChange{c, now, fromPeer, forwardsPerChange})
 	}
-	x.newestOffset = max(x.newestOffset, e.Offset)
+}
+
+// enterEra starts to track the changes of a newer era. It returns whether changes of the earlier one
+// were missing. The caller holds mu.
+func (x *Changes) enterEra(e era.Era) (missing bool) {
+	if e <= x.era {
+		return false
+	}
+	missing = len(x.missing) > 0 || x.behindSince != 0
+	x.era = e
+	x.newestOffset, x.soughtOffset, x.readUpTo, x.behindSince = 0, 0, 0, 0
+	clear(x.previous)
+	clear(x.received)
+	clear(x.missing)
+	return missing
 }
 
 // fillRead adds the recent changes that this VM has read from the store to a beat for the active
@@ -123,36 +156,57 @@
 		}
 	}
 	slices.Reverse(b.Changes)
-	b.LastChange = uint64(x.newestOffset)
+	if x.era == x.eras.Current() { // else the beat states an era in which this VM has no changes yet
+		b.LastChange = uint64(x.newestOffset)
+	}
 }
 
 // receive applies the changes in a peer's beat, and has the store read if changes are missing.
 func (x *Changes) receive(b *wire.Beat) {
-	x.recordIncoming(b.GetChanges())
+	lost := x.recordIncoming(b)
 	for _, c := range b.GetChanges() {
-		e := keyedlog.Entry{
-			Key: c.GetKey(), Offset: int64(c.GetOffset()), GracePeriod: time.Duration(c.GetKeptMs()) * time.Millisecond,
-		}
-		if len(c.GetValue()) > 0 {
-			e.Value = c.GetValue()
-		}
-		x.follower.ReceiveEntry(e)
+		x.follower.ReceiveEntry(decodeChange(c))
 	}
 	gap := x.findGaps(b.GetChanges()) && b.GetProbe() == nil
-	if gap || x.lagsBehindPeer(int64(b.GetLastChange())) || x.missingOverdue() {
+	if lost || gap || x.lagsBehindPeer(b) || x.missingOverdue() {
 		x.follower.Wake()
 	}
 }
 
-// recordIncoming records changes that are being received, before they are applied.
-func (x *Changes) recordIncoming(changes []*wire.Change) {
+func decodeChange(c *wire.Change) keyedlog.Entry {
+	e := keyedlog.Entry{
+		Key: c.GetKey(), Position: era.Position{Era: era.Era(c.GetEra()), Offset: int64(c.GetOffset())},
+		GracePeriod: time.Duration(c.GetKeptMs()) * time.Millisecond,
+	}
+	if len(c.GetValue()) > 0 {
+		e.Value = c.GetValue()
+		return e
+	}
+	e.Missing = c.GetUnordered()
+	return e
+}
+
+// isOrdered reports whether the offset and the predecessor of c can be compared with those that this
+// VM tracks. The caller holds mu.
+func (x *Changes) isOrdered(c *wire.Change) bool {
+	return era.Era(c.GetEra()) == x.era && !c.GetUnordered()
+}
+
+// recordIncoming records changes that are being received, before they are applied. It returns whether
+// changes that were missing can no longer be found, since a newer era has begun.
+func (x *Changes) recordIncoming(b *wire.Beat) (lost bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for _, c := range changes {
+	lost = x.enterEra(era.Era(b.GetStoreEra()))
+	for _, c := range b.GetChanges() {
+		if !x.isOrdered(c) {
+			continue
+		}
 		x.previous[int64(c.GetOffset())] = int64(c.GetPrevious())
 		x.markReceived(int64(c.GetOffset()))
 		x.newestOffset = max(x.newestOffset, int64(c.GetOffset()))
 	}
+	return lost
 }
 
 // markReceived records that this VM has the change at offset.
@@ -172,6 +226,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for _, c := range changes {
+		if !x.isOrdered(c) {
+			continue
+		}
 		delete(x.previous, int64(c.GetOffset()))
 		before := int64(c.GetPrevious())
 		_, isReceived := x.received[before]
@@ -201,12 +258,16 @@
 	maps.DeleteFunc(x.received, func(offset int64, _ struct{}) bool { return offset <= x.readUpTo })
 }
 
-// RecordRead records that this VM has itself read the store up to the offset end, exclusive.
-func (x *Changes) RecordRead(end int64) {
+// RecordRead records that this VM has itself read the store up to the position end, exclusive.
+func (x *Changes) RecordRead(end era.Position) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.advanceRead(end - 1)
-	maps.DeleteFunc(x.missing, func(offset int64, _ *missingChange) bool { return offset < end })
+	x.enterEra(end.Era)
+	if end.Era != x.era {
+		return
+	}
+	x.advanceRead(end.Offset - 1)
+	maps.DeleteFunc(x.missing, func(offset int64, _ *missingChange) bool { return offset < end.Offset })
 }
 
 // missingOverdue reports whether the store must be read because a change has been missing for
@@ -229,12 +290,15 @@
 
 // lagsBehindPeer reports whether a peer has had a change newer than this VM's newest one for
 // maxLag.
-func (x *Changes) lagsBehindPeer(last int64) bool {
+func (x *Changes) lagsBehindPeer(b *wire.Beat) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	now := x.clock.Now()
+	last, now := int64(b.GetLastChange()), x.clock.Now()
+	if e := era.Era(b.GetStoreEra()); e != era.None && e != x.era {
+		return false
+	}
 	switch {
-	case last <= x.newestOffset:
+	case last <= max(x.newestOffset, x.soughtOffset, x.readUpTo):
 		return false
 	case x.behindSince == 0 || x.newestOffset >= x.peerOffset:
 		x.behindSince, x.peerOffset = now, last
@@ -243,6 +307,6 @@
 		return false
 	}
 	x.behindSince = 0
-	x.newestOffset = last // one read of the store is enough for it
+	x.soughtOffset = last // one read of the store is enough for it
 	return true
 }
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/wire"
 )
@@ -16,13 +17,18 @@
 // emptyLog is a source without records that reports each read on a channel.
 type emptyLog struct{ reads chan struct{} }
 
-func (l emptyLog) Newest(context.Context) ([]keyedlog.Entry, int64, error) { return nil, 0, nil }
+func (l emptyLog) Newest(context.Context) ([]keyedlog.Entry, era.Position, error) {
+	return nil, era.Position{}, nil
+}
 
-func (l emptyLog) Read(context.Context, int64, time.Duration) ([]keyedlog.Entry, int64, error) {
+func (l emptyLog) Read(context.Context, era.Position, time.Duration) ([]keyedlog.Entry, era.Position, error) {
 	l.reads <- struct{}{}
-	return nil, 0, nil
+	return nil, era.Position{}, nil
 }
 
+// at returns a position in a store without eras.
+func at(offset int64) era.Position { return era.Position{Offset: offset} }
+
 // startFollower runs a follower that reads the store only when Wake is called. It returns its
 // changes, the values that it has applied, and a channel that receives its reads.
 func startFollower(t *testing.T, c clock.Clock) (*Changes, map[string]string, chan struct{}) {
@@ -36,7 +42,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return NewChanges(c, f), applied, src.reads
+	return NewChanges(c, era.NewTracker(c), f), applied, src.reads
 }
 
 // awaitRead waits for a read of the store.
@@ -57,10 +63,10 @@
 
 func TestChangesAreAnnouncedForALimitedTime(t *testing.T) {
 	c := &clock.Manual{T: 1}
-	reader := NewChanges(c, nil)
+	reader := NewChanges(c, era.NewTracker(c), nil)
 	x, applied, reads := startFollower(t, c)
-	reader.RecordApplied(keyedlog.Entry{Key: "a", Value: []byte("1"), Offset: 3})
-	reader.RecordApplied(keyedlog.Entry{Key: "b", Offset: 4, GracePeriod: time.Second})
+	reader.RecordApplied(keyedlog.Entry{Key: "a", Value: []byte("1"), Position: at(3)})
+	reader.RecordApplied(keyedlog.Entry{Key: "b", Position: at(4), GracePeriod: time.Second})
 	sent := nextBeat(reader)
 	assert.Equal(t, sent.GetChanges()[1].GetKeptMs(), uint32(1000))
 	x.receive(sent)
@@ -73,8 +79,8 @@
 // Guards against hundreds of VMs that start together and announce all endpoints to each other.
 func TestEntriesReadAtStartAreNotAnnounced(t *testing.T) {
 	c := &clock.Manual{T: 1}
-	x := NewChanges(c, nil)
-	x.RecordApplied(keyedlog.Entry{Key: "a", Value: []byte("1"), Offset: 3, Initial: true})
+	x := NewChanges(c, era.NewTracker(c), nil)
+	x.RecordApplied(keyedlog.Entry{Key: "a", Value: []byte("1"), Position: at(3), Initial: true})
 	b := nextBeat(x)
 	assert.Equal(t, len(b.GetChanges()), 0)
 	assert.Equal(t, b.GetLastChange(), uint64(3))
@@ -83,13 +89,13 @@
 // Guards against hundreds of VMs that each announce what each has read for itself.
 func TestOnlyReadersAnnounceChangesTheyRead(t *testing.T) {
 	c := &clock.Manual{T: 1}
-	x := NewChanges(c, nil)
+	x := NewChanges(c, era.NewTracker(c), nil)
 	x.IsReader = func() bool { return false }
-	x.RecordApplied(keyedlog.Entry{Key: "a", Offset: 3})
+	x.RecordApplied(keyedlog.Entry{Key: "a", Position: at(3)})
 	b := nextBeat(x)
 	assert.Equal(t, len(b.GetChanges()), 0)
 	assert.Equal(t, b.GetLastChange(), uint64(3))
-	x.RecordApplied(keyedlog.Entry{Key: "b", Offset: 4, FromPeer: true})
+	x.RecordApplied(keyedlog.Entry{Key: "b", Position: at(4), FromPeer: true})
 	x.fillForwarded(b)
 	assert.Equal(t, len(b.GetChanges()), 1, "a received change is forwarded")
 }
@@ -97,9 +103,9 @@
 // Guards against beats that are full of changes while thousands of endpoints start.
 func TestAnnouncedChangesAreBoundedWhenAFleetStarts(t *testing.T) {
 	c := &clock.Manual{T: 1}
-	x := NewChanges(c, nil)
+	x := NewChanges(c, era.NewTracker(c), nil)
 	for i := range 3000 {
-		x.RecordApplied(keyedlog.Entry{Key: fmt.Sprint(i), Offset: int64(i + 1)})
+		x.RecordApplied(keyedlog.Entry{Key: fmt.Sprint(i), Position: at(int64(i + 1))})
 	}
 	assert.Equal(t, len(x.recent), maxRecentChanges)
 	assert.Equal(t, nextBeat(x).GetLastChange(), uint64(3000))
@@ -120,7 +126,7 @@
 	c.T = c.T.Add(maxLag)
 	forward()
 	awaitRead(t, reads) // read again, as the store may not have had the change at the first read
-	x.RecordRead(9)
+	x.RecordRead(at(9))
 	c.T = c.T.Add(maxLag)
 	forward()
 	assert.Equal(t, len(reads), 0)
@@ -130,7 +136,7 @@
 func TestGapBelowTheNewestChangeIsFound(t *testing.T) {
 	c := &clock.Manual{T: 1}
 	x, _, reads := startFollower(t, c)
-	x.RecordApplied(keyedlog.Entry{Key: "a", Offset: 2, Initial: true})
+	x.RecordApplied(keyedlog.Entry{Key: "a", Position: at(2), Initial: true})
 	forward := func(changes ...*wire.Change) { x.receive(&wire.Beat{Changes: changes, Probe: &wire.Probe{}}) }
 	forward(&wire.Change{Key: "d", Offset: 9, Previous: 2})
 	forward(&wire.Change{Key: "b", Offset: 6, Previous: 5})
@@ -158,18 +164,18 @@
 // VM arrived before its predecessor.
 func TestReorderedChangesCauseNoRead(t *testing.T) {
 	c := &clock.Manual{T: 1}
-	reader := NewChanges(c, nil)
+	reader := NewChanges(c, era.NewTracker(c), nil)
 	x, applied, reads := startFollower(t, c)
-	reader.RecordApplied(keyedlog.Entry{Key: "a", Value: []byte("1"), Offset: 3})
-	reader.RecordApplied(keyedlog.Entry{Key: "b", Value: []byte("1"), Offset: 4})
+	reader.RecordApplied(keyedlog.Entry{Key: "a", Value: []byte("1"), Position: at(3)})
+	reader.RecordApplied(keyedlog.Entry{Key: "b", Value: []byte("1"), Position: at(4)})
 	sent := nextBeat(reader)
 	sent.Probe = &wire.Probe{}
 	first, second := sent.GetChanges()[0], sent.GetChanges()[1]
 	forward := func(changes ...*wire.Change) { x.receive(&wire.Beat{Changes: changes, Probe: &wire.Probe{}}) }
 	forward(second)
-	x.RecordApplied(keyedlog.Entry{Key: "b", Offset: 4, FromPeer: true})
+	x.RecordApplied(keyedlog.Entry{Key: "b", Position: at(4), FromPeer: true})
 	forward(first)
-	x.RecordApplied(keyedlog.Entry{Key: "a", Offset: 3, FromPeer: true})
+	x.RecordApplied(keyedlog.Entry{Key: "a", Position: at(3), FromPeer: true})
 	c.T = c.T.Add(maxLag)
 	forward()
 	assert.DeepEqual(t, applied, map[string]string{"a": "1", "b": "1"})
@@ -197,12 +203,12 @@
 // Guards against requests to endpoints that left while there were more changes than a beat carries.
 func TestChangesDroppedFromBeatsAreReadFromTheStore(t *testing.T) {
 	c := &clock.Manual{T: 1}
-	reader := NewChanges(c, nil)
+	reader := NewChanges(c, era.NewTracker(c), nil)
 	x, _, reads := startFollower(t, c)
-	reader.RecordApplied(keyedlog.Entry{Key: "first", Offset: 1})
+	reader.RecordApplied(keyedlog.Entry{Key: "first", Position: at(1)})
 	x.receive(nextBeat(reader))
 	for i := range 2 * maxChangesPerBeat {
-		reader.RecordApplied(keyedlog.Entry{Key: fmt.Sprint(i), Offset: int64(i + 2)})
+		reader.RecordApplied(keyedlog.Entry{Key: fmt.Sprint(i), Position: at(int64(i + 2))})
 	}
 	x.receive(nextBeat(reader))
 	awaitRead(t, reads)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 	"fescuestand/internal/cachesync"
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/place"
@@ -19,6 +20,7 @@
 // implements gossip.Content.
 type GossipContent struct {
 	Clock    clock.Clock
+	Eras     *era.Tracker // of the store
 	Planner  *place.Planner
 	Pressure *backpressure.Tracker
 	Crashes  *crash.Register
@@ -49,6 +51,7 @@
 	if x.Usage != nil {
 		b.WallMs = x.Time.LocalTime().UnixMilli()
 	}
+	x.fillEra(b)
 	x.Changes.fillRead(b)
 	b.Requests = uint32(math.Ceil(x.RequestRate()))
 	d := x.Planner.Demand(x.Clock.Now())
@@ -62,6 +65,14 @@
 	}
 }
 
+// fillEra adds the newest era of the store, and for how long it is known to have begun.
+func (x *GossipContent) fillEra(b *wire.Beat) {
+	e, since := x.Eras.Since()
+	if e != era.None {
+		b.StoreEra, b.StoreEraMs = uint64(e), uint32(min(x.Clock.Now().Sub(since), time.Hour).Milliseconds())
+	}
+}
+
 // encodeNotices encodes reports on the endpoints' limits for a beat.
 func encodeNotices(reports []backpressure.Report) []*wire.EndpointNotice {
 	out := make([]*wire.EndpointNotice, 0, len(reports))
@@ -94,6 +105,7 @@
 	if c := x.Catalog.View().Config; c != nil {
 		b.ConfigVersion = c.Version
 	}
+	x.fillEra(b)
 	x.Changes.fillForwarded(b)
 	b.Crashes = x.crashes.current(x.Clock.Now())
 	b.LeavingEndpoints = x.leaving.current(x.Clock.Now())
@@ -136,6 +148,7 @@
 
 // Receive implements gossip.Content.
 func (x *GossipContent) Receive(from string, b *wire.Beat) {
+	x.Eras.Merge(era.Era(b.GetStoreEra()), time.Duration(b.GetStoreEraMs())*time.Millisecond, from)
 	if b.GetProbe() == nil {
 		x.receiveLoad(from, b)
 		if x.Usage != nil {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -21,6 +21,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/policy/backpressure"
@@ -187,9 +188,10 @@
 			w.crashes.RecordCrash(clock.Boot{}.Now(), fingerprint, endpoint)
 		},
 	})
+	eras := era.NewTracker(clock.Boot{})
 	w.gossip = &GossipContent{
-		Clock: clock.Boot{}, Planner: w.gateway.o.Planner, Pressure: w.gateway.o.Pressure, Crashes: w.crashes, Catalog: w.store,
-		Changes: NewChanges(clock.Boot{}, keyedlog.New("fleet", nil)), RequestRate: w.gateway.RequestRate,
+		Clock: clock.Boot{}, Eras: eras, Planner: w.gateway.o.Planner, Pressure: w.gateway.o.Pressure, Crashes: w.crashes, Catalog: w.store,
+		Changes: NewChanges(clock.Boot{}, eras, keyedlog.New("fleet", nil)), RequestRate: w.gateway.RequestRate,
 		OnOrder: func(string) {}, OnPeerConfigVersion: func(string, uint64) {}, OnChange: func() {},
 	}
 	w.gateway.o.OnEndpointLeaving = w.gossip.AnnounceLeaving
--- a/internal/gossip/group.go
+++ b/internal/gossip/group.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 )
 
 const (
@@ -61,8 +62,9 @@
 
 // Assignment is what the group has assigned to a member.
 type Assignment struct {
-	Leader     bool  // the member may order engines and endpoints, as the only one
-	Generation int64 // grows with each change of the assignments
+	Leader     bool    // the member may order engines and endpoints, as the only one
+	Era        era.Era // of the store
+	Generation int64   // grows with each change of the assignments in an era
 }
 
 // Registration keeps this VM in the group while it has to be a member, and reads the member list.
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -1,6 +1,10 @@
 // Package keyedlog follows a log that retains the newest record of each key (a compacted log). It
 // first reads the newest records and then the appended ones. If the records that it would read next
-// have been deleted, it reads the newest records again.
+// have been deleted, or the log was restored from an older copy, it reads the newest records again.
+//
+// A restore undoes records, gives their offsets to new ones and begins a new era (package era). What
+// was applied before isn't undone: a handler gets values of earlier eras too and must order them by
+// their content. Deletions have no content to order them by, so one of an earlier era is dropped.
 //
 // Concurrency: Run reads in one goroutine. ReceiveEntry and Wake may be called from others; Apply
 // is called by one goroutine at a time.
@@ -9,6 +13,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,15 +21,19 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/driver"
+	"fescuestand/internal/era"
 )
 
 // Entry is the newest record of a key. A nil value means that the key was deleted.
 type Entry struct {
 	Key      string
 	Value    []byte
-	Offset   int64
+	Position era.Position
 	FromPeer bool // read by another process, which sent it to this one
 	Initial  bool // from the newest records that a reader starts with
+	// Missing marks a deletion for which no record was read: the key isn't among the newest records.
+	// If the log was restored, the key's writer may not have written it again yet.
+	Missing bool
 	// GracePeriod is how long the process that read the deletion of the key keeps using the
 	// previous value.
 	GracePeriod time.Duration
@@ -32,13 +41,14 @@
 
 // Source is a keyed log.
 type Source interface {
-	// Newest returns the newest record of each key, and the offset from which Read returns every
+	// Newest returns the newest record of each key, and the position from which Read returns every
 	// later record.
-	Newest(ctx context.Context) (entries []Entry, next int64, err error)
-	// Read returns the records from offset from up to the end of the log at that time. It waits up
-	// to wait for the first one, and fails with driver.ErrExpired if the records at from have been
-	// deleted.
-	Read(ctx context.Context, from int64, wait time.Duration) (entries []Entry, next int64, err error)
+	Newest(ctx context.Context) (entries []Entry, next era.Position, err error)
+	// Read returns the records from the offset of from up to the end of the log at that time. It
+	// waits up to wait for the first one, and fails with driver.ErrExpired if the log doesn't have
+	// the records at from. The era of next is that of the answer; if it isn't that of from, records
+	// before from may be missing.
+	Read(ctx context.Context, from era.Position, wait time.Duration) (entries []Entry, next era.Position, err error)
 }
 
 // Follower passes every change of a keyed log to its handler.
@@ -50,7 +60,9 @@
 	// ReadInterval returns the time between two reads. The changes within one interval are read
 	// with a single call. If it is zero, each read follows the previous one immediately.
 	ReadInterval func() time.Duration
-	// Apply handles a change. The offsets of one key never decrease.
+	// Eras are the eras that this process knows of.
+	Eras *era.Tracker
+	// Apply handles a change. Within an era the offsets of one key never decrease.
 	Apply func(Entry)
 	// OnRead is called after each successful read, once its records are applied, with the time at
 	// which the read was sent.
@@ -65,15 +77,16 @@
 	// needn't be read.
 	SingleKey bool
 
-	mu       sync.Mutex // guards offsets and peerNext, and serializes Apply
-	offsets  map[string]int64
-	peerNext int64 // offset after the newest record received from a peer
+	mu        sync.Mutex // guards positions and peerNext, and serializes Apply
+	positions map[string]era.Position
+	peerNext  era.Position // after the newest record received from a peer
 
-	nextOffset int64
-	started    bool
-	failing    bool
-	sentAt     clock.Time // when the newest call to the source was sent
-	woken      chan struct{}
+	next     era.Position
+	snapshot era.Position // up to which the newest records were read last; mu guards it
+	hasRead  bool         // the newest records have been read
+	failing  bool
+	sentAt   clock.Time // when the newest call to the source was sent
+	woken    chan struct{}
 }
 
 // New returns a follower of source with defaults; the caller sets its other fields.
@@ -81,8 +94,8 @@
 	return &Follower{
 		Name: name, Source: source, OnReadError: func() {}, OnRead: func(clock.Time) {}, Clock: clock.Boot{}, ReadInterval: func() time.Duration { return 0 },
 		ReadWait:   func() time.Duration { return 0 },
-		BeginBatch: func() {}, EndBatch: func() {},
-		offsets: map[string]int64{}, woken: make(chan struct{}, 1),
+		BeginBatch: func() {}, EndBatch: func() {}, Eras: era.NewTracker(clock.Boot{}),
+		positions: map[string]era.Position{}, woken: make(chan struct{}, 1),
 	}
 }
 
@@ -92,11 +105,14 @@
 	f.apply(e)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peerNext = max(f.peerNext, e.Offset+1)
+	after := era.Position{Era: e.Position.Era, Offset: e.Position.Offset + 1}
+	if !f.isUndated(&e) && f.peerNext.Before(after) {
+		f.peerNext = after
+	}
 }
 
-// NextOffset returns the offset of the next read. Only functions that Run calls may use it.
-func (f *Follower) NextOffset() int64 { return f.nextOffset }
+// Next returns the position of the next read. Only functions that Run calls may use it.
+func (f *Follower) Next() era.Position { return f.next }
 
 // Wake ends the wait for the next read, or a read that waits for a record, because the log has a
 // record that this process should already have received.
@@ -129,7 +145,7 @@
 		} else {
 			f.OnReadError()
 		}
-		if !f.started {
+		if !f.hasRead {
 			if !clock.Sleep(ctx, retryDelay) {
 				return ctx.Err()
 			}
@@ -183,40 +199,75 @@
 	case err != nil && !f.failing:
 		log.WithError(err).WithField("log", f.Name).Warn("keyed log lost")
 	case err == nil && f.failing:
-		log.WithField("log", f.Name).WithField("next", f.nextOffset).Info("keyed log regained")
+		log.WithField("log", f.Name).WithField("next", f.next.Offset).Info("keyed log regained")
 	}
 	f.failing = err != nil
 }
 
+// errOldAnswer means that an answer is of an earlier era than one that this process knows of: it was
+// delayed until after a restore.
+var errOldAnswer = errors.New("answer of an earlier era")
+
+// errWoken means that Wake ended the wait for a record.
+var errWoken = errors.New("woken")
+
+// readOnce reads what is new. Wake cancels a read that is waiting, as its connection may have stalled,
+// and what is new is read on another connection.
 func (f *Follower) readOnce(ctx context.Context) error {
-	if !f.started {
-		return f.readNewest(ctx)
+	err := f.read(ctx, f.ReadWait())
+	if errors.Is(err, errWoken) {
+		return f.read(ctx, 0)
 	}
-	entries, nextOffset, err := f.readAppended(ctx)
-	if errors.Is(err, driver.ErrExpired) {
-		log.WithField("log", f.Name).WithField("from", f.nextOffset).Info("log history expired, reading the newest records")
-		f.started = false
+	return err
+}
+
+func (f *Follower) read(ctx context.Context, wait time.Duration) error {
+	from := f.readFrom()
+	if !f.hasRead || from.Era < f.Eras.Current() {
 		return f.readNewest(ctx)
 	}
-	if err != nil {
+	entries, next, err := f.readAppended(ctx, from, wait)
+	switch {
+	case errors.Is(err, driver.ErrExpired):
+		f.logFrom(from).Info("log doesn't have the next records, reading the newest ones")
+		return f.readNewest(ctx)
+	case err != nil:
 		return err
+	case next.Era < from.Era:
+		return errOldAnswer
+	case next.Era > from.Era:
+		f.logFrom(from).WithField("new_era", uint64(next.Era)).Info("log was restored, reading the newest records")
+		return f.readNewest(ctx)
+	}
+	f.applyAll(entries)
+	if f.next.Before(next) {
+		f.next = next
 	}
+	if next.Era < f.Eras.Current() {
+		return errOldAnswer // what it says is applied, but it doesn't show what is newest
+	}
+	return nil
+}
+
+func (f *Follower) logFrom(from era.Position) *log.Entry {
+	return log.WithField("log", f.Name).WithField("era", uint64(from.Era)).WithField("from", from.Offset)
+}
+
+// applyAll applies the entries of one read as one batch.
+func (f *Follower) applyAll(entries []Entry) {
 	f.BeginBatch()
 	defer f.EndBatch()
 	for _, e := range entries {
 		f.apply(e)
 	}
-	f.nextOffset = max(f.nextOffset, nextOffset)
-	return nil
 }
 
-// readAppended reads the appended records. Wake cancels a read that is waiting, as its connection
-// may have stalled, and the records are read on another connection.
-func (f *Follower) readAppended(ctx context.Context) ([]Entry, int64, error) {
-	wait, readOffset := f.ReadWait(), f.readOffset()
+// readAppended reads the appended records. It fails with errWoken if Wake is called while it waits for
+// one.
+func (f *Follower) readAppended(ctx context.Context, from era.Position, wait time.Duration) ([]Entry, era.Position, error) {
 	f.sentAt = f.Clock.Now()
 	if wait == 0 {
-		return f.Source.Read(ctx, readOffset, 0)
+		return f.Source.Read(ctx, from, 0)
 	}
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -229,63 +280,106 @@
 		case <-done:
 		}
 	}()
-	entries, next, err := f.Source.Read(readCtx, readOffset, wait)
+	entries, next, err := f.Source.Read(readCtx, from, wait)
 	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
-		f.sentAt = f.Clock.Now()
-		return f.Source.Read(ctx, f.readOffset(), 0)
+		err = errWoken
 	}
 	return entries, next, err
 }
 
-// readOffset returns the offset to read from.
-func (f *Follower) readOffset() int64 {
+// readFrom returns the position to read from.
+func (f *Follower) readFrom() era.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.SingleKey {
-		return max(f.nextOffset, f.peerNext)
+	if f.SingleKey && f.next.Before(f.peerNext) {
+		return f.peerNext
 	}
-	return f.nextOffset
+	return f.next
 }
 
-// readNewest reads the newest records. A key that is tracked but not among them was deleted, and
-// the record of its deletion has expired.
+// readNewest reads the newest records.
 func (f *Follower) readNewest(ctx context.Context) error {
 	f.sentAt = f.Clock.Now()
-	entries, nextOffset, err := f.Source.Newest(ctx)
+	entries, next, err := f.Source.Newest(ctx)
 	if err != nil {
 		return err
 	}
+	if next.Era < max(f.next.Era, f.Eras.Current()) {
+		return errOldAnswer
+	}
 	f.BeginBatch()
 	defer f.EndBatch()
+	slices.SortFunc(entries, func(a, b Entry) int { return a.Position.Compare(b.Position) })
 	present := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		present[e.Key] = true
-		e.Initial = true
+		e.Initial = !f.hasRead
 		f.apply(e)
 	}
+	f.removeMissing(present, next)
+	f.next, f.hasRead = next, true
+	log.WithField("log", f.Name).WithField("keys", len(entries)).WithField("era", uint64(next.Era)).WithField("next", next.Offset).Info("newest records read")
+	return nil
+}
+
+// removeMissing applies the deletion of each key that is tracked but not among the newest records up to
+// the position next: the record of its deletion has expired, or the log was restored.
+func (f *Follower) removeMissing(present map[string]bool, next era.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for key, offset := range f.offsets {
-		if !present[key] && offset < nextOffset {
-			f.Apply(Entry{Key: key, Offset: offset})
-			delete(f.offsets, key)
+	f.snapshot = next
+	for key, p := range f.positions {
+		if present[key] || !p.Before(next) {
+			continue
+		}
+		deletion := Entry{Key: key, Position: p}
+		if p.Era != next.Era {
+			deletion.Missing, deletion.Position = true, era.Position{Era: next.Era, Offset: next.Offset - 1}
 		}
+		f.Apply(deletion)
+		delete(f.positions, key)
 	}
-	f.nextOffset, f.started = nextOffset, true
-	log.WithField("log", f.Name).WithField("keys", len(entries)).WithField("next", nextOffset).Info("newest records read")
-	return nil
 }
 
-// apply drops records that are older than one already applied for the key: the pages of the newest
-// records aren't a consistent snapshot, so the reads after them return some records again.
+// apply applies an entry unless it is outdated.
 func (f *Follower) apply(e Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if newest, ok := f.offsets[e.Key]; ok && e.Offset < newest {
-		log.WithField("log", f.Name).WithField("key", e.Key).WithField("offset", e.Offset).WithField("newest", newest).
-			WithField("from_peer", e.FromPeer).Info("older record dropped")
+	newest, known := f.positions[e.Key]
+	switch {
+	case f.isUndated(&e):
+		f.applyUndated(e, newest)
+	case !known && !f.SingleKey && e.FromPeer && e.Position.Before(f.snapshot):
+		f.logDropped(&e, f.snapshot) // the key wasn't among the newest records
+	case !known || !e.Position.Before(newest):
+		f.positions[e.Key] = e.Position
+		f.Apply(e)
+	case e.Value != nil && e.Position.Era != newest.Era:
+		f.Apply(e) // the handler orders values of different eras by their content
+	default:
+		f.logDropped(&e, newest)
+	}
+}
+
+// isUndated reports whether e is of an unknown era, since a process of an earlier version has sent it.
+func (f *Follower) isUndated(e *Entry) bool {
+	return e.Position.Era == era.None && f.Eras.Current() != era.None
+}
+
+// applyUndated applies an entry of an unknown era. It doesn't change the key's position, as it would
+// hide records if it is of an earlier era.
+func (f *Follower) applyUndated(e Entry, newest era.Position) {
+	if e.Value == nil && e.Position.Offset < newest.Offset {
+		f.logDropped(&e, newest)
 		return
 	}
-	f.offsets[e.Key] = e.Offset
 	f.Apply(e)
 }
+
+// logDropped logs that e is dropped. The pages of the newest records aren't a consistent snapshot, so
+// the reads after them return some records again, and peers send records more than once.
+func (f *Follower) logDropped(e *Entry, newest era.Position) {
+	log.WithField("log", f.Name).WithField("key", e.Key).WithField("era", uint64(e.Position.Era)).WithField("offset", e.Position.Offset).
+		WithField("newest_era", uint64(newest.Era)).WithField("newest", newest.Offset).
+		WithField("from_peer", e.FromPeer).Info("older record dropped")
+}
--- a/internal/keyedlog/keyedlog_test.go
+++ b/internal/keyedlog/keyedlog_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/driver"
+	"fescuestand/internal/era"
 )
 
 // scriptedSource is a source with predefined reads.
@@ -25,12 +27,12 @@
 	err     error
 }
 
-func (s *scriptedSource) Newest(context.Context) ([]Entry, int64, error) {
-	return s.newest, s.next, nil
+func (s *scriptedSource) Newest(context.Context) ([]Entry, era.Position, error) {
+	return slices.Clone(s.newest), at(s.next), nil
 }
 
-func (s *scriptedSource) Read(_ context.Context, from int64, _ time.Duration) ([]Entry, int64, error) {
-	s.from = append(s.from, from)
+func (s *scriptedSource) Read(_ context.Context, from era.Position, _ time.Duration) ([]Entry, era.Position, error) {
+	s.from = append(s.from, from.Offset)
 	if len(s.reads) == 0 {
 		s.cancel()
 		return nil, from, nil
@@ -38,9 +40,9 @@
 	r := s.reads[0]
 	s.reads = s.reads[1:]
 	if r.err != nil {
-		return nil, 0, r.err
+		return nil, era.Position{}, r.err
 	}
-	return r.entries, from + int64(len(r.entries)), nil
+	return r.entries, at(from.Offset + int64(len(r.entries))), nil
 }
 
 // runScript runs a follower to the end of the script and returns the applied entries and the number
@@ -62,8 +64,11 @@
 	return applied, failedReads
 }
 
+// at returns a position in a log without eras.
+func at(offset int64) era.Position { return era.Position{Offset: offset} }
+
 func entry(key, value string, offset int64) Entry {
-	e := Entry{Key: key, Offset: offset}
+	e := Entry{Key: key, Position: at(offset)}
 	if value != "" {
 		e.Value = []byte(value)
 	}
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -13,6 +13,7 @@
 	"fescuestand/internal/authority"
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 	"fescuestand/internal/policy/stages"
 )
 
@@ -64,9 +65,9 @@
 	a := authority.New(0, true, 0)
 	now := clock.Boot{}.Now()
 	if mayAct {
-		a.RecordRenewal(now.Add(-4*time.Second), true, 5)
-		a.RecordRenewal(now.Add(-2*time.Second), true, 5)
-		a.RecordRenewal(now, true, 5)
+		a.RecordRenewal(now.Add(-4*time.Second), true, era.None, 5)
+		a.RecordRenewal(now.Add(-2*time.Second), true, era.None, 5)
+		a.RecordRenewal(now, true, era.None, 5)
 		for _, want := range []authority.Step{authority.ReadRecord, authority.WriteRecord} {
 			step, term := a.NextStep(now)
 			assert.Equal(t, step, want)
@@ -85,7 +86,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			time.Sleep(100 * time.Millisecond)
-			a.RecordRenewal(clock.Boot{}.Now(), mayAct, 5)
+			a.RecordRenewal(clock.Boot{}.Now(), mayAct, era.None, 5)
 		}
 	}()
 	t.Cleanup(func() { cancel(); <-done })
@@ -134,7 +135,7 @@
 		Demand: func() stages.Demand { return stages.Demand{} }, OnOrder: func(string) {}, planners: map[string]*stages.Planner{},
 	}
 	runPass := func() {
-		a.RecordRenewal(c.T, true, 5)
+		a.RecordRenewal(c.T, true, era.None, 5)
 		if step, term := a.NextStep(c.T); step != authority.NoStep {
 			a.RecordStepResult(term, step == authority.WriteRecord, true)
 		}
--- a/internal/usage/book.go
+++ b/internal/usage/book.go
@@ -52,13 +52,14 @@
 	own          map[int64]Counts            // by window
 	pendingSends map[int64]int               // how often to send each own window still
 	peers        map[string]map[int64]Counts // by process and window
+	decided      map[int64]Counts            // counts decided for reports, by window
 	newest       int64                       // window
 	lastSent     clock.Time
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{own: map[int64]Counts{}, pendingSends: map[int64]int{}, peers: map[string]map[int64]Counts{}}
+	return &Ledger{own: map[int64]Counts{}, pendingSends: map[int64]int{}, peers: map[string]map[int64]Counts{}, decided: map[int64]Counts{}}
 }
 
 // RecordRequest counts a request that this process serves for a workspace.
@@ -83,6 +84,7 @@
 	l.newest = window
 	old := func(w int64, _ Counts) bool { return w <= window-maxWindows }
 	maps.DeleteFunc(l.own, old)
+	maps.DeleteFunc(l.decided, old)
 	for process, windows := range l.peers {
 		maps.DeleteFunc(windows, old)
 		if len(windows) == 0 {
@@ -150,6 +152,35 @@
 	c.mergeMax(t.Counts)
 }
 
+// SetDecided records the counts that were decided for the report of a window, unless others are
+// recorded already.
+func (l *Ledger) SetDecided(t Totals) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.decided[t.Window]; !ok && t.Window > l.newest-maxWindows {
+		l.decided[t.Window] = maps.Clone(t.Counts)
+	}
+}
+
+// Decided returns the counts that were decided for the report of a window, if this process knows them.
+func (l *Ledger) Decided(window int64) (t Totals, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := l.decided[window]
+	return Totals{window, maps.Clone(c)}, ok
+}
+
+// AllDecided returns the decided counts of all windows that this process knows.
+func (l *Ledger) AllDecided() []Totals {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Totals, 0, len(l.decided))
+	for w, c := range l.decided {
+		out = append(out, Totals{w, maps.Clone(c)})
+	}
+	return out
+}
+
 // Sum returns the counts of a window, summed over all processes.
 func (l *Ledger) Sum(window int64) Counts {
 	l.mu.Lock()
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 )
 
 const (
@@ -27,9 +28,10 @@
 // Records stores the decided counts of windows, where each leader can read them.
 type Records interface {
 	// Decided returns the newest decided windows, and the version of the records.
-	Decided(ctx context.Context) (decided []Totals, version int64, err error)
-	// Decide adds a window, on the condition that the records still have the given version.
-	Decide(ctx context.Context, t Totals, version int64) error
+	Decided(ctx context.Context) (decided []Totals, version era.Position, err error)
+	// Decide adds a window, on the condition that the records still have the given version. It fails
+	// if the store's era isn't that of the version.
+	Decide(ctx context.Context, t Totals, version era.Position) error
 }
 
 // Billing is the platform's receiver of reports.
@@ -44,11 +46,16 @@
 // The counts of a window are decided by a conditional write of a record before the first report. So
 // successive leaders, and a leader that doesn't know whether its write or its report arrived, report
 // the same counts.
+//
+// A restore of the store may undo a record whose counts were reported. So leaders remember what they
+// have decided and tell their successors. A window that may have been decided in an earlier era is
+// reported only with remembered counts.
 type Reporter struct {
 	Ledger  *Ledger
 	Records Records
 	Billing Billing
 	Clock   clock.Clock
+	Eras    *era.Tracker // of the store
 	// TrueTime returns the time of day at a reading of Clock.
 	TrueTime func(clock.Time) time.Time
 	// MayAct returns the fencing token to act with, and whether this process may act as leader.
@@ -90,7 +97,7 @@
 	first := WindowOf(now.Add(abandonMargin-r.ReportDeadline), r.Window)
 	r.evictBefore(first)
 	for w := first; w < WindowOf(now.Add(-settleTime), r.Window); w++ {
-		if r.reported[w] {
+		if r.reported[w] || !r.hasKnownDecision(w) {
 			continue
 		}
 		if !r.report(ctx, w) {
@@ -99,6 +106,23 @@
 	}
 }
 
+// maxTimeError bounds the difference between the true times that two VMs estimate.
+const maxTimeError = time.Second
+
+// hasKnownDecision reports whether the decision on a window is remembered, or can't have been made
+// before the store's current era.
+func (r *Reporter) hasKnownDecision(window int64) bool {
+	if _, remembered := r.Ledger.Decided(window); remembered {
+		return true
+	}
+	e, since := r.Eras.Since()
+	if e == era.None {
+		return true
+	}
+	windowEnd := time.Unix(0, (window+1)*int64(r.Window))
+	return !r.TrueTime(since).After(windowEnd.Add(settleTime - maxTimeError))
+}
+
 // evictBefore logs windows before first that weren't reported, and deletes the state of old ones.
 func (r *Reporter) evictBefore(first int64) {
 	for w := first - maxWindows/2; w < first; w++ {
@@ -132,9 +156,12 @@
 	return err == nil
 }
 
-// decide returns the decided counts of a window. If the records have none, it writes the sum of all
-// totals there first, unless the window has no requests.
+// decide returns the decided counts of a window. If neither this process nor the records have any, it
+// writes the sum of all totals to the records first, unless the window has no requests.
 func (r *Reporter) decide(ctx context.Context, window int64) (Totals, bool) {
+	if t, ok := r.Ledger.Decided(window); ok {
+		return t, true
+	}
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	decided, version, err := r.Records.Decided(ctx)
@@ -142,7 +169,12 @@
 		log.WithError(err).WithField("window", window).Warn("usage records read failed")
 		return Totals{}, false
 	}
+	if !r.hasKnownDecision(window) {
+		log.WithField("window", window).WithField("era", uint64(version.Era)).Warn("usage may have been decided before the store was restored")
+		return Totals{}, false
+	}
 	if i := slices.IndexFunc(decided, func(t Totals) bool { return t.Window == window }); i >= 0 {
+		r.Ledger.SetDecided(decided[i])
 		return decided[i], true
 	}
 	t := Totals{window, r.Ledger.Sum(window)}
@@ -153,7 +185,8 @@
 		log.WithError(err).WithField("window", window).Warn("usage decision failed")
 		return Totals{}, false
 	}
-	log.WithField("window", window).WithField("requests", t.requests()).Info("usage decided")
+	log.WithField("window", window).WithField("requests", t.requests()).WithField("era", uint64(version.Era)).WithField("offset", version.Offset).Info("usage decided")
+	r.Ledger.SetDecided(t)
 	return t, true
 }
 
--- a/internal/usage/share.go
+++ b/internal/usage/share.go
@@ -34,7 +34,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	book := &wire.UsageBook{}
+	book := &wire.UsageBook{Decided: Encode(h.Ledger.AllDecided())}
 	for process, windows := range h.Ledger.TotalsByProcess(h.Process) {
 		book.Processes = append(book.Processes, &wire.UsageTotals{Process: process, Windows: Encode(windows)})
 	}
@@ -49,7 +49,7 @@
 }
 
 // Gatherer merges the ledgers of other VMs: a VM that becomes leader may not have received the last
-// totals of VMs that have stopped since.
+// totals of VMs that have stopped since, nor the counts that earlier leaders have decided.
 type Gatherer struct {
 	Ledger  *Ledger
 	Process string          // name of this process
@@ -87,6 +87,9 @@
 		if err := proto.Unmarshal(data, book); err != nil {
 			return err
 		}
+		for _, w := range book.GetDecided() {
+			g.Ledger.SetDecided(decode(w))
+		}
 		for _, p := range book.GetProcesses() {
 			if p.GetProcess() != g.Process {
 				g.Ledger.MergeWindows(p.GetProcess(), p.GetWindows())
@@ -113,16 +116,20 @@
 	return out
 }
 
+func decode(w *wire.UsageWindow) Totals {
+	requests := w.GetRequests()
+	counts := make(Counts, len(requests))
+	for i, name := range w.GetWorkspace() {
+		if i < len(requests) {
+			counts[name] = requests[i]
+		}
+	}
+	return Totals{w.GetWindow(), counts}
+}
+
 // MergeWindows merges totals of another process, as VMs send them to each other.
 func (l *Ledger) MergeWindows(process string, windows []*wire.UsageWindow) {
 	for _, w := range windows {
-		requests := w.GetRequests()
-		counts := make(Counts, len(requests))
-		for i, name := range w.GetWorkspace() {
-			if i < len(requests) {
-				counts[name] = requests[i]
-			}
-		}
-		l.MergeTotals(process, Totals{w.GetWindow(), counts})
+		l.MergeTotals(process, decode(w))
 	}
 }
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 )
 
 // Guards against totals that are lost, doubled or reduced by messages that are lost, duplicated or
@@ -87,11 +88,14 @@
 var errUnavailable = errors.New("away")
 
 // platform implements Records and Billing. With faults it sometimes fails, loses its answers, or
-// applies a write later.
+// applies a write later. With restores it also loses its newest records at times.
 type platform struct {
 	rng      *rand.Rand
 	clock    *clock.Manual
+	eras     *era.Tracker
 	faults   bool
+	restores bool
+	era      era.Era
 	records  []Totals
 	late     []lateWrite
 	reports  map[int64]Counts
@@ -105,6 +109,16 @@
 	version int64
 }
 
+// maybeRestore restores the store from an older copy at times, at any depth.
+func (p *platform) maybeRestore() {
+	if p.restores && p.rng.IntN(100) == 0 {
+		p.records = slices.Clone(p.records[:p.rng.IntN(len(p.records)+1)])
+		if p.era != era.None {
+			p.era++
+		}
+	}
+}
+
 func (p *platform) fails(in int) bool { return p.faults && p.rng.IntN(in) == 0 }
 
 // applyLateWrites applies the late writes that are due.
@@ -126,16 +140,19 @@
 	return true
 }
 
-func (p *platform) Decided(context.Context) ([]Totals, int64, error) {
+func (p *platform) Decided(context.Context) ([]Totals, era.Position, error) {
 	p.applyLateWrites()
 	if p.fails(4) {
-		return nil, 0, errUnavailable
+		return nil, era.Position{}, errUnavailable
 	}
-	return p.records, int64(len(p.records)), nil
+	p.eras.Observe(p.era, "decided")
+	return p.records, era.Position{Era: p.era, Offset: int64(len(p.records))}, nil
 }
 
-func (p *platform) Decide(_ context.Context, t Totals, version int64) error {
+func (p *platform) Decide(_ context.Context, t Totals, read era.Position) error {
 	p.applyLateWrites()
+	p.maybeRestore()
+	version := read.Offset
 	switch {
 	case p.fails(4):
 		return errUnavailable
@@ -147,6 +164,10 @@
 	case p.fails(4):
 		return errUnavailable
 	}
+	p.eras.Observe(p.era, "decide")
+	if p.era != read.Era {
+		return errors.New("another era")
+	}
 	return nil
 }
 
@@ -169,14 +190,15 @@
 var start = time.Unix(1_800_000_000, 0)
 
 func newPlatform(seed uint64) *platform {
+	c := &clock.Manual{T: clock.Time(time.Minute)}
 	return &platform{
-		rng: rand.New(rand.NewPCG(seed, 3)), clock: &clock.Manual{T: clock.Time(time.Minute)}, reports: map[int64]Counts{},
+		rng: rand.New(rand.NewPCG(seed, 3)), clock: c, eras: era.NewTracker(c), reports: map[int64]Counts{},
 	}
 }
 
 func (p *platform) reporter(b *Ledger, may func() bool) *Reporter {
 	return &Reporter{
-		Ledger: b, Records: p, Billing: p, Clock: p.clock, TrueTime: func(at clock.Time) time.Time { return start.Add(time.Duration(at)) },
+		Ledger: b, Records: p, Billing: p, Clock: p.clock, Eras: p.eras, TrueTime: func(at clock.Time) time.Time { return start.Add(time.Duration(at)) },
 		MayAct: func() (int64, bool) { return 4, may() }, Gather: func(context.Context) {}, Window: 5 * time.Second, ReportDeadline: 10 * time.Second, reported: map[int64]bool{},
 	}
 }
@@ -224,6 +246,7 @@
 	}
 	for range 600 {
 		p.clock.T = p.clock.T.Add(100 * time.Millisecond)
+		p.maybeRestore()
 		if p.rng.IntN(20) == 0 {
 			secondLeader, leader = leader, p.rng.IntN(3)
 		}
@@ -240,6 +263,57 @@
 	}
 }
 
+// runRestores runs leaders with a store that is restored at times. Unless guarded is set, they don't
+// know of its eras. It returns the number of windows reported.
+func runRestores(t *testing.T, seed uint64, guarded bool) (p *platform) {
+	t.Helper()
+	p = newPlatform(seed)
+	p.faults, p.restores = true, true
+	if guarded {
+		p.era = era.First
+	}
+	runLeaders(t, p)
+	return p
+}
+
+// Guards against two reports of one window that differ because the store was restored: it lost the
+// decision that the first report followed, and another leader decides anew, or an old write is executed
+// under a condition that holds again.
+func TestNoTwoReportsDifferWhenTheStoreIsRestored(t *testing.T) {
+	reports := 0
+	for seed := range uint64(300) {
+		p := runRestores(t, seed, true)
+		assert.Assert(t, !p.conflict, "seed %d", seed)
+		reports += len(p.reports)
+	}
+	t.Logf("%d windows reported", reports)
+	assert.Assert(t, reports > 300, "%d windows", reports)
+}
+
+// The same simulation finds reports that differ if leaders don't know of the store's eras.
+func TestReportsDifferWithoutEras(t *testing.T) {
+	conflicts := 0
+	for seed := range uint64(300) {
+		if runRestores(t, seed, false).conflict {
+			conflicts++
+		}
+	}
+	t.Logf("%d of 300 seeds", conflicts)
+	assert.Assert(t, conflicts > 0)
+}
+
+// Guards against a successor that decides anew what its predecessor has reported.
+func TestANewLeaderGathersDecisions(t *testing.T) {
+	predecessor, leader := NewLedger(), NewLedger()
+	predecessor.SetDecided(Totals{7, Counts{"north": 3}})
+	srv := httptest.NewServer(&Handler{Ledger: predecessor, Process: "predecessor"})
+	t.Cleanup(srv.Close)
+	NewGatherer(leader, "leader", func() []string { return []string{strings.TrimPrefix(srv.URL, "http://")} }).Gather(t.Context())
+	decided, ok := leader.Decided(7)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, decided, Totals{7, Counts{"north": 3}})
+}
+
 // Guards against two reports of one window that differ, whichever messages and writes are delayed,
 // lost or repeated.
 func TestNoTwoReportsOfAWindowDiffer(t *testing.T) {
@@ -255,8 +329,10 @@
 // undecided is a platform without records: each leader reports its own sums.
 type undecided struct{ *platform }
 
-func (u undecided) Decided(context.Context) ([]Totals, int64, error) { return nil, 0, nil }
-func (u undecided) Decide(context.Context, Totals, int64) error      { return nil }
+func (u undecided) Decided(context.Context) ([]Totals, era.Position, error) {
+	return nil, era.Position{}, nil
+}
+func (u undecided) Decide(context.Context, Totals, era.Position) error { return nil }
 
 // The same check fails if windows aren't decided before they are reported.
 func TestReportsDifferWithoutRecords(t *testing.T) {
--- a/internal/vm/duties.go
+++ b/internal/vm/duties.go
@@ -18,7 +18,7 @@
 	var units []kernel.Unit
 	if u := n.o.Usage; u.Window > 0 {
 		units = append(units, &usage.Reporter{
-			Ledger: n.usageLedger, Records: n.adapter.UsageRecords(), Billing: n.adapter.Billing(), Clock: n.clock,
+			Ledger: n.usageLedger, Records: n.adapter.UsageRecords(), Billing: n.adapter.Billing(), Clock: n.clock, Eras: n.eras,
 			TrueTime: n.timeEstimator.At, MayAct: n.mayAct, Window: u.Window, ReportDeadline: u.ReportDeadline,
 			Gather: usage.NewGatherer(n.usageLedger, n.process(), n.members.ResponsiveActive).Gather,
 		})
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -9,6 +9,7 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/configsync"
+	"fescuestand/internal/era"
 	"fescuestand/internal/gateway"
 	"fescuestand/internal/keyedlog"
 )
@@ -42,19 +43,36 @@
 	n.configFollower = keyedlog.New("config", n.adapter.Configs())
 	n.configFollower.Apply, n.configFollower.SingleKey = n.applyConfig, true
 	n.configFollower.ReadWait, n.configFollower.ReadInterval, n.configFollower.Clock = n.configReadWait, n.configReadInterval, n.clock
-	if n.freshness != nil {
-		n.configFollower.OnRead = n.freshness.RecordRead
-	}
+	n.configFollower.Eras, n.configFollower.OnRead = n.eras, n.recordConfigRead
 	n.configPuller = configsync.NewPuller(n.clock, n.version, n.configFollower)
 	n.endpointFollower = keyedlog.New("fleet", n.adapter.Endpoints())
+	n.endpointFollower.Eras = n.eras
 	n.endpointFollower.Apply, n.endpointFollower.BeginBatch, n.endpointFollower.EndBatch = n.applyEndpoint, n.catalog.BeginBatch, n.catalog.EndBatch
 	n.endpointFollower.ReadInterval, n.endpointFollower.OnReadError = n.members.ReadInterval, n.catalog.RecordOutage
 	n.endpointFollower.OnRead = func(clock.Time) {
 		n.members.RecordRead()
-		n.endpointChanges.RecordRead(n.endpointFollower.NextOffset())
+		n.endpointChanges.RecordRead(n.endpointFollower.Next())
 	}
-	n.endpointChanges = gateway.NewChanges(n.clock, n.endpointFollower)
+	n.endpointChanges = gateway.NewChanges(n.clock, n.eras, n.endpointFollower)
 	n.endpointChanges.IsReader = n.members.IsReader
+	n.eras.OnChange(n.storeRestored)
+}
+
+// storeRestored handles a new era of the platform's store. Entries that the store has lost are kept as
+// after an outage, and a wait for a record ends: it may be for an offset that was given out again.
+func (n *Node) storeRestored(era.Era) {
+	n.catalog.RecordOutage()
+	if n.configReadWait() > 0 {
+		n.configFollower.Wake()
+	}
+}
+
+// recordConfigRead records that a call sent at sentAt has read the newest configuration. Shortly after a
+// restore the store may lack it: the operators may not have written it again yet.
+func (n *Node) recordConfigRead(sentAt clock.Time) {
+	if n.freshness != nil && n.eras.SettledBy(sentAt) {
+		n.freshness.RecordRead(sentAt)
+	}
 }
 
 // configReadWait returns how long a read of the configuration waits for a newer one.
@@ -153,12 +171,13 @@
 		if n.freshness != nil {
 			n.freshness.RecordUnreadable()
 		}
-		log.WithError(err).WithField("offset", e.Offset).Error("configuration decode failed")
+		logEntry(&e).WithError(err).Error("configuration decode failed")
 		return
 	}
 	if !n.catalog.SetConfig(c) {
 		return
 	}
+	logEntry(&e).WithField("version", c.Version).Info("configuration applied")
 	if n.freshness != nil {
 		n.freshness.RecordInForce(c.Version)
 	}
@@ -169,6 +188,11 @@
 	n.pushUpdates()
 }
 
+// logEntry returns a log entry that says where e was read.
+func logEntry(e *keyedlog.Entry) *log.Entry {
+	return log.WithField("key", e.Key).WithField("era", uint64(e.Position.Era)).WithField("offset", e.Position.Offset).WithField("from_peer", e.FromPeer)
+}
+
 func (n *Node) applyEndpoint(e keyedlog.Entry) {
 	if e.Value == nil {
 		n.applyRemoval(e)
@@ -180,6 +204,7 @@
 		return
 	}
 	if n.catalog.SetEndpoint(ep) {
+		logEntry(&e).Info("endpoint entry applied")
 		n.endpointChanges.RecordApplied(e)
 		n.pushUpdates()
 	}
@@ -190,11 +215,12 @@
 func (n *Node) applyRemoval(e keyedlog.Entry) {
 	changed := false
 	if e.GracePeriod > 0 {
-		changed = n.catalog.ExpireAfter(e.Key, e.GracePeriod)
+		changed = n.catalog.ExpireAfter(e.Key, e.Missing, e.GracePeriod)
 	} else {
-		changed, e.GracePeriod = n.catalog.RemoveEndpoint(e.Key)
+		changed, e.GracePeriod = n.catalog.RemoveEndpoint(e.Key, e.Missing)
 	}
 	if changed {
+		logEntry(&e).WithField("missing", e.Missing).WithField("kept_ms", e.GracePeriod.Milliseconds()).Info("endpoint entry ended")
 		n.endpointChanges.RecordApplied(e)
 		n.pushUpdates()
 	}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -17,6 +17,7 @@
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/configsync"
+	"fescuestand/internal/era"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/freshness"
 	"fescuestand/internal/gateway"
@@ -38,6 +39,9 @@
 // Adapter translates between this system and the platform that it runs on.
 type Adapter interface {
 	gossip.Group
+	// Eras are the eras of the platform's store that this VM knows of. The adapter records those of
+	// the answers.
+	Eras() *era.Tracker
 	// Codec decodes and encodes the headers of requests.
 	Codec() gateway.Codec
 	// Configs is the log in which operators publish the configuration, under ConfigKey.
@@ -118,6 +122,7 @@
 	o                Options
 	adapter          Adapter
 	clock            clock.Clock
+	eras             *era.Tracker
 	catalog          *catalog.Store
 	members          *gossip.Members
 	planner          *place.Planner
@@ -144,7 +149,7 @@
 // New assembles a process. Its units do nothing until the kernel runs them.
 func New(o Options, a Adapter) *Node {
 	c := clock.Boot{}
-	n := &Node{o: o, adapter: a, clock: c, catalog: catalog.NewStore(c), crashes: crash.New(), backpressure: backpressure.New(seedOf(o.Self.Incarnation))}
+	n := &Node{o: o, adapter: a, clock: c, eras: a.Eras(), catalog: catalog.NewStore(c), crashes: crash.New(), backpressure: backpressure.New(seedOf(o.Self.Incarnation))}
 	n.members = gossip.NewMembers(c, o.Self)
 	n.pool = exchange.NewPool()
 	n.authority = authority.New(o.MinLeaderChangeInterval, o.FirstStart, c.Now())
@@ -170,7 +175,7 @@
 	n.backpressure.RequestRate, n.backpressure.VMCount = n.gateway.RequestRate, n.members.AdvertisedCount
 	n.orders.OnEndpointLeaving = n.endpointLeaving
 	n.gossipContent = &gateway.GossipContent{
-		Clock: c, Planner: n.planner, Pressure: n.backpressure, Crashes: n.crashes, Catalog: n.catalog, Changes: n.endpointChanges,
+		Clock: c, Eras: n.eras, Planner: n.planner, Pressure: n.backpressure, Crashes: n.crashes, Catalog: n.catalog, Changes: n.endpointChanges,
 		RequestRate: n.gateway.RequestRate, OnOrder: n.orders.RecordPeerOrder, OnPeerConfigVersion: n.configPuller.ReceiveVersion, OnChange: n.pushUpdates,
 	}
 	if o.Usage.Window > 0 {
@@ -296,8 +301,11 @@
 
 // leadershipRenewed handles a confirmed renewal of this VM's membership in the platform's group.
 func (n *Node) leadershipRenewed(sentAt clock.Time, a gossip.Assignment) {
+	if a.Era < n.eras.Current() {
+		return // delayed until after a restore: the group may have assigned the leadership anew
+	}
 	n.members.SetLeader(a.Leader)
-	n.authority.RecordRenewal(sentAt, a.Leader && !n.members.Leaving(), a.Generation)
+	n.authority.RecordRenewal(sentAt, a.Leader && !n.members.Leaving(), a.Era, a.Generation)
 }
 
 // seedOf derives a seed from an incarnation, so that the planners of different processes break ties
