Soak: the store is restored from older copies, once or twice in a row, with polls that hang

Age up to 6 s, overlapping with all other faults; the operators write their newest configuration again after up to 1.5 s, the store expires resurrected entries after 3 s.

--- a/scenarios/soak_faults_test.go
+++ b/scenarios/soak_faults_test.go
@@ -119,6 +119,7 @@
 		s.store.SetDropAnswers(true)
 		return func() { s.store.SetDropAnswers(false) }
 	}},
+	{"store restored from an older copy", (*soak).restoreStore},
 	{"store's history dropped", func(s *soak) func() {
 		s.store.DropHistory("keyed.op")
 		s.store.DropHistory("keyed.servers")
@@ -230,6 +231,60 @@
 	s.store.SetDown(down)
 }
 
+const (
+	// maxCopyAge is the maximum age of the copy from which the store is restored.
+	maxCopyAge = 6 * time.Second
+	// rewriteDelay is the maximum time after a restore until operators write the configuration again.
+	rewriteDelay = 1500 * time.Millisecond
+	// expiryDelay is the time after a restore until the store expires the entries of removed endpoints
+	// again.
+	expiryDelay = 3 * time.Second
+)
+
+// restoreStore takes the store down and restores it from an older copy, once or twice in a row.
+func (s *soak) restoreStore() func() {
+	down := time.Now()
+	age, again := time.Duration(s.rng.Int64N(int64(maxCopyAge))), s.rng.IntN(3) == 0
+	delay := time.Duration(s.rng.Int64N(int64(rewriteDelay)))
+	s.store.SetHangPolls(s.rng.IntN(2) == 0)
+	s.setStoreDown(true)
+	return func() {
+		s.store.Restore(time.Since(down) + age)
+		s.setStoreDown(false)
+		if again {
+			time.Sleep(delay / 2)
+			s.store.Restore(age / 2)
+		}
+		time.Sleep(delay)
+		s.rewriteConfig()
+		s.wg.Go(func() {
+			time.Sleep(expiryDelay)
+			s.expireRemoved()
+		})
+	}
+}
+
+// rewriteConfig writes the newest configuration again if the store has lost it.
+func (s *soak) rewriteConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := s.configs[len(s.configs)-1].text
+	if s.store.Newest("keyed.op", "config") != newest {
+		s.store.Put("keyed.op", "config", newest)
+	}
+}
+
+// expireRemoved deletes the entries of removed endpoints that a restore has brought back.
+func (s *soak) expireRemoved() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, e := range s.endpoints {
+		if e.removed && s.store.Newest("keyed.servers", id) != "" {
+			s.store.Put("keyed.servers", id, "")
+		}
+	}
+}
+
 // switchReads publishes a configuration that sends reads to the other service.
 func (s *soak) switchReads() func() {
 	s.mu.Lock()
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -71,6 +71,7 @@
 // published is a configuration that the store has accepted, and when.
 type published struct {
 	version int
+	text    string
 	reads   string // the service of the route for reads
 	at      time.Time
 }
@@ -183,7 +184,7 @@
 		route(pathOnce, "streaming", "m", `, "targetLatencyMs": 400, "gapAimMs": 200`),
 		route(pathPay, "non_idempotent", "s", ""), route(pathReads, "idempotent", service, ""))
 	s.store.Put("keyed.op", "config", text)
-	s.configs = append(s.configs, published{version, service, time.Now()})
+	s.configs = append(s.configs, published{version, text, service, time.Now()})
 }
 
 // addEndpoint starts an endpoint that reports itself to the store until it is removed.
@@ -207,6 +208,7 @@
 	defer tick.Stop()
 	defer e.link.Close()
 	defer e.Crash()
+	written := ""
 	for {
 		s.mu.Lock()
 		removed, draining, storeDown := e.removed, e.draining, s.storeDown
@@ -215,8 +217,9 @@
 			s.store.Put("keyed.servers", e.ID, "")
 			return
 		}
-		if !storeDown {
-			s.store.Put("keyed.servers", e.ID, e.Entry(e.link.Addr(), draining))
+		if !storeDown && s.writesEntry(e, draining, written) {
+			written = e.Entry(e.link.Addr(), draining)
+			s.store.Put("keyed.servers", e.ID, written)
 		}
 		select {
 		case <-s.ctx.Done():
@@ -226,6 +229,16 @@
 	}
 }
 
+// writesEntry reports whether an endpoint writes its entry now. With every other seed the log gets each
+// of its reports, with the others only those that change the entry or that the store has lost.
+func (s *soak) writesEntry(e *soakEndpoint, draining bool, written string) bool {
+	if s.seed%2 == 0 {
+		return true
+	}
+	stored := s.store.Newest("keyed.servers", e.ID)
+	return stored == "" || stored != written || strings.Contains(stored, "draining") != draining || !strings.Contains(stored, e.CurrentStage())
+}
+
 // awaitServing waits until every VM accepts callers.
 func (s *soak) awaitServing() {
 	deadline := time.Now().Add(exitTimeout)
