--- a/internal/gossip/group.go
+++ b/internal/gossip/group.go
@@ -75,9 +75,10 @@
 	onRenewed func(sentAt clock.Time, a Assignment)
 	listTried chan struct{} // closed after the first try to read the list
 
-	// Of the joining goroutine:
-	joined   bool
-	neededAt clock.Time // when this VM was last in the active set, or the leader
+	callMu sync.Mutex // serializes joins and leaves, and guards joined
+	joined bool
+
+	neededAt clock.Time // when this VM was last in the active set, or the leader; of the joining goroutine
 }
 
 // NewRegistration returns the unit. It calls onRenewed after each confirmed renewal.
@@ -114,13 +115,12 @@
 		return ctx.Err()
 	}
 	return runPeriodically(ctx, func() time.Duration {
+		joined := r.isJoined()
 		switch {
-		case r.members.Leaving():
-			return joinPeriod
-		case r.joined && r.shouldLeave():
+		case joined && r.shouldLeave():
 			r.leave(ctx)
 			return joinCheckPeriod
-		case !r.joined && !r.shouldJoin():
+		case !joined && !r.shouldJoin():
 			return r.joinCheckDelay()
 		}
 		return r.renew(ctx)
@@ -159,7 +159,16 @@
 	return now.Sub(r.neededAt) > leaveDelay
 }
 
+func (r *Registration) isJoined() bool {
+	r.callMu.Lock()
+	defer r.callMu.Unlock()
+	return r.joined
+}
+
+// leave leaves the group once a renewal under way has ended, which would undo it.
 func (r *Registration) leave(ctx context.Context) {
+	r.callMu.Lock()
+	defer r.callMu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := r.group.Leave(ctx, r.members.own); err != nil {
@@ -168,7 +177,13 @@
 	r.joined = false // if the call was lost, the entry expires
 }
 
+// renew joins the group or stays in it, unless this VM is shutting down.
 func (r *Registration) renew(ctx context.Context) time.Duration {
+	r.callMu.Lock()
+	defer r.callMu.Unlock()
+	if r.members.Leaving() {
+		return joinPeriod
+	}
 	sentAt := r.members.clock.Now()
 	a, err := r.group.Join(ctx, r.members.own, joinTTL)
 	r.joined = true
