Soak: a request that crosses the closing of its idle connection isn't cut off

HTTP/1.1 has no way to avoid it. The check is narrowed to that case: EOF or reset without an answer, no arrival, no line of the id in the VM's log, and the VM's line 'server drained server=front' within 200 ms. TestRequestsThatCrossTheCloseOfADrain shows that each condition is needed.

--- a/scenarios/soak_check_test.go
+++ b/scenarios/soak_check_test.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
+	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -22,6 +25,9 @@
 	minHolderGap = 3 * time.Second
 	// minServedShare is the share of the requests that must succeed after the recovery.
 	minServedShare = 0.95
+	// closeSlack is the maximum time between a request that crosses the closing of its connection and
+	// the log line of the closing.
+	closeSlack = 200 * time.Millisecond
 )
 
 // check fails the test with every violation found in what callers and endpoints observed and in the
@@ -85,7 +91,7 @@
 		default:
 			s.addViolation("%s %s: status %d", a.id, a.path, a.status)
 		}
-		if a.endedEarly() && s.planned() {
+		if a.endedEarly() && s.planned() && !(arrivals[a.id] == 0 && s.crossedClose(a)) {
 			s.addViolation("%s %s at %s at %s: cut off by planned work after %s, %d times at an endpoint: %v",
 				a.id, a.path, a.vm, a.sent.Format(time.StampMilli), a.answered.Sub(a.sent), arrivals[a.id], a.err)
 		}
@@ -100,6 +106,31 @@
 	return early && a.answered.Sub(a.sent) < callerTimeout && !errors.Is(a.err, syscall.ECONNREFUSED)
 }
 
+// crossedClose reports whether a request crossed the closing of its idle connection: its VM closed its
+// connections at the end of a drain at that moment, and has logged nothing about the request. A caller
+// may send a request again if the connection was closed before it was read.
+func (s *soak) crossedClose(a *soakAnswer) bool {
+	closed := errors.Is(a.err, io.EOF) || errors.Is(a.err, syscall.ECONNRESET)
+	i := slices.IndexFunc(s.vms, func(v *soakVM) bool { return v.front == a.vm })
+	if !closed || a.status != 0 || i < 0 {
+		return false
+	}
+	text, err := os.ReadFile(s.vms[i].proc.log)
+	if err != nil || strings.Contains(string(text), " id="+a.id+" ") {
+		return false
+	}
+	for _, m := range drainedLine.FindAllStringSubmatch(string(text), -1) {
+		at, err := time.Parse(time.RFC3339Nano, m[1])
+		if err == nil && at.After(a.sent.Add(-closeSlack)) && at.Before(a.answered.Add(closeSlack)) {
+			return true
+		}
+	}
+	return false
+}
+
+// drainedLine is the log line of a VM that has closed its connections to callers.
+var drainedLine = regexp.MustCompile(`(?m)^timestamp=(\S+) .*message="server drained" server=front `)
+
 func (s *soak) checkRuns() {
 	for id, n := range s.runsOf() {
 		if n > 1 && s.runsOnce(id) {
--- a/scenarios/soak_proof_test.go
+++ b/scenarios/soak_proof_test.go
@@ -1,8 +1,13 @@
 package scenarios
 
 import (
+	"context"
+	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -64,6 +69,35 @@
 	}
 }
 
+// Checks that a request counts as sent on a closing connection only if its VM closed its connections at
+// that moment and hasn't read the request.
+func TestRequestsThatCrossTheCloseOfADrain(t *testing.T) {
+	sent := time.Now()
+	line := func(at time.Time) string {
+		return "timestamp=" + at.UTC().Format(time.RFC3339Nano) + " level=info message=\"server drained\" server=front whole=true\n"
+	}
+	for name, tc := range map[string]struct {
+		log  string
+		err  error
+		want bool
+	}{
+		"closed at that moment":   {line(sent.Add(time.Millisecond)), io.EOF, true},
+		"reset at that moment":    {line(sent.Add(time.Millisecond)), syscall.ECONNRESET, true},
+		"closed earlier":          {line(sent.Add(-time.Second)), io.EOF, false},
+		"not closed":              {"", io.EOF, false},
+		"read":                    {line(sent) + "level=info message=\"request ends\" id=r outcome=lost\n", io.EOF, false},
+		"another error":           {line(sent), context.DeadlineExceeded, false},
+		"another server's drain":  {strings.Replace(line(sent), "front", "peers", 1), io.EOF, false},
+		"a line that starts late": {"x" + line(sent), io.EOF, false},
+	} {
+		file := filepath.Join(t.TempDir(), "log")
+		assert.NilError(t, os.WriteFile(file, []byte(tc.log), 0o600))
+		s := &soak{vms: []*soakVM{{front: "vm", proc: &process{log: file}}}}
+		a := &soakAnswer{id: "r", vm: "vm", sent: sent, answered: sent.Add(2 * time.Millisecond), err: tc.err}
+		assert.Equal(t, s.crossedClose(a), tc.want, name)
+	}
+}
+
 func post(t *testing.T, e *standin.Endpoint, path, body, id string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.Addr()+path, strings.NewReader(body))
