--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -31,9 +31,17 @@
 	return nil, era.Position{}, nil
 }
 
+// testClock is a manual clock that a test may advance while pulls read it.
+type testClock struct{ now atomic.Int64 }
+
+// Now implements clock.Clock.
+func (c *testClock) Now() clock.Time { return clock.Time(c.now.Load()) }
+
+func (c *testClock) advance(d time.Duration) { c.now.Add(int64(d)) }
+
 // vm is a VM with a version in force that receives reports of other VMs' versions.
 type vm struct {
-	clock   *clock.Manual
+	clock   testClock
 	version atomic.Uint64
 	puller  *Puller
 	store   *emptyLog
@@ -41,7 +49,8 @@
 
 func newVM(t *testing.T) *vm {
 	t.Helper()
-	v := &vm{clock: &clock.Manual{T: clock.Time(time.Hour)}, store: &emptyLog{}}
+	v := &vm{store: &emptyLog{}}
+	v.clock.advance(time.Hour)
 	f := keyedlog.New("config", v.store)
 	f.ReadInterval = func() time.Duration { return time.Hour }
 	f.Apply = func(e keyedlog.Entry) { v.version.Store(uint64(len(e.Value))) }
@@ -49,14 +58,14 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	v.puller = NewPuller(v.clock, v.version.Load, f)
+	v.puller = NewPuller(&v.clock, v.version.Load, f)
 	return v
 }
 
 // receive reports a peer's version to the VM, now and once more after the time after.
 func (v *vm) receive(addr string, version uint64, after time.Duration) {
 	v.puller.ReceiveVersion(addr, version)
-	v.clock.T = v.clock.T.Add(after)
+	v.clock.advance(after)
 	v.puller.ReceiveVersion(addr, version)
 }
 
@@ -93,7 +102,7 @@
 	v := newVM(t)
 	for _, version := range []int{7, 9} {
 		handler.Set(keyedlog.Entry{Key: "config", Value: make([]byte, version), Position: era.Position{Offset: int64(version)}})
-		v.clock.T = v.clock.T.Add(minPullInterval)
+		v.clock.advance(minPullInterval)
 		v.receive(peer, uint64(version), pullDelay)
 		eventually(t, func() bool { return v.version.Load() == uint64(version) && v.idle() }, "the configuration in force")
 	}
@@ -126,7 +135,7 @@
 	empty := serve(t, &Handler{})
 	v.receive(empty, 5, pullDelay)
 	eventually(t, v.idle, "the end of the pull")
-	v.clock.T = v.clock.T.Add(storeReadDelay)
+	v.clock.advance(storeReadDelay)
 	v.puller.ReceiveVersion(empty, 5)
 	eventually(t, func() bool { return v.store.reads.Load() == 1 }, "a read of the store")
 }
