Caller stand-in: no retry that its own deadline would cut off

Cause, as listed: the time left is checked before the pause and not after it, and on a busy machine a pause of 10 ms takes longer. The caller gives up with its last refusal now if less than its minimum is left after the pause.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -106,6 +106,9 @@
 			return res
 		}
 		time.Sleep(delay)
+		if time.Until(deadline) < minRemaining {
+			return res // the machine was busy: a retry would be cut off by its own deadline
+		}
 	}
 }
 
