--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -204,7 +204,9 @@
 		return
 	}
 	if n.catalog.SetEndpoint(ep) {
-		logEntry(&e).Info("endpoint entry applied")
+		if !e.Initial { // a fleet's entries are logged by the catalog already
+			logEntry(&e).Info("endpoint entry applied")
+		}
 		n.endpointChanges.RecordApplied(e)
 		n.pushUpdates()
 	}
