--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -54,7 +54,7 @@
 
 // vmPackages lists the packages under internal whose log messages fescue-node writes.
 var vmPackages = []string{
-	"vm", "gateway", "gossip", "catalog", "configsync", "cachesync", "authority", "keyedlog", "orders", "exchange",
+	"vm", "era", "gateway", "gossip", "catalog", "configsync", "cachesync", "authority", "keyedlog", "orders", "exchange",
 	"eventlog", "kernel", "freshness", "usage", "scaling",
 	"policy/backpressure",
 }
