era: a process that learns its first era hasn't seen a restore

Found in reading the change, before callers saw it: a VM took the era of its first answer for a restore, and kept endpoints whose entries ended in its first 2.5 s as after an outage, longer than a leaving endpoint may get work. OnRestore is called only when a new era follows a known one (TestTheNewestEraIsKept).

--- a/internal/era/era.go
+++ b/internal/era/era.go
@@ -29,8 +29,8 @@
 
 // Tracker tracks the newest era that this process knows of. It is safe for concurrent use.
 type Tracker struct {
-	clock    clock.Clock
-	onChange []func(Era)
+	clock     clock.Clock
+	onRestore []func()
 
 	mu      sync.Mutex
 	current Era
@@ -40,47 +40,54 @@
 // NewTracker returns a tracker that knows no era.
 func NewTracker(c clock.Clock) *Tracker { return &Tracker{clock: c} }
 
-// OnChange has f called for each new era, including the first one. It must be called before the
-// tracker is used.
-func (t *Tracker) OnChange(f func(Era)) { t.onChange = append(t.onChange, f) }
+// OnRestore has f called when a new era follows a known one. It must be called before the tracker is
+// used.
+func (t *Tracker) OnRestore(f func()) { t.onRestore = append(t.onRestore, f) }
 
 // Observe records the era of an answer of the store.
 func (t *Tracker) Observe(e Era, call string) {
-	if t.merge(e, 0) {
-		log.WithField("era", uint64(e)).WithField("call", call).Info("store era observed")
-		t.notify(e)
+	previous, isNew := t.merge(e, 0)
+	if !isNew {
+		return
 	}
+	log.WithField("era", uint64(e)).WithField("call", call).Info("store era observed")
+	t.notify(previous)
 }
 
 // Merge records that another VM knows of an era and has done so for age.
 func (t *Tracker) Merge(e Era, age time.Duration, vm string) {
-	if t.merge(e, max(age, 0)) {
-		log.WithField("era", uint64(e)).WithField("vm", vm).Info("store era received from VM")
-		t.notify(e)
+	previous, isNew := t.merge(e, max(age, 0))
+	if !isNew {
+		return
 	}
+	log.WithField("era", uint64(e)).WithField("vm", vm).Info("store era received from VM")
+	t.notify(previous)
 }
 
-// merge returns whether e is a new era.
-func (t *Tracker) merge(e Era, age time.Duration) bool {
-	if e == None {
-		return false
-	}
+// merge returns whether e is a new era, and the one before it.
+func (t *Tracker) merge(e Era, age time.Duration) (previous Era, isNew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	since := t.clock.Now().Add(-age)
+	previous = t.current
 	switch {
+	case e == None:
 	case e > t.current:
 		t.current, t.since = e, since
-		return true
+		return previous, true
 	case e == t.current:
 		t.since = min(t.since, since)
 	}
-	return false
+	return previous, false
 }
 
-func (t *Tracker) notify(e Era) {
-	for _, f := range t.onChange {
-		f(e)
+// notify calls the functions of OnRestore, unless the process has only just learned its first era.
+func (t *Tracker) notify(previous Era) {
+	if previous == None {
+		return
+	}
+	for _, f := range t.onRestore {
+		f()
 	}
 }
 
--- a/internal/era/era_test.go
+++ b/internal/era/era_test.go
@@ -9,18 +9,19 @@
 	"fescuestand/internal/clock"
 )
 
+// Guards against a start that counts as a restore, after which VMs keep endpoints that have left.
 func TestTheNewestEraIsKept(t *testing.T) {
 	c := &clock.Manual{T: clock.Time(time.Hour)}
 	tr := NewTracker(c)
-	var changes []Era
-	tr.OnChange(func(e Era) { changes = append(changes, e) })
+	var restores []Era
+	tr.OnRestore(func() { restores = append(restores, tr.Current()) })
 	tr.Observe(None, "read")
 	assert.Equal(t, tr.Current(), None)
 	for _, e := range []Era{2, 2, 1, 4, 3} {
 		tr.Observe(e, "read")
 	}
 	assert.Equal(t, tr.Current(), Era(4))
-	assert.DeepEqual(t, changes, []Era{2, 4})
+	assert.DeepEqual(t, restores, []Era{4})
 }
 
 // Guards against a VM that takes an era for younger than another VM knows it to be, or for older than
--- a/internal/keyedlog/restore_test.go
+++ b/internal/keyedlog/restore_test.go
@@ -212,7 +212,8 @@
 	f.ReadWait = func() time.Duration { return time.Hour }
 	l.restore(1)
 	l.put("a", "2")
-	f.Eras.OnChange(func(era.Era) { f.Wake() })
+	f.Eras.Observe(1, "read")
+	f.Eras.OnRestore(f.Wake)
 	f.Eras.Merge(2, 0, "vm")
 	f.Eras = era.NewTracker(clock.Boot{}) // the read begins before the era is known
 	done := make(chan error)
--- a/internal/restoresim/sim_test.go
+++ b/internal/restoresim/sim_test.go
@@ -303,16 +303,14 @@
 		}
 		return 25 * time.Second
 	}
-	known := false
-	v.eras.OnChange(func(era.Era) {
+	v.eras.OnRestore(func() {
 		store.RecordOutage()
 		if v.isReader(3) {
 			configs.Wake()
 		}
-		if v.w.design == forgetting && known {
+		if v.w.design == forgetting {
 			go v.restart()
 		}
-		known = true
 	})
 	v.gossip = &gateway.GossipContent{
 		Clock: c, Eras: v.eras, Planner: place.New("z", uint64(v.id)), Pressure: backpressure.New(uint64(v.id)), Crashes: crash.New(), Catalog: store,
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -9,7 +9,6 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/configsync"
-	"fescuestand/internal/era"
 	"fescuestand/internal/gateway"
 	"fescuestand/internal/keyedlog"
 )
@@ -55,12 +54,12 @@
 	}
 	n.endpointChanges = gateway.NewChanges(n.clock, n.eras, n.endpointFollower)
 	n.endpointChanges.IsReader = n.members.IsReader
-	n.eras.OnChange(n.storeRestored)
+	n.eras.OnRestore(n.storeRestored)
 }
 
-// storeRestored handles a new era of the platform's store. Entries that the store has lost are kept as
+// storeRestored handles a restore of the platform's store. Entries that the store has lost are kept as
 // after an outage, and a wait for a record ends: it may be for an offset that was given out again.
-func (n *Node) storeRestored(era.Era) {
+func (n *Node) storeRestored() {
 	n.catalog.RecordOutage()
 	if n.configReadWait() > 0 {
 		n.configFollower.Wake()
