--- a/internal/authority/restore_test.go
+++ b/internal/authority/restore_test.go
@@ -25,13 +25,13 @@
 // restorableStore is a store that is restored from an older copy at random times. It loses answers and
 // executes some writes late.
 type restorableStore struct {
-	rng     *rand.Rand
-	now     *clock.Manual
-	era     era.Era
-	state   storeState
-	copies  []storeState // one per copyInterval
-	late    []lateWrite
-	unmarks bool // records don't say in which era they were written
+	rng             *rand.Rand
+	now             *clock.Manual
+	era             era.Era
+	state           storeState
+	copies          []storeState // one per copyInterval
+	late            []lateWrite
+	ignoreRecordEra bool // records don't say in which era they were written
 }
 
 type lateWrite struct {
@@ -72,7 +72,7 @@
 		return LastLeader{}, era.Position{}, errNoAnswer
 	}
 	last := s.state.last
-	if s.unmarks {
+	if s.ignoreRecordEra {
 		last.Era = s.era
 	}
 	return last, era.Position{Era: s.era, Offset: s.state.writes}, nil
@@ -112,11 +112,11 @@
 
 // simulateRestores runs two VMs for a minute, which lose renewals and restart at times, and returns
 // their actions. renewals gives the era and the generation of a renewal's answer.
-func simulateRestores(seed uint64, restores, unmarks bool, renewal func(*restorableStore) (era.Era, int64)) []action {
+func simulateRestores(seed uint64, restores, ignoreRecordEra bool, renewal func(*restorableStore) (era.Era, int64)) []action {
 	const tick = 20 * time.Millisecond
 	rng := rand.New(rand.NewPCG(seed, 2))
 	now := &clock.Manual{}
-	s := &restorableStore{rng: rng, now: now, era: era.First, state: storeState{generation: 1}, unmarks: unmarks}
+	s := &restorableStore{rng: rng, now: now, era: era.First, state: storeState{generation: 1}, ignoreRecordEra: ignoreRecordEra}
 	vms := make([]*Keeper, 2)
 	start := func(i int) {
 		vms[i] = &Keeper{Authority: New(minLeaderGap, false, now.T), Record: s, Clock: now, VM: fmt.Sprint(i)}
@@ -188,15 +188,15 @@
 // The same simulation finds violations if a record's era or that of a generation is ignored.
 func TestLeadersNeedTheErasOfRecordsAndGenerations(t *testing.T) {
 	withoutEra := func(s *restorableStore) (era.Era, int64) { return era.None, s.state.generation }
-	unmarked, plain := 0, 0
+	ignored, plain := 0, 0
 	for seed := range uint64(400) {
 		if violation(simulateRestores(seed, true, true, answerOf)) != "" {
-			unmarked++
+			ignored++
 		}
 		if violation(simulateRestores(seed, true, false, withoutEra)) != "" {
 			plain++
 		}
 	}
-	t.Logf("records without their era: %d of 400 seeds; generations without theirs: %d", unmarked, plain)
-	assert.Assert(t, unmarked > 0 && plain > 0)
+	t.Logf("records without their era: %d of 400 seeds; generations without theirs: %d", ignored, plain)
+	assert.Assert(t, ignored > 0 && plain > 0)
 }
--- a/internal/era/era.go
+++ b/internal/era/era.go
@@ -44,7 +44,7 @@
 // used.
 func (t *Tracker) OnRestore(f func()) { t.onRestore = append(t.onRestore, f) }
 
-// Observe records the era of an answer of the store.
+// Observe records the era of an answer of the store; call names the call in the log.
 func (t *Tracker) Observe(e Era, call string) {
 	previous, isNew := t.merge(e, 0)
 	if !isNew {
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -106,7 +106,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	after := era.Position{Era: e.Position.Era, Offset: e.Position.Offset + 1}
-	if !f.isUndated(&e) && f.peerNext.Before(after) {
+	if !f.isOfUnknownEra(&e) && f.peerNext.Before(after) {
 		f.peerNext = after
 	}
 }
@@ -347,8 +347,8 @@
 	defer f.mu.Unlock()
 	newest, known := f.positions[e.Key]
 	switch {
-	case f.isUndated(&e):
-		f.applyUndated(e, newest)
+	case f.isOfUnknownEra(&e):
+		f.applyOfUnknownEra(e, newest)
 	case !known && !f.SingleKey && e.FromPeer && e.Position.Before(f.snapshot):
 		f.logDropped(&e, f.snapshot) // the key wasn't among the newest records
 	case !known || !e.Position.Before(newest):
@@ -361,14 +361,14 @@
 	}
 }
 
-// isUndated reports whether e is of an unknown era, since a process of an earlier version has sent it.
-func (f *Follower) isUndated(e *Entry) bool {
+// isOfUnknownEra reports whether e is of an unknown era, since a process of an earlier version has sent it.
+func (f *Follower) isOfUnknownEra(e *Entry) bool {
 	return e.Position.Era == era.None && f.Eras.Current() != era.None
 }
 
-// applyUndated applies an entry of an unknown era. It doesn't change the key's position, as it would
+// applyOfUnknownEra applies an entry of an unknown era. It doesn't change the key's position, as it would
 // hide records if it is of an earlier era.
-func (f *Follower) applyUndated(e Entry, newest era.Position) {
+func (f *Follower) applyOfUnknownEra(e Entry, newest era.Position) {
 	if e.Value == nil && e.Position.Offset < newest.Offset {
 		f.logDropped(&e, newest)
 		return
