--- a/scenarios/soak_check_test.go
+++ b/scenarios/soak_check_test.go
@@ -91,7 +91,8 @@
 		default:
 			s.addViolation("%s %s: status %d", a.id, a.path, a.status)
 		}
-		if a.endedEarly() && s.planned() && !(arrivals[a.id] == 0 && s.crossedClose(a)) {
+		unread := arrivals[a.id] == 0 && s.crossedClose(a)
+		if a.endedEarly() && s.planned() && !unread {
 			s.addViolation("%s %s at %s at %s: cut off by planned work after %s, %d times at an endpoint: %v",
 				a.id, a.path, a.vm, a.sent.Format(time.StampMilli), a.answered.Sub(a.sent), arrivals[a.id], a.err)
 		}
