--- a/internal/keyedlog/restore_test.go
+++ b/internal/keyedlog/restore_test.go
@@ -81,7 +81,7 @@
 	return f, applied
 }
 
-func at2(e era.Era, offset int64) era.Position { return era.Position{Era: e, Offset: offset} }
+func inEra(e era.Era, offset int64) era.Position { return era.Position{Era: e, Offset: offset} }
 
 // Guards against records that are never applied because their offsets were given out before: none, one
 // or many were lost, and more were written since than were lost, or fewer.
@@ -146,7 +146,7 @@
 	f, applied := follow(t, l)
 	l.era, l.records[0].Position.Era = 1, 1
 	assert.ErrorIs(t, f.readOnce(t.Context()), errOldAnswer)
-	assert.Equal(t, f.Next(), at2(2, 1))
+	assert.Equal(t, f.Next(), inEra(2, 1))
 	l.era, l.records[0].Position.Era = 2, 2
 	l.put("a", "2")
 	f.Eras.Observe(3, "join") // the next newest records are of era 2 still
@@ -160,13 +160,13 @@
 	l := &restoredLog{era: 2}
 	l.put("a", "2")
 	f, applied := follow(t, l)
-	f.ReceiveEntry(Entry{Key: "a", Position: at2(1, 9)})
+	f.ReceiveEntry(Entry{Key: "a", Position: inEra(1, 9)})
 	assert.Equal(t, applied["a"], "2")
-	f.ReceiveEntry(Entry{Key: "a", Value: []byte("1"), Position: at2(1, 8)})
+	f.ReceiveEntry(Entry{Key: "a", Value: []byte("1"), Position: inEra(1, 8)})
 	assert.Equal(t, applied["a"], "1")
-	f.ReceiveEntry(Entry{Key: "a", Position: at2(2, 1)})
+	f.ReceiveEntry(Entry{Key: "a", Position: inEra(2, 1)})
 	assert.Equal(t, applied["a"], "deleted")
-	f.ReceiveEntry(Entry{Key: "gone", Value: []byte("1"), Position: at2(1, 3)})
+	f.ReceiveEntry(Entry{Key: "gone", Value: []byte("1"), Position: inEra(1, 3)})
 	assert.Equal(t, applied["gone"], "", "the newest records don't have the key")
 }
 
@@ -177,12 +177,12 @@
 	l.put("a", "1")
 	f, applied := follow(t, l)
 	f.Eras.Observe(2, "read")
-	f.ReceiveEntry(Entry{Key: "a", Value: []byte("9"), Position: at2(era.None, 9)})
+	f.ReceiveEntry(Entry{Key: "a", Value: []byte("9"), Position: inEra(era.None, 9)})
 	assert.Equal(t, applied["a"], "9")
 	l.put("a", "2")
 	assert.NilError(t, f.readOnce(t.Context()))
 	assert.Equal(t, applied["a"], "2")
-	f.ReceiveEntry(Entry{Key: "a", Position: at2(era.None, 1)})
+	f.ReceiveEntry(Entry{Key: "a", Position: inEra(era.None, 1)})
 	assert.Equal(t, applied["a"], "deleted")
 }
 
@@ -193,13 +193,13 @@
 	l.put("config", "1")
 	f, applied := follow(t, l)
 	f.SingleKey = true
-	f.ReceiveEntry(Entry{Key: "config", Value: []byte("7"), Position: at2(1, 7)})
+	f.ReceiveEntry(Entry{Key: "config", Value: []byte("7"), Position: inEra(1, 7)})
 	l.restore(0)
 	l.put("config", "8")
 	assert.NilError(t, f.readOnce(t.Context()))
 	assert.Equal(t, applied["config"], "8")
-	f.ReceiveEntry(Entry{Key: "config", Value: []byte("9"), Position: at2(2, 5)})
-	assert.Equal(t, f.readFrom(), at2(2, 6))
+	f.ReceiveEntry(Entry{Key: "config", Value: []byte("9"), Position: inEra(2, 5)})
+	assert.Equal(t, f.readFrom(), inEra(2, 6))
 }
 
 // Guards against a wait for a record at an offset that was given out again: the store answers it only
--- a/internal/restoresim/sim_test.go
+++ b/internal/restoresim/sim_test.go
@@ -121,10 +121,7 @@
 	if !clock.Sleep(ctx, delay) || c.vm.isCut() {
 		return era.None, errSimCut
 	}
-	switch c.vm.w.design {
-	case offsetsOnly:
-		return era.None, nil
-	case rereading:
+	if d := c.vm.w.design; d == offsetsOnly || d == rereading {
 		return era.None, nil
 	}
 	c.vm.eras.Observe(e, "read")
@@ -397,8 +394,6 @@
 
 // simWorld is one run.
 type simWorld struct {
-	t         *testing.T
-	seed      uint64
 	design    design
 	rng       *rand.Rand
 	ctx       context.Context
@@ -669,7 +664,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &simWorld{
-			t: t, seed: seed, design: d, rng: rand.New(rand.NewPCG(seed, 5)), ctx: ctx,
+			design: d, rng: rand.New(rand.NewPCG(seed, 5)), ctx: ctx,
 			store: &simStore{era: era.First, changed: make(chan struct{})},
 		}
 		w.publish()
