A VM that shuts down takes only requests that end before its process

Cause: who may still take a request (everything, for half of the grace period), how long its answer takes and when the process ends weren't compared. The VM took the stream 3.4 s after SIGTERM, the process ended at 7.7 s, the stream needed over 4.3 s. Ruled out: the engine; it sent events until this side closed the connection.

Change: policy/drain, pure: a request that no endpoint has run is taken if its caller's timeout passes before the end of the process, or if nearly all answers of its route are shorter than the time left; else it is refused at once as not run. How many that leaves out depends on whether another VM can take it. The gateway asks in each wait and in the gate that each send crosses. The server counts what a drain leaves ("drain timed out left=0" was wrong).

Shown: TestStreamThatOutlastsTheShutdownIsLeftToOtherVMs failed before (200 instead of 503), passes.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -12,6 +12,7 @@
 	"fescuestand/internal/code"
 	"fescuestand/internal/driver"
 	"fescuestand/internal/exchange"
+	"fescuestand/internal/policy/drain"
 	"fescuestand/internal/policy/place"
 )
 
@@ -43,6 +44,8 @@
 	handoffTime           time.Duration // arrival to end of a separate prefill, zero without one
 	prefillWork           time.Duration // predicted at the newest placement
 	predictedFirstEvent   time.Duration // predicted time to the first event at the first placement
+	untilFirstEvent       time.Duration // predicted at the newest placement
+	answer                *drain.Answer // nil until the answer begins
 	firstEventTime        time.Duration // from the arrival to the first event
 	attempts              []attemptTrace
 }
@@ -85,6 +88,7 @@
 			break
 		}
 	}
+	x.endAnswer(last.outcome)
 	x.finish(&last)
 }
 
@@ -136,6 +140,9 @@
 	if r, ok := x.reauthorize(); !ok {
 		return nil, Answer{}, r
 	}
+	if r, refuse := x.refuseInDrain(); refuse {
+		return nil, Answer{}, r
+	}
 	if !x.takeRetryBudget() {
 		return nil, Answer{}, result{outcome: notSent, code: code.RetryBudgetSpent, err: errBudgetSpent}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -15,6 +16,7 @@
 	"fescuestand/internal/freshness"
 	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/crash"
+	"fescuestand/internal/policy/drain"
 	"fescuestand/internal/policy/ontime"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
@@ -35,6 +37,10 @@
 	Clock    clock.Clock
 	// Leaving reports whether this VM is shutting down.
 	Leaving func() bool
+	// Peers returns the numbers of other VMs that accept callers and that are shutting down.
+	Peers func() (ready, leaving int)
+	// AddressLifetime is how long callers may use the address of a VM that shuts down.
+	AddressLifetime time.Duration
 	// VMs returns the number of gateways that share the endpoints.
 	VMs func() int
 	// OnPrefillSent is called for each prefill that is about to be sent to an engine, with its
@@ -62,12 +68,14 @@
 	metrics      *Metrics
 	heldWork     ontime.HeldWork
 	requestMeter serving.Meter
-	queues       sync.Map // of *queue, by service
+	durations    *drain.Durations
+	shutdown     atomic.Pointer[shutdown] // nil if the process isn't shutting down
+	queues       sync.Map                 // of *queue, by service
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics()}
+	return &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), durations: drain.NewDurations()}
 }
 
 // RequestRate returns the measured requests a second, zero before the first measurement.
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -84,6 +84,9 @@
 		q := x.g.queueFor(x.service)
 		x.queueSlot = queueSlot{queue: q, number: q.enter(), deadline: x.waitDeadline()}
 	}
+	if r, refuse := x.refuseInDrain(); refuse {
+		return r, false
+	}
 	ahead := 0
 	if !x.hasProgress() {
 		ahead = x.queueSlot.queue.countAhead(x.queueSlot.number)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -42,5 +42,6 @@
 	errBudgetSpent      = errors.New("the budget of repeats is spent")
 	errEndpointLeft     = errors.New("the endpoint left before the request was sent")
 	errEndpointsLimited = errors.New("the endpoints have named limits that leave no room now")
+	errLeaving          = errors.New("the VM shuts down before the answer would be complete")
 	errUnsigned         = errors.New("the answer lacks the endpoint's signature")
 )
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -32,7 +32,10 @@
 			continue
 		}
 		x.recordPrediction(&plan, prompt)
-		x.prefillWork = plan.Work
+		x.prefillWork, x.untilFirstEvent = plan.Work, plan.FirstEvent
+		if r, refuse := x.refuseInDrain(); refuse {
+			return plan, r, false
+		}
 		verdict, retryAfter := x.decide(&plan)
 		switch verdict {
 		case ontime.Serve:
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -53,6 +53,7 @@
 		}
 		ep = x.g.o.Planner.ChooseEndpoint(x.now(), x.openEndpoints(), x.tried)
 	}
+	x.beginAnswer()
 	t := x.g.o.Planner.Begin(x.now(), ep, place.Job{})
 	ctx, cancel := x.attemptContext()
 	defer cancel()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -7,6 +7,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -24,24 +25,39 @@
 
 // Server is a kernel unit that serves HTTP on one address.
 type Server struct {
-	name   string
-	addr   string
-	linger time.Duration
-	ln     net.Listener
-	http   *http.Server
+	name     string
+	addr     string
+	linger   time.Duration
+	ln       net.Listener
+	http     *http.Server
+	inFlight atomic.Int64 // requests
 }
 
 // NewServer returns a unit that serves h on addr. When it drains, it still accepts requests for the
 // time linger, as callers keep using addresses that were advertised to them, and then waits until
 // no request is in flight.
 func NewServer(name, addr string, h http.Handler, linger time.Duration) *Server {
-	return &Server{name: name, addr: addr, linger: linger, http: &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	s := &Server{name: name, addr: addr, linger: linger}
+	s.http = &http.Server{
+		Handler: s.count(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		// A broken connection shows in the log lines of the requests that it carried.
 		ErrorLog: stdlog.New(io.Discard, "", 0),
-	}}
+	}
+	return s
+}
+
+// count returns a handler that counts the requests that h handles.
+func (s *Server) count(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		h.ServeHTTP(w, r)
+	})
 }
 
+// Left implements kernel.Leftover.
+func (s *Server) Left() int { return int(s.inFlight.Load()) }
+
 // Name implements kernel.Unit.
 func (s *Server) Name() string { return s.name }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,6 +83,7 @@
 	}
 	if handoff != nil {
 		x.handoffTime = x.now().Sub(x.call.Arrived)
+		x.untilFirstEvent = 0
 		x.recordCachedPrompt(t, e, prompt)
 	}
 	x.recordAttempt(e, t, r)
@@ -212,6 +213,7 @@
 		return
 	}
 	x.headerSent = true
+	x.beginAnswer()
 	x.firstEventTime = x.now().Sub(x.call.Arrived)
 	copyHeader(x.w.Header(), h)
 	x.w.WriteHeader(http.StatusOK)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -179,7 +179,7 @@
 	w.budget.SetMembers(1)
 	w.gateway = New(Options{
 		Codec: codec{}, Catalog: w.store, Planner: place.New("z", 1), Budget: w.budget, Crashes: w.crashes, Pressure: backpressure.New(1),
-		Pool: exchange.NewPool(), Clock: clock.Boot{}, Leaving: w.leaving.Load,
+		Pool: exchange.NewPool(), Clock: clock.Boot{}, Leaving: w.leaving.Load, Peers: func() (int, int) { return 1, 0 },
 		VMs: func() int { return 1 }, OnPrefillSent: func(time.Duration) {}, OnPrefixCached: func(*catalog.Endpoint, []place.Part) {},
 		OnCrash: func(fingerprint uint64, endpoint string) {
 			w.mu.Lock()
--- a/internal/gossip/callers.go
+++ b/internal/gossip/callers.go
@@ -29,6 +29,25 @@
 	return max(len(m.selectVMs(m.clock.Now()).advertised), 1)
 }
 
+// PeerCounts returns the numbers of other VMs that are advertised to callers and that are shutting
+// down.
+func (m *Members) PeerCounts() (advertised, leaving int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, v := range m.selectVMs(now).advertised {
+		if v.Peer != m.own.Peer {
+			advertised++
+		}
+	}
+	for _, e := range m.detector.Entries() {
+		if e.Leaving && e.Alive(now) {
+			leaving++
+		}
+	}
+	return advertised, leaving
+}
+
 func zoneRank(zone, preferred string) int {
 	if zone == preferred {
 		return 0
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -89,6 +89,8 @@
 	// where requests carry no keys.
 	Keys  *freshness.Limits
 	Usage Usage
+	// AddressLifetime is how long callers may use the address of a VM that is asked to stop.
+	AddressLifetime time.Duration
 	// Linger is how long a VM still accepts requests after it was asked to stop.
 	Linger time.Duration
 	// DrainTimeout bounds the time to finish the requests in progress after that.
@@ -167,6 +169,7 @@
 	n.gateway = gateway.New(gateway.Options{
 		Codec: a.Codec(), Catalog: n.catalog, Planner: n.planner, Budget: n.retryBudget, Crashes: n.crashes,
 		Pressure: n.backpressure, Pool: n.pool, Clock: c, Leaving: n.members.Leaving,
+		Peers: n.members.PeerCounts, AddressLifetime: o.AddressLifetime,
 		VMs: n.members.AdvertisedCount, OnPrefillSent: n.prefillSent, OnPrefixCached: n.prefixCached, OnCrash: n.endpointCrashed, OnEndpointLeaving: n.endpointLeaving,
 		KeyFreshness: n.keyFreshness, OnRequestRunning: n.requestRunning,
 	})
@@ -201,6 +204,7 @@
 	at, linger := n.o.Addresses, n.o.Linger
 	units := []kernel.Unit{
 		n.gossip,
+		n.gateway,
 		gossip.NewRegistration(n.adapter, n.members, n.leadershipRenewed),
 		&authority.Keeper{Authority: n.authority, Record: n.adapter.LeaderRecord(), Clock: n.clock, VM: n.o.Self.Peer},
 		n.orders,
