Queued requests are forecast again and refused as soon as they can't be on time

Cause: a queued request kept the estimate and the forecast of its arrival; it was dropped when its last moment had passed by that old estimate. The forecast after a loss of capacity took half of the other callers' requests to come later, which keeps twice as many as can be served.

Change: every 100 ms the queue estimates its requests again and forecasts them in the order in which they will be served, from a copy of the fair queue's tags; what waits longer than 1.25 times its slack is refused with a Retry-After delay. Measured drain rates are converted to the new costs.

--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -141,6 +142,52 @@
 	assert.Assert(t, admitted > 0 && admitted <= 18, "%d answers of 110 ms admitted that must end within 1 s on 2 slots", admitted)
 }
 
+// Guards against refusals at the deadline: requests are admitted by the times of the past, and the engines
+// turn out to be five times slower. Those that can't be on time any more must be refused as soon as the
+// measurements show it.
+func TestSlowerEnginesRefuseQueuedRequestsEarly(t *testing.T) {
+	q := NewQueue(testConfig(Guards{}))
+	q.SetCapacity(0, slots)
+	const budget = 10 * time.Second
+	type job struct {
+		r   *Request
+		end clock.Time
+	}
+	var running []job
+	refused, early, served, late := 0, 0, 0, 0
+	for i := range 400 {
+		r := &Request{Class: "question", Caller: fmt.Sprint(i), Workspace: "w", PromptTokens: questionTokens, Deadline: clock.Time(budget)}
+		assert.Assert(t, q.Offer(0, r).Err == nil)
+	}
+	for now := clock.Time(0); now < clock.Time(budget+time.Second); now = now.Add(20 * time.Millisecond) {
+		running = slices.DeleteFunc(running, func(j job) bool {
+			if j.end > now {
+				return false
+			}
+			q.Done(now, j.r, Measurement{OK: true, FirstToken: 50 * time.Millisecond, Step: 50 * time.Millisecond, OutputTokens: 10})
+			if served++; now > j.r.Deadline {
+				late++
+			}
+			return true
+		})
+		for {
+			free := slots - len(running)
+			r, dropped := q.Next(now, FreeSlots{Normal: free, Urgent: free})
+			if refused += len(dropped); now < clock.Time(3*time.Second) {
+				early += len(dropped)
+			}
+			if r == nil {
+				break
+			}
+			running = append(running, job{r, now.Add(550 * time.Millisecond)})
+		}
+	}
+	t.Logf("served %d, late %d, refused %d, of which %d early", served, late, refused, early)
+	assert.Equal(t, late, 0)
+	assert.Assert(t, served >= 120, "%d served of 144 that the slots can run", served)
+	assert.Assert(t, early*10 >= refused*7, "%d of %d refusals came early", early, refused)
+}
+
 func TestRefusals(t *testing.T) {
 	cfg := testConfig(Guards{})
 	cfg.MaxQueued = 4
--- a/internal/policy/admit/config.go
+++ b/internal/policy/admit/config.go
@@ -28,6 +28,11 @@
 	// costEWMAWeight averages the usual cost over about fifty requests, so that a run of long
 	// requests doesn't raise the usual cost to theirs.
 	costEWMAWeight = 0.02
+	// reassessInterval is the time between two forecasts for the queued requests.
+	reassessInterval = 100 * time.Millisecond
+	// reassessTolerance is the ratio of forecast wait to slack up to which a queued request is kept, as
+	// the errors of repeated forecasts would accumulate.
+	reassessTolerance = 1.25
 	// reassessCapacityRatio is the ratio of new to old capacity below which the wait of all queued
 	// requests is forecast again.
 	reassessCapacityRatio = 0.9
--- a/internal/policy/admit/drain.go
+++ b/internal/policy/admit/drain.go
@@ -63,6 +63,12 @@
 	d.measuredAt, d.windowStart, d.work = now, now, 0
 }
 
+// convert converts the meter to costs that have changed by ratio.
+func (d *drainMeter) convert(ratio float64) {
+	d.measuredRate *= ratio
+	d.work = time.Duration(float64(d.work) * ratio)
+}
+
 // minDrainRate keeps forecasts finite when hardly any work starts.
 const minDrainRate = 0.01
 
--- a/internal/policy/admit/fair.go
+++ b/internal/policy/admit/fair.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// changeCost adds d to the queued cost of f and its parents.
+func (f *flow) changeCost(d time.Duration) {
+	for n := f; n != nil; n = n.parent {
+		n.cost += d
+	}
+}
+
 // remove removes r from the leaf f. If r was served, its cost is charged to the flows up to the root.
 func (f *flow) remove(r *Request, served bool) {
 	if f.queue[0] == r {
--- a/internal/policy/admit/queue.go
+++ b/internal/policy/admit/queue.go
@@ -30,11 +30,14 @@
 
 // lane returns the lane in which r is queued.
 func (q *Queue) lane(r *Request) *lane {
-	l := q.levels[r.class.level]
+	return &q.levels[r.class.level].lanes[q.laneIndex(r)]
+}
+
+func (q *Queue) laneIndex(r *Request) int {
 	if r.class.Urgent {
-		return &l.lanes[1]
+		return 1
 	}
-	return &l.lanes[0]
+	return 0
 }
 
 type class struct {
@@ -64,6 +67,7 @@
 	meanCost      float64
 	meanLogCost   float64 // mean of the logarithm of the cost: a few long requests hardly change it
 	refusedByCode map[code.Code]int64
+	reassessedAt  clock.Time
 }
 
 // NewQueue returns an empty queue with one slot; SetCapacity sets their number.
--- a/internal/policy/admit/serve.go
+++ b/internal/policy/admit/serve.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"container/heap"
 	"time"
 
 	"fescuestand/internal/clock"
@@ -21,48 +22,85 @@
 	if float64(q.slots) >= reassessCapacityRatio*float64(old) {
 		return nil
 	}
-	return q.Reassess(now)
+	return q.reassess(now)
 }
 
-// Reassess forecasts the start of all queued requests again and drops those that can't meet their
-// deadline. A request waits for the earlier ones of its flow that are kept, so that later requests are
+// reassess forecasts the start of all queued requests again and drops those that can't meet their
+// deadline. A request waits for those that are served before it and are kept, so that the last ones are
 // the first to be infeasible.
-func (q *Queue) Reassess(now clock.Time) []Refusal {
+func (q *Queue) reassess(now clock.Time) []Refusal {
 	if q.cfg.Disabled.NoShedding {
 		return nil
 	}
 	var dropped []Refusal
+	var higher time.Duration // cost of the kept requests of higher levels
 	for _, l := range q.levels {
-		for _, leaf := range l.root.leaves(nil) {
-			dropped = append(dropped, q.reassessLeaf(now, leaf)...)
+		var ahead [laneCount]backlog
+		for _, r := range serviceOrder(l.root) {
+			lane := &ahead[q.laneIndex(r)]
+			wait := q.drainTime(r, float64(higher+lane.before(r)))
+			slack := r.latestStart().Sub(now)
+			if float64(wait) > reassessTolerance*float64(slack) {
+				dropped = append(dropped, q.drop(r, q.infeasibleError(r, now, wait, slack)))
+				continue
+			}
+			lane.add(r)
 		}
+		higher += l.root.cost
 	}
 	return dropped
 }
 
-func (q *Queue) reassessLeaf(now clock.Time, leaf *flow) []Refusal {
-	var dropped []Refusal
-	var ahead time.Duration
-	for _, r := range append([]*Request(nil), leaf.queue...) {
-		wait := q.forecastWait(r, ahead)
-		slack := r.latestStart().Sub(now)
-		if wait > slack {
-			dropped = append(dropped, q.drop(r, q.infeasibleError(r, now, wait, slack)))
-			continue
-		}
-		ahead += r.cost
+// backlog is the cost of the requests that are served before another one.
+type backlog struct{ short, long time.Duration }
+
+func (b *backlog) add(r *Request) {
+	if r.long {
+		b.long += r.cost
+		return
 	}
-	return dropped
+	b.short += r.cost
+}
+
+// before returns the cost that r waits for. Long requests have only a part of the slots, so that short
+// ones don't wait for them.
+func (b *backlog) before(r *Request) time.Duration {
+	if r.long {
+		return b.short + b.long
+	}
+	return b.short
+}
+
+// reassessPeriodically updates the estimates of the queued requests and drops those that can't meet their
+// deadline, so that their callers needn't wait for the deadline when requests turn out to take longer
+// than they did on their admission.
+func (q *Queue) reassessPeriodically(now clock.Time) []Refusal {
+	if now.Sub(q.reassessedAt) < reassessInterval || len(q.expiry) == 0 {
+		return nil
+	}
+	q.reassessedAt = now
+	q.updateQueued()
+	return q.reassess(now)
 }
 
-func (f *flow) leaves(dst []*flow) []*flow {
-	if len(f.queue) > 0 {
-		return append(dst, f)
+// updateQueued estimates the queued requests again. The measured drain rates are converted to the new
+// costs, as the engines start as many requests a second as before.
+func (q *Queue) updateQueued() {
+	before := map[*lane]time.Duration{}
+	for _, r := range q.expiry {
+		l := q.lane(r)
+		if _, seen := before[l]; !seen {
+			before[l] = l.cost
+		}
+		old := r.cost
+		q.estimate(r)
+		l.cost += r.cost - old
+		r.leaf.changeCost(r.cost - old)
 	}
-	for _, n := range f.active {
-		dst = n.leaves(dst)
+	for l, old := range before {
+		l.drain.convert(float64(l.cost) / float64(old))
 	}
-	return dst
+	heap.Init(&q.expiry)
 }
 
 // FreeSlots are the numbers of requests that the endpoints accept now, by the engine's priority.
@@ -78,6 +116,7 @@
 			l.lanes[i].drain.update(now, l.lanes[i].cost > 0, q.running > 0)
 		}
 	}
+	dropped = append(dropped, q.reassessPeriodically(now)...)
 	skip := blocked{
 		normal: free.Normal <= 0,
 		urgent: free.Urgent <= 0,
