--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -14,12 +14,15 @@
 const (
 	firstPort = 20000
 	lastPort  = 31999
+	// portsPerProcess is the distance between the first ports of test processes with successive IDs. A VM
+	// that restarts leaves its ports free for a moment, in which another process could take them.
+	portsPerProcess = 1009
 )
 
 var nextPort atomic.Int32
 
 // Concurrent test processes start at different ports.
-func init() { nextPort.Store(int32(firstPort + os.Getpid()%(lastPort-firstPort))) }
+func init() { nextPort.Store(int32(firstPort + os.Getpid()*portsPerProcess%(lastPort-firstPort))) }
 
 // FreeAddress returns a loopback address whose port is free for both TCP and UDP.
 func FreeAddress() string {
