--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -5,7 +5,11 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
+	"strconv"
 	"sync/atomic"
+
+	"golang.org/x/sys/unix"
 )
 
 // The ports lie below the kernel's ephemeral range, which it uses for outgoing connections and for
@@ -14,27 +18,42 @@
 const (
 	firstPort = 20000
 	lastPort  = 31999
-	// portsPerProcess is the distance between the first ports of test processes with successive IDs. A VM
-	// that restarts leaves its ports free for a moment, in which another process could take them.
-	portsPerProcess = 1009
 )
 
 var nextPort atomic.Int32
 
 // Concurrent test processes start at different ports.
-func init() { nextPort.Store(int32(firstPort + os.Getpid()*portsPerProcess%(lastPort-firstPort))) }
+func init() { nextPort.Store(int32(firstPort + os.Getpid()%(lastPort-firstPort))) }
 
 // FreeAddress returns a loopback address whose port is free for both TCP and UDP.
 func FreeAddress() string {
 	for {
 		port := firstPort + (int(nextPort.Add(1))-firstPort)%(lastPort-firstPort)
 		addr := net.JoinHostPort("127.0.0.1", fmt.Sprint(port))
-		if isFree(addr) {
+		if isFree(addr) && reserve(port) {
 			return addr
 		}
 	}
 }
 
+// reserve locks a port for this process. A VM that restarts leaves its ports free for a moment, in which
+// another test process could take them. The lock lasts until the process ends.
+func reserve(port int) bool {
+	dir := filepath.Join(os.TempDir(), "fescuestand-ports")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return false
+	}
+	fd, err := unix.Open(filepath.Join(dir, strconv.Itoa(port)), unix.O_CREAT|unix.O_RDWR|unix.O_CLOEXEC, 0o600)
+	if err != nil {
+		return false
+	}
+	if err := unix.Flock(fd, unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		_ = unix.Close(fd)
+		return false
+	}
+	return true
+}
+
 func isFree(addr string) bool {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
