--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -53,6 +53,7 @@
 	return result{outcome: refused, code: code.Leaving, err: errLeaving, retryAfter: retryAfter}, true
 }
 
+// logLeft logs the decision to refuse the request and what it rests on.
 func (x *execution) logLeft(r *drain.Request) {
 	e := log.WithField("id", x.call.ID).WithField("left_ms", r.TimeLeft.Milliseconds()).WithField("wait_ms", r.Wait.Milliseconds()).
 		WithField("answers", r.Answers.Count).WithField("longest_ms", r.Answers.Longest.Milliseconds()).
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -44,7 +44,7 @@
 	handoffTime           time.Duration // arrival to end of a separate prefill, zero without one
 	prefillWork           time.Duration // predicted at the newest placement
 	predictedFirstEvent   time.Duration // predicted time to the first event at the first placement
-	untilFirstEvent       time.Duration // predicted at the newest placement
+	untilFirstEvent       time.Duration // predicted at the newest placement, zero once the prefill is done
 	answer                *drain.Answer // nil until the answer begins
 	firstEventTime        time.Duration // from the arrival to the first event
 	attempts              []attemptTrace
--- a/internal/policy/admit/queue.go
+++ b/internal/policy/admit/queue.go
@@ -30,11 +30,11 @@
 
 // lane returns the lane in which r is queued.
 func (q *Queue) lane(r *Request) *lane {
-	return &q.levels[r.class.level].lanes[q.laneIndex(r)]
+	return &q.levels[r.class.level].lanes[r.class.laneIndex()]
 }
 
-func (q *Queue) laneIndex(r *Request) int {
-	if r.class.Urgent {
+func (c *class) laneIndex() int {
+	if c.Urgent {
 		return 1
 	}
 	return 0
--- a/internal/policy/admit/serve.go
+++ b/internal/policy/admit/serve.go
@@ -37,14 +37,14 @@
 	for _, l := range q.levels {
 		var ahead [laneCount]backlog
 		for _, r := range serviceOrder(l.root) {
-			lane := &ahead[q.laneIndex(r)]
-			wait := q.drainTime(r, float64(higher+lane.before(r)))
+			b := &ahead[r.class.laneIndex()]
+			wait := q.drainTime(r, float64(higher+b.before(r)))
 			slack := r.latestStart().Sub(now)
 			if float64(wait) > reassessTolerance*float64(slack) {
 				dropped = append(dropped, q.drop(r, q.infeasibleError(r, now, wait, slack)))
 				continue
 			}
-			lane.add(r)
+			b.add(r)
 		}
 		higher += l.root.cost
 	}
--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -40,9 +40,9 @@
 type Request struct {
 	TimeLeft      time.Duration // until the process ends
 	CallerTimeout time.Duration // time left until the caller disconnects
-	Wait          time.Duration // predicted time until the answer begins
-	Answers       Sample        // of the time from the begin of an answer to its end
-	AddressesOld  bool          // callers that keep addresses as long as they should have new ones
+	Wait          time.Duration // predicted time until the answer starts
+	Answers       Sample        // of the time from the start of an answer to its end
+	AddressesOld  bool          // addresses from before the shutdown have expired at callers that respect the TTL
 	PeersReady    int           // other VMs that accept callers
 	PeersLeaving  int           // other VMs that are shutting down
 }
