A request that was sent nowhere within its deadline is refused with a Retry-After delay

What callers saw: 408 (1010, not run) without a time to come back, under overload beside load (TestOverloadIsRefusedAtOnce, once of 20: "the deadline passed while the work ran: not sent: 127.0.0.1:27213: context deadline exceeded").

Cause: code 1010 is not retryable, as the deadline of the request has passed; but Deadline-Ms is a duration, so the caller may send the request again with a new one. Three places give it without a delay: the queue, a deadline that passes while the connection to the engine is made, and an offer whose deadline has passed. Change: each names one, the queue's own by its backlog, else a second. A negative Deadline-Ms of a caller still gets none. Shown: TestDeadlinePassedBeforeAnyWorkHasARetryDelay failed (no delay in the queue), passes.

--- a/internal/entry/dispatch/gate.go
+++ b/internal/entry/dispatch/gate.go
@@ -175,11 +175,15 @@
 	return contextEndError(ctx)
 }
 
+// deadlinePassedRetryAfter is the Retry-After delay of a request that was sent nowhere within its
+// deadline. The caller may send it again with a new one.
+const deadlinePassedRetryAfter = time.Second
+
 // contextEndError returns the error for a request whose context ended before any of its work was
 // sent.
 func contextEndError(ctx context.Context) *code.Error {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return code.New(code.DeadlinePassed, "the deadline passed before any work was sent")
+		return code.New(code.DeadlinePassed, "the deadline passed before any work was sent").WithRetryAfter(deadlinePassedRetryAfter)
 	}
 	return code.New(code.CallerGone, "the caller went away before any work was sent")
 }
--- a/internal/entry/dispatch/gate_test.go
+++ b/internal/entry/dispatch/gate_test.go
@@ -9,6 +9,7 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
+	"fescuestand/internal/driver"
 	"fescuestand/internal/policy/admit"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/sheet"
@@ -60,3 +61,24 @@
 	}
 	return served
 }
+
+// Guards against refusing a request whose deadline passed before any of its work was sent without
+// saying when its caller may come back.
+func TestDeadlinePassedBeforeAnyWorkHasARetryDelay(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 0)
+	defer cancel()
+	<-ctx.Done()
+	r := route.NewRouter(route.Config{}, 1)
+	art := route.Artifact{Model: "m", Version: "1"}
+	r.Publish(1, route.NewTable(route.Config{}, []route.Endpoint{{Name: "e", Pool: "p", Slots: 8, Serves: []route.Artifact{art}}}))
+	q := newPoolQueue(r, &clock.Manual{T: 1}, "p", art, &sheet.Sheet{Classes: []sheet.Class{{Name: "question"}}})
+	for name, err := range map[string]*code.Error{
+		"in the queue":          contextEndError(ctx),
+		"before the connection": codeError(ctx, driver.ErrNotSent, false, false),
+		"before the queue":      q.acquire(t.Context(), &admission{req: admit.Request{Class: "question", PromptTokens: 10}}),
+	} {
+		assert.Equal(t, err.Code, code.DeadlinePassed, name)
+		assert.Equal(t, err.Run, code.NotRun, name)
+		assert.Assert(t, err.RetryAfter > 0, name)
+	}
+}
--- a/internal/entry/dispatch/outcome.go
+++ b/internal/entry/dispatch/outcome.go
@@ -38,7 +38,7 @@
 	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		e = code.Wrap(code.DeadlineMissed, err, "the deadline passed while the work ran")
 		if !maybeExecuted {
-			e.Code = code.DeadlinePassed
+			e.Code, e.RetryAfter = code.DeadlinePassed, deadlinePassedRetryAfter
 		}
 	case ctx.Err() != nil:
 		e = code.Wrap(code.CallerGone, err, "the caller went away")
--- a/internal/policy/admit/refuse.go
+++ b/internal/policy/admit/refuse.go
@@ -11,7 +11,7 @@
 func (q *Queue) checkAdmission(now clock.Time, r *Request, wait time.Duration) *code.Error {
 	budget := r.Deadline.Sub(now)
 	if budget <= 0 {
-		return code.New(code.DeadlinePassed, "deadline passed %s ago", -budget)
+		return code.New(code.DeadlinePassed, "deadline passed %s ago", -budget).WithRetryAfter(q.retryAfter(now, r, wait))
 	}
 	if n := q.requestsByKey[r.Key]; r.Key != "" && n >= q.cfg.KeyLimit && !q.cfg.Disabled.NoKeyLimit {
 		return code.New(code.HotKey, "key has %d requests queued or running, limit %d", n, q.cfg.KeyLimit).
