Observability: crashes recorded for a request, and its fingerprint, are logged

The log couldn't say whether a crash was recorded, at which VM, from whom, and whether two log lines are of retries of one request. Added: 'endpoint crash recorded' with fingerprint, endpoint, number of crashes and the VM that told of it, and the fingerprint on 'request ends' with a lost attempt and on refusals of quarantined requests. A recorded crash passes through one function now, whether this VM saw it or heard of it.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -90,9 +92,20 @@
 	if last.err != nil {
 		e = e.WithField("why", last.err.Error())
 	}
+	if x.wasLost() {
+		e = e.WithField("fingerprint", formatFingerprint(x.call.Fingerprint))
+	}
 	e.Info("request ends")
 }
 
+// wasLost reports whether an attempt of the request was lost, so that it may have crashed an endpoint.
+func (x *execution) wasLost() bool {
+	return slices.ContainsFunc(x.attempts, func(t attemptTrace) bool { return t.outcome == lost.String() })
+}
+
+// formatFingerprint returns a fingerprint as it stands in the log.
+func formatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
+
 func attemptField(i int) string {
 	return "attempt" + string(rune('1'+min(i, 8)))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/freshness"
 	"fescuestand/internal/policy/backpressure"
@@ -129,6 +130,9 @@
 	if v.Config != nil {
 		e = e.WithField("config", v.Config.Version)
 	}
+	if f.code == code.Quarantined {
+		e = e.WithField("fingerprint", formatFingerprint(c.Fingerprint))
+	}
 	e.Info("request refused")
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/apex/log"
+
 	"fescuestand/internal/cachesync"
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
@@ -130,8 +132,9 @@
 // ProcessName returns a name that is unique to each process of a VM.
 func ProcessName(vm, incarnation string) string { return vm + " " + incarnation }
 
-// AnnounceCrash announces a crash of an endpoint to all VMs.
-func (x *GossipContent) AnnounceCrash(c *wire.Crash) { x.crashes.add(x.Clock.Now(), c) }
+// RecordOwnCrash records a crash of an endpoint that this VM has observed, and announces it to all VMs.
+// It returns false if the crash was known.
+func (x *GossipContent) RecordOwnCrash(c *wire.Crash) bool { return x.recordCrash(c, "") }
 
 // AnnounceLeaving marks an endpoint as leaving that has announced this itself, and announces it to
 // all VMs.
@@ -160,15 +163,26 @@
 	for _, l := range b.GetLeavingEndpoints() {
 		x.receiveLeaving(l)
 	}
-	now := x.Clock.Now()
 	for _, c := range b.GetCrashes() {
-		if x.Crashes.RecordCrash(now, c.GetRequest(), c.GetEndpoint()) {
-			x.crashes.add(now, c)
+		if x.recordCrash(c, from) {
 			x.OnChange()
 		}
 	}
 }
 
+// recordCrash records a crash that this VM or the VM from has observed, and announces it to all VMs. It
+// returns false if the crash was known.
+func (x *GossipContent) recordCrash(c *wire.Crash, from string) bool {
+	now := x.Clock.Now()
+	if !x.Crashes.RecordCrash(now, c.GetRequest(), c.GetEndpoint()) {
+		return false
+	}
+	x.crashes.add(now, c)
+	log.WithField("fingerprint", formatFingerprint(c.GetRequest())).WithField("endpoint", c.GetEndpoint()).
+		WithField("crashes", x.Crashes.CrashCount(now, c.GetRequest())).WithField("from", from).Info("endpoint crash recorded")
+	return true
+}
+
 // receiveLoad applies the load, limits, orders and cached prompts that only VMs of the active set
 // send.
 func (x *GossipContent) receiveLoad(from string, b *wire.Beat) {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -287,13 +287,12 @@
 }
 
 func (n *Node) endpointCrashed(fingerprint uint64, endpoint string) {
-	if !n.crashes.RecordCrash(n.clock.Now(), fingerprint, endpoint) {
+	c := &wire.Crash{Request: fingerprint, Endpoint: endpoint}
+	if !n.gossipContent.RecordOwnCrash(c) {
 		return
 	}
-	c := &wire.Crash{Request: fingerprint, Endpoint: endpoint}
 	n.gossip.QueueUpdate(func(b *wire.Beat) { b.Crashes = append(b.Crashes, c) })
 	n.gossip.SendEarly()
-	n.gossipContent.AnnounceCrash(c)
 	n.pushUpdates()
 }
 
