Each way in which an endpoint ends under a request counts as a crash

Cause: the evidence depended on where the exchange was interrupted. Only Pool.Do returned ErrConnectionLost, so that an answer that broke off after its header, in a body, a prefill's answer or a stream, was no crash; streams with an event were left out besides. Further attempts of one request weren't checked.

The connection pool now says of every read that fails that the connection was lost, the gateway has one predicate for what may be a crash, and each send is preceded by the check that accepting a request makes. An answer whose end shows only by the closed connection doesn't prove that the endpoint has survived the request, so that it no longer lifts the quarantine.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -72,6 +72,8 @@
 	Body   io.Reader
 	// Length is the body's length, -1 if unknown.
 	Length int64
+	// Framed means that the body's end can be told from a connection that the endpoint closed early.
+	Framed bool
 
 	body *body
 }
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -9,6 +10,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"fescuestand/internal/driver"
 )
 
 // activeExchange is one request and its response on a connection.
@@ -58,15 +61,21 @@
 		}
 		b := &body{x: x, rc: resp.Body, keepAlive: keepsAlive(resp)}
 		x.c.idleTimeout = idleTimeoutFrom(resp.Header)
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: b, Length: resp.ContentLength, body: b}, nil
+		return &Response{
+			Status: resp.StatusCode, Header: resp.Header, Body: b, Length: resp.ContentLength, Framed: framed(resp), body: b,
+		}, nil
 	}
 	return nil, errors.New("too many interim responses")
 }
 
 // keepsAlive reports whether the connection can carry another exchange after resp.
 func keepsAlive(resp *http.Response) bool {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return framed && !resp.Close && !strings.EqualFold(resp.Header.Get("Connection"), "close")
+	return framed(resp) && !resp.Close && !strings.EqualFold(resp.Header.Get("Connection"), "close")
+}
+
+// framed reports whether the end of resp shows without the connection being closed.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
 // body reads a response's body. Closing it returns the connection to the pool or closes it.
@@ -78,13 +87,17 @@
 	sawEOF    bool
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. Errors other than io.EOF wrap driver.ErrConnectionLost.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.rc.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
 		b.sawEOF = true
+		return n, err
 	}
-	return n, err
+	return n, fmt.Errorf("%w: %w", driver.ErrConnectionLost, err)
 }
 
 func (b *body) close() { b.once.Do(b.finish) }
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -91,7 +91,7 @@
 	c.Body = body
 	c.Fingerprint = fingerprint(c)
 	if g.o.Crashes.ShouldRefuse(g.o.Clock.Now(), c.Fingerprint) {
-		f := refuse(code.Quarantined, "endpoints broke off while they ran this request")
+		f := refuse(code.Quarantined, errQuarantined.Error())
 		f.retryAfter = quarantineRetryAfter
 		return c, nil, f
 	}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+
+	"fescuestand/internal/driver"
 )
 
 // eventReader splits a stream of server-sent events into whole events. Only whole events are
@@ -32,8 +35,8 @@
 var eventEnd = []byte("\n\n")
 
 // next returns all whole events that have arrived, and waits if there is none. The bytes are valid
-// until the next call. It returns io.EOF if the stream ends after a whole event, and
-// io.ErrUnexpectedEOF if it ends inside one.
+// until the next call. It returns io.EOF if the stream ends after a whole event, and an error that
+// wraps driver.ErrConnectionLost and io.ErrUnexpectedEOF if it ends inside one.
 func (r *eventReader) next() ([]byte, error) {
 	for {
 		if n := bytes.LastIndex(r.buf[:r.filled], eventEnd); n >= 0 {
@@ -41,7 +44,7 @@
 		}
 		if r.readErr != nil {
 			if errors.Is(r.readErr, io.EOF) && r.filled > 0 {
-				return nil, io.ErrUnexpectedEOF
+				return nil, fmt.Errorf("%w: %w", driver.ErrConnectionLost, io.ErrUnexpectedEOF)
 			}
 			return nil, r.readErr
 		}
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -81,7 +81,7 @@
 		if last.answer != nil {
 			x.endpointFailure = last.answer
 		}
-		if last.outcome == answered {
+		if last.outcome == answered && last.framed {
 			x.g.o.Crashes.RecordSuccess(x.now(), x.call.Fingerprint)
 		}
 		if last.outcome == answered || last.outcome == gone || last.outcome == refused {
@@ -143,6 +143,9 @@
 	if r, refuse := x.refuseInDrain(); refuse {
 		return nil, Answer{}, r
 	}
+	if x.g.o.Crashes.ShouldRefuse(x.now(), x.call.Fingerprint) {
+		return nil, Answer{}, result{outcome: refused, code: code.Quarantined, err: errQuarantined, retryAfter: quarantineRetryAfter}
+	}
 	if !x.takeRetryBudget() {
 		return nil, Answer{}, result{outcome: notSent, code: code.RetryBudgetSpent, err: errBudgetSpent}
 	}
@@ -259,7 +262,7 @@
 	x.attempts = append(x.attempts, attemptTrace{e.ID, r.outcome.String()})
 	x.tried[e.ID] = true
 	x.g.o.Planner.End(x.now(), t, placementOutcome(&r))
-	if r.outcome == lost && !x.headerSent && errors.Is(r.err, driver.ErrConnectionLost) {
+	if r.mayBeCrash() {
 		x.g.o.OnCrash(x.call.Fingerprint, e.ID)
 	}
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fescuestand/internal/code"
+	"fescuestand/internal/driver"
 )
 
 // result is the result of an attempt.
@@ -14,6 +15,13 @@
 	code       code.Code
 	retryAfter time.Duration   // Retry-After delay, zero for the default
 	answer     *bufferedAnswer // an endpoint's failure that may be sent to the caller
+	framed     bool            // with answered: the answer is complete for certain
+}
+
+// mayBeCrash reports whether r is what the crash of an endpoint looks like: the connection was lost
+// before the answer was complete, whatever part of it had arrived.
+func (r *result) mayBeCrash() bool {
+	return (r.outcome == lost || r.outcome == failed) && errors.Is(r.err, driver.ErrConnectionLost)
 }
 
 // outcome is the kind of an attempt's result. It decides whether the call may be retried. The names
@@ -44,4 +52,5 @@
 	errEndpointsLimited = errors.New("the endpoints have named limits that leave no room now")
 	errLeaving          = errors.New("the VM shuts down before the answer would be complete")
 	errUnsigned         = errors.New("the answer lacks the endpoint's signature")
+	errQuarantined      = errors.New("endpoints broke off while they ran this request")
 )
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -128,7 +128,7 @@
 		return result{outcome: lost, code: code.BadAnswer, err: errUnsigned}
 	case success:
 		a.write(x.w)
-		return result{outcome: answered}
+		return result{outcome: answered, framed: resp.Framed}
 	case promisesNotRun(resp.Status):
 		// The status would tell the caller that the request hasn't run, but the endpoint didn't
 		// say so.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -172,7 +172,7 @@
 		events, err := rd.next()
 		if errors.Is(err, io.EOF) {
 			x.sendHeader(resp.Header)
-			return result{outcome: answered}
+			return result{outcome: answered, framed: resp.Framed}
 		}
 		if err != nil {
 			return x.classifyReadError(err)
