Quarantines are told to other VMs for as long as they last

A VM that restarted, joined or was partitioned while crashes were announced ran quarantined requests again: crashes were announced for 1.2 s only, at most 32 at a time, so that one engine's other requests left no room; they were forgotten after 30 s if the caller came less often; and a full table dropped all of them.

Crashes now count for ten minutes each, as in the project's own interface; the messages of the failure detector carry the crashes of up to four quarantined requests with their age, in turn; and a full table gives up single crashes first. A success lifts the crashes up to 30 s after it, as before, now crash by crash.

Evidence: TestAVMThatMissedTheAnnouncementsLearnsOfQuarantines, TestAQuarantineIsToldBesideManyCrashes, TestARequestThatCrashesEndpointsSeldomIsRefused and TestAFullTableKeepsRepeatedCrashes failed before. Two tests of expiry name the constants that replace quarantineTime and the older crashTTL; what they check is the same. Cost: at most 12 records of 36 bytes in each message of the failure detector, only while requests are quarantined.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -8,10 +8,18 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
+	"fescuestand/internal/keyedlog"
+	"fescuestand/internal/policy/backpressure"
+	"fescuestand/internal/policy/crash"
+	"fescuestand/internal/policy/place"
+	"fescuestand/internal/wire"
 )
 
 // crashes are the ways in which an endpoint's process ends while it runs a request, as its
@@ -108,3 +116,59 @@
 	}
 	assert.Equal(t, strings.Join(statuses, " "), "502 502 503 503")
 }
+
+// newCrashContent returns the gossip content of a VM that has just started.
+func newCrashContent(c clock.Clock) *GossipContent {
+	eras := era.NewTracker(c)
+	store := catalog.NewStore(c)
+	return &GossipContent{
+		Clock: c, Eras: eras, Planner: place.New("z", 1), Pressure: backpressure.New(1), Crashes: crash.New(), Catalog: store,
+		Changes: NewChanges(c, eras, keyedlog.New("fleet", nil)), RequestRate: func() float64 { return 0 },
+		OnOrder: func(string) {}, OnPeerConfigVersion: func(string, uint64) {}, OnChange: func() {},
+	}
+}
+
+// tell has one VM send its updates to another.
+func tell(from, to *GossipContent) {
+	b := &wire.Beat{Peer: "from", Probe: &wire.Probe{}}
+	from.FillUpdates(b)
+	to.Receive("from", b)
+}
+
+// Guards against a VM that runs a request that the others have quarantined, as it restarted, joined or
+// was partitioned while the crashes were announced.
+func TestAVMThatMissedTheAnnouncementsLearnsOfQuarantines(t *testing.T) {
+	now := &clock.Manual{T: clock.Time(time.Hour)}
+	old, restarted := newCrashContent(now), newCrashContent(now)
+	for _, endpoint := range []string{"a", "b", "c"} {
+		old.RecordOwnCrash(&wire.Crash{Request: 7, Endpoint: endpoint})
+	}
+	now.T = now.T.Add(20 * time.Second)
+	tell(old, restarted)
+	assert.Assert(t, restarted.Crashes.ShouldRefuse(now.Now(), 7))
+
+	// Neither VM keeps the quarantine alive by telling the other of it.
+	for range 200 {
+		now.T = now.T.Add(5 * time.Second)
+		tell(old, restarted)
+		tell(restarted, old)
+	}
+	assert.Assert(t, !old.Crashes.ShouldRefuse(now.Now(), 7))
+	assert.Assert(t, !restarted.Crashes.ShouldRefuse(now.Now(), 7))
+}
+
+// Guards against a quarantine that doesn't arrive because a crashed engine ran more requests than fit
+// the announcements.
+func TestAQuarantineIsToldBesideManyCrashes(t *testing.T) {
+	now := &clock.Manual{T: clock.Time(time.Hour)}
+	old, other := newCrashContent(now), newCrashContent(now)
+	for _, endpoint := range []string{"a", "b", "c"} {
+		for request := range uint64(4 * maxAnnouncements) {
+			old.RecordOwnCrash(&wire.Crash{Request: 1000*uint64(endpoint[0]) + request, Endpoint: endpoint})
+		}
+		old.RecordOwnCrash(&wire.Crash{Request: 7, Endpoint: endpoint})
+		now.T = now.T.Add(100 * time.Millisecond)
+	}
+	tell(old, other)
+	assert.Assert(t, other.Crashes.ShouldRefuse(now.Now(), 7))
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -109,7 +109,7 @@
 	}
 	x.fillEra(b)
 	x.Changes.fillForwarded(b)
-	b.Crashes = x.crashes.current(x.Clock.Now())
+	b.Crashes = append(x.crashes.current(x.Clock.Now()), x.quarantines()...)
 	b.LeavingEndpoints = x.leaving.current(x.Clock.Now())
 }
 
@@ -132,6 +132,19 @@
 // ProcessName returns a name that is unique to each process of a VM.
 func ProcessName(vm, incarnation string) string { return vm + " " + incarnation }
 
+// maxQuarantinesPerMessage bounds the quarantined requests in a message. Successive messages carry
+// different ones.
+const maxQuarantinesPerMessage = 4
+
+// quarantines returns the crashes of some quarantined requests.
+func (x *GossipContent) quarantines() []*wire.Crash {
+	var out []*wire.Crash
+	for _, c := range x.Crashes.Quarantined(x.Clock.Now(), maxQuarantinesPerMessage) {
+		out = append(out, &wire.Crash{Request: c.Request, Endpoint: c.Endpoint, AgeMs: uint32(c.Age.Milliseconds())})
+	}
+	return out
+}
+
 // RecordOwnCrash records a crash of an endpoint that this VM has observed, and announces it to all VMs.
 // It returns false if the crash was known.
 func (x *GossipContent) RecordOwnCrash(c *wire.Crash) bool { return x.recordCrash(c, "") }
@@ -170,14 +183,17 @@
 	}
 }
 
-// recordCrash records a crash that this VM or the VM from has observed, and announces it to all VMs. It
-// returns false if the crash was known.
+// recordCrash records a crash that this VM or the VM from has observed, and announces it to all VMs if
+// it is recent. It returns false if the crash was known.
 func (x *GossipContent) recordCrash(c *wire.Crash, from string) bool {
 	now := x.Clock.Now()
-	if !x.Crashes.RecordCrash(now, c.GetRequest(), c.GetEndpoint()) {
+	age := time.Duration(c.GetAgeMs()) * time.Millisecond
+	if !x.Crashes.Record(now, crash.Crash{Request: c.GetRequest(), Endpoint: c.GetEndpoint(), Age: age}) {
 		return false
 	}
-	x.crashes.add(now, c)
+	if age < announceFor {
+		x.crashes.add(now, c)
+	}
 	log.WithField("fingerprint", formatFingerprint(c.GetRequest())).WithField("endpoint", c.GetEndpoint()).
 		WithField("crashes", x.Crashes.CrashCount(now, c.GetRequest())).WithField("from", from).Info("endpoint crash recorded")
 	return true
--- a/internal/policy/crash/crash.go
+++ b/internal/policy/crash/crash.go
@@ -4,14 +4,18 @@
 // any VM. Unless VMs record such requests, a pool of a dozen engines is lost within a minute.
 //
 // Approach: a request is identified by a fingerprint that all of its retries have in common. When an
-// endpoint breaks off without an answer, a crash is recorded for each request whose answer had not
-// begun. A request with crashes at several endpoints is quarantined: every VM that has received
-// reports of these crashes refuses it for a while.
+// endpoint breaks off an answer, a crash is recorded for the request. A request with crashes at several
+// endpoints is quarantined: every VM that has received reports of these crashes refuses it for a while.
+// Quarantines are told to other VMs for as long as they last, as a VM may have started or been
+// partitioned when they began.
 //
 // A Register is safe for concurrent use.
 package crash
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,11 +27,15 @@
 	// crash affects whatever was running at the endpoint; two happen to a request by chance when
 	// many endpoints fail.
 	quarantineCrashes = 3
-	// crashTTL is how long a crash counts unless another one follows.
-	crashTTL = 30 * time.Second
-	// quarantineTime is how long a quarantined request is refused: callers retry for a minute or
-	// so.
-	quarantineTime = 2 * time.Minute
+	// crashTTL is how long a crash counts. It outlasts the retries of an impatient caller, and is
+	// short enough that a quarantine ends after the endpoints' own fault was repaired.
+	crashTTL = 10 * time.Minute
+	// minTimeLeft is how long a crash must still count to be told to another VM, so that VMs don't keep
+	// it beyond crashTTL by telling each other.
+	minTimeLeft = 5 * time.Second
+	// successCredit is how long after a success crashes of the same request don't count: when many
+	// callers send it, endpoints that fail together for another reason are all running it.
+	successCredit = 30 * time.Second
 	// maxRecords bounds the number of requests that crashes are recorded for.
 	maxRecords = 4096
 	// successSlots is the size of the table of requests that were answered. A request that comes
@@ -42,6 +50,7 @@
 	// successes holds requests that an endpoint has completed. The slot of a request is its
 	// fingerprint modulo successSlots; the latest one replaces the one before.
 	successes [successSlots]success
+	toldUpTo  uint64 // last request of the latest call of Quarantined
 }
 
 type success struct {
@@ -49,46 +58,74 @@
 	at      clock.Time
 }
 
+// record holds the crashes under one request, by the ID of the endpoint's process.
 type record struct {
-	endpoints map[string]bool
-	last      clock.Time
+	crashes map[string]clock.Time
+}
+
+// expire deletes crashes that no longer count.
+func (r *record) expire(now clock.Time) {
+	maps.DeleteFunc(r.crashes, func(_ string, at clock.Time) bool { return now.Sub(at) > crashTTL })
+}
+
+// Crash is a crash of an endpoint while it ran a request.
+type Crash struct {
+	Request  uint64
+	Endpoint string        // ID that changes each time the endpoint's process starts
+	Age      time.Duration // since the crash
 }
 
 // New returns an empty register.
 func New() *Register { return &Register{records: map[uint64]*record{}} }
 
-// RecordCrash records that an endpoint's process crashed while it ran the request. endpoint is an
-// ID that changes each time the process starts. RecordCrash returns false if the crash was already
-// recorded.
+// RecordCrash records a crash that was observed now by this VM.
 func (r *Register) RecordCrash(now clock.Time, request uint64, endpoint string) bool {
+	return r.Record(now, Crash{Request: request, Endpoint: endpoint})
+}
+
+// Record records a crash. It returns false if the crash was already recorded, or is too old to count.
+func (r *Register) Record(now clock.Time, c Crash) bool {
+	if c.Age > crashTTL {
+		return false
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rec := r.records[request]
+	rec := r.records[c.Request]
 	if rec == nil {
 		r.makeRoom(now)
-		rec = &record{endpoints: map[string]bool{}}
-		r.records[request] = rec
+		rec = &record{crashes: map[string]clock.Time{}}
+		r.records[c.Request] = rec
 	}
-	if rec.endpoints[endpoint] {
+	rec.expire(now)
+	if _, known := rec.crashes[c.Endpoint]; known {
 		return false
 	}
-	if len(rec.endpoints) < quarantineCrashes && now.Sub(rec.last) > crashTTL {
-		clear(rec.endpoints)
-	}
-	rec.endpoints[endpoint] = true
-	rec.last = now
+	rec.crashes[c.Endpoint] = now.Add(-c.Age)
 	return true
 }
 
-// CrashCount returns the number of endpoints that crashed while they ran the request.
+// CrashCount returns the number of endpoints that crashed while they ran the request. Crashes around
+// the time of a success don't count.
 func (r *Register) CrashCount(now clock.Time, request uint64) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.count(now, request)
+}
+
+func (r *Register) count(now clock.Time, request uint64) int {
 	rec := r.records[request]
-	if rec == nil || now.Sub(rec.last) > quarantineTime {
+	if rec == nil {
 		return 0
 	}
-	return len(rec.endpoints)
+	rec.expire(now)
+	n := 0
+	s := r.successes[request%successSlots]
+	for _, at := range rec.crashes {
+		if s.request != request || s.at == 0 || at >= s.at.Add(successCredit) {
+			n++
+		}
+	}
+	return n
 }
 
 // RecordSuccess records that an endpoint has completed the request.
@@ -98,33 +135,65 @@
 	r.successes[request%successSlots] = success{request, now}
 }
 
-// ShouldRefuse reports whether the request is quarantined. A request that was also completed around
-// the time of the crashes isn't their cause: when many callers send the same request, endpoints that
-// fail together for another reason are all running it.
+// ShouldRefuse reports whether the request is quarantined.
 func (r *Register) ShouldRefuse(now clock.Time, request uint64) bool {
-	return r.CrashCount(now, request) >= quarantineCrashes && !r.recentlySucceeded(request)
+	return r.CrashCount(now, request) >= quarantineCrashes
 }
 
-// recentlySucceeded reports whether the request was completed after its last crash, or less than
-// crashTTL before it.
-func (r *Register) recentlySucceeded(request uint64) bool {
+// Quarantined returns crashes that make up the quarantines of up to n requests, from which another VM
+// learns them. Successive calls go through all quarantined requests.
+func (r *Register) Quarantined(now clock.Time, n int) []Crash {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s, rec := r.successes[request%successSlots], r.records[request]
-	return rec != nil && s.request == request && s.at != 0 && s.at.Add(crashTTL) > rec.last
+	requests := r.quarantinedRequests(now)
+	next, _ := slices.BinarySearch(requests, r.toldUpTo+1)
+	requests = append(requests[next:], requests[:next]...)
+	var out []Crash
+	for _, request := range requests[:min(n, len(requests))] {
+		out = append(out, r.newestCrashes(now, request)...)
+		r.toldUpTo = request
+	}
+	return out
+}
+
+// quarantinedRequests returns the quarantined requests in order.
+func (r *Register) quarantinedRequests(now clock.Time) []uint64 {
+	var out []uint64
+	for request, rec := range r.records {
+		if len(rec.crashes) >= quarantineCrashes && r.count(now, request) >= quarantineCrashes {
+			out = append(out, request)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
-// makeRoom deletes expired records once there are maxRecords. If none has expired it deletes all: so
-// many recent crashes show that endpoints fail in general, not which request is the cause.
+// newestCrashes returns as many of the request's newest crashes as make up a quarantine.
+func (r *Register) newestCrashes(now clock.Time, request uint64) []Crash {
+	var out []Crash
+	for endpoint, at := range r.records[request].crashes {
+		if age := now.Sub(at); age < crashTTL-minTimeLeft {
+			out = append(out, Crash{request, endpoint, age})
+		}
+	}
+	slices.SortFunc(out, func(a, b Crash) int { return cmp.Compare(a.Age, b.Age) })
+	return out[:min(quarantineCrashes, len(out))]
+}
+
+// makeRoom deletes records once there are maxRecords: those that have expired, then those of a single
+// crash, which affects every request at the endpoint, and at last all.
 func (r *Register) makeRoom(now clock.Time) {
 	if len(r.records) < maxRecords {
 		return
 	}
-	for id, rec := range r.records {
-		if now.Sub(rec.last) > crashTTL {
-			delete(r.records, id)
+	for request, rec := range r.records {
+		if rec.expire(now); len(rec.crashes) == 0 {
+			delete(r.records, request)
 		}
 	}
+	if len(r.records) >= maxRecords {
+		maps.DeleteFunc(r.records, func(_ uint64, rec *record) bool { return len(rec.crashes) < 2 })
+	}
 	if len(r.records) >= maxRecords {
 		clear(r.records)
 	}
--- a/internal/policy/crash/crash_test.go
+++ b/internal/policy/crash/crash_test.go
@@ -21,7 +21,7 @@
 	}
 	assert.Assert(t, r.ShouldRefuse(now, 7))
 	assert.Assert(t, !r.ShouldRefuse(now, 8))
-	assert.Assert(t, !r.ShouldRefuse(now.Add(quarantineTime), 7))
+	assert.Assert(t, !r.ShouldRefuse(now.Add(crashTTL), 7))
 }
 
 // Guards against counting one crash several times because several VMs report it: three reports would
@@ -46,9 +46,9 @@
 	assert.Assert(t, !r.ShouldRefuse(now.Add(time.Second), 7))
 	assert.Assert(t, r.ShouldRefuse(now.Add(time.Second), 8))
 	for _, e := range []string{"d", "e", "f"} {
-		r.RecordCrash(now.Add(2*crashTTL), 7, e)
+		r.RecordCrash(now.Add(2*successCredit), 7, e)
 	}
-	assert.Assert(t, r.ShouldRefuse(now.Add(2*crashTTL), 7), "its last success is too old")
+	assert.Assert(t, r.ShouldRefuse(now.Add(2*successCredit), 7), "its last success is too old")
 }
 
 func TestOldCrashesExpire(t *testing.T) {
@@ -68,3 +68,29 @@
 	}
 	assert.Assert(t, len(r.records) <= maxRecords)
 }
+
+// Guards against a request that is never quarantined, as its caller sends it again less often than
+// crashes are forgotten.
+func TestARequestThatCrashesEndpointsSeldomIsRefused(t *testing.T) {
+	r := New()
+	now := clock.Time(time.Hour)
+	for _, e := range []string{"a", "b", "c"} {
+		r.RecordCrash(now, 7, e)
+		now = now.Add(time.Minute)
+	}
+	assert.Assert(t, r.ShouldRefuse(now, 7))
+}
+
+// Guards against a full table that forgets the request which crashes endpoints for those that were
+// running beside it.
+func TestAFullTableKeepsRepeatedCrashes(t *testing.T) {
+	r := New()
+	now := clock.Time(time.Hour)
+	for _, e := range []string{"a", "b", "c"} {
+		r.RecordCrash(now, 7, e)
+	}
+	for i := range uint64(3 * maxRecords) {
+		r.RecordCrash(now.Add(time.Second), 1000+i, "d")
+	}
+	assert.Assert(t, r.ShouldRefuse(now.Add(time.Second), 7))
+}
