Successes of requests with crashes are reported to other VMs, and the workspace is part of a fingerprint

A lookup that many callers send can be running at three endpoints that fail for another reason. VMs that complete it know that it isn't the cause; one that has just started, or gets it seldom, heard of the crashes only and would have refused it for as long as they count. Reports now carry both: the crashes of a request that is quarantined here, or the success that exempts it here. Requests of two workspaces with the same path and body are no longer taken for one.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -105,6 +105,9 @@
 	// Writes to a hash never fail.
 	_, _ = d.WriteString(c.Host + c.Target)
 	_, _ = d.Write(c.Body)
+	if c.Workspace != nil {
+		_, _ = d.WriteString(c.Workspace.Name)
+	}
 	return d.Sum64()
 }
 
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -172,3 +172,27 @@
 	tell(old, other)
 	assert.Assert(t, other.Crashes.ShouldRefuse(now.Now(), 7))
 }
+
+// Guards against a VM that refuses a popular request which the other VMs serve, as it has heard of the
+// crashes of several endpoints that were running it, but of no success.
+func TestASuccessElsewhereLiftsAQuarantine(t *testing.T) {
+	now := &clock.Manual{T: clock.Time(time.Hour)}
+	old, started := newCrashContent(now), newCrashContent(now)
+	for _, endpoint := range []string{"a", "b", "c"} {
+		old.RecordOwnCrash(&wire.Crash{Request: 7, Endpoint: endpoint})
+		started.Receive("other", &wire.Beat{Peer: "other", Crashes: []*wire.Crash{{Request: 7, Endpoint: endpoint}}})
+	}
+	assert.Assert(t, started.Crashes.ShouldRefuse(now.Now(), 7))
+	now.T = now.T.Add(time.Second)
+	old.Crashes.RecordSuccess(now.Now(), 7)
+	tell(old, started)
+	assert.Assert(t, !started.Crashes.ShouldRefuse(now.Now(), 7))
+
+	// Crashes long after the success count again.
+	now.T = now.T.Add(time.Minute)
+	for _, endpoint := range []string{"d", "e", "f"} {
+		old.RecordOwnCrash(&wire.Crash{Request: 7, Endpoint: endpoint})
+	}
+	tell(old, started)
+	assert.Assert(t, started.Crashes.ShouldRefuse(now.Now(), 7))
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -109,7 +109,8 @@
 	}
 	x.fillEra(b)
 	x.Changes.fillForwarded(b)
-	b.Crashes = append(x.crashes.current(x.Clock.Now()), x.quarantines()...)
+	b.Crashes = x.crashes.current(x.Clock.Now())
+	x.fillCrashReport(b)
 	b.LeavingEndpoints = x.leaving.current(x.Clock.Now())
 }
 
@@ -132,17 +133,20 @@
 // ProcessName returns a name that is unique to each process of a VM.
 func ProcessName(vm, incarnation string) string { return vm + " " + incarnation }
 
-// maxQuarantinesPerMessage bounds the quarantined requests in a message. Successive messages carry
-// different ones.
-const maxQuarantinesPerMessage = 4
+// maxReportedRequests bounds the requests in a message that have crashed several endpoints. Successive
+// messages carry different ones.
+const maxReportedRequests = 4
 
-// quarantines returns the crashes of some quarantined requests.
-func (x *GossipContent) quarantines() []*wire.Crash {
-	var out []*wire.Crash
-	for _, c := range x.Crashes.Quarantined(x.Clock.Now(), maxQuarantinesPerMessage) {
-		out = append(out, &wire.Crash{Request: c.Request, Endpoint: c.Endpoint, AgeMs: uint32(c.Age.Milliseconds())})
+// fillCrashReport adds what the receiver should know of some requests that have crashed several
+// endpoints.
+func (x *GossipContent) fillCrashReport(b *wire.Beat) {
+	r := x.Crashes.Report(x.Clock.Now(), maxReportedRequests)
+	for _, c := range r.Crashes {
+		b.Crashes = append(b.Crashes, &wire.Crash{Request: c.Request, Endpoint: c.Endpoint, AgeMs: uint32(c.Age.Milliseconds())})
+	}
+	for _, s := range r.Successes {
+		b.Successes = append(b.Successes, &wire.Success{Request: s.Request, AgeMs: uint32(s.Age.Milliseconds())})
 	}
-	return out
 }
 
 // RecordOwnCrash records a crash of an endpoint that this VM has observed, and announces it to all VMs.
@@ -176,6 +180,9 @@
 	for _, l := range b.GetLeavingEndpoints() {
 		x.receiveLeaving(l)
 	}
+	for _, s := range b.GetSuccesses() {
+		x.Crashes.MergeSuccess(x.Clock.Now(), crash.Success{Request: s.GetRequest(), Age: time.Duration(s.GetAgeMs()) * time.Millisecond})
+	}
 	for _, c := range b.GetCrashes() {
 		if x.recordCrash(c, from) {
 			x.OnChange()
--- a/internal/policy/crash/crash.go
+++ b/internal/policy/crash/crash.go
@@ -6,8 +6,8 @@
 // Approach: a request is identified by a fingerprint that all of its retries have in common. When an
 // endpoint breaks off an answer, a crash is recorded for the request. A request with crashes at several
 // endpoints is quarantined: every VM that has received reports of these crashes refuses it for a while.
-// Quarantines are told to other VMs for as long as they last, as a VM may have started or been
-// partitioned when they began.
+// Quarantines are reported to other VMs for as long as they last, as a VM may have started or been
+// partitioned when they began. So are the successes that show that a request isn't the cause.
 //
 // A Register is safe for concurrent use.
 package crash
@@ -49,8 +49,8 @@
 	records map[uint64]*record
 	// successes holds requests that an endpoint has completed. The slot of a request is its
 	// fingerprint modulo successSlots; the latest one replaces the one before.
-	successes [successSlots]success
-	toldUpTo  uint64 // last request of the latest call of Quarantined
+	successes    [successSlots]success
+	reportedUpTo uint64 // last request of the latest report
 }
 
 type success struct {
@@ -75,6 +75,12 @@
 	Age      time.Duration // since the crash
 }
 
+// Success is the completion of a request by an endpoint.
+type Success struct {
+	Request uint64
+	Age     time.Duration // since the completion
+}
+
 // New returns an empty register.
 func New() *Register { return &Register{records: map[uint64]*record{}} }
 
@@ -130,9 +136,17 @@
 
 // RecordSuccess records that an endpoint has completed the request.
 func (r *Register) RecordSuccess(now clock.Time, request uint64) {
+	r.MergeSuccess(now, Success{Request: request})
+}
+
+// MergeSuccess records a success that this VM or another one has observed.
+func (r *Register) MergeSuccess(now clock.Time, s Success) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.successes[request%successSlots] = success{request, now}
+	slot, at := &r.successes[s.Request%successSlots], now.Add(-s.Age)
+	if at >= slot.at {
+		*slot = success{s.Request, at}
+	}
 }
 
 // ShouldRefuse reports whether the request is quarantined.
@@ -140,27 +154,43 @@
 	return r.CrashCount(now, request) >= quarantineCrashes
 }
 
-// Quarantined returns crashes that make up the quarantines of up to n requests, from which another VM
-// learns them. Successive calls go through all quarantined requests.
-func (r *Register) Quarantined(now clock.Time, n int) []Crash {
+// Report is what other VMs should know of some requests: the crashes that make up their quarantines,
+// or that they were completed around the time of their crashes.
+type Report struct {
+	Crashes   []Crash
+	Successes []Success
+}
+
+// Report returns a report on up to n requests. Successive calls go through all requests that have
+// crashed enough endpoints to be quarantined.
+func (r *Register) Report(now clock.Time, n int) Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	requests := r.quarantinedRequests(now)
-	next, _ := slices.BinarySearch(requests, r.toldUpTo+1)
+	requests := r.crashingRequests(now)
+	next, _ := slices.BinarySearch(requests, r.reportedUpTo+1)
 	requests = append(requests[next:], requests[:next]...)
-	var out []Crash
+	var out Report
 	for _, request := range requests[:min(n, len(requests))] {
-		out = append(out, r.newestCrashes(now, request)...)
-		r.toldUpTo = request
+		r.reportedUpTo = request
+		if r.count(now, request) >= quarantineCrashes {
+			out.Crashes = append(out.Crashes, r.newestCrashes(now, request)...)
+		} else {
+			s := r.successes[request%successSlots]
+			out.Successes = append(out.Successes, Success{request, now.Sub(s.at)})
+		}
 	}
 	return out
 }
 
-// quarantinedRequests returns the quarantined requests in order.
-func (r *Register) quarantinedRequests(now clock.Time) []uint64 {
+// crashingRequests returns, in order, the requests that have crashed enough endpoints to be quarantined
+// unless they were completed as well.
+func (r *Register) crashingRequests(now clock.Time) []uint64 {
 	var out []uint64
 	for request, rec := range r.records {
-		if len(rec.crashes) >= quarantineCrashes && r.count(now, request) >= quarantineCrashes {
+		if len(rec.crashes) < quarantineCrashes {
+			continue
+		}
+		if rec.expire(now); len(rec.crashes) >= quarantineCrashes {
 			out = append(out, request)
 		}
 	}
