Scenario: requests that crash endpoints are contained while VMs restart; successes are told with crashes

TestCrashingRequestsAreContained runs four VM processes against stand-ins: one request ends each endpoint that runs it, before the header, after it, inside the body or silently, at a lookup and at a stream, and is retried at all VMs, three of which are killed and restarted.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -140,18 +140,32 @@
 // fillCrashReport adds what the receiver should know of some requests that have crashed several
 // endpoints.
 func (x *GossipContent) fillCrashReport(b *wire.Beat) {
-	r := x.Crashes.Report(x.Clock.Now(), maxReportedRequests)
-	for _, c := range r.Crashes {
-		b.Crashes = append(b.Crashes, &wire.Crash{Request: c.Request, Endpoint: c.Endpoint, AgeMs: uint32(c.Age.Milliseconds())})
+	for _, c := range x.Crashes.Report(x.Clock.Now(), maxReportedRequests) {
+		b.Crashes = append(b.Crashes, encodeCrash(c))
 	}
-	for _, s := range r.Successes {
-		b.Successes = append(b.Successes, &wire.Success{Request: s.Request, AgeMs: uint32(s.Age.Milliseconds())})
+}
+
+func encodeCrash(c crash.Crash) *wire.Crash {
+	m := &wire.Crash{Request: c.Request, Endpoint: c.Endpoint, AgeMs: uint32(c.Age.Milliseconds())}
+	if c.HasSuccess {
+		m.SuccessAgeMs = 1 + uint32(min(c.SuccessAge, time.Hour).Milliseconds())
+	}
+	return m
+}
+
+func decodeCrash(m *wire.Crash) crash.Crash {
+	c := crash.Crash{Request: m.GetRequest(), Endpoint: m.GetEndpoint(), Age: time.Duration(m.GetAgeMs()) * time.Millisecond}
+	if age := m.GetSuccessAgeMs(); age > 0 {
+		c.HasSuccess, c.SuccessAge = true, time.Duration(age-1)*time.Millisecond
 	}
+	return c
 }
 
 // RecordOwnCrash records a crash of an endpoint that this VM has observed, and announces it to all VMs.
-// It returns false if the crash was known.
-func (x *GossipContent) RecordOwnCrash(c *wire.Crash) bool { return x.recordCrash(c, "") }
+// It returns the message for other VMs, or nil if the crash was known.
+func (x *GossipContent) RecordOwnCrash(request uint64, endpoint string) *wire.Crash {
+	return x.recordCrash(crash.Crash{Request: request, Endpoint: endpoint}, "")
+}
 
 // AnnounceLeaving marks an endpoint as leaving that has announced this itself, and announces it to
 // all VMs.
@@ -180,30 +194,27 @@
 	for _, l := range b.GetLeavingEndpoints() {
 		x.receiveLeaving(l)
 	}
-	for _, s := range b.GetSuccesses() {
-		x.Crashes.MergeSuccess(x.Clock.Now(), crash.Success{Request: s.GetRequest(), Age: time.Duration(s.GetAgeMs()) * time.Millisecond})
-	}
 	for _, c := range b.GetCrashes() {
-		if x.recordCrash(c, from) {
+		if x.recordCrash(decodeCrash(c), from) != nil {
 			x.OnChange()
 		}
 	}
 }
 
 // recordCrash records a crash that this VM or the VM from has observed, and announces it to all VMs if
-// it is recent. It returns false if the crash was known.
-func (x *GossipContent) recordCrash(c *wire.Crash, from string) bool {
+// it is recent. It returns the message for other VMs, or nil if the crash was known.
+func (x *GossipContent) recordCrash(c crash.Crash, from string) *wire.Crash {
 	now := x.Clock.Now()
-	age := time.Duration(c.GetAgeMs()) * time.Millisecond
-	if !x.Crashes.Record(now, crash.Crash{Request: c.GetRequest(), Endpoint: c.GetEndpoint(), Age: age}) {
-		return false
+	if !x.Crashes.Record(now, c) {
+		return nil
 	}
-	if age < announceFor {
-		x.crashes.add(now, c)
+	m := encodeCrash(x.Crashes.Describe(now, c))
+	if c.Age < announceFor {
+		x.crashes.add(now, m)
 	}
-	log.WithField("fingerprint", formatFingerprint(c.GetRequest())).WithField("endpoint", c.GetEndpoint()).
-		WithField("crashes", x.Crashes.CrashCount(now, c.GetRequest())).WithField("from", from).Info("endpoint crash recorded")
-	return true
+	log.WithField("fingerprint", formatFingerprint(c.Request)).WithField("endpoint", c.Endpoint).
+		WithField("crashes", x.Crashes.CrashCount(now, c.Request)).WithField("from", from).Info("endpoint crash recorded")
+	return m
 }
 
 // receiveLoad applies the load, limits, orders and cached prompts that only VMs of the active set
--- a/internal/policy/crash/crash.go
+++ b/internal/policy/crash/crash.go
@@ -68,17 +68,13 @@
 	maps.DeleteFunc(r.crashes, func(_ string, at clock.Time) bool { return now.Sub(at) > crashTTL })
 }
 
-// Crash is a crash of an endpoint while it ran a request.
+// Crash is a crash of an endpoint while it ran a request, with the latest success of the same request.
 type Crash struct {
-	Request  uint64
-	Endpoint string        // ID that changes each time the endpoint's process starts
-	Age      time.Duration // since the crash
-}
-
-// Success is the completion of a request by an endpoint.
-type Success struct {
-	Request uint64
-	Age     time.Duration // since the completion
+	Request    uint64
+	Endpoint   string        // ID that changes each time the endpoint's process starts
+	Age        time.Duration // since the crash
+	HasSuccess bool          // an endpoint has completed the request
+	SuccessAge time.Duration // since then
 }
 
 // New returns an empty register.
@@ -91,11 +87,14 @@
 
 // Record records a crash. It returns false if the crash was already recorded, or is too old to count.
 func (r *Register) Record(now clock.Time, c Crash) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c.HasSuccess {
+		r.recordSuccess(c.Request, now.Add(-c.SuccessAge))
+	}
 	if c.Age > crashTTL {
 		return false
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	rec := r.records[c.Request]
 	if rec == nil {
 		r.makeRoom(now)
@@ -136,17 +135,29 @@
 
 // RecordSuccess records that an endpoint has completed the request.
 func (r *Register) RecordSuccess(now clock.Time, request uint64) {
-	r.MergeSuccess(now, Success{Request: request})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recordSuccess(request, now)
 }
 
-// MergeSuccess records a success that this VM or another one has observed.
-func (r *Register) MergeSuccess(now clock.Time, s Success) {
+func (r *Register) recordSuccess(request uint64, at clock.Time) {
+	if slot := &r.successes[request%successSlots]; at >= slot.at {
+		*slot = success{request, at}
+	}
+}
+
+// Describe returns c with the latest success of its request, to be sent to other VMs.
+func (r *Register) Describe(now clock.Time, c Crash) Crash {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	slot, at := &r.successes[s.Request%successSlots], now.Add(-s.Age)
-	if at >= slot.at {
-		*slot = success{s.Request, at}
+	return r.describe(now, c)
+}
+
+func (r *Register) describe(now clock.Time, c Crash) Crash {
+	if s := r.successes[c.Request%successSlots]; s.request == c.Request && s.at != 0 {
+		c.HasSuccess, c.SuccessAge = true, now.Sub(s.at)
 	}
+	return c
 }
 
 // ShouldRefuse reports whether the request is quarantined.
@@ -154,30 +165,18 @@
 	return r.CrashCount(now, request) >= quarantineCrashes
 }
 
-// Report is what other VMs should know of some requests: the crashes that make up their quarantines,
-// or that they were completed around the time of their crashes.
-type Report struct {
-	Crashes   []Crash
-	Successes []Success
-}
-
-// Report returns a report on up to n requests. Successive calls go through all requests that have
-// crashed enough endpoints to be quarantined.
-func (r *Register) Report(now clock.Time, n int) Report {
+// Report returns what other VMs should know of up to n requests that have crashed enough endpoints to be
+// quarantined, unless they were completed as well. Successive calls go through all of them.
+func (r *Register) Report(now clock.Time, n int) []Crash {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	requests := r.crashingRequests(now)
 	next, _ := slices.BinarySearch(requests, r.reportedUpTo+1)
 	requests = append(requests[next:], requests[:next]...)
-	var out Report
+	var out []Crash
 	for _, request := range requests[:min(n, len(requests))] {
+		out = append(out, r.newestCrashes(now, request)...)
 		r.reportedUpTo = request
-		if r.count(now, request) >= quarantineCrashes {
-			out.Crashes = append(out.Crashes, r.newestCrashes(now, request)...)
-		} else {
-			s := r.successes[request%successSlots]
-			out.Successes = append(out.Successes, Success{request, now.Sub(s.at)})
-		}
 	}
 	return out
 }
@@ -203,7 +202,7 @@
 	var out []Crash
 	for endpoint, at := range r.records[request].crashes {
 		if age := now.Sub(at); age < crashTTL-minTimeLeft {
-			out = append(out, Crash{request, endpoint, age})
+			out = append(out, r.describe(now, Crash{Request: request, Endpoint: endpoint, Age: age}))
 		}
 	}
 	slices.SortFunc(out, func(a, b Crash) int { return cmp.Compare(a.Age, b.Age) })
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -287,8 +287,8 @@
 }
 
 func (n *Node) endpointCrashed(fingerprint uint64, endpoint string) {
-	c := &wire.Crash{Request: fingerprint, Endpoint: endpoint}
-	if !n.gossipContent.RecordOwnCrash(c) {
+	c := n.gossipContent.RecordOwnCrash(fingerprint, endpoint)
+	if c == nil {
 		return
 	}
 	n.gossip.QueueUpdate(func(b *wire.Beat) { b.Crashes = append(b.Crashes, c) })
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -197,6 +197,7 @@
 	e := &soakEndpoint{Endpoint: &standin.Endpoint{
 		ID: endpointID(s.started), Service: service, Zone: "z", Stage: stage, Slots: 32,
 	}}
+	e.OnCrash = func() { s.replaceCrashed(e) }
 	s.endpoints[e.ID] = e
 	s.mu.Unlock()
 	assert.NilError(s.t, e.Start("127.0.0.1:0", s.ledger))
@@ -206,6 +207,20 @@
 	s.wg.Go(func() { s.report(e) })
 }
 
+// replaceCrashed removes an endpoint that a request has ended and starts another one.
+func (s *soak) replaceCrashed(e *soakEndpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.removed {
+		return
+	}
+	e.removed = true
+	s.wg.Go(func() {
+		time.Sleep(endpointRestartTime)
+		s.addEndpoint(e.Service, e.Stage)
+	})
+}
+
 func (s *soak) report(e *soakEndpoint) {
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
