Soak: requests that crash endpoints, and a check that no other request is quarantined

Every fifth seed has a caller that retries such a request at all VMs while faults come; each seed checks the logs for requests that were refused as if they crashed endpoints. Other draws of a seed are unchanged.

--- a/scenarios/soak_check_test.go
+++ b/scenarios/soak_check_test.go
@@ -34,6 +34,7 @@
 // logs of the processes.
 func (s *soak) check() {
 	s.checkObservations()
+	s.checkQuarantines()
 	s.checkProcesses()
 	for _, v := range s.violations {
 		s.t.Errorf("seed %d: %s", s.seed, v)
--- a/scenarios/soak_faults_test.go
+++ b/scenarios/soak_faults_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/standin/relay"
+	"fescuestand/platform/standin"
 )
 
 const (
@@ -35,6 +36,12 @@
 	if s.planned() {
 		kinds = soakPlanned
 	}
+	if s.hasCrashingRequest() {
+		crashing, stop := context.WithTimeout(ctx, faultPhase)
+		defer stop()
+		c := s.newCrashingRequest("soak", []string{pathReads, pathResumable}[s.seed%2], standin.CrashPoints()[s.seed%4])
+		s.wg.Go(func() { c.retry(crashing) })
+	}
 	var heals []func()
 	for end := time.Now().Add(faultPhase); time.Now().Before(end); {
 		f := kinds[s.rng.IntN(len(kinds))]
@@ -57,6 +64,9 @@
 // planned reports whether the seed injects only planned work, during which no answer may be cut off.
 func (s *soak) planned() bool { return s.seed%3 == 1 }
 
+// hasCrashingRequest reports whether a caller of the seed sends a request that crashes endpoints.
+func (s *soak) hasCrashingRequest() bool { return s.seed%5 == 4 && !s.planned() }
+
 // soakFault is a kind of fault. start begins it and returns a function that ends it.
 type soakFault struct {
 	name  string
