--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -30,8 +30,23 @@
 	unblocked [directions]chan struct{} // closed while the direction isn't blocked
 	delay     time.Duration
 	conns     map[net.Conn]bool
+	cut       func(remote net.Addr) Cut // nil if no connection is cut
 }
 
+// Cut says what happens to the connections of one of the connecting processes.
+type Cut int
+
+// The cuts.
+const (
+	NoCut     Cut = iota
+	Hang          // connections stall, and new ones are accepted and forward nothing
+	Reset         // connections are reset, new ones as soon as they are accepted
+	RefuseNew     // as Reset for new connections; established ones go on
+)
+
+// cutPollInterval is the time between two checks whether a stalled connection is still cut.
+const cutPollInterval = 20 * time.Millisecond
+
 // New starts a relay to target on a free port.
 func New(target string) (*Relay, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -64,6 +79,13 @@
 	defer func() { _ = in.Close() }()
 	r.track(in)
 	defer r.untrack(in)
+	if c := r.cutOf(in); c == Reset || c == RefuseNew {
+		closeWrite(in, errCut)
+		return
+	}
+	if !r.awaitUncut(in) {
+		return
+	}
 	<-r.unblockedChan(ToTarget)
 	out, err := net.Dial("tcp", r.target)
 	if err != nil {
@@ -74,18 +96,24 @@
 	r.track(out)
 	defer r.untrack(out)
 	done := make(chan struct{}, 2)
-	go func() { r.pipe(out, in, ToTarget); done <- struct{}{} }()
-	go func() { r.pipe(in, out, FromTarget); done <- struct{}{} }()
+	go func() { r.pipe(out, in, in, ToTarget); done <- struct{}{} }()
+	go func() { r.pipe(in, out, in, FromTarget); done <- struct{}{} }()
 	<-done
 	<-done
 }
 
-func (r *Relay) pipe(dst, src net.Conn, d Direction) {
+// pipe forwards the bytes of one direction of the connection that was accepted as in.
+func (r *Relay) pipe(dst, src, in net.Conn, d Direction) {
 	const chunkBytes = 32 << 10
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := src.Read(buf)
 		<-r.unblockedChan(d)
+		if !r.awaitUncut(in) {
+			_ = src.Close()
+			_ = dst.Close()
+			return
+		}
 		r.sleepDelay()
 		if n > 0 {
 			if _, werr := dst.Write(buf[:n]); werr != nil {
@@ -162,6 +190,50 @@
 	}
 }
 
+var errCut = errors.New("cut")
+
+// SetCut cuts the connections for which cut says so, given the address of the connecting process. A nil
+// cut ends that.
+func (r *Relay) SetCut(cut func(remote net.Addr) Cut) {
+	r.mu.Lock()
+	r.cut = cut
+	conns := make([]net.Conn, 0, len(r.conns))
+	for c := range r.conns {
+		conns = append(conns, c)
+	}
+	r.mu.Unlock()
+	for _, c := range conns {
+		if r.cutOf(c) == Reset {
+			closeWrite(c, errCut)
+		}
+	}
+}
+
+func (r *Relay) cutOf(c net.Conn) Cut {
+	r.mu.Lock()
+	cut := r.cut
+	r.mu.Unlock()
+	if cut == nil {
+		return NoCut
+	}
+	return cut(c.RemoteAddr())
+}
+
+// awaitUncut waits while the connection hangs. It returns false if the connection is reset.
+func (r *Relay) awaitUncut(c net.Conn) bool {
+	for {
+		switch r.cutOf(c) {
+		case NoCut, RefuseNew:
+			return true
+		case Reset:
+			closeWrite(c, errCut)
+			return false
+		case Hang:
+			time.Sleep(cutPollInterval)
+		}
+	}
+}
+
 // SetDelay delays each chunk of data by d, in both directions.
 func (r *Relay) SetDelay(d time.Duration) {
 	r.mu.Lock()
--- a/scenarios/soak_callers_test.go
+++ b/scenarios/soak_callers_test.go
@@ -41,8 +41,12 @@
 }
 
 // callers send requests until ctx ends.
-func (s *soak) callers(ctx context.Context) {
-	for i := range soakCallers {
+func (s *soak) callers(ctx context.Context) { s.manyCallers(ctx, soakCallers, requestInterval) }
+
+// manyCallers starts count callers that pause for interval after each request. Many callers with long
+// pauses go on while some of them wait for an answer.
+func (s *soak) manyCallers(ctx context.Context, count int, interval time.Duration) {
+	for i := range count {
 		c := &soakCaller{
 			s: s, name: fmt.Sprintf("c%d", i), rng: rand.New(rand.NewPCG(uint64(s.seed), uint64(i)+7)),
 			http: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}},
@@ -51,7 +55,7 @@
 			defer c.http.CloseIdleConnections()
 			for n := 0; ctx.Err() == nil; n++ {
 				c.send(n)
-				time.Sleep(requestInterval)
+				time.Sleep(interval)
 			}
 		})
 	}
