Partition scenario: connections are told apart by one scan of the socket table

The owner of each connection was looked up one at a time under a lock, which held up the VMs that weren't cut off, and connections whose owner wasn't found passed the partition. A scan for all unknown connections each 20 ms, during which these wait, does neither. The checks are the same.

--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -79,11 +79,7 @@
 	defer func() { _ = in.Close() }()
 	r.track(in)
 	defer r.untrack(in)
-	if c := r.cutOf(in); c == Reset || c == RefuseNew {
-		closeWrite(in, errCut)
-		return
-	}
-	if !r.awaitUncut(in) {
+	if !r.admit(in) {
 		return
 	}
 	<-r.unblockedChan(ToTarget)
@@ -219,6 +215,21 @@
 	return cut(c.RemoteAddr())
 }
 
+// admit waits while a new connection hangs. It returns false if the connection is reset.
+func (r *Relay) admit(c net.Conn) bool {
+	for {
+		switch r.cutOf(c) {
+		case NoCut:
+			return true
+		case Reset, RefuseNew:
+			closeWrite(c, errCut)
+			return false
+		case Hang:
+			time.Sleep(cutPollInterval)
+		}
+	}
+}
+
 // awaitUncut waits while the connection hangs. It returns false if the connection is reset.
 func (r *Relay) awaitUncut(c net.Conn) bool {
 	for {
--- a/scenarios/partition_test.go
+++ b/scenarios/partition_test.go
@@ -24,77 +24,105 @@
 	partitionInterval = 300 * time.Millisecond
 )
 
-// socketOwners tells which VM's process has connected to a relay. All processes share one IP address, so
-// that the kernel's tables of sockets are read.
-type socketOwners struct {
-	vms []*soakVM
+// partition cuts some VMs off from all endpoints. All processes share one IP address, so that the
+// connections of these VMs are told from those of others by the kernel's tables of sockets. A connection
+// hangs until its owner is known.
+type partition struct {
+	cut relay.Cut
 
-	mu    sync.Mutex
-	known map[string]*soakVM // by the connecting address
+	mu       sync.Mutex
+	isolated map[int]bool // by the port from which a connection comes; absent if its owner isn't known yet
+	unknown  map[int]bool
 }
 
-func (o *socketOwners) owner(remote net.Addr) *soakVM {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if v, ok := o.known[remote.String()]; ok {
-		return v
+func (p *partition) cutOf(remote net.Addr) relay.Cut {
+	port := remote.(*net.TCPAddr).Port
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isolated, known := p.isolated[port]
+	switch {
+	case !known:
+		p.unknown[port] = true
+		return relay.Hang
+	case isolated:
+		return p.cut
 	}
-	v := o.find(remote)
-	o.known[remote.String()] = v
-	return v
+	return relay.NoCut
 }
 
-func (o *socketOwners) find(remote net.Addr) *soakVM {
-	inode := socketInode(remote.(*net.TCPAddr).Port)
-	if inode == "" {
-		return nil
+// scanInterval is the time between two scans of the kernel's tables.
+const scanInterval = 20 * time.Millisecond
+
+// follow learns the owners of new connections until ctx ends.
+func (p *partition) follow(ctx context.Context, vms []*soakVM) {
+	for ctx.Err() == nil {
+		p.scan(vms)
+		time.Sleep(scanInterval)
 	}
-	want := "socket:[" + inode + "]"
-	for _, v := range o.vms {
-		dir := fmt.Sprintf("/proc/%d/fd", v.proc.cmd.Process.Pid)
-		files, err := os.ReadDir(dir)
-		if err != nil {
-			return nil
-		}
-		for _, f := range files {
-			if target, err := os.Readlink(dir + "/" + f.Name()); err == nil && target == want {
-				return v
-			}
+}
+
+// scan finds out which of the unknown connections belong to the isolated VMs.
+func (p *partition) scan(vms []*soakVM) {
+	p.mu.Lock()
+	unknown := p.unknown
+	p.unknown = map[int]bool{}
+	p.mu.Unlock()
+	if len(unknown) == 0 {
+		return
+	}
+	inodes := map[string]bool{}
+	for _, v := range vms {
+		addInodes(inodes, v.proc.cmd.Process.Pid)
+	}
+	ports := localPorts(inodes)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for port := range unknown {
+		p.isolated[port] = ports[port]
+	}
+}
+
+// addInodes adds the inodes of a process's sockets.
+func addInodes(inodes map[string]bool, pid int) {
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return // the process has ended
+	}
+	for _, f := range files {
+		target, err := os.Readlink(dir + "/" + f.Name())
+		if inode, ok := strings.CutPrefix(target, "socket:["); err == nil && ok {
+			inodes[strings.TrimSuffix(inode, "]")] = true
 		}
 	}
-	return nil
 }
 
-// socketInode returns the inode of the loopback socket that is connected from a local port.
-func socketInode(port int) string {
+// localPorts returns the local ports of the TCP sockets with these inodes.
+func localPorts(inodes map[string]bool) map[int]bool {
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return ""
+		return nil
 	}
 	const localField, inodeField = 1, 9
+	ports := map[int]bool{}
 	for line := range strings.Lines(string(table)) {
 		f := strings.Fields(line)
-		if len(f) > inodeField && strings.HasSuffix(f[localField], fmt.Sprintf(":%04X", port)) && f[inodeField] != "0" {
-			if _, err := strconv.Atoi(f[inodeField]); err == nil {
-				return f[inodeField]
-			}
+		if len(f) <= inodeField || !inodes[f[inodeField]] {
+			continue
+		}
+		_, text, _ := strings.Cut(f[localField], ":")
+		if port, err := strconv.ParseInt(text, 16, 32); err == nil {
+			ports[int(port)] = true
 		}
 	}
-	return ""
+	return ports
 }
 
 // cutOff cuts VMs off from all endpoints and returns a function that ends it.
 func (s *soak) cutOff(vms []*soakVM, c relay.Cut) (heal func()) {
-	owners := &socketOwners{vms: s.vms, known: map[string]*soakVM{}}
-	cut := func(remote net.Addr) relay.Cut {
-		v := owners.owner(remote)
-		for _, other := range vms {
-			if v == other {
-				return c
-			}
-		}
-		return relay.NoCut
-	}
+	p := &partition{cut: c, isolated: map[int]bool{}, unknown: map[int]bool{}}
+	ctx, stop := context.WithCancel(s.ctx)
+	s.wg.Go(func() { p.follow(ctx, vms) })
 	set := func(cut func(net.Addr) relay.Cut) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -102,8 +130,11 @@
 			e.link.SetCut(cut)
 		}
 	}
-	set(cut)
-	return func() { set(nil) }
+	set(p.cutOf)
+	return func() {
+		stop()
+		set(nil)
+	}
 }
 
 // servedShare returns how many of the requests to the given VMs that were sent in a time span were served.
