A VM that reaches no endpoint isn't advertised and relays its requests

Cause: readiness rested on the configuration and on shutting down only, so that such a VM stayed advertised for the whole partition, and each of its requests waited for up to three connections that couldn't be established.

Class: what a VM tells others of itself says that it runs, not that it can do its work.

Failed connections, connections lost without an answer and 300 ms of silence raise a suspicion, which a round of tests confirms or refutes: one engine, then three others, must answer over a new connection within 250 ms each. Time-outs don't count while bytes arrive. The state is announced at once; other VMs are advertised as long as any of them reaches endpoints. Requests that come all the same, and those that no endpoint has run yet, are relayed to such a VM, which handles them as a caller's, so that keys, limits, budget and usage are counted once; a relayed request isn't relayed again. If no VM reaches an endpoint, all go on as before. Two good rounds end it, more if the link flaps. Idle connections are closed as they would hang.

The other design, refusing at once with a time to come back, serves nobody who comes by a kept connection or a cached address (to 4.5 s), at the first attempt.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -18,13 +18,27 @@
 type conn struct {
 	net.Conn
 	br          *bufio.Reader
+	observer    Observer  // nil if there is none
+	received    int64     // bytes received in the exchange in progress
 	firstUse    bool      // carries its first exchange
 	idleAt      time.Time // when it was returned to the pool
 	idleTimeout time.Duration
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBufferBytes), firstUse: true}
+func newConn(nc net.Conn, o Observer) *conn {
+	c := &conn{Conn: nc, firstUse: true, observer: o}
+	c.br = bufio.NewReaderSize(c, readBufferBytes)
+	return c
+}
+
+// Read implements io.Reader for br.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received += int64(n)
+	if n > 0 && c.observer != nil {
+		c.observer.Received()
+	}
+	return n, err
 }
 
 // reusable reports whether an idle connection can carry another request: the endpoint hasn't
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -82,8 +82,23 @@
 // so that the endpoint cancels the request.
 func (r *Response) Close() { r.body.close() }
 
+// Observer observes the exchanges of a pool.
+type Observer interface {
+	// Dialed is called with the result of each attempt to connect, unless it was canceled.
+	Dialed(addr string, ok bool)
+	// Begin is called when an exchange begins, and End when it has ended. lost means that its
+	// connection was lost before any byte of the response had arrived.
+	Begin(addr string)
+	End(addr string, lost bool)
+	// Received is called when bytes have arrived.
+	Received()
+}
+
 // Pool holds idle connections by endpoint address. It is safe for concurrent use.
 type Pool struct {
+	// Observer is nil if nothing observes the pool. It is set before the first use.
+	Observer Observer
+
 	dialer net.Dialer
 
 	mu      sync.Mutex
@@ -98,6 +113,13 @@
 	Dials, Reused, Surplus int64
 }
 
+// NewDialer returns a pool that opens a new connection for each exchange.
+func NewDialer() *Pool {
+	p := NewPool()
+	p.closing = true
+	return p
+}
+
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	p := &Pool{idle: map[string][]*conn{}}
@@ -121,8 +143,10 @@
 // The error wraps driver.ErrNotSent if no byte of r was sent, otherwise driver.ErrConnectionLost: then r may
 // have run.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
+	p.begin(addr)
 	c, err := p.acquire(ctx, addr, r.NoRetry)
 	if err != nil {
+		p.end(addr, false)
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
 	}
 	detach := context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -135,6 +159,7 @@
 	detach()
 	_ = c.Close()
 	<-x.writeDone
+	p.end(addr, x.sent.n > 0 && c.received == 0 && ctx.Err() == nil)
 	if x.sent.n == 0 {
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
 	}
@@ -149,7 +174,7 @@
 			return p.dial(ctx, addr)
 		}
 		if c.reusable() {
-			c.firstUse = false
+			c.firstUse, c.received = false, 0
 			return c, nil
 		}
 		if c.br.Buffered() > 0 {
@@ -192,10 +217,34 @@
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	p.count(func(s *Stats) { s.Dials++ })
 	c, err := stall.DialContext(ctx, &p.dialer, dialTimeout, "tcp4", addr)
+	if p.Observer != nil && (err == nil || ctx.Err() == nil) {
+		p.Observer.Dialed(addr, err == nil)
+	}
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c), nil
+	return newConn(c, p.Observer), nil
+}
+
+func (p *Pool) begin(addr string) {
+	if p.Observer != nil {
+		p.Observer.Begin(addr)
+	}
+}
+
+func (p *Pool) end(addr string, lost bool) {
+	if p.Observer != nil {
+		p.Observer.End(addr, lost)
+	}
+}
+
+// Connect reports whether a connection to addr can be established.
+func (p *Pool) Connect(ctx context.Context, addr string) error {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return c.Close()
 }
 
 func (p *Pool) count(f func(*Stats)) {
@@ -241,15 +290,22 @@
 // Close closes the idle connections. Connections in use are closed when their exchange ends.
 func (p *Pool) Close() error {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closing = true
+	p.mu.Unlock()
+	p.CloseIdle()
+	return nil
+}
+
+// CloseIdle closes the idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, list := range p.idle {
 		for _, c := range list {
 			_ = c.Close()
 		}
 	}
 	clear(p.idle)
-	return nil
 }
 
 // idleTimeoutFrom returns how long a connection may stay idle after a response with header h.
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -106,6 +106,7 @@
 // full and no bytes follow the response; otherwise it closes the connection.
 func (b *body) finish() {
 	x := b.x
+	defer x.pool.end(x.addr, false)
 	detached := x.detach()
 	clean := b.sawEOF && b.keepAlive && detached && x.requestWritten()
 	if clean && x.c.br.Buffered() > 0 {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -47,6 +47,7 @@
 	Parts           []place.Part
 	LastEventID     string // the last event of the stream that the caller has received
 	Fingerprint     uint64 // the same for all retries of a request by its caller
+	Relayed         bool   // another VM, which reaches no endpoint, has sent it
 
 	HasKey    bool // the caller sent an API key
 	Key       workspace.Digest
@@ -77,6 +78,9 @@
 	Decode(r *http.Request) (*Call, error)
 	// Header returns the headers of the request to the endpoint.
 	Header(c *Call, s *EndpointRequest) http.Header
+	// Relay returns the headers with which r is sent to another VM. It removes what only this VM may
+	// say, and marks the request as relayed.
+	Relay(r *http.Request, remaining time.Duration) http.Header
 	// Answer reads the metadata in the headers of an endpoint's response.
 	Answer(c *Call, status int, h http.Header) Answer
 	// ParseHandoff reads the KV cache's handle from the body of the answer to a prefill.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -24,6 +24,7 @@
 	call      *Call
 	route     *catalog.Route
 	view      *catalog.View
+	request   *http.Request
 	w         http.ResponseWriter
 	deadline  clock.Time
 	service   string
@@ -70,13 +71,19 @@
 
 // run makes attempts until one of them succeeds or no further attempt is allowed.
 func (x *execution) run() {
-	x.g.o.Budget.CountRequest(x.now(), x.service)
 	defer func() { x.queueSlot.leave() }()
 	var last result
 	for tries := 0; ; tries++ {
+		if relayed, r := x.relay(); relayed {
+			last = r
+			break
+		}
 		if tries > 0 && !x.mayRetry(&last) {
 			break
 		}
+		if tries == 0 {
+			x.g.o.Budget.CountRequest(x.now(), x.service)
+		}
 		last = x.attempt()
 		if last.answer != nil {
 			x.endpointFailure = last.answer
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,11 @@
 	// KeyFreshness reports whether this VM's configuration is recent enough to accept or reject API
 	// keys.
 	KeyFreshness func() freshness.Verdict
+	// CutOff reports whether this VM reaches no endpoint. Requests are then relayed to one of
+	// RelayTargets, the addresses of other VMs that do, over the connections of RelayPool.
+	CutOff       func() bool
+	RelayTargets func() []string
+	RelayPool    *exchange.Pool
 	// OnRequestRunning is called once for each request of a workspace that an endpoint has started
 	// to run.
 	OnRequestRunning func(at clock.Time, w *workspace.Workspace)
@@ -117,7 +122,7 @@
 	x := &execution{
 		g: g, ctx: ctx, call: call, route: route, view: view, w: w, callerCtx: r.Context(),
 		deadline: arrived.Add(timeout), service: route.Service(rand.Uint64()),
-		tried: map[string]bool{}, lastEventID: call.LastEventID,
+		tried: map[string]bool{}, lastEventID: call.LastEventID, request: r,
 	}
 	x.run()
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -51,6 +51,7 @@
 	errEndpointLeft     = errors.New("the endpoint left before the request was sent")
 	errEndpointsLimited = errors.New("the endpoints have named limits that leave no room now")
 	errLeaving          = errors.New("the VM shuts down before the answer would be complete")
+	errCutOff           = errors.New("no endpoint can be reached")
 	errUnsigned         = errors.New("the answer lacks the endpoint's signature")
 	errQuarantined      = errors.New("endpoints broke off while they ran this request")
 )
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -36,7 +36,7 @@
 func (codec) Decode(r *http.Request) (*Call, error) {
 	c := &Call{
 		ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host,
-		Header: r.Header.Clone(), LastEventID: r.Header.Get("Last"),
+		Header: r.Header.Clone(), LastEventID: r.Header.Get("Last"), Relayed: r.Header.Get("Relayed") != "",
 	}
 	if c.ID == "bad" {
 		return nil, errors.New("bad id")
@@ -78,6 +78,13 @@
 	}
 }
 
+func (codec) Relay(r *http.Request, remaining time.Duration) http.Header {
+	h := EndToEnd(r.Header)
+	h.Set("Patience", strconv.FormatInt(remaining.Milliseconds(), 10))
+	h.Set("Relayed", "1")
+	return h
+}
+
 func (codec) ParseHandoff(body []byte) (string, error) {
 	var handle string
 	return handle, json.Unmarshal(body, &handle)
@@ -166,8 +173,11 @@
 	budget  *repeat.Budget
 	crashes *crash.Register
 	leaving atomic.Bool
+	cutOff  atomic.Bool
 	gossip  *GossipContent
 
+	relayTargets []string
+
 	mu      sync.Mutex
 	crashed []string
 }
@@ -180,6 +190,7 @@
 	w.gateway = New(Options{
 		Codec: codec{}, Catalog: w.store, Planner: place.New("z", 1), Budget: w.budget, Crashes: w.crashes, Pressure: backpressure.New(1),
 		Pool: exchange.NewPool(), Clock: clock.Boot{}, Leaving: w.leaving.Load, Peers: func() (int, int) { return 1, 0 },
+		CutOff: w.cutOff.Load, RelayTargets: func() []string { return w.relayTargets }, RelayPool: exchange.NewPool(),
 		VMs: func() int { return 1 }, OnPrefillSent: func(time.Duration) {}, OnPrefixCached: func(*catalog.Endpoint, []place.Part) {},
 		OnCrash: func(fingerprint uint64, endpoint string) {
 			w.mu.Lock()
--- a/internal/gossip/active.go
+++ b/internal/gossip/active.go
@@ -76,8 +76,10 @@
 }
 
 // candidates returns the VMs that accept callers, all VMs that are alive and not leaving, and the
-// total request rate.
+// total request rate. VMs that reach no endpoint accept callers only if no other VM does: the endpoints
+// are down then, and any VM refuses as well as another.
 func (m *Members) candidates(now clock.Time) (ready, all []serving.VM, rate float64) {
+	var cutOff []serving.VM
 	add := func(r *swim.Record) {
 		if r.Leaving {
 			return
@@ -85,10 +87,15 @@
 		capacity := cmp.Or(r.Capacity, m.own.Capacity)
 		v := serving.VM{Address: r.Caller, Peer: r.Peer, Zone: r.Zone, Capacity: capacity}
 		all = append(all, v)
-		if r.Ready {
+		switch {
+		case !r.Ready:
+			return
+		case r.CutOff:
+			cutOff = append(cutOff, v)
+		default:
 			ready = append(ready, v)
-			rate += float64(r.Requests)
 		}
+		rate += float64(r.Requests)
 	}
 	add(m.detector.Own())
 	for _, e := range m.detector.Entries() {
@@ -96,6 +103,9 @@
 			add(&e.Record)
 		}
 	}
+	if len(ready) == 0 {
+		ready = cutOff
+	}
 	return ready, all, rate
 }
 
--- a/internal/gossip/callers.go
+++ b/internal/gossip/callers.go
@@ -22,6 +22,19 @@
 	return out
 }
 
+// RelayTargets returns the addresses for callers of other VMs that are advertised and reach endpoints.
+func (m *Members) RelayTargets() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for _, v := range m.selectVMs(m.clock.Now()).advertised {
+		if e := m.detector.Entries()[v.Peer]; e != nil && !e.CutOff {
+			out = append(out, v.Address)
+		}
+	}
+	return out
+}
+
 // AdvertisedCount returns how many VMs are advertised to callers, at least one.
 func (m *Members) AdvertisedCount() int {
 	m.mu.Lock()
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -161,3 +161,21 @@
 	})
 	assert.NilError(t, r.Drain(t.Context()), "a failed leave call doesn't fail the drain")
 }
+
+// Guards against callers being sent to a VM that reaches no endpoint while others do, and against
+// advertising no VM at all if none does.
+func TestVMsThatReachNoEndpointAreAdvertisedLast(t *testing.T) {
+	_, m := newMembers()
+	own, other := "10.0.0.0:1", "10.0.0.1:1"
+	m.receiveLoad(loadReport{Record: swim.Record{Node: node(1), Ready: true, CutOff: true}})
+	assert.DeepEqual(t, m.AdvertisedAddresses("z0"), []string{own})
+	assert.Equal(t, len(m.RelayTargets()), 0)
+	m.SetCutOff(true)
+	assert.DeepEqual(t, m.AdvertisedAddresses("z0"), []string{own, other})
+	assert.Equal(t, len(m.RelayTargets()), 0)
+	m.receiveLoad(loadReport{Record: swim.Record{Node: node(1), Ready: true}})
+	assert.DeepEqual(t, m.AdvertisedAddresses("z0"), []string{other})
+	assert.DeepEqual(t, m.RelayTargets(), []string{other})
+	m.SetCutOff(false)
+	assert.DeepEqual(t, m.AdvertisedAddresses("z0"), []string{own, other})
+}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -87,6 +87,9 @@
 // SetReady announces whether this VM accepts callers.
 func (m *Members) SetReady(ready bool) { m.updateOwn(func(r *swim.Record) { r.Ready = ready }) }
 
+// SetCutOff announces whether this VM reaches no endpoint. It isn't advertised then while others are.
+func (m *Members) SetCutOff(cutOff bool) { m.updateOwn(func(r *swim.Record) { r.CutOff = cutOff }) }
+
 // SetLeader announces whether this VM is the leader, which may order engines and endpoints.
 func (m *Members) SetLeader(leader bool) { m.updateOwn(func(r *swim.Record) { r.Leader = leader }) }
 
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -10,6 +10,7 @@
 	return &wire.Beat{
 		Incarnation: r.Incarnation, Zone: r.Zone, Caller: r.Caller, Peer: r.Peer, Capacity: r.Capacity,
 		Version: r.Version, Ready: r.Ready, Leaving: r.Leaving, Informed: r.TracksCaches, Duty: r.Leader, Requests: r.Requests,
+		CutOff: r.CutOff,
 	}
 }
 
@@ -20,7 +21,7 @@
 			Incarnation: b.GetIncarnation(), Zone: b.GetZone(), Caller: b.GetCaller(), Peer: b.GetPeer(), Capacity: b.GetCapacity(),
 		},
 		Version: b.GetVersion(), Ready: b.GetReady(), Leaving: b.GetLeaving(), TracksCaches: b.GetInformed(), Leader: b.GetDuty(),
-		Requests: b.GetRequests(),
+		Requests: b.GetRequests(), CutOff: b.GetCutOff(),
 	}
 }
 
@@ -33,7 +34,7 @@
 		b.Members = append(b.Members, &wire.Member{
 			Incarnation: r.Incarnation, Zone: r.Zone, Caller: r.Caller, Peer: r.Peer, Capacity: r.Capacity,
 			Version: r.Version, Silent: r.Silent, Ready: r.Ready, Leaving: r.Leaving, Informed: r.TracksCaches, Duty: r.Leader,
-			Requests: r.Requests,
+			Requests: r.Requests, CutOff: r.CutOff,
 		})
 	}
 	return b
@@ -54,7 +55,7 @@
 				Incarnation: r.GetIncarnation(), Zone: r.GetZone(), Caller: r.GetCaller(), Peer: r.GetPeer(), Capacity: r.GetCapacity(),
 			},
 			Version: r.GetVersion(), Silent: r.GetSilent(), Ready: r.GetReady(), Leaving: r.GetLeaving(),
-			TracksCaches: r.GetInformed(), Leader: r.GetDuty(), Requests: r.GetRequests(),
+			TracksCaches: r.GetInformed(), Leader: r.GetDuty(), Requests: r.GetRequests(), CutOff: r.GetCutOff(),
 		})
 	}
 	return m
--- a/internal/swim/record.go
+++ b/internal/swim/record.go
@@ -40,6 +40,7 @@
 	Leaving      bool   // is draining
 	TracksCaches bool   // tracks what engines have cached
 	Leader       bool   // has leadership: it may order engines
+	CutOff       bool   // reaches no endpoint
 	Requests     uint32 // requests per second that it receives, zero if unknown
 }
 
@@ -55,7 +56,7 @@
 // changes where callers are directed.
 func (r *Record) urgent(old *Record) bool {
 	return r.Silent != old.Silent || r.Ready != old.Ready || r.Leaving != old.Leaving || r.Leader != old.Leader ||
-		r.Incarnation != old.Incarnation
+		r.CutOff != old.CutOff || r.Incarnation != old.Incarnation
 }
 
 // Entry is this VM's view of another one.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -30,6 +30,7 @@
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
 	"fescuestand/internal/policy/stages"
+	"fescuestand/internal/reachability"
 	"fescuestand/internal/scaling"
 	"fescuestand/internal/truetime"
 	"fescuestand/internal/usage"
@@ -135,6 +136,7 @@
 	gossip           *gossip.Unit
 	gossipContent    *gateway.GossipContent
 	pool             *exchange.Pool
+	reachability     *reachability.Unit
 	authority        *authority.Authority
 	orders           *orders.Unit
 	configFollower   *keyedlog.Follower
@@ -154,6 +156,7 @@
 	n := &Node{o: o, adapter: a, clock: c, eras: a.Eras(), catalog: catalog.NewStore(c), crashes: crash.New(), backpressure: backpressure.New(seedOf(o.Self.Incarnation))}
 	n.members = gossip.NewMembers(c, o.Self)
 	n.pool = exchange.NewPool()
+	n.initReachability()
 	n.authority = authority.New(o.MinLeaderChangeInterval, o.FirstStart, c.Now())
 	n.planner = place.New(o.Self.Zone, seedOf(o.Self.Incarnation))
 	n.retryBudget = repeat.New(o.Budget)
@@ -172,6 +175,7 @@
 		Peers: n.members.PeerCounts, AddressLifetime: o.AddressLifetime,
 		VMs: n.members.AdvertisedCount, OnPrefillSent: n.prefillSent, OnPrefixCached: n.prefixCached, OnCrash: n.endpointCrashed, OnEndpointLeaving: n.endpointLeaving,
 		KeyFreshness: n.keyFreshness, OnRequestRunning: n.requestRunning,
+		CutOff: n.reachability.CutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPool(),
 	})
 	n.planner.Admits = n.backpressure.Admits
 	n.backpressure.Self = o.Self.Peer
@@ -210,6 +214,7 @@
 		n.orders,
 		&catalogUnit{n},
 		n.cachesUnit(),
+		n.reachability,
 		gateway.NewServer("front", at.Callers, n.gateway, linger),
 		gateway.NewServer("ready", at.Ready, n.adapter.Readiness(n.members), linger),
 		gateway.NewServer("directory", at.Directory, n.adapter.Directory(n.members), linger),
