Soak: VMs that are cut off from all endpoints

Every seventh seed partitions random VMs, up to all, from the endpoints while other faults come and overlap.

--- a/scenarios/soak_faults_test.go
+++ b/scenarios/soak_faults_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"fescuestand/internal/clock"
 	"fescuestand/internal/standin/relay"
 	"fescuestand/platform/standin"
 )
@@ -42,6 +45,11 @@
 		c := s.newCrashingRequest("soak", []string{pathReads, pathResumable}[s.seed%2], standin.CrashPoints()[s.seed%4])
 		s.wg.Go(func() { c.retry(crashing) })
 	}
+	if s.hasPartitions() {
+		partitioned, stop := context.WithTimeout(ctx, faultPhase)
+		defer stop()
+		s.wg.Go(func() { s.partitionVMs(partitioned) })
+	}
 	var heals []func()
 	for end := time.Now().Add(faultPhase); time.Now().Before(end); {
 		f := kinds[s.rng.IntN(len(kinds))]
@@ -67,6 +75,25 @@
 // hasCrashingRequest reports whether a caller of the seed sends a request that crashes endpoints.
 func (s *soak) hasCrashingRequest() bool { return s.seed%5 == 4 && !s.planned() }
 
+// hasPartitions reports whether VMs of the seed are cut off from all endpoints.
+func (s *soak) hasPartitions() bool { return s.seed%7 == 3 && !s.planned() }
+
+// partitionVMs cuts random VMs off from all endpoints, one partition after the other, until ctx ends.
+func (s *soak) partitionVMs(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(uint64(s.seed), 77))
+	cuts := []relay.Cut{relay.Hang, relay.Reset, relay.RefuseNew}
+	for ctx.Err() == nil {
+		vms := slices.Clone(s.vms)
+		rng.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+		vms = vms[:1+rng.IntN(len(vms))]
+		c := cuts[rng.IntN(len(cuts))]
+		heal := s.inject(soakFault{"VMs cut off from all endpoints", func(s *soak) func() { return s.cutOff(vms, c) }},
+			maxFaultDuration/4+time.Duration(rng.Int64N(int64(maxFaultDuration)*3/4)))
+		heal()
+		clock.Sleep(ctx, time.Duration(rng.Int64N(int64(maxFaultDuration)/2)))
+	}
+}
+
 // soakFault is a kind of fault. start begins it and returns a function that ends it.
 type soakFault struct {
 	name  string
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -21,6 +21,7 @@
 	1,    // planned work only
 	2,    // faults of all kinds
 	9,    // as 2, with a request that crashes endpoints
+	24,   // as 2, with VMs that are cut off from all endpoints and a request that crashes endpoints
 	7028, // reads running on three isolated endpoints were refused as if the reads had crashed the endpoints
 }
 
