--- a/scenarios/partition_test.go
+++ b/scenarios/partition_test.go
@@ -72,7 +72,7 @@
 	}
 	inodes := map[string]bool{}
 	for _, v := range vms {
-		addInodes(inodes, v.proc.cmd.Process.Pid)
+		addInodes(inodes, v.proc.pid.Load())
 	}
 	ports := localPorts(inodes)
 	p.mu.Lock()
@@ -83,7 +83,7 @@
 }
 
 // addInodes adds the inodes of a process's sockets.
-func addInodes(inodes map[string]bool, pid int) {
+func addInodes(inodes map[string]bool, pid int64) {
 	dir := fmt.Sprintf("/proc/%d/fd", pid)
 	files, err := os.ReadDir(dir)
 	if err != nil {
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -18,6 +19,7 @@
 	log    string
 	cmd    *exec.Cmd
 	exited chan struct{}
+	pid    atomic.Int64 // of the process started last, for goroutines other than the one that starts it
 }
 
 // start starts the program. Its output is appended to NAME.log, so that the output after a restart
@@ -33,6 +35,7 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
+	p.pid.Store(int64(p.cmd.Process.Pid))
 	p.exited = make(chan struct{})
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		_ = cmd.Wait()
