--- a/scenarios/partition_test.go
+++ b/scenarios/partition_test.go
@@ -163,55 +163,57 @@
 		cut  relay.Cut
 		vms  int
 	}{
-		{"hang", relay.Hang, 1}, {"hang", relay.Hang, 3}, {"reset", relay.Reset, 2}, {"refused", relay.RefuseNew, 2},
+		{"hang1", relay.Hang, 1}, {"hang3", relay.Hang, 3}, {"reset2", relay.Reset, 2}, {"refused2", relay.RefuseNew, 2},
 	} {
-		n, c := tc.vms, tc.cut
-		{
-			t.Run(fmt.Sprintf("%s%d", tc.name, n), func(t *testing.T) {
-				t.Parallel()
-				s := newSoak(t, 2)
-				s.awaitServing()
-				ctx, stop := context.WithCancel(s.ctx)
-				s.manyCallers(ctx, partitionCallers, partitionInterval)
-				time.Sleep(warmUpTime)
-				isolated, others := s.vms[:n], s.vms[n:]
-				began := time.Now()
-				heal := s.cutOff(isolated, c)
-				time.Sleep(cutTime)
-				heal()
-				ended := time.Now()
-				time.Sleep(cutReactionTime)
-				recovered := time.Now()
-				time.Sleep(probeTime)
-				stop()
-				time.Sleep(callerTimeout)
-
-				from := began.Add(cutReactionTime)
-				served, sent := s.servedShare(isolated, from, ended)
-				servedElsewhere, sentElsewhere := s.servedShare(others, from, ended)
-				failed, all := sent+sentElsewhere-served-servedElsewhere, sent+sentElsewhere
-				t.Logf("served %d of %d at the isolated VMs, %d of %d at the others", served, sent, servedElsewhere, sentElsewhere)
-				if 3*served*sentElsewhere < 2*sent*servedElsewhere && failed > 10+all/50 {
-					t.Errorf("%d of %d requests failed", failed, all)
-				}
-				if sentElsewhere == 0 || float64(servedElsewhere) < minServedShare*float64(sentElsewhere) {
-					t.Errorf("%d of %d requests were served at the other VMs", servedElsewhere, sentElsewhere)
-				}
-				served, sent = s.servedShare(s.vms, recovered, recovered.Add(probeTime))
-				if sent == 0 || float64(served) < minServedShare*float64(sent) {
-					t.Errorf("%d of %d requests were served after the partition", served, sent)
-				}
-				s.checkObservations()
-				s.checkProcesses()
-				for _, v := range s.violations {
-					if !strings.Contains(v, "succeeded after the recovery") {
-						t.Error(v)
-					}
-				}
-				if t.Failed() {
-					s.keepLogs()
-				}
-			})
-		}
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSoak(t, 2)
+			s.awaitServing()
+			ctx, stop := context.WithCancel(s.ctx)
+			s.manyCallers(ctx, partitionCallers, partitionInterval)
+			time.Sleep(warmUpTime)
+			began := time.Now()
+			heal := s.cutOff(s.vms[:tc.vms], tc.cut)
+			time.Sleep(cutTime)
+			heal()
+			ended := time.Now()
+			time.Sleep(cutReactionTime)
+			recovered := time.Now()
+			time.Sleep(probeTime)
+			stop()
+			time.Sleep(callerTimeout)
+
+			s.checkServedInPartition(tc.vms, began.Add(cutReactionTime), ended)
+			s.checkServed("after the partition", s.vms, recovered, recovered.Add(probeTime))
+			s.mu.Lock()
+			s.checkAnswers()
+			s.checkRuns()
+			s.checkOrders()
+			s.mu.Unlock()
+			s.checkQuarantines()
+			s.checkProcesses()
+			s.reportViolations()
+		})
+	}
+}
+
+// checkServedInPartition checks what callers got in a time span at the first VMs, which were cut off, and at
+// the others.
+func (s *soak) checkServedInPartition(isolated int, from, to time.Time) {
+	served, sent := s.servedShare(s.vms[:isolated], from, to)
+	servedElsewhere, sentElsewhere := s.servedShare(s.vms[isolated:], from, to)
+	failed, all := sent+sentElsewhere-served-servedElsewhere, sent+sentElsewhere
+	s.t.Logf("served %d of %d at the isolated VMs, %d of %d at the others", served, sent, servedElsewhere, sentElsewhere)
+	if 3*served*sentElsewhere < 2*sent*servedElsewhere && failed > 10+all/50 {
+		s.addViolation("%d of %d requests failed during the partition", failed, all)
+	}
+	s.checkServed("at the other VMs", s.vms[isolated:], from, to)
+}
+
+// checkServed checks that enough of the requests to the given VMs were served.
+func (s *soak) checkServed(when string, vms []*soakVM, from, to time.Time) {
+	served, sent := s.servedShare(vms, from, to)
+	if sent == 0 || float64(served) < minServedShare*float64(sent) {
+		s.addViolation("%d of %d requests were served %s", served, sent, when)
 	}
 }
--- a/scenarios/soak_check_test.go
+++ b/scenarios/soak_check_test.go
@@ -36,11 +36,16 @@
 	s.checkObservations()
 	s.checkQuarantines()
 	s.checkProcesses()
+	s.t.Logf("seed %d: %d requests, %d runs, %d orders, %d faults",
+		s.seed, len(s.answers), len(s.ledger.Runs()), len(s.ledger.Orders()), len(s.faults))
+	s.reportViolations()
+}
+
+// reportViolations fails the test with the violations found, and keeps the logs.
+func (s *soak) reportViolations() {
 	for _, v := range s.violations {
 		s.t.Errorf("seed %d: %s", s.seed, v)
 	}
-	s.t.Logf("seed %d: %d requests, %d runs, %d orders, %d faults",
-		s.seed, len(s.answers), len(s.ledger.Runs()), len(s.ledger.Orders()), len(s.faults))
 	if s.t.Failed() {
 		s.keepLogs()
 	}
