--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -196,7 +196,7 @@
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.crashed = append(w.crashed, endpoint)
-			w.crashes.RecordCrash(clock.Boot{}.Now(), fingerprint, endpoint)
+			w.crashes.Record(clock.Boot{}.Now(), crash.Crash{Request: fingerprint, Endpoint: endpoint})
 		},
 	})
 	eras := era.NewTracker(clock.Boot{})
--- a/internal/policy/crash/crash.go
+++ b/internal/policy/crash/crash.go
@@ -80,11 +80,6 @@
 // New returns an empty register.
 func New() *Register { return &Register{records: map[uint64]*record{}} }
 
-// RecordCrash records a crash that was observed now by this VM.
-func (r *Register) RecordCrash(now clock.Time, request uint64, endpoint string) bool {
-	return r.Record(now, Crash{Request: request, Endpoint: endpoint})
-}
-
 // Record records a crash. It returns false if the crash was already recorded, or is too old to count.
 func (r *Register) Record(now clock.Time, c Crash) bool {
 	r.mu.Lock()
--- a/internal/policy/crash/crash_test.go
+++ b/internal/policy/crash/crash_test.go
@@ -9,6 +9,10 @@
 	"fescuestand/internal/clock"
 )
 
+func recordCrash(r *Register, now clock.Time, request uint64, endpoint string) bool {
+	return r.Record(now, Crash{Request: request, Endpoint: endpoint})
+}
+
 // Guards against a request that crashes one engine after another, as its caller retries it at any
 // VM. Once it has crashed three engines it must be refused, so that the fourth isn't lost.
 func TestARequestThatCrashedThreeEndpointsIsRefused(t *testing.T) {
@@ -16,7 +20,7 @@
 	now := clock.Time(0)
 	for i, e := range []string{"a", "b", "c"} {
 		assert.Assert(t, !r.ShouldRefuse(now, 7), "after %d", i)
-		assert.Assert(t, r.RecordCrash(now, 7, e))
+		assert.Assert(t, recordCrash(r, now, 7, e))
 		now = now.Add(5 * time.Second)
 	}
 	assert.Assert(t, r.ShouldRefuse(now, 7))
@@ -28,8 +32,8 @@
 // quarantine a request that ran at a single engine which failed for another reason.
 func TestOneCrashCountsOnce(t *testing.T) {
 	r := New()
-	assert.Assert(t, r.RecordCrash(0, 7, "a"))
-	assert.Assert(t, !r.RecordCrash(0, 7, "a"))
+	assert.Assert(t, recordCrash(r, 0, 7, "a"))
+	assert.Assert(t, !recordCrash(r, 0, 7, "a"))
 	assert.Equal(t, r.CrashCount(0, 7), 1)
 }
 
@@ -40,13 +44,13 @@
 	now := clock.Time(time.Hour)
 	r.RecordSuccess(now, 7)
 	for _, e := range []string{"a", "b", "c"} {
-		r.RecordCrash(now.Add(time.Second), 7, e)
-		r.RecordCrash(now.Add(time.Second), 8, e)
+		recordCrash(r, now.Add(time.Second), 7, e)
+		recordCrash(r, now.Add(time.Second), 8, e)
 	}
 	assert.Assert(t, !r.ShouldRefuse(now.Add(time.Second), 7))
 	assert.Assert(t, r.ShouldRefuse(now.Add(time.Second), 8))
 	for _, e := range []string{"d", "e", "f"} {
-		r.RecordCrash(now.Add(2*successCredit), 7, e)
+		recordCrash(r, now.Add(2*successCredit), 7, e)
 	}
 	assert.Assert(t, r.ShouldRefuse(now.Add(2*successCredit), 7), "its last success is too old")
 }
@@ -55,7 +59,7 @@
 	r := New()
 	now := clock.Time(0)
 	for _, e := range []string{"a", "b", "c", "d"} {
-		r.RecordCrash(now, 7, e)
+		recordCrash(r, now, 7, e)
 		now = now.Add(crashTTL + time.Second)
 	}
 	assert.Assert(t, !r.ShouldRefuse(now, 7))
@@ -64,7 +68,7 @@
 func TestNumberOfRecordsIsBounded(t *testing.T) {
 	r := New()
 	for i := range uint64(3 * maxRecords) {
-		r.RecordCrash(0, i, "a")
+		recordCrash(r, 0, i, "a")
 	}
 	assert.Assert(t, len(r.records) <= maxRecords)
 }
@@ -75,7 +79,7 @@
 	r := New()
 	now := clock.Time(time.Hour)
 	for _, e := range []string{"a", "b", "c"} {
-		r.RecordCrash(now, 7, e)
+		recordCrash(r, now, 7, e)
 		now = now.Add(time.Minute)
 	}
 	assert.Assert(t, r.ShouldRefuse(now, 7))
@@ -87,10 +91,10 @@
 	r := New()
 	now := clock.Time(time.Hour)
 	for _, e := range []string{"a", "b", "c"} {
-		r.RecordCrash(now, 7, e)
+		recordCrash(r, now, 7, e)
 	}
 	for i := range uint64(3 * maxRecords) {
-		r.RecordCrash(now.Add(time.Second), 1000+i, "d")
+		recordCrash(r, now.Add(time.Second), 1000+i, "d")
 	}
 	assert.Assert(t, r.ShouldRefuse(now.Add(time.Second), 7))
 }
--- a/scenarios/soak_crash_test.go
+++ b/scenarios/soak_crash_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"fescuestand/platform/standin"
 )
 
@@ -26,6 +28,8 @@
 	maxCrashes      = 3
 	maxLateRetries  = 3
 	quarantineBound = 3 * time.Second
+	// restartPause is the time before each of the restarts.
+	restartPause = 2 * time.Second
 )
 
 // crashingRequest is a request that crashes each endpoint that runs it. Its caller retries it at any VM.
@@ -140,31 +144,29 @@
 				time.Sleep(warmUpTime)
 				c := s.newCrashingRequest("alone", path, p)
 				s.wg.Go(func() { c.retry(ctx) })
-				for i := range 3 {
-					time.Sleep(2 * time.Second)
-					v := s.vms[i]
-					v.proc.kill()
-					time.Sleep(restartDelay)
-					if err := v.proc.start(); err != nil {
-						t.Error(err)
-					}
-				}
-				time.Sleep(3 * time.Second)
+				s.restartInTurn(s.vms[:3])
+				time.Sleep(quarantineBound)
 				stop()
 				time.Sleep(callerTimeout)
+
 				t.Logf("%d runs, %d of them late", len(c.runs()), c.lateRuns())
 				if n := c.lateRuns(); n > maxLateRetries {
-					t.Errorf("%d runs later than %s after the third crash", n, quarantineBound)
+					s.addViolation("%d runs later than %s after the third crash", n, quarantineBound)
 				}
 				s.checkQuarantines()
 				s.checkProcesses()
-				for _, v := range s.violations {
-					t.Error(v)
-				}
-				if t.Failed() {
-					s.keepLogs()
-				}
+				s.reportViolations()
 			})
 		}
 	}
 }
+
+// restartInTurn kills the VMs' processes and starts them again, one after the other.
+func (s *soak) restartInTurn(vms []*soakVM) {
+	for _, v := range vms {
+		time.Sleep(restartPause)
+		v.proc.kill()
+		time.Sleep(restartDelay)
+		assert.Check(s.t, v.proc.start())
+	}
+}
