--- a/internal/policy/crash/crash.go
+++ b/internal/policy/crash/crash.go
@@ -72,7 +72,7 @@
 	hasCrashes  bool       // crashes may be recorded that no answer has refuted
 }
 
-// record holds the crashes under one request, by the ID of the endpoint's process.
+// record holds when endpoints crashed under one request, by what identifies their processes.
 type record struct {
 	crashes map[string]clock.Time
 }
