Observability: software versions of endpoints, streams that callers resume

The logs couldn't tell at which version a stream began or went on: entries were read without their version, and a request's line named neither the attempt that it resumes nor the versions of the endpoints it was sent to.

- 'endpoint reports' has version
- 'request ends' has each attempt as ID/VERSION:OUTCOME, and resumes and after_event for a request that resumes a stream

Nothing is decided by versions yet.

--- a/internal/catalog/fleet.go
+++ b/internal/catalog/fleet.go
@@ -23,6 +23,7 @@
 	Born     int64 // Unix milliseconds of its start, zero if not reported
 	Sequence int64 // increases with each change that the endpoint reports
 	Service  string
+	Version  string // of its software; versions are only compared for equality
 	Address  string // host:port
 	Zone     string
 	Slots    int
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -124,7 +124,7 @@
 	}
 	delete(s.removed, e.ID)
 	s.reported[e.ID] = e
-	log.WithField("endpoint", e.ID).WithField("service", e.Service).WithField("address", e.Address).
+	log.WithField("endpoint", e.ID).WithField("service", e.Service).WithField("version", e.Version).WithField("address", e.Address).
 		WithField("stage", e.Stage).WithField("draining", e.Draining).Info("endpoint reports")
 	s.publish()
 	return true
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,6 +46,7 @@
 	MaxOutputTokens int           // tokens
 	Parts           []place.Part
 	LastEventID     string // the last event of the stream that the caller has received
+	Resumes         string // id of the caller's attempt that brought the stream's first event, empty for a new stream
 	Fingerprint     uint64 // the same for all retries of a request by its caller
 	Relayed         bool   // another VM, which reaches no endpoint, has sent it
 
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -55,9 +55,17 @@
 // attemptTrace is the record of one attempt for the request's log line.
 type attemptTrace struct {
 	endpoint string
+	version  string // of the endpoint's software
 	outcome  string
 }
 
+func (t *attemptTrace) String() string {
+	if t.version == "" {
+		return t.endpoint + ":" + t.outcome
+	}
+	return t.endpoint + "/" + t.version + ":" + t.outcome
+}
+
 func (x *execution) now() clock.Time { return x.g.o.Clock.Now() }
 
 func (x *execution) remainingTime() time.Duration { return x.deadline.Sub(x.now()) }
@@ -268,7 +276,7 @@
 // recordAttempt records an attempt for the log and reports its outcome to the planner, and a
 // possible crash of the endpoint to the crash register.
 func (x *execution) recordAttempt(e *catalog.Endpoint, t *place.Ticket, r result) {
-	x.attempts = append(x.attempts, attemptTrace{e.ID, r.outcome.String()})
+	x.attempts = append(x.attempts, attemptTrace{e.ID, e.Version, r.outcome.String()})
 	x.tried[e.ID] = true
 	x.g.o.Planner.End(x.now(), t, placementOutcome(&r))
 	if r.mayBeCrash() {
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -78,8 +78,11 @@
 	x.g.metrics.observe(x.route.Name, x.now().Sub(x.call.Arrived), last)
 	e := log.WithField("id", x.call.ID).WithField("route", x.route.Name).WithField("config", x.view.Config.Version).
 		WithField("outcome", last.outcome).WithField("ms", x.now().Sub(x.call.Arrived).Milliseconds())
-	for i, t := range x.attempts {
-		e = e.WithField(attemptField(i), t.endpoint+":"+t.outcome)
+	for i := range x.attempts {
+		e = e.WithField(attemptField(i), x.attempts[i].String())
+	}
+	if x.call.Resumes != "" || x.call.LastEventID != "" {
+		e = e.WithField("resumes", x.call.Resumes).WithField("after_event", x.call.LastEventID)
 	}
 	if x.predictedFirstEvent > 0 {
 		e = e.WithField("predicted_ms", x.predictedFirstEvent.Milliseconds()).WithField("first_ms", x.firstEventTime.Milliseconds()).
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,7 +40,7 @@
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	for _, address := range targets[:min(len(targets), maxRelayTargets)] {
 		last = x.relayTo(address)
-		x.attempts = append(x.attempts, attemptTrace{address, last.outcome.String()})
+		x.attempts = append(x.attempts, attemptTrace{endpoint: address, outcome: last.outcome.String()})
 		if last.outcome != notSent && last.outcome != notRun {
 			break
 		}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -36,7 +36,7 @@
 func (codec) Decode(r *http.Request) (*Call, error) {
 	c := &Call{
 		ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host,
-		Header: r.Header.Clone(), LastEventID: r.Header.Get("Last"), Relayed: r.Header.Get("Relayed") != "",
+		Header: r.Header.Clone(), LastEventID: r.Header.Get("Last"), Resumes: r.Header.Get("Resumes"), Relayed: r.Header.Get("Relayed") != "",
 	}
 	if c.ID == "bad" {
 		return nil, errors.New("bad id")
