--- a/scenarios/soak_callers_test.go
+++ b/scenarios/soak_callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -38,6 +39,17 @@
 	problem        string
 	sent, answered time.Time
 	err            error
+
+	stream  takenUp
+	events  int    // of the stream, including those that earlier attempts brought
+	version string // of the endpoints that made them, empty before the first event
+}
+
+// takenUp is a stream that a caller has received in part. Its zero value is a new stream.
+type takenUp struct {
+	root    string // the attempt that brought the first event, empty for a new stream
+	events  int
+	version string // of the endpoints that made the events
 }
 
 // callers send requests until ctx ends.
@@ -119,10 +131,33 @@
 	path := []string{pathResumable, pathOnce, pathPay, pathReads}[c.rng.IntN(4)]
 	a := soakAnswer{id: fmt.Sprintf("%s-%d", c.name, n), path: path, vm: at, sent: time.Now()}
 	c.exchange(&a)
+	c.record(&a)
+	for i := 0; i < maxTakeUps && a.canBeTakenUp(); i++ {
+		if at = c.address(); at == "" {
+			return
+		}
+		a = soakAnswer{
+			id: fmt.Sprintf("%s-%d-%d", c.name, n, i), path: path, vm: at, sent: time.Now(),
+			stream: takenUp{cmp.Or(a.stream.root, a.id), a.events, a.version}, events: a.events, version: a.version,
+		}
+		c.exchange(&a)
+		c.record(&a)
+	}
+}
+
+// maxTakeUps is how often a caller takes up a stream that broke off.
+const maxTakeUps = 2
+
+func (c *soakCaller) record(a *soakAnswer) {
 	a.answered = time.Now()
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
-	c.s.answers = append(c.s.answers, a)
+	c.s.answers = append(c.s.answers, *a)
+}
+
+// canBeTakenUp reports whether the stream broke off after an event, so that another VM may continue it.
+func (a *soakAnswer) canBeTakenUp() bool {
+	return a.path == pathResumable && a.events > 0 && !a.complete && a.problem == ""
 }
 
 func (c *soakCaller) exchange(a *soakAnswer) {
@@ -141,6 +176,10 @@
 		req.Header.Set("Token-Count", "300,20")
 		req.Header.Set("Prompt-Prefix", fmt.Sprintf("aa%d:200,%x:100", c.rng.IntN(4), c.rng.Uint32()))
 	}
+	if a.stream.root != "" {
+		req.Header.Set("Resumes", a.stream.root)
+		req.Header.Set("Last-Event-Id", fmt.Sprint(a.stream.events))
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		a.err = err
@@ -148,13 +187,28 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.status = resp.StatusCode
-	body, err := io.ReadAll(resp.Body)
+	body, err := c.readBody(a, resp.Body)
 	a.err = err
 	if a.status == http.StatusOK {
 		a.read(body, err)
 	}
 }
 
+// readBody reads a body. Callers that drop streams stop in the middle of some.
+func (c *soakCaller) readBody(a *soakAnswer, body io.Reader) ([]byte, error) {
+	if a.path == pathResumable && a.stream.root == "" && c.rng.Float64() < c.s.dropShare {
+		part := make([]byte, droppedStreamBytes)
+		n, err := io.ReadFull(body, part)
+		return part[:n], cmp.Or(err, errDropped)
+	}
+	return io.ReadAll(body)
+}
+
+// droppedStreamBytes is how much of a stream a caller reads that drops it: a few events.
+const droppedStreamBytes = 150
+
+var errDropped = errors.New("the caller dropped the stream")
+
 // read checks the body of an answer with status 200.
 func (a *soakAnswer) read(body []byte, err error) {
 	if a.path == pathPay || a.path == pathReads {
@@ -164,29 +218,38 @@
 		}
 		return
 	}
-	events, streamErr := eventsOf(body, a.id)
+	streamErr := a.readEvents(body, errors.Is(err, errDropped))
 	switch {
 	case streamErr != nil:
 		a.problem = streamErr.Error()
-	case err == nil && events != standin.Events:
-		a.problem = fmt.Sprintf("ended without an error after %d events", events)
+	case err == nil && a.events != standin.Events:
+		a.problem = fmt.Sprintf("ended without an error after %d events", a.events)
 	}
 	a.complete = err == nil && a.problem == ""
 }
 
-var errEvents = errors.New("events are missing, duplicated or of another request")
+var (
+	errEvents   = errors.New("events are missing, duplicated or of another request")
+	errVersions = errors.New("events of several versions")
+)
 
-// eventsOf counts the events of a stream. They must be numbered consecutively from 1 and carry the id.
-func eventsOf(body []byte, id string) (int, error) {
-	n := 0
-	for event := range bytes.SplitSeq(body, []byte("\n\n")) {
-		if len(event) == 0 {
-			continue
+// readEvents counts the events of a stream. They must be numbered consecutively from the last one that an
+// earlier attempt brought, carry the id, and be of one version. Only a caller that dropped the stream may
+// have a part of an event.
+func (a *soakAnswer) readEvents(body []byte, dropped bool) error {
+	for event := range bytes.SplitAfterSeq(body, []byte("\n\n")) {
+		if len(event) == 0 || dropped && !bytes.HasSuffix(event, []byte("\n\n")) {
+			return nil
+		}
+		var number int
+		var id, version string
+		if _, err := fmt.Sscanf(string(event), "id: %d\ndata: %s %s\n\n", &number, &id, &version); err != nil || number != a.events+1 || id != a.id {
+			return fmt.Errorf("%w: %q after %d", errEvents, event, a.events)
 		}
-		if string(event) != fmt.Sprintf("id: %d\ndata: %s", n+1, id) {
-			return n, fmt.Errorf("%w: %q after %d", errEvents, event, n)
+		if a.version != "" && a.version != version {
+			return fmt.Errorf("%w: %q after %d events of %s", errVersions, event, a.events, a.version)
 		}
-		n++
+		a.events, a.version = number, version
 	}
-	return n, nil
+	return nil
 }
--- a/scenarios/soak_check_test.go
+++ b/scenarios/soak_check_test.go
@@ -109,7 +109,7 @@
 // refused connection doesn't count: a caller that couldn't resolve new addresses still connects to VMs
 // that have stopped meanwhile.
 func (a *soakAnswer) endedEarly() bool {
-	early := a.status == 0 || a.status == http.StatusOK && !a.complete
+	early := a.status == 0 || a.status == http.StatusOK && !a.complete && !errors.Is(a.err, errDropped)
 	return early && a.answered.Sub(a.sent) < callerTimeout && !errors.Is(a.err, syscall.ECONNREFUSED)
 }
 
@@ -220,7 +220,7 @@
 	from = from.Add(recoveryTime)
 	sent, served := 0, 0
 	for i := range s.answers {
-		if a := &s.answers[i]; a.sent.After(from) {
+		if a := &s.answers[i]; a.sent.After(from) && !errors.Is(a.err, errDropped) {
 			sent++
 			if a.complete {
 				served++
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -1,6 +1,7 @@
 package scenarios
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -47,6 +48,8 @@
 	wg        sync.WaitGroup
 
 	mu         sync.Mutex
+	dropShare  float64 // share of the new streams that callers drop and take up elsewhere
+	engines    engineVersions
 	endpoints  map[string]*soakEndpoint
 	drained    map[string]time.Time // when the store accepted that the endpoint is leaving
 	faults     []injectedFault
@@ -94,10 +97,24 @@
 	removed  bool
 }
 
+// soakDropShare is the share of the new streams that the callers of a soak drop.
+const soakDropShare = 0.05
+
+// engineVersions are the software versions of the engines, which take turns, and the time between two
+// events of their streams.
+type engineVersions struct {
+	names         []string
+	eventInterval time.Duration // zero for the stand-in's default
+}
+
 func newSoak(t *testing.T, seed int64) *soak {
+	return newSoakOf(t, seed, soakEngines, engineVersions{names: []string{"v1"}})
+}
+
+func newSoakOf(t *testing.T, seed int64, engines int, v engineVersions) *soak {
 	s := &soak{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(uint64(seed), 1)), dir: t.TempDir(),
-		store: standin.NewStore(), ledger: standin.NewLedger(),
+		store: standin.NewStore(), ledger: standin.NewLedger(), dropShare: soakDropShare, engines: v,
 		endpoints: map[string]*soakEndpoint{}, drained: map[string]time.Time{},
 	}
 	srv := httptest.NewServer(s.store)
@@ -112,7 +129,7 @@
 		srv.Close()
 	})
 	s.publish("s")
-	for range soakEngines {
+	for range engines {
 		s.addEndpoint("m", "decode")
 	}
 	for range soakServiceEndpoints {
@@ -190,13 +207,20 @@
 	s.configs = append(s.configs, published{version, text, service, time.Now()})
 }
 
-// addEndpoint starts an endpoint that reports itself to the store until it is removed.
-func (s *soak) addEndpoint(service, stage string) {
+// addEndpoint starts an endpoint of the next version that reports itself to the store until it is removed.
+func (s *soak) addEndpoint(service, stage string) { s.addEndpointOf(service, stage, "") }
+
+// addEndpointOf starts an endpoint of a version, the next one if it is empty.
+func (s *soak) addEndpointOf(service, stage, version string) {
 	s.mu.Lock()
 	s.started++
 	e := &soakEndpoint{Endpoint: &standin.Endpoint{
 		ID: endpointID(s.started), Service: service, Zone: "z", Stage: stage, Slots: 32,
 	}}
+	if stage != "" {
+		e.Version = cmp.Or(version, s.engines.names[s.started%len(s.engines.names)])
+		e.EventInterval = s.engines.eventInterval
+	}
 	e.OnCrash = func() { s.replaceCrashed(e) }
 	s.endpoints[e.ID] = e
 	s.mu.Unlock()
