Streams go on only at the software version that began them

Cause: endpoints of one service were taken for interchangeable. A VM placed the rest of a stream like a new prompt, and a VM to which a caller came knew only the last event's id.

Now a resumable stream has an origin, the service and version of the endpoint that sent its first event:

- Before the event goes out, the VM records the origin and sends it to three VMs that the first attempt's id determines (rendezvous hashing over the active set, in different zones).
A VM to which the stream is taken up asks five of these.
If nobody knows, the stream goes on only if the service has had one version in that time, by the views of all who answered, one of them fresh.
Else it is refused at once (3013), as is a stream whose version has no endpoint left (3012); both are final, without Retry-After.
- All further sends of the stream, including the watchdog's, go to endpoints of the version; acquireEndpoint checks it once more before each send.
- A caller that takes up a stream is served like a stream that is resumed within its answer.

--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -6,6 +6,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -54,6 +55,11 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Service selects a service with a probability in proportion to its weight; random is a uniform
 // random number. The result is empty if no share has a weight.
 func (r *Route) Service(random uint64) string {
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -30,10 +30,11 @@
 	config         *Config
 	reported       map[string]*Endpoint
 	removed        map[string]tombstone
-	leaving        map[string]leavingNotice // of endpoints that announced in an answer that they leave
-	expiring       map[string]expiry        // of entries that ended and are kept for now
-	lastOutage     clock.Time               // last time at which the platform's store was unavailable
-	hadOutage      bool                     // lastOutage is set
+	leaving        map[string]leavingNotice      // of endpoints that announced in an answer that they leave
+	expiring       map[string]expiry             // of entries that ended and are kept for now
+	endedVersions  map[serviceVersion]clock.Time // when an endpoint last ceased to serve at the version
+	lastOutage     clock.Time                    // last time at which the platform's store was unavailable
+	hadOutage      bool                          // lastOutage is set
 	changed        chan struct{}
 	openBatches    int
 	publishPending bool // publish a view when the last batch ends
@@ -72,7 +73,7 @@
 func NewStore(c clock.Clock) *Store {
 	s := &Store{
 		clock: c, reported: map[string]*Endpoint{}, removed: map[string]tombstone{}, leaving: map[string]leavingNotice{},
-		expiring: map[string]expiry{}, changed: make(chan struct{}),
+		expiring: map[string]expiry{}, endedVersions: map[serviceVersion]clock.Time{}, changed: make(chan struct{}),
 	}
 	s.view.Store(newView(nil, nil, nil))
 	return s
@@ -123,6 +124,9 @@
 		return expiring
 	}
 	delete(s.removed, e.ID)
+	if old != nil && old.Version != e.Version {
+		s.recordEnded(old)
+	}
 	s.reported[e.ID] = e
 	log.WithField("endpoint", e.ID).WithField("service", e.Service).WithField("version", e.Version).WithField("address", e.Address).
 		WithField("stage", e.Stage).WithField("draining", e.Draining).Info("endpoint reports")
@@ -207,6 +211,7 @@
 func (s *Store) remove(id string, missing bool, now clock.Time) {
 	log.WithField("endpoint", id).WithField("missing", missing).Info("endpoint gone")
 	s.removed[id] = tombstone{s.reported[id], now, missing}
+	s.recordEnded(s.reported[id])
 	delete(s.reported, id)
 	delete(s.expiring, id)
 }
@@ -241,6 +246,7 @@
 			delete(s.leaving, id)
 		}
 	}
+	s.expireVersions(now)
 	if changed {
 		s.publish()
 	}
--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -36,17 +36,19 @@
 	CommitLogBudget    Code = 2007
 	EndpointsLimited   Code = 2008
 
-	NoEndpoint      Code = 3001
-	EndpointFailed  Code = 3002
-	EndpointCut     Code = 3003
-	EndpointRefused Code = 3004
-	Poison          Code = 3005
-	BadAnswer       Code = 3006
-	DeadlineMissed  Code = 3007
-	WrongRole       Code = 3008
-	StaleFence      Code = 3009
-	Quarantined     Code = 3010
-	EndpointLeft    Code = 3011
+	NoEndpoint           Code = 3001
+	EndpointFailed       Code = 3002
+	EndpointCut          Code = 3003
+	EndpointRefused      Code = 3004
+	Poison               Code = 3005
+	BadAnswer            Code = 3006
+	DeadlineMissed       Code = 3007
+	WrongRole            Code = 3008
+	StaleFence           Code = 3009
+	Quarantined          Code = 3010
+	EndpointLeft         Code = 3011
+	StreamVersionGone    Code = 3012
+	StreamVersionUnknown Code = 3013
 
 	CommitUnknown   Code = 4001
 	CommitRunning   Code = 4002
@@ -117,17 +119,19 @@
 	EndpointsLimited:   {"endpoints-limited", 503, true, "The endpoints have named limits that leave no room for the request now."},
 	CommitLogBudget:    {"commit-log-budget", 503, true, "The append budget of the log is spent for now."},
 
-	NoEndpoint:      {"no-endpoint", 503, true, "No endpoint of the pool takes work now."},
-	EndpointFailed:  {"endpoint-failed", 502, true, "The endpoint answered with an error of its own."},
-	EndpointCut:     {"endpoint-cut", 502, true, "The connection to the endpoint broke before the answer was whole."},
-	EndpointRefused: {"endpoint-refused", 503, true, "The endpoint refused the work without running it."},
-	EndpointLeft:    {"endpoint-left", 503, true, "The endpoint left before the request was sent to it."},
-	Poison:          {"poison", 422, false, "The request crashed the endpoints that ran it and is given up."},
-	BadAnswer:       {"bad-answer", 502, true, "The endpoint's answer failed its check."},
-	DeadlineMissed:  {"deadline-missed", 504, false, "The deadline passed while the work ran."},
-	WrongRole:       {"wrong-role", 503, true, "The engine is not in the role the work needs."},
-	Quarantined:     {"quarantined", 503, true, "Endpoints broke off while they ran this request; it is not run for a while."},
-	StaleFence:      {"stale-fence", 409, false, "The engine refused an order with an old fencing token."},
+	NoEndpoint:           {"no-endpoint", 503, true, "No endpoint of the pool takes work now."},
+	EndpointFailed:       {"endpoint-failed", 502, true, "The endpoint answered with an error of its own."},
+	EndpointCut:          {"endpoint-cut", 502, true, "The connection to the endpoint broke before the answer was whole."},
+	EndpointRefused:      {"endpoint-refused", 503, true, "The endpoint refused the work without running it."},
+	EndpointLeft:         {"endpoint-left", 503, true, "The endpoint left before the request was sent to it."},
+	StreamVersionGone:    {"stream-version-gone", 503, false, "No endpoint of the software version that began the stream takes work; the stream can't go on."},
+	StreamVersionUnknown: {"stream-version-unknown", 503, false, "The software version that began the stream isn't known and there are several; the stream can't go on."},
+	Poison:               {"poison", 422, false, "The request crashed the endpoints that ran it and is given up."},
+	BadAnswer:            {"bad-answer", 502, true, "The endpoint's answer failed its check."},
+	DeadlineMissed:       {"deadline-missed", 504, false, "The deadline passed while the work ran."},
+	WrongRole:            {"wrong-role", 503, true, "The engine is not in the role the work needs."},
+	Quarantined:          {"quarantined", 503, true, "Endpoints broke off while they ran this request; it is not run for a while."},
+	StaleFence:           {"stale-fence", 409, false, "The engine refused an order with an old fencing token."},
 
 	CommitUnknown:   {"commit-unknown", 409, false, "The commit may have run; it will not be dispatched again."},
 	CommitRunning:   {"commit-running", 409, true, "The first use of this key is still running."},
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -13,7 +13,9 @@
 	"fescuestand/internal/code"
 	"fescuestand/internal/driver"
 	"fescuestand/internal/exchange"
+	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/drain"
+	"fescuestand/internal/policy/origin"
 	"fescuestand/internal/policy/place"
 )
 
@@ -30,12 +32,15 @@
 	deadline  clock.Time
 	service   string
 
-	arrivals              int             // requests that have reached endpoints, except the first prefill
-	runs                  int             // arrivals in which the request may have run
-	prepaidRetries        atomic.Int32    // taken from the retry budget and not sent yet; also set by the watchdog
-	prefillDone           bool            // an engine has accepted the prefill that is no arrival
-	tried                 map[string]bool // ids of endpoints that further attempts exclude
-	lastEventID           string          // id of the last event that was sent to the caller
+	arrivals              int                           // requests that have reached endpoints, except the first prefill
+	runs                  int                           // arrivals in which the request may have run
+	prepaidRetries        atomic.Int32                  // taken from the retry budget and not sent yet; also set by the watchdog
+	prefillDone           bool                          // an engine has accepted the prefill that is no arrival
+	tried                 map[string]bool               // ids of endpoints that further attempts exclude
+	lastEventID           string                        // id of the last event that was sent to the caller
+	origin                atomic.Pointer[origin.Origin] // of the stream, nil before its first event; the watchdog reads it
+	originSource          originsync.Source             // of the origin of a stream that the caller takes up
+	originRecorded        bool
 	endpointFailure       *bufferedAnswer // the latest failure that an endpoint answered with
 	headerSent            bool            // the answer's header has been sent to the caller
 	workspaceCounted      bool            // the request has been counted for its workspace
@@ -90,6 +95,10 @@
 		if tries > 0 && !x.mayRetry(&last) {
 			break
 		}
+		if r, ok := x.findOrigin(); !ok {
+			last = r
+			break
+		}
 		if tries == 0 {
 			x.g.o.Budget.CountRequest(x.now(), x.service)
 		}
@@ -145,9 +154,14 @@
 	return x.runs == 0 || x.route.Retryable() && x.runs < max(x.route.MaxAttempts, 1)
 }
 
-// openEndpoints returns the service's endpoints that accept requests, by the catalog's newest view.
+// openEndpoints returns the service's endpoints that accept requests, by the catalog's newest view. For a
+// stream that has an event they are those of its version.
 func (x *execution) openEndpoints() []*catalog.Endpoint {
-	return x.g.o.Catalog.View().Available(x.service)
+	open := x.g.o.Catalog.View().Available(x.service)
+	if o := x.origin.Load(); o != nil {
+		return ofVersion(open, o.Version)
+	}
+	return open
 }
 
 // send sends the request to an endpoint and reads the response's header. It returns a response only
@@ -218,6 +232,8 @@
 // The catalog or the limit may have changed since e was chosen, so it is called before each send.
 func (x *execution) acquireEndpoint(e *catalog.Endpoint) (result, bool) {
 	switch {
+	case !x.mayContinueAt(e):
+		return result{outcome: notSent, code: code.StreamVersionGone, err: errVersionGone}, false
 	case !x.g.o.Catalog.View().IsAvailable(e):
 		return result{outcome: notSent, code: code.EndpointLeft, err: errEndpointLeft}, false
 	case !x.g.o.Pressure.TryAcquire(x.now(), e):
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -54,7 +54,7 @@
 			f.code = code.EndpointRefused
 		}
 		f.retryAfter = last.retryAfter
-		if f.retryAfter == 0 {
+		if f.retryAfter == 0 && f.code.Info().Retryable {
 			f.retryAfter = x.defaultRetryAfter()
 		}
 	}
@@ -82,7 +82,7 @@
 		e = e.WithField(attemptField(i), x.attempts[i].String())
 	}
 	if x.call.Resumes != "" || x.call.LastEventID != "" {
-		e = e.WithField("resumes", x.call.Resumes).WithField("after_event", x.call.LastEventID)
+		e = e.WithField("resumes", x.call.Resumes).WithField("after_event", x.call.LastEventID).WithField("origin", x.originSource)
 	}
 	if x.predictedFirstEvent > 0 {
 		e = e.WithField("predicted_ms", x.predictedFirstEvent.Milliseconds()).WithField("first_ms", x.firstEventTime.Milliseconds()).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,8 @@
 	CutOff       func() bool
 	RelayTargets func() []string
 	RelayPool    *exchange.Pool
+	// Origins records and finds the software versions at which streams began.
+	Origins StreamOrigins
 	// OnRequestRunning is called once for each request of a workspace that an endpoint has started
 	// to run.
 	OnRequestRunning func(at clock.Time, w *workspace.Workspace)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -76,10 +76,13 @@
 	}
 }
 
-// awaitCapacity waits for one poll interval if the endpoints' limits allow no request now. It
-// returns false, with the call's result, if none of them has announced a limit or a retry time, or
-// if the estimated wait exceeds the deadline of the wait.
-func (x *execution) awaitCapacity() (result, bool) {
+// awaitCapacity waits for one poll interval if the limits of the endpoints that can run the request allow
+// none now. It returns false, with the call's result, if none of them has announced a limit or a retry
+// time, or if the estimated wait exceeds the deadline of the wait.
+func (x *execution) awaitCapacity() (result, bool) { return x.awaitCapacityOf(x.untriedEndpoints()) }
+
+// awaitCapacityOf does the same for given endpoints.
+func (x *execution) awaitCapacityOf(endpoints []*catalog.Endpoint) (result, bool) {
 	if x.queueSlot.queue == nil {
 		q := x.g.queueFor(x.service)
 		x.queueSlot = queueSlot{queue: q, number: q.enter(), deadline: x.waitDeadline()}
@@ -91,10 +94,10 @@
 	if !x.hasProgress() {
 		ahead = x.queueSlot.queue.countAhead(x.queueSlot.number)
 	}
-	wait, limited := x.g.o.Pressure.EstimateWait(x.now(), x.untriedEndpoints(), ahead)
+	wait, limited := x.g.o.Pressure.EstimateWait(x.now(), endpoints, ahead)
 	switch {
 	case !limited:
-		return result{outcome: notSent, code: code.NoEndpoint}, false
+		return x.noEndpoint(), false
 	case x.now().Add(wait) > x.queueSlot.deadline:
 		retryAfter := ontime.RetryAfter(min(wait, maxRetryAfter), x.call.Fingerprint^uint64(x.now()))
 		return result{outcome: refused, code: code.EndpointsLimited, err: errEndpointsLimited, retryAfter: retryAfter}, false
@@ -119,7 +122,9 @@
 
 // hasProgress reports whether an engine has done work for the request, which would be wasted if the
 // request were refused.
-func (x *execution) hasProgress() bool { return x.headerSent || x.prefillDone }
+func (x *execution) hasProgress() bool {
+	return x.headerSent || x.prefillDone || x.call.continuesStream()
+}
 
 // deliveryMargin is subtracted from the callers' timeout, for the time in which an event is
 // generated and delivered.
@@ -132,7 +137,7 @@
 	switch {
 	case x.headerSent:
 		return x.now().Add(minCallerTimeout - deliveryMargin)
-	case x.prefillDone:
+	case x.prefillDone, x.call.continuesStream():
 		return x.call.Arrived.Add(x.firstEventTimeout() - deliveryMargin)
 	case x.route.LatencyTarget > 0:
 		return x.call.Arrived.Add(x.route.LatencyTarget)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,7 +36,7 @@
 // doesn't run the request leaves the cache at the prefill engine, so that another engine can be
 // tried. A cache that no engine has used is released.
 func (x *execution) decode(kv *Handoff, prompt *place.Prompt, plan *place.Plan) result {
-	r := result{outcome: notSent, code: code.NoEndpoint}
+	r := x.noDecodeEngine()
 	for range maxRejections {
 		// A prefill may be queued for seconds, and engines may leave in that time. The decode
 		// engine is therefore chosen after the prefill.
@@ -55,14 +55,24 @@
 	return r
 }
 
+// noDecodeEngine is the result of a stream that no decode engine can continue from the KV cache of its
+// prefill. It may be placed again if engines of another version can run it.
+func (x *execution) noDecodeEngine() result {
+	if x.origin.Load() == nil && len(x.untriedEndpoints()) > 0 {
+		return result{outcome: notSent, code: code.EndpointLeft, err: errEndpointLeft}
+	}
+	return x.noEndpoint()
+}
+
 // chooseDecodeEngine returns the decode engine to which the KV cache at holder should be
-// transferred, waiting for endpoint capacity if necessary. It returns nil if there is none.
+// transferred, waiting for endpoint capacity if necessary. It returns nil if there is none of holder's
+// software version, as another version may not read the cache.
 func (x *execution) chooseDecodeEngine(holder *catalog.Endpoint) *catalog.Endpoint {
 	for {
-		if e := x.g.o.Planner.ChooseDecodeEngine(x.now(), x.openEndpoints(), holder, x.tried); e != nil {
+		if e := x.g.o.Planner.ChooseDecodeEngine(x.now(), ofVersion(x.openEndpoints(), holder.Version), holder, x.tried); e != nil {
 			return e
 		}
-		if _, retry := x.awaitCapacity(); !retry {
+		if _, retry := x.awaitCapacityOf(ofVersion(x.untriedEndpoints(), holder.Version)); !retry {
 			return nil
 		}
 	}
@@ -148,6 +158,7 @@
 	if resp != nil {
 		r = x.forwardStream(resp, ans, func() {
 			guard.reset()
+			x.recordOrigin(s.Endpoint)
 			x.recordCachedPrompt(t, s.Endpoint, prompt)
 		}, guard)
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -24,8 +25,10 @@
 	"fescuestand/internal/era"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/keyedlog"
+	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/crash"
+	"fescuestand/internal/policy/origin"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
 )
@@ -177,21 +180,43 @@
 	gossip  *GossipContent
 
 	relayTargets []string
+	origins      *testOrigins
 
 	mu      sync.Mutex
 	crashed []string
 }
 
+// testOrigins finds the same origin for each stream, and keeps what was recorded.
+type testOrigins struct {
+	mu       sync.Mutex
+	origin   origin.Origin // its service is the asker's if empty
+	found    originsync.Source
+	recorded map[origin.Key]origin.Origin
+}
+
+func (o *testOrigins) Record(stream origin.Key, from origin.Origin, _ time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.recorded == nil {
+		o.recorded = map[origin.Key]origin.Origin{}
+	}
+	o.recorded[stream] = from
+}
+
+func (o *testOrigins) Find(_ context.Context, _ origin.Key, service string, _ time.Duration) (origin.Origin, originsync.Source) {
+	return origin.Origin{Service: cmp.Or(o.origin.Service, service), Version: o.origin.Version}, o.found
+}
+
 func newTestGateway(t *testing.T) *testGateway {
 	t.Helper()
-	w := &testGateway{store: catalog.NewStore(clock.Boot{}), crashes: crash.New()}
+	w := &testGateway{store: catalog.NewStore(clock.Boot{}), crashes: crash.New(), origins: &testOrigins{found: originsync.Only}}
 	w.budget = repeat.New(repeat.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
 	w.budget.SetMembers(1)
 	w.gateway = New(Options{
 		Codec: codec{}, Catalog: w.store, Planner: place.New("z", 1), Budget: w.budget, Crashes: w.crashes, Pressure: backpressure.New(1),
 		Pool: exchange.NewPool(), Clock: clock.Boot{}, Leaving: w.leaving.Load, Peers: func() (int, int) { return 1, 0 },
 		CutOff: w.cutOff.Load, RelayTargets: func() []string { return w.relayTargets }, RelayPool: exchange.NewPool(),
-		VMs: func() int { return 1 }, OnPrefillSent: func(time.Duration) {}, OnPrefixCached: func(*catalog.Endpoint, []place.Part) {},
+		Origins: w.origins, VMs: func() int { return 1 }, OnPrefillSent: func(time.Duration) {}, OnPrefixCached: func(*catalog.Endpoint, []place.Part) {},
 		OnCrash: func(fingerprint uint64, endpoint string) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -50,6 +50,8 @@
 type Unit struct {
 	// Freshness is kept up to date by querying other VMs, unless it is nil.
 	Freshness ConfigFreshness
+	// StreamOrigins receives the datagrams of other VMs about streams. It is nil if there is none.
+	StreamOrigins StreamOrigins
 
 	members       *Members
 	content       Content
@@ -282,6 +284,12 @@
 			log.WithError(err).WithField("bytes", n).Warn("malformed datagram dropped")
 			continue
 		}
+		if isAboutStreams(&b) {
+			if u.StreamOrigins != nil {
+				u.StreamOrigins.Receive(b.GetPeer(), &b)
+			}
+			continue
+		}
 		if b.GetKnowledge() != nil {
 			if u.Freshness != nil {
 				u.receiveFreshness(&b)
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -130,7 +130,7 @@
 	}
 	engines := make([]stages.Engine, len(open))
 	for i, e := range open {
-		engines[i] = stages.Engine{ID: e.ID, Stage: e.Stage, Load: u.Load(e.ID)}
+		engines[i] = stages.Engine{ID: e.ID, Version: e.Version, Stage: e.Stage, Load: u.Load(e.ID)}
 	}
 	d := u.Demand()
 	d.SlotsPerEngine = slots
--- /dev/null
+++ b/internal/originsync/originsync_test.go
@@ -0,0 +1,188 @@
+package originsync
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+	"fescuestand/internal/policy/origin"
+	"fescuestand/internal/wire"
+)
+
+const window = 20 * time.Second
+
+var (
+	v1 = origin.Origin{Service: "m", Version: "v1"}
+	v2 = origin.Origin{Service: "m", Version: "v2"}
+)
+
+// network delivers datagrams between trackers.
+type network struct {
+	clock clock.Manual
+
+	mu    sync.Mutex
+	vms   map[string]*Tracker
+	sent  int // datagrams
+	loses func(from, to string) bool
+	seen  map[string]origin.Observation // by VM
+}
+
+func newNetwork(n int) *network {
+	w := &network{clock: clock.Manual{T: clock.Time(time.Hour)}, vms: map[string]*Tracker{}, seen: map[string]origin.Observation{}, loses: func(string, string) bool { return false }}
+	for i := range n {
+		w.start(fmt.Sprint("vm", i))
+	}
+	return w
+}
+
+// start starts a VM, or starts it anew without what it knew.
+func (w *network) start(name string) *Tracker {
+	t := New()
+	t.Self, t.Process, t.Clock = name, uint64(len(name))+uint64(time.Now().UnixNano()), &w.clock
+	t.Replicas = func(stream origin.Key, n int) []string {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		var vms []origin.VM
+		for peer := range w.vms {
+			vms = append(vms, origin.VM{Peer: peer, Zone: "z" + peer[len(peer)-1:]})
+		}
+		slices.SortFunc(vms, func(a, b origin.VM) int { return strings.Compare(a.Peer, b.Peer) })
+		order := origin.Order(stream, vms)
+		return order[:min(n, len(order))]
+	}
+	t.Observe = func(string, time.Duration) origin.Observation {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.seen[name]
+	}
+	t.Send = func(peers []string, b *wire.Beat) {
+		for _, peer := range peers {
+			w.mu.Lock()
+			to := w.vms[peer]
+			w.sent++
+			lost := to == nil || w.loses(name, peer)
+			w.mu.Unlock()
+			if !lost {
+				to.Receive(name, b)
+			}
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.vms[name] = t
+	w.seen[name] = origin.Observation{Versions: []string{"v1", "v2"}, Fresh: true}
+	return t
+}
+
+func (w *network) vm(i int) *Tracker { return w.vms[fmt.Sprint("vm", i)] }
+
+// Guards against a stream that goes on at another version since the VM that began it has ended.
+func TestOriginIsFoundAfterVMsRestart(t *testing.T) {
+	w := newNetwork(8)
+	for stream := range origin.Key(200) {
+		w.vm(0).Record(stream, v2, time.Minute)
+	}
+	w.start("vm0")
+	w.start("vm1")
+	for stream := range origin.Key(200) {
+		o, source := w.vm(5).Find(t.Context(), stream, "m", window)
+		assert.Assert(t, source == Peer || source == Own, "%s", source)
+		assert.Equal(t, o, v2)
+		_, source = w.vm(5).Find(t.Context(), stream, "m", window)
+		assert.Equal(t, source, Own)
+	}
+}
+
+// Guards against a guess: nobody knows the origin and there are several versions.
+func TestUnknownOriginOfSeveralVersions(t *testing.T) {
+	w := newNetwork(4)
+	_, source := w.vm(0).Find(t.Context(), 1, "m", window)
+	assert.Equal(t, source, Unknown)
+}
+
+// Guards against streams that are lost without need after all VMs have restarted, and against a VM that
+// hasn't heard of another version.
+func TestOnlyVersionIsTheOrigin(t *testing.T) {
+	w := newNetwork(4)
+	for name := range w.vms {
+		w.seen[name] = origin.Observation{Versions: []string{"v1"}, Fresh: true}
+	}
+	o, source := w.vm(0).Find(t.Context(), 1, "m", window)
+	assert.Equal(t, source, Only)
+	assert.Equal(t, o, v1)
+	w.seen[w.vm(0).others(1, 1)[0]] = origin.Observation{Versions: []string{"v1", "v2"}}
+	_, source = w.vm(0).Find(t.Context(), 1, "m", window)
+	assert.Equal(t, source, Unknown)
+}
+
+// Guards against a VM that trusts its old view of the versions while it reaches nobody.
+func TestIsolatedVMDoesNotGuess(t *testing.T) {
+	w := newNetwork(4)
+	w.seen["vm0"] = origin.Observation{Versions: []string{"v1"}}
+	w.loses = func(from, to string) bool { return from == "vm0" || to == "vm0" }
+	start := time.Now()
+	_, source := w.vm(0).Find(t.Context(), 1, "m", window)
+	assert.Equal(t, source, Unknown)
+	assert.Assert(t, time.Since(start) >= queryTimeout)
+}
+
+func TestQueryIsSentAgain(t *testing.T) {
+	w := newNetwork(4)
+	w.vm(0).Record(1, v2, time.Minute)
+	asker := "vm3"
+	w.start(asker)
+	lost := map[string]bool{}
+	w.loses = func(from, to string) bool {
+		first := from == asker && !lost[to]
+		lost[to] = lost[to] || first
+		return first
+	}
+	o, source := w.vm(3).Find(t.Context(), 1, "m", window)
+	assert.Equal(t, source, Peer)
+	assert.Equal(t, o, v2)
+}
+
+func TestQueryEndsWithItsContext(t *testing.T) {
+	w := newNetwork(4)
+	w.loses = func(string, string) bool { return true }
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	start := time.Now()
+	_, source := w.vm(0).Find(ctx, 1, "m", window)
+	assert.Equal(t, source, Unknown)
+	assert.Assert(t, time.Since(start) < queryTimeout)
+}
+
+func TestRecordingCostsAFixedNumberOfDatagrams(t *testing.T) {
+	for _, vms := range []int{1, 2, 8, 60} {
+		w := newNetwork(vms)
+		w.vm(0).Record(1, v1, time.Minute)
+		assert.Assert(t, w.sent <= origin.Replicas, "%d VMs: %d", vms, w.sent)
+	}
+}
+
+func TestMalformedMessagesAreDropped(t *testing.T) {
+	w := newNetwork(2)
+	vm := w.vm(0)
+	long := strings.Repeat("x", maxNameBytes+1)
+	for _, m := range []*wire.StreamOrigin{
+		{Stream: 1}, {Stream: 1, Service: "m"}, {Stream: 1, Version: "v1"}, {Stream: 1, Service: long, Version: "v1"},
+		{Stream: 1, Service: "m", Version: long}, {Stream: 1, Service: "m", Version: "v1", TtlMs: 0},
+	} {
+		vm.Receive("vm1", &wire.Beat{StreamOrigins: []*wire.StreamOrigin{m}})
+		vm.Receive("vm1", &wire.Beat{StreamAnswer: &wire.StreamAnswer{Asker: vm.Process, Number: 99, Origin: m}})
+		_, ok := vm.register.Find(w.clock.T, 1)
+		assert.Assert(t, !ok, "%v", m)
+	}
+	vm.Receive("vm1", &wire.Beat{StreamOrigins: []*wire.StreamOrigin{{Stream: 1, Service: "m", Version: "v1", TtlMs: 1 << 31}}})
+	w.clock.T = w.clock.T.Add(time.Hour)
+	_, ok := vm.register.Find(w.clock.T, 1)
+	assert.Assert(t, !ok, "a record that never expires")
+}
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -162,7 +162,8 @@
 		c.p.PrefillDone(0, c.p.Begin(0, holder, Job{Work: first.Work}), prompt(1, 5400, 6600).Parts)
 		next := &Prompt{Parts: []Part{{1, 5400}, {99, 6000}}, Tokens: 11_400}
 		chosen := func() string {
-			o, ok := c.p.best(0, c.p.candidates(0, c.open, nil).prefill, next, sources{})
+			prefill := c.p.candidates(0, c.open, nil).prefill
+			o, ok := c.p.best(0, prefill, len(prefill), next, sources{})
 			assert.Assert(t, ok)
 			return o.s.ep.ID
 		}
@@ -305,3 +306,43 @@
 		assert.Equal(t, plan.Prefill != nil, tc.split, "%s per token", tc.perToken)
 	}
 }
+
+// Guards against a KV cache that one software version wrote and another one reads.
+func TestPlansAreOfOneVersion(t *testing.T) {
+	endpoints := split(2, 4)
+	for i, e := range endpoints {
+		e.Version = fmt.Sprint("v", i%2)
+	}
+	c := newCluster(t, endpoints...)
+	used := map[string]bool{}
+	for i := range 200 {
+		pr := prompt(uint64(i%5)*10+1, 5400, 6600)
+		plan, ok := c.p.Plan(0, c.open, pr, nil)
+		assert.Assert(t, ok)
+		for _, e := range []*catalog.Endpoint{plan.Prefill, plan.Source} {
+			assert.Assert(t, e == nil || e.Version == plan.Engine.Version)
+		}
+		used[plan.Engine.Version] = true
+		from := plan.Prefill
+		if from == nil {
+			from = plan.Engine
+		}
+		t := c.p.Begin(0, from, plan.Job())
+		if i%2 == 0 {
+			c.p.PrefillDone(0, t, pr.Parts) // the others load their engines
+		}
+	}
+	assert.Equal(t, len(used), 2)
+}
+
+// Guards against requests that are refused while a release has left the prefill engines to one version and
+// the decode engines to another.
+func TestADecodeEngineRunsThePromptIfNoEngineOfItsVersionPrefills(t *testing.T) {
+	endpoints := split(1, 1)
+	endpoints[0].Version, endpoints[1].Version = "v1", "v2"
+	c := newCluster(t, endpoints...)
+	plan, ok := c.p.Plan(0, c.open, prompt(1, 5400, 6600), nil)
+	assert.Assert(t, ok)
+	assert.Assert(t, plan.Prefill == nil)
+	assert.Equal(t, plan.Engine.ID, endpoints[1].ID)
+}
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -31,15 +31,30 @@
 }
 
 // Plan returns the plan with the earliest predicted first event, adjusted by its cost to other
-// requests, among the open endpoints that aren't in exclude. It returns false if no engine can take
-// pr.
+// requests, among the open endpoints that aren't in exclude. All engines of a plan are of one software
+// version, as one version may not read the KV cache that another one wrote. Plan returns false if no
+// engine can take pr.
 func (p *Planner) Plan(now clock.Time, open []*catalog.Endpoint, pr *Prompt, exclude map[string]bool) (Plan, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.candidates(now, open, exclude)
+	all := p.candidates(now, open, exclude)
+	var best Plan
+	var lowest time.Duration
+	found := false
+	for _, c := range all.byVersion() {
+		if plan, score, ok := p.planOneVersion(now, &c, &all, pr); ok && (!found || score < lowest) {
+			best, lowest, found = plan, score, true
+		}
+	}
+	return best, found
+}
+
+// planOneVersion returns the best plan with the engines in c, which are of one version, and its score. all
+// are the engines of all versions.
+func (p *Planner) planOneVersion(now clock.Time, c, all *candidates, pr *Prompt) (Plan, time.Duration, bool) {
 	from := c.sourcesOf(pr)
-	whole, haveWhole := p.best(now, c.decode, pr, from)
-	split, haveSplit := p.best(now, c.prefill, pr, from)
+	whole, haveWhole := p.best(now, c.decode, len(all.decode), pr, from)
+	split, haveSplit := p.best(now, c.prefill, len(all.prefill), pr, from)
 	target := p.leastLoadedDecode(now, c.decode, split.s)
 	if haveSplit && target != nil {
 		transfer := p.transferTime(target.ep, pr.Tokens)
@@ -48,13 +63,13 @@
 	}
 	switch {
 	case haveSplit && target != nil && (!haveWhole || split.score < whole.score):
-		plan := split.plan(pr, len(c.prefill))
+		plan := split.plan(pr, len(all.prefill))
 		plan.Prefill, plan.Engine = split.s.ep, target.ep
-		return plan, true
+		return plan, split.score, true
 	case haveWhole:
-		return whole.plan(pr, len(c.decode)), true
+		return whole.plan(pr, len(all.decode)), whole.score, true
 	}
-	return Plan{}, false
+	return Plan{}, 0, false
 }
 
 // candidates are the engines that a request may be sent to, by stage. Engines that aren't prefill
@@ -77,6 +92,30 @@
 	return c
 }
 
+// byVersion returns the candidates of each software version, in the order in which versions occur.
+func (c *candidates) byVersion() []candidates {
+	var out []candidates
+	index := map[string]int{}
+	group := func(s *endpointState) *candidates {
+		i, known := index[s.ep.Version]
+		if !known {
+			i = len(out)
+			index[s.ep.Version] = i
+			out = append(out, candidates{})
+		}
+		return &out[i]
+	}
+	for _, s := range c.prefill {
+		g := group(s)
+		g.prefill = append(g.prefill, s)
+	}
+	for _, s := range c.decode {
+		g := group(s)
+		g.decode = append(g.decode, s)
+	}
+	return out
+}
+
 // option is one engine for a prompt's prefill.
 type option struct {
 	s          *endpointState
@@ -102,9 +141,9 @@
 	return p
 }
 
-// best returns the engine of list with the lowest score for the prefill of pr. It returns false if
-// list is empty.
-func (p *Planner) best(now clock.Time, list []*endpointState, pr *Prompt, from sources) (option, bool) {
+// best returns the engine of list with the lowest score for the prefill of pr. engines is the number of
+// engines of all versions that could do it. best returns false if list is empty.
+func (p *Planner) best(now clock.Time, list []*endpointState, engines int, pr *Prompt, from sources) (option, bool) {
 	var best option
 	preferred := preferredFor(list, sharedID(pr.Parts))
 	for _, s := range p.sample(list, preferred, pr) {
@@ -114,7 +153,7 @@
 			o.source, o.cached, o.fetch, o.work = f.from, f.cached, f.transfer, f.work
 		}
 		o.firstEvent = o.wait + o.fetch + o.work + p.fixed(s)
-		o.score = o.firstEvent + fetchCostWeight*o.fetch + s.costToOthers(o.work, len(list), s.running+p.peerRunning(now, s.key())) - p.prefixCredit(s, pr, o.cached, preferred)
+		o.score = o.firstEvent + fetchCostWeight*o.fetch + s.costToOthers(o.work, engines, s.running+p.peerRunning(now, s.key())) - p.prefixCredit(s, pr, o.cached, preferred)
 		if s.ep.Zone != p.zone {
 			o.score += otherZoneTime
 		}
--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -52,6 +52,10 @@
 	// minPerStage is the minimum number of engines in each stage, so that one of
 	// them may crash.
 	minPerStage = 2
+	// minDecodePerVersion is the number of decode engines of each software version below which
+	// none of them changes to prefill: streams go on only at engines of the version that began
+	// them, and one of these may crash.
+	minDecodePerVersion = minPerStage
 	// minSplitEngines is the smallest service that is split: with fewer engines, a
 	// stage would have only one.
 	minSplitEngines = 2 * minPerStage
@@ -129,9 +133,10 @@
 
 // Engine is the recorded state of one engine.
 type Engine struct {
-	ID    string
-	Stage catalog.Stage
-	Load  int // requests at the engine
+	ID      string
+	Version string // of its software
+	Stage   catalog.Stage
+	Load    int // requests at the engine
 }
 
 // Change is a change of an engine's stage.
@@ -248,9 +253,10 @@
 	if n < minSplitEngines || maxPrefill-prefill <= toleratedShortage(n) || float64(len(p.pending)) >= maxNewChangingShare*float64(n) {
 		return Change{}, false
 	}
+	versions := countStages(engines)
 	for _, e := range engines {
 		at := p.firstSeen[e.ID]
-		if _, changing := p.pending[e.ID]; !changing && e.Stage == catalog.Decode && e.Load <= maxNewLoad && at != 0 && now.Sub(at) <= maxNewAge {
+		if _, changing := p.pending[e.ID]; !changing && versions[e.Version].mayChange(e.Stage) && e.Stage == catalog.Decode && e.Load <= maxNewLoad && at != 0 && now.Sub(at) <= maxNewAge {
 			return Change{e.ID, catalog.Prefill}, true
 		}
 	}
@@ -285,15 +291,49 @@
 	return o.to
 }
 
-// pickEngine returns the change of the engine with the fewest requests.
+// stageCounts are the engines of one software version, by stage.
+type stageCounts struct{ prefill, decode int }
+
+func countStages(engines []Engine) map[string]stageCounts {
+	out := map[string]stageCounts{}
+	for _, e := range engines {
+		c := out[e.Version]
+		if e.Stage == catalog.Prefill {
+			c.prefill++
+		} else {
+			c.decode++
+		}
+		out[e.Version] = c
+	}
+	return out
+}
+
+// mayChange reports whether an engine of the version in this stage may change to the other one.
+func (c stageCounts) mayChange(from catalog.Stage) bool {
+	return from == catalog.Prefill || c.decode > minDecodePerVersion
+}
+
+// share returns the share of the version's engines that are in a stage.
+func (c stageCounts) share(s catalog.Stage) float64 {
+	n := c.decode
+	if s == catalog.Prefill {
+		n = c.prefill
+	}
+	return float64(n) / float64(c.prefill+c.decode)
+}
+
+// pickEngine returns the change of an engine of the version that has the smallest share of its
+// engines in the stage to change to, since engines use KV caches of their own version only. Of
+// these it is the one with the fewest requests.
 func (p *Planner) pickEngine(engines []Engine, surplus int) (Change, bool) {
 	from, to := catalog.Decode, catalog.Prefill
 	if surplus > 0 {
 		from, to = to, from
 	}
+	versions := countStages(engines)
 	var candidates []Engine
 	for _, e := range engines {
-		if _, changing := p.pending[e.ID]; e.Stage == from && !changing {
+		if _, changing := p.pending[e.ID]; e.Stage == from && !changing && versions[e.Version].mayChange(from) {
 			candidates = append(candidates, e)
 		}
 	}
@@ -301,7 +341,7 @@
 		return Change{}, false
 	}
 	best := slices.MinFunc(candidates, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(versions[a.Version].share(to), versions[b.Version].share(to)), cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
 	})
 	return Change{best.ID, to}, true
 }
--- a/internal/policy/stages/stages_test.go
+++ b/internal/policy/stages/stages_test.go
@@ -254,3 +254,62 @@
 	}
 	assert.Assert(t, reassigned <= maxPrefillUnmeasured, "%d", reassigned)
 }
+
+// withVersions assigns software versions to engines, in turn.
+func withVersions(engines []Engine, versions ...string) []Engine {
+	for i := range engines {
+		engines[i].Version = versions[i%len(versions)]
+	}
+	return engines
+}
+
+// Guards against streams that can't go on since all engines of their version were ordered to prefill.
+func TestDecodeEnginesOfEachVersionStay(t *testing.T) {
+	for name, tc := range map[string]struct {
+		engines []Engine
+		want    int // engines that change to prefill
+	}{
+		"one version":         {withVersions(fleet(0, 8), "v1"), 4},
+		"two versions":        {withVersions(fleet(0, 8), "v1", "v2"), 4},
+		"four versions":       {withVersions(fleet(0, 8), "v1", "v2", "v3", "v4"), 0},
+		"a new version":       {append(withVersions(fleet(0, 7), "v1"), Engine{ID: "new", Version: "v2", Stage: catalog.Decode}), 4},
+		"the rest of another": {append(withVersions(fleet(0, 6), "v1"), Engine{ID: "r1", Version: "v0", Stage: catalog.Decode}, Engine{ID: "r2", Version: "v0", Stage: catalog.Decode}), 4},
+	} {
+		p, now := NewPlanner(), clock.Time(time.Hour)
+		changed := 0
+		for range 40 {
+			now = now.Add(time.Second)
+			c, ok := p.Plan(now, slices.Clone(tc.engines), Demand{})
+			if !ok {
+				continue
+			}
+			changed++
+			for i := range tc.engines {
+				if tc.engines[i].ID == c.ID {
+					tc.engines[i].Stage = c.To
+				}
+			}
+		}
+		assert.Equal(t, changed, tc.want, name)
+		for version, c := range countStages(tc.engines) {
+			all := c.prefill + c.decode
+			assert.Assert(t, c.decode >= min(all, minDecodePerVersion), "%s: %s has %+v", name, version, c)
+		}
+	}
+}
+
+// Guards against prefill engines of one version only, whose KV caches the others can't use.
+func TestPrefillEnginesAreSpreadOverVersions(t *testing.T) {
+	p, now := NewPlanner(), clock.Time(time.Hour)
+	engines := withVersions(fleet(0, 12), "v1", "v2")
+	for range 40 {
+		now = now.Add(time.Second)
+		if c, ok := p.Plan(now, slices.Clone(engines), Demand{}); ok {
+			i := slices.IndexFunc(engines, func(e Engine) bool { return e.ID == c.ID })
+			engines[i].Stage = c.To
+		}
+	}
+	versions := countStages(engines)
+	assert.Equal(t, versions["v1"], stageCounts{prefill: 3, decode: 3})
+	assert.Equal(t, versions["v2"], stageCounts{prefill: 3, decode: 3})
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -25,6 +25,7 @@
 	"fescuestand/internal/kernel"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/orders"
+	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/place"
@@ -135,6 +136,7 @@
 	gateway          *gateway.Gateway
 	gossip           *gossip.Unit
 	gossipContent    *gateway.GossipContent
+	origins          *originsync.Tracker
 	pool             *exchange.Pool
 	reachability     *reachability.Unit
 	authority        *authority.Authority
@@ -169,12 +171,13 @@
 	}
 	n.timeEstimator, n.usageLedger = truetime.New(c, time.Now), usage.NewLedger()
 	n.initFollowers()
+	n.initOrigins()
 	n.gateway = gateway.New(gateway.Options{
 		Codec: a.Codec(), Catalog: n.catalog, Planner: n.planner, Budget: n.retryBudget, Crashes: n.crashes,
 		Pressure: n.backpressure, Pool: n.pool, Clock: c, Leaving: n.members.Leaving,
 		Peers: n.members.PeerCounts, AddressLifetime: o.AddressLifetime,
 		VMs: n.members.AdvertisedCount, OnPrefillSent: n.prefillSent, OnPrefixCached: n.prefixCached, OnCrash: n.endpointCrashed, OnEndpointLeaving: n.endpointLeaving,
-		KeyFreshness: n.keyFreshness, OnRequestRunning: n.requestRunning,
+		KeyFreshness: n.keyFreshness, Origins: n.origins, OnRequestRunning: n.requestRunning,
 		CutOff: n.reachability.CutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPool(),
 	})
 	n.planner.Admits = n.backpressure.Admits
@@ -189,6 +192,7 @@
 		n.gossipContent.Time, n.gossipContent.Usage = n.timeEstimator, n.usageLedger
 	}
 	n.gossip = gossip.NewUnit(n.members, n.gossipContent)
+	n.gossip.StreamOrigins, n.origins.Send = n.origins, n.gossip.SendAboutStreams
 	n.backpressure.OnChange = n.gossip.SendEarly
 	if n.freshness != nil {
 		n.gossip.Freshness = &configFreshness{n}
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -108,7 +108,7 @@
 }
 
 func newSoak(t *testing.T, seed int64) *soak {
-	return newSoakOf(t, seed, soakEngines, engineVersions{names: []string{"v1"}})
+	return newSoakOf(t, seed, soakEngines, engineVersions{names: []string{"v1", "v2"}})
 }
 
 func newSoakOf(t *testing.T, seed int64, engines int, v engineVersions) *soak {
