Streams that are taken up don't wait for VMs that have ended

Now a query ends when more than half of the VMs have answered and all agree on the only version, and isn't sent for an unnamed stream if this VM's own view is fresh and has one version.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -36,14 +37,17 @@
 // continuesStream reports whether the caller takes up a stream that an earlier attempt began.
 func (c *Call) continuesStream() bool { return c.Resumes != "" || c.LastEventID != "" }
 
-// streamKey identifies the call's stream: all attempts that take it up name its first one.
-func (c *Call) streamKey() origin.Key {
-	if c.Resumes != "" {
-		return origin.KeyOf(c.Resumes)
+// resumedKey identifies the stream that the caller takes up: all attempts that do so name its first one.
+func (c *Call) resumedKey() origin.Key {
+	if c.Resumes == "" {
+		return origin.Unnamed
 	}
-	return origin.KeyOf(c.ID)
+	return origin.KeyOf(c.Resumes)
 }
 
+// streamKey identifies the stream of the call, which may be a new one.
+func (c *Call) streamKey() origin.Key { return origin.KeyOf(cmp.Or(c.Resumes, c.ID)) }
+
 // findOrigin restricts a call that takes up a stream to the service and version that began it. It returns
 // false, with the call's result, if the stream can't go on.
 func (x *execution) findOrigin() (result, bool) {
@@ -51,7 +55,7 @@
 		return result{}, true
 	}
 	window := max(minStreamWindow, x.route.Timeout+takeUpSlack)
-	o, source := x.g.o.Origins.Find(x.ctx, x.call.streamKey(), x.service, window)
+	o, source := x.g.o.Origins.Find(x.ctx, x.call.resumedKey(), x.service, window)
 	x.originSource = source
 	switch {
 	case x.ctx.Err() != nil:
--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -100,55 +100,63 @@
 // Find returns the origin of a stream that may have begun up to window ago. If no VM has recorded it, it is
 // the only version that the service had in that time, if there was only one.
 func (t *Tracker) Find(ctx context.Context, stream origin.Key, service string, window time.Duration) (origin.Origin, Source) {
-	if o, ok := t.register.Find(t.Clock.Now(), stream); ok {
+	if o, ok := t.find(stream); ok {
 		return o, Own
 	}
-	observed := []origin.Observation{t.Observe(service, window)}
-	for _, a := range t.query(ctx, stream, service, window) {
-		if a.known {
-			t.record(stream, a.origin, window, a.from)
-			return a.origin, Peer
+	others := t.others(stream, origin.Lookups)
+	poll := origin.NewPoll(t.Observe(service, window), len(others))
+	if _, ok := poll.Only(); !ok || stream != origin.Unnamed {
+		if o, ok := t.query(ctx, others, poll, stream, service, window); ok {
+			return o, Peer
 		}
-		observed = append(observed, a.observation)
 	}
-	if version, ok := origin.Only(observed); ok {
+	if version, ok := poll.Only(); ok {
 		return origin.Origin{Service: service, Version: version}, Only
 	}
 	return origin.Origin{}, Unknown
 }
 
-// query returns the answers of other VMs. It ends with the first that knows the origin.
-func (t *Tracker) query(ctx context.Context, stream origin.Key, service string, window time.Duration) []answer {
-	waiting := t.others(stream, origin.Lookups)
-	if len(waiting) == 0 {
-		return nil
+func (t *Tracker) find(stream origin.Key) (origin.Origin, bool) {
+	if stream == origin.Unnamed {
+		return origin.Origin{}, false
 	}
+	return t.register.Find(t.Clock.Now(), stream)
+}
+
+// query asks other VMs for the origin of a stream and adds what they have observed to poll. It ends with
+// the first VM that knows the origin, or when most of them agree on the only version that it can be.
+func (t *Tracker) query(ctx context.Context, vms []string, poll *origin.Poll, stream origin.Key, service string, window time.Duration) (origin.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	number, answers := t.open(len(waiting))
+	number, answers := t.open(len(vms))
 	defer t.close(number)
 	b := &wire.Beat{StreamQuery: &wire.StreamQuery{
 		Asker: t.Process, Number: number, Stream: uint64(stream), Service: service, WindowMs: uint32(window.Milliseconds()),
 	}}
-	t.Send(waiting, b)
+	t.Send(vms, b)
 	resend := time.NewTicker(resendInterval)
 	defer resend.Stop()
-	var out []answer
-	for len(waiting) > 0 {
+	for len(vms) > 0 {
 		select {
 		case a := <-answers:
-			out = append(out, a)
 			if a.known {
-				return out
+				t.record(stream, a.origin, window, a.from)
+				return a.origin, true
+			}
+			if i := slices.Index(vms, a.from); i >= 0 {
+				vms = slices.Delete(vms, i, i+1)
+				poll.Add(a.observation)
+			}
+			if _, ok := poll.Only(); ok && poll.HasMajority() {
+				return origin.Origin{}, false
 			}
-			waiting = slices.DeleteFunc(waiting, func(peer string) bool { return peer == a.from })
 		case <-resend.C:
-			t.Send(waiting, b)
+			t.Send(vms, b)
 		case <-ctx.Done():
-			return out
+			return origin.Origin{}, false
 		}
 	}
-	return out
+	return origin.Origin{}, false
 }
 
 // open returns the number of a new query, and the channel that receives its answers.
@@ -171,7 +179,7 @@
 // Receive handles a datagram of another VM. It implements gossip.StreamOrigins.
 func (t *Tracker) Receive(from string, b *wire.Beat) {
 	for _, m := range b.GetStreamOrigins() {
-		if o, ok := decodeOrigin(m); ok {
+		if o, ok := decodeOrigin(m); ok && m.GetStream() != uint64(origin.Unnamed) {
 			t.record(origin.Key(m.GetStream()), o, time.Duration(m.GetTtlMs())*time.Millisecond, from)
 		} else {
 			log.WithField("from", from).Warn("malformed stream origin dropped")
@@ -187,7 +195,7 @@
 
 func (t *Tracker) answer(from string, q *wire.StreamQuery) {
 	a := &wire.StreamAnswer{Asker: q.GetAsker(), Number: q.GetNumber()}
-	if o, ok := t.register.Find(t.Clock.Now(), origin.Key(q.GetStream())); ok {
+	if o, ok := t.find(origin.Key(q.GetStream())); ok {
 		a.Origin = &wire.StreamOrigin{Stream: q.GetStream(), Service: o.Service, Version: o.Version}
 	} else {
 		observed := t.Observe(q.GetService(), time.Duration(q.GetWindowMs())*time.Millisecond)
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -9,7 +9,7 @@
 // Approach: the VM that forwards the first event of a stream records the stream's origin in its Register
 // and at a few other VMs, which the stream's key alone determines (Order). A VM to which a caller takes a
 // stream up looks there. If nobody knows, the stream goes on only if there is no other version at which it
-// could have begun (Only).
+// could have begun (Poll).
 //
 // The package does no I/O and reads no clock. A Register is safe for concurrent use.
 package origin
@@ -28,24 +28,53 @@
 // KeyOf returns the key of the stream that began with an attempt.
 func KeyOf(attempt string) Key { return Key(xxhash.Sum64String(attempt)) }
 
+// Unnamed is the key of a stream whose first attempt the caller doesn't name.
+const Unnamed Key = 0
+
 // Observation is what one VM knows of a service's versions.
 type Observation struct {
 	Versions []string // that had an endpoint at any time since the stream may have begun
 	Fresh    bool     // the VM would know of a version that was added lately
 }
 
-// Only returns the version of a service if it had only one, by what several VMs have observed. It returns
-// false if there were several, or if no VM's knowledge is fresh.
-func Only(observed []Observation) (version string, ok bool) {
-	fresh := false
-	for _, o := range observed {
-		fresh = fresh || o.Fresh
-		for _, v := range o.Versions {
-			if ok && v != version {
-				return "", false
-			}
-			version, ok = v, true
-		}
+// Poll collects what this VM and others have observed of a service's versions.
+type Poll struct {
+	asked, answered int
+	fresh           bool
+	versions        map[string]struct{}
+}
+
+// NewPoll returns a poll of the given number of other VMs, with what this VM has observed.
+func NewPoll(own Observation, asked int) *Poll {
+	p := &Poll{asked: asked, versions: map[string]struct{}{}}
+	p.merge(own)
+	return p
+}
+
+// Add adds the answer of another VM.
+func (p *Poll) Add(o Observation) {
+	p.answered++
+	p.merge(o)
+}
+
+func (p *Poll) merge(o Observation) {
+	p.fresh = p.fresh || o.Fresh
+	for _, v := range o.Versions {
+		p.versions[v] = struct{}{}
+	}
+}
+
+// Only returns the version of the service if it had only one. It returns false if there were several, or if
+// there may have been: no VM's knowledge is fresh, and most VMs haven't answered.
+func (p *Poll) Only() (string, bool) {
+	if len(p.versions) != 1 || !p.fresh && !p.HasMajority() {
+		return "", false
+	}
+	for v := range p.versions {
+		return v, true
 	}
-	return version, ok && fresh
+	return "", false
 }
+
+// HasMajority reports whether more than half of the other VMs have answered, or there is no other VM.
+func (p *Poll) HasMajority() bool { return p.asked == 0 || 2*p.answered > p.asked }
