--- a/internal/originsync/originsync_test.go
+++ b/internal/originsync/originsync_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/clock"
@@ -195,6 +196,21 @@
 	}
 }
 
+// TestRecordsAreSmall bounds the bytes that each resumable stream costs.
+func TestRecordsAreSmall(t *testing.T) {
+	const maxBytes = 100
+	w := newNetwork(4)
+	size := 0
+	vm := w.vm(0)
+	vm.Send = func(_ []string, b *wire.Beat) {
+		b.Peer, b.Knowledge = "10.20.30.40:17380", &wire.Knowledge{Answer: true}
+		size = proto.Size(b)
+	}
+	vm.Record(1<<63, origin.Origin{Service: "language-models", Version: "v2026.12.03"}, 15*time.Second)
+	t.Logf("%d bytes", size)
+	assert.Assert(t, size > 0 && size <= maxBytes)
+}
+
 func TestMalformedMessagesAreDropped(t *testing.T) {
 	w := newNetwork(2)
 	vm := w.vm(0)
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -94,6 +94,9 @@
 
 // byVersion returns the candidates of each software version, in the order in which versions occur.
 func (c *candidates) byVersion() []candidates {
+	if c.haveOneVersion() {
+		return []candidates{*c}
+	}
 	var out []candidates
 	index := map[string]int{}
 	group := func(s *endpointState) *candidates {
@@ -116,6 +119,21 @@
 	return out
 }
 
+func (c *candidates) haveOneVersion() bool {
+	var first *endpointState
+	for _, list := range [][]*endpointState{c.prefill, c.decode} {
+		for _, s := range list {
+			if first == nil {
+				first = s
+			}
+			if s.ep.Version != first.ep.Version {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // option is one engine for a prompt's prefill.
 type option struct {
 	s          *endpointState
