--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"fescuestand/internal/catalog"
@@ -36,7 +37,7 @@
 // doesn't run the request leaves the cache at the prefill engine, so that another engine can be
 // tried. A cache that no engine has used is released.
 func (x *execution) decode(kv *Handoff, prompt *place.Prompt, plan *place.Plan) result {
-	r := x.noDecodeEngine()
+	r := x.noDecodeEngine(plan.Prefill)
 	for range maxRejections {
 		// A prefill may be queued for seconds, and engines may leave in that time. The decode
 		// engine is therefore chosen after the prefill.
@@ -55,10 +56,11 @@
 	return r
 }
 
-// noDecodeEngine is the result of a stream that no decode engine can continue from the KV cache of its
-// prefill. It may be placed again if engines of another version can run it.
-func (x *execution) noDecodeEngine() result {
-	if x.origin.Load() == nil && len(x.untriedEndpoints()) > 0 {
+// noDecodeEngine is the result of a stream that no decode engine of holder's version can continue from the
+// KV cache there. It may be placed again if engines of another version can run it.
+func (x *execution) noDecodeEngine(holder *catalog.Endpoint) result {
+	otherVersion := func(e *catalog.Endpoint) bool { return e.Version != holder.Version }
+	if x.origin.Load() == nil && slices.ContainsFunc(x.untriedEndpoints(), otherVersion) {
 		return result{outcome: notSent, code: code.EndpointLeft, err: errEndpointLeft}
 	}
 	return x.noEndpoint()
