Versions keep engines that can continue their streams

What callers saw in the reproduction: with versions that lose one engine after the other (new_version), 47 to 54 of about 100 streams that were taken up went on while two engines of their version served: both were prefill engines (refused with 3001).

- Where there are several versions, each keeps three decode engines before any changes to prefill, as two may crash at once; a version without a decode engine gets one back from its prefill engines, which do no work then.
- Such a stream is refused as one whose version is gone (3012, final).
- A stream that is taken up is admitted like a new one again.

--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -122,9 +122,7 @@
 
 // hasProgress reports whether an engine has done work for the request, which would be wasted if the
 // request were refused.
-func (x *execution) hasProgress() bool {
-	return x.headerSent || x.prefillDone || x.call.continuesStream()
-}
+func (x *execution) hasProgress() bool { return x.headerSent || x.prefillDone }
 
 // deliveryMargin is subtracted from the callers' timeout, for the time in which an event is
 // generated and delivered.
@@ -137,7 +135,7 @@
 	switch {
 	case x.headerSent:
 		return x.now().Add(minCallerTimeout - deliveryMargin)
-	case x.prefillDone, x.call.continuesStream():
+	case x.prefillDone:
 		return x.call.Arrived.Add(x.firstEventTimeout() - deliveryMargin)
 	case x.route.LatencyTarget > 0:
 		return x.call.Arrived.Add(x.route.LatencyTarget)
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -100,7 +100,8 @@
 
 // noEndpoint is the result of a request for which there is no endpoint to try.
 func (x *execution) noEndpoint() result {
-	if x.origin.Load() != nil && len(x.openEndpoints()) == 0 {
+	canRun := func(e *catalog.Endpoint) bool { return e.Stage != catalog.Prefill }
+	if x.origin.Load() != nil && !slices.ContainsFunc(x.openEndpoints(), canRun) {
 		return result{outcome: refused, code: code.StreamVersionGone, err: errVersionGone}
 	}
 	return result{outcome: notSent, code: code.NoEndpoint}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -63,9 +63,9 @@
 }
 
 // decide returns whether to send, hold or refuse a request, and the Retry-After delay of a refusal.
-// A request that has reached an endpoint or continues a stream is always sent at once.
+// A request that has reached an endpoint or resumes a stream within its answer is always sent at once.
 func (x *execution) decide(plan *place.Plan) (ontime.Verdict, time.Duration) {
-	if x.arrivals > 0 || x.headerSent || x.call.continuesStream() {
+	if x.arrivals > 0 || x.headerSent {
 		return ontime.Serve, 0
 	}
 	backlog := time.Duration(0)
--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -52,10 +52,10 @@
 	// minPerStage is the minimum number of engines in each stage, so that one of
 	// them may crash.
 	minPerStage = 2
-	// minDecodePerVersion is the number of decode engines of each software version below which
-	// none of them changes to prefill: streams go on only at engines of the version that began
-	// them, and one of these may crash.
-	minDecodePerVersion = minPerStage
+	// minDecodePerVersion is the number of decode engines that each of several software versions
+	// keeps: streams go on only at engines of the version that began them, and two of these may
+	// crash at the same time.
+	minDecodePerVersion = 3
 	// minSplitEngines is the smallest service that is split: with fewer engines, a
 	// stage would have only one.
 	minSplitEngines = 2 * minPerStage
@@ -210,6 +210,9 @@
 	}
 	n := len(engines)
 	p.trackFirstSeen(now, engines)
+	if c, ok := p.restoreDecode(engines); ok {
+		return c, true
+	}
 	if c, ok := p.reassignNew(now, engines, prefill, d); ok {
 		return c, true
 	}
@@ -256,7 +259,7 @@
 	versions := countStages(engines)
 	for _, e := range engines {
 		at := p.firstSeen[e.ID]
-		if _, changing := p.pending[e.ID]; !changing && versions[e.Version].mayChange(e.Stage) && e.Stage == catalog.Decode && e.Load <= maxNewLoad && at != 0 && now.Sub(at) <= maxNewAge {
+		if _, changing := p.pending[e.ID]; !changing && e.Stage == catalog.Decode && versions.mayPrefill(e.Version) && e.Load <= maxNewLoad && at != 0 && now.Sub(at) <= maxNewAge {
 			return Change{e.ID, catalog.Prefill}, true
 		}
 	}
@@ -294,8 +297,11 @@
 // stageCounts are the engines of one software version, by stage.
 type stageCounts struct{ prefill, decode int }
 
-func countStages(engines []Engine) map[string]stageCounts {
-	out := map[string]stageCounts{}
+// versionCounts are the engines of each software version.
+type versionCounts map[string]stageCounts
+
+func countStages(engines []Engine) versionCounts {
+	out := versionCounts{}
 	for _, e := range engines {
 		c := out[e.Version]
 		if e.Stage == catalog.Prefill {
@@ -308,9 +314,9 @@
 	return out
 }
 
-// mayChange reports whether an engine of the version in this stage may change to the other one.
-func (c stageCounts) mayChange(from catalog.Stage) bool {
-	return from == catalog.Prefill || c.decode > minDecodePerVersion
+// mayPrefill reports whether a decode engine of the version may change to prefill.
+func (v versionCounts) mayPrefill(version string) bool {
+	return len(v) == 1 || v[version].decode > minDecodePerVersion
 }
 
 // share returns the share of the version's engines that are in a stage.
@@ -322,6 +328,18 @@
 	return float64(n) / float64(c.prefill+c.decode)
 }
 
+// restoreDecode returns the change of a prefill engine whose version has no decode engine left. No
+// other version uses its KV caches, so that it does no work in its present stage.
+func (p *Planner) restoreDecode(engines []Engine) (Change, bool) {
+	versions := countStages(engines)
+	for _, e := range engines {
+		if _, changing := p.pending[e.ID]; e.Stage == catalog.Prefill && !changing && versions[e.Version].decode == 0 && len(versions) > 1 {
+			return Change{e.ID, catalog.Decode}, true
+		}
+	}
+	return Change{}, false
+}
+
 // pickEngine returns the change of an engine of the version that has the smallest share of its
 // engines in the stage to change to, since engines use KV caches of their own version only. Of
 // these it is the one with the fewest requests.
@@ -333,7 +351,7 @@
 	versions := countStages(engines)
 	var candidates []Engine
 	for _, e := range engines {
-		if _, changing := p.pending[e.ID]; e.Stage == from && !changing && versions[e.Version].mayChange(from) {
+		if _, changing := p.pending[e.ID]; e.Stage == from && !changing && (to == catalog.Decode || versions.mayPrefill(e.Version)) {
 			candidates = append(candidates, e)
 		}
 	}
