Soak: endpoints of parallel soaks have ids of their own

Soaks run in parallel with endpoints i-1, i-2, ...: a VM of another soak that still has the address of an ended endpoint reaches the endpoint that got its port, and the expected id is the same. Suspected, not reproduced; a stand-in now refuses such requests (TestEndpointsOfParallelSoaksRefuseEachOther).

--- a/scenarios/soak_faults_test.go
+++ b/scenarios/soak_faults_test.go
@@ -191,7 +191,7 @@
 	defer s.mu.Unlock()
 	var list []*soakEndpoint
 	for n := range s.started {
-		e := s.endpoints[endpointID(n+1)]
+		e := s.endpoints[s.endpointID(n+1)]
 		if e != nil && !e.draining && !e.removed {
 			list = append(list, e)
 		}
--- a/scenarios/soak_notices_test.go
+++ b/scenarios/soak_notices_test.go
@@ -64,7 +64,7 @@
 	defer s.mu.Unlock()
 	var list []*soakEndpoint
 	for n := range s.started {
-		e := s.endpoints[endpointID(n+1)]
+		e := s.endpoints[s.endpointID(n+1)]
 		if e.Service == service && !e.draining && !e.removed {
 			list = append(list, e)
 		}
--- a/scenarios/soak_proof_test.go
+++ b/scenarios/soak_proof_test.go
@@ -107,3 +107,26 @@
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
 }
+
+// Guards against an endpoint that serves requests of another soak, whose endpoint had its port before: its
+// arrivals would count against the wrong run.
+func TestEndpointsOfParallelSoaksRefuseEachOther(t *testing.T) {
+	ids := map[string]string{}
+	for _, name := range []string{"one", "two"} {
+		t.Run(name, func(t *testing.T) { ids[name] = (&soak{t: t}).endpointID(7) })
+	}
+	e := &standin.Endpoint{ID: ids["two"], Service: "s", Slots: 8}
+	ledger := standin.NewLedger()
+	assert.NilError(t, e.Start("127.0.0.1:0", ledger))
+	t.Cleanup(e.Crash)
+	for _, name := range []string{"one", "two"} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.Addr()+pathReads, strings.NewReader("x"))
+		assert.NilError(t, err)
+		req.Header.Set("Expect-Instance", ids[name])
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode == http.StatusOK, name == "two")
+	}
+	assert.Equal(t, len(ledger.Arrivals()), 1)
+}
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/standin/loopback"
@@ -217,7 +218,7 @@
 	s.mu.Lock()
 	s.started++
 	e := &soakEndpoint{Endpoint: &standin.Endpoint{
-		ID: endpointID(s.started), Service: service, Zone: "z", Stage: stage, Slots: 32,
+		ID: s.endpointID(s.started), Service: service, Zone: "z", Stage: stage, Slots: 32,
 	}, started: time.Now()}
 	if stage != "" {
 		e.Version = cmp.Or(version, s.engines.names[s.started%len(s.engines.names)])
@@ -304,4 +305,8 @@
 	}
 }
 
-func endpointID(n int) string { return fmt.Sprintf("i-%d", n) }
+// endpointID returns the id of the n-th endpoint. Soaks run in parallel, and a port that an endpoint of one
+// has left may be used by another: with ids of its own, an endpoint refuses the requests for that one.
+func (s *soak) endpointID(n int) string {
+	return fmt.Sprintf("i-%08x-%d", uint32(xxhash.Sum64String(s.t.Name())), n)
+}
