Refused callers return before their slack ends

Cause: the Retry-After delay of a refusal followed from the forecast of the queue only. A caller was told to come back when the queue would have drained, which was often after the last moment at which its request could start; it came back with 0.1 to 0.2 s left. The forecast is too long after a change of roles, and nothing corrected it.

Now the delay is shortened to delay*slack/(delay+slack): it ends before the slack does, and longer delays stay longer, so that callers don't return together.

TestRefusedCallersReturnInTime failed before.

--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -281,3 +281,25 @@
 		assert.Equal(rt, q.runningCost, time.Duration(0))
 	})
 }
+
+// Guards against refused callers that return when their requests can no longer be served: the Retry-After
+// delay followed the forecast of the queue only, which may be wrong.
+func TestRefusedCallersReturnInTime(t *testing.T) {
+	q := NewQueue(testConfig(Guards{}))
+	q.SetCapacity(0, slots)
+	refused := 0
+	last := time.Duration(0)
+	for i := range 2000 {
+		r := &Request{Class: "question", Caller: fmt.Sprint(i), Workspace: "w", PromptTokens: questionTokens, Deadline: clock.Time(1200 * time.Millisecond)}
+		err := q.Offer(0, r).Err
+		if err == nil {
+			continue
+		}
+		refused++
+		slack := r.latestStart().Sub(0)
+		assert.Assert(t, err.RetryAfter > 0 && err.RetryAfter < slack, "returns after %s, can start within %s", err.RetryAfter, slack)
+		assert.Assert(t, err.RetryAfter >= last, "a later caller returns before an earlier one")
+		last = err.RetryAfter
+	}
+	assert.Assert(t, refused > 20, "%d refused", refused)
+}
--- a/internal/policy/admit/refuse.go
+++ b/internal/policy/admit/refuse.go
@@ -28,8 +28,8 @@
 }
 
 // infeasibleError returns the refusal of a request that can't meet its deadline. Its Retry-After delay
-// ends when the backlog will have drained so far that the same slack suffices. There is none if that
-// will never be the case.
+// follows from when the backlog will have drained so far that the same slack suffices, and ends before the
+// slack does. There is none if that will never be the case.
 func (q *Queue) infeasibleError(r *Request, now clock.Time, wait, slack time.Duration) *code.Error {
 	c := code.DeadlineInfeasible
 	if q.exceedsShare(r) {
@@ -40,7 +40,18 @@
 	if slack < 0 {
 		return e
 	}
-	return e.WithRetryAfter(q.retryAfter(now, r, wait-time.Duration(float64(slack)/q.cfg.Margin)))
+	delay := q.retryAfter(now, r, wait-time.Duration(float64(slack)/q.cfg.Margin))
+	return e.WithRetryAfter(withinSlack(delay, slack))
+}
+
+// withinSlack shortens a delay so that it ends before the slack does: a caller that returns later can't be
+// served any more, and the forecast may be wrong. Longer delays stay longer, so that callers that were told
+// different delays don't return together.
+func withinSlack(delay, slack time.Duration) time.Duration {
+	if slack <= 0 {
+		return delay
+	}
+	return time.Duration(float64(delay) * float64(slack) / float64(delay+slack))
 }
 
 // exceedsShare reports whether r's flow holds clearly more of the backlog than its share.
