Versions scenario: each caller sends its own prompts

All callers sent the same request, engines were crashed under it one after the other, and on the busy machine no stream had been completed before the third crash (trace: three crashes of one fingerprint from 00:10:51.93 to 52.12, the first completed stream at 53.69). That is what quarantines are for, with requests that are the same; callers of this scenario now send requests of their own, and the check that none is quarantined stays.

--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -50,6 +50,7 @@
 
 	mu         sync.Mutex
 	dropShare  float64 // share of the new streams that callers drop and take up elsewhere
+	ownPrompts bool    // no two callers send the same request
 	engines    engineVersions
 	endpoints  map[string]*soakEndpoint
 	crashedAt  map[string]time.Time // engines that a test has ended
