Origins of streams: read over as a newcomer

Behaviour, bounds and assertions are unchanged.

- gossip.Unit has a function instead of a second interface named StreamOrigins
- Tracker.find had a special case for unnamed streams, which are never recorded
- originRecorded followed from headerSent
- continuesStream decides in the log line too, not a copy of its condition
- methods open, close and answer of Tracker say of what; engineVersions held more than versions and is engineSetup; crash times stand with their endpoints
- tests that read a stream while it runs share openStream

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -40,11 +40,10 @@
 	lastEventID           string                        // id of the last event that was sent to the caller
 	origin                atomic.Pointer[origin.Origin] // of the stream, nil before its first event; the watchdog reads it
 	originSource          originsync.Source             // of the origin of a stream that the caller takes up
-	originRecorded        bool
-	endpointFailure       *bufferedAnswer // the latest failure that an endpoint answered with
-	headerSent            bool            // the answer's header has been sent to the caller
-	workspaceCounted      bool            // the request has been counted for its workspace
-	waited                bool            // for an idle engine or for endpoint capacity
+	endpointFailure       *bufferedAnswer               // the latest failure that an endpoint answered with
+	headerSent            bool                          // the answer's header has been sent to the caller
+	workspaceCounted      bool                          // the request has been counted for its workspace
+	waited                bool                          // for an idle engine or for endpoint capacity
 	queueSlot             queueSlot
 	predictedCachedTokens int           // at the first placement
 	sharedTokens          int           // tokens of the prompt's shared parts
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -81,7 +81,7 @@
 	for i := range x.attempts {
 		e = e.WithField(attemptField(i), x.attempts[i].String())
 	}
-	if x.call.Resumes != "" || x.call.LastEventID != "" {
+	if x.call.continuesStream() {
 		e = e.WithField("resumes", x.call.Resumes).WithField("after_event", x.call.LastEventID).WithField("origin", x.originSource)
 	}
 	if x.predictedFirstEvent > 0 {
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -74,10 +74,9 @@
 // be called before the caller can receive the event, so that other VMs know the version when the caller
 // comes to them.
 func (x *execution) recordOrigin(e *catalog.Endpoint) {
-	if !x.route.Resumable || x.originRecorded {
-		return
+	if !x.route.Resumable || x.headerSent {
+		return // it can't be continued, or was recorded before the first event of the answer
 	}
-	x.originRecorded = true
 	o := origin.Origin{Service: e.Service, Version: e.Version}
 	x.origin.Store(&o)
 	x.g.o.Origins.Record(x.call.streamKey(), o, max(x.remainingTime(), x.call.CallerTimeout)+takeUpSlack)
--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -124,14 +124,8 @@
 		<-finish
 		return false
 	}))
-	req, err := http.NewRequestWithContext(t.Context(), "POST", w.URL+"/x/", nil)
-	assert.NilError(t, err)
-	req.Host = "h.example"
-	req.Header.Set("Id", "7")
-	req.Header.Set("Tokens", "100")
-	resp, err := http.DefaultClient.Do(req)
-	assert.NilError(t, err)
-	_, err = resp.Body.Read(make([]byte, 1))
+	resp := w.openStream(t, "7")
+	_, err := resp.Body.Read(make([]byte, 1))
 	assert.NilError(t, err)
 	w.origins.mu.Lock()
 	assert.Check(t, w.origins.recorded[origin.KeyOf("7")] == origin.Origin{Service: "s", Version: "v1"})
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -56,16 +56,10 @@
 			<-read
 			return false
 		})
-	req, err := http.NewRequestWithContext(t.Context(), "POST", w.URL+"/x/", nil)
-	assert.NilError(t, err)
-	req.Host = "h.example"
-	req.Header.Set("Id", "1")
-	req.Header.Set("Tokens", "100")
-	resp, err := http.DefaultClient.Do(req)
-	assert.NilError(t, err)
+	resp := w.openStream(t, "1")
 	defer func() { _ = resp.Body.Close() }()
 	first := make([]byte, len("id: 1\ndata: piece\n\nid: 2\ndata: piece\n\n"))
-	_, err = io.ReadFull(resp.Body, first)
+	_, err := io.ReadFull(resp.Body, first)
 	assert.NilError(t, err)
 	assert.Equal(t, eventIDs(string(first)), "1 2")
 	close(read)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -277,6 +277,19 @@
 	return resp, string(b), err
 }
 
+// openStream sends a request for a stream and returns its answer, whose body the test reads and closes.
+func (w *testGateway) openStream(t *testing.T, id string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), "POST", w.URL+"/x/", nil)
+	assert.NilError(t, err)
+	req.Host = "h.example"
+	req.Header.Set("Id", id)
+	req.Header.Set("Tokens", "100")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	return resp
+}
+
 // eventIDs returns the ids of a stream's events.
 func eventIDs(stream string) string {
 	var out []string
--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -50,8 +50,9 @@
 type Unit struct {
 	// Freshness is kept up to date by querying other VMs, unless it is nil.
 	Freshness ConfigFreshness
-	// StreamOrigins receives the datagrams of other VMs about streams. It is nil if there is none.
-	StreamOrigins StreamOrigins
+	// ReceiveAboutStreams is called with the datagrams of other VMs that SendAboutStreams has sent, unless it
+	// is nil.
+	ReceiveAboutStreams func(from string, b *wire.Beat)
 
 	members       *Members
 	content       Content
@@ -285,8 +286,8 @@
 			continue
 		}
 		if isAboutStreams(&b) {
-			if u.StreamOrigins != nil {
-				u.StreamOrigins.Receive(b.GetPeer(), &b)
+			if u.ReceiveAboutStreams != nil {
+				u.ReceiveAboutStreams(b.GetPeer(), &b)
 			}
 			continue
 		}
--- a/internal/gossip/streams.go
+++ b/internal/gossip/streams.go
@@ -5,12 +5,6 @@
 	"fescuestand/internal/wire"
 )
 
-// StreamOrigins receives what other VMs tell and ask about streams.
-type StreamOrigins interface {
-	// Receive handles a datagram of the VM with the given address.
-	Receive(from string, b *wire.Beat)
-}
-
 func isAboutStreams(b *wire.Beat) bool {
 	return len(b.GetStreamOrigins()) > 0 || b.GetStreamQuery() != nil || b.GetStreamAnswer() != nil
 }
--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -100,7 +100,7 @@
 // Find returns the origin of a stream that may have begun up to window ago. If no VM has recorded it, it is
 // the only version that the service had in that time, if there was only one.
 func (t *Tracker) Find(ctx context.Context, stream origin.Key, service string, window time.Duration) (origin.Origin, Source) {
-	if o, ok := t.find(stream); ok {
+	if o, ok := t.register.Find(t.Clock.Now(), stream); ok {
 		return o, Own
 	}
 	others := t.others(stream, origin.Lookups)
@@ -116,20 +116,13 @@
 	return origin.Origin{}, Unknown
 }
 
-func (t *Tracker) find(stream origin.Key) (origin.Origin, bool) {
-	if stream == origin.Unnamed {
-		return origin.Origin{}, false
-	}
-	return t.register.Find(t.Clock.Now(), stream)
-}
-
 // query asks other VMs for the origin of a stream and adds what they have observed to poll. It ends with
 // the first VM that knows the origin, or when most of them agree on the only version that it can be.
 func (t *Tracker) query(ctx context.Context, vms []string, poll *origin.Poll, stream origin.Key, service string, window time.Duration) (origin.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	number, answers := t.open(len(vms))
-	defer t.close(number)
+	number, answers := t.openQuery(len(vms))
+	defer t.closeQuery(number)
 	b := &wire.Beat{StreamQuery: &wire.StreamQuery{
 		Asker: t.Process, Number: number, Stream: uint64(stream), Service: service, WindowMs: uint32(window.Milliseconds()),
 	}}
@@ -159,8 +152,8 @@
 	return origin.Origin{}, false
 }
 
-// open returns the number of a new query, and the channel that receives its answers.
-func (t *Tracker) open(vms int) (uint64, <-chan answer) {
+// openQuery returns the number of a new query, and the channel that receives its answers.
+func (t *Tracker) openQuery(vms int) (uint64, <-chan answer) {
 	const answersPerVM = 1 + int(queryTimeout/resendInterval) // one for each time that the query is sent
 	answers := make(chan answer, vms*answersPerVM)
 	t.mu.Lock()
@@ -170,13 +163,13 @@
 	return t.last, answers
 }
 
-func (t *Tracker) close(number uint64) {
+func (t *Tracker) closeQuery(number uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.queries, number)
 }
 
-// Receive handles a datagram of another VM. It implements gossip.StreamOrigins.
+// Receive handles a datagram of another VM.
 func (t *Tracker) Receive(from string, b *wire.Beat) {
 	for _, m := range b.GetStreamOrigins() {
 		if o, ok := decodeOrigin(m); ok && m.GetStream() != uint64(origin.Unnamed) {
@@ -186,16 +179,16 @@
 		}
 	}
 	if q := b.GetStreamQuery(); q != nil {
-		t.answer(from, q)
+		t.answerQuery(from, q)
 	}
 	if a := b.GetStreamAnswer(); a.GetAsker() == t.Process {
 		t.receiveAnswer(from, a)
 	}
 }
 
-func (t *Tracker) answer(from string, q *wire.StreamQuery) {
+func (t *Tracker) answerQuery(from string, q *wire.StreamQuery) {
 	a := &wire.StreamAnswer{Asker: q.GetAsker(), Number: q.GetNumber()}
-	if o, ok := t.find(origin.Key(q.GetStream())); ok {
+	if o, ok := t.register.Find(t.Clock.Now(), origin.Key(q.GetStream())); ok {
 		a.Origin = &wire.StreamOrigin{Stream: q.GetStream(), Service: o.Service, Version: o.Version}
 	} else {
 		observed := t.Observe(q.GetService(), time.Duration(q.GetWindowMs())*time.Millisecond)
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -28,7 +28,7 @@
 // KeyOf returns the key of the stream that began with an attempt.
 func KeyOf(attempt string) Key { return Key(xxhash.Sum64String(attempt)) }
 
-// Unnamed is the key of a stream whose first attempt the caller doesn't name.
+// Unnamed is the key of a stream whose first attempt the caller doesn't name. It is never recorded.
 const Unnamed Key = 0
 
 // Observation is what one VM knows of a service's versions.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -192,7 +192,7 @@
 		n.gossipContent.Time, n.gossipContent.Usage = n.timeEstimator, n.usageLedger
 	}
 	n.gossip = gossip.NewUnit(n.members, n.gossipContent)
-	n.gossip.StreamOrigins, n.origins.Send = n.origins, n.gossip.SendAboutStreams
+	n.gossip.ReceiveAboutStreams, n.origins.Send = n.origins.Receive, n.gossip.SendAboutStreams
 	n.backpressure.OnChange = n.gossip.SendEarly
 	if n.freshness != nil {
 		n.gossip.Freshness = &configFreshness{n}
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -51,9 +51,8 @@
 	mu         sync.Mutex
 	dropShare  float64 // share of the new streams that callers drop and take up elsewhere
 	ownPrompts bool    // no two callers send the same request
-	engines    engineVersions
+	engines    engineSetup
 	endpoints  map[string]*soakEndpoint
-	crashedAt  map[string]time.Time // engines that a test has ended
 	drained    map[string]time.Time // when the store accepted that the endpoint is leaving
 	faults     []injectedFault
 	storeDown  bool
@@ -97,6 +96,7 @@
 	*standin.Endpoint
 	link     *relay.Relay
 	started  time.Time
+	crashed  time.Time // when a test ended it, zero if none did
 	draining bool
 	removed  bool
 }
@@ -104,22 +104,23 @@
 // soakDropShare is the share of the new streams that the callers of a soak drop.
 const soakDropShare = 0.05
 
-// engineVersions are the software versions of the engines, which take turns, and what their streams take.
-type engineVersions struct {
-	names         []string
+// engineSetup describes the engines of a soak and their streams.
+type engineSetup struct {
+	count         int
+	versions      []string      // of their software, in turn
 	eventInterval time.Duration // between two events, zero for the stand-in's default
 	slots         int           // zero for the default
 }
 
 func newSoak(t *testing.T, seed int64) *soak {
-	return newSoakOf(t, seed, soakEngines, engineVersions{names: []string{"v1", "v2"}})
+	return newSoakOf(t, seed, engineSetup{count: soakEngines, versions: []string{"v1", "v2"}})
 }
 
-func newSoakOf(t *testing.T, seed int64, engines int, v engineVersions) *soak {
+func newSoakOf(t *testing.T, seed int64, engines engineSetup) *soak {
 	s := &soak{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(uint64(seed), 1)), dir: t.TempDir(),
-		store: standin.NewStore(), ledger: standin.NewLedger(), dropShare: soakDropShare, engines: v,
-		endpoints: map[string]*soakEndpoint{}, crashedAt: map[string]time.Time{}, drained: map[string]time.Time{},
+		store: standin.NewStore(), ledger: standin.NewLedger(), dropShare: soakDropShare, engines: engines,
+		endpoints: map[string]*soakEndpoint{}, drained: map[string]time.Time{},
 	}
 	srv := httptest.NewServer(s.store)
 	s.storeAddr = strings.TrimPrefix(srv.URL, "http://")
@@ -133,7 +134,7 @@
 		srv.Close()
 	})
 	s.publish("s")
-	for range engines {
+	for range engines.count {
 		s.addEndpoint("m", "decode")
 	}
 	for range soakServiceEndpoints {
@@ -222,7 +223,7 @@
 		ID: s.endpointID(s.started), Service: service, Zone: "z", Stage: stage, Slots: 32,
 	}, started: time.Now()}
 	if stage != "" {
-		e.Version = cmp.Or(version, s.engines.names[s.started%len(s.engines.names)])
+		e.Version = cmp.Or(version, s.engines.versions[s.started%len(s.engines.versions)])
 		e.EventInterval = s.engines.eventInterval
 		e.Slots = cmp.Or(s.engines.slots, e.Slots)
 	}
--- a/scenarios/versions_test.go
+++ b/scenarios/versions_test.go
@@ -49,7 +49,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newSoakOf(t, 2, versionEngines, engineVersions{[]string{"v1", "v2"}, versionEventInterval, versionSlots})
+			s := newSoakOf(t, 2, engineSetup{versionEngines, []string{"v1", "v2"}, versionEventInterval, versionSlots})
 			s.dropShare, s.ownPrompts = tc.dropShare, true
 			s.awaitServing()
 			ctx, stop := context.WithCancel(s.ctx)
@@ -87,7 +87,7 @@
 	}
 	s.removeEndpoint(e)
 	s.mu.Lock()
-	s.crashedAt[e.ID] = time.Now()
+	e.crashed = time.Now()
 	s.mu.Unlock()
 	e.Crash()
 	version := e.Version
@@ -120,9 +120,8 @@
 // serving returns how many engines of a version served at the given time.
 func (s *soak) serving(version string, at time.Time) int {
 	n := 0
-	for id, e := range s.endpoints {
-		crashed, ended := s.crashedAt[id]
-		if e.Stage != "" && e.Version == version && e.started.Before(at) && (!ended || crashed.After(at)) {
+	for _, e := range s.endpoints {
+		if e.Stage != "" && e.Version == version && e.started.Before(at) && (e.crashed.IsZero() || e.crashed.After(at)) {
 			n++
 		}
 	}
