--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -13,6 +13,7 @@
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/code"
 	"fescuestand/internal/policy/ontime"
+	"fescuestand/internal/policy/place"
 )
 
 // refusal is a final answer that this VM gives itself instead of an endpoint's.
@@ -89,7 +90,7 @@
 		return c, nil, refused
 	}
 	c.Body = body
-	c.Fingerprint = fingerprint(c)
+	c.Fingerprint, c.SharedParts = fingerprint(c), sharedParts(c.Parts)
 	if g.o.Crashes.ShouldRefuse(g.o.Clock.Now(), c.Fingerprint) {
 		f := refuse(code.Quarantined, errQuarantined.Error())
 		f.retryAfter = quarantineRetryAfter
@@ -111,6 +112,18 @@
 	return d.Sum64()
 }
 
+// sharedParts returns the ids of the parts that other requests may have too: all but the last one.
+func sharedParts(parts []place.Part) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	out := make([]uint64, 0, len(parts)-1)
+	for _, p := range parts[:len(parts)-1] {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,10 +45,11 @@
 	PromptTokens    int           // zero for a call of a plain service
 	MaxOutputTokens int           // tokens
 	Parts           []place.Part
-	LastEventID     string // the last event of the stream that the caller has received
-	Resumes         string // id of the caller's attempt that brought the stream's first event, empty for a new stream
-	Fingerprint     uint64 // the same for all retries of a request by its caller
-	Relayed         bool   // another VM, which reaches no endpoint, has sent it
+	LastEventID     string   // the last event of the stream that the caller has received
+	Resumes         string   // id of the caller's attempt that brought the stream's first event, empty for a new stream
+	Fingerprint     uint64   // the same for all retries of a request by its caller
+	SharedParts     []uint64 // ids of the prompt's parts but the last one, which belongs to this request
+	Relayed         bool     // another VM, which reaches no endpoint, has sent it
 
 	HasKey    bool // the caller sent an API key
 	Key       workspace.Digest
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -96,7 +97,7 @@
 		e = e.WithField("why", last.err.Error())
 	}
 	if x.wasLost() {
-		e = e.WithField("fingerprint", formatFingerprint(x.call.Fingerprint))
+		e = e.WithField("fingerprint", formatFingerprint(x.call.Fingerprint)).WithField("parts", formatParts(x.call.SharedParts))
 	}
 	e.Info("request ends")
 }
@@ -109,6 +110,18 @@
 // formatFingerprint returns a fingerprint as it stands in the log.
 func formatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
 
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 12
+
+// formatParts returns the ids of prompt parts as they stand in the log.
+func formatParts(parts []uint64) string {
+	ids := make([]string, 0, maxLoggedParts)
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, strconv.FormatUint(p, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 func attemptField(i int) string {
 	return "attempt" + string(rune('1'+min(i, 8)))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,7 +138,7 @@
 		e = e.WithField("config", v.Config.Version)
 	}
 	if f.code == code.Quarantined {
-		e = e.WithField("fingerprint", formatFingerprint(c.Fingerprint))
+		e = e.WithField("fingerprint", formatFingerprint(c.Fingerprint)).WithField("parts", formatParts(c.SharedParts))
 	}
 	e.Info("request refused")
 }
