--- /dev/null
+++ b/scenarios/crash_part_test.go
@@ -0,0 +1,319 @@
+package scenarios
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"fescuestand/platform/standin"
+)
+
+const (
+	// partEndpoints is the number of engines, and that of endpoints of the plain service.
+	partEndpoints = 16
+	// partRestartTime is the time until an endpoint that has crashed is replaced.
+	partRestartTime = 2 * time.Second
+	partCallers     = 24
+	// partFaultTime is how long requests that crash endpoints come.
+	partFaultTime = 14 * time.Second
+	// maxPartCrashes is the number of endpoints that requests with one part may crash, and maxLatePartSends
+	// how many of them may reach an endpoint later than quarantineBound after the last of these crashes.
+	maxPartCrashes   = 5
+	maxLatePartSends = 3
+	// minBegunShare is the minimum ratio of the shares of sound requests that begin, from twice
+	// quarantineBound after the crashes on, and before them.
+	minBegunShare = 0.5
+	// partSubjects is the number of second parts, which requests of all callers share.
+	partSubjects = 40
+	// partCrashInterval is the time between two endpoints that end for another reason.
+	partCrashInterval = 1200 * time.Millisecond
+)
+
+// The parts that crash endpoints.
+const (
+	crashingPart       = "bad1"
+	secondCrashingPart = "bad2"
+)
+
+// partCase is a way in which requests with a prompt part crash endpoints.
+type partCase struct {
+	path     string
+	point    standin.CrashPoint
+	unframed bool          // answers have neither a length nor chunks
+	share    float64       // of the requests that have the part
+	first    bool          // it is the first part of the prompt
+	two      bool          // there are two such parts
+	restarts time.Duration // the time between two kills of a VM, zero for none
+	all      bool          // all VMs are killed together
+	own      bool          // endpoints end for another reason, and no part crashes them
+}
+
+// partRequest is one attempt of a caller and its outcome.
+type partRequest struct {
+	id    string
+	vm    *soakVM
+	part  string // the crashing part it has, empty for a sound request
+	sent  time.Time
+	begun bool
+}
+
+// partRun sends requests of which some have a part that crashes endpoints.
+type partRun struct {
+	*soak
+	tc partCase
+
+	mu       sync.Mutex
+	requests []partRequest
+	down     map[*soakVM][]span
+	crashing bool
+}
+
+// prompt returns the parts of a request. Sound requests share the first part and the subjects with those
+// that have a crashing part.
+func (p *partRun) prompt(rng *rand.Rand, part string) string {
+	parts := []string{"aa:200", fmt.Sprintf("cc%02x:100", rng.IntN(partSubjects))}
+	switch {
+	case part == "":
+	case p.tc.first:
+		parts = append([]string{part + ":150"}, parts...)
+	default:
+		parts = append(parts[:1], append([]string{part + ":150"}, parts[1:]...)...)
+	}
+	return strings.Join(append(parts, fmt.Sprintf("%x:50", rng.Uint64())), ",")
+}
+
+// pickPart returns the crashing part that the next request has.
+func (p *partRun) pickPart(rng *rand.Rand) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case !p.crashing || rng.Float64() >= p.tc.share:
+		return ""
+	case p.tc.two && rng.IntN(2) == 0:
+		return secondCrashingPart
+	}
+	return crashingPart
+}
+
+// call sends requests until ctx ends.
+func (p *partRun) call(ctx context.Context, caller int) {
+	rng := rand.New(rand.NewPCG(uint64(p.seed), uint64(caller)+7))
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}}
+	defer client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		r := partRequest{id: fmt.Sprintf("p%d-%d", caller, n), vm: p.vms[rng.IntN(len(p.vms))], part: p.pickPart(rng), sent: time.Now()}
+		r.begun = p.exchange(client, &r, p.prompt(rng, r.part))
+		p.mu.Lock()
+		p.requests = append(p.requests, r)
+		p.mu.Unlock()
+		time.Sleep(requestInterval)
+	}
+}
+
+// exchange reports whether an endpoint began to answer the request.
+func (p *partRun) exchange(client *http.Client, r *partRequest, prompt string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.vm.front+p.tc.path, io.NopCloser(strings.NewReader(r.id)))
+	if err != nil {
+		p.t.Error(err)
+		return false
+	}
+	req.ContentLength, req.Host = int64(len(r.id)), soakHost
+	req.Header.Set("Attempt-Id", r.id)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	req.Header.Set("Prompt-Prefix", prompt)
+	if p.tc.path == pathResumable {
+		req.Header.Set("Token-Count", "300,20")
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false // the VM is stopped
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK && (err == nil || p.tc.path == pathResumable)
+}
+
+// disturb kills VMs or endpoints, as the case says, until ctx ends.
+func (p *partRun) disturb(ctx context.Context) {
+	interval := p.tc.restarts
+	if p.tc.own {
+		interval = partCrashInterval
+	}
+	if interval == 0 {
+		return
+	}
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval):
+		}
+		switch {
+		case p.tc.own:
+			p.crashEngine(false)
+		case p.tc.all:
+			p.restart(p.vms)
+		default:
+			p.restart(p.vms[n%len(p.vms):][:1])
+		}
+	}
+}
+
+// restart kills VMs at the same moment and starts them again.
+func (p *partRun) restart(vms []*soakVM) {
+	killed := time.Now()
+	for _, v := range vms {
+		v.proc.kill()
+	}
+	time.Sleep(restartDelay)
+	for _, v := range vms {
+		if err := v.proc.start(); err != nil {
+			p.t.Error(err)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range vms {
+		p.down[v] = append(p.down[v], span{killed, time.Now().Add(settledTime)})
+	}
+}
+
+// counts reports whether the VM had been running for a while when the request was sent.
+func (p *partRun) counts(r *partRequest) bool {
+	for _, d := range p.down[r.vm] {
+		if r.sent.After(d.from) && r.sent.Before(d.to) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkPart checks how often requests with the part reached endpoints after it had crashed maxPartCrashes.
+func (p *partRun) checkPart(part string) (crashes []time.Time) {
+	requests := map[string]*partRequest{}
+	for i := range p.requests {
+		if r := &p.requests[i]; r.part == part {
+			requests[r.id] = r
+		}
+	}
+	for _, r := range p.ledger.Runs() {
+		if requests[r.ID] != nil {
+			crashes = append(crashes, r.At)
+		}
+	}
+	if len(crashes) < maxPartCrashes {
+		return crashes
+	}
+	late := 0
+	for _, a := range p.ledger.Arrivals() {
+		if r := requests[a.ID]; r != nil && p.counts(r) && a.At.Sub(crashes[maxPartCrashes-1]) > quarantineBound {
+			late++
+		}
+	}
+	p.t.Logf("%s: %d endpoints crashed, %d sends later than %s after the fifth", part, len(crashes), late, quarantineBound)
+	if late > maxLatePartSends {
+		p.addViolation("%s: %d sends later than %s after the fifth crash, %d endpoints crashed", part, late, quarantineBound, len(crashes))
+	}
+	return crashes
+}
+
+// checkSound checks that sound requests begin after the crashes as they did before the faults.
+func (p *partRun) checkSound(faultsBegan time.Time, crashes []time.Time) {
+	settled := faultsBegan
+	if n := len(crashes); n > 0 {
+		settled = crashes[min(n, maxPartCrashes)-1]
+	}
+	settled = settled.Add(2 * quarantineBound)
+	before, begunBefore, after, begunAfter, all, begun := 0, 0, 0, 0, 0, 0
+	for i := range p.requests {
+		r := &p.requests[i]
+		if r.part != "" || !p.counts(r) {
+			continue
+		}
+		all += 1
+		begun += number(r.begun)
+		switch {
+		case r.sent.Before(faultsBegan):
+			before++
+			begunBefore += number(r.begun)
+		case r.sent.After(settled):
+			after++
+			begunAfter += number(r.begun)
+		}
+	}
+	shareBefore, shareAfter := float64(begunBefore)/float64(before), float64(begunAfter)/float64(after)
+	p.t.Logf("sound requests that began: %.2f before, %.2f after (%d, %d), %.3f of all", shareBefore, shareAfter, before, after, float64(begun)/float64(all))
+	if shareAfter < minBegunShare*shareBefore {
+		p.addViolation("sound requests begin less than half as often as before: %.2f of %d, %.2f of %d", shareAfter, after, shareBefore, before)
+	}
+}
+
+func number(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+var partCases = map[string]partCase{
+	"body":             {path: pathReads, point: standin.InsideBody, share: 0.05},
+	"body_unframed":    {path: pathReads, point: standin.InsideBody, share: 0.05, unframed: true},
+	"event":            {path: pathResumable, point: standin.InsideEvent, share: 0.05},
+	"event_unframed":   {path: pathResumable, point: standin.InsideEvent, share: 0.05, unframed: true},
+	"header":           {path: pathResumable, point: standin.BeforeHeader, share: 0.05},
+	"first_part":       {path: pathResumable, point: standin.InsideEvent, share: 0.05, first: true},
+	"a_fifth":          {path: pathResumable, point: standin.InsideEvent, share: 0.2},
+	"two_parts":        {path: pathResumable, point: standin.InsideEvent, share: 0.05, two: true},
+	"vm_killed":        {path: pathResumable, point: standin.InsideEvent, share: 0.05, restarts: 2400 * time.Millisecond},
+	"all_killed":       {path: pathResumable, point: standin.InsideEvent, share: 0.05, restarts: 6 * time.Second, all: true},
+	"endpoints_at_own": {path: pathResumable, own: true},
+}
+
+// Guards against requests with a common prompt part that crash endpoint after endpoint, though no two of them
+// are alike, and against refusing sound requests that share other parts with them.
+func TestCrashingPartsAreContained(t *testing.T) {
+	for name, tc := range partCases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSoakOf(t, 3, engineSetup{
+				count: partEndpoints, versions: []string{"v1"}, services: partEndpoints, unframed: tc.unframed, restartTime: partRestartTime,
+				crashParts: map[string]standin.CrashPoint{crashingPart: tc.point, secondCrashingPart: tc.point},
+			})
+			p := &partRun{soak: s, tc: tc, down: map[*soakVM][]span{}}
+			s.awaitServing()
+			ctx, stop := context.WithCancel(s.ctx)
+			for i := range partCallers {
+				s.wg.Go(func() { p.call(ctx, i) })
+			}
+			time.Sleep(2 * warmUpTime)
+			p.mu.Lock()
+			p.crashing = true
+			p.mu.Unlock()
+			faultsBegan := time.Now()
+			faults, end := context.WithTimeout(ctx, partFaultTime)
+			p.disturb(faults)
+			<-faults.Done()
+			end()
+			stop()
+			time.Sleep(callerTimeout)
+
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			crashes := p.checkPart(crashingPart)
+			if tc.two {
+				p.checkPart(secondCrashingPart)
+			}
+			p.checkSound(faultsBegan, crashes)
+			s.checkProcesses()
+			s.reportViolations()
+		})
+	}
+}
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -110,6 +110,10 @@
 	versions      []string      // of their software, in turn
 	eventInterval time.Duration // between two events, zero for the stand-in's default
 	slots         int           // zero for the default
+	services      int           // endpoints of each plain service, zero for the default
+	unframed      bool          // all answers end with their connection
+	crashParts    map[string]standin.CrashPoint
+	restartTime   time.Duration // until an endpoint that has crashed is replaced, zero for the default
 }
 
 func newSoak(t *testing.T, seed int64) *soak {
@@ -137,7 +141,7 @@
 	for range engines.count {
 		s.addEndpoint("m", "decode")
 	}
-	for range soakServiceEndpoints {
+	for range cmp.Or(engines.services, soakServiceEndpoints) {
 		s.addEndpoint("s", "")
 		s.addEndpoint("t", "")
 	}
@@ -221,6 +225,7 @@
 	s.started++
 	e := &soakEndpoint{Endpoint: &standin.Endpoint{
 		ID: s.endpointID(s.started), Service: service, Zone: "z", Stage: stage, Slots: 32,
+		Unframed: s.engines.unframed, CrashParts: s.engines.crashParts,
 	}, started: time.Now()}
 	if stage != "" {
 		e.Version = cmp.Or(version, s.engines.versions[s.started%len(s.engines.versions)])
@@ -246,7 +251,7 @@
 	}
 	e.removed = true
 	s.wg.Go(func() {
-		time.Sleep(endpointRestartTime)
+		time.Sleep(cmp.Or(s.engines.restartTime, endpointRestartTime))
 		s.addEndpoint(e.Service, e.Stage)
 	})
 }
--- a/scenarios/versions_test.go
+++ b/scenarios/versions_test.go
@@ -49,7 +49,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newSoakOf(t, 2, engineSetup{versionEngines, []string{"v1", "v2"}, versionEventInterval, versionSlots})
+			s := newSoakOf(t, 2, engineSetup{count: versionEngines, versions: []string{"v1", "v2"}, eventInterval: versionEventInterval, slots: versionSlots})
 			s.dropShare, s.ownPrompts = tc.dropShare, true
 			s.awaitServing()
 			ctx, stop := context.WithCancel(s.ctx)
