Waiting requests are refused once one of their parts is quarantined

A request that waits for an endpoint's limit or for an idle engine was judged again only before its send, so that its caller waited for an answer that was already known. Its test failed before, as the wait ended in another answer (no-endpoint).

--- a/internal/gateway/crash_part_test.go
+++ b/internal/gateway/crash_part_test.go
@@ -5,10 +5,15 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
+	"fescuestand/internal/code"
+	"fescuestand/internal/policy/crash"
+	"fescuestand/internal/policy/place"
 )
 
 // Guards against requests with a common prompt part that end endpoint after endpoint, as no two of them are
@@ -106,3 +111,24 @@
 		})
 	}
 }
+
+// Guards against a request that waits for an endpoint until it is about to be sent, though one of its parts has
+// been quarantined meanwhile.
+func TestAWaitingRequestIsRefusedOnceItsPartIsQuarantined(t *testing.T) {
+	w := newTestGateway(t)
+	w.setRoute(streamRoute)
+	for i := range 3 {
+		w.crashes.Record(clock.Boot{}.Now(), crash.Crash{Request: uint64(i + 1), Endpoint: fmt.Sprint(i), Parts: []crash.PartCrash{{Part: 2}}})
+	}
+	view := w.store.View()
+	x := &execution{
+		g: w.gateway, ctx: t.Context(), call: &Call{SharedParts: []uint64{2}}, route: view.Config.Match("h.example", "/x/"), view: view, service: "s",
+		deadline: clock.Boot{}.Now().Add(time.Minute), tried: map[string]bool{},
+	}
+	r, retry := x.awaitCapacity()
+	assert.Assert(t, !retry)
+	assert.Equal(t, r.code, code.Quarantined)
+	_, r, ok := x.placePrompt(&place.Prompt{})
+	assert.Assert(t, !ok)
+	assert.Equal(t, r.code, code.Quarantined)
+}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -90,6 +90,9 @@
 	if r, refuse := x.refuseInDrain(); refuse {
 		return r, false
 	}
+	if r, refuse := x.refuseQuarantined(); refuse {
+		return r, false
+	}
 	ahead := 0
 	if !x.hasProgress() {
 		ahead = x.queueSlot.queue.countAhead(x.queueSlot.number)
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -24,6 +24,9 @@
 		}
 	}()
 	for {
+		if r, refuse := x.refuseQuarantined(); refuse {
+			return place.Plan{}, r, false
+		}
 		plan, ok := x.g.o.Planner.Plan(x.now(), x.openEndpoints(), prompt, x.tried)
 		if !ok {
 			if r, retry := x.awaitCapacity(); !retry {
