--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -130,7 +130,7 @@
 	BadAnswer:            {"bad-answer", 502, true, "The endpoint's answer failed its check."},
 	DeadlineMissed:       {"deadline-missed", 504, false, "The deadline passed while the work ran."},
 	WrongRole:            {"wrong-role", 503, true, "The engine is not in the role the work needs."},
-	Quarantined:          {"quarantined", 503, true, "Endpoints broke off while they ran this request; it is not run for a while."},
+	Quarantined:          {"quarantined", 503, true, "Endpoints broke off while they ran this request, or others with a part of its prompt; it is not run for a while."},
 	StaleFence:           {"stale-fence", 409, false, "The engine refused an order with an old fencing token."},
 
 	CommitUnknown:   {"commit-unknown", 409, false, "The commit may have run; it will not be dispatched again."},
