Answers that end with their connection are proven by a later answer

Cause: an answer with neither a length nor chunks counted as complete if a new connection to its endpoint stayed open for 5 ms. What accepts the connection need not be the endpoint; here it is a relay that was slow to close it. The cut answer then cleared the part that had crashed the endpoint.

Change: such an answer stays unproven. It counts as an answer once the endpoint has answered a request that was sent later, and as a crash if the endpoint's crash becomes known first.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -42,13 +42,18 @@
 func (x *execution) reportCrash(e *catalog.Endpoint, endedAt clock.Time) {
 	c := crash.Crash{Request: x.call.Fingerprint, Endpoint: processOf(e), Age: x.now().Sub(endedAt)}
 	if !x.hasSettled() {
-		for _, part := range x.call.SharedParts[:min(len(x.call.SharedParts), maxReportedRequestParts)] {
+		for _, part := range x.crashParts() {
 			c.Parts = append(c.Parts, crash.PartCrash{Part: part, SentAge: x.now().Sub(x.sentAt)})
 		}
 	}
 	x.g.o.OnCrash(c)
 }
 
+// crashParts returns the parts of the prompt that a crash is recorded for.
+func (x *execution) crashParts() []uint64 {
+	return x.call.SharedParts[:min(len(x.call.SharedParts), maxReportedRequestParts)]
+}
+
 // hasSettled reports whether the latest attempt is a stream that has survived its beginning.
 func (x *execution) hasSettled() bool {
 	return x.attemptEventAt != 0 && x.now().Sub(x.attemptEventAt) >= settledRunTime
@@ -73,18 +78,24 @@
 
 // verifyEnd returns the result of an answer that has been read to its end. An answer with neither a length
 // nor chunks ends with its connection, so that a crash of the endpoint looks like its end: it counts as lost
-// if the endpoint no longer accepts connections.
+// if nobody listens at the endpoint's address any more. Only a later answer proves that the endpoint lived on.
 func (x *execution) verifyEnd(resp *exchange.Response, e *catalog.Endpoint) result {
 	if resp.Framed {
 		return result{outcome: answered, proven: true}
 	}
-	switch x.g.o.Pool.Check(x.ctx, e.Address) {
-	case exchange.Alive:
-		return result{outcome: answered, proven: true}
-	case exchange.Refused:
+	endedAt := x.now()
+	life := x.g.o.Pool.Check(x.ctx, e.Address)
+	if life == exchange.Refused {
 		return result{outcome: lost, code: code.EndpointCut, err: driver.ErrConnectionLost}
 	}
-	go x.verifyLater(e, x.now())
+	u := crash.Unproven{Request: x.call.Fingerprint, SentAt: x.sentAt, EndedAt: endedAt}
+	if !x.hasSettled() {
+		u.Parts = x.crashParts()
+	}
+	x.g.o.Crashes.RecordUnproven(processOf(e), u)
+	if life == exchange.Unknown {
+		go x.verifyLater(e, endedAt)
+	}
 	return result{outcome: answered}
 }
 
@@ -93,11 +104,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), time.Second)
 	defer cancel()
 	for _, delay := range lifeCheckDelays {
-		if !clock.Sleep(ctx, delay) {
-			return
-		}
-		if x.g.o.Pool.Check(ctx, e.Address) == exchange.Alive {
-			x.g.o.Crashes.RecordPartsAnswered(x.sentAt, x.call.SharedParts)
+		if !clock.Sleep(ctx, delay) || x.g.o.Pool.Check(ctx, e.Address) == exchange.Alive {
 			return
 		}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -139,6 +139,10 @@
 // ProcessName returns a name that is unique to each process of a VM.
 func ProcessName(vm, incarnation string) string { return vm + " " + incarnation }
 
+// maxAnnouncedAge is the age up to which a crash is passed on to all VMs. It outlasts the time until the end of
+// an endpoint shows that an answer was cut short; older crashes are only reported as part of a quarantine.
+const maxAnnouncedAge = 6 * time.Second
+
 // maxReportedRequests bounds the requests in a message that have crashed several endpoints. Successive
 // messages carry different ones.
 const maxReportedRequests = 4
@@ -244,8 +248,11 @@
 	if !x.Crashes.Record(now, c) {
 		return nil
 	}
+	for _, u := range x.Crashes.TakeUnproven(now, c.Endpoint) {
+		x.recordCrash(u, "")
+	}
 	c = x.Crashes.Describe(now, c)
-	if c.Age < announceFor {
+	if c.Age < maxAnnouncedAge {
 		x.crashes.add(now, recentCrash{c, now})
 	}
 	e := log.WithField("endpoint", c.Endpoint).WithField("from", from)
--- a/internal/policy/crash/crash.go
+++ b/internal/policy/crash/crash.go
@@ -63,9 +63,10 @@
 	// successes holds requests that an endpoint has completed. The slot of a request is its
 	// fingerprint modulo successSlots; the latest one replaces the one before.
 	successes    [successSlots]success
-	reportedUpTo uint64               // last request of the latest report
-	endpoints    map[string]*endpoint // those of which crashes were reported
-	sweptAt      clock.Time           // when endpoints were last forgotten
+	reportedUpTo uint64                // last request of the latest report
+	endpoints    map[string]*endpoint  // those of which crashes were reported
+	sweptAt      clock.Time            // when endpoints were last forgotten
+	unproven     map[string][]Unproven // answers that may have been cut short, by endpoint process
 	parts        parts
 }
 
@@ -114,7 +115,7 @@
 
 // New returns an empty register.
 func New() *Register {
-	return &Register{records: map[uint64]*record{}, endpoints: map[string]*endpoint{}, parts: newParts()}
+	return &Register{records: map[uint64]*record{}, endpoints: map[string]*endpoint{}, parts: newParts(), unproven: map[string][]Unproven{}}
 }
 
 // Record records a crash. It returns false if all of it was already recorded, or is too old to count.
@@ -187,6 +188,7 @@
 func (r *Register) RecordAnswer(sentAt clock.Time, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.prove(sentAt, id)
 	e := r.endpoints[id]
 	if e == nil || e.hasAnswered && sentAt <= e.sentAt {
 		return
--- a/internal/policy/crash/parts_test.go
+++ b/internal/policy/crash/parts_test.go
@@ -136,8 +136,8 @@
 	w.answer(sharedPart)
 	w.wait(time.Second)
 	for range 12 {
-		w.crashSent(300*time.Millisecond, []uint64{sharedPart, otherPart})
-		w.wait(10 * time.Millisecond)
+		w.crashSent(15*time.Millisecond, []uint64{sharedPart, otherPart})
+		w.wait(15 * time.Millisecond)
 	}
 	assert.Assert(t, !w.refuses(sharedPart))
 	assert.Assert(t, !w.refuses(otherPart))
@@ -301,3 +301,32 @@
 	w.r.RecordAnswer(w.now, "e1")
 	assert.Assert(t, !w.refuses(otherPart))
 }
+
+// Guards against an answer that clears a part although it was cut short by the crash of its endpoint, as it had
+// neither a length nor chunks, and against a crash that no other request shows.
+func TestAnAnswerThatEndedWithItsConnection(t *testing.T) {
+	w := newCrashWorld()
+	unproven := func(endpoint string, parts ...uint64) {
+		w.r.RecordUnproven(endpoint, Unproven{Request: uint64(w.now), Parts: parts, SentAt: w.now.Add(-50 * time.Millisecond), EndedAt: w.now})
+	}
+	for i := range 3 {
+		w.wait(time.Second)
+		w.crash([]uint64{otherPart})
+		unproven(fmt.Sprint("x", i), crasherPart)
+	}
+	w.wait(100 * time.Millisecond)
+	unproven("y", otherPart)
+	assert.Assert(t, w.refuses(otherPart), "nothing shows that the answer was complete")
+
+	w.wait(100 * time.Millisecond)
+	w.r.RecordAnswer(w.now, "y")
+	assert.Assert(t, !w.refuses(otherPart), "the endpoint lives")
+
+	for i := range 3 {
+		for _, c := range w.r.TakeUnproven(w.now, fmt.Sprint("x", i)) {
+			w.r.Record(w.now, c)
+		}
+	}
+	assert.Assert(t, w.refuses(crasherPart))
+	assert.Equal(t, len(w.r.TakeUnproven(w.now, "y")), 0)
+}
