Only requests sent well after a crash confirm it

When a zone fails, VMs send requests to its other endpoints until they notice. Such a request looked like one that crashed an endpoint after another crash was known, so that three endpoints of one failure could quarantine a part.

Also: an answer has parts judged again only if it clears a crash.

--- a/internal/policy/crash/blame.go
+++ b/internal/policy/crash/blame.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"fescuestand/internal/clock"
 )
@@ -17,6 +18,9 @@
 	// was seen: endpoints that fail together for another reason were all sent their requests before.
 	minRareConfirmed   = 1
 	minCommonConfirmed = 2
+	// confirmDelay is how long after a crash a request must have been sent to confirm it: until then VMs may
+	// send requests to endpoints that failed together with the first one.
+	confirmDelay = 200 * time.Millisecond
 	// rarerFactor is how many times fewer answered requests a part must have than another one to be blamed in
 	// its place, if it explains all crashes but one.
 	rarerFactor = 4
@@ -137,12 +141,12 @@
 }
 
 // confirmed returns how many of the requests under which endpoints crashed were sent after the first of
-// these crashes.
+// these crashes was known.
 func confirmed(crashes []partCrash) int {
 	first := slices.MinFunc(crashes, func(x, y partCrash) int { return cmp.Compare(x.at, y.at) }).at
 	n := 0
 	for _, c := range crashes {
-		if c.sentAt > first {
+		if c.sentAt > first.Add(confirmDelay) {
 			n++
 		}
 	}
--- a/internal/policy/crash/parts.go
+++ b/internal/policy/crash/parts.go
@@ -160,9 +160,7 @@
 func (p *parts) merge(now clock.Time, rec *partRecord, e PartCrash) {
 	if e.Answers > 0 {
 		rec.answers = max(rec.answers, e.Answers)
-		if at := now.Add(-e.AnsweredAge); at > rec.answeredAt {
-			rec.answeredAt, p.changed = at, true
-		}
+		p.clear(rec, now.Add(-e.AnsweredAge))
 	}
 	if e.Refused {
 		rec.refusedAt = max(rec.refusedAt, now.Add(-e.RefusedAge))
@@ -220,9 +218,20 @@
 		return
 	}
 	rec.answers = max(rec.answers+1, slot.count)
-	if sentAt > rec.answeredAt {
-		rec.answeredAt, p.changed = sentAt, true
+	p.clear(rec, sentAt)
+}
+
+// clear records that a request with the part was answered that was sent at sentAt.
+func (p *parts) clear(rec *partRecord, sentAt clock.Time) {
+	if sentAt <= rec.answeredAt {
+		return
+	}
+	for _, c := range rec.crashes {
+		if c.at > rec.answeredAt && c.at <= sentAt {
+			p.changed = true
+		}
 	}
+	rec.answeredAt = sentAt
 }
 
 // refute deletes crashes of an endpoint before at, and reports whether it has others.
