Times of prompt parts don't move as VMs tell each other of them

An age in a message is too short by the time that the message takes. Two VMs that took over each other's newer time moved it with each message: an old answer came to clear later crashes, and an old send to confirm earlier ones. TestTimesDontMoveAsVMsTellEachOther failed before (a part was released).

Change: a time is taken over if the other VM knows of more answers, or if it is later by more than a message may take. A crash keeps the times with which it was first known.

--- a/internal/policy/crash/blame.go
+++ b/internal/policy/crash/blame.go
@@ -38,8 +38,8 @@
 // common reports whether endpoints have answered requests with the part before.
 func (s *suspect) common() bool { return s.answers > 0 }
 
-// blame returns the parts that explain the crashes of the suspects, of which requests have been blamed
-// already.
+// blame returns the parts that explain the crashes of the suspects. Requests among them are refused anyway, and
+// explain crashes like parts.
 //
 // Parts that few requests have go first: refusing them costs the least, and if that is a mistake, the next
 // crash shows it. Each crash is explained by one suspect only, so that the parts which stand beside the
--- a/internal/policy/crash/parts.go
+++ b/internal/policy/crash/parts.go
@@ -26,6 +26,8 @@
 	// goes on crashing endpoints costs few of them.
 	firstTrialDelay = 30 * time.Second
 	trialBackoff    = 4
+	// maxTransit is how much later a time may seem that was received from another VM.
+	maxTransit = time.Second
 	// minTrialInterval is the time between two trials that have neither crashed an endpoint nor been
 	// answered.
 	minTrialInterval = 10 * time.Second
@@ -129,17 +131,10 @@
 		return false
 	}
 	rec.expire(now)
-	known, exists := rec.crashes[c.Endpoint]
-	sentAt := now.Add(-e.SentAge)
-	switch {
-	case endpointAnswered:
-		return false
-	case exists:
-		known.sentAt = max(known.sentAt, sentAt)
-		rec.crashes[c.Endpoint] = known
+	if _, known := rec.crashes[c.Endpoint]; known || endpointAnswered {
 		return false
 	}
-	rec.crashes[c.Endpoint] = partCrash{at: now.Add(-c.Age), sentAt: sentAt}
+	rec.crashes[c.Endpoint] = partCrash{at: now.Add(-c.Age), sentAt: now.Add(-e.SentAge)}
 	rec.limit()
 	p.changed = true
 	return true
@@ -156,14 +151,15 @@
 	delete(p.crashes, oldest)
 }
 
-// merge takes over what another VM knows of the part.
+// merge takes over what another VM knows of the part. A time that is only a little later than the known one is
+// the same, later by the transit of messages: VMs that took it over would move it with each message.
 func (p *parts) merge(now clock.Time, rec *partRecord, e PartCrash) {
-	if e.Answers > 0 {
+	if at := now.Add(-e.AnsweredAge); e.Answers > rec.answers || e.Answers > 0 && at > rec.answeredAt.Add(maxTransit) {
 		rec.answers = max(rec.answers, e.Answers)
-		p.clear(rec, now.Add(-e.AnsweredAge))
+		p.clear(rec, at)
 	}
-	if e.Refused {
-		rec.refusedAt = max(rec.refusedAt, now.Add(-e.RefusedAge))
+	if at := now.Add(-e.RefusedAge); e.Refused && at > rec.refusedAt.Add(maxTransit) {
+		rec.refusedAt = at
 	}
 }
 
--- a/internal/policy/crash/parts_test.go
+++ b/internal/policy/crash/parts_test.go
@@ -330,3 +330,40 @@
 	assert.Assert(t, w.refuses(crasherPart))
 	assert.Equal(t, len(w.r.TakeUnproven(w.now, "y")), 0)
 }
+
+// Guards against ages that shrink by the transit time with each message, as two VMs tell each other of the same
+// crashes and answers: an old answer would clear later crashes, and an old send would confirm earlier ones.
+func TestTimesDontMoveAsVMsTellEachOther(t *testing.T) {
+	const transit = 20 * time.Millisecond
+	w := newCrashWorld()
+	w.answer(crasherPart)
+	w.answer(otherPart)
+	w.wait(100 * time.Millisecond)
+	for range minCommonCrashes {
+		w.wait(time.Second)
+		w.crash([]uint64{crasherPart})
+	}
+	for range minCommonCrashes {
+		w.crashSent(300*time.Millisecond, []uint64{otherPart}) // together
+	}
+	peer := New()
+	for range 2000 {
+		w.wait(transit)
+		reports := w.r.Report(w.now, 4)
+		w.wait(transit)
+		for _, c := range reports {
+			peer.Record(w.now, c)
+		}
+		reports = peer.Report(w.now, 4)
+		w.wait(transit)
+		for _, c := range reports {
+			w.r.Record(w.now, c)
+		}
+	}
+	for _, r := range []*Register{w.r, peer} {
+		_, refuse := r.RefusedPart(w.now, []uint64{crasherPart})
+		assert.Assert(t, refuse)
+		_, refuse = r.RefusedPart(w.now, []uint64{otherPart})
+		assert.Assert(t, !refuse)
+	}
+}
