A success that VMs tell each other of doesn't move

The same as for prompt parts, for whole requests: the time of the latest success was taken over if it was newer, and so moved by the transit of each message. A success of half a minute ago then lifted a quarantine. TestASuccessDoesntMoveAsVMsTellEachOther failed before.

--- a/internal/policy/crash/crash.go
+++ b/internal/policy/crash/crash.go
@@ -139,7 +139,7 @@
 // recordRequest records a crash for a request. The endpoint may have answered since.
 func (r *Register) recordRequest(now clock.Time, c Crash, answered bool) bool {
 	if c.HasSuccess {
-		r.recordSuccess(c.Request, now.Add(-c.SuccessAge))
+		r.mergeSuccess(c.Request, now.Add(-c.SuccessAge))
 	}
 	if c.Age > crashTTL {
 		return false
@@ -244,6 +244,14 @@
 	r.recordSuccess(request, now)
 }
 
+// mergeSuccess records a success that another VM has told of, unless it is the known one, later by the transit
+// of messages.
+func (r *Register) mergeSuccess(request uint64, at clock.Time) {
+	if s := r.successes[request%successSlots]; s.request != request || at > s.at.Add(maxTransit) {
+		r.recordSuccess(request, at)
+	}
+}
+
 func (r *Register) recordSuccess(request uint64, at clock.Time) {
 	if slot := &r.successes[request%successSlots]; at >= slot.at {
 		*slot = success{request, at}
--- a/internal/policy/crash/crash_test.go
+++ b/internal/policy/crash/crash_test.go
@@ -116,3 +116,27 @@
 	assert.Assert(t, r.Record(now.Add(3*time.Second), Crash{Request: 7, Endpoint: "a", Age: time.Second}), "a later crash")
 	assert.Assert(t, r.ShouldRefuse(now.Add(3*time.Second), 7))
 }
+
+// Guards against a quarantine that ends as VMs tell each other of an old success, which seems later by the
+// transit time with each message.
+func TestASuccessDoesntMoveAsVMsTellEachOther(t *testing.T) {
+	const transit = 20 * time.Millisecond
+	a, b := New(), New()
+	now := clock.Time(time.Hour)
+	a.RecordSuccess(now, 7)
+	now = now.Add(successCredit + time.Second)
+	for _, e := range []string{"a", "b", "c"} {
+		recordCrash(a, now, 7, e)
+	}
+	for range 100 {
+		for _, pair := range [][2]*Register{{a, b}, {b, a}} {
+			reports := pair[0].Report(now, 4)
+			now = now.Add(transit)
+			for _, c := range reports {
+				pair[1].Record(now, c)
+			}
+		}
+	}
+	assert.Assert(t, a.ShouldRefuse(now, 7))
+	assert.Assert(t, b.ShouldRefuse(now, 7))
+}
