VMs tell each other which crashes of a part are cleared, not when answers came

All VMs quarantined the part and released it within one to three seconds, though no request with it was answered.

Cause: a VM that learned of a crash also learned how long ago the newest answer was. Where the message waited for seconds, as its receiver was not scheduled, that answer seemed later than the crashes since, and cleared them.

Change: an answer clears crashes at the VM that has sent its request, by that VM's own clock; messages carry which crashes are cleared. TestALateMessageClearsNoCrash failed before.

Two further cases: a pool of four endpoints, which one wave of crashes takes down whole.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -172,7 +172,7 @@
 		m.SuccessAgeMs = 1 + milliseconds(min(c.SuccessAge, time.Hour))
 	}
 	for _, p := range c.Parts {
-		e := &wire.PartCrash{Part: p.Part, SentAgeMs: milliseconds(p.SentAge), Answers: p.Answers, AnsweredAgeMs: milliseconds(p.AnsweredAge)}
+		e := &wire.PartCrash{Part: p.Part, SentAgeMs: milliseconds(p.SentAge), Answers: p.Answers, Cleared: p.Cleared}
 		if p.Refused {
 			e.RefusedAgeMs = 1 + milliseconds(p.RefusedAge)
 		}
@@ -187,7 +187,7 @@
 		c.HasSuccess, c.SuccessAge = true, fromMilliseconds(age-1)
 	}
 	for _, e := range m.GetParts() {
-		p := crash.PartCrash{Part: e.GetPart(), SentAge: fromMilliseconds(e.GetSentAgeMs()), Answers: e.GetAnswers(), AnsweredAge: fromMilliseconds(e.GetAnsweredAgeMs())}
+		p := crash.PartCrash{Part: e.GetPart(), SentAge: fromMilliseconds(e.GetSentAgeMs()), Answers: e.GetAnswers(), Cleared: e.GetCleared()}
 		if age := e.GetRefusedAgeMs(); age > 0 {
 			p.Refused, p.RefusedAge = true, fromMilliseconds(age-1)
 		}
--- a/internal/policy/crash/blame.go
+++ b/internal/policy/crash/blame.go
@@ -157,4 +157,6 @@
 type partCrash struct {
 	at     clock.Time
 	sentAt clock.Time // when the request was sent to the endpoint
+	// cleared means that a request with the part was answered that was sent after the crash was known.
+	cleared bool
 }
--- a/internal/policy/crash/parts.go
+++ b/internal/policy/crash/parts.go
@@ -36,17 +36,16 @@
 // PartCrash is the evidence that the crash of an endpoint gives against a part: a request with the part was
 // waiting there, or its answer had just begun.
 type PartCrash struct {
-	Part        uint64
-	SentAge     time.Duration // since the request was sent to the endpoint
-	Answers     uint32        // known answers to requests with the part
-	AnsweredAge time.Duration // since the newest of these requests was sent, if there is one
-	Refused     bool          // requests with the part were refused
-	RefusedAge  time.Duration // since the newest refusal
+	Part       uint64
+	SentAge    time.Duration // since the request was sent to the endpoint
+	Answers    uint32        // known answers to requests with the part
+	Cleared    bool          // one of these requests was sent after the crash
+	Refused    bool          // requests with the part were refused
+	RefusedAge time.Duration // since the newest refusal
 }
 
 func (p PartCrash) later(d time.Duration) PartCrash {
 	p.SentAge += d
-	p.AnsweredAge += d
 	p.RefusedAge += d
 	return p
 }
@@ -56,7 +55,7 @@
 	crashes    map[string]partCrash // by endpoint process
 	lost       int                  // requests with the part that were lost at endpoints that crashed
 	answers    uint32               // answered requests with the part, as far as known
-	answeredAt clock.Time           // when the newest of them was sent; crashes before don't count
+	answeredAt clock.Time           // when this VM has sent the newest of them; zero if it has sent none
 	refusedAt  clock.Time           // when a request with the part was last refused, zero if none was
 	triedAt    clock.Time           // when the latest trial began, zero if there was none
 }
@@ -78,7 +77,7 @@
 func (p *partRecord) counted() map[string]partCrash {
 	out := make(map[string]partCrash, len(p.crashes))
 	for endpoint, c := range p.crashes {
-		if p.answers == 0 || c.at > p.answeredAt {
+		if !c.cleared {
 			out[endpoint] = c
 		}
 	}
@@ -131,10 +130,19 @@
 		return false
 	}
 	rec.expire(now)
-	if _, known := rec.crashes[c.Endpoint]; known || endpointAnswered {
+	known, exists := rec.crashes[c.Endpoint]
+	switch {
+	case endpointAnswered:
+		return false
+	case exists:
+		if e.Cleared && !known.cleared {
+			known.cleared, p.changed = true, true
+			rec.crashes[c.Endpoint] = known
+		}
 		return false
 	}
-	rec.crashes[c.Endpoint] = partCrash{at: now.Add(-c.Age), sentAt: now.Add(-e.SentAge)}
+	at := now.Add(-c.Age)
+	rec.crashes[c.Endpoint] = partCrash{at: at, sentAt: now.Add(-e.SentAge), cleared: e.Cleared || at <= rec.answeredAt}
 	rec.limit()
 	p.changed = true
 	return true
@@ -151,13 +159,10 @@
 	delete(p.crashes, oldest)
 }
 
-// merge takes over what another VM knows of the part. A time that is only a little later than the known one is
-// the same, later by the transit of messages: VMs that took it over would move it with each message.
+// merge takes over what another VM knows of the part. A refusal that seems only a little later than the known
+// one is the same, later by the transit of messages: VMs that took it over would move it with each message.
 func (p *parts) merge(now clock.Time, rec *partRecord, e PartCrash) {
-	if at := now.Add(-e.AnsweredAge); e.Answers > rec.answers || e.Answers > 0 && at > rec.answeredAt.Add(maxTransit) {
-		rec.answers = max(rec.answers, e.Answers)
-		p.clear(rec, at)
-	}
+	rec.answers = max(rec.answers, e.Answers)
 	if at := now.Add(-e.RefusedAge); e.Refused && at > rec.refusedAt.Add(maxTransit) {
 		rec.refusedAt = at
 	}
@@ -204,8 +209,9 @@
 	if slot.part != part {
 		if slot.count /= 2; slot.count > 0 {
 			slot = &answerCount{part: part} // the slot's part has been answered more often
+		} else {
+			*slot = answerCount{part: part}
 		}
-		slot.part = part
 	}
 	slot.count++
 	slot.sentAt = max(slot.sentAt, sentAt)
@@ -217,17 +223,16 @@
 	p.clear(rec, sentAt)
 }
 
-// clear records that a request with the part was answered that was sent at sentAt.
+// clear records that a request with the part was answered that this VM has sent at sentAt. Other VMs are told
+// which crashes that clears, not the time: a message that is under way for seconds would make it seem later.
 func (p *parts) clear(rec *partRecord, sentAt clock.Time) {
-	if sentAt <= rec.answeredAt {
-		return
-	}
-	for _, c := range rec.crashes {
-		if c.at > rec.answeredAt && c.at <= sentAt {
-			p.changed = true
+	rec.answeredAt = max(rec.answeredAt, sentAt)
+	for endpoint, c := range rec.crashes {
+		if !c.cleared && c.at <= sentAt {
+			c.cleared, p.changed = true, true
+			rec.crashes[endpoint] = c
 		}
 	}
-	rec.answeredAt = sentAt
 }
 
 // refute deletes crashes of an endpoint before at, and reports whether it has others.
@@ -261,9 +266,7 @@
 	if rec == nil {
 		return
 	}
-	if rec.answers > 0 {
-		e.Answers, e.AnsweredAge = rec.answers, now.Sub(rec.answeredAt)
-	}
+	e.Answers = max(e.Answers, rec.answers)
 	if rec.refusedAt != 0 {
 		e.Refused, e.RefusedAge = true, now.Sub(rec.refusedAt)
 	}
@@ -380,7 +383,7 @@
 	var out []Crash
 	for endpoint, c := range rec.crashes {
 		if age := now.Sub(c.at); age < crashTTL-minTimeLeft || rec.isKept(now) {
-			e := PartCrash{Part: part, SentAge: now.Sub(c.sentAt)}
+			e := PartCrash{Part: part, SentAge: now.Sub(c.sentAt), Cleared: c.cleared}
 			p.describe(now, &e)
 			out = append(out, Crash{Endpoint: endpoint, Age: age, Parts: []PartCrash{e}})
 		}
--- a/internal/policy/crash/parts_test.go
+++ b/internal/policy/crash/parts_test.go
@@ -331,6 +331,26 @@
 	assert.Equal(t, len(w.r.TakeUnproven(w.now, "y")), 0)
 }
 
+// Guards against an old answer that clears later crashes at another VM, as the message that tells of it was under
+// way for seconds.
+func TestALateMessageClearsNoCrash(t *testing.T) {
+	w := newCrashWorld()
+	w.answer(crasherPart)
+	w.answer(crasherPart)
+	w.wait(100 * time.Millisecond)
+	w.crash([]uint64{crasherPart})
+	late := w.r.Describe(w.now, Crash{Request: 1, Endpoint: "late", Parts: []PartCrash{{Part: crasherPart, SentAge: 50 * time.Millisecond}}})
+	peer := newCrashWorld()
+	peer.now = w.now
+	for range minCommonCrashes {
+		peer.wait(400 * time.Millisecond)
+		peer.crash([]uint64{crasherPart})
+	}
+	peer.wait(3 * time.Second)
+	peer.r.Record(peer.now, late)
+	assert.Assert(t, peer.refuses(crasherPart))
+}
+
 // Guards against ages that shrink by the transit time with each message, as two VMs tell each other of the same
 // crashes and answers: an old answer would clear later crashes, and an old send would confirm earlier ones.
 func TestTimesDontMoveAsVMsTellEachOther(t *testing.T) {
--- a/scenarios/crash_part_test.go
+++ b/scenarios/crash_part_test.go
@@ -20,6 +20,9 @@
 	// partRestartTime is the time until an endpoint that has crashed is replaced.
 	partRestartTime = 2 * time.Second
 	partCallers     = 24
+	// fewEndpoints is the number of engines of a pool that one wave of crashes takes down whole.
+	fewEndpoints   = 4
+	fewRestartTime = 4 * time.Second
 	// partFaultTime is how long requests that crash endpoints come.
 	partFaultTime = 16 * time.Second
 	// maxRestarts is how often all VMs are killed together.
@@ -56,6 +59,8 @@
 	restarts time.Duration // the time between two kills of a VM, zero for none
 	all      bool          // all VMs are killed together
 	own      bool          // endpoints end for another reason, and no part crashes them
+	known    bool          // requests with the part are answered until the faults begin
+	few      bool          // there are fewEndpoints, which take fewRestartTime to come back
 }
 
 // partRequest is one attempt of a caller and its outcome.
@@ -75,7 +80,34 @@
 	mu       sync.Mutex
 	requests []partRequest
 	down     map[*soakVM][]span
-	crashing bool
+	crashing bool // requests with a crashing part come, and it crashes endpoints
+
+	faultsBegan time.Time
+}
+
+// engines returns the setup of the endpoints.
+func (p *partRun) engines() engineSetup {
+	out := engineSetup{
+		count: partEndpoints, versions: []string{"v1"}, services: partEndpoints, unframed: p.tc.unframed, restartTime: partRestartTime,
+		crashParts: map[string]standin.CrashPoint{crashingPart: p.tc.point, secondCrashingPart: p.tc.point},
+		partsSound: func() bool { return !p.isCrashing() },
+	}
+	if p.tc.few {
+		out.count, out.restartTime = fewEndpoints, fewRestartTime
+	}
+	return out
+}
+
+func (p *partRun) beginFaults() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashing, p.faultsBegan = true, time.Now()
+}
+
+func (p *partRun) isCrashing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashing
 }
 
 // prompt returns the parts of a request. Sound requests share the first part and the subjects with those
@@ -97,7 +129,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
-	case !p.crashing || rng.Float64() >= p.tc.share:
+	case !p.crashing && !p.tc.known || rng.Float64() >= p.tc.share:
 		return ""
 	case p.tc.two && rng.IntN(2) == 0:
 		return secondCrashingPart
@@ -204,7 +236,7 @@
 func (p *partRun) checkPart(part string) (crashes []time.Time) {
 	requests := map[string]*partRequest{}
 	for i := range p.requests {
-		if r := &p.requests[i]; r.part == part {
+		if r := &p.requests[i]; r.part == part && r.sent.After(p.faultsBegan) {
 			requests[r.id] = r
 		}
 	}
@@ -230,8 +262,8 @@
 }
 
 // checkSound checks that sound requests begin after the crashes as they did before the faults.
-func (p *partRun) checkSound(faultsBegan time.Time, crashes []time.Time) {
-	settled := faultsBegan
+func (p *partRun) checkSound(crashes []time.Time) {
+	settled := p.faultsBegan
 	if n := len(crashes); n > 0 {
 		settled = crashes[min(n, maxPartCrashes)-1]
 	}
@@ -245,7 +277,7 @@
 		all += 1
 		begun += number(r.begun)
 		switch {
-		case r.sent.Before(faultsBegan):
+		case r.sent.Before(p.faultsBegan):
 			before++
 			begunBefore += number(r.begun)
 		case r.sent.After(settled):
@@ -281,6 +313,9 @@
 	"two_parts":        {path: pathResumable, point: standin.InsideEvent, share: 0.05, two: true},
 	"vm_killed":        {path: pathResumable, point: standin.InsideEvent, share: 0.05, restarts: 2400 * time.Millisecond},
 	"all_killed":       {path: pathResumable, point: standin.InsideEvent, share: 0.05, restarts: 4 * time.Second, all: true},
+	"answered_before":  {path: pathResumable, point: standin.InsideEvent, share: 0.05, known: true},
+	"few_endpoints":    {path: pathResumable, point: standin.InsideEvent, share: 0.05, few: true},
+	"few_header":       {path: pathResumable, point: standin.BeforeHeader, share: 0.1, few: true},
 	"endpoints_at_own": {path: pathResumable, own: true},
 }
 
@@ -290,21 +325,16 @@
 	for name, tc := range partCases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newSoakOf(t, 3, engineSetup{
-				count: partEndpoints, versions: []string{"v1"}, services: partEndpoints, unframed: tc.unframed, restartTime: partRestartTime,
-				crashParts: map[string]standin.CrashPoint{crashingPart: tc.point, secondCrashingPart: tc.point},
-			})
-			p := &partRun{soak: s, tc: tc, down: map[*soakVM][]span{}}
+			p := &partRun{tc: tc, down: map[*soakVM][]span{}}
+			p.soak = newSoakOf(t, 3, p.engines())
+			s := p.soak
 			s.awaitServing()
 			ctx, stop := context.WithCancel(s.ctx)
 			for i := range partCallers {
 				s.wg.Go(func() { p.call(ctx, i) })
 			}
 			time.Sleep(2 * warmUpTime)
-			p.mu.Lock()
-			p.crashing = true
-			p.mu.Unlock()
-			faultsBegan := time.Now()
+			p.beginFaults()
 			faults, end := context.WithTimeout(ctx, partFaultTime)
 			p.disturb(faults)
 			<-faults.Done()
@@ -318,7 +348,7 @@
 			if tc.two {
 				p.checkPart(secondCrashingPart)
 			}
-			p.checkSound(faultsBegan, crashes)
+			p.checkSound(crashes)
 			s.checkProcesses()
 			s.reportViolations()
 		})
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -113,6 +113,7 @@
 	services      int           // endpoints of each plain service, zero for the default
 	unframed      bool          // all answers end with their connection
 	crashParts    map[string]standin.CrashPoint
+	partsSound    func() bool   // crashParts don't crash endpoints for now
 	restartTime   time.Duration // until an endpoint that has crashed is replaced, zero for the default
 }
 
@@ -225,7 +226,7 @@
 	s.started++
 	e := &soakEndpoint{Endpoint: &standin.Endpoint{
 		ID: s.endpointID(s.started), Service: service, Zone: "z", Stage: stage, Slots: 32,
-		Unframed: s.engines.unframed, CrashParts: s.engines.crashParts,
+		Unframed: s.engines.unframed, CrashParts: s.engines.crashParts, CrashPartsSound: s.engines.partsSound,
 	}, started: time.Now()}
 	if stage != "" {
 		e.Version = cmp.Or(version, s.engines.versions[s.started%len(s.engines.versions)])
