A VM that counts crashes which another one has cleared is told next

A VM that blames a common part by mistake refuses it, and so gets no answer of its own that would clear it. The others told it of one part of many in turn. TestAVMLearnsAtOnceOfAClearedPart failed before.

--- a/internal/policy/crash/parts.go
+++ b/internal/policy/crash/parts.go
@@ -109,12 +109,14 @@
 	blame       func([]*suspect) map[uint64]bool // decides which parts are quarantined
 	judgedAt    clock.Time
 	changed     bool // there is evidence that hasn't been judged
+	// disputed holds parts of which another VM counts crashes that this one has cleared. They are reported next.
+	disputed map[uint64]bool
 	// reportedQuarantined and reportedOther are the last parts of the latest report.
 	reportedQuarantined, reportedOther uint64
 }
 
 func newParts() parts {
-	return parts{records: map[uint64]*partRecord{}, quarantined: map[uint64]bool{}, blame: blame}
+	return parts{records: map[uint64]*partRecord{}, quarantined: map[uint64]bool{}, blame: blame, disputed: map[uint64]bool{}}
 }
 
 // record records a crash for a part. It returns false if that was known, or is too old to count.
@@ -134,11 +136,14 @@
 	switch {
 	case endpointAnswered:
 		return false
+	case exists && known.cleared && !e.Cleared:
+		p.disputed[e.Part] = true
+		return false
+	case exists && e.Cleared && !known.cleared:
+		known.cleared, p.changed = true, true
+		rec.crashes[c.Endpoint] = known
+		return false
 	case exists:
-		if e.Cleared && !known.cleared {
-			known.cleared, p.changed = true, true
-			rec.crashes[c.Endpoint] = known
-		}
 		return false
 	}
 	at := now.Add(-c.Age)
@@ -347,8 +352,8 @@
 	return delay
 }
 
-// report returns what other VMs should know of quarantined parts and of some of those that have as many
-// crashes but were answered as well. Successive calls go through all of them.
+// report returns what other VMs should know of disputed and quarantined parts, and of some of those that have as
+// many crashes but were answered as well. Successive calls go through all of them.
 func (p *parts) report(now clock.Time) []Crash {
 	var others []uint64
 	for part, rec := range p.records {
@@ -356,7 +361,10 @@
 			others = append(others, part)
 		}
 	}
-	chosen := nextAfter(slices.Collect(maps.Keys(p.quarantined)), &p.reportedQuarantined, maxReportedParts-1)
+	chosen := slices.Collect(maps.Keys(p.disputed))
+	chosen = chosen[:min(len(chosen), maxReportedParts)]
+	clear(p.disputed)
+	chosen = append(chosen, nextAfter(slices.Collect(maps.Keys(p.quarantined)), &p.reportedQuarantined, maxReportedParts-1)...)
 	chosen = append(chosen, nextAfter(others, &p.reportedOther, 1)...)
 	var out []Crash
 	for _, part := range chosen {
--- a/internal/policy/crash/parts_test.go
+++ b/internal/policy/crash/parts_test.go
@@ -351,6 +351,35 @@
 	assert.Assert(t, peer.refuses(crasherPart))
 }
 
+// Guards against a VM that goes on refusing a part which others have cleared, as they tell of many parts in turn.
+func TestAVMLearnsAtOnceOfAClearedPart(t *testing.T) {
+	w := newCrashWorld()
+	mistaken := New()
+	for i := range minCommonCrashes {
+		w.wait(time.Second)
+		var others []uint64
+		for n := range sharedPart - 1 {
+			others = append(others, 1+n)
+		}
+		w.crash(append(others, sharedPart))
+		mistaken.Record(w.now, Crash{Request: uint64(i + 1), Endpoint: fmt.Sprint("e", w.n), Parts: []PartCrash{{Part: sharedPart, SentAge: 50 * time.Millisecond}}})
+		w.wait(100 * time.Millisecond)
+		w.answer(append(others, sharedPart)...)
+	}
+	refused := func() bool {
+		_, refuse := mistaken.RefusedPart(w.now, []uint64{sharedPart})
+		return refuse
+	}
+	assert.Assert(t, refused())
+	for _, c := range mistaken.Report(w.now, 4) {
+		w.r.Record(w.now, c)
+	}
+	for _, c := range w.r.Report(w.now, 4) {
+		mistaken.Record(w.now, c)
+	}
+	assert.Assert(t, !refused())
+}
+
 // Guards against ages that shrink by the transit time with each message, as two VMs tell each other of the same
 // crashes and answers: an old answer would clear later crashes, and an old send would confirm earlier ones.
 func TestTimesDontMoveAsVMsTellEachOther(t *testing.T) {
