--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -233,13 +233,15 @@
 		e.EventInterval = s.engines.eventInterval
 		e.Slots = cmp.Or(s.engines.slots, e.Slots)
 	}
-	e.OnCrash = func() { s.replaceCrashed(e) }
-	s.endpoints[e.ID] = e
 	s.mu.Unlock()
+	e.OnCrash = func() { s.replaceCrashed(e) }
 	assert.NilError(s.t, e.Start("127.0.0.1:0", s.ledger))
 	var err error
 	e.link, err = relay.New(e.Addr())
 	assert.NilError(s.t, err)
+	s.mu.Lock()
+	s.endpoints[e.ID] = e
+	s.mu.Unlock()
 	s.wg.Go(func() { s.report(e) })
 }
 
