A common part that is refused by mistake is tried again after three seconds

Cause, in two steps: answers of the crashing part ended, with neither a length nor chunks, only after the crash of their endpoint was known through other requests, and so left no evidence. The part that all requests share had none answered between the crashes and was blamed. Refused everywhere, it got no answer that would have cleared it until the trial after 30 s.

Change: an answer that ends so after the crash of its endpoint is lost and counts as a crash. A common part is tried after 3 s, then after eight times as long each time. TestAnAnswerThatEndsAfterTheCrashOfItsEndpoint and TestACommonPartIsTriedAgainSoon are new.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -92,7 +92,9 @@
 	if !x.hasSettled() {
 		u.Parts = x.crashParts()
 	}
-	x.g.o.Crashes.RecordUnproven(processOf(e), u)
+	if !x.g.o.Crashes.RecordUnproven(processOf(e), u) {
+		return result{outcome: lost, code: code.EndpointCut, err: driver.ErrConnectionLost}
+	}
 	if life == exchange.Unknown {
 		go x.verifyLater(e, endedAt)
 	}
--- a/internal/policy/crash/parts.go
+++ b/internal/policy/crash/parts.go
@@ -21,11 +21,13 @@
 	// maxReportedParts bounds the parts in a message, and maxReportedCrashes the crashes of each.
 	maxReportedParts   = 3
 	maxReportedCrashes = minCommonCrashes
-	// firstTrialDelay is the time after the newest crash at which a request with a quarantined part is tried
-	// again. It is multiplied by trialBackoff after each trial that has ended in a crash, so that a part that
-	// goes on crashing endpoints costs few of them.
-	firstTrialDelay = 30 * time.Second
-	trialBackoff    = 4
+	// rareTrialDelay and commonTrialDelay are the time after the newest crash at which a request with a
+	// quarantined part is tried again: a common part that is refused by mistake costs much. It is multiplied by
+	// trialBackoff after each trial that has ended in a crash, so that a part that goes on crashing endpoints
+	// costs few of them.
+	rareTrialDelay   = 30 * time.Second
+	commonTrialDelay = 3 * time.Second
+	trialBackoff     = 8
 	// maxTransit is how much later a time may seem that was received from another VM.
 	maxTransit = time.Second
 	// minTrialInterval is the time between two trials that have neither crashed an endpoint nor been
@@ -58,6 +60,7 @@
 	answeredAt clock.Time           // when this VM has sent the newest of them; zero if it has sent none
 	refusedAt  clock.Time           // when a request with the part was last refused, zero if none was
 	triedAt    clock.Time           // when the latest trial began, zero if there was none
+	failed     int                  // trials of this VM that have ended in a crash
 }
 
 // isKept reports whether crashes of the part count for longer than crashTTL, as requests with it still come.
@@ -148,6 +151,10 @@
 	}
 	at := now.Add(-c.Age)
 	rec.crashes[c.Endpoint] = partCrash{at: at, sentAt: now.Add(-e.SentAge), cleared: e.Cleared || at <= rec.answeredAt}
+	if rec.triedAt != 0 && rec.crashes[c.Endpoint].sentAt >= rec.triedAt {
+		rec.failed++
+		rec.triedAt = 0
+	}
 	rec.limit()
 	p.changed = true
 	return true
@@ -335,19 +342,14 @@
 	return true
 }
 
-// trialDelay returns the time between the newest crash and the next trial. A crash that came long after the
-// one before it is that of a trial.
+// trialDelay returns the time between the newest crash and the next trial.
 func (p *partRecord) trialDelay() time.Duration {
-	times := make([]clock.Time, 0, len(p.crashes))
-	for _, c := range p.crashes {
-		times = append(times, c.at)
+	delay := rareTrialDelay
+	if p.answers > 0 {
+		delay = commonTrialDelay
 	}
-	slices.Sort(times)
-	delay := firstTrialDelay
-	for i := 1; i < len(times); i++ {
-		if times[i].Sub(times[i-1]) >= firstTrialDelay {
-			delay *= trialBackoff
-		}
+	for range p.failed {
+		delay = min(trialBackoff*delay, crashTTL)
 	}
 	return delay
 }
--- a/internal/policy/crash/parts_test.go
+++ b/internal/policy/crash/parts_test.go
@@ -224,10 +224,11 @@
 		assert.Assert(t, w.refuses(crasherPart))
 		if w.r.TakeTrial(w.now, crasherPart) {
 			trials++
+			w.wait(100 * time.Millisecond)
 			w.crash([]uint64{crasherPart})
 		}
 	}
-	assert.Equal(t, trials, 2) // 30 s after the crashes, and 120 s after the first trial
+	assert.Equal(t, trials, 2) // 30 s after the crashes, and 240 s after the first trial
 
 }
 
@@ -239,13 +240,50 @@
 		w.crash([]uint64{otherPart})
 	}
 	assert.Assert(t, w.refuses(otherPart))
-	w.wait(firstTrialDelay)
+	w.wait(rareTrialDelay)
 	assert.Assert(t, w.r.TakeTrial(w.now, otherPart))
 	assert.Assert(t, !w.r.TakeTrial(w.now, otherPart), "one at a time")
 	w.answer(otherPart)
 	assert.Assert(t, !w.refuses(otherPart))
 }
 
+// Guards against a common part that all VMs refuse by mistake for longer than the endpoints need to recover, and
+// against trials that go on crashing endpoints.
+func TestACommonPartIsTriedAgainSoon(t *testing.T) {
+	w := newCrashWorld()
+	w.answer(sharedPart)
+	for range minCommonCrashes {
+		w.wait(time.Second)
+		w.crash([]uint64{sharedPart})
+	}
+	late := 0
+	for end := w.now.Add(100 * time.Second); w.now < end; w.wait(100 * time.Millisecond) {
+		assert.Assert(t, w.refuses(sharedPart))
+		if w.r.TakeTrial(w.now, sharedPart) {
+			late++
+			w.wait(100 * time.Millisecond)
+			w.crash([]uint64{sharedPart})
+		}
+	}
+	assert.Equal(t, late, 2) // 3 s after the crashes, and 24 s after the first trial
+	w.wait(crashTTL / 2)
+	assert.Assert(t, w.refuses(sharedPart))
+	assert.Assert(t, w.r.TakeTrial(w.now, sharedPart))
+	w.answer(sharedPart)
+	assert.Assert(t, !w.refuses(sharedPart))
+}
+
+// Guards against an answer that was cut short and is taken for complete, as it ended only after its endpoint's
+// crash was known.
+func TestAnAnswerThatEndsAfterTheCrashOfItsEndpoint(t *testing.T) {
+	w := newCrashWorld()
+	u := Unproven{Request: 7, Parts: []uint64{crasherPart}, SentAt: w.now, EndedAt: w.now}
+	assert.Assert(t, w.r.RecordUnproven("e1", u))
+	w.crash([]uint64{otherPart}) // of e1
+	assert.Equal(t, len(w.r.TakeUnproven(w.now, "e1")), 1)
+	assert.Assert(t, !w.r.RecordUnproven("e1", u))
+}
+
 // Guards against a VM that knows nothing of a quarantine, or only of the crashes and not of the answers, as it
 // was started later.
 func TestAStartedVMLearnsOfQuarantinedParts(t *testing.T) {
--- a/internal/policy/crash/unproven.go
+++ b/internal/policy/crash/unproven.go
@@ -26,10 +26,19 @@
 	EndedAt clock.Time
 }
 
-// RecordUnproven records an answer that may have been cut short.
-func (r *Register) RecordUnproven(id string, u Unproven) {
+// RecordUnproven records an answer that may have been cut short. It returns false if it was for certain, as the
+// endpoint is known to have crashed.
+func (r *Register) RecordUnproven(id string, u Unproven) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if e := r.endpoints[id]; e != nil && e.hasCrashes {
+		return false
+	}
+	r.addUnproven(id, u)
+	return true
+}
+
+func (r *Register) addUnproven(id string, u Unproven) {
 	list := r.unproven[id]
 	if list == nil && len(r.unproven) >= maxUnprovenEndpoints {
 		r.expireUnproven(u.EndedAt)
