Read over as a newcomer: one way to format ids for the log

Prompt parts in the log lines of requests were formatted by code of their own. No behaviour, bound or assertion changes.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -107,7 +107,7 @@
 	return slices.ContainsFunc(x.attempts, func(t attemptTrace) bool { return t.outcome == lost.String() })
 }
 
-// formatFingerprint returns a fingerprint as it stands in the log.
+// formatFingerprint returns a fingerprint or the id of a prompt part as it stands in the log.
 func formatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
 
 // maxLoggedParts bounds the prompt parts in a log line.
@@ -117,7 +117,7 @@
 func formatParts(parts []uint64) string {
 	ids := make([]string, 0, maxLoggedParts)
 	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
-		ids = append(ids, strconv.FormatUint(p, 16))
+		ids = append(ids, formatFingerprint(p))
 	}
 	return strings.Join(ids, ",")
 }
--- a/internal/policy/crash/parts.go
+++ b/internal/policy/crash/parts.go
@@ -55,7 +55,7 @@
 // partRecord is what is known of a part under which an endpoint has crashed.
 type partRecord struct {
 	crashes    map[string]partCrash // by endpoint process
-	lost       int                  // requests with the part that were lost at endpoints that crashed
+	lost       int                  // requests with the part that endpoints which crashed were running
 	answers    uint32               // answered requests with the part, as far as known
 	answeredAt clock.Time           // when this VM has sent the newest of them; zero if it has sent none
 	refusedAt  clock.Time           // when a request with the part was last refused, zero if none was
--- a/scenarios/crash_part_test.go
+++ b/scenarios/crash_part_test.go
@@ -274,7 +274,7 @@
 		if r.part != "" || !p.counts(r) {
 			continue
 		}
-		all += 1
+		all++
 		begun += number(r.begun)
 		switch {
 		case r.sent.Before(p.faultsBegan):
