A drain closes no connection on which a request has been read

What callers saw: a whole request, read by the process, got neither an answer nor a refusal when its VM shut down.

Cause: net/http's Shutdown closes each connection in the state idle. A kept connection leaves that state only when the header of its next request has been parsed, so that a request which has just been read is closed unanswered. Its handler runs all the same, an endpoint may too, and its answer is written to a closed connection.

Change: internal/httpserver drains by a read deadline in the past on each connection from which no byte of a request has been read: a read then has received data or never will, whoever comes first. The connection is closed by its own goroutine, or serves what it has read. net/http's Shutdown runs only when no connection of HTTP/1 is left; HTTP/2 gets its GOAWAY from there.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	stdlog "log"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+
+	"fescuestand/internal/httpserver"
 )
 
 const (
@@ -25,38 +23,27 @@
 
 // Server is a kernel unit that serves HTTP on one address.
 type Server struct {
-	name     string
-	addr     string
-	linger   time.Duration
-	ln       net.Listener
-	http     *http.Server
-	inFlight atomic.Int64 // requests
+	name   string
+	addr   string
+	linger time.Duration
+	ln     net.Listener
+	http   *httpserver.Server
 }
 
 // NewServer returns a unit that serves h on addr. When it drains, it still accepts requests for the
 // time linger, as callers keep using addresses that were advertised to them, and then waits until
 // no request is in flight.
 func NewServer(name, addr string, h http.Handler, linger time.Duration) *Server {
-	s := &Server{name: name, addr: addr, linger: linger}
-	s.http = &http.Server{
-		Handler: s.count(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		// A broken connection shows in the log lines of the requests that it carried.
-		ErrorLog: stdlog.New(io.Discard, "", 0),
-	}
-	return s
-}
-
-// count returns a handler that counts the requests that h handles.
-func (s *Server) count(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.inFlight.Add(1)
-		defer s.inFlight.Add(-1)
-		h.ServeHTTP(w, r)
-	})
+	base := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	o := httpserver.Options{Name: name}
+	return &Server{name: name, addr: addr, linger: linger, http: httpserver.New(h, base, o)}
 }
 
 // Left implements kernel.Leftover.
-func (s *Server) Left() int { return int(s.inFlight.Load()) }
+func (s *Server) Left() int { return s.http.InFlight() }
+
+// Counts returns the server's counters.
+func (s *Server) Counts() httpserver.Counts { return s.http.Counts() }
 
 // Name implements kernel.Unit.
 func (s *Server) Name() string { return s.name }
@@ -73,7 +60,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
-	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.ln); err != nil {
 		return err
 	}
 	<-ctx.Done()
@@ -90,7 +77,7 @@
 		return ctx.Err()
 	}
 	log.WithField("server", s.name).Info("server closes idle connections")
-	err := s.http.Shutdown(ctx)
+	err := s.http.Drain(ctx)
 	log.WithField("server", s.name).WithField("whole", err == nil).Info("server drained")
 	return err
 }
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -91,7 +91,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	ran := make(chan error, 1)
 	go func() { ran <- s.Run(ctx) }()
-	defer func() { stop(); <-ran }()
+	t.Cleanup(func() {
+		stop()
+		assert.ErrorIs(t, <-ran, context.Canceled)
+	})
 
 	c, err := net.Dial("tcp4", s.ln.Addr().String())
 	assert.NilError(t, err)
--- /dev/null
+++ b/internal/httpserver/conn.go
@@ -0,0 +1,167 @@
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// conn is a connection of a caller. It knows whether a byte of the next request has been read, which net/http
+// doesn't tell before the whole header has been parsed.
+//
+// A connection is told to end by a read deadline in the past: a read has then either received data, or will
+// never receive any.
+type conn struct {
+	net.Conn
+	s *Server
+
+	mu          sync.Mutex
+	unread      bool // no byte of the next request has been read
+	active      bool // its header has been read
+	readAhead   bool // the newest byte was read while the handler of the latest request ran
+	ending      bool // no further request is read
+	handled     bool // the request has reached the handler
+	multiplexed bool // it carries concurrent requests (HTTP/2)
+}
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.beginRequest(len(b) == readAheadBytes)
+	}
+	if err != nil {
+		c.s.counts.addReadError(err)
+	}
+	return n, err
+}
+
+// readAheadBytes is what net/http reads while a handler runs, to notice that the caller disconnects. Such a byte
+// belongs to the next request.
+const readAheadBytes = 1
+
+func (c *conn) beginRequest(readAhead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAhead = readAhead
+	if c.unread && c.ending {
+		_ = c.Conn.SetReadDeadline(time.Time{}) // end has set one in the past while the data was being read
+	}
+	c.unread = false
+}
+
+// SetReadDeadline implements net.Conn. A connection that ends keeps its deadline while no request has been read.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.unread:
+	case t.IsZero():
+		c.unread = false // net/http has found the next request in its buffer
+	case c.ending:
+		t = longAgo
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// end closes the connection if no request has been read, and otherwise after the answer.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	c.closeIfUnread()
+}
+
+// closeIfUnread has net/http close the connection unless a request has been read. c.mu is held.
+func (c *conn) closeIfUnread() {
+	if c.ending && c.unread && !c.multiplexed {
+		_ = c.Conn.SetReadDeadline(longAgo)
+	}
+}
+
+func (c *conn) setActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active = true
+}
+
+// setIdle records that the answer to the latest request has been sent.
+func (c *conn) setIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active, c.handled = false, false
+	if c.multiplexed {
+		return
+	}
+	c.unread = !c.readAhead
+	c.readAhead = false
+	c.closeIfUnread()
+}
+
+// setHandled records that a request has reached the handler, and whether the connection carries concurrent ones.
+// It reports whether the latter is news.
+func (c *conn) setHandled(multiplexed bool) (becameMultiplexed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	becameMultiplexed = multiplexed && !c.multiplexed
+	c.handled, c.multiplexed = true, multiplexed
+	return becameMultiplexed
+}
+
+func (c *conn) isMultiplexed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.multiplexed
+}
+
+// isInHeader reports whether a part of a request's header has been read.
+func (c *conn) isInHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.unread && !c.active && !c.multiplexed
+}
+
+// wasRejected reports whether data has been read that made no request for the handler.
+func (c *conn) wasRejected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.unread && !c.handled
+}
+
+type connKey struct{}
+
+// withConn implements the ConnContext callback of net/http.
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// markHandled records that a request has reached the handler.
+func (s *Server) markHandled(r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok || !c.setHandled(r.ProtoMajor > 1) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.signalIfEmpty()
+}
+
+// addReadError counts an error of a read, unless it is an orderly end or a timeout.
+func (n *counters) addReadError(err error) {
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, syscall.ECONNRESET):
+		n.add(connReset)
+	default:
+		n.add(connFailed)
+	}
+}
--- /dev/null
+++ b/internal/httpserver/counts.go
@@ -0,0 +1,71 @@
+package httpserver
+
+import (
+	stdlog "log"
+	"strings"
+	"sync/atomic"
+
+	"github.com/apex/log"
+)
+
+// event is what a server counts.
+type event int
+
+const (
+	badRequest   event = iota // a connection ended in the header of a request
+	connReset                 // a caller reset its connection
+	connFailed                // another error of a connection
+	acceptFailed              // a connection couldn't be accepted
+	misused                   // a handler used its ResponseWriter wrongly
+	otherError                // another error that net/http reports
+	events                    // the number of events
+)
+
+type counters [events]atomic.Int64
+
+func (n *counters) add(e event) { n[e].Add(1) }
+
+// Counts are the events of a server since its start.
+type Counts struct {
+	BadRequests  int64 // connections that ended in the header of a request
+	Resets       int64 // connections that their callers reset
+	ConnErrors   int64 // other errors of connections
+	AcceptErrors int64
+	Misused      int64 // wrong uses of a ResponseWriter
+	Other        int64 // other errors that net/http reports
+}
+
+// Counts returns the current values.
+func (s *Server) Counts() Counts {
+	n := &s.counts
+	return Counts{
+		BadRequests: n[badRequest].Load(), Resets: n[connReset].Load(), ConnErrors: n[connFailed].Load(),
+		AcceptErrors: n[acceptFailed].Load(), Misused: n[misused].Load(), Other: n[otherError].Load(),
+	}
+}
+
+// maxErrorBytes bounds an error message of net/http in the log.
+const maxErrorBytes = 500
+
+// errorLog returns the logger to which net/http reports errors that no handler sees.
+func (s *Server) errorLog() *stdlog.Logger { return stdlog.New(errorWriter{s}, "", 0) }
+
+type errorWriter struct{ s *Server }
+
+// Write counts and logs one message.
+func (w errorWriter) Write(b []byte) (int, error) {
+	message := strings.TrimSpace(string(b))
+	w.s.counts.add(classify(message))
+	log.WithField("server", w.s.o.Name).WithField("why", message[:min(len(message), maxErrorBytes)]).Warn("server error")
+	return len(b), nil
+}
+
+func classify(message string) event {
+	switch {
+	case strings.HasPrefix(message, "http: Accept error"):
+		return acceptFailed
+	case strings.Contains(message, "WriteHeader") || strings.Contains(message, "response.Write"):
+		return misused
+	}
+	return otherError
+}
