No handler ends without an answer, and no fault is silent

What callers saw: a caller that shut down its side for writing after a whole request got 200 with an empty body, also for a commit that had not run or was cut while it ran. A handler that panicked ended its request with neither an answer nor a line in the log.

Cause: the end of the caller's side cancels the request, and the handler returned without writing for a caller that has left; net/http then sends an empty success by itself. A panic was recovered by net/http and reported to a log that was discarded.

Change: internal/httpserver knows whether a handler has answered. Errors of connections are counted by kind (Servers at the metrics address) instead of discarded. A request whose caller has left breaks the connection.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -76,6 +76,8 @@
 
 // Codec translates between calls and the platform's HTTP headers and bodies.
 type Codec interface {
+	// RequestID returns the id of r, "" if it has none.
+	RequestID(r *http.Request) string
 	// Decode reads a call from the headers of r. An error means that the caller sent invalid
 	// headers.
 	Decode(r *http.Request) (*Call, error)
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -21,11 +21,9 @@
 	switch {
 	case last.outcome == answered:
 		return
-	case x.headerSent:
-		// Closing the connection shows the caller that the stream is incomplete.
+	case x.headerSent, last.code == code.CallerGone:
+		// Closing the connection shows the caller that there is no whole answer.
 		panic(http.ErrAbortHandler)
-	case last.code == code.CallerGone:
-		return
 	case x.endpointFailure != nil:
 		x.endpointFailure.write(x.w)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,9 @@
 // Metrics returns the counters.
 func (g *Gateway) Metrics() *Metrics { return g.metrics }
 
+// RequestID returns the id of a request for the log.
+func (g *Gateway) RequestID(r *http.Request) string { return g.o.Codec.RequestID(r) }
+
 // defaultCallerTimeout is assumed for a caller that sends no timeout and whose route has none.
 const defaultCallerTimeout = 10 * time.Second
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -32,13 +32,21 @@
 
 // NewServer returns a unit that serves h on addr. When it drains, it still accepts requests for the
 // time linger, as callers keep using addresses that were advertised to them, and then waits until
-// no request is in flight.
+// no request is in flight. A handler may name its requests for the log by a method RequestID.
 func NewServer(name, addr string, h http.Handler, linger time.Duration) *Server {
 	base := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	o := httpserver.Options{Name: name}
+	if i, ok := h.(requestIdentifier); ok {
+		o.RequestID = i.RequestID
+	}
 	return &Server{name: name, addr: addr, linger: linger, http: httpserver.New(h, base, o)}
 }
 
+// requestIdentifier is a handler whose requests have ids.
+type requestIdentifier interface {
+	RequestID(*http.Request) string
+}
+
 // Left implements kernel.Leftover.
 func (s *Server) Left() int { return s.http.InFlight() }
 
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -36,6 +36,8 @@
 // codec is a simple Codec for tests.
 type codec struct{}
 
+func (codec) RequestID(r *http.Request) string { return r.Header.Get("Id") }
+
 func (codec) Decode(r *http.Request) (*Call, error) {
 	c := &Call{
 		ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Path: r.URL.Path, Host: r.Host,
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -1,8 +1,49 @@
 package httpserver
 
-import "net/http"
+import (
+	"io"
+	"net/http"
+	"runtime/debug"
+	"strconv"
 
-// serve runs the handler.
+	"github.com/apex/log"
+
+	"fescuestand/internal/code"
+)
+
+// maxStackBytes bounds the stack in a log line.
+const maxStackBytes = 4 << 10
+
+// answer is a ResponseWriter that knows whether the handler has given an answer.
+type answer struct {
+	http.ResponseWriter
+	given bool
+}
+
+// WriteHeader implements http.ResponseWriter. An interim response is no answer.
+func (a *answer) WriteHeader(status int) {
+	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		a.given = true
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *answer) Write(b []byte) (int, error) {
+	a.given = true
+	return a.ResponseWriter.Write(b)
+}
+
+// FlushError is used by http.ResponseController.
+func (a *answer) FlushError() error {
+	a.given = true
+	return http.NewResponseController(a.ResponseWriter).Flush()
+}
+
+// Unwrap is used by http.ResponseController.
+func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+// serve runs the handler and ensures that the request ends with its answer, a refusal or a broken connection.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
@@ -10,5 +51,55 @@
 	if s.isDraining() {
 		w.Header().Set("Connection", "close")
 	}
-	s.handler.ServeHTTP(w, r)
+	a := &answer{ResponseWriter: w}
+	defer s.endRequest(a, r)
+	s.handler.ServeHTTP(a, r)
+}
+
+// endRequest is deferred around a handler. The panic with http.ErrAbortHandler makes net/http abort the connection.
+func (s *Server) endRequest(a *answer, r *http.Request) {
+	switch fault := recover(); {
+	case fault == http.ErrAbortHandler: //nolint:errorlint // net/http compares it in the same way
+		s.counts.add(aborted)
+		panic(http.ErrAbortHandler)
+	case fault != nil:
+		s.counts.add(faulty)
+		s.logRequest(r).WithField("fault", fault).WithField("answered", a.given).
+			WithField("stack", string(boundedStack())).Error("handler failed")
+		if a.given {
+			panic(http.ErrAbortHandler)
+		}
+		s.refuse(a, r)
+	case !a.given:
+		s.counts.add(unanswered)
+		s.logRequest(r).Error("handler gave no answer")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func boundedStack() []byte {
+	stack := debug.Stack()
+	return stack[:min(len(stack), maxStackBytes)]
+}
+
+func (s *Server) logRequest(r *http.Request) *log.Entry {
+	e := log.WithField("server", s.o.Name).WithField("method", r.Method).WithField("path", r.URL.Path)
+	if s.o.RequestID != nil {
+		e = e.WithField("id", s.o.RequestID(r))
+	}
+	return e
+}
+
+// refuse answers a request whose handler has failed. It may have run.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request) {
+	clear(w.Header())
+	w.Header().Set("Connection", "close")
+	if s.o.Refuse != nil {
+		s.o.Refuse(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(http.StatusInternalServerError)
+	// A failed write means that the caller has disconnected.
+	_, _ = io.WriteString(w, strconv.Itoa(int(code.Internal))+" "+code.Internal.String()+": the request handler failed\n")
 }
--- a/internal/httpserver/counts.go
+++ b/internal/httpserver/counts.go
@@ -12,7 +12,10 @@
 type event int
 
 const (
-	badRequest   event = iota // a connection ended in the header of a request
+	faulty       event = iota // a handler panicked
+	unanswered                // a handler returned without an answer
+	aborted                   // a handler broke the connection off
+	badRequest                // a connection ended in the header of a request
 	connReset                 // a caller reset its connection
 	connFailed                // another error of a connection
 	acceptFailed              // a connection couldn't be accepted
@@ -27,6 +30,9 @@
 
 // Counts are the events of a server since its start.
 type Counts struct {
+	Faults       int64 // handlers that panicked
+	Unanswered   int64 // handlers that returned without an answer
+	Aborted      int64 // answers that were broken off
 	BadRequests  int64 // connections that ended in the header of a request
 	Resets       int64 // connections that their callers reset
 	ConnErrors   int64 // other errors of connections
@@ -39,6 +45,7 @@
 func (s *Server) Counts() Counts {
 	n := &s.counts
 	return Counts{
+		Faults: n[faulty].Load(), Unanswered: n[unanswered].Load(), Aborted: n[aborted].Load(),
 		BadRequests: n[badRequest].Load(), Resets: n[connReset].Load(), ConnErrors: n[connFailed].Load(),
 		AcceptErrors: n[acceptFailed].Load(), Misused: n[misused].Load(), Other: n[otherError].Load(),
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -3,6 +3,10 @@
 // It adds to net/http what a server in front of other processes needs:
 //   - A drain closes no connection on which a request has been read. net/http's Shutdown takes a connection for
 //     idle until the header of its next request has been parsed, and closes it unanswered.
+//   - Nothing is answered implicitly. net/http sends an empty success if a handler returns without an answer;
+//     here the connection is aborted instead.
+//   - A panic of a handler is logged with the request's id and its stack, and the caller gets a refusal, or sees
+//     the connection break if a part of the answer has been sent.
 //   - Errors of connections are counted by kind.
 package httpserver
 
@@ -23,6 +27,11 @@
 type Options struct {
 	// Name identifies the server in the log.
 	Name string
+	// RequestID returns the id of a request for the log. Nil means that requests have none.
+	RequestID func(*http.Request) string
+	// Refuse answers a request whose handler has panicked before it answered. It must not say that the request
+	// hasn't run. Nil means a plain 500.
+	Refuse func(http.ResponseWriter, *http.Request)
 }
 
 // Server is an HTTP server on one listener. It is used once.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -23,6 +23,7 @@
 	"fescuestand/internal/freshness"
 	"fescuestand/internal/gateway"
 	"fescuestand/internal/gossip"
+	"fescuestand/internal/httpserver"
 	"fescuestand/internal/kernel"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/orders"
@@ -151,6 +152,7 @@
 	freshness        *freshness.Tracker // nil where requests carry no keys
 	lastNudge        clock.Time         // when refreshConfig last ended the wait of a read
 	timeEstimator    *truetime.Estimator
+	servers          []*gateway.Server
 	usageLedger      *usage.Ledger
 }
 
@@ -213,6 +215,13 @@
 // Units returns the units that the kernel runs.
 func (n *Node) Units() []kernel.Unit {
 	at, linger := n.o.Addresses, n.o.Linger
+	n.servers = []*gateway.Server{
+		gateway.NewServer("front", at.Callers, n.gateway, linger),
+		gateway.NewServer("ready", at.Ready, n.adapter.Readiness(n.members), linger),
+		gateway.NewServer("directory", at.Directory, n.adapter.Directory(n.members), linger),
+		gateway.NewServer("peers", n.o.Self.Peer, n.peerHandler(), 0),
+		gateway.NewServer("metrics", at.Metrics, expvar.Handler(), 0),
+	}
 	units := []kernel.Unit{
 		n.gossip,
 		n.gateway,
@@ -222,11 +231,9 @@
 		&catalogUnit{n},
 		n.cachesUnit(),
 		n.reachability,
-		gateway.NewServer("front", at.Callers, n.gateway, linger),
-		gateway.NewServer("ready", at.Ready, n.adapter.Readiness(n.members), linger),
-		gateway.NewServer("directory", at.Directory, n.adapter.Directory(n.members), linger),
-		gateway.NewServer("peers", n.o.Self.Peer, n.peerHandler(), 0),
-		gateway.NewServer("metrics", at.Metrics, expvar.Handler(), 0),
+	}
+	for _, s := range n.servers {
+		units = append(units, s)
 	}
 	return append(units, n.leaderUnits()...)
 }
@@ -265,12 +272,18 @@
 	Limited       int // endpoints that announce a limit of requests
 	Draining      int // endpoints that accept no new work
 	Changes       gateway.ChangeCounters
+	Servers       map[string]httpserver.Counts // by name
 }
 
 // Metrics returns the current values.
 func (n *Node) Metrics() Metrics {
 	v := n.View()
+	servers := make(map[string]httpserver.Counts, len(n.servers))
+	for _, s := range n.servers {
+		servers[s.Name()] = s.Counts()
+	}
 	return Metrics{
+		Servers:  servers,
 		Snapshot: n.gateway.Metrics().Snapshot(), Endpoints: len(v.All()), VMs: n.members.AdvertisedCount(), ConfigVersion: n.version(),
 		Limited: n.backpressure.LimitedCount(), Draining: len(v.All()) - v.AvailableCount(), Changes: n.endpointChanges.Counters(),
 	}
