A drain tells callers on new HTTP/2 connections that no request is handled

What callers saw: a connection of HTTP/2 that had just been opened was closed without a GOAWAY, so that a request on its way there got neither an answer nor the statement that it isn't handled.

Cause: a connection counted as one of HTTP/2 only when its first request had reached the handler. Before, the drain took it for an idle one or an unfinished header of HTTP/1.

Change: the first bytes of a connection tell its protocol. Such a connection is left to Shutdown, which sends GOAWAY, and isn't counted as a bad request.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -22,6 +23,7 @@
 	s *Server
 
 	mu          sync.Mutex
+	hasRead     bool // a byte has been read from it
 	unread      bool // no byte of the next request has been read
 	active      bool // its header has been read
 	readAhead   bool // the newest byte was read while the handler of the latest request ran
@@ -38,6 +40,7 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.beginRequest(len(b) == readAheadBytes)
+		c.detectHTTP2(b[:n])
 	}
 	if err != nil {
 		c.s.counts.addReadError(err)
@@ -49,6 +52,22 @@
 // belongs to the next request.
 const readAheadBytes = 1
 
+// http2Preface begins what a caller sends on a connection of HTTP/2. No method of HTTP/1 begins like it.
+const http2Preface = "PRI "
+
+// detectHTTP2 marks a connection as one of HTTP/2 by the first data that was read from it.
+func (c *conn) detectHTTP2(data []byte) {
+	c.mu.Lock()
+	isFirst := !c.hasRead
+	c.hasRead = true
+	isHTTP2 := isFirst && bytes.HasPrefix(data, []byte(http2Preface)) && c.s.acceptsHTTP2()
+	c.multiplexed = c.multiplexed || isHTTP2
+	c.mu.Unlock()
+	if isHTTP2 {
+		c.s.connBecameHTTP2()
+	}
+}
+
 func (c *conn) beginRequest(readAhead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -134,7 +153,7 @@
 func (c *conn) wasRejected() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.unread && !c.handled
+	return !c.unread && !c.handled && !c.multiplexed
 }
 
 type connKey struct{}
@@ -150,11 +169,21 @@
 	if !ok || !c.setHandled(r.ProtoMajor > 1) {
 		return
 	}
+	s.connBecameHTTP2()
+}
+
+// connBecameHTTP2 lets a drain go on that waits for the connections of HTTP/1.
+func (s *Server) connBecameHTTP2() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.signalIfEmpty()
 }
 
+// acceptsHTTP2 reports whether the server speaks unencrypted HTTP/2.
+func (s *Server) acceptsHTTP2() bool {
+	return s.http.Protocols != nil && s.http.Protocols.UnencryptedHTTP2()
+}
+
 // addReadError counts an error of a read, unless it is an orderly end or a timeout.
 func (n *counters) addReadError(err error) {
 	switch {
