Only a whole answer of another VM counts as what it has

What could be seen: a VM took an empty 200 for the list of what engines have cached, announced that it tracks caches, and placed without that knowledge; a gathering of usage took it for a ledger without counts; an empty packed message counted as a configuration without key and value; answers at the size limit were cut there silently.

Cause: a protobuf message of no bytes is a valid one of zeros, and net/http sends an empty 200 for a handler that writes nothing.

Evidence: TestAnEmptyAnswerIsNoList and TestAnEmptyAnswerIsNoConfiguration failed before.

Change: peerhttp reads the answer itself. It is whole if its end shows, it is within its limit, and an empty one is marked as deliberate. VMs of earlier versions don't mark theirs: their data counts, their empty answers don't, so that engines are queried instead.

--- a/internal/cachesync/cachesync_test.go
+++ b/internal/cachesync/cachesync_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -251,3 +252,16 @@
 		}
 	})
 }
+
+// Guards against an answer that no handler gave, which counted as the list of a VM that knows of no cached part.
+func TestAnEmptyAnswerIsNoList(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(srv.Close)
+	_, err := queryVM(t.Context(), strings.TrimPrefix(srv.URL, "http://"))
+	assert.Assert(t, err != nil)
+	none := httptest.NewServer(&Handler{place.New("z", 1)})
+	t.Cleanup(none.Close)
+	all, err := queryVM(t.Context(), strings.TrimPrefix(none.URL, "http://"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(all.GetEngines()), 0)
+}
--- a/internal/cachesync/share.go
+++ b/internal/cachesync/share.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
+	"fescuestand/internal/peerhttp"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/wire"
 )
@@ -29,16 +30,14 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	// A VM that couldn't read the answer queries another VM.
-	_, _ = w.Write(body)
+	peerhttp.Write(w, body)
 }
 
 // maxAnswerBytes bounds an answer. 4,300 engines with 300 parts each take 14 MB.
 const maxAnswerBytes = 32 << 20
 
 func decode(rd io.Reader) (*wire.Caches, error) {
-	data, err := io.ReadAll(io.LimitReader(rd, maxAnswerBytes))
+	data, err := io.ReadAll(rd)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cachesync/unit.go
+++ b/internal/cachesync/unit.go
@@ -1,8 +1,8 @@
 package cachesync
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"time"
 
 	"github.com/apex/log"
@@ -195,13 +195,11 @@
 func queryVM(ctx context.Context, addr string) (*wire.Caches, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var all *wire.Caches
-	err := peerhttp.New().Get(ctx, addr, Path, func(body io.Reader) error {
-		var err error
-		all, err = decode(body)
-		return err
-	})
-	return all, err
+	data, err := peerhttp.New().Get(ctx, addr, Path, maxAnswerBytes)
+	if err != nil {
+		return nil, err
+	}
+	return decode(bytes.NewReader(data))
 }
 
 // queryEngines queries the engines that are assigned to this VM and announces their lists to the
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -178,3 +178,13 @@
 	const maxBytes = 10e6 / 8 * 0.05 // sent in 50 ms
 	assert.Assert(t, len(compressed) < maxBytes)
 }
+
+// Guards against an answer without a configuration that counts as one.
+func TestAnEmptyAnswerIsNoConfiguration(t *testing.T) {
+	empty, err := encode(&keyedlog.Entry{})
+	assert.NilError(t, err)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(empty) }))
+	t.Cleanup(srv.Close)
+	_, err = newVM(t).puller.get(strings.TrimPrefix(srv.URL, "http://"))
+	assert.Assert(t, err != nil)
+}
--- a/internal/configsync/puller.go
+++ b/internal/configsync/puller.go
@@ -1,8 +1,8 @@
 package configsync
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -98,11 +98,9 @@
 func (p *Puller) get(addr string) (keyedlog.Entry, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
-	var e keyedlog.Entry
-	err := p.peers.Get(ctx, addr, Path, func(body io.Reader) error {
-		var err error
-		e, err = decode(body)
-		return err
-	})
-	return e, err
+	data, err := p.peers.Get(ctx, addr, Path, maxConfigBytes)
+	if err != nil {
+		return keyedlog.Entry{}, err
+	}
+	return decode(bytes.NewReader(data))
 }
--- a/internal/configsync/share.go
+++ b/internal/configsync/share.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -18,6 +19,7 @@
 
 	"fescuestand/internal/era"
 	"fescuestand/internal/keyedlog"
+	"fescuestand/internal/peerhttp"
 	"fescuestand/internal/wire"
 )
 
@@ -49,9 +51,7 @@
 		log.WithError(err).Error("configuration encoding failed")
 		w.WriteHeader(http.StatusInternalServerError)
 	default:
-		w.Header().Set("Content-Type", "application/octet-stream")
-		// A VM that couldn't read the answer queries another VM.
-		_, _ = w.Write(body)
+		peerhttp.Write(w, body)
 	}
 }
 
@@ -89,12 +89,15 @@
 // deployment with thousands of routes.
 const maxConfigBytes = 16 << 20
 
+// errNoConfig means that an answer holds no configuration, or only a part of one.
+var errNoConfig = errors.New("no whole configuration")
+
 func decode(rd io.Reader) (keyedlog.Entry, error) {
 	z, err := gzip.NewReader(rd)
 	if err != nil {
 		return keyedlog.Entry{}, err
 	}
-	data, err := io.ReadAll(io.LimitReader(z, maxConfigBytes))
+	data, err := io.ReadAll(io.LimitReader(z, maxConfigBytes+1))
 	if err != nil {
 		return keyedlog.Entry{}, err
 	}
@@ -102,6 +105,9 @@
 	if err := proto.Unmarshal(data, &c); err != nil {
 		return keyedlog.Entry{}, err
 	}
+	if len(data) > maxConfigBytes || c.GetKey() == "" || len(c.GetValue()) == 0 {
+		return keyedlog.Entry{}, errNoConfig
+	}
 	p := era.Position{Era: era.Era(c.GetEra()), Offset: int64(c.GetOffset())}
 	return keyedlog.Entry{Key: c.GetKey(), Value: c.GetValue(), Position: p}, nil
 }
--- a/internal/peerhttp/peerhttp.go
+++ b/internal/peerhttp/peerhttp.go
@@ -4,11 +4,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 )
 
+// wholeHeader marks an answer that the other VM has given deliberately. VMs of earlier versions don't send it.
+const wholeHeader = "Fescue-Whole"
+
+// ErrNotWhole means that an answer isn't known to be all that the other VM has.
+var ErrNotWhole = errors.New("the answer isn't whole")
+
 // Client sends requests to other VMs. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
@@ -18,21 +26,47 @@
 	return &Client{&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
 }
 
-// Get requests path from the VM at addr, an IP:port, and passes the body of a 200 answer to
-// readBody. It returns the error of readBody.
-func (c *Client) Get(ctx context.Context, addr, path string, readBody func(io.Reader) error) error {
+// Write answers a request of another VM. The body may be empty.
+func Write(w http.ResponseWriter, body []byte) {
+	h := w.Header()
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(wholeHeader, "1")
+	// The other VM reports a failed read.
+	_, _ = w.Write(body)
+}
+
+// Get requests path from the VM at addr, an IP:port, and returns the body of a whole 200 answer of at most
+// maxBytes.
+func (c *Client) Get(ctx context.Context, addr, path string, maxBytes int64) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	// Errors of Close are ignored, as a failed read has already returned one.
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", resp.StatusCode)
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	return body, checkWhole(resp, body, maxBytes)
+}
+
+func checkWhole(resp *http.Response, body []byte, maxBytes int64) error {
+	switch {
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		return fmt.Errorf("%w: its end doesn't show", ErrNotWhole)
+	case int64(len(body)) > maxBytes:
+		return fmt.Errorf("%w: it is longer than %d bytes", ErrNotWhole, maxBytes)
+	case len(body) == 0 && resp.Header.Get(wholeHeader) == "":
+		return fmt.Errorf("%w: it is empty", ErrNotWhole)
 	}
-	return readBody(resp.Body)
+	return nil
 }
--- a/internal/usage/share.go
+++ b/internal/usage/share.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -44,8 +43,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	// The querying VM logs a failed read.
-	_, _ = w.Write(data)
+	peerhttp.Write(w, data)
 }
 
 // Gatherer merges the ledgers of other VMs: a VM that becomes leader may not have received the last
@@ -78,30 +76,33 @@
 func (g *Gatherer) query(ctx context.Context, vm string) {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
-	err := g.peers.Get(ctx, vm, Path, func(body io.Reader) error {
-		data, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
-		if err != nil {
-			return err
-		}
-		book := &wire.UsageBook{}
-		if err := proto.Unmarshal(data, book); err != nil {
-			return err
-		}
-		for _, w := range book.GetDecided() {
-			g.Ledger.SetDecided(decode(w))
-		}
-		for _, p := range book.GetProcesses() {
-			if p.GetProcess() != g.Process {
-				g.Ledger.MergeWindows(p.GetProcess(), p.GetWindows())
-			}
-		}
-		return nil
-	})
+	err := g.merge(ctx, vm)
 	if err != nil {
 		log.WithError(err).WithField("vm", vm).Warn("usage query failed")
 	}
 }
 
+// merge merges the ledger of one VM.
+func (g *Gatherer) merge(ctx context.Context, vm string) error {
+	data, err := g.peers.Get(ctx, vm, Path, maxAnswerBytes)
+	if err != nil {
+		return err
+	}
+	book := &wire.UsageBook{}
+	if err := proto.Unmarshal(data, book); err != nil {
+		return err
+	}
+	for _, w := range book.GetDecided() {
+		g.Ledger.SetDecided(decode(w))
+	}
+	for _, p := range book.GetProcesses() {
+		if p.GetProcess() != g.Process {
+			g.Ledger.MergeWindows(p.GetProcess(), p.GetWindows())
+		}
+	}
+	return nil
+}
+
 // Encode returns totals as VMs send them to each other.
 func Encode(totals []Totals) []*wire.UsageWindow {
 	out := make([]*wire.UsageWindow, 0, len(totals))
