VMs that know nothing don't agree on the version of a stream

What could happen: a stream whose origin nobody has recorded went on at the only version that this VM knew of, as most VMs had answered, although those knew of no version at all: they had not read the endpoints yet. Another version may have begun it.

Cause: an answer without content counted as one that agrees.

Evidence: the new case of TestPoll failed before. Not seen in a record.

--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -51,9 +51,12 @@
 	return p
 }
 
-// Add adds the answer of another VM.
+// Add adds the answer of another VM. One that knows of no version, and wouldn't know of a new one, agrees
+// with nothing.
 func (p *Poll) Add(o Observation) {
-	p.answered++
+	if o.Fresh || len(o.Versions) > 0 {
+		p.answered++
+	}
 	p.merge(o)
 }
 
