A relayed success needs the endpoint's signature as any other

What callers could see: a VM that reaches no endpoint passed on a 200 without the endpoint's signature, or of another request, that it got from the VM to which it had relayed: for a commit, a success that no endpoint gave.

Cause: the relaying VM checked only that the answer was whole.

Evidence: TestARelayedSuccessHasTheEndpointsSignature failed before (200).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -71,6 +71,14 @@
 		return result{outcome: notRun, code: code.EndpointCut, err: errCutOff}
 	}
 	x.runs++
+	if success := resp.Status >= 200 && resp.Status < 300; success {
+		switch ans := x.g.o.Codec.Answer(x.call, resp.Status, resp.Header); {
+		case !ans.Signed:
+			return result{outcome: lost, code: code.BadAnswer, err: errUnsigned}
+		case ans.OtherRequest:
+			return result{outcome: lost, code: code.BadAnswer, err: errOtherRequest}
+		}
+	}
 	return x.forwardAnswer(resp)
 }
 
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -136,3 +136,15 @@
 	assert.Assert(t, err != nil)
 	<-ended
 }
+
+// Guards against a success without the endpoint's signature, or for another request, that is passed on from another VM.
+func TestARelayedSuccessHasTheEndpointsSignature(t *testing.T) {
+	for _, header := range [][]string{nil, {"Seal: s", "Id: another"}} {
+		w, _ := newCutOffGateway(t, commitRoute, catalog.Whole, answerSigned)
+		b := serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool { return respond(c, 200, "", header...) })
+		w.relayTargets = []string{b.addr}
+		resp, _, err := w.request(t, "POST", "/x/", "")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+	}
+}
