--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -43,6 +43,10 @@
 // Unwrap is used by http.ResponseController.
 func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
 
+// ServeHTTP implements http.Handler for a request that hasn't come over one of the server's connections. It
+// panics with http.ErrAbortHandler if the request ends without a whole answer.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r) }
+
 // serve runs the handler and ensures that the request ends with its answer, a refusal or a broken connection.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
