A forwarded request without an answer is no success, and its fault no end of the VM

What callers saw: a request that a leaving VM had forwarded got 200 with an empty body if its handler at the peer returned without an answer. A handler that failed there ended the peer's process. An answer of a peer without a status made the handler of the leaving VM panic.

Cause: the writer of forwarded answers sent 200 by itself, like net/http, and no server recovers a panic there.

Change: forwarded requests are served under httpserver's guard; one without a whole answer ends without the end mark, which the forwarding VM refuses as of unknown outcome or breaks off. A status must be one of an answer.

--- a/internal/entry/forward/forward_test.go
+++ b/internal/entry/forward/forward_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/code"
+	"fescuestand/internal/httpserver"
 	"fescuestand/internal/wire"
 )
 
@@ -149,3 +150,41 @@
 	w := post(newHandler(&network{}, true), false)
 	assert.Equal(t, w.Body.String(), "leaving not-run")
 }
+
+// Guards against a forwarded request whose handler gives no answer, or fails, and that counts as a success or ends the process.
+func TestForwardedRequestWithoutAnAnswerIsNoSuccess(t *testing.T) {
+	for name, next := range map[string]http.HandlerFunc{
+		"no answer": func(http.ResponseWriter, *http.Request) {},
+		"aborted":   func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"fault":     func(http.ResponseWriter, *http.Request) { panic("fault") },
+	} {
+		n := &network{}
+		b := newHandler(n, false)
+		b.Next = next
+		b.Forwarded = httpserver.New(next, &http.Server{}, httpserver.Options{Refuse: func(w http.ResponseWriter, r *http.Request) {
+			b.Refuse(w, r, code.New(code.Internal, "fault").WithRun(code.Unknown))
+		}})
+		n.handlers = map[string]*Handler{"b": b}
+		w := post(newHandler(n, true, "b"), false)
+		assert.Assert(t, w.Code >= http.StatusInternalServerError, "%s: %d", name, w.Code)
+		assert.Assert(t, strings.HasSuffix(w.Body.String(), " unknown"), "%s: %s", name, w.Body)
+	}
+}
+
+// Guards against a peer's answer without a status, which made the handler panic.
+func TestPeersAnswerNeedsAStatus(t *testing.T) {
+	for _, status := range []uint32{0, 99, 1000} {
+		p := answeringPeer{&frames{list: []*wire.ForwardFrame{{Status: status, End: true}}}}
+		f := newHandler(&network{}, true, "b")
+		f.Peers = p
+		assert.Equal(t, post(f, false).Body.String(), "peer-gone unknown")
+	}
+}
+
+// answeringPeer gives the same answer to each request.
+type answeringPeer struct{ *frames }
+
+// Forward implements Peers.
+func (p answeringPeer) Forward(context.Context, string, *wire.Forward) (Frames, error) {
+	return p.frames, nil
+}
--- a/internal/entry/forward/front.go
+++ b/internal/entry/forward/front.go
@@ -28,6 +28,8 @@
 	// maxBodyBytes bounds the body of a forwarded request, which the peer protocol sends as part of
 	// one bounded message.
 	maxBodyBytes = peer.MaxMessageBytes - 64<<10
+	// maxStatus is the highest status of an answer.
+	maxStatus = 599
 	// bodyTimeout is how long a caller may take to send the body.
 	bodyTimeout = 8 * time.Second
 )
@@ -46,8 +48,11 @@
 // Handler wraps the handler of the caller interface. While this VM is leaving, it forwards POST
 // requests to a peer; otherwise it passes every request to Next.
 type Handler struct {
-	Next  http.Handler
-	Peers Peers
+	Next http.Handler
+	// Forwarded serves the requests that peers have forwarded. It panics with http.ErrAbortHandler if one
+	// ends without a whole answer. Nil means Next.
+	Forwarded http.Handler
+	Peers     Peers
 	// Leaving reports whether this VM accepts no new work.
 	Leaving func() bool
 	// PeerAddresses returns the peer addresses to try, best first.
@@ -123,6 +128,9 @@
 	if err != nil {
 		return true, code.Wrap(code.PeerGone, err, "the peer that took the request is gone").WithRun(code.Unknown)
 	}
+	if s := first.GetStatus(); s < http.StatusOK || s > maxStatus {
+		return true, code.New(code.PeerGone, "the peer's answer has the status %d", s).WithRun(code.Unknown)
+	}
 	for _, h := range first.GetHeaders() {
 		w.Header().Add(h.GetName(), h.GetValue())
 	}
--- a/internal/entry/forward/serve.go
+++ b/internal/entry/forward/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -24,11 +25,31 @@
 	case (f.Leaving() || fwd.GetHops() > 1) && !f.hopLimitDisabled:
 		f.Refuse(w, r, callerapi.MarkResendUnknown(r, code.Wrap(code.ForwardLoop, ErrLoop, "this VM is leaving too")))
 	default:
-		f.Next.ServeHTTP(w, r)
+		if !f.serveForwarded(w, r) {
+			return errAborted
+		}
 	}
 	return w.end()
 }
 
+// errAborted means that a request ended without a whole answer. The peer notices it by the missing end.
+var errAborted = errors.New("forwarded request ended without a whole answer")
+
+// serveForwarded reports whether the request got a whole answer.
+func (f *Handler) serveForwarded(w http.ResponseWriter, r *http.Request) (whole bool) {
+	defer func() {
+		if fault := recover(); fault != nil && fault != http.ErrAbortHandler { //nolint:errorlint // net/http compares it in the same way
+			panic(fault)
+		}
+	}()
+	if f.Forwarded != nil {
+		f.Forwarded.ServeHTTP(w, r)
+	} else {
+		f.Next.ServeHTTP(w, r)
+	}
+	return true
+}
+
 func decodeRequest(ctx context.Context, fwd *wire.Forward) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, fwd.GetMethod(), fwd.GetPath(), bytes.NewReader(fwd.GetBody()))
 	if err != nil {
@@ -86,7 +107,9 @@
 }
 
 func (w *frameWriter) end() error {
-	w.WriteHeader(http.StatusOK)
+	if w.status == 0 {
+		return errAborted
+	}
 	return w.sendFrame(true)
 }
 
