fescue-entry's drain answers each request that it has read

What callers saw: an unexpected EOF for a request that had arrived when the VM's drain ended; over HTTP/2 a reset connection without a GOAWAY.

Cause: the drain waited until no request was in progress, and the kernel then closed all connections. A request that arrived between the last check and the close, or that had been read but not parsed, counted as none.

Change: requests of callers are served by httpserver. After the linger it closes the connections on which no request has been read and answers the others; HTTP/2 gets a GOAWAY. The drain then waits for forwarded requests and commits as before. New connections are refused from the end of the linger on, no longer only when the last stream has ended; addresses are valid for less.

--- /dev/null
+++ b/internal/entry/drain_test.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/standin/engine"
+)
+
+// provisioned is a kernel unit that is provisioned after the Unit.
+type provisioned struct{ hook func() }
+
+func (p provisioned) Name() string { return "provisioned" }
+
+func (p provisioned) Provision(context.Context) error {
+	if p.hook != nil {
+		p.hook()
+	}
+	return nil
+}
+
+// readGate holds back the first read that receives data after the gate has been armed.
+type readGate struct {
+	mu              sync.Mutex
+	armed           bool
+	reached, opened chan struct{}
+}
+
+func newReadGate() *readGate {
+	return &readGate{reached: make(chan struct{}), opened: make(chan struct{})}
+}
+
+func (g *readGate) arm() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.armed = true
+}
+
+func (g *readGate) pass() {
+	g.mu.Lock()
+	armed := g.armed
+	g.armed = false
+	g.mu.Unlock()
+	if armed {
+		close(g.reached)
+		<-g.opened
+	}
+}
+
+type gatedListener struct {
+	net.Listener
+	gate *readGate
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{c, l.gate}, nil
+}
+
+type gatedConn struct {
+	net.Conn
+	gate *readGate
+}
+
+func (c *gatedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.gate.pass()
+	}
+	return n, err
+}
+
+const (
+	// sentBeforeEnd is how long before the end of the linger a request arrives, and heldAfterEnd how long
+	// after it the process goes on with it.
+	sentBeforeEnd = 300 * time.Millisecond
+	heldAfterEnd  = 500 * time.Millisecond
+	maxAnswerTime = 5 * time.Second
+)
+
+// newGatedEntry returns a deployment of one VM whose connections of callers pass a gate.
+func newGatedEntry(t *testing.T) (*cluster, *readGate) {
+	t.Helper()
+	gate := newReadGate()
+	cl := newCluster(t, clusterConfig{entries: 1, engines: []engine.Config{fastEngine()}, onProvisioned: func(u *Unit) { u.callerLn = &gatedListener{u.callerLn, gate} }})
+	return cl, gate
+}
+
+// drainBeside asks the only VM to stop, and has it go on with the request that send sends only when its
+// linger has ended.
+func (cl *cluster) drainBeside(gate *readGate, send func()) {
+	cl.entries[0].terminate()
+	time.Sleep(drainLinger - sentBeforeEnd)
+	gate.arm()
+	send()
+	<-gate.reached
+	time.AfterFunc(sentBeforeEnd+heldAfterEnd, func() { close(gate.opened) })
+}
+
+const getAddresses = "GET /v1/addresses HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// Guards against a drain that ends while a request has been read but not handled yet.
+func TestDrainAnswersARequestThatHasBeenRead(t *testing.T) {
+	cl, gate := newGatedEntry(t)
+	c, err := net.Dial("tcp", cl.entries[0].addr)
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	answers := bufio.NewReader(c)
+	exchange := func() error {
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(maxAnswerTime)))
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		return err
+	}
+	send := func() {
+		_, err := io.WriteString(c, getAddresses)
+		assert.NilError(t, err)
+	}
+	send()
+	assert.NilError(t, exchange())
+	cl.drainBeside(gate, send)
+	assert.NilError(t, exchange())
+	assert.NilError(t, <-cl.entries[0].done)
+}
+
+// Guards against a drain that closes a connection of HTTP/2 without telling the caller which request isn't handled.
+func TestDrainOfHTTP2TellsWhichRequestsAreNotHandled(t *testing.T) {
+	cl, gate := newGatedEntry(t)
+	var only2 http.Protocols
+	only2.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: &only2}}
+	defer client.CloseIdleConnections()
+	post := func() error {
+		resp, err := client.Post("http://"+cl.entries[0].addr+"/v1/services/lantern/balance", "application/json", strings.NewReader("{}"))
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return err
+	}
+	assert.NilError(t, post())
+	answered := make(chan error, 1)
+	cl.drainBeside(gate, func() { go func() { answered <- post() }() })
+	err := <-answered
+	var op *net.OpError
+	isRefused := errors.As(err, &op) && op.Op == "dial" // it was to be sent again, and the only VM has ended
+	assert.Assert(t, err == nil || isRefused, "%v", err)
+	assert.NilError(t, <-cl.entries[0].done)
+}
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -18,6 +18,7 @@
 	"fescuestand/internal/entry/dispatch"
 	"fescuestand/internal/entry/fleet"
 	"fescuestand/internal/entry/forward"
+	"fescuestand/internal/httpserver"
 	"fescuestand/internal/logclient"
 	"fescuestand/internal/membership"
 	"fescuestand/internal/peer"
@@ -65,7 +66,8 @@
 	backend      *backend
 	instrumented *instrumentedBackend
 	forwarder    *forward.Handler
-	server       *http.Server
+	server       *httpserver.Server // requests of callers
+	forwarded    *httpserver.Server // requests that peers forward; it has no listener
 	peers        *peer.Server
 
 	callerLn, peerLn net.Listener
@@ -93,17 +95,24 @@
 	u.backend = &backend{settings: s, view: opts.Replica.View, dispatch: u.dispatch, commits: u.commits}
 	u.instrumented = newInstrumentedBackend(u.backend, opts.Clock)
 	handler := callerapi.NewHandler(u.instrumented)
+	o := httpserver.Options{Name: "callers", RequestID: requestID, Refuse: func(w http.ResponseWriter, r *http.Request) {
+		handler.Refuse(w, r, code.New(code.Internal, "the request handler failed").WithRun(code.Unknown))
+	}}
+	u.forwarded = httpserver.New(handler, &http.Server{}, o)
 	u.forwarder = &forward.Handler{
-		Next: handler, Peers: peerPool{opts.Peers}, Leaving: u.isLeaving,
+		Next: handler, Forwarded: u.forwarded, Peers: peerPool{opts.Peers}, Leaving: u.isLeaving,
 		PeerAddresses: u.backend.peerAddresses, Refuse: handler.Refuse,
 	}
-	u.server = callerapi.NewServer(u.trackActive(u.forwarder))
+	front := u.trackActive(u.forwarder)
+	u.server = httpserver.New(front, callerapi.NewServer(front), o)
 	u.peers = peer.NewServer(u.hello(), u)
 	opts.Replica.Contribute(u.addMeasurements)
 	opts.Replica.OnGossip(u.receiveGossip)
 	return u
 }
 
+func requestID(r *http.Request) string { return r.Header.Get(callerapi.HeaderRequestID) }
+
 func (u *Unit) hello() *wire.Hello {
 	return process.Hello(&u.opts.Settings.Settings, processName, u.opts.Incarnation)
 }
@@ -133,7 +142,6 @@
 		defer u.active.Add(-1)
 		if u.isLeaving() {
 			// The caller has to open a new connection for its next request, to another VM.
-			// Closing idle connections instead would break a request that is being sent.
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
@@ -171,10 +179,7 @@
 	group.Go(func() error {
 		stop := context.AfterFunc(ctx, func() { _ = u.server.Close() })
 		defer stop()
-		if err := u.server.Serve(u.callerLn); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
+		return u.server.Serve(u.callerLn)
 	})
 	return group.Wait()
 }
@@ -203,8 +208,8 @@
 }
 
 // Drain implements kernel.Drainer. It announces that the VM leaves, keeps the addresses open for
-// drainLinger while new requests are forwarded to peers, and returns when all streams and commits
-// have ended.
+// drainLinger while new requests are forwarded to peers, closes the connections on which no request has
+// been read, and returns when all streams and commits have ended.
 func (u *Unit) Drain(ctx context.Context) error {
 	u.leaving.Store(true)
 	u.opts.Replica.SetLeaving()
@@ -215,6 +220,9 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	if err := u.server.Drain(ctx); err != nil {
+		return err
+	}
 	poll := time.NewTicker(drainPollInterval)
 	defer poll.Stop()
 	for u.Left() > 0 {
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -47,19 +47,20 @@
 
 // cluster is a whole deployment in one process, on loopback.
 type cluster struct {
-	t          testing.TB
-	ctx        context.Context // of the fakes, which run longer than the entries
-	wg         sync.WaitGroup
-	entryCtx   context.Context // of the entries
-	entryWG    sync.WaitGroup
-	logAddr    string
-	vmListAddr string
-	engines    []string
-	services   []string
-	entries    []*entryNode
-	vms        []httpapi.VM
-	newestAddr atomic.Pointer[string] // address of the entry started last
-	client     *http.Client
+	t             testing.TB
+	ctx           context.Context // of the fakes, which run longer than the entries
+	wg            sync.WaitGroup
+	entryCtx      context.Context // of the entries
+	entryWG       sync.WaitGroup
+	logAddr       string
+	vmListAddr    string
+	engines       []string
+	services      []string
+	entries       []*entryNode
+	vms           []httpapi.VM
+	newestAddr    atomic.Pointer[string] // address of the entry started last
+	client        *http.Client
+	onProvisioned func(*Unit)
 }
 
 // entryNode is one running fescue-entry.
@@ -74,13 +75,15 @@
 	entries  int
 	engines  []engine.Config
 	services []service.Config
+	// onProvisioned is called with each entry before it serves.
+	onProvisioned func(*Unit)
 }
 
 func newCluster(t testing.TB, cfg clusterConfig) *cluster {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	entryCtx, stop := context.WithCancel(ctx)
-	cl := &cluster{t: t, ctx: ctx, entryCtx: entryCtx, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	cl := &cluster{t: t, ctx: ctx, entryCtx: entryCtx, onProvisioned: cfg.onProvisioned, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(func() {
 		cl.client.CloseIdleConnections()
 		http.DefaultClient.CloseIdleConnections()
@@ -183,13 +186,20 @@
 	n.unit = New(Options{Settings: s, Incarnation: incarnation, Replica: r, Log: client, Peers: peers, Clock: clock.Boot{}})
 	opt := kernel.Options{DrainTimeout: s.DrainTimeout.D(), Signals: n.signals}
 	cl.entryWG.Go(func() {
-		n.done <- kernel.Run(cl.entryCtx, opt, r, n.unit)
+		n.done <- kernel.Run(cl.entryCtx, opt, r, n.unit, cl.provisioned(n.unit))
 		_ = peers.Close()
 		_ = client.Close()
 	})
 	return n
 }
 
+func (cl *cluster) provisioned(u *Unit) provisioned {
+	if cl.onProvisioned == nil {
+		return provisioned{}
+	}
+	return provisioned{func() { cl.onProvisioned(u) }}
+}
+
 func (cl *cluster) awaitReady(n *entryNode) {
 	for range 500 {
 		s := n.unit.Status()
