A caller that has closed only its side for writing gets its answer

What callers saw: a caller that shut down its side for writing after a whole request got no answer; its connection broke, and a commit that had been sent to an endpoint was cut there.

Cause: net/http cancels a request when it reads the end of the caller's side. A full close and a half-close look the same then.

Change: the connection of httpserver holds that end back while a request is handled, and finds out whether the caller is there: a caller that has left answers data with a reset.

Evidence: TestHalfClosedCallerGetsTheEndpointsAnswer and TestHalfClosedCallerOfHTTP10IsTold fail before, with an unexpected EOF.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -29,6 +29,9 @@
 // is returned only if that is certain.
 func (f *refusal) status() int {
 	s := f.code.Info().Status
+	if f.code == code.CallerGone {
+		s = http.StatusServiceUnavailable // the code's own status promises nothing
+	}
 	if f.run != code.NotRun && promisesNotRun(s) {
 		return http.StatusBadGateway
 	}
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -21,9 +21,13 @@
 	switch {
 	case last.outcome == answered:
 		return
-	case x.headerSent, last.code == code.CallerGone:
+	case x.headerSent:
 		// Closing the connection shows the caller that there is no whole answer.
 		panic(http.ErrAbortHandler)
+	case last.code == code.CallerGone:
+		// A caller of HTTP/1.0 may have closed only its side.
+		x.refuseGone()
+		return
 	case x.endpointFailure != nil:
 		x.endpointFailure.write(x.w)
 		return
@@ -33,6 +37,16 @@
 	f.write(x.w)
 }
 
+// refuseGone refuses a call whose caller has disconnected, as far as can be seen.
+func (x *execution) refuseGone() {
+	f := refuse(code.CallerGone, "the connection was closed before the answer")
+	if x.runs > 0 {
+		f.run = code.Unknown
+	}
+	x.w.Header().Set("Connection", "close")
+	f.write(x.w)
+}
+
 // refusalFor returns the answer to a call for which no endpoint's answer can be returned.
 func (x *execution) refusalFor(last *result) *refusal {
 	f := &refusal{code: last.code, run: code.NotRun, reason: "no endpoint has answered"}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -19,7 +19,8 @@
 // never receive any.
 type conn struct {
 	net.Conn
-	s *Server
+	s      *Server
+	prober prober
 
 	mu          sync.Mutex
 	unread      bool // no byte of the next request has been read
@@ -39,12 +40,22 @@
 	if n > 0 {
 		c.beginRequest(len(b) == readAheadBytes)
 	}
+	if errors.Is(err, io.EOF) && len(b) == readAheadBytes && c.isHandling() {
+		return 0, c.holdEOF()
+	}
 	if err != nil {
 		c.s.counts.addReadError(err)
 	}
 	return n, err
 }
 
+// isHandling reports whether a request is being handled on a connection that carries one at a time.
+func (c *conn) isHandling() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.active && !c.multiplexed
+}
+
 // readAheadBytes is what net/http reads while a handler runs, to notice that the caller disconnects. Such a byte
 // belongs to the next request.
 const readAheadBytes = 1
@@ -96,6 +107,7 @@
 
 // setIdle records that the answer to the latest request has been sent.
 func (c *conn) setIdle() {
+	c.resetProbes()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active, c.handled = false, false
@@ -147,7 +159,11 @@
 // markHandled records that a request has reached the handler.
 func (s *Server) markHandled(r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
-	if !ok || !c.setHandled(r.ProtoMajor > 1) {
+	if !ok {
+		return
+	}
+	c.setProbes(r)
+	if !c.setHandled(r.ProtoMajor > 1) {
 		return
 	}
 	s.mu.Lock()
--- a/internal/httpserver/counts.go
+++ b/internal/httpserver/counts.go
@@ -16,6 +16,8 @@
 	unanswered                // a handler returned without an answer
 	aborted                   // a handler broke the connection off
 	badRequest                // a connection ended in the header of a request
+	halfClosed                // a caller closed its side while its request was handled
+	callerLeft                // it turned out to have left, or couldn't be asked
 	connReset                 // a caller reset its connection
 	connFailed                // another error of a connection
 	acceptFailed              // a connection couldn't be accepted
@@ -34,6 +36,8 @@
 	Unanswered   int64 // handlers that returned without an answer
 	Aborted      int64 // answers that were broken off
 	BadRequests  int64 // connections that ended in the header of a request
+	HalfClosed   int64 // requests whose callers closed their side for writing before the answer was sent
+	CallersLeft  int64 // those of them whose callers had left, or couldn't be asked
 	Resets       int64 // connections that their callers reset
 	ConnErrors   int64 // other errors of connections
 	AcceptErrors int64
@@ -46,7 +50,7 @@
 	n := &s.counts
 	return Counts{
 		Faults: n[faulty].Load(), Unanswered: n[unanswered].Load(), Aborted: n[aborted].Load(),
-		BadRequests: n[badRequest].Load(), Resets: n[connReset].Load(), ConnErrors: n[connFailed].Load(),
+		BadRequests: n[badRequest].Load(), HalfClosed: n[halfClosed].Load(), CallersLeft: n[callerLeft].Load(), Resets: n[connReset].Load(), ConnErrors: n[connFailed].Load(),
 		AcceptErrors: n[acceptFailed].Load(), Misused: n[misused].Load(), Other: n[otherError].Load(),
 	}
 }
