A drain that ended in order reports no error

A VM would log "server drained whole=false" although no request was lost.

Cause: the drain closes the listener itself, and net/http's Shutdown closes it again unless Serve has returned by then.

Change: Drain doesn't report that error. TestDrainBeforeServeHasReturned holds Serve back and failed before with the same error in each run.

--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -282,3 +282,35 @@
 		}
 	}
 }
+
+// acceptDelay is how long a closed listener may take to end Accept.
+const acceptDelay = 50 * time.Millisecond
+
+// lateListener reports that it was closed only when it is released.
+type lateListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.release
+	}
+	return c, err
+}
+
+// Guards against a drain that fails, although every connection has ended in order, while Serve hasn't returned yet.
+func TestDrainBeforeServeHasReturned(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	late := &lateListener{ln, make(chan struct{})}
+	base := &http.Server{ReadHeaderTimeout: testHeaderTimeout, IdleTimeout: testIdleTimeout}
+	s := &testServer{New(answerOK, base, Options{}), ln.Addr().String(), make(chan error, 1)}
+	go func() { s.served <- s.Serve(late) }()
+	c, answers := dial(t, s)
+	sendText(t, c, getRequest)
+	assert.Equal(t, readBody(t, answers), "ok")
+	time.AfterFunc(acceptDelay, func() { close(late.release) })
+	s.drain(t)
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -91,7 +91,10 @@
 		return ctx.Err()
 	}
 	// Connections of HTTP/2 are left. Shutdown tells their callers that no further request is accepted.
-	return s.http.Shutdown(ctx)
+	if err := s.http.Shutdown(ctx); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil // Shutdown has closed the listener once more
 }
 
 func (s *Server) beginDrain() (empty <-chan struct{}) {
