A refusal doesn't wait for the request's body

What callers saw: a refusal that was known from the header (404, 401, 503) came only when the body had arrived, up to 256 KB of it; a caller whose body never came got none. After the refusal of a request with Expect: 100-continue, or with a long body, the connection stayed open for as long as the caller kept it.

Cause: net/http discards the body before it sends the header of an answer that keeps the connection, and again before it closes one.

Change: what has arrived is read, for 10 ms at most. If the body ends in that time the connection is kept as before; otherwise the refusal is sent at once with Connection: close, and the connection closes 0.5 s later at the latest, so that a caller that still sends can read the refusal.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -147,6 +148,51 @@
 	return out
 }
 
+const (
+	// bodyGrace is how long a refusal waits for the rest of the request's body. Most bodies arrive with the header.
+	bodyGrace = 10 * time.Millisecond
+	// bodyLinger is how long the connection is kept after a refusal that didn't wait: closing it resets it as long
+	// as the caller sends, and the caller might then not read the refusal.
+	bodyLinger = 500 * time.Millisecond
+)
+
+// endBody reads the rest of the body of a request that is refused. If it isn't there, the connection is closed after
+// the refusal: net/http would wait for the body before it sends an answer.
+func endBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 || r.ProtoMajor > 1 {
+		return
+	}
+	rc := http.NewResponseController(w)
+	if !expectsContinue(r) && readRest(rc, r.Body) {
+		return
+	}
+	w.Header().Set("Connection", "close")
+	// A failure means that the connection has been closed.
+	_ = rc.SetReadDeadline(time.Now().Add(bodyLinger))
+}
+
+// expectsContinue reports whether the caller sends the body only after it has been asked for it.
+func expectsContinue(r *http.Request) bool {
+	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+}
+
+// readRest reads the rest of a body, and reports whether it has ended in time.
+func readRest(rc *http.ResponseController, body io.Reader) bool {
+	until := time.Now().Add(bodyGrace)
+	if rc.SetReadDeadline(until) != nil {
+		return false
+	}
+	_, err := io.CopyN(io.Discard, body, maxDiscardedBytes)
+	if rc.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	// A deadline that has passed may also have ended the watch for the caller's disconnection.
+	return errors.Is(err, io.EOF) && time.Now().Before(until)
+}
+
+// maxDiscardedBytes bounds what is read of the body of a request that is refused.
+const maxDiscardedBytes = 64 << 10
+
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,7 @@
 	view := g.o.Catalog.View()
 	call, route, refused := g.accept(w, r, view)
 	if refused != nil {
+		endBody(w, r)
 		refused.write(w)
 		g.metrics.count(refused.code)
 		logRefusal(call, view, refused)
