A body over the limit is refused at once

What callers saw: a caller that sent more than the limit and then paused got no answer; the 413 waited for up to 256 KB of the body.

Cause: http.MaxBytesReader tells net/http of the excess only through a ResponseWriter of net/http's own.

Change: httpserver.LimitBody takes net/http's own ResponseWriter.

--- a/internal/entry/callerapi/decode.go
+++ b/internal/entry/callerapi/decode.go
@@ -12,6 +12,7 @@
 	"unicode/utf8"
 
 	"fescuestand/internal/code"
+	"fescuestand/internal/httpserver"
 )
 
 const (
@@ -136,7 +137,7 @@
 	if r.ContentLength > int64(limit) {
 		return nil, code.New(code.BodyTooLarge, "%d bytes; allowed: %d", r.ContentLength, limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	body, err := io.ReadAll(httpserver.LimitBody(w, r.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/entry/forward/front.go
+++ b/internal/entry/forward/front.go
@@ -18,6 +18,7 @@
 
 	"fescuestand/internal/code"
 	"fescuestand/internal/entry/callerapi"
+	"fescuestand/internal/httpserver"
 	"fescuestand/internal/peer"
 	"fescuestand/internal/wire"
 )
@@ -100,7 +101,7 @@
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, err := io.ReadAll(httpserver.LimitBody(w, r.Body, maxBodyBytes))
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		return nil, code.Wrap(code.SlowSender, err, "reading the body")
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -14,6 +14,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/code"
+	"fescuestand/internal/httpserver"
 	"fescuestand/internal/policy/ontime"
 	"fescuestand/internal/policy/place"
 )
@@ -199,7 +200,7 @@
 	}
 	rd := r.Body
 	if limit > 0 {
-		rd = http.MaxBytesReader(w, r.Body, limit)
+		rd = httpserver.LimitBody(w, r.Body, limit)
 	}
 	var body []byte
 	var err error
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -43,6 +43,15 @@
 // Unwrap is used by http.ResponseController.
 func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
 
+// LimitBody returns a reader of a request's body that fails after n bytes, as http.MaxBytesReader does. The answer to
+// a longer body is then sent at once; net/http recognizes only a ResponseWriter of its own for that.
+func LimitBody(w http.ResponseWriter, body io.ReadCloser, n int64) io.ReadCloser {
+	if a, ok := w.(*answer); ok {
+		w = a.ResponseWriter
+	}
+	return http.MaxBytesReader(w, body, n)
+}
+
 // ServeHTTP implements http.Handler for a request that hasn't come over one of the server's connections. It
 // panics with http.ErrAbortHandler if the request ends without a whole answer.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r) }
