A drain answers what has arrived, and waits for no part of a header

A caller that was refused while it sent was reset after 0.5 s instead of seeing the end (not only in a drain).

Cause: a read whose deadline has passed isn't tried any more; the wait for a header ended by closing a connection by what was believed of it, and was timed once only; net/http looks for CloseWrite, which the connection hid.

Change: a connection that ends reads once more without waiting. The wait for a header ends by a deadline too, so that its own goroutine decides, also for a header that begins while an answer is given; a stall of the process doesn't shorten it. CloseWrite is passed on.

Not changed: connections in the accept queue are reset as the listener closes.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"fescuestand/internal/stall"
 )
 
 // conn is a connection of a caller. It knows whether a byte of the next request has been read, which net/http
@@ -30,6 +32,7 @@
 	readAhead   bool // the newest byte was read while the handler of the latest request ran
 	ending      bool // no further request is read
 	handled     bool // the request has reached the handler
+	gaveUp      bool // the rest of its header isn't waited for
 	multiplexed bool // it carries concurrent requests (HTTP/2)
 }
 
@@ -39,6 +42,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readAtEnd(b, err)
+	}
 	if n > 0 {
 		c.beginRequest(len(b) == readAheadBytes)
 		c.detectHTTP2(b[:n])
@@ -52,6 +58,47 @@
 	return n, err
 }
 
+// readAtEnd handles the deadline of a read. A connection that ends still reads what has arrived; a part of a header
+// that isn't waited for ends it without an answer.
+func (c *conn) readAtEnd(b []byte, err error) (int, error) {
+	c.mu.Lock()
+	endsUnread, gaveUp := c.ending && c.unread, c.gaveUp
+	c.mu.Unlock()
+	switch {
+	case endsUnread:
+		if n := c.readArrived(b); n > 0 {
+			return n, nil
+		}
+	case gaveUp:
+		_ = c.Conn.Close()
+	}
+	return 0, err
+}
+
+// readArrived reads what has arrived, whatever the deadline. It doesn't wait.
+func (c *conn) readArrived(b []byte) int {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	// An error means that there is nothing to read.
+	_ = raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), b) })
+	return max(n, 0)
+}
+
+// CloseWrite is used by net/http, so that a caller which still sends can read the answer.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // isHandling reports whether a request is being handled on a connection that carries one at a time.
 func (c *conn) isHandling() bool {
 	c.mu.Lock()
@@ -94,6 +141,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.gaveUp:
+		t = longAgo
 	case !c.unread:
 	case t.IsZero():
 		c.unread = false // net/http has found the next request in its buffer
@@ -122,6 +171,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active = true
+	if c.gaveUp { // the whole header had been read before
+		c.gaveUp = false
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// giveUpHeader ends the wait for the rest of a header. One that has been read is handled.
+func (c *conn) giveUpHeader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unread || c.active || c.multiplexed {
+		return
+	}
+	c.gaveUp = true
+	_ = c.Conn.SetReadDeadline(longAgo)
 }
 
 // setIdle records that the answer to the latest request has been sent.
@@ -136,6 +200,9 @@
 	c.unread = !c.readAhead
 	c.readAhead = false
 	c.closeIfUnread()
+	if c.ending && !c.unread {
+		stall.AfterFunc(headerGrace, c.giveUpHeader)
+	}
 }
 
 // setHandled records that a request has reached the handler, and whether the connection carries concurrent ones.
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -36,6 +36,11 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	base := &http.Server{ReadHeaderTimeout: testHeaderTimeout, IdleTimeout: testIdleTimeout, Protocols: protocols}
+	return startOn(t, ln, h, base, o)
+}
+
+func startOn(t *testing.T, ln net.Listener, h http.Handler, base *http.Server, o Options) *testServer {
+	t.Helper()
 	s := &testServer{New(h, base, o), ln.Addr().String(), make(chan error, 1)}
 	go func() { s.served <- s.Serve(ln) }()
 	t.Cleanup(func() { _ = s.Close() })
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -18,6 +18,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"fescuestand/internal/stall"
 )
 
 // headerGrace is how long a drain waits for the rest of a request's header. Callers send a header at once.
@@ -83,7 +85,7 @@
 // have been closed after their answers, or when ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
 	empty := s.beginDrain()
-	late := time.AfterFunc(headerGrace, s.closeUnfinishedHeaders)
+	late := stall.AfterFunc(headerGrace, s.giveUpHeaders)
 	defer late.Stop()
 	select {
 	case <-empty:
@@ -100,6 +102,9 @@
 func (s *Server) beginDrain() (empty <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.draining {
+		return s.empty
+	}
 	s.draining = true
 	s.empty = make(chan struct{})
 	if s.ln != nil {
@@ -112,14 +117,12 @@
 	return s.empty
 }
 
-// closeUnfinishedHeaders closes connections on which a part of a header has been read.
-func (s *Server) closeUnfinishedHeaders() {
+// giveUpHeaders ends the wait for headers of which a part has been read.
+func (s *Server) giveUpHeaders() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.isInHeader() {
-			_ = c.Close()
-		}
+		c.giveUpHeader()
 	}
 }
 
