A unit that ends by itself leaves a line in the log

What operators could see: nothing. A unit whose Run returned nil, or a cancellation of its own, was gone while the process went on.

Cause: the errgroup of the units takes both for an orderly end.

Evidence: TestAUnitThatEndsByItselfIsLogged failed before.

Change: the kernel logs it, with the unit's name. It doesn't stop the process.

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -119,7 +119,7 @@
 	group, groupCtx := errgroup.WithContext(runCtx)
 	for _, u := range units {
 		if r, ok := u.(Runner); ok {
-			group.Go(func() error { return ignoreCanceled(r.Run(groupCtx)) })
+			group.Go(func() error { return runUnit(groupCtx, u, r) })
 		}
 	}
 	var drainErr error
@@ -135,6 +135,15 @@
 	return errors.Join(err, drainErr)
 }
 
+// runUnit runs a unit until ctx ends. One that ends before without an error doesn't stop the process.
+func runUnit(ctx context.Context, u Unit, r Runner) error {
+	err := r.Run(ctx)
+	if ctx.Err() == nil && ignoreCanceled(err) == nil {
+		log.WithError(err).WithField("unit", u.Name()).Error("unit ended by itself")
+	}
+	return ignoreCanceled(err)
+}
+
 // awaitSignalAndDrain waits for a signal and then drains all units. It returns at once if ctx ends
 // before a signal arrives.
 func awaitSignalAndDrain(ctx context.Context, opt Options, units []Unit) error {
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 )
 
@@ -81,3 +83,35 @@
 	assert.ErrorContains(t, err, "port taken")
 	assert.DeepEqual(t, events, []string{"provision a", "provision b", "close a"})
 }
+
+// endingUnit is a unit whose Run returns at once.
+type endingUnit struct{ err error }
+
+func (endingUnit) Name() string { return "ending" }
+
+func (u endingUnit) Run(context.Context) error { return u.err }
+
+// Guards against a unit that ends by itself without a trace while the process goes on.
+func TestAUnitThatEndsByItselfIsLogged(t *testing.T) {
+	entries := memory.New()
+	before := log.Log.(*log.Logger).Handler
+	log.SetHandler(entries)
+	defer log.SetHandler(before)
+	for _, err := range []error{nil, context.Canceled} {
+		synctest.Test(t, func(t *testing.T) {
+			var events []string
+			signals := make(chan os.Signal, 1)
+			time.AfterFunc(time.Second, func() { signals <- syscall.SIGTERM })
+			u := &unit{name: "a", events: &events}
+			assert.NilError(t, Run(t.Context(), Options{DrainTimeout: time.Second, Signals: signals}, u, endingUnit{err}))
+		})
+	}
+	ended := 0
+	for _, e := range entries.Entries {
+		if e.Message == "unit ended by itself" && e.Fields["unit"] == "ending" {
+			ended++
+		}
+		assert.Assert(t, e.Fields["unit"] != "a", "a unit that ends with the process: %s", e.Message)
+	}
+	assert.Equal(t, ended, 2)
+}
