A fault of a handler of fescue-entry is refused, logged and counted

What callers saw: a request whose handler failed got neither an answer nor a refusal; net/http reported it to standard error only.

Cause: the callers' server had no guard.

Change: with httpserver, whose refusal is a JSON one with 6999 and run=unknown. Events of the servers stand in the metrics (servers).

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -4,18 +4,20 @@
 	"encoding/json"
 
 	"fescuestand/internal/entry/dispatch"
+	"fescuestand/internal/httpserver"
 	"fescuestand/internal/policy/route"
 )
 
 // Metrics are the figures of one entry that are published by expvar.
 type Metrics struct {
-	Requests  int                        `json:"requests"` // in progress
-	Results   map[string]uint64          `json:"results"`  // counts by code/run since the start
-	Pools     map[string]dispatch.Totals `json:"pools"`
-	Queued    map[string]dispatch.Queued `json:"queued"`
-	Streams   dispatch.StreamCounts      `json:"streams"`
-	Commits   CommitMetrics              `json:"commits"`
-	Endpoints []route.EndpointStats      `json:"endpoints"`
+	Requests  int                          `json:"requests"` // in progress
+	Results   map[string]uint64            `json:"results"`  // counts by code/run since the start
+	Pools     map[string]dispatch.Totals   `json:"pools"`
+	Queued    map[string]dispatch.Queued   `json:"queued"`
+	Streams   dispatch.StreamCounts        `json:"streams"`
+	Commits   CommitMetrics                `json:"commits"`
+	Endpoints []route.EndpointStats        `json:"endpoints"`
+	Servers   map[string]httpserver.Counts `json:"servers"` // events of connections and handlers
 }
 
 // CommitMetrics is the state of the commits and of their table.
@@ -35,6 +37,7 @@
 		Commits: CommitMetrics{
 			Pending: u.commits.Pending(), Keys: u.commitTable.Len(), Offset: offset, Ready: u.commitTable.Ready(),
 		},
+		Servers:   map[string]httpserver.Counts{"callers": u.server.Counts(), "forwarded": u.forwarded.Counts()},
 		Endpoints: u.fleet.Router().Snapshot(u.opts.Clock.Now()).Endpoints,
 	}
 }
