The status server refuses a request whose report fails, and answers a ready check itself

What operators saw: a fault in a report ended the request without an answer; the answer to a check of a ready process was the one that net/http sends for a handler that does nothing; an empty burn report was a success.

Evidence: TestAFaultOfAReportIsRefused failed before (EOF).

Change: httpserver serves the status address.

--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -11,6 +11,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"fescuestand/internal/httpserver"
 )
 
 // Paths of the status endpoint.
@@ -84,7 +86,7 @@
 	source Source
 	burn   BurnSource
 	ln     net.Listener
-	http   *http.Server
+	http   *httpserver.Server
 }
 
 // NewServer returns a server that listens on addr. If burn is nil, PathBurn answers 404.
@@ -95,7 +97,10 @@
 // Name implements kernel.Unit.
 func (s *Server) Name() string { return "status" }
 
-const httpTimeout = 5 * time.Second
+const (
+	httpTimeout = 5 * time.Second
+	idleTimeout = time.Minute
+)
 
 // Provision implements kernel.Provisioner.
 func (s *Server) Provision(ctx context.Context) error {
@@ -105,7 +110,8 @@
 		return err
 	}
 	s.ln = ln
-	s.http = &http.Server{Handler: s.routes(), ReadTimeout: httpTimeout, WriteTimeout: httpTimeout}
+	base := &http.Server{ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: idleTimeout}
+	s.http = httpserver.New(s.routes(), base, httpserver.Options{Name: s.Name()})
 	return nil
 }
 
@@ -122,10 +128,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
-	if err := s.http.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return s.http.Serve(s.ln)
 }
 
 // Close implements kernel.Closer.
@@ -139,15 +142,22 @@
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if r := s.source(); !r.Ready || r.Leaving {
 		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
+	w.WriteHeader(http.StatusOK)
 }
 
+var errNoReport = errors.New("there is no report")
+
 func (s *Server) serveBurn(w http.ResponseWriter, _ *http.Request) {
 	if s.burn == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	b, err := s.burn()
+	if err == nil && len(b) == 0 {
+		err = errNoReport
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
