A VM that drains tells its peers which forwarded requests it doesn't handle

What callers saw: a request that was forwarded to a VM as it ended got a refusal that it may have run (run=unknown), though nobody had read it.

Cause: the links were closed with whatever had arrived on them.

Evidence: TestDrainTellsWhichForwardedRequestsAreNotHandled failed before, with the end of the server's context in the place of the drain (run=unknown, unexpected EOF).

Streams that arrive meanwhile are reset, and a reset before the first frame means that the request hasn't run: it is sent to another peer.

--- a/internal/entry/forward/front.go
+++ b/internal/entry/forward/front.go
@@ -125,6 +125,9 @@
 	}
 	defer func() { _ = frames.Close() }()
 	first, err := frames.Next()
+	if err != nil && code.Of(err).Run == code.NotRun {
+		return false, err
+	}
 	if err != nil {
 		return true, code.Wrap(code.PeerGone, err, "the peer that took the request is gone").WithRun(code.Unknown)
 	}
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -209,7 +209,8 @@
 
 // Drain implements kernel.Drainer. It announces that the VM leaves, keeps the addresses open for
 // drainLinger while new requests are forwarded to peers, closes the connections on which no request has
-// been read, and returns when all streams and commits have ended.
+// been read, and returns when all streams and commits have ended. Its peers are told last, as they may
+// forward requests until then.
 func (u *Unit) Drain(ctx context.Context) error {
 	u.leaving.Store(true)
 	u.opts.Replica.SetLeaving()
@@ -232,6 +233,9 @@
 			return ctx.Err()
 		}
 	}
+	if err := u.peers.Drain(ctx); err != nil {
+		return err
+	}
 	log.Info("drain finished: no requests in progress")
 	return nil
 }
--- /dev/null
+++ b/internal/peer/drain_test.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/code"
+	"fescuestand/internal/wire"
+)
+
+// heldListener accepts connections whose next read that receives data can be held back.
+type heldListener struct {
+	net.Listener
+	mu              sync.Mutex
+	armed           bool
+	reached, opened chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{c, l}, nil
+}
+
+func (l *heldListener) arm() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.armed = true
+}
+
+func (l *heldListener) pass() {
+	l.mu.Lock()
+	armed := l.armed
+	l.armed = false
+	l.mu.Unlock()
+	if armed {
+		close(l.reached)
+		<-l.opened
+	}
+}
+
+type heldConn struct {
+	net.Conn
+	l *heldListener
+}
+
+func (c *heldConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.l.pass()
+	}
+	return n, err
+}
+
+// holdTime is how long a request is held back beside a drain.
+const holdTime = 100 * time.Millisecond
+
+// Guards against a drain that closes a link on which a forwarded request has arrived, so that its outcome counts as unknown.
+func TestDrainTellsWhichForwardedRequestsAreNotHandled(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	held := &heldListener{Listener: ln, reached: make(chan struct{}), opened: make(chan struct{})}
+	ctx, cancel := context.WithCancel(t.Context())
+	s := NewServer(hello("server"), &echoHandler{})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ctx, held) }()
+	p := NewPool(hello("client"))
+	defer func() { _ = p.Close() }()
+	_, err = p.Call(t.Context(), ln.Addr().String(), &wire.PeerRequest{})
+	assert.NilError(t, err)
+
+	held.arm()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		<-held.reached
+		time.AfterFunc(holdTime, func() { close(held.opened) })
+		assert.Check(t, s.Drain(t.Context()))
+		cancel()
+	}()
+	frames, err := p.Forward(t.Context(), ln.Addr().String(), &wire.Forward{Path: "/x"})
+	if err == nil {
+		_, err = frames.Next()
+		assert.NilError(t, frames.Close())
+	}
+	assert.Assert(t, err != nil)
+	assert.Equal(t, code.Of(err).Run, code.NotRun, "%v", err)
+	<-ended
+	_, err = p.Forward(t.Context(), ln.Addr().String(), &wire.Forward{Path: "/x"})
+	assert.Equal(t, code.Of(err).Run, code.NotRun, "%v", err)
+	assert.NilError(t, <-served)
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -68,20 +68,32 @@
 type Frames struct {
 	stream *yamux.Stream
 	stop   func() bool
+	begun  bool // a frame has been read
 }
 
-// Next returns the next frame. If the stream is closed instead, it returns io.ErrUnexpectedEOF.
+// Next returns the next frame. If the stream is closed instead, it returns io.ErrUnexpectedEOF, or an
+// error that says that the request hasn't run if the peer hasn't taken it.
 func (f *Frames) Next() (*wire.ForwardFrame, error) {
 	var frame wire.ForwardFrame
 	if err := readMessage(f.stream, &frame); err != nil {
+		if !f.begun && errors.Is(err, yamux.ErrConnectionReset) {
+			return nil, notTaken(err)
+		}
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF // a complete answer ends with an End frame
 		}
 		return nil, err
 	}
+	f.begun = true
 	return &frame, nil
 }
 
+// notTaken returns the error for a stream that the peer has reset before its first frame: it resets only
+// streams that it doesn't accept.
+func notTaken(err error) error {
+	return code.Wrap(code.PeerGone, err, "the peer takes no further requests").WithRun(code.NotRun)
+}
+
 // Close closes the stream, which cancels the call at the peer if it still runs.
 func (f *Frames) Close() error {
 	f.stop()
@@ -97,6 +109,9 @@
 	req := &wire.PeerRequest{Kind: &wire.PeerRequest_Forward{Forward: fwd}}
 	if err := writeMessage(stream, req); err != nil {
 		_ = stream.Close()
+		if errors.Is(err, yamux.ErrConnectionReset) {
+			return nil, notTaken(err)
+		}
 		return nil, code.Wrap(code.PeerGone, err, "forward to %s", addr).WithRun(code.Unknown)
 	}
 	return &Frames{stream: stream, stop: closeWhenDone(ctx, stream)}, nil
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -30,16 +30,29 @@
 	hello   *wire.Hello
 	handler Handler
 	wg      sync.WaitGroup
+
+	mu       sync.Mutex
+	ln       net.Listener
+	sessions map[*yamux.Session]struct{}
+	streams  int // that are open
+	draining bool
 }
 
 // NewServer returns a server that introduces itself with hello.
 func NewServer(hello *wire.Hello, h Handler) *Server {
-	return &Server{hello: hello, handler: h}
+	return &Server{hello: hello, handler: h, sessions: map[*yamux.Session]struct{}{}}
 }
 
 // Serve accepts sessions on ln until ctx ends. It then closes ln and all sessions, and waits for
 // their handlers.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	s.mu.Lock()
+	s.ln = ln
+	draining := s.draining
+	s.mu.Unlock()
+	if draining {
+		return ln.Close()
+	}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	defer s.wg.Wait()
@@ -68,6 +81,7 @@
 		return
 	}
 	defer func() { _ = session.Close() }()
+	defer s.track(session)()
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
 	sessionCtx, cancel := context.WithCancel(ctx)
@@ -84,7 +98,9 @@
 			_ = stream.Close()
 			continue
 		}
+		s.countStream(1)
 		s.wg.Go(func() {
+			defer s.countStream(-1)
 			defer func() { <-slots }()
 			s.serveStream(sessionCtx, from, stream)
 		})
