A fault in the handling of a peer's request doesn't end the VM

What callers could see: all streams of a VM cut, as a panic in a handler of peers' requests ended the process.

Evidence: TestAFaultOfAHandlerEndsOnlyItsRequest failed before (the test process ended with the panic).

Change: the stream is closed without an answer, which the peer takes for an unknown outcome, and the fault is logged with its stack.

--- a/internal/peer/drain_test.go
+++ b/internal/peer/drain_test.go
@@ -97,3 +97,37 @@
 	assert.Equal(t, code.Of(err).Run, code.NotRun, "%v", err)
 	assert.NilError(t, <-served)
 }
+
+// faultyHandler fails on each request.
+type faultyHandler struct{}
+
+func (faultyHandler) Handle(context.Context, *wire.Hello, *wire.PeerRequest) *wire.PeerResponse {
+	panic("fault")
+}
+
+func (faultyHandler) Forward(context.Context, *wire.Hello, *wire.Forward, func(*wire.ForwardFrame) error) error {
+	panic("fault")
+}
+
+// Guards against a fault of a handler that ends the process, and against one that counts as an empty answer.
+func TestAFaultOfAHandlerEndsOnlyItsRequest(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- NewServer(hello("server"), faultyHandler{}).Serve(ctx, ln) }()
+	p := NewPool(hello("client"))
+	defer func() { _ = p.Close() }()
+	for range 2 {
+		_, err = p.Call(t.Context(), ln.Addr().String(), &wire.PeerRequest{})
+		assert.Equal(t, code.Of(err).Code, code.PeerGone)
+		frames, err := p.Forward(t.Context(), ln.Addr().String(), &wire.Forward{Path: "/x"})
+		assert.NilError(t, err)
+		_, err = frames.Next()
+		assert.Assert(t, err != nil)
+		assert.Equal(t, code.Of(err).Run, code.Unknown)
+		assert.NilError(t, frames.Close())
+	}
+	cancel()
+	assert.NilError(t, <-served)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 
 	"github.com/apex/log"
@@ -109,6 +110,7 @@
 
 func (s *Server) serveStream(ctx context.Context, from *wire.Hello, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
+	defer logFault(from)
 	var req wire.PeerRequest
 	if err := readMessage(stream, &req); err != nil {
 		return
@@ -127,6 +129,20 @@
 	}
 }
 
+// maxStackBytes bounds the stack in a log line.
+const maxStackBytes = 4 << 10
+
+// logFault is deferred around a handler. The stream of a handler that fails is closed without an answer.
+func logFault(from *wire.Hello) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	stack := debug.Stack()
+	log.WithField("peer", from.GetVm()).WithField("fault", fault).
+		WithField("stack", string(stack[:min(len(stack), maxStackBytes)])).Error("handler of a peer's request failed")
+}
+
 // watchPeer cancels a forwarded call when the peer closes its side of the stream, which it does
 // when its caller has disconnected.
 func watchPeer(stream *yamux.Stream, cancel context.CancelFunc) {
