--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime/debug"
 	"sync"
 
 	"github.com/apex/log"
@@ -30,16 +31,29 @@
 	hello   *wire.Hello
 	handler Handler
 	wg      sync.WaitGroup
+
+	mu       sync.Mutex
+	ln       net.Listener
+	sessions map[*yamux.Session]struct{}
+	streams  int // that are open
+	draining bool
 }
 
 // NewServer returns a server that introduces itself with hello.
 func NewServer(hello *wire.Hello, h Handler) *Server {
-	return &Server{hello: hello, handler: h}
+	return &Server{hello: hello, handler: h, sessions: map[*yamux.Session]struct{}{}}
 }
 
 // Serve accepts sessions on ln until ctx ends. It then closes ln and all sessions, and waits for
 // their handlers.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	s.mu.Lock()
+	s.ln = ln
+	draining := s.draining
+	s.mu.Unlock()
+	if draining {
+		return ln.Close()
+	}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	defer s.wg.Wait()
@@ -68,6 +82,7 @@
 		return
 	}
 	defer func() { _ = session.Close() }()
+	defer s.track(session)()
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
 	defer stop()
 	sessionCtx, cancel := context.WithCancel(ctx)
@@ -84,7 +99,9 @@
 			_ = stream.Close()
 			continue
 		}
+		s.countStream(1)
 		s.wg.Go(func() {
+			defer s.countStream(-1)
 			defer func() { <-slots }()
 			s.serveStream(sessionCtx, from, stream)
 		})
@@ -93,6 +110,7 @@
 
 func (s *Server) serveStream(ctx context.Context, from *wire.Hello, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
+	defer logFault(from)
 	var req wire.PeerRequest
 	if err := readMessage(stream, &req); err != nil {
 		return
@@ -111,6 +129,20 @@
 	}
 }
 
+// maxStackBytes bounds the stack in a log line.
+const maxStackBytes = 4 << 10
+
+// logFault is deferred around a handler. The stream of a handler that fails is closed without an answer.
+func logFault(from *wire.Hello) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	stack := debug.Stack()
+	log.WithField("peer", from.GetVm()).WithField("fault", fault).
+		WithField("stack", string(stack[:min(len(stack), maxStackBytes)])).Error("handler of a peer's request failed")
+}
+
 // watchPeer cancels a forwarded call when the peer closes its side of the stream, which it does
 // when its caller has disconnected.
 func watchPeer(stream *yamux.Stream, cancel context.CancelFunc) {
