A body with invalid framing is refused as such

What callers saw: a body with an invalid chunk was refused with 408 slow-sender, which has callers send the same bytes again.

Cause: every error of a body but its size counted as a body that didn't arrive.

Change: an error that is neither an early end nor one of the network is refused with 400 and 1015. The connection is closed, nothing is run.

Evidence: TestInvalidFramingIsRefused failed before in the cases "chunk length" and "chunk end" (408 instead of 400); its six other cases passed before.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -221,8 +222,16 @@
 	switch {
 	case errors.As(err, &large):
 		return nil, refuse(code.BodyTooLarge, "the body is longer than the limit")
+	case err != nil && isInvalidFraming(err):
+		return nil, refuse(code.BadField, "the framing of the body is invalid")
 	case err != nil:
 		return nil, refuse(code.SlowSender, "the body didn't arrive whole")
 	}
 	return body, nil
 }
+
+// isInvalidFraming reports whether a body couldn't be read for what the caller has sent, not for what it hasn't.
+func isInvalidFraming(err error) bool {
+	var network net.Error
+	return !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) && !errors.As(err, &network)
+}
