--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -106,7 +106,7 @@
 
 // serve starts an endpoint that answers each request as handle writes it. The
 // connection is closed when handle returns false.
-func serve(t *testing.T, handle func(b *backend, n int, r *http.Request, c net.Conn) bool) *backend {
+func serve(t testing.TB, handle func(b *backend, n int, r *http.Request, c net.Conn) bool) *backend {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -209,7 +209,7 @@
 	return origin.Origin{Service: cmp.Or(o.origin.Service, service), Version: o.origin.Version}, o.found
 }
 
-func newTestGateway(t *testing.T) *testGateway {
+func newTestGateway(t testing.TB) *testGateway {
 	t.Helper()
 	w := &testGateway{store: catalog.NewStore(clock.Boot{}), crashes: crash.New(), origins: &testOrigins{found: originsync.Only}}
 	w.budget = repeat.New(repeat.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
