The pool of connections to endpoints dials through a field

So that a test can give it a simulated network. exchange.Pool.Dialer is a stall.Dialer, an interface that net.Dialer satisfies; NewPool sets the one for TCP with keep-alive probes and TCP_USER_TIMEOUT as before, so programs behave as before. Whether an idle connection can be reused is asked of the socket as before, or, where a connection has none, of its method Quiet; a connection with neither was and is not reused.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -48,10 +48,22 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
+	switch nc := c.Conn.(type) {
+	case syscall.Conn:
+		return isQuiet(nc)
+	case quieter:
+		return nc.Quiet()
 	}
+	return false
+}
+
+// quieter is a connection without a socket that knows whether nothing has arrived on it.
+type quieter interface {
+	Quiet() bool
+}
+
+// isQuiet reports whether nothing has arrived on a socket: neither data nor the peer's end.
+func isQuiet(sc syscall.Conn) bool {
 	raw, err := sc.SyscallConn()
 	if err != nil {
 		return false
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -100,8 +100,8 @@
 type Pool struct {
 	// Observer is nil if nothing observes the pool. It is set before the first use.
 	Observer Observer
-
-	dialer net.Dialer
+	// Dialer opens the connections. NewPool sets one for TCP; another one is set before the first use.
+	Dialer stall.Dialer
 
 	mu      sync.Mutex
 	idle    map[string][]*conn
@@ -124,12 +124,15 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	p := &Pool{idle: map[string][]*conn{}}
-	p.dialer = net.Dialer{
+	return &Pool{idle: map[string][]*conn{}, Dialer: newTCPDialer()}
+}
+
+// newTCPDialer returns a dialer whose connections detect dead peers.
+func newTCPDialer() *net.Dialer {
+	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2},
 		Control:         setUserTimeout,
 	}
-	return p
 }
 
 // Stats returns the counters.
@@ -218,7 +221,7 @@
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	p.count(func(s *Stats) { s.Dials++ })
-	c, err := stall.DialContext(ctx, &p.dialer, dialTimeout, "tcp4", addr)
+	c, err := stall.DialContext(ctx, p.Dialer, dialTimeout, "tcp4", addr)
 	if p.Observer != nil && (err == nil || ctx.Err() == nil) {
 		p.Observer.Dialed(addr, err == nil)
 	}
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -87,8 +87,13 @@
 	}
 }
 
+// Dialer connects to an address, as net.Dialer does.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // DialContext connects to an address as d does, within timeout.
-func DialContext(ctx context.Context, d *net.Dialer, timeout time.Duration, network, address string) (net.Conn, error) {
+func DialContext(ctx context.Context, d Dialer, timeout time.Duration, network, address string) (net.Conn, error) {
 	ctx, cancel := WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := d.DialContext(ctx, network, address)
