--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -70,7 +70,7 @@
 			return n, nil
 		}
 	case gaveUp:
-		_ = c.Conn.Close()
+		_ = c.Close()
 	}
 	return 0, err
 }
