A fault beside a request's handler doesn't end the process

What callers would see: a panic in a goroutine that secures a replacement, or that looks after an endpoint or a KV cache, ends the process and all requests.

Cause: net/http recovers only the handler's own goroutine.

Change: the fault is logged with the request's id and stack, and counted; the exchange that was to be replaced goes on.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -159,7 +159,8 @@
 	x.g.o.Planner.End(x.now(), a.ticket, placementOutcome(r))
 	switch {
 	case r.outcome == replaced, a.left.Load(), r.outcome == gone && a.silent:
-		go x.verifyLeft(context.WithoutCancel(x.callCtx), a, x.now())
+		ctx, now := context.WithoutCancel(x.callCtx), x.now()
+		x.inBackground(func() { x.verifyLeft(ctx, a, now) })
 	case r.mayBeCrash():
 		x.reportCrash(a, x.now())
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -100,7 +100,8 @@
 		return result{outcome: lost, code: code.EndpointCut, err: driver.ErrConnectionLost}
 	}
 	if life == exchange.Unknown {
-		go x.verifyLater(context.WithoutCancel(x.callCtx), a, endedAt)
+		ctx := context.WithoutCancel(x.callCtx)
+		x.inBackground(func() { x.verifyLater(ctx, a, endedAt) })
 	}
 	return result{outcome: answered}
 }
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -95,7 +95,7 @@
 		return
 	}
 	defer close(r.done)
-	r.next, r.taken = g.replace()
+	g.secure(r)
 	end()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -108,6 +108,12 @@
 	}
 }
 
+// secure secures a replacement. A fault meanwhile leaves the exchange as it is.
+func (g *guard[T]) secure(r *replacement[T]) {
+	defer g.x.containFault()
+	r.next, r.taken = g.replace()
+}
+
 // beginReplacement returns a new replacement and a function that ends it, until which the execution's
 // context is that of the replacement. It returns nil if the execution doesn't wait for the exchange, or if
 // a replacement is pending: a timer that expired before it was reset may begin one as well.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -31,6 +31,7 @@
 	codes        map[code.Code]int64
 	latency      map[string][]int64 // by route; the last bucket counts longer times
 	replacements map[string]int64
+	faults       int64
 }
 
 func newMetrics() *Metrics {
@@ -43,6 +44,12 @@
 	m.replacements[result]++
 }
 
+func (m *Metrics) countFault() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults++
+}
+
 func (m *Metrics) count(c code.Code) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -82,13 +89,14 @@
 	BucketsMS    []int64
 	LatencyMS    map[string][]int64
 	Replacements map[string]int64
+	Faults       int64 // of work beside requests
 }
 
 // Snapshot copies the counters.
 func (m *Metrics) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements)}
+	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Faults: m.faults}
 	for k, v := range m.outcomes {
 		s.Outcomes[k] = v
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,7 +59,7 @@
 	}
 	plan.Prefill = kv.Holder
 	if !x.mayRunAgain() { // a replacement has run and was lost
-		go x.g.releaseKVCache(*kv)
+		x.inBackground(func() { x.g.releaseKVCache(*kv) })
 		return nil, result{outcome: lost, code: code.EndpointCut}
 	}
 	return x.decode(kv, prompt, &plan)
@@ -87,7 +87,7 @@
 		}
 	}
 	if r.outcome == notRun || r.outcome == notSent || r.outcome == gone || r.outcome == refused {
-		go x.g.releaseKVCache(*kv)
+		x.inBackground(func() { x.g.releaseKVCache(*kv) })
 	}
 	return nil, r
 }
@@ -151,7 +151,7 @@
 // releaseUnused releases the KV cache of a prefill that was answered after another engine had replaced it.
 func (x *execution) releaseUnused(a *attempt) {
 	if handle, err := x.g.o.Codec.ParseHandoff(a.body); err == nil && a.bodyErr == nil && handle != "" {
-		go x.g.releaseKVCache(Handoff{a.request.Endpoint, handle})
+		x.inBackground(func() { x.g.releaseKVCache(Handoff{a.request.Endpoint, handle}) })
 	}
 }
 
