An answer of an endpoint, log or list without content isn't one of zeros

What callers could see: with {} or null and 200, an append counted as written at offset 0, a VM list as empty, an engine as idle and without models, a KV cache without id as handed over. An answer of a service whose end shows only by the end of its connection counted as whole when it broke off.

Cause: absent fields of JSON decode as zeros, and net/http takes the end of such a connection for the end of the body.

Not seen in a record; found by reading.

Change: an answer must have the fields of its protocol, and its end must show.

--- a/internal/driver/httpdriver/client.go
+++ b/internal/driver/httpdriver/client.go
@@ -147,26 +147,48 @@
 // read reads the whole body of the answer and closes it.
 func read(resp *http.Response) ([]byte, error) {
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	switch {
+	case err != nil:
 		return nil, fmt.Errorf("%w: %w", driver.ErrConnectionLost, err)
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		return nil, fmt.Errorf("%w: the end of the answer doesn't show", driver.ErrConnectionLost)
+	case len(b) > maxAnswerBytes:
+		return nil, fmt.Errorf("%w: longer than %d bytes", driver.ErrBadAnswer, maxAnswerBytes)
 	}
 	return b, nil
 }
 
-// decode reads the answer's body and unmarshals its JSON into v.
-func decode(resp *http.Response, v any) error {
+// decode reads the answer's body and unmarshals its JSON, which has the given fields, into v. Without them
+// it isn't an answer of zeros.
+func decode(resp *http.Response, v any, fields ...string) error {
 	b, err := read(resp)
 	if err != nil {
 		return err
 	}
+	if err := checkPresent(b, fields); err != nil {
+		return err
+	}
 	if err := json.Unmarshal(b, v); err != nil {
 		return fmt.Errorf("%w: %w", driver.ErrBadAnswer, err)
 	}
 	return nil
 }
 
-func (c *client) get(ctx context.Context, path string, query url.Values, v any) error {
+func checkPresent(body []byte, fields []string) error {
+	var present map[string]json.RawMessage
+	if err := json.Unmarshal(body, &present); err != nil {
+		return fmt.Errorf("%w: %w", driver.ErrBadAnswer, err)
+	}
+	for _, f := range fields {
+		if _, ok := present[f]; !ok {
+			return fmt.Errorf("%w: %q is missing", driver.ErrBadAnswer, f)
+		}
+	}
+	return nil
+}
+
+func (c *client) get(ctx context.Context, path string, query url.Values, v any, fields ...string) error {
 	if len(query) > 0 {
 		path += "?" + query.Encode()
 	}
@@ -174,10 +196,10 @@
 	if err != nil {
 		return err
 	}
-	return decode(resp, v)
+	return decode(resp, v, fields...)
 }
 
-func (c *client) post(ctx context.Context, path string, body, v any) (*http.Response, error) {
+func (c *client) post(ctx context.Context, path string, body, v any, fields ...string) (*http.Response, error) {
 	b, err := json.Marshal(body)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
@@ -189,5 +211,5 @@
 	if v == nil {
 		return resp, nil
 	}
-	return resp, decode(resp, v)
+	return resp, decode(resp, v, fields...)
 }
--- a/internal/driver/httpdriver/engine.go
+++ b/internal/driver/httpdriver/engine.go
@@ -17,7 +17,7 @@
 // State implements driver.Engine.
 func (e *engine) State(ctx context.Context) (driver.EngineState, error) {
 	var s driver.EngineState
-	err := e.get(ctx, httpapi.PathState, nil, &s)
+	err := e.get(ctx, httpapi.PathState, nil, &s, "incarnation")
 	return s, err
 }
 
@@ -28,7 +28,7 @@
 
 func (c *client) report(ctx context.Context) (driver.LoadReport, error) {
 	var r httpapi.Report
-	err := c.get(ctx, httpapi.PathReport, nil, &r)
+	err := c.get(ctx, httpapi.PathReport, nil, &r, "running")
 	return r.LoadReport(), err
 }
 
@@ -36,14 +36,14 @@
 func (e *engine) CacheEvents(ctx context.Context, after uint64) ([]driver.CacheEvent, error) {
 	var ev httpapi.CacheEvents
 	q := url.Values{"after": {strconv.FormatUint(after, 10)}}
-	err := e.get(ctx, httpapi.PathCacheEvents, q, &ev)
+	err := e.get(ctx, httpapi.PathCacheEvents, q, &ev, "events")
 	return ev.Events, err
 }
 
 // Prefill implements driver.Engine.
 func (e *engine) Prefill(ctx context.Context, req *driver.GenerateRequest) (driver.KVHandle, error) {
 	var h driver.KVHandle
-	resp, err := e.post(ctx, httpapi.PathPrefill, generateBody(req), &h)
+	resp, err := e.post(ctx, httpapi.PathPrefill, generateBody(req), &h, "id")
 	if err != nil {
 		return driver.KVHandle{}, err
 	}
@@ -72,7 +72,7 @@
 // Export implements driver.Engine.
 func (e *engine) Export(ctx context.Context, attempt string) (driver.KVHandle, error) {
 	var h driver.KVHandle
-	_, err := e.post(ctx, httpapi.PathExport, httpapi.Export{Attempt: attempt}, &h)
+	_, err := e.post(ctx, httpapi.PathExport, httpapi.Export{Attempt: attempt}, &h, "id")
 	return h, err
 }
 
--- a/internal/driver/httpdriver/platform.go
+++ b/internal/driver/httpdriver/platform.go
@@ -23,7 +23,7 @@
 		return 0, err
 	}
 	var a httpapi.Appended
-	err = decode(resp, &a)
+	err = decode(resp, &a, "offset")
 	return a.Offset, err
 }
 
@@ -35,7 +35,7 @@
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var p httpapi.Page
-	err := l.get(ctx, httpapi.PathStreams+url.PathEscape(stream), q, &p)
+	err := l.get(ctx, httpapi.PathStreams+url.PathEscape(stream), q, &p, "end")
 	var expired *expiredError
 	if errors.As(err, &expired) {
 		return driver.Page{First: expired.first, End: expired.end}, err
@@ -57,7 +57,7 @@
 // List implements driver.VMList.
 func (l *vmList) List(ctx context.Context) ([]driver.VM, error) {
 	var body httpapi.VMs
-	if err := l.get(ctx, httpapi.PathVMs, nil, &body); err != nil {
+	if err := l.get(ctx, httpapi.PathVMs, nil, &body, "vms"); err != nil {
 		return nil, err
 	}
 	vms := make([]driver.VM, len(body.VMs))
@@ -74,13 +74,13 @@
 // Size implements driver.WeightStore.
 func (w *weightStore) Size(ctx context.Context, model, version string) (int64, error) {
 	var s httpapi.Size
-	err := w.get(ctx, httpapi.PathSize, url.Values{"model": {model}, "version": {version}}, &s)
+	err := w.get(ctx, httpapi.PathSize, url.Values{"model": {model}, "version": {version}}, &s, "bytes")
 	return s.Bytes, err
 }
 
 // Rate implements driver.WeightStore.
 func (w *weightStore) Rate(ctx context.Context) (int64, error) {
 	var r httpapi.Rate
-	err := w.get(ctx, httpapi.PathRate, nil, &r)
+	err := w.get(ctx, httpapi.PathRate, nil, &r, "bytes_per_second")
 	return r.BytesPerSecond, err
 }
