--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -55,7 +55,7 @@
 // vmPackages lists the packages under internal whose log messages fescue-node writes.
 var vmPackages = []string{
 	"vm", "era", "gateway", "gossip", "catalog", "configsync", "cachesync", "authority", "keyedlog", "orders", "exchange",
-	"eventlog", "kernel", "freshness", "usage", "scaling", "reachability", "originsync",
+	"eventlog", "kernel", "freshness", "usage", "scaling", "reachability", "originsync", "httpserver",
 	"policy/backpressure",
 }
 
