simnet: a delay follows from the moment, and no two segments of a stream arrive at once

Cause: beside an unchanged seed, one connection more changed the delays of all later ones, and a half-close that was sent right behind data arrived at the same moment in half of the cases, so that the scheduler decided what the receiver saw first. A delay is now a hash of the seed, the hosts and the moment, and a segment arrives a microsecond after the one before at the earliest.

--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net"
 	"os"
 	"syscall"
@@ -31,15 +30,15 @@
 
 // Conn is one end of a connection. It implements net.Conn, and CloseWrite, SetLinger as net.TCPConn does.
 type Conn struct {
-	n      *Network
-	h      *Host
-	addr   *net.TCPAddr
-	peer   *Conn
-	jitter *rand.Rand
+	n    *Network
+	h    *Host
+	addr *net.TCPAddr
+	peer *Conn
 
 	// The following fields are guarded by the network's mutex.
 	incoming      []segment // sent by the peer and not read
 	unread        int       // bytes of them
+	newest        time.Time // arrival of the newest segment
 	heldFrom      time.Time // what arrives later is held back; zero if nothing is
 	readDeadline  time.Time
 	writeDeadline time.Time
@@ -172,17 +171,24 @@
 
 // send sends a segment to the peer. The network's mutex is held.
 func (c *Conn) send(s segment) {
-	s.arrival = time.Now().Add(c.n.delay(c.jitter))
+	s.arrival = time.Now().Add(c.delay())
 	c.deliver(s)
 }
 
+func (c *Conn) delay() time.Duration { return c.n.delay(c.h.ip, c.peer.h.ip) }
+
+// segmentGap is the shortest time between two arrivals on a stream, so that what the first one causes has happened
+// before the second one: the bubble's time advances only when all goroutines wait.
+const segmentGap = time.Microsecond
+
 // deliver has a segment arrive at the peer after those sent before, at its arrival time at the earliest. The network's
 // mutex is held.
 func (c *Conn) deliver(s segment) {
 	p := c.peer
-	if k := len(p.incoming); k > 0 && p.incoming[k-1].arrival.After(s.arrival) {
-		s.arrival = p.incoming[k-1].arrival
+	if earliest := p.newest.Add(segmentGap); s.arrival.Before(earliest) {
+		s.arrival = earliest
 	}
+	p.newest = s.arrival
 	if p.heldFrom.IsZero() && (c.h.silent || p.h.silent) {
 		p.heldFrom = time.Now()
 	}
@@ -196,8 +202,8 @@
 	if k := len(c.incoming); k > 0 && c.incoming[k-1].kind == reset {
 		return
 	}
-	there := c.n.delay(c.jitter)
-	c.peer.deliver(segment{kind: reset, arrival: time.Now().Add(there + c.n.delay(c.peer.jitter))})
+	there := c.delay()
+	c.peer.deliver(segment{kind: reset, arrival: time.Now().Add(there + c.peer.delay())})
 }
 
 // CloseWrite ends the stream to the peer. Data can still be read.
@@ -257,7 +263,7 @@
 		c.send(segment{kind: reset})
 	case len(c.incoming) > 0 && c.incoming[0].kind == data:
 		c.endWrites()
-		c.deliver(segment{kind: reset, arrival: c.incoming[0].arrival.Add(c.n.delay(c.jitter))})
+		c.deliver(segment{kind: reset, arrival: c.incoming[0].arrival.Add(c.delay())})
 	default:
 		c.endWrites()
 	}
@@ -283,12 +289,14 @@
 	if c.heldFrom.IsZero() || c.h.silent || c.peer.h.silent {
 		return
 	}
-	earliest := time.Now().Add(c.n.delay(c.peer.jitter))
+	earliest := time.Now().Add(c.peer.delay())
 	for i := range c.incoming {
 		s := &c.incoming[i]
 		if s.arrival.After(c.heldFrom) && s.arrival.Before(earliest) {
 			s.arrival = earliest
+			earliest = earliest.Add(segmentGap)
 		}
+		c.newest = s.arrival
 	}
 	c.heldFrom = time.Time{}
 	c.signal()
--- a/internal/simnet/network.go
+++ b/internal/simnet/network.go
@@ -5,18 +5,18 @@
 // waits on channels and timers, so that the bubble's time advances as soon as all goroutines wait: what is measured
 // doesn't depend on the machine's load.
 //
-// The delays of a connection follow from the network's seed, the hosts and the number of connections between
-// them. Goroutines that run at the same simulated moment are ordered by the scheduler; jitter keeps such moments rare.
+// A delay follows from the network's seed, the hosts and the moment, so that one connection more or less doesn't change
+// those of the others. Goroutines that run at the same simulated moment are ordered by the scheduler; jitter keeps such
+// moments rare.
 //
 // Not simulated: bandwidth, loss, datagrams, a full backlog, keep-alive probes and TCP_USER_TIMEOUT.
 package simnet
 
 import (
 	"context"
-	"math/rand/v2"
+	"fmt"
 	"net"
 	"net/netip"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -42,8 +42,7 @@
 	mu      sync.Mutex // also guards the hosts, listeners and connections
 	closed  bool
 	hosts   map[netip.Addr]*Host
-	changed chan struct{}  // closed and replaced when a host resumes
-	dials   map[string]int // by source host and destination address
+	changed chan struct{} // closed and replaced when a host resumes
 	conns   map[*Conn]struct{}
 }
 
@@ -51,7 +50,7 @@
 func New(o Options) *Network {
 	return &Network{
 		o: o, done: make(chan struct{}), hosts: map[netip.Addr]*Host{}, changed: make(chan struct{}),
-		dials: map[string]int{}, conns: map[*Conn]struct{}{},
+		conns: map[*Conn]struct{}{},
 	}
 }
 
@@ -164,12 +163,11 @@
 }
 
 func (h *Host) dial(ctx context.Context, to netip.AddrPort) (*Conn, error) {
-	jitter := h.n.jitterOf(h, to)
-	if err := h.n.travel(ctx, h, to.Addr(), jitter); err != nil {
+	if err := h.n.travel(ctx, h, to.Addr()); err != nil {
 		return nil, err
 	}
-	c := h.connect(to, jitter)
-	if err := h.n.travel(ctx, h, to.Addr(), jitter); err != nil {
+	c := h.connect(to)
+	if err := h.n.travel(ctx, h, to.Addr()); err != nil {
 		if c != nil {
 			c.Reset()
 		}
@@ -182,7 +180,7 @@
 }
 
 // connect returns a connection to the listener at an address, or nil if there is none.
-func (h *Host) connect(to netip.AddrPort, jitter *rand.Rand) *Conn {
+func (h *Host) connect(to netip.AddrPort) *Conn {
 	h.n.mu.Lock()
 	defer h.n.mu.Unlock()
 	peer := h.n.hosts[to.Addr()]
@@ -193,7 +191,6 @@
 	local, remote := newConn(h), newConn(peer)
 	local.peer, remote.peer = remote, local
 	local.addr, remote.addr = tcpAddr(h.ip, h.port()), l.addr
-	local.jitter, remote.jitter = fork(jitter), fork(jitter)
 	h.n.conns[local], h.n.conns[remote] = struct{}{}, struct{}{}
 	l.backlog = append(l.backlog, remote)
 	l.signal()
@@ -201,8 +198,8 @@
 }
 
 // travel waits for the time that data takes between two hosts.
-func (n *Network) travel(ctx context.Context, from *Host, to netip.Addr, jitter *rand.Rand) error {
-	if err := n.wait(ctx, time.After(n.delay(jitter))); err != nil {
+func (n *Network) travel(ctx context.Context, from *Host, to netip.Addr) error {
+	if err := wait(ctx, n.done, time.After(n.delay(from.ip, to))); err != nil {
 		return err
 	}
 	for {
@@ -219,8 +216,6 @@
 	}
 }
 
-func (n *Network) wait(ctx context.Context, t <-chan time.Time) error { return wait(ctx, n.done, t) }
-
 // wait waits for c. It fails if ctx ends or the network is closed before.
 func wait[T any](ctx context.Context, done <-chan struct{}, c <-chan T) error {
 	select {
@@ -233,23 +228,13 @@
 	}
 }
 
-// jitterOf returns the random numbers of the next connection between a host and an address.
-func (n *Network) jitterOf(from *Host, to netip.AddrPort) *rand.Rand {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	pair := from.ip.String() + " " + to.String()
-	n.dials[pair]++
-	return rand.New(rand.NewPCG(n.o.Seed, xxhash.Sum64String(pair+" "+strconv.Itoa(n.dials[pair]))))
-}
-
-func fork(r *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(r.Uint64(), r.Uint64())) }
-
-// delay returns the time that data takes to another host.
-func (n *Network) delay(jitter *rand.Rand) time.Duration {
+// delay returns the time that data takes which is sent now.
+func (n *Network) delay(from, to netip.Addr) time.Duration {
 	if n.o.Jitter <= 0 {
 		return n.o.Latency
 	}
-	return n.o.Latency + time.Duration(jitter.Int64N(int64(n.o.Jitter)))
+	moment := fmt.Sprint(n.o.Seed, from, to, time.Now().UnixNano())
+	return n.o.Latency + time.Duration(xxhash.Sum64String(moment)%uint64(n.o.Jitter))
 }
 
 func tcpAddr(ip netip.Addr, port uint16) *net.TCPAddr {
