Scenario of crashing prompt parts: several requests at one endpoint are one crash

Cause, from the ledger of one run (11 runs at 8 endpoints): an endpoint ends 5 ms after it begins to run a request, and every further request that began there meanwhile was counted as a crash. The fifth 'crash' came while three of four engines had ended; the four crashes of the second wave, 4.1 s later, then were late sends, and sound requests were counted while the pool was down. The VMs' logs show the part quarantined within 10 ms of the second wave at all VMs, and no later send.

The check now counts endpoints that ended, at the time of the first run at each. It is as strict: maxPartCrashes is defined as a number of endpoints, all bounds are the same, and a third wave fails.

--- a/scenarios/crash_part_test.go
+++ b/scenarios/crash_part_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"fescuestand/platform/standin"
 )
 
@@ -240,11 +242,7 @@
 			requests[r.id] = r
 		}
 	}
-	for _, r := range p.ledger.Runs() {
-		if requests[r.ID] != nil {
-			crashes = append(crashes, r.At)
-		}
-	}
+	crashes = endpointCrashes(p.ledger.Runs(), requests)
 	if len(crashes) < maxPartCrashes {
 		return crashes
 	}
@@ -261,6 +259,21 @@
 	return crashes
 }
 
+// endpointCrashes returns when endpoints began the first run of one of the requests, each of which ends its
+// endpoint. Further requests may have begun to run there until it ended.
+func endpointCrashes(runs []standin.Run, requests map[string]*partRequest) []time.Time {
+	var out []time.Time
+	crashed := map[string]bool{}
+	for _, r := range runs {
+		if requests[r.ID] == nil || crashed[r.Endpoint] {
+			continue
+		}
+		crashed[r.Endpoint] = true
+		out = append(out, r.At)
+	}
+	return out
+}
+
 // checkSound checks that sound requests begin after the crashes as they did before the faults.
 func (p *partRun) checkSound(crashes []time.Time) {
 	settled := p.faultsBegan
@@ -354,3 +367,17 @@
 		})
 	}
 }
+
+// Guards against counting several requests that one endpoint was running when it ended as several crashes.
+func TestRunsAtOneEndpointAreOneCrash(t *testing.T) {
+	began := time.Now()
+	run := func(id, endpoint string, after time.Duration) standin.Run {
+		return standin.Run{ID: id, Endpoint: endpoint, At: began.Add(after)}
+	}
+	requests := map[string]*partRequest{"p1": {}, "p2": {}, "p3": {}}
+	crashes := endpointCrashes([]standin.Run{
+		run("p1", "e1", 0), run("p2", "e1", time.Millisecond), run("sound", "e2", 2*time.Millisecond),
+		run("p1", "e3", 3*time.Millisecond), run("p3", "e3", 4*time.Millisecond), run("p3", "e4", 5*time.Millisecond),
+	}, requests)
+	assert.DeepEqual(t, crashes, []time.Time{began, began.Add(3 * time.Millisecond), began.Add(5 * time.Millisecond)})
+}
