Scenario of crashing prompt parts waits until VMs know the endpoints

VMs accept callers before they know an endpoint; the stand-in store was slow for the first 16 s.

The scenario now waits until each VM has answered a request, and fails clearly after 40 s. No check changes.

--- a/scenarios/crash_part_test.go
+++ b/scenarios/crash_part_test.go
@@ -341,7 +341,7 @@
 			p := &partRun{tc: tc, down: map[*soakVM][]span{}}
 			p.soak = newSoakOf(t, 3, p.engines())
 			s := p.soak
-			s.awaitServing()
+			s.awaitAnswers(tc.path)
 			ctx, stop := context.WithCancel(s.ctx)
 			for i := range partCallers {
 				s.wg.Go(func() { p.call(ctx, i) })
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -102,6 +103,9 @@
 	silent   bool // it keeps its connections open when it is removed, and answers nothing
 }
 
+// knownTimeout bounds the time until all VMs know the endpoints.
+const knownTimeout = 40 * time.Second
+
 // soakDropShare is the share of the new streams that the callers of a soak drop.
 const soakDropShare = 0.05
 
@@ -333,6 +337,56 @@
 	}
 }
 
+// awaitAnswers waits until every VM has answered a request to each path with success: a VM accepts callers
+// before it knows the endpoints.
+func (s *soak) awaitAnswers(paths ...string) {
+	s.awaitServing()
+	ctx, cancel := context.WithTimeout(s.ctx, knownTimeout)
+	defer cancel()
+	for _, v := range s.vms {
+		for _, path := range paths {
+			s.awaitAnswer(ctx, v, path)
+		}
+	}
+}
+
+// awaitAnswer sends requests until the VM has answered one with success.
+func (s *soak) awaitAnswer(ctx context.Context, v *soakVM, path string) {
+	for n := 0; ; n++ {
+		status, err := s.probe(ctx, v, path, fmt.Sprintf("probe-%s-%d", v.name, n))
+		if err == nil && status == http.StatusOK {
+			return
+		}
+		if ctx.Err() != nil {
+			s.t.Fatalf("%s answered no request to %s within %s: status %d, %v", v.name, path, knownTimeout, status, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// probe sends a request to a VM and returns the status of its answer once that has been read.
+func (s *soak) probe(ctx context.Context, v *soakVM, path, id string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.front+path, strings.NewReader(id))
+	if err != nil {
+		return 0, err
+	}
+	req.Host = soakHost
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	if path == pathResumable {
+		req.Header.Set("Token-Count", "300,20")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
 // endpointID returns the id of the n-th endpoint. Soaks run in parallel, and a port that an endpoint of one
 // has left may be used by another: with ids of its own, an endpoint refuses the requests for that one.
 func (s *soak) endpointID(n int) string {
