--- a/internal/gateway/swarm_test.go
+++ b/internal/gateway/swarm_test.go
@@ -388,6 +388,8 @@
 	for i := range uint64(replayedSeeds) {
 		first, _ := runSwarm(t, *swarmFirst+i, true)
 		second, _ := runSwarm(t, *swarmFirst+i, true)
-		assert.Equal(t, sha256.Sum256([]byte(first)), sha256.Sum256([]byte(second)), "%s\n%s", first, second)
+		digest := sha256.Sum256([]byte(first))
+		assert.Equal(t, digest, sha256.Sum256([]byte(second)), "%s\n%s", first, second)
+		t.Logf("seed %d: %x", *swarmFirst+i, digest[:8])
 	}
 }
