--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -18,8 +18,8 @@
 // conn is a connection of a caller. It knows whether a byte of the next request has been read, which net/http
 // doesn't tell before the whole header has been parsed.
 //
-// A connection is told to end by a read deadline in the past: a read has then either received data, or will
-// never receive any.
+// A connection is told to end by a read deadline in the past. Its read then receives what has arrived, or nothing,
+// and its own goroutine serves that or closes the connection.
 type conn struct {
 	net.Conn
 	s      *Server
