One function logs recovered panics

Three packages had the same lines (the bound of the stack, the fields). No behaviour changes. internal/peer, internal/httpserver and internal/gateway pass.

--- a/internal/gateway/fault.go
+++ b/internal/gateway/fault.go
@@ -1,25 +1,18 @@
 package gateway
 
 import (
-	"runtime/debug"
-
 	"github.com/apex/log"
-)
 
-// maxStackBytes bounds the stack in a log line.
-const maxStackBytes = 4 << 10
+	"fescuestand/internal/fault"
+)
 
 // containFault is deferred in work beside that of a request's handler: a fault there would end the process and all
 // its requests.
 func (x *execution) containFault() {
-	fault := recover()
-	if fault == nil {
-		return
+	if f := recover(); f != nil {
+		x.g.metrics.countFault()
+		fault.Log(log.WithField("id", x.call.ID), f, "work beside a request failed")
 	}
-	stack := debug.Stack()
-	x.g.metrics.countFault()
-	log.WithField("id", x.call.ID).WithField("fault", fault).WithField("stack", string(stack[:min(len(stack), maxStackBytes)])).
-		Error("work beside a request failed")
 }
 
 // inBackground runs f in a goroutine of its own.
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -3,17 +3,14 @@
 import (
 	"io"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 
 	"github.com/apex/log"
 
 	"fescuestand/internal/code"
+	"fescuestand/internal/fault"
 )
 
-// maxStackBytes bounds the stack in a log line.
-const maxStackBytes = 4 << 10
-
 // answer is a ResponseWriter that knows whether the handler has given an answer.
 type answer struct {
 	http.ResponseWriter
@@ -71,14 +68,13 @@
 
 // endRequest is deferred around a handler. The panic with http.ErrAbortHandler makes net/http abort the connection.
 func (s *Server) endRequest(a *answer, r *http.Request) {
-	switch fault := recover(); {
-	case fault == http.ErrAbortHandler: //nolint:errorlint // net/http compares it in the same way
+	switch f := recover(); {
+	case f == http.ErrAbortHandler: //nolint:errorlint // net/http compares it in the same way
 		s.counts.add(aborted)
 		panic(http.ErrAbortHandler)
-	case fault != nil:
+	case f != nil:
 		s.counts.add(faulty)
-		s.logRequest(r).WithField("fault", fault).WithField("answered", a.given).
-			WithField("stack", string(boundedStack())).Error("handler failed")
+		fault.Log(s.logRequest(r).WithField("answered", a.given), f, "handler failed")
 		if a.given {
 			panic(http.ErrAbortHandler)
 		}
@@ -90,11 +86,6 @@
 	}
 }
 
-func boundedStack() []byte {
-	stack := debug.Stack()
-	return stack[:min(len(stack), maxStackBytes)]
-}
-
 func (s *Server) logRequest(r *http.Request) *log.Entry {
 	e := log.WithField("server", s.o.Name).WithField("method", r.Method).WithField("path", r.URL.Path)
 	if s.o.RequestID != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"net"
-	"runtime/debug"
 	"sync"
 
 	"github.com/apex/log"
 	"github.com/hashicorp/yamux"
 
+	"fescuestand/internal/fault"
 	"fescuestand/internal/wire"
 )
 
@@ -129,18 +129,11 @@
 	}
 }
 
-// maxStackBytes bounds the stack in a log line.
-const maxStackBytes = 4 << 10
-
 // logFault is deferred around a handler. The stream of a handler that fails is closed without an answer.
 func logFault(from *wire.Hello) {
-	fault := recover()
-	if fault == nil {
-		return
+	if f := recover(); f != nil {
+		fault.Log(log.WithField("peer", from.GetVm()), f, "handler of a peer's request failed")
 	}
-	stack := debug.Stack()
-	log.WithField("peer", from.GetVm()).WithField("fault", fault).
-		WithField("stack", string(stack[:min(len(stack), maxStackBytes)])).Error("handler of a peer's request failed")
 }
 
 // watchPeer cancels a forwarded call when the peer closes its side of the stream, which it does
