The log lines of recovered panics stand at their places

docs/OPERATIONS.md names each message that the code writes; the function that logged them hid the messages from the test that compares the two, which failed.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -1,4 +1,4 @@
-// Package fault logs the panics that the product recovers from.
+// Package fault describes the panics that the product recovers from in the log.
 package fault
 
 import (
@@ -10,8 +10,9 @@
 // maxStackBytes bounds the stack in a log line.
 const maxStackBytes = 4 << 10
 
-// Log logs a recovered panic with the stack of its goroutine. It is called in the deferred function that has recovered.
-func Log(e *log.Entry, fault any, message string) {
+// Entry adds a recovered panic and the stack of its goroutine to a log entry. It is called in the deferred function that
+// has recovered.
+func Entry(e *log.Entry, fault any) *log.Entry {
 	stack := debug.Stack()
-	e.WithField("fault", fault).WithField("stack", string(stack[:min(len(stack), maxStackBytes)])).Error(message)
+	return e.WithField("fault", fault).WithField("stack", string(stack[:min(len(stack), maxStackBytes)]))
 }
--- a/internal/gateway/fault.go
+++ b/internal/gateway/fault.go
@@ -11,7 +11,7 @@
 func (x *execution) containFault() {
 	if f := recover(); f != nil {
 		x.g.metrics.countFault()
-		fault.Log(log.WithField("id", x.call.ID), f, "work beside a request failed")
+		fault.Entry(log.WithField("id", x.call.ID), f).Error("work beside a request failed")
 	}
 }
 
--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -74,7 +74,7 @@
 		panic(http.ErrAbortHandler)
 	case f != nil:
 		s.counts.add(faulty)
-		fault.Log(s.logRequest(r).WithField("answered", a.given), f, "handler failed")
+		fault.Entry(s.logRequest(r).WithField("answered", a.given), f).Error("handler failed")
 		if a.given {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -132,7 +132,7 @@
 // logFault is deferred around a handler. The stream of a handler that fails is closed without an answer.
 func logFault(from *wire.Hello) {
 	if f := recover(); f != nil {
-		fault.Log(log.WithField("peer", from.GetVm()), f, "handler of a peer's request failed")
+		fault.Entry(log.WithField("peer", from.GetVm()), f).Error("handler of a peer's request failed")
 	}
 }
 
