One gate for tests that hold back a read; a drain's state in one field

The tests of fescue-node's and fescue-entry's drains had the same gate: it is a stand-in now (internal/standin/readgate). Whether a server drains follows from the channel that tells its end. Behaviour, bounds and assertions are the same.

internal/httpserver and internal/gateway pass under the race detector, of internal/entry the tests of drains, half-closes and faults. In a trial with net/http's Shutdown TestDrainAnswersARequestThatHasBeenRead fails as before.

--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -8,13 +8,13 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/standin/engine"
+	"fescuestand/internal/standin/readgate"
 )
 
 // provisioned is a kernel unit that is provisioned after the Unit.
@@ -29,60 +29,6 @@
 	return nil
 }
 
-// readGate holds back the first read that receives data after the gate has been armed.
-type readGate struct {
-	mu              sync.Mutex
-	armed           bool
-	reached, opened chan struct{}
-}
-
-func newReadGate() *readGate {
-	return &readGate{reached: make(chan struct{}), opened: make(chan struct{})}
-}
-
-func (g *readGate) arm() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.armed = true
-}
-
-func (g *readGate) pass() {
-	g.mu.Lock()
-	armed := g.armed
-	g.armed = false
-	g.mu.Unlock()
-	if armed {
-		close(g.reached)
-		<-g.opened
-	}
-}
-
-type gatedListener struct {
-	net.Listener
-	gate *readGate
-}
-
-func (l *gatedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &gatedConn{c, l.gate}, nil
-}
-
-type gatedConn struct {
-	net.Conn
-	gate *readGate
-}
-
-func (c *gatedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.gate.pass()
-	}
-	return n, err
-}
-
 const (
 	// sentBeforeEnd is how long before the end of the linger a request arrives, and heldAfterEnd how long
 	// after it the process goes on with it.
@@ -92,22 +38,22 @@
 )
 
 // newGatedEntry returns a deployment of one VM whose connections of callers pass a gate.
-func newGatedEntry(t *testing.T) (*cluster, *readGate) {
+func newGatedEntry(t *testing.T) (*cluster, *readgate.Gate) {
 	t.Helper()
-	gate := newReadGate()
-	cl := newCluster(t, clusterConfig{entries: 1, engines: []engine.Config{fastEngine()}, onProvisioned: func(u *Unit) { u.callerLn = &gatedListener{u.callerLn, gate} }})
+	gate := readgate.New()
+	cl := newCluster(t, clusterConfig{entries: 1, engines: []engine.Config{fastEngine()}, onProvisioned: func(u *Unit) { u.callerLn = gate.Listen(u.callerLn) }})
 	return cl, gate
 }
 
 // drainBeside asks the only VM to stop, and has it go on with the request that send sends only when its
 // linger has ended.
-func (cl *cluster) drainBeside(gate *readGate, send func()) {
+func (cl *cluster) drainBeside(gate *readgate.Gate, send func()) {
 	cl.entries[0].terminate()
 	time.Sleep(drainLinger - sentBeforeEnd)
-	gate.arm()
+	gate.Arm()
 	send()
-	<-gate.reached
-	time.AfterFunc(sentBeforeEnd+heldAfterEnd, func() { close(gate.opened) })
+	<-gate.Reached
+	time.AfterFunc(sentBeforeEnd+heldAfterEnd, gate.Open)
 }
 
 const getAddresses = "GET /v1/addresses HTTP/1.1\r\nHost: h\r\n\r\n"
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -6,74 +6,15 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/catalog"
+	"fescuestand/internal/standin/readgate"
 )
 
-// gatedListener accepts connections whose reads can be held back after they have received data.
-type gatedListener struct {
-	net.Listener
-	gate *readGate
-}
-
-func (l *gatedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &gatedConn{Conn: c, gate: l.gate}, nil
-}
-
-// readGate holds back the first read that receives data after the gate has been armed.
-type readGate struct {
-	mu      sync.Mutex
-	armed   bool
-	reached chan struct{} // closed when a read is held back
-	opened  chan struct{} // lets it return
-	once    sync.Once
-}
-
-func newReadGate() *readGate {
-	return &readGate{reached: make(chan struct{}), opened: make(chan struct{})}
-}
-
-func (g *readGate) arm() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.armed = true
-}
-
-func (g *readGate) pass() {
-	g.mu.Lock()
-	armed := g.armed
-	g.armed = false
-	g.mu.Unlock()
-	if armed {
-		close(g.reached)
-		<-g.opened
-	}
-}
-
-func (g *readGate) open() { g.once.Do(func() { close(g.opened) }) }
-
-type gatedConn struct {
-	net.Conn
-	gate *readGate
-}
-
-func (c *gatedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.gate.pass()
-	}
-	return n, err
-}
-
 // maxDrainTime bounds how long a test waits for a server that drains.
 const maxDrainTime = 5 * time.Second
 
@@ -86,8 +27,8 @@
 		_, _ = io.WriteString(w, "answer")
 	}), 0)
 	assert.NilError(t, s.Provision(t.Context()))
-	gate := newReadGate()
-	s.ln = &gatedListener{s.ln, gate}
+	gate := readgate.New()
+	s.ln = gate.Listen(s.ln)
 	ctx, stop := context.WithCancel(t.Context())
 	ran := make(chan error, 1)
 	go func() { ran <- s.Run(ctx) }()
@@ -101,16 +42,16 @@
 	defer func() { _ = c.Close() }()
 	answers := bufio.NewReader(c)
 	assert.Equal(t, exchangeOn(t, c, answers), "answer")
-	gate.arm()
+	gate.Arm()
 	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	assert.NilError(t, err)
-	<-gate.reached
+	<-gate.Reached
 
 	drainCtx, cancel := context.WithTimeout(t.Context(), maxDrainTime)
 	defer cancel()
 	drained := make(chan error, 1)
 	go func() { drained <- s.Drain(drainCtx) }()
-	time.AfterFunc(gateOpenTime, gate.open)
+	time.AfterFunc(gateOpenTime, gate.Open)
 	assert.Equal(t, readAnswer(t, answers), "answer")
 	assert.NilError(t, <-drained)
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -44,11 +44,10 @@
 	inFlight atomic.Int64 // requests
 	counts   counters
 
-	mu       sync.Mutex
-	ln       net.Listener
-	conns    map[*conn]struct{}
-	draining bool
-	empty    chan struct{} // closed when no connection of HTTP/1 is open; nil unless draining
+	mu    sync.Mutex
+	ln    net.Listener
+	conns map[*conn]struct{}
+	empty chan struct{} // closed when no connection of HTTP/1 is open; nil before the drain
 }
 
 // New returns a server that serves h. The timeouts, protocols and limits are those of base, whose IdleTimeout and
@@ -66,7 +65,7 @@
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
 	s.ln = ln
-	draining := s.draining
+	draining := s.empty != nil
 	s.mu.Unlock()
 	if draining {
 		return ln.Close()
@@ -102,10 +101,9 @@
 func (s *Server) beginDrain() (empty <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if s.empty != nil {
 		return s.empty
 	}
-	s.draining = true
 	s.empty = make(chan struct{})
 	if s.ln != nil {
 		_ = s.ln.Close()
@@ -132,14 +130,14 @@
 func (s *Server) isDraining() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return s.empty != nil
 }
 
 func (s *Server) add(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
-	if s.draining {
+	if s.empty != nil {
 		c.end()
 	}
 }
