The configuration's limits for callers are obeyed, on open connections too

What callers could do: a VM obeyed only maxBodyBytes. A limit above 60 s would have closed connections that callers may still reuse.

Cause: net/http's timeouts are read once, as constants of the server.

Change: httpserver.SetLimits puts the times of the newest configuration in force. The connection replaces the deadlines that net/http sets for a header and for an idle connection; a change moves the deadlines of open connections, and a shorter limit counts from the change for those that wait already. The header's time counts from its first byte. A request that has arrived when an idle connection's time ends is answered instead of reset. A body must arrive by its caller's deadline and without a pause of 5 s, or is refused with 408.

Tests in simulated time: limits lowered and raised each second under 40 callers cut no request; creeping headers and bodies, idle connections before and after a change.

--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -109,11 +109,19 @@
 	Scaling *Scaling // nil if this system doesn't scale the service
 }
 
+// CallerLimits bound what a caller may send and how long it may take. Zero stands for the gateway's own limit.
+type CallerLimits struct {
+	HeaderBytes int64         // of a request's header fields
+	BodyBytes   int64         // of a request's body, zero for none
+	HeaderTime  time.Duration // to send a request's header
+	IdleTime    time.Duration // that a connection may wait for a request
+}
+
 // Config is one version of the operators' configuration.
 type Config struct {
-	Version      uint64
-	Services     map[string]*Service
-	MaxBodyBytes int64 // limit of a request body, zero for none
+	Version  uint64
+	Services map[string]*Service
+	Limits   CallerLimits
 	// Workspaces finds a request's workspace by its API key; it is nil where requests carry no
 	// keys.
 	Workspaces *workspace.Directory
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -92,7 +92,10 @@
 	if refused := g.authorize(c, route, v.Config); refused != nil {
 		return c, nil, refused
 	}
-	body, refused := readBody(w, r, v.Config.MaxBodyBytes)
+	if limit := v.Config.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+		return c, nil, refuse(code.HeaderTooLarge, "the header is longer than the limit")
+	}
+	body, refused := readBodyInTime(w, r, v.Config.Limits.BodyBytes, c.CallerTimeout)
 	if refused != nil {
 		return c, nil, refused
 	}
@@ -195,6 +198,57 @@
 // maxDiscardedBytes bounds what is read of the body of a request that is refused.
 const maxDiscardedBytes = 64 << 10
 
+// headerBytes returns the length of a request's header fields.
+func headerBytes(r *http.Request) int64 {
+	const separators = len(": ") + len("\r\n")
+	n := len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return int64(n)
+}
+
+// maxBodyPause is the time that a caller may take between two parts of a body.
+const maxBodyPause = 5 * time.Second
+
+// timedBody is a request's body that its caller must send in time.
+type timedBody struct {
+	io.ReadCloser
+	rc    *http.ResponseController
+	until time.Time // zero for no limit but maxBodyPause
+}
+
+// Read implements io.Reader.
+func (b *timedBody) Read(p []byte) (int, error) {
+	until := time.Now().Add(maxBodyPause)
+	if !b.until.IsZero() && b.until.Before(until) {
+		until = b.until
+	}
+	if err := b.rc.SetReadDeadline(until); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return 0, err
+	}
+	return b.ReadCloser.Read(p)
+}
+
+// readBodyInTime reads a body that must arrive within the caller's timeout, if it isn't zero.
+func readBodyInTime(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, *refusal) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body := &timedBody{ReadCloser: r.Body, rc: http.NewResponseController(w)}
+	if timeout > 0 {
+		body.until = time.Now().Add(timeout)
+	}
+	r.Body = body
+	b, refused := readBody(w, r, limit)
+	r.Body = body.ReadCloser
+	// A failure means that the connection has been closed, which the call notices.
+	_ = body.rc.SetReadDeadline(time.Time{})
+	return b, refused
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -13,11 +13,10 @@
 
 const (
 	// headerTimeout bounds the time to read a request's header, and idleTimeout the time that a
-	// connection may stay idle. The configuration has shorter bounds that callers keep; these apply
-	// to callers that don't, and before the VM has a configuration.
+	// connection may stay idle, unless the configuration says otherwise.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes bounds a request's header.
+	// maxHeaderBytes bounds a request's header. The configuration may have a lower limit.
 	maxHeaderBytes = 64 << 10
 )
 
@@ -50,6 +49,9 @@
 // Left implements kernel.Leftover.
 func (s *Server) Left() int { return s.http.InFlight() }
 
+// SetLimits puts limits for callers in force; a zero field stands for this package's own.
+func (s *Server) SetLimits(l httpserver.Limits) { s.http.SetLimits(l) }
+
 // Counts returns the server's counters.
 func (s *Server) Counts() httpserver.Counts { return s.http.Counts() }
 
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -270,7 +270,7 @@
 	c := catalog.NewConfig(uint64(time.Now().UnixNano()), []*catalog.Route{&r}, []*catalog.Service{
 		{Name: "s", Engine: &catalog.Engine{CacheTokens: 100_000}},
 	})
-	c.MaxBodyBytes = 1000
+	c.Limits.BodyBytes = 1000
 	w.store.SetConfig(c)
 }
 
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -34,6 +34,9 @@
 	handled     bool // the request has reached the handler
 	gaveUp      bool // the rest of its header isn't waited for
 	multiplexed bool // it carries concurrent requests (HTTP/2)
+
+	headerSince time.Time // when the latest header began
+	wait        wait      // for the caller
 }
 
 // longAgo is a deadline that has passed.
@@ -58,20 +61,21 @@
 	return n, err
 }
 
-// readAtEnd handles the deadline of a read. A connection that ends still reads what has arrived; a part of a header
-// that isn't waited for ends it without an answer.
+// readAtEnd handles the deadline of a read. A connection that is idle or ends still reads what has arrived; a part of a
+// header that isn't waited for ends it without an answer.
 func (c *conn) readAtEnd(b []byte, err error) (int, error) {
 	c.mu.Lock()
-	endsUnread, gaveUp := c.ending && c.unread, c.gaveUp
+	unread, gaveUp := c.unread, c.gaveUp
 	c.mu.Unlock()
-	switch {
-	case endsUnread:
+	if unread {
 		if n := c.readArrived(b); n > 0 {
 			return n, nil
 		}
-	case gaveUp:
+	}
+	if gaveUp {
 		_ = c.Close()
 	}
+	c.countExpiredWait()
 	return 0, err
 }
 
@@ -130,28 +134,45 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readAhead = readAhead
-	if c.unread && c.ending {
+	if !c.unread {
+		return
+	}
+	if c.ending {
 		_ = c.Conn.SetReadDeadline(time.Time{}) // end has set one in the past while the data was being read
 	}
 	c.unread = false
+	c.beginHeader(time.Now())
 }
 
-// SetReadDeadline implements net.Conn. A connection that ends keeps its deadline while no request has been read.
+// SetReadDeadline implements net.Conn. A connection that ends keeps its deadline while no request has been read. The
+// timeouts of net/http for a header and for an idle connection are replaced by the limits in force.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.gaveUp:
 		t = longAgo
-	case !c.unread:
 	case t.IsZero():
-		c.unread = false // net/http has found the next request in its buffer
-	case c.ending:
+		c.endWait()
+	case c.ending && c.unread:
 		t = longAgo
+	case c.active, c.multiplexed: // a deadline of the handler
+	case t.After(time.Now()):
+		t = c.beginWait(time.Now(), t)
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// endWait ends a wait for the caller: net/http has found the next request in its buffer, or has read a header.
+// c.mu is held.
+func (c *conn) endWait() {
+	c.wait = wait{}
+	if c.unread {
+		c.unread = false
+		c.headerSince = time.Now()
+	}
+}
+
 // end closes the connection if no request has been read, and otherwise after the answer.
 func (c *conn) end() {
 	c.mu.Lock()
@@ -198,6 +219,9 @@
 		return
 	}
 	c.unread = !c.readAhead
+	if c.readAhead {
+		c.headerSince = time.Now()
+	}
 	c.readAhead = false
 	c.closeIfUnread()
 	if c.ending && !c.unread {
--- a/internal/httpserver/counts.go
+++ b/internal/httpserver/counts.go
@@ -18,6 +18,8 @@
 	badRequest                // a connection ended in the header of a request
 	halfClosed                // a caller closed its side while its request was handled
 	callerLeft                // it turned out to have left, or couldn't be asked
+	headerLate                // a header wasn't whole in time
+	idleClosed                // a connection without a request was closed after its time
 	connReset                 // a caller reset its connection
 	connFailed                // another error of a connection
 	acceptFailed              // a connection couldn't be accepted
@@ -36,6 +38,8 @@
 	Unanswered   int64 // handlers that returned without an answer
 	Aborted      int64 // answers that were broken off
 	BadRequests  int64 // connections that ended in the header of a request
+	HeadersLate  int64 // connections closed as a request's header wasn't whole in time
+	IdleClosed   int64 // connections closed as no request came in time
 	HalfClosed   int64 // requests whose callers closed their side for writing before the answer was sent
 	CallersLeft  int64 // those of them whose callers had left, or couldn't be asked
 	Resets       int64 // connections that their callers reset
@@ -50,7 +54,7 @@
 	n := &s.counts
 	return Counts{
 		Faults: n[faulty].Load(), Unanswered: n[unanswered].Load(), Aborted: n[aborted].Load(),
-		BadRequests: n[badRequest].Load(), HalfClosed: n[halfClosed].Load(), CallersLeft: n[callerLeft].Load(), Resets: n[connReset].Load(), ConnErrors: n[connFailed].Load(),
+		BadRequests: n[badRequest].Load(), HeadersLate: n[headerLate].Load(), IdleClosed: n[idleClosed].Load(), HalfClosed: n[halfClosed].Load(), CallersLeft: n[callerLeft].Load(), Resets: n[connReset].Load(), ConnErrors: n[connFailed].Load(),
 		AcceptErrors: n[acceptFailed].Load(), Misused: n[misused].Load(), Other: n[otherError].Load(),
 	}
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -43,6 +43,7 @@
 	handler  http.Handler
 	inFlight atomic.Int64 // requests
 	counts   counters
+	limits   atomic.Pointer[Limits]
 
 	mu    sync.Mutex
 	ln    net.Listener
@@ -54,6 +55,8 @@
 // ReadHeaderTimeout (or ReadTimeout) must be set.
 func New(h http.Handler, base *http.Server, o Options) *Server {
 	s := &Server{o: o, http: base, handler: h, conns: map[*conn]struct{}{}}
+	own := ownLimits(base)
+	s.limits.Store(&own)
 	base.Handler = http.HandlerFunc(s.serve)
 	base.ErrorLog = s.errorLog()
 	base.ConnState = s.connState
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -10,6 +10,7 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/configsync"
 	"fescuestand/internal/gateway"
+	"fescuestand/internal/httpserver"
 	"fescuestand/internal/keyedlog"
 )
 
@@ -186,6 +187,7 @@
 		return
 	}
 	logEntry(&e).WithField("version", c.Version).Info("configuration applied")
+	n.callers.SetLimits(httpserver.Limits{Header: c.Limits.HeaderTime, Idle: c.Limits.IdleTime})
 	if n.freshness != nil {
 		n.freshness.RecordInForce(c.Version)
 	}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -152,6 +152,7 @@
 	freshness        *freshness.Tracker // nil where requests carry no keys
 	lastNudge        clock.Time         // when refreshConfig last ended the wait of a read
 	timeEstimator    *truetime.Estimator
+	callers          *gateway.Server
 	servers          []*gateway.Server
 	usageLedger      *usage.Ledger
 }
@@ -215,8 +216,9 @@
 // Units returns the units that the kernel runs.
 func (n *Node) Units() []kernel.Unit {
 	at, linger := n.o.Addresses, n.o.Linger
+	n.callers = gateway.NewServer("front", at.Callers, n.gateway, linger)
 	n.servers = []*gateway.Server{
-		gateway.NewServer("front", at.Callers, n.gateway, linger),
+		n.callers,
 		gateway.NewServer("ready", at.Ready, n.adapter.Readiness(n.members), linger),
 		gateway.NewServer("directory", at.Directory, n.adapter.Directory(n.members), linger),
 		gateway.NewServer("peers", n.o.Self.Peer, n.peerHandler(), 0),
