Records of the store are applied page by page; a read ends where the log ended at its first page

Cause: Source.Read fetched page after page until it met the end of the log, took the end anew from each page, and handed over nothing before. A page that failed threw the ones before it away. The platform's pages are of 1 MB, so that it takes a backlog after an outage, or the entries of thousands of endpoints, there.

Change: Read returns one page; the follower applies it at once, goes on to where the log ended at the first page, and continues after the last applied page if one fails. OnRead is called for whole reads only, as before, and gaps are judged as before. An empty page before the end is an error of the source.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -26,9 +26,9 @@
 	return nil, era.Position{}, nil
 }
 
-func (l *emptyLog) Read(context.Context, era.Position, time.Duration) ([]keyedlog.Entry, era.Position, error) {
+func (l *emptyLog) Read(context.Context, era.Position, time.Duration) (keyedlog.Page, error) {
 	l.reads.Add(1)
-	return nil, era.Position{}, nil
+	return keyedlog.Page{}, nil
 }
 
 // testClock is a manual clock that a test may advance while pulls read it.
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -24,9 +24,9 @@
 	return nil, era.Position{}, nil
 }
 
-func (l emptyLog) Read(context.Context, era.Position, time.Duration) ([]keyedlog.Entry, era.Position, error) {
+func (l emptyLog) Read(context.Context, era.Position, time.Duration) (keyedlog.Page, error) {
 	l.reads <- struct{}{}
-	return nil, era.Position{}, nil
+	return keyedlog.Page{}, nil
 }
 
 // at returns a position in a store without eras.
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -48,16 +48,25 @@
 	GracePeriod time.Duration
 }
 
+// Page is a part of the records that a read asks for.
+type Page struct {
+	Entries []Entry
+	// Next is the position after the entries. If its era isn't that of the read, records before it may be
+	// missing.
+	Next era.Position
+	// End is the offset at which the log ended. If it is beyond Next, the log has further records.
+	End int64
+}
+
 // Source is a keyed log.
 type Source interface {
 	// Newest returns the newest record of each key, and the position from which Read returns every
 	// later record.
 	Newest(ctx context.Context) (entries []Entry, next era.Position, err error)
-	// Read returns the records from the offset of from up to the end of the log at that time. It
-	// waits up to wait for the first one, and fails with driver.ErrExpired if the log doesn't have
-	// the records at from. The era of next is that of the answer; if it isn't that of from, records
-	// before from may be missing.
-	Read(ctx context.Context, from era.Position, wait time.Duration) (entries []Entry, next era.Position, err error)
+	// Read returns the first page of the records from the offset of from on. It waits up to wait for a
+	// record, and fails with driver.ErrExpired if the log doesn't have the records at from. A page before
+	// the end of the log isn't empty.
+	Read(ctx context.Context, from era.Position, wait time.Duration) (Page, error)
 }
 
 // Follower passes every change of a keyed log to its handler.
@@ -74,14 +83,14 @@
 	// Apply handles a change. Within an era the offsets of one key never decrease, but for the record of a
 	// deletion after the key was found missing.
 	Apply func(Entry)
-	// OnRead is called after each successful read, once its records are applied, with the time at
-	// which the read was sent.
+	// OnRead is called after each successful read, once all records up to its end are applied, with the
+	// time at which the read was sent.
 	OnRead func(sentAt clock.Time)
 	// Clock is the clock for OnRead.
 	Clock clock.Clock
 	// OnReadError is called after each failed read.
 	OnReadError func()
-	// BeginBatch and EndBatch are called before and after the entries of one read.
+	// BeginBatch and EndBatch are called before and after the entries of one page.
 	BeginBatch, EndBatch func()
 	// SingleKey means that only one key matters, so that records before one received from a peer
 	// needn't be read.
@@ -239,36 +248,51 @@
 	return err
 }
 
+// read reads up to the end that the first page states. Each page is applied when it arrives: records may be
+// appended as fast as they are read, and a later page may fail.
 func (f *Follower) read(ctx context.Context, wait time.Duration) error {
 	from := f.readFrom()
 	if !f.hasRead || from.Era < f.Eras.Current() {
 		return f.readNewest(ctx)
 	}
-	entries, next, err := f.readAppended(ctx, from, wait)
-	switch {
-	case errors.Is(err, driver.ErrExpired):
-		f.logFrom(from).Info("log doesn't have the next records, reading the newest ones")
-		return f.readNewest(ctx)
-	case err != nil:
-		return err
-	case next.Era < from.Era:
-		return errOldAnswer
-	case next.Era > from.Era:
-		f.logFrom(from).WithField("new_era", uint64(next.Era)).Info("log was restored, reading the newest records")
-		return f.readNewest(ctx)
-	}
-	f.recordGap()
-	f.markFinal(entries)
-	f.applyAll(entries)
-	if f.next.Before(next) {
-		f.next = next
+	page, err := f.readAppended(ctx, from, wait)
+	end := page.End
+	for {
+		switch {
+		case errors.Is(err, driver.ErrExpired):
+			f.logFrom(from).Info("log doesn't have the next records, reading the newest ones")
+			return f.readNewest(ctx)
+		case err != nil:
+			return err
+		case page.Next.Era < from.Era:
+			return errOldAnswer
+		case page.Next.Era > from.Era:
+			f.logFrom(from).WithField("new_era", uint64(page.Next.Era)).Info("log was restored, reading the newest records")
+			return f.readNewest(ctx)
+		}
+		f.applyPage(&page)
+		if page.Next.Offset >= end {
+			break
+		}
+		from = page.Next
+		page, err = f.Source.Read(ctx, from, 0)
 	}
-	if next.Era < f.Eras.Current() {
+	if f.next.Era < f.Eras.Current() {
 		return errOldAnswer // what it says is applied, but it doesn't show what is newest
 	}
 	return nil
 }
 
+// applyPage applies the appended records of a page, and continues after them.
+func (f *Follower) applyPage(p *Page) {
+	f.recordGap()
+	f.markFinal(p.Entries)
+	f.applyAll(p.Entries)
+	if f.next.Before(p.Next) {
+		f.next = p.Next
+	}
+}
+
 func (f *Follower) logFrom(from era.Position) *log.Entry {
 	return log.WithField("log", f.Name).WithField("era", uint64(from.Era)).WithField("from", from.Offset)
 }
@@ -295,7 +319,7 @@
 	}
 }
 
-// applyAll applies the entries of one read as one batch.
+// applyAll applies the entries of one page as one batch.
 func (f *Follower) applyAll(entries []Entry) {
 	f.BeginBatch()
 	defer f.EndBatch()
@@ -304,9 +328,9 @@
 	}
 }
 
-// readAppended reads the appended records. It fails with errWoken if Wake is called while it waits for
+// readAppended reads the first page of the appended records. It fails with errWoken if Wake is called while it waits for
 // one.
-func (f *Follower) readAppended(ctx context.Context, from era.Position, wait time.Duration) ([]Entry, era.Position, error) {
+func (f *Follower) readAppended(ctx context.Context, from era.Position, wait time.Duration) (Page, error) {
 	f.sentAt = f.Clock.Now()
 	if wait == 0 {
 		return f.Source.Read(ctx, from, 0)
@@ -322,11 +346,11 @@
 		case <-done:
 		}
 	}()
-	entries, next, err := f.Source.Read(readCtx, from, wait)
+	page, err := f.Source.Read(readCtx, from, wait)
 	if err != nil && readCtx.Err() != nil && ctx.Err() == nil {
 		err = errWoken
 	}
-	return entries, next, err
+	return page, err
 }
 
 // readFrom returns the position to read from.
@@ -379,11 +403,14 @@
 	if !isUseful || f.next.Era == next.Era || f.next.Offset >= next.Offset {
 		return nil
 	}
-	from := era.Position{Era: next.Era, Offset: f.next.Offset}
-	entries, end, err := f.Source.Read(ctx, from, 0)
-	if err != nil || end.Era != next.Era {
-		f.logFrom(from).WithError(err).Info("deletions beside the newest records not read")
-		return nil
+	var entries []Entry
+	for from := (era.Position{Era: next.Era, Offset: f.next.Offset}); from.Offset < next.Offset; {
+		page, err := f.Source.Read(ctx, from, 0)
+		if err != nil || page.Next.Era != next.Era {
+			f.logFrom(from).WithError(err).Info("deletions beside the newest records not read")
+			return nil
+		}
+		entries, from = append(entries, page.Entries...), page.Next
 	}
 	f.markFinal(entries)
 	return slices.DeleteFunc(entries, func(e Entry) bool { return e.Value != nil || !e.Position.Before(next) })
--- a/internal/keyedlog/keyedlog_test.go
+++ b/internal/keyedlog/keyedlog_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"fescuestand/internal/clock"
 	"fescuestand/internal/driver"
 	"fescuestand/internal/era"
 )
@@ -23,26 +24,28 @@
 }
 
 type readResult struct {
-	entries []Entry
-	err     error
+	entries   []Entry
+	remaining int64 // records after the entries
+	err       error
 }
 
 func (s *scriptedSource) Newest(context.Context) ([]Entry, era.Position, error) {
 	return slices.Clone(s.newest), at(s.next), nil
 }
 
-func (s *scriptedSource) Read(_ context.Context, from era.Position, _ time.Duration) ([]Entry, era.Position, error) {
+func (s *scriptedSource) Read(_ context.Context, from era.Position, _ time.Duration) (Page, error) {
 	s.from = append(s.from, from.Offset)
 	if len(s.reads) == 0 {
 		s.cancel()
-		return nil, from, nil
+		return Page{Next: from}, nil
 	}
 	r := s.reads[0]
 	s.reads = s.reads[1:]
 	if r.err != nil {
-		return nil, era.Position{}, r.err
+		return Page{}, r.err
 	}
-	return r.entries, at(from.Offset + int64(len(r.entries))), nil
+	next := from.Offset + int64(len(r.entries))
+	return Page{Entries: r.entries, Next: at(next), End: next + r.remaining}, nil
 }
 
 // runScript runs a follower to the end of the script and returns the applied entries and the number
@@ -162,3 +165,20 @@
 	assert.ErrorIs(t, f.Run(ctx), context.Canceled)
 	assert.Equal(t, len(s.from), 1)
 }
+
+// Guards against a read without an end: it stops where the log ended at its first page.
+func TestAReadEndsWhereTheLogEndedAtItsFirstPage(t *testing.T) {
+	s := &scriptedSource{next: 1, reads: []readResult{
+		{entries: []Entry{entry("a", "1", 1)}, remaining: 2},
+		{entries: []Entry{entry("b", "1", 2), entry("c", "1", 3)}, remaining: 5},
+		{entries: []Entry{entry("d", "1", 4)}},
+	}}
+	reads := []int64{}
+	ctx, cancel := context.WithCancel(t.Context())
+	s.cancel = cancel
+	f := New("test", s)
+	f.Apply = func(Entry) {}
+	f.OnRead = func(clock.Time) { reads = append(reads, f.Next().Offset) }
+	assert.ErrorIs(t, f.Run(ctx), context.Canceled)
+	assert.DeepEqual(t, reads, []int64{1, 4, 5})
+}
--- a/internal/keyedlog/restore_test.go
+++ b/internal/keyedlog/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,12 +55,12 @@
 	return out, l.end(), nil
 }
 
-func (l *restoredLog) Read(_ context.Context, from era.Position, _ time.Duration) ([]Entry, era.Position, error) {
+func (l *restoredLog) Read(_ context.Context, from era.Position, _ time.Duration) (Page, error) {
 	l.calls = append(l.calls, "read")
 	if from.Offset > int64(len(l.records)) {
-		return nil, era.Position{}, driver.ErrExpired
+		return Page{}, driver.ErrExpired
 	}
-	return l.records[from.Offset:], l.end(), nil
+	return Page{Entries: slices.Clone(l.records[from.Offset:]), Next: l.end(), End: l.end().Offset}, nil
 }
 
 // follow returns a follower of l that has read it once, and what it applies.
@@ -225,10 +226,10 @@
 // waitingLog is a log whose reads that may wait get no answer.
 type waitingLog struct{ *restoredLog }
 
-func (l waitingLog) Read(ctx context.Context, from era.Position, wait time.Duration) ([]Entry, era.Position, error) {
+func (l waitingLog) Read(ctx context.Context, from era.Position, wait time.Duration) (Page, error) {
 	if wait > 0 {
 		<-ctx.Done()
-		return nil, era.Position{}, ctx.Err()
+		return Page{}, ctx.Err()
 	}
 	return l.restoredLog.Read(ctx, from, wait)
 }
--- a/internal/restoresim/sim_test.go
+++ b/internal/restoresim/sim_test.go
@@ -176,12 +176,12 @@
 }
 
 // Read implements keyedlog.Source.
-func (c *simSource) Read(ctx context.Context, from era.Position, wait time.Duration) ([]keyedlog.Entry, era.Position, error) {
+func (c *simSource) Read(ctx context.Context, from era.Position, wait time.Duration) (keyedlog.Page, error) {
 	if err := c.begin(ctx); err != nil {
-		return nil, era.Position{}, err
+		return keyedlog.Page{}, err
 	}
 	if c.vm.w.design == rereading {
-		return nil, era.Position{}, driver.ErrExpired
+		return keyedlog.Page{}, driver.ErrExpired
 	}
 	s := c.vm.w.store
 	deadline := time.After(wait)
@@ -201,29 +201,30 @@
 		case <-deadline:
 			wait = 0
 		case <-ctx.Done():
-			return nil, era.Position{}, ctx.Err()
+			return keyedlog.Page{}, ctx.Err()
 		}
 		s.mu.Lock()
 	}
 }
 
-func (c *simSource) read(ctx context.Context, records []simRecord, from era.Position, e era.Era) ([]keyedlog.Entry, era.Position, error) {
+func (c *simSource) read(ctx context.Context, records []simRecord, from era.Position, e era.Era) (keyedlog.Page, error) {
 	e, err := c.answer(ctx, e)
 	if err != nil {
-		return nil, era.Position{}, err
+		return keyedlog.Page{}, err
 	}
 	if from.Offset > int64(len(records)) {
-		return nil, era.Position{}, driver.ErrExpired
+		return keyedlog.Page{}, driver.ErrExpired
 	}
-	var out []keyedlog.Entry
+	end := int64(len(records))
+	page := keyedlog.Page{Next: era.Position{Era: e, Offset: end}, End: end}
 	for i, r := range records[from.Offset:] {
 		entry := keyedlog.Entry{Key: r.key, Position: era.Position{Era: e, Offset: from.Offset + int64(i)}}
 		if r.value != "" {
 			entry.Value = []byte(r.value)
 		}
-		out = append(out, entry)
+		page.Entries = append(page.Entries, entry)
 	}
-	return out, era.Position{Era: e, Offset: int64(len(records))}, nil
+	return page, nil
 }
 
 // simVM is a VM; its process starts anew now and then.
