--- a/internal/restoresim/sim_test.go
+++ b/internal/restoresim/sim_test.go
@@ -406,7 +406,7 @@
 	id       string
 	sequence int64
 	draining bool
-	gone     atomic.Bool
+	gone     bool
 }
 
 func (e *simEndpoint) entry() string { return fmt.Sprintf("%d %t", e.sequence, e.draining) }
@@ -524,14 +524,14 @@
 		written := ""
 		_ = clock.Every(w.ctx, 300*time.Millisecond, func() {
 			in := w.store.newest(endpointLog, e.id)
-			if e.gone.Load() || in == e.entry() {
+			if e.gone || in == e.entry() {
 				return
 			}
 			if in != written && written != "" {
 				clock.Sleep(w.ctx, delay) // the store was restored
 				e.sequence++
 			}
-			if !e.gone.Load() && w.store.put(endpointLog, e.id, e.entry()) {
+			if !e.gone && w.store.put(endpointLog, e.id, e.entry()) {
 				written = e.entry()
 			}
 		})
@@ -547,7 +547,7 @@
 // leave has an endpoint leave, in most cases with a report that says so.
 func (w *simWorld) leave() {
 	e := w.endpoints[w.rng.IntN(len(w.endpoints))]
-	if e.gone.Load() || e.draining {
+	if e.gone || e.draining {
 		return
 	}
 	if w.rng.IntN(3) > 0 {
@@ -558,7 +558,7 @@
 	after := time.Duration(1000+w.rng.IntN(3000)) * time.Millisecond
 	w.wg.Go(func() {
 		clock.Sleep(w.ctx, after)
-		e.gone.Store(true)
+		e.gone = true
 		for w.ctx.Err() == nil && !w.store.put(endpointLog, e.id, "") {
 			clock.Sleep(w.ctx, 200*time.Millisecond)
 		}
@@ -646,7 +646,7 @@
 func (w *simWorld) checkEnd() {
 	want := map[string]bool{}
 	for _, e := range w.endpoints {
-		if !e.gone.Load() && !e.draining {
+		if !e.gone && !e.draining {
 			want[e.id] = true
 		}
 	}
--- a/internal/restoresim/spread_test.go
+++ b/internal/restoresim/spread_test.go
@@ -320,7 +320,7 @@
 	for i, wait := range []time.Duration{0, 150, 150, 300, 300} {
 		time.Sleep(wait * time.Millisecond)
 		e := w.endpoints[i]
-		e.gone.Store(true)
+		e.gone = true
 		w.store.put(endpointLog, e.id, "")
 		left[e.id] = time.Now()
 	}
