An endpoint that rejected a request isn't asked while others may have room

Cause: a rejection taught placement nothing. A rejected request ends at once, so that the engine that rejects has few of this VM's requests and looks the emptiest; the next request went there first, was rejected, and its retry found the budget spent. Besides, endpoints with equal scores were taken in the order of the list, and requests under way counted for nothing once their prompt was read.

Change: place.room keeps what is known since a rejection: an own exchange that ended frees a place, a report of fewer requests frees this VM's part of them, accepted requests add a quarter each, and one request probes after 0.1 s, doubled by each further rejection up to 1.6 s. A request that is accepted 0.5 s after the last rejection ends the restriction. Placement of prompts, decode engines and calls takes endpoints with free slots first, then those not known to be full, then endpoints that were ejected for a silence, then the one with the oldest rejection. Requests under way weigh a little in a prompt's score, and equal scores are taken from a random start. A decode engine with free slots that rejects a KV cache's transfer isn't taken for full. The log of a refused request has known_full; Rejections counts those by endpoints known to be full. A shared prefix with the id 0 is one now; it counted as none.

Tests, failing on (with empty RecordRejection and RecordAccepted there): - TestAlikeEndpointsShareTheLoad: prompts, eight endpoints of eight slots, 1, 6 and 60 VMs: at a third of the slots 0.29 to 0.36 of requests refused, busiest 4.1 to 4.9 times the mean; at two thirds 0.58 to 0.65 and 3.7 to 4.0. Now refused at most 0.0038, rejected attempts at most 0.030, busiest at most 1.5. Plain calls passed before.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -299,10 +299,13 @@
 		x.recordRejection(e)
 		if ans.Misdirected {
 			x.g.o.Planner.MarkStale(x.now(), e)
+		} else {
+			x.g.metrics.countRejection(x.g.o.Planner.RecordRejection(x.now(), a.ticket, ans.Requests))
 		}
 		return result{outcome: notRun, code: code.EndpointRefused, err: errNotRun}
 	}
 	x.g.o.Crashes.RecordAnswer(a.sentAt, processOf(e))
+	x.g.o.Planner.RecordAccepted(x.now(), a.ticket, ans.Requests)
 	x.countRun(a)
 	return result{outcome: answered}
 }
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -108,12 +109,31 @@
 	if last.err != nil {
 		e = e.WithField("why", last.err.Error())
 	}
+	if full := x.knownFull(last); full != "" {
+		e = e.WithField("known_full", full)
+	}
 	if x.wasLost() {
 		e = e.WithField("fingerprint", formatFingerprint(x.call.Fingerprint)).WithField("parts", formatParts(x.call.SharedParts))
 	}
 	e.Info("request ends")
 }
 
+// maxLoggedFull bounds the full endpoints in a log line.
+const maxLoggedFull = 8
+
+// knownFull returns the endpoints that are known to be full for the log line of a request that none has run.
+func (x *execution) knownFull(last *result) string {
+	if last.outcome != notRun && last.outcome != notSent && last.outcome != refused {
+		return ""
+	}
+	full := x.g.o.Planner.FullEndpoints(x.now(), x.openEndpoints())
+	texts := make([]string, 0, maxLoggedFull)
+	for _, f := range full[:min(len(full), maxLoggedFull)] {
+		texts = append(texts, fmt.Sprintf("%s:rejected=%s:held=%d", f.ID, f.Age.Round(time.Millisecond), f.Held))
+	}
+	return strings.Join(texts, ",")
+}
+
 // wasLost reports whether an attempt of the request was lost, so that it may have crashed an endpoint.
 func (x *execution) wasLost() bool {
 	return slices.ContainsFunc(x.attempts, func(t attemptTrace) bool { return t.outcome == lost.String() })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -31,9 +31,16 @@
 	codes        map[code.Code]int64
 	latency      map[string][]int64 // by route; the last bucket counts longer times
 	replacements map[string]int64
+	rejections   Rejections
 	faults       int64
 }
 
+// Rejections counts requests that endpoints didn't run.
+type Rejections struct {
+	Known   int64 // by endpoints that were known to be full when the request was sent
+	Unknown int64 // by others
+}
+
 func newMetrics() *Metrics {
 	return &Metrics{outcomes: map[string]int64{}, codes: map[code.Code]int64{}, latency: map[string][]int64{}, replacements: map[string]int64{}}
 }
@@ -44,6 +51,16 @@
 	m.replacements[result]++
 }
 
+func (m *Metrics) countRejection(wasKnown bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if wasKnown {
+		m.rejections.Known++
+	} else {
+		m.rejections.Unknown++
+	}
+}
+
 func (m *Metrics) countFault() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -89,6 +106,7 @@
 	BucketsMS    []int64
 	LatencyMS    map[string][]int64
 	Replacements map[string]int64
+	Rejections   Rejections
 	Faults       int64 // of work beside requests
 }
 
@@ -96,7 +114,7 @@
 func (m *Metrics) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Faults: m.faults}
+	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Faults: m.faults}
 	for k, v := range m.outcomes {
 		s.Outcomes[k] = v
 	}
--- a/internal/policy/place/burden.go
+++ b/internal/policy/place/burden.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
 )
 
 // The weights of a choice's cost to other requests.
@@ -24,6 +25,9 @@
 	// uncachedPrefixCredit is the share of a shared prefix's prefill time that is credited to the
 	// prefix's preferred engine as long as the prefix isn't cached there.
 	uncachedPrefixCredit = 0.5
+	// fullOccupancyCost is the cost of an engine whose slots are all taken. It spreads requests whose scores
+	// are equal otherwise.
+	fullOccupancyCost = 2 * time.Millisecond
 	// minSharedTokens is the minimum length of a shared part that affects placement. It corresponds
 	// to a few milliseconds of prefill.
 	minSharedTokens = 256
@@ -40,6 +44,12 @@
 	return time.Duration(weight * float64(work))
 }
 
+// occupancyCost returns the cost of the requests that run at an engine already.
+func (p *Planner) occupancyCost(now clock.Time, s *endpointState) time.Duration {
+	requests := s.running + p.peerRunning(now, s.key())
+	return time.Duration(float64(fullOccupancyCost) * float64(requests) / float64(max(s.ep.Slots, 1)))
+}
+
 // prefixCredit returns the credit of the engine that all VMs prefer for the prompt's longest shared
 // prefix, as long as the prefix isn't cached there.
 func (p *Planner) prefixCredit(s *endpointState, pr *Prompt, cached int, preferred *endpointState) time.Duration {
--- a/internal/policy/place/health.go
+++ b/internal/policy/place/health.go
@@ -127,3 +127,8 @@
 	slices.Sort(rates)
 	return rates[len(rates)/2]
 }
+
+// isSilent reports whether the endpoint is ejected for a silence only.
+func (h *health) isSilent(now clock.Time) bool {
+	return now < h.ejectedUntil && h.silentUntil == h.ejectedUntil
+}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -93,6 +93,7 @@
 	cache    cache
 	health   health
 	load     reportedLoad
+	room     room
 }
 
 func newEndpointState(e *catalog.Endpoint) *endpointState {
@@ -202,10 +203,10 @@
 	return n
 }
 
-// sharedID returns an identifier of the longest shared prefix, or zero if there is none.
-func sharedID(parts []Part) uint64 {
+// sharedID returns an identifier of the longest shared prefix, or false if there is none.
+func sharedID(parts []Part) (uint64, bool) {
 	if len(parts) < 2 {
-		return 0
+		return 0, false
 	}
-	return parts[len(parts)-2].ID
+	return parts[len(parts)-2].ID, true
 }
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"fescuestand/internal/catalog"
@@ -88,7 +89,7 @@
 			c.decode = append(c.decode, s)
 		}
 	}
-	c.prefill, c.decode = healthy(now, c.prefill), healthy(now, c.decode)
+	c.prefill, c.decode = p.usable(now, c.prefill), p.usable(now, c.decode)
 	return c
 }
 
@@ -163,8 +164,8 @@
 // engines of all versions that could do it. best returns false if list is empty.
 func (p *Planner) best(now clock.Time, list []*endpointState, engines int, pr *Prompt, from sources) (option, bool) {
 	var best option
-	preferred := preferredFor(list, sharedID(pr.Parts))
-	for _, s := range p.sample(list, preferred, pr) {
+	preferred := preferredFor(list, pr.Parts)
+	for _, s := range p.sampleWithRoom(now, list, preferred, pr) {
 		o := option{s: s, wait: p.wait(now, s)}
 		o.work, o.cached = p.work(s, pr)
 		if f, ok := p.bestFetch(s, pr, from, o.cached, o.work); ok {
@@ -172,6 +173,7 @@
 		}
 		o.firstEvent = o.wait + o.fetch + o.work + p.fixed(s)
 		o.score = o.firstEvent + fetchCostWeight*o.fetch + s.costToOthers(o.work, engines, s.running+p.peerRunning(now, s.key())) - p.prefixCredit(s, pr, o.cached, preferred)
+		o.score += p.occupancyCost(now, s)
 		if s.ep.Zone != p.zone {
 			o.score += otherZoneTime
 		}
@@ -189,13 +191,26 @@
 // most of the gain of choosing and makes the VMs choose different engines.
 const sampleSize = 5
 
-// sample returns the engines to compare for a prompt.
+// sampleWithRoom returns the engines to compare for a prompt. Engines without room are compared only if the list
+// has no others.
+func (p *Planner) sampleWithRoom(now clock.Time, list []*endpointState, preferred *endpointState, pr *Prompt) []*endpointState {
+	sample := p.sample(list, preferred, pr)
+	if slices.ContainsFunc(sample, func(s *endpointState) bool { return p.hasRoom(now, s) }) {
+		return p.withRoom(now, sample)
+	}
+	return p.withRoom(now, list)
+}
+
+// sample returns the engines to compare for a prompt, in an order with a random start.
 func (p *Planner) sample(list []*endpointState, preferred *endpointState, pr *Prompt) []*endpointState {
+	if len(list) == 0 {
+		return nil
+	}
+	start := int(p.random() % uint32(len(list)))
 	if len(list) <= 2*sampleSize {
-		return list
+		return append(slices.Clone(list[start:]), list[:start]...)
 	}
 	out := make([]*endpointState, 0, 2*sampleSize)
-	start := int(p.random() % uint32(len(list)))
 	for i := range list {
 		s := list[(start+i)%len(list)]
 		required := s == preferred || s.cache.prefixTokens(pr.Parts) >= minSharedTokens && len(pr.Parts) > 1
@@ -209,11 +224,12 @@
 	return out
 }
 
-// preferredFor returns the engine that every VM prefers for a shared prefix, by rendezvous hashing:
+// preferredFor returns the engine that every VM prefers for the shared prefix of parts, by rendezvous hashing:
 // a change of the VMs moves no prefix, and an engine that is added or removed moves only its own
-// prefixes.
-func preferredFor(list []*endpointState, id uint64) *endpointState {
-	if id == 0 {
+// prefixes. It returns nil if there is no shared prefix.
+func preferredFor(list []*endpointState, parts []Part) *endpointState {
+	id, shared := sharedID(parts)
+	if !shared {
 		return nil
 	}
 	var best *endpointState
--- a/internal/policy/place/ticket.go
+++ b/internal/policy/place/ticket.go
@@ -20,12 +20,14 @@
 
 // Ticket represents one exchange at an endpoint between Begin and End.
 type Ticket struct {
-	s        *endpointState
-	job      Job
-	expected time.Duration // wait and work, as predicted by Begin
-	sentAt   clock.Time
-	silent   bool // the endpoint has been silent for too long, so that times say nothing about its speed
-	ended    bool
+	s          *endpointState
+	job        Job
+	expected   time.Duration // wait and work, as predicted by Begin
+	sentAt     clock.Time
+	silent     bool // the endpoint has been silent for too long, so that times say nothing about its speed
+	accepted   bool // the endpoint has begun to answer
+	sentToFull bool // the endpoint was known to be full when the request was sent
+	ended      bool
 }
 
 // Outcome is how an exchange ended, as far as the endpoint's health is concerned.
@@ -48,9 +50,10 @@
 	if s == nil {
 		s = newEndpointState(e)
 	}
-	t := &Ticket{s: s, job: job, sentAt: now}
+	t := &Ticket{s: s, job: job, sentAt: now, sentToFull: s.room.full(now)}
 	t.expected = p.wait(now, s) + job.Work
 	s.running++
+	s.room.send(now)
 	p.countDemand(now, t)
 	if job.Work > 0 {
 		s.prefills[t] = struct{}{}
@@ -145,6 +148,9 @@
 		p.meter.addStreams(now, -1)
 	}
 	t.s.health.record(now, o)
+	if t.accepted {
+		t.s.room.free()
+	}
 }
 
 // RecordLoad records the number of running and waiting requests that an endpoint has reported.
