While endpoints are silent, a VM uses its share of the others' slots

Cause: a VM learns that an endpoint is full from its first rejection. Until then all VMs send there at once, as those that are silent are ejected or have much unanswered work.

Change: while endpoints of the same work are ejected for a silence, a VM sends to one of the others at most its share, slots / VMs. Beyond that the silent ones are used: they go on within a second or so, or are left by their own watch.

TestPauseOfMostEnginesRefusesNoOne: 2 rejected attempts and 2 refused before, none now. TestWhileOthersAreSilentAnEndpointIsUsedUpToAShare fails before.

--- a/internal/policy/place/room.go
+++ b/internal/policy/place/room.go
@@ -169,14 +169,22 @@
 	return out
 }
 
-// usable returns the endpoints of all, which have the same work, to choose from: the healthy ones. If these are
-// known to be full, endpoints that were ejected for a silence are used: a silence is no evidence that they have
+// usable returns the endpoints of all, which have the same work, to choose from: the healthy ones. While some are
+// ejected for a silence, this VM uses at most its share of the slots of the others. If the healthy ones are full or
+// used up to that share, those that were ejected for a silence are used: a silence is no evidence that they have
 // ended.
 func (p *Planner) usable(now clock.Time, all []*endpointState) []*endpointState {
 	good := healthy(now, all)
-	if slices.ContainsFunc(good, func(s *endpointState) bool { return !s.room.full(now) }) {
+	pausing := slices.ContainsFunc(all, func(s *endpointState) bool { return s.health.isSilent(now) })
+	if !pausing {
 		return good
 	}
+	below := slices.DeleteFunc(slices.Clone(good), func(s *endpointState) bool {
+		return s.room.full(now) || s.running >= p.share(s)
+	})
+	if len(below) > 0 {
+		return below
+	}
 	silent := slices.DeleteFunc(slices.Clone(all), func(s *endpointState) bool {
 		return !s.health.isSilent(now) || s.room.full(now)
 	})
@@ -185,3 +193,9 @@
 	}
 	return good
 }
+
+// share returns this VM's share of the slots of s.
+func (p *Planner) share(s *endpointState) int {
+	vms := len(p.peers) + 1
+	return max((s.ep.Slots+vms-1)/vms, 1)
+}
--- a/internal/policy/place/room_test.go
+++ b/internal/policy/place/room_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -133,3 +134,26 @@
 	}
 	assert.Equal(t, c.p.ChooseEndpoint(at(ms), c.open, nil).ID, silent.ID)
 }
+
+// Guards against requests that all go to the few endpoints that aren't silent, from every VM at once.
+func TestWhileOthersAreSilentAnEndpointIsUsedUpToAShare(t *testing.T) {
+	c := newCluster(t, split(0, 4)...)
+	for vm := range 7 {
+		c.p.ReceiveReport(at(0), fmt.Sprint(vm), nil, Demand{})
+	}
+	silent, sound := c.open[0], c.open[1:]
+	for range maxConsecutiveFailures {
+		c.p.MarkSilent(at(0), c.p.Begin(at(0), silent, Job{}))
+	}
+	sent := map[string]int{}
+	share := sound[0].Slots / 8
+	for range len(sound)*share + 1 {
+		e := c.p.ChooseEndpoint(at(ms), c.open, nil)
+		c.p.Begin(at(ms), e, Job{})
+		sent[e.ID]++
+	}
+	for _, e := range sound {
+		assert.Equal(t, sent[e.ID], share)
+	}
+	assert.Equal(t, sent[silent.ID], 1)
+}
