The choice of decode engines and calls doesn't look up the peers' requests twice

Cause: since rejections are remembered, free slots were looked up for each endpoint of a list, although the load by which decode engines and calls are chosen contains them; in a large deployment few decode engines are compared.

Change: these choices leave out endpoints that are known to be full, and nothing else. Prompts look up free slots for the engines that are compared, and for all only if none of those has one.

--- a/internal/policy/place/burden.go
+++ b/internal/policy/place/burden.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"fescuestand/internal/catalog"
-	"fescuestand/internal/clock"
 )
 
 // The weights of a choice's cost to other requests.
@@ -45,8 +44,7 @@
 }
 
 // occupancyCost returns the cost of the requests that run at an engine already.
-func (p *Planner) occupancyCost(now clock.Time, s *endpointState) time.Duration {
-	requests := s.running + p.peerRunning(now, s.key())
+func (s *endpointState) occupancyCost(requests int) time.Duration {
 	return time.Duration(float64(fullOccupancyCost) * float64(requests) / float64(max(s.ep.Slots, 1)))
 }
 
--- a/internal/policy/place/calls.go
+++ b/internal/policy/place/calls.go
@@ -12,7 +12,7 @@
 func (p *Planner) ChooseEndpoint(now clock.Time, open []*catalog.Endpoint, exclude map[string]bool) *catalog.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.withRoom(now, p.usable(now, p.eligible(now, open, exclude)))
+	list := notFull(now, p.usable(now, p.eligible(now, open, exclude)))
 	if len(list) == 0 {
 		return nil
 	}
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -172,8 +172,8 @@
 			o.source, o.cached, o.fetch, o.work = f.from, f.cached, f.transfer, f.work
 		}
 		o.firstEvent = o.wait + o.fetch + o.work + p.fixed(s)
-		o.score = o.firstEvent + fetchCostWeight*o.fetch + s.costToOthers(o.work, engines, s.running+p.peerRunning(now, s.key())) - p.prefixCredit(s, pr, o.cached, preferred)
-		o.score += p.occupancyCost(now, s)
+		requests := s.running + p.peerRunning(now, s.key())
+		o.score = o.firstEvent + fetchCostWeight*o.fetch + s.costToOthers(o.work, engines, requests) + s.occupancyCost(requests) - p.prefixCredit(s, pr, o.cached, preferred)
 		if s.ep.Zone != p.zone {
 			o.score += otherZoneTime
 		}
@@ -195,10 +195,13 @@
 // has no others.
 func (p *Planner) sampleWithRoom(now clock.Time, list []*endpointState, preferred *endpointState, pr *Prompt) []*endpointState {
 	sample := p.sample(list, preferred, pr)
-	if slices.ContainsFunc(sample, func(s *endpointState) bool { return p.hasRoom(now, s) }) {
-		return p.withRoom(now, sample)
+	if free := p.withRoom(now, sample); len(free) > 0 {
+		return free
 	}
-	return p.withRoom(now, list)
+	if free := p.withRoom(now, list); len(free) > 0 {
+		return free
+	}
+	return notFull(now, list)
 }
 
 // sample returns the engines to compare for a prompt, in an order with a random start.
--- a/internal/policy/place/room.go
+++ b/internal/policy/place/room.go
@@ -87,33 +87,34 @@
 	}
 }
 
-// withRoom returns the endpoints of list that have room as far as is known: those with a free slot, or else those
-// that aren't known to be full, or else the one whose latest rejection is the oldest.
-func (p *Planner) withRoom(now clock.Time, list []*endpointState) []*endpointState {
+// notFull returns the endpoints of list that aren't known to be full, or else the one whose latest rejection is the
+// oldest.
+func notFull(now clock.Time, list []*endpointState) []*endpointState {
 	var oldest *endpointState
 	open := make([]*endpointState, 0, len(list))
-	withSlot := make([]*endpointState, 0, len(list))
 	for _, s := range list {
 		switch {
-		case s.room.full(now):
-			if oldest == nil || s.room.rejectedAt < oldest.room.rejectedAt {
-				oldest = s
-			}
-			continue
-		case p.hasRoom(now, s):
-			withSlot = append(withSlot, s)
+		case !s.room.full(now):
+			open = append(open, s)
+		case oldest == nil || s.room.rejectedAt < oldest.room.rejectedAt:
+			oldest = s
 		}
-		open = append(open, s)
 	}
-	switch {
-	case len(withSlot) > 0:
-		return withSlot
-	case len(open) > 0:
-		return open
-	case oldest != nil:
+	if len(open) == 0 && oldest != nil {
 		return []*endpointState{oldest}
 	}
-	return nil
+	return open
+}
+
+// withRoom returns the endpoints of list that have room by all that is known.
+func (p *Planner) withRoom(now clock.Time, list []*endpointState) []*endpointState {
+	out := make([]*endpointState, 0, len(list))
+	for _, s := range list {
+		if p.hasRoom(now, s) {
+			out = append(out, s)
+		}
+	}
+	return out
 }
 
 // hasRoom reports whether s isn't known to be full and has a free slot by the counts of this VM and its peers.
--- a/internal/policy/place/target.go
+++ b/internal/policy/place/target.go
@@ -20,7 +20,7 @@
 // leastLoadedDecode returns the decode engine with the lowest load, with a preference for the zone
 // of source. In a large fleet it compares only a few engines.
 func (p *Planner) leastLoadedDecode(now clock.Time, list []*endpointState, source *endpointState) *endpointState {
-	list = p.withRoom(now, list)
+	list = notFull(now, list)
 	var best *endpointState
 	var minLoad float64
 	start := int(p.random() % uint32(max(len(list), 1)))
