--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,7 @@
 	prepaidRetries        int                           // taken from the retry budget and not sent yet
 	prefillDone           bool                          // an engine has accepted the prefill that is no arrival
 	tried                 map[string]bool               // ids of endpoints that further attempts exclude
+	silent                map[string]bool               // ids of endpoints that the replacement which is being secured excludes
 	rejectedBy            map[string]bool               // those of them that haven't run the request and may take it later
 	lastEventID           string                        // id of the last event that was sent to the caller
 	lastEventAt           clock.Time                    // when it was sent
@@ -61,6 +63,7 @@
 	firstEventTime        time.Duration // from the arrival to the first event
 	latest                *attempt      // that has ended
 	attempts              []attemptTrace
+	withheld              int // replacements that weren't sent, as the other endpoints were silent, too
 }
 
 func (x *execution) now() clock.Time { return x.g.o.Clock.Now() }
@@ -191,6 +194,9 @@
 // stream that has an event they are those of its version.
 func (x *execution) openEndpoints() []*catalog.Endpoint {
 	open := x.g.o.Catalog.View().Available(x.service)
+	if len(x.silent) > 0 {
+		open = slices.DeleteFunc(slices.Clone(open), func(e *catalog.Endpoint) bool { return x.silent[e.ID] })
+	}
 	if o := x.origin.Load(); o != nil {
 		return ofVersion(open, o.Version)
 	}
@@ -212,6 +218,7 @@
 	}
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
+	a.life = x.g.silences.Begin(processOf(s.Endpoint), a.sentAt.Add(a.quiet))
 	if !s.PrefillOnly {
 		x.runsSent.Add(1)
 	}
@@ -223,8 +230,9 @@
 			a.brokeOff = ctx.Err() == nil
 			return false
 		}
+		a.life.Sign(x.now())
 		ans = x.g.o.Codec.Answer(x.call, resp.Status, resp.Header)
-		a.readBody(resp)
+		x.readBody(a, resp)
 		return mayBeUsed(s, resp, &ans) && a.bodyErr == nil
 	})
 	switch {
