No full endpoint is asked in place of a silent one, and no exchange is replaced just after its header

Change: an endpoint that is known to be full isn't asked for a replacement, and a header counts as a sign of life of its exchange.

--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -113,6 +113,9 @@
 // beginAsking reports whether an endpoint that isn't silent and the retry budget allow a replacement of a. Until
 // end is called, silent endpoints are excluded. stage is Prefill if a prefill engine is to be asked.
 func (x *execution) beginAsking(a *attempt, stage catalog.Stage, retries int) (end func(), ok bool) {
+	if a.life.IsAlive(x.now()) {
+		return nil, false // its header has arrived a moment ago
+	}
 	end, ok = x.excludeSilent(a, stage)
 	if !ok {
 		x.withheld++
@@ -129,17 +132,21 @@
 }
 
 // excludeSilent excludes the endpoints that are as silent as that of a until end is called. It reports whether
-// others may be asked.
+// others may be asked, which aren't known to be full.
 func (x *execution) excludeSilent(a *attempt, stage catalog.Stage) (end func(), ok bool) {
 	outer := x.silent
 	x.silent = nil
 	endpoints := x.openEndpoints()
+	now := x.now()
+	full := map[string]bool{}
+	for _, f := range x.g.o.Planner.FullEndpoints(now, endpoints) {
+		full[f.ID] = true
+	}
 	candidates := make([]silence.Candidate, len(endpoints))
 	for i, e := range endpoints {
-		excluded := e.ID == a.request.Endpoint.ID || (e.Stage == catalog.Prefill) != (stage == catalog.Prefill)
+		excluded := full[e.ID] || e.ID == a.request.Endpoint.ID || (e.Stage == catalog.Prefill) != (stage == catalog.Prefill)
 		candidates[i] = silence.Candidate{ID: processOf(e), Tried: excluded || x.tried[e.ID] && !x.rejectedBy[e.ID]}
 	}
-	now := x.now()
 	verdict := x.g.silences.Decide(now, x.service, x, now.Sub(a.progressAt), candidates)
 	if verdict == silence.Withhold {
 		x.silent = outer
--- a/internal/policy/silence/silence.go
+++ b/internal/policy/silence/silence.go
@@ -70,6 +70,8 @@
 	e       *endpoint
 	index   int          // in e.open, negative after End
 	quietTo atomic.Int64 // clock.Time up to which the endpoint may be quiet
+
+	lastSign atomic.Int64 // clock.Time, zero before the first one
 }
 
 // New returns an empty register.
@@ -96,12 +98,19 @@
 // Sign records a sign of life. Until Await is called, nothing is expected of the endpoint.
 func (x *Exchange) Sign(now clock.Time) {
 	x.e.lastSign.Store(int64(now))
+	x.lastSign.Store(int64(now))
 	x.quietTo.Store(int64(never))
 }
 
 // Await records that the next sign of life is waited for from now on.
 func (x *Exchange) Await(now clock.Time) { x.quietTo.Store(int64(now)) }
 
+// IsAlive reports whether the exchange has shown a sign of life within the window.
+func (x *Exchange) IsAlive(now clock.Time) bool {
+	last := x.lastSign.Load()
+	return last != 0 && clock.Time(last) > now.Add(-maxWindow)
+}
+
 // End ends the exchange. Further calls have no effect.
 func (x *Exchange) End() {
 	x.r.mu.Lock()
