Silent endpoints aren't asked in place of a silent one

What callers saw: nothing at once, as no answer was cut off. But where all endpoints of a service paused together, each silent exchange had other endpoints asked that were as silent. Engines got the work of several times the requests when they went on, and the retry budget was spent.

Cause: an exchange's silence was the only evidence. Nothing said whether the others were silent, too.

Change: internal/policy/silence keeps per endpoint when it last showed a sign of life to this VM and since when its exchanges should have shown one. An endpoint that is as silent as the one to be left isn't asked. If none is known to be alive, one request of the VM at a time asks an unknown one. `Replacements` counts `withheld`, and so does `request ends`.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/policy/place"
+	"fescuestand/internal/policy/silence"
 )
 
 // attempt is one exchange of an execution with an endpoint.
@@ -25,6 +26,9 @@
 	brokeOff   bool        // the exchange was lost, and not ended by this VM
 	left       atomic.Bool // this VM has ended the exchange, as the endpoint was silent
 
+	quiet time.Duration     // for which a working endpoint may be silent at first
+	life  *silence.Exchange // nil until the request is sent
+
 	bodyLimit int64 // bytes of the body that are read with the header, zero for none
 	body      []byte
 	bodyErr   error
@@ -51,9 +55,14 @@
 }
 
 // readBody reads the body of an answer, if it is to be read with the header.
-func (a *attempt) readBody(resp *exchange.Response) {
-	if a.bodyLimit > 0 {
-		a.body, a.bodyErr = io.ReadAll(io.LimitReader(resp.Body, a.bodyLimit))
+func (x *execution) readBody(a *attempt, resp *exchange.Response) {
+	if a.bodyLimit == 0 {
+		return
+	}
+	a.life.Await(x.now())
+	a.body, a.bodyErr = io.ReadAll(io.LimitReader(resp.Body, a.bodyLimit))
+	if a.bodyErr == nil {
+		a.life.Sign(x.now())
 	}
 }
 
@@ -154,6 +163,9 @@
 	}
 	x.attempts = append(x.attempts, trace)
 	x.tried[e.ID] = true
+	if a.life != nil {
+		a.life.End(x.now())
+	}
 	if r.outcome != replaced {
 		x.latest = a
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -70,6 +70,7 @@
 // recordEvents records that events of an attempt arrived.
 func (x *execution) recordEvents(a *attempt) {
 	a.progressAt = x.now()
+	a.life.Sign(a.progressAt)
 	if a.eventAt == 0 {
 		a.eventAt = a.progressAt
 	}
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"fescuestand/internal/policy/origin"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
+	"fescuestand/internal/policy/silence"
 )
 
 // execution carries one call from its arrival to its final answer, over all attempts.
@@ -41,6 +43,7 @@
 	prepaidRetries        int                           // taken from the retry budget and not sent yet
 	prefillDone           bool                          // an engine has accepted the prefill that is no arrival
 	tried                 map[string]bool               // ids of endpoints that further attempts exclude
+	silent                map[string]bool               // ids of endpoints that the replacement which is being secured excludes
 	rejectedBy            map[string]bool               // those of them that haven't run the request and may take it later
 	lastEventID           string                        // id of the last event that was sent to the caller
 	lastEventAt           clock.Time                    // when it was sent
@@ -61,6 +64,7 @@
 	firstEventTime        time.Duration // from the arrival to the first event
 	latest                *attempt      // that has ended
 	attempts              []attemptTrace
+	withheld              int // replacements that weren't sent, as the other endpoints were silent, too
 }
 
 func (x *execution) now() clock.Time { return x.g.o.Clock.Now() }
@@ -191,6 +195,9 @@
 // stream that has an event they are those of its version.
 func (x *execution) openEndpoints() []*catalog.Endpoint {
 	open := x.g.o.Catalog.View().Available(x.service)
+	if len(x.silent) > 0 {
+		open = slices.DeleteFunc(slices.Clone(open), func(e *catalog.Endpoint) bool { return x.silent[e.ID] })
+	}
 	if o := x.origin.Load(); o != nil {
 		return ofVersion(open, o.Version)
 	}
@@ -212,6 +219,7 @@
 	}
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
+	a.life = x.g.silences.Begin(silence.Process{ID: s.Endpoint.ID, Born: s.Endpoint.Born}, a.sentAt.Add(a.quiet))
 	if !s.PrefillOnly {
 		x.runsSent.Add(1)
 	}
@@ -223,8 +231,9 @@
 			a.brokeOff = ctx.Err() == nil
 			return false
 		}
+		a.life.Sign(x.now())
 		ans = x.g.o.Codec.Answer(x.call, resp.Status, resp.Header)
-		a.readBody(resp)
+		x.readBody(a, resp)
 		return mayBeUsed(s, resp, &ans) && a.bodyErr == nil
 	})
 	switch {
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -102,6 +102,9 @@
 			WithField("prefill_ms", x.handoffTime.Milliseconds()).WithField("tokens", x.call.PromptTokens).WithField("shared", x.sharedTokens).
 			WithField("cached", x.predictedCachedTokens).WithField("held", x.waited)
 	}
+	if x.withheld > 0 {
+		e = e.WithField("withheld", x.withheld)
+	}
 	if last.code != 0 {
 		e = e.WithField("code", int(last.code))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
 	"fescuestand/internal/policy/serving"
+	"fescuestand/internal/policy/silence"
 	"fescuestand/internal/workspace"
 )
 
@@ -82,11 +83,12 @@
 	durations    *drain.Durations
 	shutdown     atomic.Pointer[shutdown] // nil if the process isn't shutting down
 	queues       sync.Map                 // of *queue, by service
+	silences     *silence.Register
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), durations: drain.NewDurations()}
+	return &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), durations: drain.NewDurations(), silences: silence.New()}
 }
 
 // RequestRate returns the measured requests a second, zero before the first measurement.
@@ -158,6 +160,7 @@
 		v := g.o.Catalog.View()
 		g.o.Planner.SetView(v)
 		g.o.Pressure.SetView(g.o.Clock.Now(), v)
+		g.silences.Sweep(g.o.Clock.Now())
 		inUse := map[string]bool{}
 		for _, e := range v.All() {
 			inUse[e.Address] = true
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	replacementCanceled     = "canceled"     // the endpoint went on meanwhile
 	replacementFailed       = "failed"       // no other endpoint took the request
 	replacementUnaffordable = "unaffordable" // the retry budget doesn't allow it
+	replacementWithheld     = "withheld"     // the other endpoints are silent, too
 )
 
 // Metrics counts requests by outcome and by result code, their latency by route, and the replacements of
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -63,7 +63,7 @@
 	}
 	x.beginAnswer()
 	a := x.begin(&EndpointRequest{Endpoint: ep}, place.Job{})
-	a.bodyLimit = maxAnswerBytes
+	a.bodyLimit, a.quiet = maxAnswerBytes, x.callQuiet()
 	ctx, cancel, _ := x.exchangeContext()
 	defer cancel()
 	g := newGuard(x, x.callAllowance(), func() (result, bool) { return x.replaceCall(a) }, leaver(a, cancel))
@@ -99,6 +99,15 @@
 	return min(allowed, x.remainingTime()/2)
 }
 
+// callQuiet is the time in which a working endpoint answers a call. A call that may not be retried may take any
+// time.
+func (x *execution) callQuiet() time.Duration {
+	if !x.route.Retryable() {
+		return x.remainingTime()
+	}
+	return x.route.LatencyTarget
+}
+
 const (
 	// attemptTimeoutTargets times the route's target exceeds nearly every answer time of a working
 	// endpoint: the slowest one in a hundred takes five times the mean, which is a fraction of the
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -6,6 +6,7 @@
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/code"
 	"fescuestand/internal/policy/place"
+	"fescuestand/internal/policy/silence"
 )
 
 const (
@@ -24,9 +25,11 @@
 
 // replaceStream has another engine resume the stream of a, whose engine is silent.
 func (x *execution) replaceStream(a *attempt) (*openStream, bool) {
-	if !x.beginReplacing(a, retriesToResume) {
+	end, ok := x.beginReplacing(a, retriesToResume)
+	if !ok {
 		return nil, false
 	}
+	defer end()
 	for range maxAskedAtOnce {
 		o, r := x.openStream()
 		if o != nil {
@@ -56,11 +59,11 @@
 		return prefillReplacement{stream: o}, taken
 	}
 	x.markSilent(a)
-	if !x.mayAfford(1) {
+	end, ok := x.beginAsking(a, catalog.Prefill, 1)
+	if !ok {
 		return prefillReplacement{}, false
 	}
-	x.forgetRejections()
-	x.tried[a.request.Endpoint.ID] = true
+	defer end()
 	if plan, _, ok := x.placePrompt(prompt); ok && plan.Prefill != nil {
 		if kv, _, _ := x.prefill(&plan, prompt); kv != nil {
 			x.g.metrics.countReplacement(replacementTaken)
@@ -78,9 +81,11 @@
 // replaceCall has another endpoint answer the call of a, whose endpoint is silent. A failure isn't taken: the
 // silent endpoint may still succeed.
 func (x *execution) replaceCall(a *attempt) (result, bool) {
-	if !x.beginReplacing(a, 1) {
+	end, ok := x.beginReplacing(a, 1)
+	if !ok {
 		return result{}, false
 	}
+	defer end()
 	for range maxAskedAtOnce {
 		r := x.callOnce()
 		if r.outcome == answered {
@@ -96,18 +101,62 @@
 }
 
 // beginReplacing records that the endpoint of a is silent, and reports whether another one may be asked,
-// which takes the given number of retries.
-func (x *execution) beginReplacing(a *attempt, retries int) bool {
+// which takes the given number of retries. end must be called once it has been.
+func (x *execution) beginReplacing(a *attempt, retries int) (end func(), ok bool) {
 	x.markSilent(a)
 	if !x.route.Retryable() || !x.mayRunAgain() || x.ctx.Err() != nil {
-		return false
+		return nil, false
+	}
+	return x.beginAsking(a, catalog.Whole, retries)
+}
+
+// beginAsking reports whether an endpoint that isn't silent and the retry budget allow a replacement of a. Until
+// end is called, silent endpoints are excluded. stage is Prefill if a prefill engine is to be asked.
+func (x *execution) beginAsking(a *attempt, stage catalog.Stage, retries int) (end func(), ok bool) {
+	end, ok = x.excludeSilent(a, stage)
+	if !ok {
+		x.withheld++
+		x.g.metrics.countReplacement(replacementWithheld)
+		return nil, false
 	}
 	if !x.mayAfford(retries) {
-		return false
+		end()
+		return nil, false
 	}
 	x.forgetRejections()
 	x.tried[a.request.Endpoint.ID] = true
-	return true
+	return end, true
+}
+
+// excludeSilent excludes the endpoints that are as silent as that of a until end is called. It reports whether
+// others may be asked.
+func (x *execution) excludeSilent(a *attempt, stage catalog.Stage) (end func(), ok bool) {
+	outer := x.silent
+	x.silent = nil
+	endpoints := x.openEndpoints()
+	candidates := make([]silence.Candidate, len(endpoints))
+	for i, e := range endpoints {
+		excluded := e.ID == a.request.Endpoint.ID || (e.Stage == catalog.Prefill) != (stage == catalog.Prefill)
+		candidates[i] = silence.Candidate{Process: silence.Process{ID: e.ID, Born: e.Born}, Tried: excluded || x.tried[e.ID] && !x.rejectedBy[e.ID]}
+	}
+	now := x.now()
+	verdict := x.g.silences.Decide(now, x.service, x, now.Sub(a.progressAt), candidates)
+	if verdict == silence.Withhold {
+		x.silent = outer
+		return nil, false
+	}
+	x.silent = map[string]bool{}
+	for i := range candidates {
+		if candidates[i].Silent {
+			x.silent[endpoints[i].ID] = true
+		}
+	}
+	return func() {
+		x.silent = outer
+		if verdict == silence.Probe {
+			x.g.silences.EndProbe(x.service, x)
+		}
+	}, true
 }
 
 // mayAfford reports whether the retry budget allows a replacement that takes the given number of retries.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -121,7 +121,7 @@
 // another one may have begun the stream meanwhile, which prefill returns then.
 func (x *execution) prefill(plan *place.Plan, prompt *place.Prompt) (*Handoff, *openStream, result) {
 	a := x.begin(&EndpointRequest{Endpoint: plan.Prefill, PrefillOnly: true, FetchFrom: fetchAddress(plan)}, plan.Job())
-	a.bodyLimit = maxHandoffBytes
+	a.bodyLimit, a.quiet = maxHandoffBytes, plan.FirstEvent
 	ctx, cancel, _ := x.exchangeContext()
 	defer cancel()
 	g := newGuard(x, firstEventAllowance(plan), func() (prefillReplacement, bool) { return x.replacePrefill(a, prompt) }, leaver(a, cancel))
@@ -210,7 +210,7 @@
 	}
 	o := &openStream{attempt: x.begin(s, job), prompt: prompt}
 	ctx, cancel, accept := x.exchangeContext()
-	o.ctx, o.cancel = ctx, cancel
+	o.ctx, o.cancel, o.quiet = ctx, cancel, plan.FirstEvent
 	o.guard = newGuard(x, firstEventAllowance(plan), func() (*openStream, bool) { return x.replaceStream(o.attempt) }, leaver(o.attempt, cancel))
 	var replacement *openStream
 	resp, ans, r := x.send(ctx, o.attempt, func(op func() bool) (taken bool) {
@@ -250,6 +250,7 @@
 // as this one was silent. It returns the stream there, or the result.
 func (x *execution) forwardStream(o *openStream) (*openStream, result) {
 	rd := newEventReader(o.resp.Body)
+	o.life.Await(x.now())
 	for {
 		var events []byte
 		var err error
@@ -279,6 +280,7 @@
 			return nil, r
 		}
 		o.guard.reset(maxEventGap)
+		o.life.Await(x.lastEventAt)
 	}
 }
 
