--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -164,7 +164,7 @@
 	x.attempts = append(x.attempts, trace)
 	x.tried[e.ID] = true
 	if a.life != nil {
-		a.life.End()
+		a.life.End(x.now())
 	}
 	if r.outcome != replaced {
 		x.latest = a
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -19,6 +19,7 @@
 	"fescuestand/internal/policy/origin"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
+	"fescuestand/internal/policy/silence"
 )
 
 // execution carries one call from its arrival to its final answer, over all attempts.
@@ -218,7 +219,7 @@
 	}
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
-	a.life = x.g.silences.Begin(processOf(s.Endpoint), a.sentAt.Add(a.quiet))
+	a.life = x.g.silences.Begin(silence.Process{ID: s.Endpoint.ID, Born: s.Endpoint.Born}, a.sentAt.Add(a.quiet))
 	if !s.PrefillOnly {
 		x.runsSent.Add(1)
 	}
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -145,7 +145,7 @@
 	candidates := make([]silence.Candidate, len(endpoints))
 	for i, e := range endpoints {
 		excluded := full[e.ID] || e.ID == a.request.Endpoint.ID || (e.Stage == catalog.Prefill) != (stage == catalog.Prefill)
-		candidates[i] = silence.Candidate{ID: processOf(e), Tried: excluded || x.tried[e.ID] && !x.rejectedBy[e.ID]}
+		candidates[i] = silence.Candidate{Process: silence.Process{ID: e.ID, Born: e.Born}, Tried: excluded || x.tried[e.ID] && !x.rejectedBy[e.ID]}
 	}
 	verdict := x.g.silences.Decide(now, x.service, x, now.Sub(a.progressAt), candidates)
 	if verdict == silence.Withhold {
--- a/internal/policy/silence/silence.go
+++ b/internal/policy/silence/silence.go
@@ -10,7 +10,7 @@
 // rejection or the end of a body) and until when its open exchanges may be expected to be quiet. At the time of a
 // decision an endpoint is
 //   - alive, if it has shown a sign of life within the window,
-//   - silent, if it has an exchange that should have shown one for longer than the window, or
+//   - silent, if it has an exchange that should have shown one for longer than the window, or had one lately, or
 //   - unknown otherwise.
 //
 // A silent endpoint isn't asked. Unknown ones may be asked if another endpoint of the service is alive. If none is,
@@ -40,6 +40,10 @@
 	// probeInterval is the time from a probe that isn't answered to the next one. Callers leave a stream after two
 	// seconds without an event, and ask for a replacement in the first one.
 	probeInterval = 800 * time.Millisecond
+	// minLeftSilence is the silence of an exchange that still says something about its endpoint after its end,
+	// for leftMemory.
+	minLeftSilence = 200 * time.Millisecond
+	leftMemory     = 2 * time.Second
 )
 
 // never is the time up to which an endpoint may be quiet that isn't waited for.
@@ -48,8 +52,14 @@
 // Register keeps the signs of life of one VM's endpoints.
 type Register struct {
 	mu        sync.Mutex
-	endpoints map[string]*endpoint // by the ID of the process
-	probes    map[string]probe     // by service
+	endpoints map[Process]*endpoint
+	probes    map[string]probe // by service
+}
+
+// Process identifies one process of an endpoint, which may restart under its ID.
+type Process struct {
+	ID   string
+	Born int64 // Unix milliseconds of its start
 }
 
 // probe is a request that asks an unknown endpoint.
@@ -60,8 +70,10 @@
 
 // endpoint is what is known about one process.
 type endpoint struct {
-	lastSign atomic.Int64 // clock.Time
-	open     []*Exchange
+	lastSign  atomic.Int64 // clock.Time
+	open      []*Exchange
+	leftAt    clock.Time // when the latest silent exchange was ended, zero for never
+	leftQuiet clock.Time // up to when the endpoint might have been quiet in it
 }
 
 // Exchange is an open exchange with an endpoint.
@@ -76,18 +88,18 @@
 
 // New returns an empty register.
 func New() *Register {
-	return &Register{endpoints: map[string]*endpoint{}, probes: map[string]probe{}}
+	return &Register{endpoints: map[Process]*endpoint{}, probes: map[string]probe{}}
 }
 
-// Begin records that a request is sent to the process id, which may be quiet until quietTo.
-func (r *Register) Begin(id string, quietTo clock.Time) *Exchange {
+// Begin records that a request is sent to a process, which may be quiet until quietTo.
+func (r *Register) Begin(p Process, quietTo clock.Time) *Exchange {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.endpoints[id]
+	e := r.endpoints[p]
 	if e == nil {
 		e = &endpoint{}
 		e.lastSign.Store(math.MinInt64)
-		r.endpoints[id] = e
+		r.endpoints[p] = e
 	}
 	x := &Exchange{r: r, e: e, index: len(e.open)}
 	x.quietTo.Store(int64(quietTo))
@@ -112,7 +124,7 @@
 }
 
 // End ends the exchange. Further calls have no effect.
-func (x *Exchange) End() {
+func (x *Exchange) End(now clock.Time) {
 	x.r.mu.Lock()
 	defer x.r.mu.Unlock()
 	if x.index < 0 {
@@ -124,24 +136,27 @@
 	x.e.open[last] = nil
 	x.e.open = x.e.open[:last]
 	x.index = -1
+	if quietTo := clock.Time(x.quietTo.Load()); quietTo <= now.Add(-minLeftSilence) {
+		x.e.leftAt, x.e.leftQuiet = now, quietTo
+	}
 }
 
 // Sweep forgets endpoints without open exchanges whose latest sign of life says nothing any more.
 func (r *Register) Sweep(now clock.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id, e := range r.endpoints {
-		if len(e.open) == 0 && !e.isAlive(now, maxWindow) {
-			delete(r.endpoints, id)
+	for p, e := range r.endpoints {
+		if len(e.open) == 0 && !e.isAlive(now, maxWindow) && !e.wasLeft(now) {
+			delete(r.endpoints, p)
 		}
 	}
 }
 
 // Candidate is an endpoint that may be able to take the request.
 type Candidate struct {
-	ID     string // of the process
-	Tried  bool   // it isn't asked again, but shows whether endpoints are alive
-	Silent bool   // set by Decide
+	Process Process
+	Tried   bool // it isn't asked, but shows whether endpoints are alive
+	Silent  bool // set by Decide
 }
 
 // Verdict says whether another endpoint is asked in place of a silent one.
@@ -149,7 +164,7 @@
 
 // The verdicts.
 const (
-	Ask      Verdict = iota // one that isn't silent
+	Ask      Verdict = iota // one that isn't silent; also if all have been tried, which the caller finds out
 	Probe                   // one that isn't silent; EndProbe must be called afterwards
 	Withhold                // none
 )
@@ -160,17 +175,20 @@
 	window := min(time.Duration(windowShare*float64(silent)), maxWindow)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	alive, asked := false, false
+	alive, left, asked := false, false, false
 	for i := range candidates {
 		c := &candidates[i]
-		e := r.endpoints[c.ID]
+		e := r.endpoints[c.Process]
 		isAlive := e != nil && e.isAlive(now, window)
 		c.Silent = e != nil && !isAlive && e.isOverdue(now, window)
 		alive = alive || isAlive
+		left = left || !c.Tried
 		asked = asked || !c.Silent && !c.Tried
 	}
 	p, probed := r.probes[service]
 	switch {
+	case !left:
+		return Ask
 	case !asked:
 		return Withhold
 	case alive:
@@ -195,8 +213,16 @@
 	return clock.Time(e.lastSign.Load()) > now.Add(-window)
 }
 
+// wasLeft reports whether a silent exchange was ended lately and the endpoint hasn't shown a sign of life since.
+func (e *endpoint) wasLeft(now clock.Time) bool {
+	return e.leftAt != 0 && now.Sub(e.leftAt) < leftMemory && clock.Time(e.lastSign.Load()) <= e.leftQuiet
+}
+
 // isOverdue reports whether an exchange should have shown a sign of life for longer than the window.
 func (e *endpoint) isOverdue(now clock.Time, window time.Duration) bool {
+	if e.wasLeft(now) {
+		return true
+	}
 	for _, x := range e.open {
 		if clock.Time(x.quietTo.Load()) <= now.Add(-window) {
 			return true
