A VM opens its sockets through one package

Purpose: run whole VMs on a simulated network. The VM's process opened sockets at five places (servers, beats, queries of peers, exchanges with endpoints and relays) and read the machine's boot-time clock directly.

Change: internal/network listens and dials; vm.Options.Network and vm.Options.Clock are the machine's unless they are set. A drain of the HTTP server reads what has arrived also on a connection without a socket.

The platform's clients of its store and cloud keep their own dialers: platform/ isn't one of these packages.

--- a/internal/cachesync/cachesync_test.go
+++ b/internal/cachesync/cachesync_test.go
@@ -15,6 +15,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/network"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/wire"
 )
@@ -126,7 +127,7 @@
 		t.Cleanup(srv.Close)
 		v.addr = strings.TrimPrefix(srv.URL, "http://")
 		v.unit = Unit{
-			Clock: clock.Boot{}, Planner: v.planner, Catalog: store, Members: v, Engines: d, OwnAddress: v.addr, FirstStart: first,
+			Clock: clock.Boot{}, Planner: v.planner, Catalog: store, Members: v, Engines: d, Network: network.Machine{}, OwnAddress: v.addr, FirstStart: first,
 			Announce: func(c *wire.CachedPrefix) {
 				for _, other := range d.vms {
 					other.planner.RecordCached(c.GetEndpoint(), Parts(c))
@@ -257,11 +258,12 @@
 func TestAnEmptyAnswerIsNoList(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	t.Cleanup(srv.Close)
-	_, err := queryVM(t.Context(), strings.TrimPrefix(srv.URL, "http://"))
+	u := &Unit{Network: network.Machine{}}
+	_, err := u.queryVM(t.Context(), strings.TrimPrefix(srv.URL, "http://"))
 	assert.Assert(t, err != nil)
 	none := httptest.NewServer(&Handler{place.New("z", 1)})
 	t.Cleanup(none.Close)
-	all, err := queryVM(t.Context(), strings.TrimPrefix(none.URL, "http://"))
+	all, err := u.queryVM(t.Context(), strings.TrimPrefix(none.URL, "http://"))
 	assert.NilError(t, err)
 	assert.Equal(t, len(all.GetEngines()), 0)
 }
--- a/internal/cachesync/unit.go
+++ b/internal/cachesync/unit.go
@@ -10,6 +10,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/network"
 	"fescuestand/internal/peerhttp"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/splitmix"
@@ -71,7 +72,8 @@
 	Catalog    *catalog.Store
 	Members    Members
 	Engines    CacheLister
-	OwnAddress string // this VM's address among Members
+	Network    network.Network // for queries to VMs
+	OwnAddress string          // this VM's address among Members
 	// FirstStart means that the whole deployment starts for the first time: no engine has anything
 	// cached.
 	FirstStart bool
@@ -179,7 +181,7 @@
 // copyFromVM records what the first VM that answers has recorded. It returns false if none answers.
 func (u *Unit) copyFromVM(ctx context.Context) bool {
 	for _, addr := range u.Members.CacheTrackers() {
-		all, err := queryVM(ctx, addr)
+		all, err := u.queryVM(ctx, addr)
 		log.WithError(err).WithField("vm", addr).WithField("engines", len(all.GetEngines())).Info("VM queried for cached parts")
 		if err != nil {
 			continue
@@ -192,10 +194,10 @@
 	return false
 }
 
-func queryVM(ctx context.Context, addr string) (*wire.Caches, error) {
+func (u *Unit) queryVM(ctx context.Context, addr string) (*wire.Caches, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	data, err := peerhttp.New().Get(ctx, addr, Path, maxAnswerBytes)
+	data, err := peerhttp.New(u.Network).Get(ctx, addr, Path, maxAnswerBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -17,6 +17,7 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/era"
 	"fescuestand/internal/keyedlog"
+	"fescuestand/internal/network"
 )
 
 // emptyLog is a store without entries that counts the reads.
@@ -58,7 +59,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	v.puller = NewPuller(&v.clock, v.version.Load, f)
+	v.puller = NewPuller(network.Machine{}, &v.clock, v.version.Load, f)
 	return v
 }
 
--- a/internal/configsync/puller.go
+++ b/internal/configsync/puller.go
@@ -10,6 +10,7 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/keyedlog"
+	"fescuestand/internal/network"
 	"fescuestand/internal/peerhttp"
 )
 
@@ -43,10 +44,10 @@
 	pulling       bool
 }
 
-// NewPuller returns a puller that passes configurations to follower; inForce returns the version in
-// force at this VM.
-func NewPuller(c clock.Clock, inForce func() uint64, follower *keyedlog.Follower) *Puller {
-	return &Puller{clock: c, inForce: inForce, follower: follower, peers: peerhttp.New()}
+// NewPuller returns a puller that queries peers over n and passes configurations to follower; inForce returns
+// the version in force at this VM.
+func NewPuller(n network.Network, c clock.Clock, inForce func() uint64, follower *keyedlog.Follower) *Puller {
+	return &Puller{clock: c, inForce: inForce, follower: follower, peers: peerhttp.New(n)}
 }
 
 // ReceiveVersion handles a report that the VM at addr serves by the given version. It starts a pull,
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,7 +16,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,6 +25,7 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/driver"
+	"fescuestand/internal/network"
 	"fescuestand/internal/stall"
 )
 
@@ -44,9 +44,9 @@
 	// keepAlivePeriod is the idle time before, and the interval between, TCP keep-alive probes,
 	// which detect a peer that disappeared without closing the connection.
 	keepAlivePeriod = 2 * time.Second
-	// userTimeoutMs is TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays
+	// userTimeout is TCP_USER_TIMEOUT: the kernel closes a connection whose sent data stays
 	// unacknowledged for that long.
-	userTimeoutMs = 3000
+	userTimeout = 3 * time.Second
 	// maxInterimResponses bounds the responses read for one request, 1xx responses included.
 	maxInterimResponses = 8
 )
@@ -100,7 +100,7 @@
 type Pool struct {
 	// Observer is nil if nothing observes the pool. It is set before the first use.
 	Observer Observer
-	// Dialer opens the connections. NewPool sets one for TCP; another one is set before the first use.
+	// Dialer opens the connections. NewPool sets one; another one is set before the first use.
 	Dialer stall.Dialer
 
 	mu      sync.Mutex
@@ -115,24 +115,20 @@
 	Dials, Reused, Surplus int64
 }
 
-// NewDialer returns a pool that opens a new connection for each exchange.
-func NewDialer() *Pool {
-	p := NewPool()
+// NewDialer returns a pool on a network that opens a new connection for each exchange.
+func NewDialer(n network.Network) *Pool {
+	p := NewPoolOn(n)
 	p.closing = true
 	return p
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{idle: map[string][]*conn{}, Dialer: newTCPDialer()}
-}
+// NewPool returns an empty pool on the machine's network.
+func NewPool() *Pool { return NewPoolOn(network.Machine{}) }
 
-// newTCPDialer returns a dialer whose connections detect dead peers.
-func newTCPDialer() *net.Dialer {
-	return &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: 2},
-		Control:         setUserTimeout,
-	}
+// NewPoolOn returns an empty pool on a network. Its connections detect dead peers.
+func NewPoolOn(n network.Network) *Pool {
+	d := n.Dialer(network.DialOptions{KeepAlivePeriod: keepAlivePeriod, UserTimeout: userTimeout})
+	return &Pool{idle: map[string][]*conn{}, Dialer: d}
 }
 
 // Stats returns the counters.
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -7,9 +7,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
-
-	"golang.org/x/sys/unix"
 
 	"fescuestand/internal/driver"
 )
@@ -131,11 +128,3 @@
 		return false
 	}
 }
-
-// setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// Without this socket option dead peers are only detected later.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMs)
-	})
-}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"fescuestand/internal/httpserver"
+	"fescuestand/internal/network"
 )
 
 const (
@@ -23,6 +24,9 @@
 
 // Server is a kernel unit that serves HTTP on one address.
 type Server struct {
+	// Network is that of the machine. Another one is set before Provision.
+	Network network.Network
+
 	name   string
 	addr   string
 	linger time.Duration
@@ -39,7 +43,7 @@
 	if i, ok := h.(requestIdentifier); ok {
 		o.RequestID = i.RequestID
 	}
-	return &Server{name: name, addr: addr, linger: linger, http: httpserver.New(h, base, o)}
+	return &Server{Network: network.Machine{}, name: name, addr: addr, linger: linger, http: httpserver.New(h, base, o)}
 }
 
 // requestIdentifier is a handler whose requests have ids.
@@ -58,9 +62,8 @@
 
 // Provision implements kernel.Provisioner.
 func (s *Server) Provision(ctx context.Context) error {
-	var lc net.ListenConfig
 	var err error
-	s.ln, err = lc.Listen(ctx, "tcp4", s.addr)
+	s.ln, err = s.Network.Listen(ctx, "tcp4", s.addr)
 	return err
 }
 
--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"fescuestand/internal/network"
 	"fescuestand/internal/wire"
 )
 
@@ -53,6 +54,8 @@
 	// ReceiveAboutStreams is called with the datagrams of other VMs that SendAboutStreams has sent, unless it
 	// is nil.
 	ReceiveAboutStreams func(from string, b *wire.Beat)
+	// Network is that of the machine. Another one is set before Provision.
+	Network network.Network
 
 	members       *Members
 	content       Content
@@ -76,6 +79,7 @@
 // NewUnit returns a unit that listens on the own node's datagram address.
 func NewUnit(m *Members, c Content) *Unit {
 	return &Unit{
+		Network: network.Machine{},
 		members: m, content: c, listenAddress: m.own.Peer, queued: &wire.Beat{},
 		earlyBeat: make(chan struct{}, 1), wakeProbe: make(chan struct{}, 1),
 	}
@@ -86,9 +90,8 @@
 
 // Provision implements kernel.Provisioner.
 func (u *Unit) Provision(ctx context.Context) error {
-	var lc net.ListenConfig
 	var err error
-	u.pc, err = lc.ListenPacket(ctx, "udp4", u.listenAddress)
+	u.pc, err = u.Network.ListenPacket(ctx, "udp4", u.listenAddress)
 	return err
 }
 
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -77,6 +77,9 @@
 
 // readArrived reads what has arrived, whatever the deadline. It doesn't wait.
 func (c *conn) readArrived(b []byte) int {
+	if r, ok := c.Conn.(arrivedReader); ok {
+		return r.ReadArrived(b)
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return 0
@@ -91,6 +94,11 @@
 	return max(n, 0)
 }
 
+// arrivedReader is a connection without a socket that reads what has arrived.
+type arrivedReader interface {
+	ReadArrived(b []byte) int
+}
+
 // CloseWrite is used by net/http, so that a caller which still sends can read the answer.
 func (c *conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/peerhttp/peerhttp.go
+++ b/internal/peerhttp/peerhttp.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"fescuestand/internal/network"
 )
 
 // wholeHeader marks an answer that the other VM has given deliberately. VMs of earlier versions don't send it.
@@ -20,10 +22,11 @@
 // Client sends requests to other VMs. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
-// New returns a client without keep-alive connections: an idle connection may have failed
+// New returns a client on a network without keep-alive connections: an idle connection may have failed
 // unnoticed, and requests are rare.
-func New() *Client {
-	return &Client{&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
+func New(n network.Network) *Client {
+	dialer := n.Dialer(network.DialOptions{})
+	return &Client{&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}}}
 }
 
 // Write answers a request of another VM. The body may be empty.
--- a/internal/peerhttp/peerhttp_test.go
+++ b/internal/peerhttp/peerhttp_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/network"
 )
 
 const testLimit = 64
@@ -28,7 +30,7 @@
 		"without end": {endless, ErrNotWhole},
 	} {
 		srv := httptest.NewServer(c.answer)
-		_, err := New().Get(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "/", testLimit)
+		_, err := New(network.Machine{}).Get(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "/", testLimit)
 		srv.Close()
 		assert.ErrorIs(t, err, c.err, name)
 	}
--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -112,6 +112,16 @@
 	return n
 }
 
+// ReadArrived reads what has arrived, whatever the deadline. It doesn't wait.
+func (c *Conn) ReadArrived(b []byte) int {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	if c.closed || !c.hasArrived() || c.incoming[0].kind != data {
+		return 0
+	}
+	return c.take(b)
+}
+
 // Quiet reports whether nothing has arrived that hasn't been read: neither data nor the peer's end.
 func (c *Conn) Quiet() bool {
 	c.n.mu.Lock()
@@ -352,6 +362,11 @@
 			until = at
 		}
 	}
+	return waitFor(changed, until)
+}
+
+// waitFor returns a function that waits until changed is closed or, unless it is zero, until a time.
+func waitFor(changed <-chan struct{}, until time.Time) func() {
 	if until.IsZero() {
 		return func() { <-changed }
 	}
--- a/internal/simnet/network.go
+++ b/internal/simnet/network.go
@@ -9,7 +9,9 @@
 // those of the others. Goroutines that run at the same simulated moment are ordered by the scheduler; jitter keeps such
 // moments rare.
 //
-// Not simulated: bandwidth, loss, datagrams, a full backlog, keep-alive probes and TCP_USER_TIMEOUT.
+// Datagrams take the latency too, and may be lost. Those that a silent host sends or is sent are lost.
+//
+// Not simulated: bandwidth, loss on connections, a full backlog, keep-alive probes and TCP_USER_TIMEOUT.
 package simnet
 
 import (
@@ -32,6 +34,8 @@
 	Seed uint64
 	// Latency is the shortest time that data takes to another host, and Jitter the most that is added to it.
 	Latency, Jitter time.Duration
+	// Loss is the share of the datagrams that are lost.
+	Loss float64
 }
 
 // Network connects hosts. It is safe for concurrent use.
@@ -67,6 +71,9 @@
 		for _, l := range h.listeners {
 			l.close()
 		}
+		for _, p := range h.packetConns {
+			p.close()
+		}
 	}
 	for c := range n.conns {
 		c.close(true)
@@ -81,11 +88,12 @@
 
 // Host is a machine of a Network.
 type Host struct {
-	n         *Network
-	ip        netip.Addr
-	nextPort  uint16
-	listeners map[uint16]*Listener
-	silent    bool
+	n           *Network
+	ip          netip.Addr
+	nextPort    uint16
+	listeners   map[uint16]*Listener
+	packetConns map[uint16]*PacketConn
+	silent      bool
 }
 
 // NewHost adds a host.
@@ -96,11 +104,14 @@
 	for n.hosts[ip] != nil {
 		ip = ip.Next()
 	}
-	h := &Host{n: n, ip: ip, nextPort: firstPort, listeners: map[uint16]*Listener{}}
+	h := &Host{n: n, ip: ip, nextPort: firstPort, listeners: map[uint16]*Listener{}, packetConns: map[uint16]*PacketConn{}}
 	n.hosts[ip] = h
 	return h
 }
 
+// IP returns the host's address.
+func (h *Host) IP() netip.Addr { return h.ip }
+
 // Silence holds back everything that h sends or is sent from now on. Its connections stay open, and dials from and
 // to it wait.
 func (h *Host) Silence() {
@@ -233,8 +244,12 @@
 	if n.o.Jitter <= 0 {
 		return n.o.Latency
 	}
-	moment := fmt.Sprint(n.o.Seed, from, to, time.Now().UnixNano())
-	return n.o.Latency + time.Duration(xxhash.Sum64String(moment)%uint64(n.o.Jitter))
+	return n.o.Latency + time.Duration(n.chance(from, to)%uint64(n.o.Jitter))
+}
+
+// chance returns a random number for what is sent now.
+func (n *Network) chance(from, to any) uint64 {
+	return xxhash.Sum64String(fmt.Sprint(n.o.Seed, from, to, time.Now().UnixNano()))
 }
 
 func tcpAddr(ip netip.Addr, port uint16) *net.TCPAddr {
--- a/internal/usage/share.go
+++ b/internal/usage/share.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"fescuestand/internal/network"
 	"fescuestand/internal/peerhttp"
 	"fescuestand/internal/wire"
 )
@@ -55,9 +56,9 @@
 	peers   *peerhttp.Client
 }
 
-// NewGatherer returns a gatherer that merges into l; process is the name of this process.
-func NewGatherer(l *Ledger, process string, vms func() []string) *Gatherer {
-	return &Gatherer{Ledger: l, Process: process, VMs: vms, peers: peerhttp.New()}
+// NewGatherer returns a gatherer that queries VMs over n and merges into l; process is the name of this process.
+func NewGatherer(n network.Network, l *Ledger, process string, vms func() []string) *Gatherer {
+	return &Gatherer{Ledger: l, Process: process, VMs: vms, peers: peerhttp.New(n)}
 }
 
 // Gather queries all VMs once and merges their answers.
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -17,6 +17,7 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/era"
+	"fescuestand/internal/network"
 )
 
 // Guards against totals that are lost, doubled or reduced by messages that are lost, duplicated or
@@ -57,7 +58,7 @@
 	t.Cleanup(srv.Close)
 	failing := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(failing.Close)
-	g := NewGatherer(leader, "holder", func() []string {
+	g := NewGatherer(network.Machine{}, leader, "holder", func() []string {
 		return []string{strings.TrimPrefix(failing.URL, "http://"), strings.TrimPrefix(srv.URL, "http://")}
 	})
 	for range 2 {
@@ -308,7 +309,7 @@
 	predecessor.SetDecided(Totals{7, Counts{"north": 3}})
 	srv := httptest.NewServer(&Handler{Ledger: predecessor, Process: "predecessor"})
 	t.Cleanup(srv.Close)
-	NewGatherer(leader, "leader", func() []string { return []string{strings.TrimPrefix(srv.URL, "http://")} }).Gather(t.Context())
+	NewGatherer(network.Machine{}, leader, "leader", func() []string { return []string{strings.TrimPrefix(srv.URL, "http://")} }).Gather(t.Context())
 	decided, ok := leader.Decided(7)
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, decided, Totals{7, Counts{"north": 3}})
--- a/internal/vm/duties.go
+++ b/internal/vm/duties.go
@@ -20,7 +20,7 @@
 		units = append(units, &usage.Reporter{
 			Ledger: n.usageLedger, Records: n.adapter.UsageRecords(), Billing: n.adapter.Billing(), Clock: n.clock, Eras: n.eras,
 			TrueTime: n.timeEstimator.At, MayAct: n.mayAct, Window: u.Window, ReportDeadline: u.ReportDeadline,
-			Gather: usage.NewGatherer(n.usageLedger, n.process(), n.members.ResponsiveActive).Gather,
+			Gather: usage.NewGatherer(n.o.Network, n.usageLedger, n.process(), n.members.ResponsiveActive).Gather,
 		})
 	}
 	if p := n.adapter.Provider(); p != nil {
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -43,9 +43,9 @@
 	n.configFollower.Apply, n.configFollower.SingleKey = n.applyConfig, true
 	n.configFollower.ReadWait, n.configFollower.ReadInterval, n.configFollower.Clock = n.configReadWait, n.configReadInterval, n.clock
 	n.configFollower.Eras, n.configFollower.OnRead = n.eras, n.recordConfigRead
-	n.configPuller = configsync.NewPuller(n.clock, n.version, n.configFollower)
+	n.configPuller = configsync.NewPuller(n.o.Network, n.clock, n.version, n.configFollower)
 	n.endpointFollower = keyedlog.New("fleet", n.adapter.Endpoints())
-	n.endpointFollower.Eras = n.eras
+	n.endpointFollower.Eras, n.endpointFollower.Clock = n.eras, n.clock
 	n.endpointFollower.Apply, n.endpointFollower.BeginBatch, n.endpointFollower.EndBatch = n.applyEndpoint, n.catalog.BeginBatch, n.catalog.EndBatch
 	n.endpointFollower.ReadInterval, n.endpointFollower.OnReadError = n.members.ReadInterval, n.catalog.RecordOutage
 	n.endpointFollower.OnRead = func(clock.Time) {
--- a/internal/vm/reachability.go
+++ b/internal/vm/reachability.go
@@ -12,7 +12,7 @@
 
 // initReachability sets up the detection that this VM is cut off from all endpoints.
 func (n *Node) initReachability() {
-	dialer := exchange.NewDialer()
+	dialer := exchange.NewDialer(n.o.Network)
 	engine := n.adapter.Engine(dialer)
 	n.reachability = reachability.New()
 	n.reachability.Clock, n.reachability.Catalog = n.clock, n.catalog
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -26,6 +26,7 @@
 	"fescuestand/internal/httpserver"
 	"fescuestand/internal/kernel"
 	"fescuestand/internal/keyedlog"
+	"fescuestand/internal/network"
 	"fescuestand/internal/orders"
 	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/backpressure"
@@ -99,6 +100,10 @@
 	Linger time.Duration
 	// DrainTimeout bounds the time to finish the requests in progress after that.
 	DrainTimeout time.Duration
+	// Network opens the sockets, and Clock is the monotonic clock. Nil means those of the machine. The adapter
+	// has its own.
+	Network network.Network
+	Clock   clock.Clock
 	Tunables
 }
 
@@ -156,12 +161,23 @@
 	usageLedger      *usage.Ledger
 }
 
+// setDefaults sets the options that are nil.
+func (o *Options) setDefaults() {
+	if o.Network == nil {
+		o.Network = network.Machine{}
+	}
+	if o.Clock == nil {
+		o.Clock = clock.Boot{}
+	}
+}
+
 // New assembles a process. Its units do nothing until the kernel runs them.
 func New(o Options, a Adapter) *Node {
-	c := clock.Boot{}
+	o.setDefaults()
+	c := o.Clock
 	n := &Node{o: o, adapter: a, clock: c, eras: a.Eras(), catalog: catalog.NewStore(c), crashes: crash.New(), backpressure: backpressure.New(seedOf(o.Self.Incarnation))}
 	n.members = gossip.NewMembers(c, o.Self)
-	n.pool = exchange.NewPool()
+	n.pool = exchange.NewPoolOn(o.Network)
 	n.initReachability()
 	n.authority = authority.New(o.MinLeaderChangeInterval, o.FirstStart, c.Now())
 	n.planner = place.New(o.Self.Zone, seedOf(o.Self.Incarnation))
@@ -183,7 +199,7 @@
 		VMs: n.members.AdvertisedCount, OnPrefillSent: n.prefillSent, OnPrefixCached: n.prefixCached, OnCrash: n.endpointCrashed, OnEndpointLeaving: n.endpointLeaving,
 		MayTryQuarantined: n.isLeader,
 		KeyFreshness:      n.keyFreshness, Origins: n.origins, OnRequestRunning: n.requestRunning,
-		CutOff: n.isCutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPool(),
+		CutOff: n.isCutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPoolOn(o.Network),
 	})
 	n.planner.Admits = n.backpressure.Admits
 	n.backpressure.Self = o.Self.Peer
@@ -197,6 +213,7 @@
 		n.gossipContent.Time, n.gossipContent.Usage = n.timeEstimator, n.usageLedger
 	}
 	n.gossip = gossip.NewUnit(n.members, n.gossipContent)
+	n.gossip.Network = o.Network
 	n.gossip.ReceiveAboutStreams, n.origins.Send = n.origins.Receive, n.gossip.SendAboutStreams
 	n.backpressure.OnChange = n.gossip.SendEarly
 	if n.freshness != nil {
@@ -233,6 +250,7 @@
 		n.reachability,
 	}
 	for _, s := range n.servers {
+		s.Network = n.o.Network
 		units = append(units, s)
 	}
 	return append(units, n.leaderUnits()...)
@@ -249,7 +267,7 @@
 
 func (n *Node) cachesUnit() *cachesync.Unit {
 	return &cachesync.Unit{
-		Clock: n.clock, Planner: n.planner, Catalog: n.catalog, Members: n.members, Engines: n.adapter.Caches(n.pool),
+		Clock: n.clock, Planner: n.planner, Catalog: n.catalog, Members: n.members, Engines: n.adapter.Caches(n.pool), Network: n.o.Network,
 		OwnAddress: n.o.Self.Peer, FirstStart: n.o.FirstStart,
 		Announce: func(c *wire.CachedPrefix) {
 			n.gossip.QueueUpdate(func(b *wire.Beat) { b.Cached = append(b.Cached, c) })
