Whole VMs in simulated time

Purpose: checks of scenarios that measure seconds of a shared machine get their verdict where time is exact.

Change: internal/simworld runs four VMs with all units of internal/vm in one bubble, on simnet, with an in-memory store, codec and endpoints that act as platform/standin's.

--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 # Packages with simulations on a fake clock, tested without the race detector. They run thousands of
 # simulated seconds on a few goroutines; the same code runs under the race detector in internal/entry and
 # in the scenarios, whose binaries are built with it. Its runtime has also crashed in these simulations
-# (ThreadSanitizer CHECK).
-SIMULATED := restoresim|policy/backpressure|commit|swim|control|fold|lease|reconcile|replica|policy/loadtest|policy/policytest|policy/roles
+# (ThreadSanitizer CHECK). The worlds of simworld take three times as long with it.
+SIMULATED := restoresim|simworld|policy/backpressure|commit|swim|control|fold|lease|reconcile|replica|policy/loadtest|policy/policytest|policy/roles
 
 # SKIP lists tests to skip, as TestName or TestName/subtest, separated by spaces.
 empty :=
--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -199,7 +199,7 @@
 		s.arrival = earliest
 	}
 	p.newest = s.arrival
-	if p.heldFrom.IsZero() && (c.h.silent || p.h.silent) {
+	if p.heldFrom.IsZero() && c.isHeld() {
 		p.heldFrom = time.Now()
 	}
 	p.incoming = append(p.incoming, s)
@@ -287,16 +287,21 @@
 	}
 }
 
-// hold holds back what hasn't arrived if one of the hosts is silent. The network's mutex is held.
+// isHeld reports whether the network holds back what is sent on the connection. The network's mutex is held.
+func (c *Conn) isHeld() bool {
+	return c.h.silent || c.peer.h.silent || c.n.cutBetween(c.h.ip, c.peer.h.ip) == Hang
+}
+
+// hold holds back what hasn't arrived if the connection is held. The network's mutex is held.
 func (c *Conn) hold() {
-	if c.heldFrom.IsZero() && (c.h.silent || c.peer.h.silent) {
+	if c.heldFrom.IsZero() && c.isHeld() {
 		c.heldFrom = time.Now()
 	}
 }
 
-// release has arrive what was held back, unless one of the hosts is silent. The network's mutex is held.
+// release has arrive what was held back, unless the connection is held. The network's mutex is held.
 func (c *Conn) release() {
-	if c.heldFrom.IsZero() || c.h.silent || c.peer.h.silent {
+	if c.heldFrom.IsZero() || c.isHeld() {
 		return
 	}
 	earliest := time.Now().Add(c.peer.delay())
--- a/internal/simnet/network.go
+++ b/internal/simnet/network.go
@@ -48,13 +48,14 @@
 	hosts   map[netip.Addr]*Host
 	changed chan struct{} // closed and replaced when a host resumes
 	conns   map[*Conn]struct{}
+	cuts    map[[2]netip.Addr]Cut
 }
 
 // New returns a network without hosts.
 func New(o Options) *Network {
 	return &Network{
 		o: o, done: make(chan struct{}), hosts: map[netip.Addr]*Host{}, changed: make(chan struct{}),
-		conns: map[*Conn]struct{}{},
+		conns: map[*Conn]struct{}{}, cuts: map[[2]netip.Addr]Cut{},
 	}
 }
 
@@ -135,6 +136,23 @@
 	h.n.changed = make(chan struct{})
 }
 
+// CloseAll closes the host's listeners and connections, as an operating system does when a process ends.
+func (h *Host) CloseAll() {
+	h.n.mu.Lock()
+	defer h.n.mu.Unlock()
+	for _, l := range h.listeners {
+		l.close()
+	}
+	for _, p := range h.packetConns {
+		p.close()
+	}
+	for c := range h.n.conns {
+		if c.h == h {
+			c.close(c.abortive)
+		}
+	}
+}
+
 // port returns an unused port. The network's mutex is held.
 func (h *Host) port() uint16 {
 	p := h.nextPort
@@ -203,6 +221,10 @@
 	local.peer, remote.peer = remote, local
 	local.addr, remote.addr = tcpAddr(h.ip, h.port()), l.addr
 	h.n.conns[local], h.n.conns[remote] = struct{}{}, struct{}{}
+	if h.n.cutBetween(h.ip, to.Addr()) >= Reset {
+		remote.close(true)
+		return local
+	}
 	l.backlog = append(l.backlog, remote)
 	l.signal()
 	return local
--- /dev/null
+++ b/internal/simworld/endpoint_test.go
@@ -0,0 +1,342 @@
+package simworld
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
+	"fescuestand/internal/orders"
+	"fescuestand/internal/simnet"
+)
+
+const (
+	prefillTime     = 8 * time.Millisecond
+	stageChangeTime = 500 * time.Millisecond
+	// queueInterval is the time between two checks of a waiting request for a slot.
+	queueInterval = 5 * time.Millisecond
+	// eventCount is the number of a stream's events.
+	eventCount = 20
+)
+
+// ledger records what endpoints run, and keeps the handles of prefills.
+type ledger struct {
+	mu         sync.Mutex
+	runs       map[string]int // by id
+	handles    map[string]bool
+	lastHandle int
+}
+
+func (l *ledger) recordRun(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id]++
+}
+
+// runsOf returns how often a request has run.
+func (l *ledger) runsOf(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+func (l *ledger) newHandle() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastHandle++
+	handle := fmt.Sprint("h", l.lastHandle)
+	l.handles[handle] = true
+	return handle
+}
+
+// takeHandle removes a handle and reports whether it existed.
+func (l *ledger) takeHandle(handle string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := l.handles[handle]
+	delete(l.handles, handle)
+	return found
+}
+
+// endpointSpec describes an endpoint.
+type endpointSpec struct {
+	service  string
+	version  string // of its software, empty for the default
+	stage    catalog.Stage
+	slots    int
+	queue    int           // requests that wait for a slot
+	callTime time.Duration // of a call of a plain service
+	interval time.Duration // between two events of a stream
+}
+
+// endpoint is an endpoint on a host of its own.
+type endpoint struct {
+	endpointSpec
+	id      string
+	address string
+	host    *simnet.Host
+	born    time.Time
+	ledger  *ledger
+	server  *http.Server
+
+	mu          sync.Mutex
+	current     catalog.Stage
+	orders      int64
+	busy        int
+	waiting     int
+	sequence    int64
+	pausedUntil time.Time
+	changed     chan struct{} // closed and replaced when pausedUntil changes
+}
+
+// startEndpoint starts an endpoint on a network.
+func startEndpoint(t *testing.T, n *simnet.Network, id string, spec endpointSpec, l *ledger) *endpoint {
+	t.Helper()
+	host := n.NewHost()
+	ln, err := host.Listen(0)
+	assert.NilError(t, err)
+	e := &endpoint{host: host, endpointSpec: spec, id: id, address: ln.Addr().String(), born: time.Now(), current: spec.stage, ledger: l, changed: make(chan struct{})}
+	e.server = &http.Server{Handler: e}
+	go func() { _ = e.server.Serve(ln) }() // ends with close
+	return e
+}
+
+// close ends the endpoint. Its requests are aborted.
+func (e *endpoint) close() {
+	e.pause(0)
+	_ = e.server.Close()
+}
+
+// pause has the endpoint send nothing for d. Its connections stay open, and its requests go on after it.
+func (e *endpoint) pause(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pausedUntil = time.Now().Add(d)
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// awaitResume waits until the endpoint isn't paused.
+func (e *endpoint) awaitResume() {
+	for {
+		e.mu.Lock()
+		left, changed := time.Until(e.pausedUntil), e.changed
+		e.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		t := time.NewTimer(left)
+		select {
+		case <-t.C:
+		case <-changed:
+			t.Stop()
+		}
+	}
+}
+
+// entry returns a new entry of the endpoint for the store.
+func (e *endpoint) entry() (string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	b, err := json.Marshal(catalog.Endpoint{
+		ID: e.id, Born: e.born.UnixMilli(), Sequence: e.sequence, Service: e.service, Version: cmp.Or(e.version, "v1"), Address: e.address, Zone: zone,
+		Slots: e.slots, Stage: e.current,
+	})
+	return string(b), err
+}
+
+func (e *endpoint) currentStage() catalog.Stage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
+
+// ServeHTTP implements http.Handler.
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	e.awaitResume()
+	if want := r.Header.Get(headerTo); want != "" && want != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch {
+	case r.URL.Path == "/report":
+		e.report(w)
+	case r.URL.Path == "/cached":
+		_, _ = io.WriteString(w, "[]") // fails only if the VM has closed the connection
+	case r.URL.Path == "/order":
+		e.changeStage(w, body)
+	case strings.HasPrefix(r.URL.Path, "/handle/"):
+		e.ledger.takeHandle(strings.TrimPrefix(r.URL.Path, "/handle/"))
+	default:
+		e.serve(w, r)
+	}
+}
+
+func (e *endpoint) report(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(orders.Report{Stage: e.current, Accepted: e.orders}) // as above
+}
+
+func (e *endpoint) changeStage(w http.ResponseWriter, body []byte) {
+	var o order
+	if json.Unmarshal(body, &o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Accepted != e.orders {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.orders++
+	time.AfterFunc(stageChangeTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.current = o.Stage
+	})
+}
+
+// serve answers a request of a caller.
+func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerID, r.Header.Get(headerID))
+	if !e.awaitSlot(r.Context()) {
+		refuse(w)
+		return
+	}
+	defer e.releaseSlot()
+	switch {
+	case r.Header.Get(headerPrefill) != "":
+		e.prefill(w)
+	case r.Header.Get(headerTokens) != "":
+		e.stream(w, r)
+	default:
+		e.call(w, r)
+	}
+}
+
+// refuse answers that the request hasn't run.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(headerNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// awaitSlot reports whether a request gets a slot.
+func (e *endpoint) awaitSlot(ctx context.Context) bool {
+	if e.takeSlot() {
+		return true
+	}
+	if !e.enterQueue() {
+		return false
+	}
+	defer e.leaveQueue()
+	for clock.Sleep(ctx, queueInterval) {
+		e.awaitResume()
+		if e.takeSlot() {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *endpoint) takeSlot() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.busy >= e.slots {
+		return false
+	}
+	e.busy++
+	return true
+}
+
+func (e *endpoint) releaseSlot() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busy--
+}
+
+func (e *endpoint) enterQueue() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.waiting >= e.queue {
+		return false
+	}
+	e.waiting++
+	return true
+}
+
+func (e *endpoint) leaveQueue() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+}
+
+func (e *endpoint) prefill(w http.ResponseWriter) {
+	if e.currentStage() != catalog.Prefill {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	time.Sleep(prefillTime)
+	e.awaitResume()
+	_, _ = io.WriteString(w, e.ledger.newHandle()) // as above
+}
+
+func (e *endpoint) call(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(headerID)
+	e.ledger.recordRun(id)
+	time.Sleep(e.callTime)
+	e.awaitResume()
+	w.Header().Set(headerSeal, "s")
+	_, _ = io.WriteString(w, callBody(id)) // as above
+}
+
+// callBody is the answer to a call of a plain service.
+func callBody(id string) string { return "answer to " + id }
+
+func (e *endpoint) stream(w http.ResponseWriter, r *http.Request) {
+	if e.currentStage() != catalog.Decode {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if handle := r.Header.Get(headerHandoff); handle != "" && !e.ledger.takeHandle(handle) {
+		refuse(w)
+		return
+	}
+	id := r.Header.Get(headerID)
+	e.ledger.recordRun(id)
+	w.Header().Set(headerSeal, "s")
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(r.Header.Get(headerLast)) // zero for a new stream
+	for n := last + 1; n <= eventCount; n++ {
+		if !clock.Sleep(r.Context(), e.interval) {
+			return
+		}
+		e.awaitResume()
+		if _, err := io.WriteString(w, event(n, id, e.version)); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush() // the next write reports an error
+	}
+}
+
+// event is the n-th event of a stream: the attempt that the endpoint runs and the endpoint's version.
+func event(n int, id, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, id, version)
+}
--- /dev/null
+++ b/internal/simworld/store_test.go
@@ -0,0 +1,251 @@
+package simworld
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fescuestand/internal/authority"
+	"fescuestand/internal/clock"
+	"fescuestand/internal/driver"
+	"fescuestand/internal/era"
+	"fescuestand/internal/gossip"
+	"fescuestand/internal/keyedlog"
+)
+
+const (
+	// storeLatency is the shortest time until the store's answer, and storeJitter the most that is added to it.
+	storeLatency = 4 * time.Millisecond
+	storeJitter  = 2 * time.Millisecond
+	// partitions is the number of partitions that the group shares. A member that owns none isn't listed.
+	partitions = 8
+)
+
+// The store's logs.
+const (
+	configLog = iota
+	endpointLog
+	leaderLog
+	logs // the number of logs
+)
+
+type record struct{ key, value string }
+
+// store is the platform's store: keyed logs and one group. A record without a value deletes its key.
+type store struct {
+	seed uint64
+
+	mu         sync.Mutex
+	logs       [logs][]record
+	changed    chan struct{} // closed and replaced when a record is appended
+	generation int64
+	members    []string // in the order of joining
+	nodes      map[string]gossip.Node
+	expires    map[string]time.Time
+	owner      [partitions]string
+}
+
+func newStore(seed uint64) *store {
+	return &store{seed: seed, changed: make(chan struct{}), nodes: map[string]gossip.Node{}, expires: map[string]time.Time{}}
+}
+
+func (s *store) put(log int, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logs[log] = append(s.logs[log], record{key, value})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// putIf appends a record if the log still ends at an offset.
+func (s *store) putIf(log int, end int64, key, value string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if int64(len(s.logs[log])) != end {
+		return false
+	}
+	s.logs[log] = append(s.logs[log], record{key, value})
+	return true
+}
+
+// client is the store's client of one VM.
+type client struct {
+	s    *store
+	name string
+	eras *era.Tracker
+}
+
+// call takes the time of a call. It fails if ctx ends.
+func (c *client) call(ctx context.Context) error {
+	moment := xxhash.Sum64String(fmt.Sprint(c.s.seed, c.name, time.Now().UnixNano()))
+	if !clock.Sleep(ctx, storeLatency+time.Duration(moment%uint64(storeJitter))) {
+		return fmt.Errorf("%w: %w", driver.ErrConnectionLost, ctx.Err())
+	}
+	c.eras.Observe(era.First, "call")
+	return nil
+}
+
+// source implements keyedlog.Source.
+type source struct {
+	*client
+	log int
+}
+
+// Newest implements keyedlog.Source.
+func (c *source) Newest(ctx context.Context) ([]keyedlog.Entry, era.Position, error) {
+	if err := c.call(ctx); err != nil {
+		return nil, era.Position{}, err
+	}
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	newest := map[string]keyedlog.Entry{}
+	for i, r := range c.s.logs[c.log] {
+		newest[r.key] = entry(r, i)
+	}
+	var out []keyedlog.Entry
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		if e := newest[key]; e.Value != nil {
+			out = append(out, e)
+		}
+	}
+	return out, position(len(c.s.logs[c.log])), nil
+}
+
+// Read implements keyedlog.Source.
+func (c *source) Read(ctx context.Context, from era.Position, wait time.Duration) ([]keyedlog.Entry, era.Position, error) {
+	if err := c.call(ctx); err != nil {
+		return nil, era.Position{}, err
+	}
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		out, next, changed := c.after(int(from.Offset))
+		if len(out) > 0 || wait == 0 {
+			return out, next, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return nil, next, nil
+		case <-ctx.Done():
+			return nil, era.Position{}, fmt.Errorf("%w: %w", driver.ErrConnectionLost, ctx.Err())
+		}
+	}
+}
+
+// after returns the records from an offset on, and a channel that is closed when there are more.
+func (c *source) after(from int) ([]keyedlog.Entry, era.Position, <-chan struct{}) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	var out []keyedlog.Entry
+	for i, r := range c.s.logs[c.log][from:] {
+		out = append(out, entry(r, from+i))
+	}
+	return out, position(len(c.s.logs[c.log])), c.s.changed
+}
+
+func entry(r record, offset int) keyedlog.Entry {
+	e := keyedlog.Entry{Key: r.key, Position: position(offset)}
+	if r.value != "" {
+		e.Value = []byte(r.value)
+	}
+	return e
+}
+
+func position(offset int) era.Position {
+	return era.Position{Era: era.First, Offset: int64(offset)}
+}
+
+// Join implements gossip.Group. It takes no time: a drain waits for a join under way with a lock, on which a bubble's
+// time stands still.
+func (c *client) Join(_ context.Context, n gossip.Node, ttl time.Duration) (gossip.Assignment, error) {
+	s := c.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if !slices.Contains(s.members, n.Peer) {
+		s.members = append(s.members, n.Peer)
+		s.generation++
+	}
+	n.Incarnation = "" // the group knows a VM, not its process
+	s.nodes[n.Peer], s.expires[n.Peer] = n, time.Now().Add(ttl)
+	for i := range s.owner {
+		// A partition gets another owner when its owner joins, which then hears of the loss, or is gone.
+		if s.owner[i] == n.Peer || !slices.Contains(s.members, s.owner[i]) {
+			s.owner[i] = s.members[i%len(s.members)]
+		}
+	}
+	c.eras.Observe(era.First, "join")
+	return gossip.Assignment{Leader: s.owner[0] == n.Peer, Era: era.First, Generation: s.generation}, nil
+}
+
+// expire removes the members that haven't joined again in time. s.mu is held.
+func (s *store) expire() {
+	for _, m := range slices.Clone(s.members) {
+		if time.Now().After(s.expires[m]) {
+			s.remove(m)
+		}
+	}
+}
+
+// remove removes a member. s.mu is held.
+func (s *store) remove(member string) {
+	if i := slices.Index(s.members, member); i >= 0 {
+		s.members = slices.Delete(s.members, i, i+1)
+		s.generation++
+	}
+}
+
+// Leave implements gossip.Group.
+func (c *client) Leave(_ context.Context, n gossip.Node) error {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	c.s.remove(n.Peer)
+	return nil
+}
+
+// Members implements gossip.Group.
+func (c *client) Members(ctx context.Context) ([]gossip.Node, error) {
+	if err := c.call(ctx); err != nil {
+		return nil, err
+	}
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	var out []gossip.Node
+	for _, m := range c.s.members {
+		if slices.Contains(c.s.owner[:], m) {
+			out = append(out, c.s.nodes[m])
+		}
+	}
+	return out, nil
+}
+
+// LastLeader implements authority.LeaderRecord.
+func (c *client) LastLeader(ctx context.Context) (last authority.LastLeader, version era.Position, err error) {
+	entries, end, err := (&source{c, leaderLog}).Newest(ctx)
+	if err == nil && len(entries) > 0 {
+		err = json.Unmarshal(entries[0].Value, &last)
+	}
+	return last, end, err
+}
+
+// SetLastLeader implements authority.LeaderRecord.
+func (c *client) SetLastLeader(ctx context.Context, vm string, version era.Position) error {
+	if err := c.call(ctx); err != nil {
+		return err
+	}
+	value, err := json.Marshal(authority.LastLeader{VM: vm, Era: version.Era})
+	if err != nil {
+		return err
+	}
+	if !c.s.putIf(leaderLog, version.Offset, "leader", string(value)) {
+		return driver.ErrFailed
+	}
+	return nil
+}
