--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -112,6 +112,16 @@
 	return n
 }
 
+// ReadArrived reads what has arrived, whatever the deadline. It doesn't wait.
+func (c *Conn) ReadArrived(b []byte) int {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	if c.closed || !c.hasArrived() || c.incoming[0].kind != data {
+		return 0
+	}
+	return c.take(b)
+}
+
 // Quiet reports whether nothing has arrived that hasn't been read: neither data nor the peer's end.
 func (c *Conn) Quiet() bool {
 	c.n.mu.Lock()
@@ -189,7 +199,7 @@
 		s.arrival = earliest
 	}
 	p.newest = s.arrival
-	if p.heldFrom.IsZero() && (c.h.silent || p.h.silent) {
+	if p.heldFrom.IsZero() && c.isHeld() {
 		p.heldFrom = time.Now()
 	}
 	p.incoming = append(p.incoming, s)
@@ -277,16 +287,21 @@
 	}
 }
 
-// hold holds back what hasn't arrived if one of the hosts is silent. The network's mutex is held.
+// isHeld reports whether the network holds back what is sent on the connection. The network's mutex is held.
+func (c *Conn) isHeld() bool {
+	return c.h.silent || c.peer.h.silent || c.n.cutBetween(c.h.ip, c.peer.h.ip) == Hang
+}
+
+// hold holds back what hasn't arrived if the connection is held. The network's mutex is held.
 func (c *Conn) hold() {
-	if c.heldFrom.IsZero() && (c.h.silent || c.peer.h.silent) {
+	if c.heldFrom.IsZero() && c.isHeld() {
 		c.heldFrom = time.Now()
 	}
 }
 
-// release has arrive what was held back, unless one of the hosts is silent. The network's mutex is held.
+// release has arrive what was held back, unless the connection is held. The network's mutex is held.
 func (c *Conn) release() {
-	if c.heldFrom.IsZero() || c.h.silent || c.peer.h.silent {
+	if c.heldFrom.IsZero() || c.isHeld() {
 		return
 	}
 	earliest := time.Now().Add(c.peer.delay())
@@ -352,6 +367,11 @@
 			until = at
 		}
 	}
+	return waitFor(changed, until)
+}
+
+// waitFor returns a function that waits until changed is closed or, unless it is zero, until a time.
+func waitFor(changed <-chan struct{}, until time.Time) func() {
 	if until.IsZero() {
 		return func() { <-changed }
 	}
