--- a/internal/simworld/store_test.go
+++ b/internal/simworld/store_test.go
@@ -97,10 +97,10 @@
 	log int
 }
 
-// Newest implements keyedlog.Source.
-func (c *source) Newest(ctx context.Context) ([]keyedlog.Entry, era.Position, error) {
+// Newest implements keyedlog.Source. It returns all keys as one page.
+func (c *source) Newest(ctx context.Context, after string) (keyedlog.NewestPage, error) {
 	if err := c.call(ctx); err != nil {
-		return nil, era.Position{}, err
+		return keyedlog.NewestPage{}, err
 	}
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
@@ -110,31 +110,31 @@
 	}
 	var out []keyedlog.Entry
 	for _, key := range slices.Sorted(maps.Keys(newest)) {
-		if e := newest[key]; e.Value != nil {
+		if e := newest[key]; e.Value != nil && key > after {
 			out = append(out, e)
 		}
 	}
-	return out, position(len(c.s.logs[c.log])), nil
+	return keyedlog.NewestPage{Entries: out, End: position(len(c.s.logs[c.log]))}, nil
 }
 
 // Read implements keyedlog.Source.
-func (c *source) Read(ctx context.Context, from era.Position, wait time.Duration) ([]keyedlog.Entry, era.Position, error) {
+func (c *source) Read(ctx context.Context, from era.Position, wait time.Duration) (keyedlog.Page, error) {
 	if err := c.call(ctx); err != nil {
-		return nil, era.Position{}, err
+		return keyedlog.Page{}, err
 	}
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
 		out, next, changed := c.after(int(from.Offset))
 		if len(out) > 0 || wait == 0 {
-			return out, next, nil
+			return keyedlog.Page{Entries: out, Next: next, End: next.Offset}, nil
 		}
 		select {
 		case <-changed:
 		case <-deadline.C:
-			return nil, next, nil
+			return keyedlog.Page{Next: next, End: next.Offset}, nil
 		case <-ctx.Done():
-			return nil, era.Position{}, fmt.Errorf("%w: %w", driver.ErrConnectionLost, ctx.Err())
+			return keyedlog.Page{}, fmt.Errorf("%w: %w", driver.ErrConnectionLost, ctx.Err())
 		}
 	}
 }
@@ -228,7 +228,7 @@
 
 // LastLeader implements authority.LeaderRecord.
 func (c *client) LastLeader(ctx context.Context) (last authority.LastLeader, version era.Position, err error) {
-	entries, end, err := (&source{c, leaderLog}).Newest(ctx)
+	entries, end, err := keyedlog.ReadNewest(ctx, &source{c, leaderLog})
 	if err == nil && len(entries) > 0 {
 		err = json.Unmarshal(entries[0].Value, &last)
 	}
--- a/internal/simworld/world_test.go
+++ b/internal/simworld/world_test.go
@@ -90,7 +90,7 @@
 	c := catalog.NewConfig(version, []*catalog.Route{
 		resumable, route(pathOnce, "m", catalog.Stream), route(pathPay, "s", catalog.NonIdempotent), route(pathReads, "s", catalog.Idempotent),
 	}, []*catalog.Service{{Name: "m", Engine: &catalog.Engine{Slots: defaultSlots, CacheTokens: 100_000}}, {Name: "s"}})
-	c.MaxBodyBytes = 64 << 10
+	c.Limits.BodyBytes = 64 << 10
 	return c
 }
 
