Silent and full endpoints are asked as the last resort; a page without records ends a read

Change: after 1.3 s of silence, longer than a pause, one request of a VM and service each 0.8 s asks endpoints that are taken to be silent or full. An exchange whose header has just arrived isn't marked as silent. A read ends at a page that brings nothing.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -105,7 +105,7 @@
 	if !x.route.Retryable() {
 		return x.remainingTime()
 	}
-	return x.route.LatencyTarget
+	return max(x.route.LatencyTarget, minAttemptTimeout/attemptTimeoutTargets)
 }
 
 const (
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -103,6 +103,9 @@
 // beginReplacing records that the endpoint of a is silent, and reports whether another one may be asked,
 // which takes the given number of retries. end must be called once it has been.
 func (x *execution) beginReplacing(a *attempt, retries int) (end func(), ok bool) {
+	if a.life.IsAlive(x.now()) {
+		return nil, false // its header has arrived a moment ago
+	}
 	x.markSilent(a)
 	if !x.route.Retryable() || !x.mayRunAgain() || x.ctx.Err() != nil {
 		return nil, false
@@ -113,9 +116,6 @@
 // beginAsking reports whether an endpoint that isn't silent and the retry budget allow a replacement of a. Until
 // end is called, silent endpoints are excluded. stage is Prefill if a prefill engine is to be asked.
 func (x *execution) beginAsking(a *attempt, stage catalog.Stage, retries int) (end func(), ok bool) {
-	if a.life.IsAlive(x.now()) {
-		return nil, false // its header has arrived a moment ago
-	}
 	end, ok = x.excludeSilent(a, stage)
 	if !ok {
 		x.withheld++
@@ -132,7 +132,7 @@
 }
 
 // excludeSilent excludes the endpoints that are as silent as that of a until end is called. It reports whether
-// others may be asked, which aren't known to be full.
+// others may be asked.
 func (x *execution) excludeSilent(a *attempt, stage catalog.Stage) (end func(), ok bool) {
 	outer := x.silent
 	x.silent = nil
@@ -144,8 +144,8 @@
 	}
 	candidates := make([]silence.Candidate, len(endpoints))
 	for i, e := range endpoints {
-		excluded := full[e.ID] || e.ID == a.request.Endpoint.ID || (e.Stage == catalog.Prefill) != (stage == catalog.Prefill)
-		candidates[i] = silence.Candidate{Process: silence.Process{ID: e.ID, Born: e.Born}, Tried: excluded || x.tried[e.ID] && !x.rejectedBy[e.ID]}
+		excluded := e.ID == a.request.Endpoint.ID || (e.Stage == catalog.Prefill) != (stage == catalog.Prefill)
+		candidates[i] = silence.Candidate{Process: silence.Process{ID: e.ID, Born: e.Born}, Tried: excluded || x.tried[e.ID] && !x.rejectedBy[e.ID], Full: full[e.ID]}
 	}
 	verdict := x.g.silences.Decide(now, x.service, x, now.Sub(a.progressAt), candidates)
 	if verdict == silence.Withhold {
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -284,6 +284,9 @@
 		if page.Next.Offset >= end {
 			break
 		}
+		if page.Next.Offset <= from.Offset {
+			return errOldAnswer // an answer after it knew of more records
+		}
 		from = page.Next
 		page, err = f.Source.Read(ctx, from, 0)
 	}
@@ -459,7 +462,7 @@
 	var entries []Entry
 	for from := (era.Position{Era: next.Era, Offset: f.next.Offset}); from.Offset < next.Offset; {
 		page, err := f.Source.Read(ctx, from, 0)
-		if err != nil || page.Next.Era != next.Era {
+		if err != nil || page.Next.Era != next.Era || page.Next.Offset <= from.Offset {
 			f.logFrom(from).WithError(err).Info("deletions beside the newest records not read")
 			return nil
 		}
--- a/internal/policy/silence/silence.go
+++ b/internal/policy/silence/silence.go
@@ -13,7 +13,7 @@
 //   - silent, if it has an exchange that should have shown one for longer than the window, or had one lately, or
 //   - unknown otherwise.
 //
-// A silent endpoint isn't asked. Unknown ones may be asked if another endpoint of the service is alive. If none is,
+// A silent endpoint, or one that is known to be full, isn't asked before lastResort. Unknown ones may be asked if another endpoint of the service is alive. If none is,
 // one request of the VM asks one of them as a probe, and what it learns holds for the others. The next probe is sent
 // after probeInterval, or once the first one's request has ended without an answer.
 //
@@ -40,6 +40,9 @@
 	// probeInterval is the time from a probe that isn't answered to the next one. Callers leave a stream after two
 	// seconds without an event, and ask for a replacement in the first one.
 	probeInterval = 800 * time.Millisecond
+	// lastResort is the silence after which a silent or full endpoint is asked if there are no others: longer than a
+	// pause, and early enough for callers who leave after two seconds.
+	lastResort = 1300 * time.Millisecond
 	// minLeftSilence is the silence of an exchange that still says something about its endpoint after its end,
 	// for leftMemory.
 	minLeftSilence = 200 * time.Millisecond
@@ -156,6 +159,7 @@
 type Candidate struct {
 	Process Process
 	Tried   bool // it isn't asked, but shows whether endpoints are alive
+	Full    bool // it is known to have no room
 	Silent  bool // set by Decide
 }
 
@@ -183,23 +187,33 @@
 		c.Silent = e != nil && !isAlive && e.isOverdue(now, window)
 		alive = alive || isAlive
 		left = left || !c.Tried
-		asked = asked || !c.Silent && !c.Tried
+		asked = asked || !c.Silent && !c.Full && !c.Tried
 	}
 	p, probed := r.probes[service]
 	switch {
 	case !left:
 		return Ask
-	case !asked:
+	case !asked && silent < lastResort:
 		return Withhold
-	case alive:
+	case asked && alive:
 		return Ask
 	case probed && now.Sub(p.at) < probeInterval:
 		return Withhold
 	}
+	if !asked {
+		allowAll(candidates)
+	}
 	r.probes[service] = probe{request, now}
 	return Probe
 }
 
+// allowAll has no candidate excluded as silent.
+func allowAll(candidates []Candidate) {
+	for i := range candidates {
+		candidates[i].Silent = false
+	}
+}
+
 // EndProbe records that a request no longer waits for the answer to its probe.
 func (r *Register) EndProbe(service string, request any) {
 	r.mu.Lock()
--- a/internal/policy/silence/silence_test.go
+++ b/internal/policy/silence/silence_test.go
@@ -146,6 +146,19 @@
 	assert.Equal(t, r.Decide(start, "s", 3, silent, list), Ask, "the probe was answered")
 }
 
+// Guards against requests that wait until their callers leave, as the others are taken to be silent or full, and against
+// many requests that ask such endpoints at once.
+func TestSilentAndFullEndpointsAreTheLastResort(t *testing.T) {
+	r := New()
+	list := append(candidates(r, []state{paused, paused}), Candidate{Process: process(2), Full: true})
+	assert.Equal(t, r.Decide(start, "s", 1, lastResort-1, list), Withhold)
+	assert.Assert(t, list[0].Silent && list[1].Silent)
+	assert.Equal(t, r.Decide(start, "s", 1, lastResort, list), Probe)
+	assert.Assert(t, !list[0].Silent && !list[1].Silent, "none is excluded")
+	assert.Equal(t, r.Decide(start, "s", 2, lastResort, list), Withhold)
+	assert.Equal(t, r.Decide(start.Add(probeInterval), "s", 2, lastResort, list), Probe)
+}
+
 // Guards against a short silence that is judged by endpoints' signs of life before it began.
 func TestWindowFollowsTheSilence(t *testing.T) {
 	r := New()
