--- a/internal/policy/silence/silence.go
+++ b/internal/policy/silence/silence.go
@@ -13,9 +13,10 @@
 //   - silent, if it has an exchange that should have shown one for longer than the window, or had one lately, or
 //   - unknown otherwise.
 //
-// A silent endpoint, or one that is known to be full, isn't asked before lastResort. Unknown ones may be asked if another endpoint of the service is alive. If none is,
-// one request of the VM asks one of them as a probe, and what it learns holds for the others. The next probe is sent
-// after probeInterval, or once the first one's request has ended without an answer.
+// Unknown endpoints may be asked if another endpoint of the service is alive. If none is, one request of the VM asks
+// one of them as a probe, and what it learns holds for the others. The next probe is sent after probeInterval, or once
+// the first one's request has ended without an answer. Silent endpoints, and those that are known to be full, aren't
+// asked, but by a probe of a request whose own endpoint has been silent for lastResort.
 //
 // The package does no I/O and reads no clock. A Register is safe for concurrent use. Its size is bounded by the
 // number of open exchanges and by the number of endpoints in use between two calls of Sweep.
