--- a/scenarios/pause_test.go
+++ b/scenarios/pause_test.go
@@ -210,6 +210,7 @@
 	case err != nil && p.crossedClose(&soakAnswer{id: id, vm: vm.front, sent: sent, answered: time.Now(), err: err}):
 		return notAccepted
 	case err != nil:
+		p.t.Logf("%s at %s: %v", id, vm.name, err)
 		return cutOff
 	}
 	defer func() { _ = resp.Body.Close() }()
