Read over as a newcomer: derived state, one place for a few facts

- A connection's wait no longer keeps which limit it follows: that is whether a byte of the next request has been read.
- The candidates for a replacement are made in a function of their own, and a process is named for the register of silences in one place.
- The number of VMs that share endpoints is computed in one place.
- The comment on rejectedBy stands behind tried again, to which it refers; one on how a value was chosen is gone; that of a probe says what Decide excludes.

Not mended: internal/simworld repeats constants, callers and endpoints of the scenarios, which live in test files of another package.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -250,9 +250,6 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
 	rd := r.Body
 	if limit > 0 {
 		rd = httpserver.LimitBody(w, r.Body, limit)
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -19,7 +19,6 @@
 	"fescuestand/internal/policy/origin"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
-	"fescuestand/internal/policy/silence"
 )
 
 // execution carries one call from its arrival to its final answer, over all attempts.
@@ -43,8 +42,8 @@
 	prepaidRetries        int                           // taken from the retry budget and not sent yet
 	prefillDone           bool                          // an engine has accepted the prefill that is no arrival
 	tried                 map[string]bool               // ids of endpoints that further attempts exclude
-	silent                map[string]bool               // ids of endpoints that the replacement which is being secured excludes
 	rejectedBy            map[string]bool               // those of them that haven't run the request and may take it later
+	silent                map[string]bool               // ids of endpoints that the replacement which is being secured excludes
 	lastEventID           string                        // id of the last event that was sent to the caller
 	lastEventAt           clock.Time                    // when it was sent
 	origin                atomic.Pointer[origin.Origin] // of the stream, nil before its first event
@@ -64,7 +63,7 @@
 	firstEventTime        time.Duration // from the arrival to the first event
 	latest                *attempt      // that has ended
 	attempts              []attemptTrace
-	withheld              int // replacements that weren't sent, as the other endpoints were silent, too
+	withheld              int // replacements that weren't sent, as the other endpoints were silent or full, too
 }
 
 func (x *execution) now() clock.Time { return x.g.o.Clock.Now() }
@@ -219,7 +218,7 @@
 	}
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
-	a.life = x.g.silences.Begin(silence.Process{ID: s.Endpoint.ID, Born: s.Endpoint.Born}, a.sentAt.Add(a.quiet))
+	a.life = x.g.silences.Begin(silenceProcess(s.Endpoint), a.sentAt.Add(a.quiet))
 	if !s.PrefillOnly {
 		x.runsSent.Add(1)
 	}
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/silence"
@@ -136,17 +137,8 @@
 func (x *execution) excludeSilent(a *attempt, stage catalog.Stage) (end func(), ok bool) {
 	outer := x.silent
 	x.silent = nil
-	endpoints := x.openEndpoints()
-	now := x.now()
-	full := map[string]bool{}
-	for _, f := range x.g.o.Planner.FullEndpoints(now, endpoints) {
-		full[f.ID] = true
-	}
-	candidates := make([]silence.Candidate, len(endpoints))
-	for i, e := range endpoints {
-		excluded := e.ID == a.request.Endpoint.ID || (e.Stage == catalog.Prefill) != (stage == catalog.Prefill)
-		candidates[i] = silence.Candidate{Process: silence.Process{ID: e.ID, Born: e.Born}, Tried: excluded || x.tried[e.ID] && !x.rejectedBy[e.ID], Full: full[e.ID]}
-	}
+	now, endpoints := x.now(), x.openEndpoints()
+	candidates := x.candidatesToReplace(a, now, endpoints, stage)
 	verdict := x.g.silences.Decide(now, x.service, x, now.Sub(a.progressAt), candidates)
 	if verdict == silence.Withhold {
 		x.silent = outer
@@ -166,6 +158,26 @@
 	}, true
 }
 
+// candidatesToReplace returns the endpoints, in their order, with what the execution and the planner know of them.
+func (x *execution) candidatesToReplace(a *attempt, now clock.Time, endpoints []*catalog.Endpoint, stage catalog.Stage) []silence.Candidate {
+	full := map[string]bool{}
+	for _, f := range x.g.o.Planner.FullEndpoints(now, endpoints) {
+		full[f.ID] = true
+	}
+	out := make([]silence.Candidate, len(endpoints))
+	for i, e := range endpoints {
+		isOther := e.ID != a.request.Endpoint.ID && (e.Stage == catalog.Prefill) == (stage == catalog.Prefill)
+		mayTake := !x.tried[e.ID] || x.rejectedBy[e.ID]
+		out[i] = silence.Candidate{Process: silenceProcess(e), Tried: !isOther || !mayTake, Full: full[e.ID]}
+	}
+	return out
+}
+
+// silenceProcess identifies an endpoint's process in the register of silences.
+func silenceProcess(e *catalog.Endpoint) silence.Process {
+	return silence.Process{ID: e.ID, Born: e.Born}
+}
+
 // mayAfford reports whether the retry budget allows a replacement that takes the given number of retries.
 func (x *execution) mayAfford(retries int) bool {
 	if x.g.o.Budget.Allows(x.now(), x.service, x.retryPriority(), retries) {
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -44,20 +44,23 @@
 type wait struct {
 	since    time.Time
 	deadline time.Time
-	limit    func(*Limits) time.Duration
 }
 
-func headerLimit(l *Limits) time.Duration { return l.Header }
-func idleLimit(l *Limits) time.Duration   { return l.Idle }
+// waitLimit returns the limit of a connection's wait: for a request, or for the rest of a header. c.mu is held.
+func (c *conn) waitLimit() time.Duration {
+	if c.unread {
+		return c.s.limits.Load().Idle
+	}
+	return c.s.limits.Load().Header
+}
 
 // beginWait returns the deadline of a wait which net/http bounds by its own timeout. c.mu is held.
 func (c *conn) beginWait(now, own time.Time) time.Time {
-	c.wait = wait{since: now, limit: idleLimit}
+	c.wait = wait{since: now, deadline: own}
 	if !c.unread {
-		c.wait = wait{since: c.headerSince, limit: headerLimit}
+		c.wait.since = c.headerSince
 	}
-	c.wait.deadline = own
-	if limit := c.wait.limit(c.s.limits.Load()); limit > 0 {
+	if limit := c.waitLimit(); limit > 0 {
 		c.wait.deadline = c.wait.since.Add(limit)
 	}
 	return c.wait.deadline
@@ -70,8 +73,8 @@
 		return
 	}
 	// The first bytes of a header are still read by the deadline of the wait for them.
-	if limit := c.s.limits.Load().Header; limit > 0 {
-		c.wait = wait{since: now, deadline: now.Add(limit), limit: headerLimit}
+	if limit := c.waitLimit(); limit > 0 {
+		c.wait = wait{since: now, deadline: now.Add(limit)}
 		_ = c.Conn.SetReadDeadline(c.wait.deadline)
 	}
 }
@@ -83,7 +86,7 @@
 	if c.wait.deadline.IsZero() || c.active || c.multiplexed || c.ending || c.gaveUp {
 		return
 	}
-	limit := c.wait.limit(c.s.limits.Load())
+	limit := c.waitLimit()
 	if limit <= 0 {
 		return
 	}
--- a/internal/policy/place/room.go
+++ b/internal/policy/place/room.go
@@ -17,9 +17,7 @@
 	maxDoublings = 8
 	// rejectionMemory is the time without a rejection after which an accepted request ends the restriction.
 	rejectionMemory = 500 * time.Millisecond
-	// growthPerAccepted is how many more requests may be sent for each one that was accepted since the
-	// rejection: a restricted endpoint that has room is found out within several answers, and one that is
-	// still full rejects one in five requests at most.
+	// growthPerAccepted is how many more requests may be sent for each one that was accepted since the rejection.
 	growthPerAccepted = 0.25
 )
 
@@ -146,7 +144,7 @@
 	t.accepted = true
 	t.s.room.accept(now, t.sentAt)
 	if requests >= 0 {
-		t.s.room.report(requests, t.s.ep.Slots, len(p.peers)+1)
+		t.s.room.report(requests, t.s.ep.Slots, p.vms())
 	}
 }
 
@@ -195,8 +193,11 @@
 	return good
 }
 
+// vms returns the number of VMs that share the endpoints.
+func (p *Planner) vms() int { return len(p.peers) + 1 }
+
 // share returns this VM's share of the slots of s.
 func (p *Planner) share(s *endpointState) int {
-	vms := len(p.peers) + 1
+	vms := p.vms()
 	return max((s.ep.Slots+vms-1)/vms, 1)
 }
--- a/internal/policy/silence/silence.go
+++ b/internal/policy/silence/silence.go
@@ -170,7 +170,7 @@
 // The verdicts.
 const (
 	Ask      Verdict = iota // one that isn't silent; also if all have been tried, which the caller finds out
-	Probe                   // one that isn't silent; EndProbe must be called afterwards
+	Probe                   // one that Decide hasn't set as silent; EndProbe must be called afterwards
 	Withhold                // none
 )
 
