Serve requests that have little time left but enough

The margin is the predicted time now, within 30 to 300 ms.

TestARequestWithLittleTimeLeftIsServed failed before (refuse, wanted serve).

--- a/internal/policy/ontime/ontime.go
+++ b/internal/policy/ontime/ontime.go
@@ -23,9 +23,11 @@
 const (
 	// targetMargin is subtracted from the target to allow for errors of the prediction.
 	targetMargin = 10 * time.Millisecond
-	// callerTimeoutMargin is subtracted from the callers' timeout for the same reason, and for
-	// requests that arrive in the meantime.
-	callerTimeoutMargin = 300 * time.Millisecond
+	// minCallerTimeoutMargin and maxCallerTimeoutMargin bound what is subtracted from the callers' timeout for
+	// the same reason, and for requests that arrive in the meantime. Between them it is the time that is still
+	// predicted: a short prediction can't be far off.
+	minCallerTimeoutMargin = 30 * time.Millisecond
+	maxCallerTimeoutMargin = 300 * time.Millisecond
 	// almostIdleWait is the maximum queueing time at which an engine counts as almost idle: half of
 	// a typical prompt's work, so that the engine doesn't run out of work.
 	almostIdleWait = 30 * time.Millisecond
@@ -63,12 +65,13 @@
 	total := r.Elapsed + r.FirstEvent
 	onTime := r.Target == 0 || total <= r.Target-targetMargin
 	longPrompt := r.FirstEvent-r.Wait > r.Target-targetMargin
+	latest := r.CallerTimeout - min(max(r.FirstEvent, minCallerTimeoutMargin), maxCallerTimeoutMargin)
 	switch {
-	case total > r.CallerTimeout-callerTimeoutMargin:
+	case total > latest:
 		return Refuse, retryAfter(r)
 	case onTime, r.Wait <= almostIdleWait, longPrompt && r.Elapsed == 0:
 		return Serve, 0
-	case total-r.Wait+r.Backlog > r.CallerTimeout-callerTimeoutMargin:
+	case total-r.Wait+r.Backlog > latest:
 		return Refuse, retryAfter(r)
 	}
 	return Hold, 0
--- a/internal/policy/ontime/ontime_test.go
+++ b/internal/policy/ontime/ontime_test.go
@@ -38,6 +38,17 @@
 	assert.Equal(t, v, Serve)
 }
 
+// Guards against refusing a request with little time left that an idle engine would serve in time, such as one whose
+// caller comes back after an outage, or whose route has a short timeout.
+func TestARequestWithLittleTimeLeftIsServed(t *testing.T) {
+	r := Request{Elapsed: 2200 * ms, Target: 250 * ms, CallerTimeout: 2500 * ms, FirstEvent: 100 * ms}
+	v, _ := Decide(r)
+	assert.Equal(t, v, Serve)
+	r.FirstEvent = 280 * ms
+	v, _ = Decide(r)
+	assert.Equal(t, v, Refuse)
+}
+
 // Guards against retries that arrive as one burst: requests that are refused within a few
 // milliseconds of each other would all be refused again if they got the same Retry-After delay.
 func TestRetryAfterSpreadsRequestsRefusedTogether(t *testing.T) {
