Retry a lookup at the only endpoint if that answered with a failure

A service that fails one call in seven by itself answered lookups with 500 while a VM knew one endpoint of it (a release, or after a loss of all VMs): the retry excluded that endpoint, and the lookup failed though its route and the retry budget allowed a second run.

TestALookupIsRetriedAtTheOnlyEndpoint failed before (500, wanted 200); payments aren't run again.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -122,8 +122,11 @@
 		if last.answer != nil {
 			x.endpointFailure = last.answer
 		}
-		if last.outcome == lost {
+		switch last.outcome {
+		case lost:
 			x.forgetRejections() // they came while the endpoint was silent; there may be room now
+		case failed:
+			x.forgetFailure()
 		}
 		if last.outcome == answered && last.proven {
 			x.recordSuccess()
@@ -173,6 +176,14 @@
 	return x.mayRunAgain()
 }
 
+// forgetFailure allows the endpoint of the latest attempt to be asked again if there is no other one. It has answered
+// with a failure of its own, which a second run often doesn't meet.
+func (x *execution) forgetFailure() {
+	if x.latest != nil && len(x.untriedEndpoints()) == 0 {
+		delete(x.tried, x.latest.request.Endpoint.ID)
+	}
+}
+
 // awaitRoom waits for a moment if last found no endpoint that takes the rest of a stream which has events, as
 // long as its caller waits for the next one. It reports whether another attempt is allowed then.
 func (x *execution) awaitRoom(last *result) bool {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -196,6 +196,27 @@
 	assert.Equal(t, b.arrivals.Load(), int32(1))
 }
 
+// Guards against a lookup that fails although its retry budget allows a second run: the only endpoint of its service
+// answers with a failure of its own now and then.
+func TestALookupIsRetriedAtTheOnlyEndpoint(t *testing.T) {
+	for _, tc := range []struct {
+		route  catalog.Route
+		status int
+	}{{lookupRoute, 200}, {commitRoute, 500}} {
+		w := newTestGateway(t)
+		w.setRoute(tc.route)
+		w.addEndpoint("a", catalog.Whole, serve(t, func(b *backend, n int, r *http.Request, c net.Conn) bool {
+			if n == 1 {
+				return respond(c, 500, "failed", "Seal: f")
+			}
+			return answerSigned(b, n, r, c)
+		}))
+		resp, _, err := w.request(t, "GET", "/x/", "")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, tc.status)
+	}
+}
+
 // Guards against retries that double the load of a service that is down: every endpoint fails, and
 // each request could be retried once. When the budget is exhausted, the first failure is final.
 func TestRepeatsKeepTheBudget(t *testing.T) {
