Placement by the slowdown that endpoints send with their answers

Cause: the fourth figure of the load header was dropped. Prompts, streams and calls went to endpoints that said they were slowed, and the learned slowness followed slowdowns after they were over; its bounds, 0.8 to 2.0, didn't cover engines of 0.7 and 1.7 times the usual speed. Change: the codec reads the figure into Answer.Slowdown; the gateway passes it to the planner for every answer of the endpoint's own process, also rejections, stream headers and prefills. The planner applies it to predicted prefill work and wait, to the load of decode engines and to that of plain endpoints. Outstanding work is counted and reported at the usual speed. The learned slowness and the speed model divide the slowdown out; bounds are 0.5 and 2.5. Metrics under Slowdowns.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -101,5 +101,8 @@
 	Signed       bool // the response has the endpoint's signature
 	OtherRequest bool // the response belongs to another request
 	Requests     int  // running and waiting at the endpoint, -1 if it doesn't say
-	Notice       backpressure.Notice
+	// Slowdown is how long work takes at the endpoint at this moment: 1 as usual, 2 twice as long. It is 0 if
+	// the endpoint doesn't say, and negative if what it says isn't a positive number.
+	Slowdown float64
+	Notice   backpressure.Notice
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -232,6 +232,7 @@
 		}
 		a.life.Sign(x.now())
 		ans = x.g.o.Codec.Answer(x.call, resp.Status, resp.Header)
+		x.recordSlowdown(s.Endpoint, &ans)
 		x.readBody(a, resp)
 		return mayBeUsed(s, resp, &ans) && a.bodyErr == nil
 	})
@@ -256,6 +257,13 @@
 	return resp, ans, r
 }
 
+// recordSlowdown tells the planner how fast an endpoint works at this moment, if its answer says so.
+func (x *execution) recordSlowdown(e *catalog.Endpoint, ans *Answer) {
+	if ans.Slowdown != 0 && !ans.OtherRequest && !ans.Misdirected {
+		x.g.o.Planner.RecordSlowdown(x.now(), e, ans.Slowdown)
+	}
+}
+
 // mayBeUsed reports whether an answer's header leaves it open that the answer can be used.
 func mayBeUsed(s *EndpointRequest, resp *exchange.Response, ans *Answer) bool {
 	if ans.NotRun || ans.OtherRequest || resp.Status < 200 || resp.Status > 299 {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -78,8 +78,10 @@
 }
 
 func (codec) Answer(c *Call, _ int, h http.Header) Answer {
+	slowdown, _ := strconv.ParseFloat(h.Get("Slowdown"), 64)
 	return Answer{
-		NotRun: h.Get("Not-Run")+h.Get("Gone") != "", Misdirected: h.Get("Gone") != "", Signed: h.Get("Seal") != "",
+		Slowdown: slowdown,
+		NotRun:   h.Get("Not-Run")+h.Get("Gone") != "", Misdirected: h.Get("Gone") != "", Signed: h.Get("Seal") != "",
 		OtherRequest: h.Get("Id") != "" && h.Get("Id") != c.ID, Requests: -1, Notice: backpressure.Parse(backpressure.Fields{Limit: h.Get("Limit"), Leaving: h.Get("Leaving"), RetryAfter: h.Get("Retry-After")}),
 	}
 }
--- a/internal/policy/place/burden.go
+++ b/internal/policy/place/burden.go
@@ -33,8 +33,9 @@
 )
 
 // costToOthers returns what a prefill costs other requests: those that follow it and, at a decode
-// engine, the streams that run there, whose tokens it delays. engines is the number of engines that
-// could do the prefill.
+// engine, the streams that run there, whose tokens it delays. work is that at the engine's usual speed: a
+// prefill takes longer at a slowed engine, but others could do no more there meanwhile. engines is the
+// number of engines that could do the prefill.
 func (s *endpointState) costToOthers(work time.Duration, engines, streams int) time.Duration {
 	weight := min(minCostWeight+float64(engines)/enginesPerCostWeight, maxCostWeight)
 	if s.ep.Stage == catalog.Decode {
--- a/internal/policy/place/calls.go
+++ b/internal/policy/place/calls.go
@@ -7,8 +7,8 @@
 	"fescuestand/internal/clock"
 )
 
-// ChooseEndpoint returns the endpoint of a plain service with the fewest requests per slot, or nil
-// if there is none.
+// ChooseEndpoint returns the endpoint of a plain service with the fewest requests per slot, weighted by
+// its slowdown at this moment, or nil if there is none.
 func (p *Planner) ChooseEndpoint(now clock.Time, open []*catalog.Endpoint, exclude map[string]bool) *catalog.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -21,7 +21,7 @@
 	var minLoad float64
 	for i := range list {
 		s := list[(start+i)%len(list)]
-		load := (p.requests(now, s) + 1) / float64(max(s.ep.Slots, 1))
+		load := s.pace.Slowdown(now) * (p.requests(now, s) + 1) / float64(max(s.ep.Slots, 1))
 		if s.ep.Zone != p.zone {
 			load += otherZoneLoad
 		}
--- a/internal/policy/place/peers.go
+++ b/internal/policy/place/peers.go
@@ -9,7 +9,7 @@
 // Report is what one VM has outstanding at one endpoint.
 type Report struct {
 	Endpoint    uint32        // its Key
-	PendingWork time.Duration // prefill work
+	PendingWork time.Duration // prefill work, at the endpoint's usual speed
 	Running     int           // requests
 }
 
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -14,7 +14,9 @@
 //   - the prefill work that is outstanding at the engine, by this VM's own count and the last
 //     reports of the other VMs, and
 //   - the time to prefill what the engine doesn't have cached by this VM's estimate, or to fetch
-//     that from an engine that has it.
+//     that from an engine that has it,
+//
+// each adjusted for how fast the engine works at this moment, if it says so (package pace).
 //
 // The speed of a service's engines is estimated from their answers (package speed). If a prompt's
 // shared part is cached nowhere, all VMs prefer the same engine for it.
@@ -30,6 +32,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/policy/pace"
 )
 
 const (
@@ -73,6 +76,8 @@
 
 	engines map[string]catalog.Engine // configuration by service
 	speeds  speeds
+
+	slowdownsIgnored int64
 }
 
 // New returns a planner for a VM in zone. The planners of different VMs must have different seeds,
@@ -89,11 +94,12 @@
 	hash     uint64               // of its ID
 	prefills map[*Ticket]struct{} // that were sent and haven't finished
 	running  int                  // this VM's exchanges that haven't ended
-	slowness float64              // ratio of its prefill time to that of its service's engines
+	slowness float64              // lasting ratio of its prefill time to that of its service's engines
 	cache    cache
 	health   health
 	load     reportedLoad
 	room     room
+	pace     pace.Figure
 }
 
 func newEndpointState(e *catalog.Endpoint) *endpointState {
@@ -170,10 +176,17 @@
 // predicted, only the number of its unanswered prefills shows it. The fixed time is subtracted for
 // prefills that are done and whose answers are on their way.
 func (p *Planner) wait(now clock.Time, s *endpointState) time.Duration {
+	return s.pace.Time(now, p.usualWait(now, s))
+}
+
+// usualWait returns the predicted time until a prompt that is sent now starts at s if s works at its usual
+// speed.
+func (p *Planner) usualWait(now clock.Time, s *endpointState) time.Duration {
 	return max(s.outstanding()+p.peerWork(now, s.key())-p.fixed(s), 0)
 }
 
-// outstanding returns the prefill work that this VM has sent to s and that s hasn't answered.
+// outstanding returns the prefill work that this VM has sent to s and that s hasn't answered, at the usual
+// speed of s.
 func (s *endpointState) outstanding() time.Duration {
 	var sum time.Duration
 	for t := range s.prefills {
@@ -182,13 +195,15 @@
 	return sum
 }
 
-// work returns the predicted time of a prefill at s, and the number of tokens that s has cached.
+// work returns the predicted time of a prefill at s if s works at its usual speed, and the number of tokens
+// that s has cached.
 func (p *Planner) work(s *endpointState, pr *Prompt) (t time.Duration, cached int) {
 	cached = s.cache.prefixTokens(pr.Parts)
 	return p.workAfter(s, pr, cached), cached
 }
 
-// workAfter returns the predicted time to prefill what follows the cached tokens of pr.
+// workAfter returns the predicted time to prefill what follows the cached tokens of pr, at the usual speed
+// of s.
 func (p *Planner) workAfter(s *endpointState, pr *Prompt, cached int) time.Duration {
 	c := p.speeds.coefficients(s.ep)
 	return time.Duration(float64(c.Work(max(pr.Tokens-cached, 1), cached)) * s.slowness)
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -19,16 +19,17 @@
 	CachedTokens int               // estimated tokens that are cached where the prefill runs, after the fetch
 	Fetch        time.Duration     // predicted time of the fetch
 	FirstEvent   time.Duration     // predicted time to the first event
-	Work         time.Duration     // predicted prefill work
+	Work         time.Duration     // predicted time of the prefill
 	Wait         time.Duration     // predicted time until the prefill starts
 	Candidates   int               // number of engines that could have prefilled it
 
-	fresh int // tokens that the engine prefills
+	fresh     int           // tokens that the engine prefills
+	usualWork time.Duration // time of the prefill at the engine's usual speed
 }
 
 // Job returns the job of the engine that prefills.
 func (p *Plan) Job() Job {
-	return Job{Work: p.Work, Fetch: p.Fetch, fresh: p.fresh, cached: p.CachedTokens}
+	return Job{Work: p.usualWork, Fetch: p.Fetch, fresh: p.fresh, cached: p.CachedTokens}
 }
 
 // Plan returns the plan with the earliest predicted first event, adjusted by its cost to other
@@ -141,6 +142,7 @@
 	source     *endpointState // that it fetches from, nil for none
 	cached     int            // tokens, after the fetch
 	fetch      time.Duration
+	usualWork  time.Duration // time of the prefill at the engine's usual speed
 	work       time.Duration
 	wait       time.Duration
 	firstEvent time.Duration
@@ -152,7 +154,7 @@
 func (o *option) plan(pr *Prompt, candidates int) Plan {
 	p := Plan{
 		Engine: o.s.ep, CachedTokens: o.cached, Fetch: o.fetch, FirstEvent: o.firstEvent, Work: o.work, Wait: o.wait, Candidates: candidates,
-		fresh: max(pr.Tokens-o.cached, 1),
+		fresh: max(pr.Tokens-o.cached, 1), usualWork: o.usualWork,
 	}
 	if o.source != nil {
 		p.Source = o.source.ep
@@ -166,14 +168,17 @@
 	var best option
 	preferred := preferredFor(list, pr.Parts)
 	for _, s := range p.sampleWithRoom(now, list, preferred, pr) {
-		o := option{s: s, wait: p.wait(now, s)}
-		o.work, o.cached = p.work(s, pr)
-		if f, ok := p.bestFetch(s, pr, from, o.cached, o.work); ok {
-			o.source, o.cached, o.fetch, o.work = f.from, f.cached, f.transfer, f.work
+		o := option{s: s}
+		o.usualWork, o.cached = p.work(s, pr)
+		if f, ok := p.bestFetch(s, pr, from, o.cached, o.usualWork); ok {
+			o.source, o.cached, o.fetch, o.usualWork = f.from, f.cached, f.transfer, f.work
 		}
+		usualWait := p.usualWait(now, s)
+		o.wait = s.pace.Time(now, usualWait)
+		o.work = s.pace.Time(now, usualWait+o.usualWork) - o.wait
 		o.firstEvent = o.wait + o.fetch + o.work + p.fixed(s)
 		requests := s.running + p.peerRunning(now, s.key())
-		o.score = o.firstEvent + fetchCostWeight*o.fetch + s.costToOthers(o.work, engines, requests) + s.occupancyCost(requests) - p.prefixCredit(s, pr, o.cached, preferred)
+		o.score = o.firstEvent + fetchCostWeight*o.fetch + s.costToOthers(o.usualWork, engines, requests) + s.occupancyCost(requests) - p.prefixCredit(s, pr, o.cached, preferred)
 		if s.ep.Zone != p.zone {
 			o.score += otherZoneTime
 		}
--- /dev/null
+++ b/internal/policy/place/slowdowns.go
@@ -0,0 +1,87 @@
+package place
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
+)
+
+// RecordSlowdown records the slowdown that an endpoint has sent with an answer: 1 if work takes as long as
+// usual, 2 if it takes twice as long. One that isn't valid is ignored and counted.
+func (p *Planner) RecordSlowdown(now clock.Time, e *catalog.Endpoint, slowdown float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.endpoints[e.ID]; s != nil && !s.pace.Record(now, slowdown) {
+		p.slowdownsIgnored++
+	}
+}
+
+// slowdownDuring returns the mean of the endpoint's slowdown when the request was sent and at now, as far
+// as they are known.
+func (t *Ticket) slowdownDuring(now clock.Time) float64 {
+	end, _, ok := t.s.pace.Current(now)
+	switch {
+	case ok && t.slowdown != 0:
+		return (t.slowdown + end) / 2
+	case ok:
+		return end
+	case t.slowdown != 0:
+		return t.slowdown
+	}
+	return 1
+}
+
+// SlowdownMetrics are what a planner knows of the slowdowns of this moment, for expvar.
+type SlowdownMetrics struct {
+	Known   int                // endpoints with a figure that says something about this moment
+	Ignored int64              // figures that weren't valid
+	Largest map[string]float64 // the figures that differ most from 1, by endpoint
+}
+
+// maxSlowdownsShown is the maximum number of figures in SlowdownMetrics.
+const maxSlowdownsShown = 32
+
+// SlowdownMetrics returns the current values.
+func (p *Planner) SlowdownMetrics(now clock.Time) SlowdownMetrics {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := SlowdownMetrics{Ignored: p.slowdownsIgnored, Largest: map[string]float64{}}
+	changed := p.changedSlowdowns(now, func(*endpointState) { m.Known++ })
+	for _, c := range changed[:min(len(changed), maxSlowdownsShown)] {
+		m.Largest[c.s.ep.ID] = c.slowdown
+	}
+	return m
+}
+
+// changedSlowdown is a slowdown that differs from 1.
+type changedSlowdown struct {
+	s        *endpointState
+	slowdown float64
+}
+
+// minSlowdownChange is the minimum difference of a slowdown from 1 that affects placement: predictions are
+// less exact than that.
+const minSlowdownChange = 0.05
+
+// changedSlowdowns returns the slowdowns that differ from 1 by minSlowdownChange or more, with the largest
+// ratio first. It calls known for each endpoint that has a figure.
+func (p *Planner) changedSlowdowns(now clock.Time, known func(*endpointState)) []changedSlowdown {
+	var out []changedSlowdown
+	for _, s := range p.endpoints {
+		slowdown, _, ok := s.pace.Current(now)
+		if !ok {
+			continue
+		}
+		known(s)
+		if math.Abs(slowdown-1) >= minSlowdownChange {
+			out = append(out, changedSlowdown{s, slowdown})
+		}
+	}
+	slices.SortFunc(out, func(a, b changedSlowdown) int {
+		return cmp.Or(cmp.Compare(math.Abs(math.Log(b.slowdown)), math.Abs(math.Log(a.slowdown))), cmp.Compare(a.s.ep.ID, b.s.ep.ID))
+	})
+	return out
+}
--- a/internal/policy/place/target.go
+++ b/internal/policy/place/target.go
@@ -49,13 +49,14 @@
 // case those of the source's zone are full.
 const otherZonesSampleSize = 2
 
-// decodeLoad returns the load of a decode engine, in requests.
+// decodeLoad returns the load of a decode engine with one more request, in requests at the usual speed.
 func (p *Planner) decodeLoad(now clock.Time, s, source *endpointState) float64 {
 	running := s.running + p.peerRunning(now, s.key())
-	load := float64(running) + p.wait(now, s).Seconds()*requestsPerWaitSecond
+	load := float64(running + 1)
 	if s.ep.Slots > 0 && running >= s.ep.Slots {
 		load += float64(s.ep.Slots) // the request would wait or be rejected
 	}
+	load = load*s.pace.Slowdown(now) + p.wait(now, s).Seconds()*requestsPerWaitSecond
 	if source != nil && s.ep.Zone != source.ep.Zone {
 		load += otherZoneRequests
 	}
--- a/internal/policy/place/ticket.go
+++ b/internal/policy/place/ticket.go
@@ -10,7 +10,7 @@
 // Job is the work that an exchange requires of its engine before the first event. The zero value is
 // an exchange without a prompt.
 type Job struct {
-	Work          time.Duration // of the prefill
+	Work          time.Duration // of the prefill, at the engine's usual speed
 	Fetch         time.Duration // of the fetch before it
 	HandoffTokens int           // tokens of a KV cache that is transferred to the engine
 
@@ -22,7 +22,8 @@
 type Ticket struct {
 	s          *endpointState
 	job        Job
-	expected   time.Duration // wait and work, as predicted by Begin
+	expected   time.Duration // wait and work, as predicted by Begin for the engine's usual speed
+	slowdown   float64       // of the endpoint when the request was sent, 0 if unknown
 	sentAt     clock.Time
 	silent     bool // the endpoint has been silent for too long, so that times say nothing about its speed
 	accepted   bool // the endpoint has begun to answer
@@ -51,7 +52,10 @@
 		s = newEndpointState(e)
 	}
 	t := &Ticket{s: s, job: job, sentAt: now, sentToFull: s.room.full(now)}
-	t.expected = p.wait(now, s) + job.Work
+	t.expected = p.usualWait(now, s) + job.Work
+	if slowdown, _, ok := s.pace.Current(now); ok {
+		t.slowdown = slowdown
+	}
 	s.running++
 	s.room.send(now)
 	p.countDemand(now, t)
@@ -78,7 +82,7 @@
 	took := now.Sub(t.sentAt)
 	if _, pending := t.s.prefills[t]; pending {
 		if !t.silent {
-			p.observePrefill(took, t)
+			p.observePrefill(now, took, t)
 		}
 		delete(t.s.prefills, t)
 	}
@@ -94,8 +98,8 @@
 
 // The bounds of an engine's slowness, the ratio of measured to predicted time.
 const (
-	minSlowness = 0.8
-	maxSlowness = 2.0
+	minSlowness = 0.5
+	maxSlowness = 2.5
 )
 
 const (
@@ -110,24 +114,25 @@
 
 // observePrefill updates the estimated speed of the service's engines, and the slowness of this
 // engine, with the time of a prefill. A prefill after a fetch is ignored, as its time includes the
-// transfer.
-func (p *Planner) observePrefill(took time.Duration, t *Ticket) {
+// transfer. The speeds are the lasting ones: the slowdown of the moment is divided out.
+func (p *Planner) observePrefill(now clock.Time, took time.Duration, t *Ticket) {
 	waited := t.expected - t.job.Work
 	if t.job.Fetch > 0 || waited > max(time.Duration(maxWaitShare*float64(t.job.Work)), negligibleWait) {
 		return
 	}
 	fixed := p.fixed(t.s)
+	usual := time.Duration(float64(took-fixed) / t.slowdownDuring(now))
 	if t.job.Work >= minObservedWork {
-		t.s.observeSlowness(took-fixed, t.expected)
+		t.s.observeSlowness(usual, t.expected)
 	}
 	if t.job.fresh > 0 {
-		normalized := time.Duration(float64(took-fixed) / t.s.slowness)
+		normalized := time.Duration(float64(usual) / t.s.slowness)
 		p.speeds.model(t.s.ep).Observe(t.job.fresh, t.job.cached, fixed+normalized)
 	}
 }
 
 // observeSlowness updates the engine's slowness with the measured and the predicted time of a
-// prefill.
+// prefill at its usual speed.
 func (s *endpointState) observeSlowness(took, expected time.Duration) {
 	ratio := float64(max(took, 0)) / float64(expected)
 	ratio = min(max(ratio, 0.5), 2) // one outlier moves the estimate by a tenth at most
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -292,6 +292,7 @@
 	Limited       int // endpoints that announce a limit of requests
 	Draining      int // endpoints that accept no new work
 	Changes       gateway.ChangeCounters
+	Slowdowns     place.SlowdownMetrics
 	Servers       map[string]httpserver.Counts // by name
 }
 
@@ -306,6 +307,7 @@
 		Servers:  servers,
 		Snapshot: n.gateway.Metrics().Snapshot(), Endpoints: len(v.All()), VMs: n.members.AdvertisedCount(), ConfigVersion: n.version(),
 		Limited: n.backpressure.LimitedCount(), Draining: len(v.All()) - v.AvailableCount(), Changes: n.endpointChanges.Counters(),
+		Slowdowns: n.planner.SlowdownMetrics(n.clock.Now()),
 	}
 }
 
