VMs share the slowdowns that endpoints send

Cause: a VM of a large fleet receives few answers of each endpoint within the 0.6 s in which a figure says something. Change: a beat carries the figures that its sender has received itself, that differ from 1 by 5 % or more and that are younger than 0.6 s, at most 12 of 13 bytes each. Without figures beats are as before. Result: TestVMsShareSlowdowns (internal/policy/place), TestBeatsCarrySlowdowns (internal/gateway) pass, also internal/gossip and internal/cachesync.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -67,6 +67,11 @@
 	b.Demand = &wire.Demand{PrefillMs: uint32(1000 * d.Prefill), CentiStreams: uint32(100 * d.Streams)}
 	b.LeavingEndpoints = x.leaving.current(x.Clock.Now())
 	b.Notices = encodeNotices(x.Pressure.Reports(x.Clock.Now()))
+	for _, s := range x.Planner.Slowdowns(x.Clock.Now()) {
+		b.Slowdowns = append(b.Slowdowns, &wire.Slowdown{
+			Endpoint: s.Endpoint, Percent: uint32(math.Round(100 * s.Slowdown)), AgeMs: uint32(s.Age.Milliseconds()),
+		})
+	}
 	for _, r := range x.Planner.Outstanding() {
 		b.Outstanding = append(b.Outstanding, &wire.Outstanding{
 			Endpoint: r.Endpoint, Running: uint32(r.Running), PendingUs: uint32(r.PendingWork.Microseconds()),
@@ -291,6 +296,16 @@
 	x.quarantined = parts
 }
 
+func decodeSlowdowns(list []*wire.Slowdown) []place.Slowdown {
+	out := make([]place.Slowdown, 0, len(list))
+	for _, s := range list {
+		out = append(out, place.Slowdown{
+			Endpoint: s.GetEndpoint(), Slowdown: float64(s.GetPercent()) / 100, Age: time.Duration(s.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	return out
+}
+
 // receiveLoad applies the load, limits, orders and cached prompts that only VMs of the active set
 // send.
 func (x *GossipContent) receiveLoad(from string, b *wire.Beat) {
@@ -306,6 +321,7 @@
 	x.Planner.ReceiveReport(now, from, reports, place.Demand{
 		Prefill: float64(d.GetPrefillMs()) / 1000, Streams: float64(d.GetCentiStreams()) / 100,
 	})
+	x.Planner.ReceiveSlowdowns(now, decodeSlowdowns(b.GetSlowdowns()))
 	x.Pressure.MergeReports(now, from, float64(b.GetRequests()), decodeNotices(b.GetNotices()))
 	for _, id := range b.GetChanging() {
 		x.Planner.MarkChangingStage(now, id)
--- a/internal/gateway/slowdown_test.go
+++ b/internal/gateway/slowdown_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/catalog"
+	"fescuestand/internal/wire"
 )
 
 // Guards against figures that aren't used as the answer is a rejection, a failure or a stream, and against
@@ -58,3 +59,20 @@
 	assert.Equal(t, m.Known, known)
 	assert.Equal(t, len(m.Largest), known)
 }
+
+// Guards against figures that other VMs don't receive, or receive as other ones.
+func TestBeatsCarrySlowdowns(t *testing.T) {
+	from, to := newTestGateway(t), newTestGateway(t)
+	backend := serve(t, answerSigned)
+	for _, w := range []*testGateway{from, to} {
+		w.setRoute(lookupRoute)
+		w.addEndpoint("a", catalog.Whole, backend)
+	}
+	var b wire.Beat
+	from.gossip.Fill(&b)
+	assert.Equal(t, len(b.GetSlowdowns()), 0)
+	from.gateway.o.Planner.RecordSlowdown(from.clock.Now(), &catalog.Endpoint{ID: "a"}, 2.5)
+	from.gossip.Fill(&b)
+	to.gossip.Receive("vm1", &b)
+	assert.DeepEqual(t, to.gateway.o.Planner.SlowdownMetrics(to.clock.Now()).Largest, map[string]float64{"a": 2.5})
+}
--- a/internal/policy/place/pace_test.go
+++ b/internal/policy/place/pace_test.go
@@ -9,6 +9,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
+	"fescuestand/internal/policy/pace"
 )
 
 // Guards against prompts, streams and calls that go to endpoints which say that they are slowed.
@@ -67,3 +68,24 @@
 		assert.Assert(t, s.slowness > 0.95/speed && s.slowness < 1.05/speed, fmt.Sprintf("%f at speed %f", s.slowness, speed))
 	}
 }
+
+// Guards against a VM that sends to a slowed endpoint though another VM knows its figure, and against messages
+// that say nothing or what their sender has only heard.
+func TestVMsShareSlowdowns(t *testing.T) {
+	c, other := newCluster(t, split(20, 2)...), newCluster(t, split(20, 2)...)
+	a, b := c.open[0], c.open[1]
+	c.p.RecordSlowdown(0, a, 1.02)
+	assert.Equal(t, len(c.p.Slowdowns(0)), 0)
+	c.p.RecordSlowdown(0, a, 2.5)
+	sent := c.p.Slowdowns(clock.Time(100 * ms))
+	assert.DeepEqual(t, sent, []Slowdown{{Key(a.ID), 2.5, 100 * ms}})
+	assert.Equal(t, len(c.p.Slowdowns(clock.Time(pace.Lifetime))), 0, "too old")
+	other.p.ReceiveSlowdowns(clock.Time(100*ms), append(sent, Slowdown{Key(b.ID), 1e7, 0}))
+	assert.Equal(t, other.p.endpoints[a.ID].pace.Slowdown(clock.Time(100*ms)), 2.25)
+	assert.Equal(t, other.p.SlowdownMetrics(clock.Time(100*ms)).Ignored, int64(1))
+	assert.Equal(t, len(other.p.Slowdowns(clock.Time(100*ms))), 0, "it hasn't received the figure itself")
+	for _, e := range c.open {
+		c.p.RecordSlowdown(clock.Time(ms), e, 3)
+	}
+	assert.Equal(t, len(c.p.Slowdowns(clock.Time(ms))), maxSlowdownsSent)
+}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -100,6 +100,7 @@
 	load     reportedLoad
 	room     room
 	pace     pace.Figure
+	paceOwn  bool // this VM has received the figure from the endpoint itself
 }
 
 func newEndpointState(e *catalog.Endpoint) *endpointState {
--- a/internal/policy/place/slowdowns.go
+++ b/internal/policy/place/slowdowns.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
@@ -14,9 +15,55 @@
 func (p *Planner) RecordSlowdown(now clock.Time, e *catalog.Endpoint, slowdown float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.endpoints[e.ID]; s != nil && !s.pace.Record(now, slowdown) {
+	if s := p.endpoints[e.ID]; s != nil {
+		p.recordSlowdown(s, now, slowdown, true)
+	}
+}
+
+// recordSlowdown records the slowdown of s at the time at. own says that this VM has received it from s.
+func (p *Planner) recordSlowdown(s *endpointState, at clock.Time, slowdown float64, own bool) {
+	before := s.pace
+	if !s.pace.Record(at, slowdown) {
 		p.slowdownsIgnored++
 	}
+	if s.pace != before {
+		s.paceOwn = own
+	}
+}
+
+// Slowdown is a slowdown that a VM sends to its peers.
+type Slowdown struct {
+	Endpoint uint32 // its Key
+	Slowdown float64
+	Age      time.Duration
+}
+
+// maxSlowdownsSent is the maximum number of slowdowns in a message to other VMs. A VM that sends ten
+// requests a second receives two or three figures of slowed endpoints within the time in which they count.
+const maxSlowdownsSent = 12
+
+// Slowdowns returns those that this VM has received from endpoints and that affect placement, for its peers.
+func (p *Planner) Slowdowns(now clock.Time) []Slowdown {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Slowdown
+	for _, c := range p.changedSlowdowns(now) {
+		if c.s.paceOwn && len(out) < maxSlowdownsSent {
+			out = append(out, Slowdown{c.s.key(), c.slowdown, c.age})
+		}
+	}
+	return out
+}
+
+// ReceiveSlowdowns records what a peer has received from endpoints.
+func (p *Planner) ReceiveSlowdowns(now clock.Time, list []Slowdown) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range list {
+		if s := p.endpoints[p.keys[r.Endpoint]]; s != nil {
+			p.recordSlowdown(s, now.Add(-r.Age), r.Slowdown, false)
+		}
+	}
 }
 
 // slowdownDuring returns the mean of the endpoint's slowdown when the request was sent and at now, as far
@@ -49,7 +96,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := SlowdownMetrics{Ignored: p.slowdownsIgnored, Largest: map[string]float64{}}
-	changed := p.changedSlowdowns(now, func(*endpointState) { m.Known++ })
+	for _, s := range p.endpoints {
+		if _, _, ok := s.pace.Current(now); ok {
+			m.Known++
+		}
+	}
+	changed := p.changedSlowdowns(now)
 	for _, c := range changed[:min(len(changed), maxSlowdownsShown)] {
 		m.Largest[c.s.ep.ID] = c.slowdown
 	}
@@ -60,6 +112,7 @@
 type changedSlowdown struct {
 	s        *endpointState
 	slowdown float64
+	age      time.Duration
 }
 
 // minSlowdownChange is the minimum difference of a slowdown from 1 that affects placement: predictions are
@@ -67,17 +120,12 @@
 const minSlowdownChange = 0.05
 
 // changedSlowdowns returns the slowdowns that differ from 1 by minSlowdownChange or more, with the largest
-// ratio first. It calls known for each endpoint that has a figure.
-func (p *Planner) changedSlowdowns(now clock.Time, known func(*endpointState)) []changedSlowdown {
+// ratio first.
+func (p *Planner) changedSlowdowns(now clock.Time) []changedSlowdown {
 	var out []changedSlowdown
 	for _, s := range p.endpoints {
-		slowdown, _, ok := s.pace.Current(now)
-		if !ok {
-			continue
-		}
-		known(s)
-		if math.Abs(slowdown-1) >= minSlowdownChange {
-			out = append(out, changedSlowdown{s, slowdown})
+		if slowdown, age, ok := s.pace.Current(now); ok && math.Abs(slowdown-1) >= minSlowdownChange {
+			out = append(out, changedSlowdown{s, slowdown, age})
 		}
 	}
 	slices.SortFunc(out, func(a, b changedSlowdown) int {
