Engines that are lastingly fast or slow keep their figure

Some machines send 0.7 or 1.7 at all times and more while others slow them. The figure decayed to 1, so that half a second after the last answer a slow machine counted like a fast one. A figure now decays to what the endpoint sends at most times, which follows a lower figure at once and a higher one by 5%.

--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -6,8 +6,9 @@
 // answers follows an endpoint's average speed. It learns of a slowdown when it is over, and prompts wait at
 // slowed endpoints while others are idle.
 //
-// Approach: the newest figure of each endpoint counts, and the less the older it is. Endpoints that send no
-// figure are taken to work as usual.
+// Approach: the newest figure of each endpoint counts, and the less the older it is, compared to what the
+// endpoint sends at most times: some machines are lastingly faster or slower than others. Endpoints that send
+// no figure are taken to work as usual.
 //
 // The package does no I/O and reads no clock.
 package pace
@@ -34,8 +35,13 @@
 type Figure struct {
 	slowdown float64 // 1 as usual, 2 if work takes twice as long, 0 if there is no figure
 	at       clock.Time
+	lasting  float64 // what the endpoint sends unless it is slowed for a moment, 0 for 1
 }
 
+// lastingStep is the factor by which a higher figure raises the lasting slowdown: ten figures in a row that are
+// half as high again are taken for lasting.
+const lastingStep = 1.05
+
 // Record records that the endpoint's slowdown was as given at the time at, unless a newer figure is known.
 // It returns false if the slowdown isn't valid, which leaves the figure as it is.
 func (f *Figure) Record(at clock.Time, slowdown float64) bool {
@@ -43,11 +49,26 @@
 		return false
 	}
 	if f.slowdown == 0 || at >= f.at {
-		*f = Figure{slowdown, at}
+		f.slowdown, f.at = slowdown, at
+		f.learnLasting()
 	}
 	return true
 }
 
+// learnLasting adjusts the lasting slowdown to the newest figure. It follows a lower figure at once, as other users
+// of a machine only slow an endpoint.
+func (f *Figure) learnLasting() {
+	f.lasting = min(f.Lasting()*lastingStep, f.slowdown)
+}
+
+// Lasting returns the slowdown that is expected if nothing is known of this moment. It is 1 without a figure.
+func (f *Figure) Lasting() float64 {
+	if f.lasting == 0 {
+		return 1
+	}
+	return f.lasting
+}
+
 // Current returns the slowdown and its age at now. It returns false if there is no figure that says
 // something about that time.
 func (f *Figure) Current(now clock.Time) (slowdown float64, age time.Duration, ok bool) {
@@ -55,25 +76,27 @@
 	return f.slowdown, age, f.slowdown != 0 && age < Lifetime
 }
 
-// Slowdown returns the expected slowdown at now. It is 1 without a figure that says something about that
-// time.
+// Slowdown returns the expected slowdown at now. It is the lasting one without a figure that says something
+// about that time.
 func (f *Figure) Slowdown(now clock.Time) float64 {
 	slowdown, age, ok := f.Current(now)
 	if !ok {
-		return 1
+		return f.Lasting()
 	}
-	return 1 + (slowdown-1)*persistence(age)
+	return f.Lasting() + (slowdown-f.Lasting())*persistence(age)
 }
 
-// Time returns the predicted time of work that begins at now and takes usual if the endpoint works as
-// usual. A slowdown that is expected to end during the work counts until then only.
+// Time returns the predicted time of work that begins at now and takes usual at a slowdown of 1. A slowdown of
+// the moment that is expected to end during the work counts until then only.
 func (f *Figure) Time(now clock.Time, usual time.Duration) time.Duration {
+	lasting := time.Duration(float64(usual) * f.Lasting())
 	slowdown, age, ok := f.Current(now)
 	if !ok || usual <= 0 {
-		return usual
+		return lasting
 	}
-	slowed := min(float64(usual)*slowdown, float64(Lifetime-age)/2) // time until the work or the slowdown ends
-	return usual + time.Duration(persistence(age)*slowed*(1-1/slowdown))
+	ratio := slowdown / f.Lasting()
+	slowed := min(float64(lasting)*ratio, float64(Lifetime-age)/2) // time until the work or the slowdown ends
+	return lasting + time.Duration(persistence(age)*slowed*(1-1/ratio))
 }
 
 // persistence returns the probability that an endpoint's slowdown is still the same after the given time. It
--- a/internal/policy/place/slowdowns.go
+++ b/internal/policy/place/slowdowns.go
@@ -67,7 +67,7 @@
 }
 
 // slowdownDuring returns the mean of the endpoint's slowdown when the request was sent and at now, as far
-// as they are known.
+// as they are known, or else the lasting one.
 func (t *Ticket) slowdownDuring(now clock.Time) float64 {
 	end, _, ok := t.s.pace.Current(now)
 	switch {
@@ -78,7 +78,7 @@
 	case t.slowdown != 0:
 		return t.slowdown
 	}
-	return 1
+	return t.s.pace.Lasting()
 }
 
 // SlowdownMetrics are what a planner knows of the slowdowns of this moment, for expvar.
