Decode at engines that are fast at this moment

Streams came late at slow machines: an idle one was preferred to a fast one with two requests, as load was requests times slowdown. The load now begins at the engine's slots.

TestStreamsAreDecodedAtFastEngines failed before (the slow engine at the second stream). Without figures the order of engines of one service is as before.

--- a/internal/policy/place/target.go
+++ b/internal/policy/place/target.go
@@ -49,10 +49,12 @@
 // case those of the source's zone are full.
 const otherZonesSampleSize = 2
 
-// decodeLoad returns the load of a decode engine with one more request, in requests at the usual speed.
+// decodeLoad returns the load of a decode engine with one more request, in requests at the usual speed. An engine
+// with all slots taken produces tokens about half as fast as an idle one, so that the speed of its machine often
+// matters more than its requests.
 func (p *Planner) decodeLoad(now clock.Time, s, source *endpointState) float64 {
 	running := s.running + p.peerRunning(now, s.key())
-	load := float64(running + 1)
+	load := float64(s.ep.Slots + running + 1)
 	if s.ep.Slots > 0 && running >= s.ep.Slots {
 		load += float64(s.ep.Slots) // the request would wait or be rejected
 	}
--- a/internal/policy/place/target_test.go
+++ b/internal/policy/place/target_test.go
@@ -43,3 +43,20 @@
 	assert.Equal(t, c.p.ChooseDecodeEngine(0, c.open, c.open[2], nil).ID, "d1")
 	assert.Equal(t, c.p.ChooseDecodeEngine(0, c.open, c.open[2], map[string]bool{"d1": true}).ID, "d0")
 }
+
+// Guards against decoding at an idle engine of a slow machine, whose events come late, while engines of fast machines
+// have free slots. One whose slots are taken isn't chosen, however fast it is.
+func TestStreamsAreDecodedAtFastEngines(t *testing.T) {
+	fast, slow := engine("fast", catalog.Decode), engine("slow", catalog.Decode)
+	holder := engine("p", catalog.Prefill)
+	c := newCluster(t, holder, fast, slow)
+	for range 40 {
+		c.p.RecordSlowdown(0, fast, 0.7)
+		c.p.RecordSlowdown(0, slow, 1.7)
+	}
+	for range fast.Slots {
+		assert.Equal(t, c.p.ChooseDecodeEngine(0, c.open, holder, nil).ID, "fast")
+		c.p.Begin(0, fast, Job{})
+	}
+	assert.Equal(t, c.p.ChooseDecodeEngine(0, c.open, holder, nil).ID, "slow")
+}
