Long prompts aren't prefilled beside streams whose events they delay

Streams were late although their first event was on time: a decode engine that prefills a prompt between the tokens of its streams makes each of several tokens wait for a chunk, so that the next event of 11 or 14 tokens comes after the target for the gap. A prefill there that takes more than half of that target now costs 100 ms for each stream. Where engines send how slow they are, an engine that decodes costs 40 ms times its slowdown, whether it prefills or not.

TestLongPromptsAreNotPrefilledBesideStreams failed before (the decode engine with two streams took the long prompt).

--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -6,6 +6,7 @@
 package catalog
 
 import (
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -141,6 +142,19 @@
 	return c
 }
 
+// Routes returns an iterator over all routes, in no particular order.
+func (c *Config) Routes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		for _, list := range c.routes {
+			for _, r := range list {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // RouteCount returns the number of routes.
 func (c *Config) RouteCount() int {
 	n := 0
--- a/internal/policy/place/burden.go
+++ b/internal/policy/place/burden.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
 )
 
 // The weights of a choice's cost to other requests.
@@ -27,6 +28,15 @@
 	// fullOccupancyCost is the cost of an engine whose slots are all taken. It spreads requests whose scores
 	// are equal otherwise.
 	fullOccupancyCost = 2 * time.Millisecond
+	// prefillShareOfGap is the share of the target for the gap between two events that a prefill at a decode engine
+	// may take: its streams produce their next events in the rest.
+	prefillShareOfGap = 0.5
+	// lateStreamCost is the cost of each stream whose next event a longer prefill delays beyond its target. It is in
+	// the order of the targets for first events, as a late event makes a stream as late as a late first one does.
+	lateStreamCost = 100 * time.Millisecond
+	// decodeSpeedWeight is the cost of decoding a stream at an engine with a slowdown of 1. It is in the order of the
+	// gap between two events, which a slower engine lengthens.
+	decodeSpeedWeight = 40 * time.Millisecond
 	// minSharedTokens is the minimum length of a shared part that affects placement. It corresponds
 	// to a few milliseconds of prefill.
 	minSharedTokens = 256
@@ -44,6 +54,24 @@
 	return time.Duration(weight * float64(work))
 }
 
+// eventGapCost returns the cost to the streams at a decode engine if a prefill that takes work delays their next events
+// beyond the target.
+func (p *Planner) eventGapCost(s *endpointState, work time.Duration, streams int) time.Duration {
+	limit := time.Duration(prefillShareOfGap * float64(p.gapTargets[s.ep.Service]))
+	if s.ep.Stage != catalog.Decode || limit == 0 || work <= limit {
+		return 0
+	}
+	return time.Duration(streams) * lateStreamCost
+}
+
+// decodeSpeedCost returns the cost of decoding a stream at s, which is zero at an engine that only prefills.
+func (s *endpointState) decodeSpeedCost(now clock.Time) time.Duration {
+	if s.ep.Stage == catalog.Prefill {
+		return 0
+	}
+	return time.Duration(s.pace.Slowdown(now) * float64(decodeSpeedWeight))
+}
+
 // occupancyCost returns the cost of the requests that run at an engine already.
 func (s *endpointState) occupancyCost(requests int) time.Duration {
 	return time.Duration(float64(fullOccupancyCost) * float64(requests) / float64(max(s.ep.Slots, 1)))
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -74,8 +74,10 @@
 	peers     map[string]peerReport
 	meter     demandMeter
 
-	engines map[string]catalog.Engine // configuration by service
-	speeds  speeds
+	engines    map[string]catalog.Engine // configuration by service
+	config     *catalog.Config           // that gapTargets are of
+	gapTargets map[string]time.Duration  // shortest target for the gap between two events, by service
+	speeds     speeds
 
 	slowdownsIgnored int64
 }
@@ -120,6 +122,9 @@
 	defer p.mu.Unlock()
 	next := make(map[string]*endpointState, len(v.All()))
 	p.engines = enginesOf(v)
+	if v.Config != p.config {
+		p.config, p.gapTargets = v.Config, gapTargetsOf(v)
+	}
 	for _, e := range v.All() {
 		s := p.endpoints[e.ID]
 		if s == nil || s.ep.Born != e.Born || s.ep.Address != e.Address {
@@ -159,6 +164,23 @@
 	return out
 }
 
+// gapTargetsOf returns the shortest gap target of the routes that lead to each service.
+func gapTargetsOf(v *catalog.View) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	if v.Config == nil {
+		return out
+	}
+	for r := range v.Config.Routes() {
+		for _, s := range r.Shares {
+			known := out[s.Service]
+			if r.EventGapTarget > 0 && (known == 0 || r.EventGapTarget < known) {
+				out[s.Service] = r.EventGapTarget
+			}
+		}
+	}
+	return out
+}
+
 // transferTime returns the predicted time to transfer a prompt's KV cache to e.
 func (p *Planner) transferTime(e *catalog.Endpoint, tokens int) time.Duration {
 	return p.speeds.of(e.Service).handoff.Value() + time.Duration(tokens)*p.transferPerToken(e)
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -346,3 +346,21 @@
 	assert.Assert(t, plan.Prefill == nil)
 	assert.Equal(t, plan.Engine.ID, endpoints[1].ID)
 }
+
+// Guards against streams whose events stop while a decode engine prefills a long prompt, beside a prefill engine that
+// would have done it a little later; and against sending short prompts away from an engine that is idle.
+func TestLongPromptsAreNotPrefilledBesideStreams(t *testing.T) {
+	const gap = 150 * ms
+	c := newCluster(t, engine("p", catalog.Prefill), engine("d", catalog.Decode))
+	c.p.gapTargets = map[string]time.Duration{"labels": gap}
+	prefiller, decoder := c.open[1], c.open[0]
+	assert.Equal(t, prefiller.ID, "p")
+	c.p.Begin(0, prefiller, Job{Work: 300 * ms})
+	long, short := prompt(1, 100, 4000), prompt(1, 100, 900)
+	assert.Assert(t, c.plan(t, 0, long).Prefill == nil, "nobody is delayed at an idle engine")
+	for range 2 {
+		c.p.Begin(0, decoder, Job{})
+	}
+	assert.Assert(t, c.plan(t, 0, long).Prefill != nil)
+	assert.Assert(t, c.plan(t, 0, short).Prefill == nil)
+}
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -61,7 +61,7 @@
 	if haveSplit && target != nil {
 		transfer := p.transferTime(target.ep, pr.Tokens)
 		split.firstEvent += transfer
-		split.score += transfer
+		split.score += transfer + target.decodeSpeedCost(now)
 	}
 	switch {
 	case haveSplit && target != nil && (!haveWhole || split.score < whole.score):
@@ -178,7 +178,7 @@
 		o.work = s.pace.Time(now, usualWait+o.usualWork) - o.wait
 		o.firstEvent = o.wait + o.fetch + o.work + p.fixed(s)
 		requests := s.running + p.peerRunning(now, s.key())
-		o.score = o.firstEvent + fetchCostWeight*o.fetch + s.costToOthers(o.usualWork, engines, requests) + s.occupancyCost(requests) - p.prefixCredit(s, pr, o.cached, preferred)
+		o.score = o.firstEvent + fetchCostWeight*o.fetch + s.costToOthers(o.usualWork, engines, requests) + p.eventGapCost(s, o.work, requests) + s.decodeSpeedCost(now) + s.occupancyCost(requests) - p.prefixCredit(s, pr, o.cached, preferred)
 		if s.ep.Zone != p.zone {
 			o.score += otherZoneTime
 		}
