Count the end of an endpoint under a request that was left in its silence

A request that makes each endpoint which runs it fall silent, with its connection open, and ends it seconds later was sent again and again: verifyLeft looked for a refused connection for 2.5 s after the request was left, and a commit left at its caller's deadline wasn't checked at all.

When the catalog shows that the process has ended without having announced it (another Born, or a deleted entry; Store.HasEnded), the gateway reports a crash for them.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -165,6 +165,25 @@
 	return true
 }
 
+// HasEnded reports whether the process of an endpoint that was started at born has ended without having announced
+// that it leaves, as its entry shows: it names a later process, or was deleted. An entry that is only missing from a
+// restored store shows nothing.
+func (s *Store) HasEnded(id string, born int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n, ok := s.leaving[id]; ok && n.born == born {
+		return false
+	}
+	if e := s.reported[id]; e != nil {
+		return e.Born > born
+	}
+	t, ok := s.removed[id]
+	if !ok {
+		return false
+	}
+	return t.last.Born > born || t.last.Born == born && !t.missing && !t.last.Draining
+}
+
 // RemoveEndpoint handles the end of an endpoint's entry in the platform's store; missing means that no
 // deletion was read and the entry isn't there. Around an outage of that store the endpoint is kept until
 // outageGrace after the store is available again, since live endpoints couldn't renew their entries and
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,6 +8,7 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/exchange"
+	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/silence"
 )
@@ -29,6 +30,8 @@
 	quiet time.Duration     // for which a working endpoint may be silent at first
 	life  *silence.Exchange // nil until the request is sent
 
+	exposure *crash.Exposure // the same
+
 	bodyLimit int64 // bytes of the body that are read with the header, zero for none
 	body      []byte
 	bodyErr   error
@@ -170,6 +173,7 @@
 		x.latest = a
 	}
 	x.g.o.Planner.End(x.now(), a.ticket, placementOutcome(r))
+	x.endExposure(a, r)
 	switch {
 	case r.outcome == replaced, a.left.Load(), r.outcome == gone && a.silent:
 		ctx, now := context.WithoutCancel(x.callCtx), x.now()
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
+	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
 	"fescuestand/internal/driver"
@@ -71,6 +74,7 @@
 func (x *execution) recordEvents(a *attempt) {
 	a.progressAt = x.now()
 	a.life.Sign(a.progressAt)
+	x.g.exposures.Sign(a.progressAt, a.exposure, true)
 	if a.eventAt == 0 {
 		a.eventAt = a.progressAt
 	}
@@ -119,6 +123,57 @@
 	x.reportCrash(a, endedAt)
 }
 
+// recordSign records that the endpoint of an attempt has sent a header. One that the address now belongs to another
+// process says nothing about the endpoint.
+func (x *execution) recordSign(a *attempt, ans *Answer) {
+	if !ans.Misdirected {
+		x.g.exposures.Sign(x.now(), a.exposure, false)
+	}
+}
+
+// endExposure ends the exposure of the endpoint of an attempt to the request. If the exchange was left in a silence,
+// the end of the endpoint's process still counts when it becomes known later.
+func (x *execution) endExposure(a *attempt, r *result) {
+	if a.exposure == nil {
+		return
+	}
+	left := r.outcome == replaced || r.outcome == gone || a.left.Load()
+	if c, ended := x.g.exposures.End(x.now(), a.exposure, left, false); ended {
+		x.g.reportSilentEnd(a.request.Endpoint, []crash.Crash{c})
+	}
+}
+
+// reportEnded reports the processes that have ended between the known endpoints and a newer view without having
+// announced it, as crashes of the requests that had just begun there.
+func (g *Gateway) reportEnded(known []*catalog.Endpoint, v *catalog.View) {
+	current := make(map[string]int64, len(v.All()))
+	for _, e := range v.All() {
+		current[e.ID] = e.Born
+	}
+	for _, e := range known {
+		if born, found := current[e.ID]; found && born == e.Born {
+			continue
+		}
+		if e.Draining || !g.o.Catalog.HasEnded(e.ID, e.Born) {
+			g.exposures.Forget(processOf(e))
+			continue
+		}
+		g.reportSilentEnd(e, g.exposures.EndProcess(g.o.Clock.Now(), processOf(e)))
+	}
+}
+
+// reportSilentEnd reports the crashes of an endpoint that has ended in a silence.
+func (g *Gateway) reportSilentEnd(e *catalog.Endpoint, crashes []crash.Crash) {
+	if len(crashes) == 0 {
+		return
+	}
+	log.WithField("endpoint", e.ID).WithField("born", e.Born).WithField("requests", len(crashes)).Info("endpoint ended in a silence")
+	g.metrics.countSilentEnds(len(crashes))
+	for _, c := range crashes {
+		g.o.OnCrash(c)
+	}
+}
+
 // verifyLeft checks whether the endpoint of an attempt, which was left in a silence at leftAt, has crashed: an
 // endpoint that only pauses still accepts connections.
 func (x *execution) verifyLeft(ctx context.Context, a *attempt, leftAt clock.Time) {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -219,6 +219,7 @@
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
 	a.life = x.g.silences.Begin(silenceProcess(s.Endpoint), a.sentAt.Add(a.quiet))
+	a.exposure = x.g.exposures.Begin(a.sentAt, processOf(s.Endpoint), x.call.Fingerprint, x.crashParts())
 	if !s.PrefillOnly {
 		x.runsSent.Add(1)
 	}
@@ -232,6 +233,7 @@
 		}
 		a.life.Sign(x.now())
 		ans = x.g.o.Codec.Answer(x.call, resp.Status, resp.Header)
+		x.recordSign(a, &ans)
 		x.readBody(a, resp)
 		return mayBeUsed(s, resp, &ans) && a.bodyErr == nil
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,11 +84,12 @@
 	shutdown     atomic.Pointer[shutdown] // nil if the process isn't shutting down
 	queues       sync.Map                 // of *queue, by service
 	silences     *silence.Register
+	exposures    *crash.Exposures
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), durations: drain.NewDurations(), silences: silence.New()}
+	return &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), durations: drain.NewDurations(), silences: silence.New(), exposures: crash.NewExposures()}
 }
 
 // RequestRate returns the measured requests a second, zero before the first measurement.
@@ -153,11 +154,15 @@
 }
 
 // FollowCatalog passes each new view of the catalog to the planner and the limit tracker until ctx
-// ends, and closes idle connections to endpoints that aren't in the view.
+// ends, reports processes of endpoints that have ended under requests, and closes idle connections to endpoints
+// that aren't in the view.
 func (g *Gateway) FollowCatalog(ctx context.Context) error {
+	var known []*catalog.Endpoint
 	for {
 		changed := g.o.Catalog.Changed()
 		v := g.o.Catalog.View()
+		g.reportEnded(known, v)
+		known = v.All()
 		g.o.Planner.SetView(v)
 		g.o.Pressure.SetView(g.o.Clock.Now(), v)
 		g.silences.Sweep(g.o.Clock.Now())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,7 @@
 	replacements map[string]int64
 	rejections   Rejections
 	faults       int64
+	silentEnds   int64
 }
 
 // Rejections counts requests that endpoints didn't run.
@@ -62,6 +63,12 @@
 	}
 }
 
+func (m *Metrics) countSilentEnds(requests int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silentEnds += int64(requests)
+}
+
 func (m *Metrics) countFault() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -109,13 +116,14 @@
 	Replacements map[string]int64
 	Rejections   Rejections
 	Faults       int64 // of work beside requests
+	SilentEnds   int64 // requests whose endpoints fell silent under them and have ended
 }
 
 // Snapshot copies the counters.
 func (m *Metrics) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Faults: m.faults}
+	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Faults: m.faults, SilentEnds: m.silentEnds}
 	for k, v := range m.outcomes {
 		s.Outcomes[k] = v
 	}
