Check the address before a reset connection counts as a crash

An endpoint that goes on after a pause resets idle connections with requests that it hasn't read. Each such request counted as a crash of the endpoint, so that sound requests and prompt parts were quarantined.

A reset (ECONNRESET) is now evidence only once the address refuses connections (checked at once and for 2.5 s, as for requests that were left) or the entry shows that the process has ended (crash.Exposures). A connection that is closed in order inside an answer counts at once, as before.

TestResetIsACrashOnlyIfTheEndpointHasEnded: 'goes on' and 'leaves in order' reported a crash before, none now.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -51,6 +51,7 @@
 			c.Parts = append(c.Parts, crash.PartCrash{Part: part, SentAge: x.now().Sub(a.sentAt)})
 		}
 	}
+	x.g.exposures.MarkReported(a.exposure)
 	x.g.o.OnCrash(c)
 }
 
@@ -137,8 +138,9 @@
 	if a.exposure == nil {
 		return
 	}
-	left := r.outcome == replaced || r.outcome == gone || a.left.Load()
-	if c, ended := x.g.exposures.End(x.now(), a.exposure, left, false); ended {
+	reset := r.isReset()
+	left := r.outcome == replaced || r.outcome == gone || a.left.Load() || reset
+	if c, ended := x.g.exposures.End(x.now(), a.exposure, left, reset); ended {
 		x.g.reportSilentEnd(a.request.Endpoint, []crash.Crash{c})
 	}
 }
@@ -174,6 +176,15 @@
 	}
 }
 
+// verifyReset checks whether the endpoint of an attempt whose connection was reset at endedAt has crashed.
+func (x *execution) verifyReset(ctx context.Context, a *attempt, endedAt clock.Time) {
+	if x.g.o.Pool.Check(ctx, a.request.Endpoint.Address) == exchange.Refused {
+		x.reportCrash(a, endedAt)
+		return
+	}
+	x.verifyLeft(ctx, a, endedAt)
+}
+
 // verifyLeft checks whether the endpoint of an attempt, which was left in a silence at leftAt, has crashed: an
 // endpoint that only pauses still accepts connections.
 func (x *execution) verifyLeft(ctx context.Context, a *attempt, leftAt clock.Time) {
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"syscall"
 	"time"
 
 	"fescuestand/internal/code"
@@ -24,6 +25,12 @@
 	return (r.outcome == lost || r.outcome == failed) && errors.Is(r.err, driver.ErrConnectionLost)
 }
 
+// isReset reports whether r may be a crash, but the connection was reset: an endpoint that goes on after a pause
+// resets connections with requests that it hasn't read, too.
+func (r *result) isReset() bool {
+	return r.mayBeCrash() && errors.Is(r.err, syscall.ECONNRESET)
+}
+
 // outcome is the kind of an attempt's result. It decides whether the call may be retried. The names
 // are written to the log and the metrics.
 type outcome uint8
--- a/internal/policy/crash/exposure.go
+++ b/internal/policy/crash/exposure.go
@@ -192,6 +192,16 @@
 	x.left = slices.DeleteFunc(x.left, func(e *Exposure) bool { return e.process == process })
 }
 
+// MarkReported records that the crash of the endpoint of e has been reported for other evidence.
+func (x *Exposures) MarkReported(e *Exposure) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e.reported = true
+	if e.leftAt != 0 {
+		x.dropLeft(e)
+	}
+}
+
 // LeftCount returns the number of requests that were left and may still count.
 func (x *Exposures) LeftCount() int {
 	x.mu.Lock()
