--- a/internal/simworld/endpoint_test.go
+++ b/internal/simworld/endpoint_test.go
@@ -78,6 +78,8 @@
 	queue    int           // requests that wait for a slot
 	callTime time.Duration // of a call of a plain service
 	interval time.Duration // between two events of a stream
+	// onRequest is called, unless it is nil, with the id of each request that arrives, "" if it isn't a caller's.
+	onRequest func(e *endpoint, id string)
 }
 
 // endpoint is an endpoint on a host of its own.
@@ -169,6 +171,9 @@
 	if err != nil {
 		return
 	}
+	if e.onRequest != nil {
+		e.onRequest(e, r.Header.Get(headerID))
+	}
 	e.awaitResume()
 	if want := r.Header.Get(headerTo); want != "" && want != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
