Report a crash again when the entry shows the end of the process

After a connection was lost and a crash reported, an answer of the process that follows at the same address, sent under the old entry, refuted the crash for good. Exposures now keep requests whose connection was lost as well, and the end of the process reports them again; a crash that is still known isn't counted twice.

'same address, breaks' of TestRequestThatSilencesAndEndsEndpointsIsQuarantined: 6 engines ended before, 5 now, no late send in either. go test -race ./internal/gateway ./internal/policy/crash ./internal/catalog passes.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -51,7 +51,6 @@
 			c.Parts = append(c.Parts, crash.PartCrash{Part: part, SentAge: x.now().Sub(a.sentAt)})
 		}
 	}
-	x.g.exposures.MarkReported(a.exposure)
 	x.g.o.OnCrash(c)
 }
 
@@ -133,14 +132,20 @@
 }
 
 // endExposure ends the exposure of the endpoint of an attempt to the request. If the exchange was left in a silence,
-// the end of the endpoint's process still counts when it becomes known later.
+// the end of the endpoint's process still counts when it becomes known later. So it does if the connection was lost:
+// the crash that was reported then may have been refuted by an answer of the process that follows at the address.
 func (x *execution) endExposure(a *attempt, r *result) {
 	if a.exposure == nil {
 		return
 	}
-	reset := r.isReset()
-	left := r.outcome == replaced || r.outcome == gone || a.left.Load() || reset
-	if c, ended := x.g.exposures.End(x.now(), a.exposure, left, reset); ended {
+	how := crash.Answered
+	switch {
+	case r.mayBeCrash():
+		how = crash.Broken
+	case r.outcome == replaced, r.outcome == gone, a.left.Load():
+		how = crash.Left
+	}
+	if c, ended := x.g.exposures.End(x.now(), a.exposure, how); ended {
 		x.g.reportSilentEnd(a.request.Endpoint, []crash.Crash{c})
 	}
 }
--- a/internal/gateway/silent_end_test.go
+++ b/internal/gateway/silent_end_test.go
@@ -40,6 +40,7 @@
 	prefills bool          // engines that prefill end
 	removed  bool          // the entry ends, instead of naming another process
 	restarts bool          // the other process listens at the address of the one that has ended
+	breaks   bool          // the engine ends at once, and its connections with it
 	patience time.Duration // of the callers
 	callers  int           // that repeat the request
 }
@@ -106,7 +107,11 @@
 	}
 	if poison && !s.silent[process] {
 		s.silent[process] = true
-		time.AfterFunc(silentEndAfter, func() { s.end(id, ln) })
+		after := silentEndAfter
+		if s.tc.breaks {
+			after = 0
+		}
+		time.AfterFunc(after, func() { s.end(id, ln) })
 	}
 	return s.silent[process]
 }
@@ -130,7 +135,9 @@
 // answer is the engines' handler. A silent engine leaves its connections open.
 func (s *silentEnd) answer(id string, life int, ln net.Listener, b *backend, n int, r *http.Request, c net.Conn) bool {
 	if s.fallSilent(id, life, ln, strings.HasPrefix(r.Header.Get("Id"), silentEndPoison)) {
-		time.Sleep(silentEndRunTime)
+		if !s.tc.breaks {
+			time.Sleep(silentEndRunTime)
+		}
 		return false
 	}
 	switch {
@@ -214,16 +221,17 @@
 // caller has left: its repetitions reach engine after engine, as nothing refuses connections and no answer ends.
 func TestRequestThatSilencesAndEndsEndpointsIsQuarantined(t *testing.T) {
 	for name, tc := range map[string]silentEndCase{
-		"lookup":          {route: lookupRoute, patience: 3 * time.Second, callers: silentEndCallers},
-		"lookup removed":  {route: lookupRoute, removed: true, patience: 3 * time.Second, callers: silentEndCallers},
-		"impatient":       {route: lookupRoute, patience: 500 * time.Millisecond, callers: 1},
-		"commit":          {route: commitRoute, patience: 2 * time.Second, callers: silentEndCallers},
-		"patient commit":  {route: commitRoute, patience: 10 * time.Second, callers: silentEndCallers},
-		"stream":          {route: streamRoute, patience: 8 * time.Second, callers: silentEndCallers},
-		"stream removed":  {route: streamRoute, removed: true, patience: 8 * time.Second, callers: silentEndCallers},
-		"prefill":         {route: streamRoute, prefills: true, patience: 8 * time.Second, callers: silentEndCallers},
-		"same address":    {route: lookupRoute, restarts: true, patience: 3 * time.Second, callers: silentEndCallers},
-		"one, unreplaced": {route: streamRoute, patience: 1900 * time.Millisecond, callers: 1},
+		"lookup":               {route: lookupRoute, patience: 3 * time.Second, callers: silentEndCallers},
+		"lookup removed":       {route: lookupRoute, removed: true, patience: 3 * time.Second, callers: silentEndCallers},
+		"impatient":            {route: lookupRoute, patience: 500 * time.Millisecond, callers: 1},
+		"commit":               {route: commitRoute, patience: 2 * time.Second, callers: silentEndCallers},
+		"patient commit":       {route: commitRoute, patience: 10 * time.Second, callers: silentEndCallers},
+		"stream":               {route: streamRoute, patience: 8 * time.Second, callers: silentEndCallers},
+		"stream removed":       {route: streamRoute, removed: true, patience: 8 * time.Second, callers: silentEndCallers},
+		"prefill":              {route: streamRoute, prefills: true, patience: 8 * time.Second, callers: silentEndCallers},
+		"same address":         {route: lookupRoute, restarts: true, patience: 3 * time.Second, callers: silentEndCallers},
+		"same address, breaks": {route: lookupRoute, restarts: true, breaks: true, patience: 3 * time.Second, callers: 1},
+		"one, unreplaced":      {route: streamRoute, patience: 1900 * time.Millisecond, callers: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/policy/crash/exposure.go
+++ b/internal/policy/crash/exposure.go
@@ -29,8 +29,8 @@
 )
 
 // Exposures holds the requests of one VM that have just begun at endpoints: those in progress, and those that
-// were left while the endpoint was silent. If the process of the endpoint turns out to have ended, it may have
-// ended under them.
+// were left while the endpoint was silent or whose connection was lost. If the process of the endpoint turns out to
+// have ended, it may have ended under them.
 //
 // Load pattern: a request makes each endpoint that runs it silent with its connection open, and the endpoint ends
 // seconds after the caller has left and has repeated it at another one. No exchange shows the end.
@@ -56,7 +56,7 @@
 	leftAt    clock.Time // zero while it is in progress
 	resumedAt clock.Time // when the process first showed a sign of life after that, zero if it hasn't
 	ended     bool       // the process has ended while the request was in progress
-	reported  bool       // as a crash
+	reported  bool       // as a crash, while the request was in progress
 }
 
 // NewExposures returns empty exposures.
@@ -91,18 +91,26 @@
 	}
 }
 
-// End ends the exposure. left means that the exchange was ended without an answer, as its caller left or another
-// endpoint took the request, or that its connection was reset; reset says the latter. If the process is known to have
-// ended meanwhile, End returns the crash.
-func (x *Exposures) End(now clock.Time, e *Exposure, left, reset bool) (Crash, bool) {
+// Ending is how an exchange with an endpoint has ended.
+type Ending int
+
+// The endings.
+const (
+	Answered Ending = iota // or rejected, or not sent
+	Left                   // its caller left, or another endpoint took the request
+	Broken                 // its connection was lost
+)
+
+// End ends the exposure. If the process is known to have ended meanwhile, End returns the crash.
+func (x *Exposures) End(now clock.Time, e *Exposure, how Ending) (Crash, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	delete(x.open[e.process], e)
 	if len(x.open[e.process]) == 0 {
 		delete(x.open, e.process)
 	}
-	isSilent := reset || now.Sub(e.signAt) >= minLeftSilence
-	if !left || !isSilent || e.reported || e.hasSettled() {
+	isExposed := how == Broken || how == Left && now.Sub(e.signAt) >= minLeftSilence
+	if !isExposed || e.reported || e.hasSettled() {
 		return Crash{}, false
 	}
 	if e.ended {
@@ -192,16 +200,6 @@
 	x.left = slices.DeleteFunc(x.left, func(e *Exposure) bool { return e.process == process })
 }
 
-// MarkReported records that the crash of the endpoint of e has been reported for other evidence.
-func (x *Exposures) MarkReported(e *Exposure) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	e.reported = true
-	if e.leftAt != 0 {
-		x.dropLeft(e)
-	}
-}
-
 // LeftCount returns the number of requests that were left and may still count.
 func (x *Exposures) LeftCount() int {
 	x.mu.Lock()
--- a/internal/policy/crash/exposure_test.go
+++ b/internal/policy/crash/exposure_test.go
@@ -18,7 +18,7 @@
 	for _, after := range events {
 		x.Sign(sentAt.Add(after), e, true)
 	}
-	x.End(now.Add(-3*time.Second), e, true, false)
+	x.End(now.Add(-3*time.Second), e, Left)
 }
 
 // Guards against an end that is known after the request was left and gives no evidence, and against evidence from
@@ -28,7 +28,7 @@
 	answerAt := func(x *Exposures, at clock.Time) {
 		e := x.Begin(at, "e@1", 2, nil)
 		x.Sign(at, e, false)
-		x.End(at, e, false, false)
+		x.End(at, e, Answered)
 	}
 	for name, tc := range map[string]struct {
 		prepare func(x *Exposures)
@@ -40,7 +40,7 @@
 			e := x.Begin(now.Add(-4*time.Second), "e@1", 1, nil)
 			x.Sign(now.Add(-4*time.Second), e, true)
 			x.Sign(now.Add(-3*time.Second), e, true)
-			x.End(now, e, true, false)
+			x.End(now, e, Left)
 		}, 0},
 		"between two events": {func(x *Exposures) {
 			exposed(x, now, 950*time.Millisecond)
@@ -51,9 +51,10 @@
 			answerAt(x, now.Add(-successorTime))
 		}, 1},
 		"left in order":        {func(x *Exposures) { exposed(x, now); x.Forget("e@1") }, 0},
-		"another process":      {func(x *Exposures) { x.End(now, x.Begin(now.Add(-time.Second), "e@2", 1, nil), true, false) }, 0},
+		"another process":      {func(x *Exposures) { x.End(now, x.Begin(now.Add(-time.Second), "e@2", 1, nil), Left) }, 0},
 		"too old":              {func(x *Exposures) { exposed(x, now.Add(-leftTime)) }, 0},
-		"answered":             {func(x *Exposures) { x.End(now, x.Begin(now.Add(-time.Second), "e@1", 1, nil), false, false) }, 0},
+		"answered":             {func(x *Exposures) { x.End(now, x.Begin(now.Add(-time.Second), "e@1", 1, nil), Answered) }, 0},
+		"connection lost":      {func(x *Exposures) { x.End(now, x.Begin(now, "e@1", 1, nil), Broken) }, 1},
 		"in progress, silent":  {func(x *Exposures) { x.Begin(now.Add(-minOpenSilence), "e@1", 1, nil) }, 1},
 		"in progress, working": {func(x *Exposures) { x.Begin(now.Add(-minOpenSilence/2), "e@1", 1, nil) }, 0},
 	} {
@@ -78,9 +79,9 @@
 	silent, working := x.Begin(now, "e@1", 1, nil), x.Begin(now, "e@1", 2, nil)
 	assert.Equal(t, len(x.EndProcess(now, "e@1")), 0)
 	x.Sign(now.Add(time.Second), working, true)
-	_, ended := x.End(now.Add(2*time.Second), working, true, false)
+	_, ended := x.End(now.Add(2*time.Second), working, Left)
 	assert.Assert(t, !ended, "it went on, so that only the entry has ended")
-	c, ended := x.End(now.Add(2*time.Second), silent, true, false)
+	c, ended := x.End(now.Add(2*time.Second), silent, Left)
 	assert.Assert(t, ended)
 	assert.Equal(t, c.Request, uint64(1))
 }
@@ -90,7 +91,7 @@
 	x := NewExposures()
 	now := clock.Time(time.Hour)
 	leave := func(process string) {
-		x.End(now.Add(time.Second), x.Begin(now, process, 1, nil), true, false)
+		x.End(now.Add(time.Second), x.Begin(now, process, 1, nil), Left)
 	}
 	for range 2 * maxLeftHere {
 		leave("e@1")
