VMs choose at random by what isn't reported yet

Cause: 60 VMs compared all endpoints of a small service by reports that were up to 200 ms old and chose alike. Change: a VM estimates how many requests the others have sent since their reports. It chooses at random among the endpoints that would take these, by how much each would take (place/choose.go). A VM without peers chooses the best one, as before.

--- a/internal/policy/place/calls.go
+++ b/internal/policy/place/calls.go
@@ -7,8 +7,8 @@
 	"fescuestand/internal/clock"
 )
 
-// ChooseEndpoint returns the endpoint of a plain service with the fewest requests per slot, weighted by
-// its slowdown at this moment, or nil if there is none.
+// ChooseEndpoint returns the endpoint of a plain service that is chosen by its requests per slot, weighted by
+// its slowdown at this moment (choose), or nil if there is none.
 func (p *Planner) ChooseEndpoint(now clock.Time, open []*catalog.Endpoint, exclude map[string]bool) *catalog.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -17,19 +17,16 @@
 		return nil
 	}
 	start := int(p.random())
-	var best *endpointState
-	var minLoad float64
+	choices := make([]choice, 0, len(list))
 	for i := range list {
 		s := list[(start+i)%len(list)]
 		load := s.pace.Slowdown(now) * (p.requests(now, s) + 1) / float64(max(s.ep.Slots, 1))
 		if s.ep.Zone != p.zone {
 			load += otherZoneLoad
 		}
-		if best == nil || load < minLoad {
-			best, minLoad = s, load
-		}
+		choices = append(choices, choice{(start + i) % len(list), load, s.pace.Slowdown(now) / float64(max(s.ep.Slots, 1))})
 	}
-	return best.ep
+	return list[p.choose(choices, p.unreported(now, list[0]))].ep
 }
 
 // otherZoneLoad is the load, as a share of an endpoint's slots, that is added for an endpoint in
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -77,6 +77,7 @@
 	engines map[string]catalog.Engine // configuration by service
 	speeds  speeds
 
+	sends            map[group]*sendMeter
 	slowdownsIgnored int64
 }
 
@@ -84,7 +85,7 @@
 // so that they break ties differently.
 func New(zone string, seed uint64) *Planner {
 	return &Planner{
-		zone: zone, seed: seed, endpoints: map[string]*endpointState{}, peers: map[string]peerReport{}, speeds: speeds{},
+		zone: zone, seed: seed, endpoints: map[string]*endpointState{}, peers: map[string]peerReport{}, speeds: speeds{}, sends: map[group]*sendMeter{},
 	}
 }
 
--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -33,7 +33,8 @@
 }
 
 // Plan returns the plan with the earliest predicted first event, adjusted by its cost to other
-// requests, among the open endpoints that aren't in exclude. All engines of a plan are of one software
+// requests, among the open endpoints that aren't in exclude, or one that may be as good by the age of the
+// other VMs' reports. All engines of a plan are of one software
 // version, as one version may not read the KV cache that another one wrote. Plan returns false if no
 // engine can take pr.
 func (p *Planner) Plan(now clock.Time, open []*catalog.Endpoint, pr *Prompt, exclude map[string]bool) (Plan, bool) {
@@ -146,7 +147,7 @@
 	work       time.Duration
 	wait       time.Duration
 	firstEvent time.Duration
-	score      time.Duration // firstEvent plus costs and minus credits; the lowest one is chosen
+	score      time.Duration // firstEvent plus costs and minus credits; the lowest one is the best
 }
 
 // plan returns the plan in which the option's engine both prefills and decodes. candidates is the
@@ -162,12 +163,13 @@
 	return p
 }
 
-// best returns the engine of list with the lowest score for the prefill of pr. engines is the number of
-// engines of all versions that could do it. best returns false if list is empty.
+// best returns the engine of list that is chosen for the prefill of pr by its score (choose). engines is the
+// number of engines of all versions that could do it. best returns false if list is empty.
 func (p *Planner) best(now clock.Time, list []*endpointState, engines int, pr *Prompt, from sources) (option, bool) {
-	var best option
 	preferred := preferredFor(list, pr.Parts)
-	for _, s := range p.sampleWithRoom(now, list, preferred, pr) {
+	compared := p.sampleWithRoom(now, list, preferred, pr)
+	options, choices := make([]option, 0, len(compared)), make([]choice, 0, len(compared))
+	for _, s := range compared {
 		o := option{s: s}
 		o.usualWork, o.cached = p.work(s, pr)
 		if f, ok := p.bestFetch(s, pr, from, o.cached, o.usualWork); ok {
@@ -182,11 +184,14 @@
 		if s.ep.Zone != p.zone {
 			o.score += otherZoneTime
 		}
-		if best.s == nil || o.score < best.score {
-			best = o
-		}
+		choices = append(choices, choice{len(options), o.score.Seconds(), (s.occupancyCost(1) + o.work).Seconds()})
+		options = append(options, o)
+	}
+	if len(options) == 0 {
+		return option{}, false
 	}
-	return best, best.s != nil
+	unreported := p.unreported(now, list[0]) * float64(len(options)) / float64(len(list))
+	return options[p.choose(choices, unreported)], true
 }
 
 // sampleSize is how many random engines, on average, are compared in addition to those that have a
--- a/internal/policy/place/target.go
+++ b/internal/policy/place/target.go
@@ -17,13 +17,15 @@
 	return nil
 }
 
-// leastLoadedDecode returns the decode engine with the lowest load, with a preference for the zone
-// of source. In a large fleet it compares only a few engines.
+// leastLoadedDecode returns the decode engine that is chosen by its load (choose), with a preference for the
+// zone of source. In a large fleet it compares only a few engines.
 func (p *Planner) leastLoadedDecode(now clock.Time, list []*endpointState, source *endpointState) *endpointState {
 	list = notFull(now, list)
-	var best *endpointState
-	var minLoad float64
-	start := int(p.random() % uint32(max(len(list), 1)))
+	if len(list) == 0 {
+		return nil
+	}
+	var choices []choice
+	start := int(p.random() % uint32(len(list)))
 	sameZoneLeft, otherZonesLeft := len(list), len(list)
 	if len(list) > 2*sampleSize {
 		sameZoneLeft, otherZonesLeft = sampleSize, otherZonesSampleSize
@@ -38,11 +40,10 @@
 			continue
 		}
 		*left--
-		if load := p.decodeLoad(now, s, source); best == nil || load < minLoad {
-			best, minLoad = s, load
-		}
+		choices = append(choices, choice{(start + i) % len(list), p.decodeLoad(now, s, source), s.pace.Slowdown(now)})
 	}
-	return best
+	unreported := p.unreported(now, list[0]) * float64(len(choices)) / float64(len(list))
+	return list[p.choose(choices, unreported)]
 }
 
 // otherZonesSampleSize is how many decode engines of other zones are compared in a large fleet, in
--- a/internal/policy/place/ticket.go
+++ b/internal/policy/place/ticket.go
@@ -59,6 +59,7 @@
 	s.running++
 	s.room.send(now)
 	p.countDemand(now, t)
+	p.countSend(now, s)
 	if job.Work > 0 {
 		s.prefills[t] = struct{}{}
 	}
