A plan counts the streams of the engine that decodes

Cause: a prompt whose shared part a decode engine has cached was prefilled and decoded there whatever it ran, as its streams weren't part of the plan's score, only of the choice of the engine for a KV cache transfer. Change: the load of the decode engine with one more stream is part of the score of both kinds of plan, at the rate at which waiting prefills count as load.

--- a/internal/policy/place/plan.go
+++ b/internal/policy/place/plan.go
@@ -62,7 +62,7 @@
 	if haveSplit && target != nil {
 		transfer := p.transferTime(target.ep, pr.Tokens)
 		split.firstEvent += transfer
-		split.score += transfer
+		split.score += transfer + p.streamCost(now, target)
 	}
 	switch {
 	case haveSplit && target != nil && (!haveWhole || split.score < whole.score):
@@ -184,6 +184,9 @@
 		if s.ep.Zone != p.zone {
 			o.score += otherZoneTime
 		}
+		if s.ep.Stage == catalog.Decode {
+			o.score += p.streamCost(now, s)
+		}
 		choices = append(choices, choice{len(options), o.score.Seconds(), (s.occupancyCost(1) + o.work).Seconds()})
 		options = append(options, o)
 	}
--- a/internal/policy/place/target.go
+++ b/internal/policy/place/target.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"time"
+
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 )
@@ -52,16 +54,26 @@
 
 // decodeLoad returns the load of a decode engine with one more request, in requests at the usual speed.
 func (p *Planner) decodeLoad(now clock.Time, s, source *endpointState) float64 {
+	load := p.streamLoad(now, s) + p.wait(now, s).Seconds()*requestsPerWaitSecond
+	if source != nil && s.ep.Zone != source.ep.Zone {
+		load += otherZoneRequests
+	}
+	return load
+}
+
+// streamLoad returns the load of the streams of a decode engine with one more, in requests at the usual speed.
+func (p *Planner) streamLoad(now clock.Time, s *endpointState) float64 {
 	running := s.running + p.peerRunning(now, s.key())
 	load := float64(running + 1)
 	if s.ep.Slots > 0 && running >= s.ep.Slots {
 		load += float64(s.ep.Slots) // the request would wait or be rejected
 	}
-	load = load*s.pace.Slowdown(now) + p.wait(now, s).Seconds()*requestsPerWaitSecond
-	if source != nil && s.ep.Zone != source.ep.Zone {
-		load += otherZoneRequests
-	}
-	return load
+	return load * s.pace.Slowdown(now)
+}
+
+// streamCost returns the cost of one more stream at a decode engine, as a wait.
+func (p *Planner) streamCost(now clock.Time, s *endpointState) time.Duration {
+	return time.Duration(p.streamLoad(now, s) / requestsPerWaitSecond * float64(time.Second))
 }
 
 // otherZoneRequests is how many requests fewer a decode engine of another zone must have to be
