--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -79,6 +79,7 @@
 	gapTargets map[string]time.Duration  // shortest target for the gap between two events, by service
 	speeds     speeds
 
+	sends            map[group]*sendMeter
 	slowdownsIgnored int64
 }
 
@@ -86,7 +87,7 @@
 // so that they break ties differently.
 func New(zone string, seed uint64) *Planner {
 	return &Planner{
-		zone: zone, seed: seed, endpoints: map[string]*endpointState{}, peers: map[string]peerReport{}, speeds: speeds{},
+		zone: zone, seed: seed, endpoints: map[string]*endpointState{}, peers: map[string]peerReport{}, speeds: speeds{}, sends: map[group]*sendMeter{},
 	}
 }
 
