--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -18,11 +18,13 @@
 type conn struct {
 	net.Conn
 	br          *bufio.Reader
-	observer    Observer  // nil if there is none
-	received    int64     // bytes received in the exchange in progress
+	observer    Observer // nil if there is none
+	received    int64    // bytes received in the exchange in progress
+	header      headerBound
 	firstUse    bool      // carries its first exchange
 	idleAt      time.Time // when it was returned to the pool
 	idleTimeout time.Duration
+	watch       *watch // of the idle connection, nil if it isn't idle
 }
 
 func newConn(nc net.Conn, o Observer) *conn {
@@ -33,7 +35,12 @@
 
 // Read implements io.Reader for br.
 func (c *conn) Read(p []byte) (int, error) {
+	p, err := c.header.limit(p)
+	if err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
+	c.header.count(n)
 	c.received += int64(n)
 	if n > 0 && c.observer != nil {
 		c.observer.Received()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -49,6 +49,9 @@
 	userTimeout = 3 * time.Second
 	// maxInterimResponses bounds the responses read for one request, 1xx responses included.
 	maxInterimResponses = 8
+	// maxHeaderBytes bounds a response's status line and header fields. The endpoints' own take less than 1 KB. A
+	// thousand exchanges with endpoints that send headers without end hold 32 MB at this bound.
+	maxHeaderBytes = 32 << 10
 )
 
 // ErrSurplus means that an endpoint sent bytes that belong to no request.
@@ -102,6 +105,9 @@
 	Observer Observer
 	// Dialer opens the connections. NewPool sets one; another one is set before the first use.
 	Dialer stall.Dialer
+	// OnExceeded is called for each response whose header, interim responses or surplus bytes exceeded their
+	// bound. It is nil if nothing counts them, and set before the first use.
+	OnExceeded func(addr string, e *BoundError)
 
 	mu      sync.Mutex
 	idle    map[string][]*conn
@@ -141,8 +147,8 @@
 // Do sends r to addr and returns once the final response's header has been read. When ctx ends,
 // the connection is closed, also while the body is being read.
 //
-// The error wraps driver.ErrNotSent if no byte of r was sent, otherwise driver.ErrConnectionLost: then r may
-// have run.
+// The error wraps driver.ErrNotSent if no byte of r was sent. Otherwise r may have run, and the error wraps
+// driver.ErrBadAnswer and a *BoundError if the response exceeded a bound, or driver.ErrConnectionLost.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
 	p.begin(addr)
 	c, err := p.acquire(ctx, addr, r.NoRetry)
@@ -161,8 +167,13 @@
 	_ = c.Close()
 	<-x.writeDone
 	p.end(addr, x.sent.n > 0 && c.received == 0 && ctx.Err() == nil)
-	if x.sent.n == 0 {
+	var exceeded *BoundError
+	switch {
+	case x.sent.n == 0:
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
+	case errors.As(err, &exceeded):
+		p.exceeded(addr, exceeded)
+		return nil, fmt.Errorf("%w: %w", driver.ErrBadAnswer, err)
 	}
 	return nil, fmt.Errorf("%w: %w", driver.ErrConnectionLost, err)
 }
@@ -174,13 +185,10 @@
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
-		if c.reusable() {
-			c.firstUse, c.received = false, 0
+		if c.watch.end(c) && c.reusable() {
+			c.firstUse, c.received, c.watch = false, 0, nil
 			return c, nil
 		}
-		if c.br.Buffered() > 0 {
-			p.count(func(s *Stats) { s.Surplus++ })
-		}
 		_ = c.Close()
 	}
 }
@@ -294,7 +302,9 @@
 		return
 	}
 	c.idleAt = time.Now()
+	c.watch = &watch{done: make(chan struct{})}
 	p.idle[addr] = append(p.idle[addr], c)
+	go p.watchIdle(addr, c, c.watch)
 }
 
 // Sweep closes idle connections whose idle timeout has passed, and those to addresses that aren't
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -49,7 +49,12 @@
 // readHeader skips interim responses and returns the final response once its header is read.
 func (x *activeExchange) readHeader(method string) (*Response, error) {
 	for range maxInterimResponses {
+		x.c.header.begin(x.c.br.Buffered())
 		resp, err := http.ReadResponse(x.c.br, &http.Request{Method: method})
+		x.c.header.end()
+		if exceeded := x.c.header.exceeded; exceeded != nil {
+			return nil, exceeded // net/http may report it as a malformed field
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -62,7 +67,7 @@
 			Status: resp.StatusCode, Header: resp.Header, Body: b, Length: resp.ContentLength, Framed: framed(resp), body: b,
 		}, nil
 	}
-	return nil, errors.New("too many interim responses")
+	return nil, &BoundError{Cause: Interim, Bytes: x.c.received}
 }
 
 // keepsAlive reports whether the connection can carry another exchange after resp.
@@ -106,8 +111,8 @@
 	defer x.pool.end(x.addr, false)
 	detached := x.detach()
 	clean := b.sawEOF && b.keepAlive && detached && x.requestWritten()
-	if clean && x.c.br.Buffered() > 0 {
-		x.pool.count(func(s *Stats) { s.Surplus++ })
+	if surplus := x.c.br.Buffered(); clean && surplus > 0 {
+		x.pool.countSurplus(x.addr, surplus)
 		clean = false
 	}
 	if !clean {
