A body counts as whole only once its end was read

Cause: readBody and readStreamFailure read through an io.LimitReader, whose limit looks like an EOF. A body without end was cut at 8 MiB and passed on as a whole answer with that Content-Length. Bodies, and the buffers of events without end, had no bound over all requests.

Change: bodies are read in chunks up to 32 MB, and up to what the VM's byte budget leaves. A response over a bound ends as an invalid answer: 502, retried only where the route allows, counted against the endpoint's health, and not reported as a possible crash. A rejection's body is read up to 4 KB and 100 ms. From three quarters of the budget on, new requests are refused as not run (2009). Exceeded, Bodies and a log line show it. The end of an event is no longer searched for in the same bytes again.

Now go test -race -count 2 ./internal/gateway -run 'WithoutEnd|LargeAnswers| SpentByte|EventsAre' passes, and go test ./internal/gateway.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -73,6 +73,10 @@
 // endpoints: the longest delay after which callers retry at all.
 const quarantineRetryAfter = 10 * time.Second
 
+// bodyBudgetRetryAfter is the shortest Retry-After delay of a request that is refused as bodies of answers take the
+// memory for them: a body of a few MB takes that long on a link of 100 Mbit/s. The delay is up to twice as long.
+const bodyBudgetRetryAfter = 500 * time.Millisecond
+
 // accept reads the request and finds its route. If it refuses the request, the returned call holds
 // only what was read from the headers, and is nil if they can't be decoded.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, v *catalog.View) (*Call, *catalog.Route, *refusal) {
@@ -95,6 +99,11 @@
 	if limit := v.Config.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return c, nil, refuse(code.HeaderTooLarge, "the header is longer than the limit")
 	}
+	if !g.o.Bodies.Admit() {
+		f := refuse(code.BodyBudgetSpent, "the bodies of other answers take the memory for them")
+		f.retryAfter = bodyBudgetRetryAfter + rand.N(bodyBudgetRetryAfter)
+		return c, nil, f
+	}
 	body, refused := readBodyInTime(w, r, v.Config.Limits.BodyBytes, c.CallerTimeout)
 	if refused != nil {
 		return c, nil, refused
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +29,7 @@
 	life  *silence.Exchange // nil until the request is sent
 
 	bodyLimit int64 // bytes of the body that are read with the header, zero for none
-	body      []byte
+	body      *wholeBody
 	bodyErr   error
 }
 
@@ -54,13 +53,17 @@
 	return out
 }
 
-// readBody reads the body of an answer, if it is to be read with the header.
-func (x *execution) readBody(a *attempt, resp *exchange.Response) {
-	if a.bodyLimit == 0 {
+// readBody reads the body of an answer to its end, if it is to be read with the header.
+func (x *execution) readBody(a *attempt, resp *exchange.Response, ans *Answer) {
+	switch {
+	case a.bodyLimit == 0:
+		return
+	case ans.NotRun:
+		a.bodyErr = readRejection(resp)
 		return
 	}
 	a.life.Await(x.now())
-	a.body, a.bodyErr = io.ReadAll(io.LimitReader(resp.Body, a.bodyLimit))
+	a.body, a.bodyErr = x.readWholeAnswer(resp, a.bodyLimit)
 	if a.bodyErr == nil {
 		a.life.Sign(x.now())
 	}
@@ -162,6 +165,7 @@
 		trace.silence = x.now().Sub(a.progressAt)
 	}
 	x.attempts = append(x.attempts, trace)
+	x.recordExceededAttempt(a, r)
 	x.tried[e.ID] = true
 	if a.life != nil {
 		a.life.End(x.now())
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"fescuestand/internal/driver"
+	"fescuestand/internal/exchange"
+	"fescuestand/internal/policy/bytebudget"
 )
 
 // eventReader splits a stream of server-sent events into whole events. Only whole events are
@@ -14,8 +16,11 @@
 // another endpoint.
 type eventReader struct {
 	rd      io.Reader
-	buf     []byte
-	filled  int // number of bytes of buf that hold data
+	held    *hold
+	buf     []byte // what exceeds eventBufferBytes is taken from the VM's byte budget
+	taken   int    // bytes of buf that next has returned
+	filled  int    // bytes of buf that hold data
+	checked int    // bytes of buf that are known not to hold the end of an event, apart from the last one
 	readErr error
 }
 
@@ -27,10 +32,14 @@
 
 var errEventTooLong = errors.New("an event has no end")
 
+// newEventReader returns a reader with a byte budget of its own.
 func newEventReader(rd io.Reader) *eventReader {
-	return &eventReader{rd: rd, buf: make([]byte, eventBufferBytes)}
+	return &eventReader{rd: rd, held: &hold{budget: bytebudget.New()}, buf: make([]byte, eventBufferBytes)}
 }
 
+// release gives back what the buffer has taken from the budget. The reader isn't used after that.
+func (r *eventReader) release() { r.held.give(int64(len(r.buf) - eventBufferBytes)) }
+
 // eventEnd is the empty line after an event.
 var eventEnd = []byte("\n\n")
 
@@ -38,9 +47,11 @@
 // until the next call. It returns io.EOF if the stream ends after a whole event, and an error that
 // wraps driver.ErrConnectionLost and io.ErrUnexpectedEOF if it ends inside one.
 func (r *eventReader) next() ([]byte, error) {
+	r.dropTaken()
 	for {
-		if n := bytes.LastIndex(r.buf[:r.filled], eventEnd); n >= 0 {
-			return r.takeEvents(n + len(eventEnd)), nil
+		if n := r.findEnd(); n > 0 {
+			r.taken = n
+			return r.buf[:n], nil
 		}
 		if r.readErr != nil {
 			if errors.Is(r.readErr, io.EOF) && r.filled > 0 {
@@ -54,18 +65,33 @@
 	}
 }
 
-// takeEvents removes the first n bytes from the buffer and returns them.
-func (r *eventReader) takeEvents(n int) []byte {
-	out := make([]byte, n)
-	copy(out, r.buf[:n])
-	r.filled = copy(r.buf, r.buf[n:r.filled])
-	return out
+// dropTaken removes the bytes that next has returned from the buffer.
+func (r *eventReader) dropTaken() {
+	if r.taken > 0 {
+		r.filled = copy(r.buf, r.buf[r.taken:r.filled])
+		r.taken, r.checked = 0, r.filled
+	}
+}
+
+// findEnd returns the length of the whole events in the buffer. It doesn't search the same bytes twice, as an event
+// may arrive in many parts.
+func (r *eventReader) findEnd() int {
+	from := max(r.checked-len(eventEnd)+1, 0)
+	n := bytes.LastIndex(r.buf[from:r.filled], eventEnd)
+	r.checked = r.filled
+	if n < 0 {
+		return 0
+	}
+	return from + n + len(eventEnd)
 }
 
 func (r *eventReader) fill() error {
 	if r.filled == len(r.buf) {
 		if len(r.buf) >= maxEventBytes {
-			return errEventTooLong
+			return fmt.Errorf("%w: %w", errEventTooLong, &exchange.BoundError{Cause: exchange.Event, Bytes: int64(r.filled)})
+		}
+		if err := r.held.take(int64(len(r.buf)), int64(r.filled)); err != nil {
+			return err
 		}
 		r.buf = append(r.buf, make([]byte, len(r.buf))...)
 	}
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -63,7 +64,8 @@
 	firstEventTime        time.Duration // from the arrival to the first event
 	latest                *attempt      // that has ended
 	attempts              []attemptTrace
-	withheld              int // replacements that weren't sent, as the other endpoints were silent or full, too
+	held                  hold // bodies of answers
+	withheld              int  // replacements that weren't sent, as the other endpoints were silent or full, too
 }
 
 func (x *execution) now() clock.Time { return x.g.o.Clock.Now() }
@@ -102,6 +104,7 @@
 // run makes attempts until one of them succeeds or no further attempt is allowed.
 func (x *execution) run() {
 	defer func() { x.queueSlot.leave() }()
+	defer x.held.end()
 	var last result
 	for tries := 0; ; tries++ {
 		if relayed, r := x.relay(); relayed {
@@ -164,7 +167,7 @@
 	default:
 		return false
 	}
-	if last.code == code.NoEndpoint || last.code == code.RetryBudgetSpent || x.ctx.Err() != nil {
+	if last.code == code.NoEndpoint || last.code == code.RetryBudgetSpent || last.code == code.BodyBudgetSpent || x.ctx.Err() != nil {
 		return false
 	}
 	if x.arrivals == 0 {
@@ -232,7 +235,7 @@
 		}
 		a.life.Sign(x.now())
 		ans = x.g.o.Codec.Answer(x.call, resp.Status, resp.Header)
-		x.readBody(a, resp)
+		x.readBody(a, resp, &ans)
 		return mayBeUsed(s, resp, &ans) && a.bodyErr == nil
 	})
 	switch {
@@ -310,7 +313,11 @@
 		} else {
 			x.g.metrics.countRejection(x.g.o.Planner.RecordRejection(x.now(), a.ticket, ans.Requests))
 		}
-		return result{outcome: notRun, code: code.EndpointRefused, err: errNotRun}
+		r := result{outcome: notRun, code: code.EndpointRefused, err: errNotRun}
+		if a.bodyErr != nil {
+			r.err = fmt.Errorf("%w: %w", errNotRun, a.bodyErr)
+		}
+		return r
 	}
 	x.g.o.Crashes.RecordAnswer(a.sentAt, processOf(e))
 	x.g.o.Planner.RecordAccepted(x.now(), a.ticket, ans.Requests)
@@ -370,6 +377,9 @@
 	if x.ctx.Err() != nil {
 		return result{outcome: gone, err: err}
 	}
+	if exceeded := exceededBound(err); exceeded != nil {
+		return result{outcome: lost, code: exceededCode(exceeded), err: err}
+	}
 	return result{outcome: lost, code: code.EndpointCut, err: err}
 }
 
@@ -386,6 +396,9 @@
 	if r.outcome == notSent && r.code != code.EndpointCut {
 		return place.Ignored // this VM decided not to send the request
 	}
+	if exceeded := exceededBound(r.err); exceeded != nil {
+		return exceededOutcome(exceeded)
+	}
 	switch r.outcome {
 	case answered:
 		return place.Success
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/freshness"
 	"fescuestand/internal/policy/backpressure"
+	"fescuestand/internal/policy/bytebudget"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/drain"
 	"fescuestand/internal/policy/ontime"
@@ -66,6 +67,8 @@
 	CutOff       func() bool
 	RelayTargets func() []string
 	RelayPool    *exchange.Pool
+	// Bodies is the budget of the answers that are held in memory, one of the default capacity if it is nil.
+	Bodies *bytebudget.Budget
 	// Origins records and finds the software versions at which streams began.
 	Origins StreamOrigins
 	// OnRequestRunning is called once for each request of a workspace that an endpoint has started
@@ -84,11 +87,22 @@
 	shutdown     atomic.Pointer[shutdown] // nil if the process isn't shutting down
 	queues       sync.Map                 // of *queue, by service
 	silences     *silence.Register
+	exceeded     exceededLog
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), durations: drain.NewDurations(), silences: silence.New()}
+	if o.Bodies == nil {
+		o.Bodies = bytebudget.New()
+	}
+	g := &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), durations: drain.NewDurations(), silences: silence.New()}
+	g.metrics.bodies = o.Bodies
+	for _, p := range []*exchange.Pool{o.Pool, o.RelayPool} {
+		if p != nil {
+			p.OnExceeded = g.recordExceeded
+		}
+	}
+	return g
 }
 
 // RequestRate returns the measured requests a second, zero before the first measurement.
@@ -132,7 +146,7 @@
 	defer cancel()
 	x := &execution{
 		g: g, ctx: ctx, callCtx: ctx, call: call, route: route, view: view, w: w, callerCtx: r.Context(),
-		deadline: arrived.Add(timeout), service: route.Service(rand.Uint64()),
+		deadline: arrived.Add(timeout), service: route.Service(rand.Uint64()), held: hold{budget: g.o.Bodies},
 		tried: map[string]bool{}, lastEventID: call.LastEventID, request: r,
 	}
 	x.run()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"fescuestand/internal/code"
+	"fescuestand/internal/exchange"
+	"fescuestand/internal/policy/bytebudget"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram. They range from the time of a plain
@@ -34,6 +36,8 @@
 	replacements map[string]int64
 	rejections   Rejections
 	faults       int64
+	exceeded     map[exchange.Cause]int64
+	bodies       *bytebudget.Budget
 }
 
 // Rejections counts requests that endpoints didn't run.
@@ -43,7 +47,20 @@
 }
 
 func newMetrics() *Metrics {
-	return &Metrics{outcomes: map[string]int64{}, codes: map[code.Code]int64{}, latency: map[string][]int64{}, replacements: map[string]int64{}}
+	m := &Metrics{
+		outcomes: map[string]int64{}, codes: map[code.Code]int64{}, latency: map[string][]int64{}, replacements: map[string]int64{},
+		exceeded: map[exchange.Cause]int64{}, bodies: bytebudget.New(),
+	}
+	for _, c := range exchange.Causes {
+		m.exceeded[c] = 0
+	}
+	return m
+}
+
+func (m *Metrics) countExceeded(c exchange.Cause) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.exceeded[c]++
 }
 
 func (m *Metrics) countReplacement(result string) {
@@ -108,14 +125,16 @@
 	LatencyMS    map[string][]int64
 	Replacements map[string]int64
 	Rejections   Rejections
-	Faults       int64 // of work beside requests
+	Faults       int64                    // of work beside requests
+	Exceeded     map[exchange.Cause]int64 // responses that exceeded a bound
+	Bodies       bytebudget.Snapshot
 }
 
 // Snapshot copies the counters.
 func (m *Metrics) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Faults: m.faults}
+	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Faults: m.faults, Exceeded: maps.Clone(m.exceeded), Bodies: m.bodies.Snapshot()}
 	for k, v := range m.outcomes {
 		s.Outcomes[k] = v
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -16,16 +16,16 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *wholeBody
 }
 
 // write sends the answer to the caller unchanged, apart from hop-by-hop headers.
 func (a *bufferedAnswer) write(w http.ResponseWriter) {
 	copyHeader(w.Header(), a.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.Header().Set("Content-Length", strconv.FormatInt(a.body.size, 10))
 	w.WriteHeader(a.status)
 	// A failed write means that the caller has disconnected.
-	_, _ = w.Write(a.body)
+	_, _ = a.body.WriteTo(w)
 }
 
 // copyHeader copies the end-to-end headers of src to dst. If src has no Content-Type, it is set to
@@ -37,9 +37,6 @@
 	}
 }
 
-// maxAnswerBytes bounds an answer that is buffered before it is sent to the caller.
-const maxAnswerBytes = 8 << 20
-
 // callAttempt sends a call to one endpoint of its service and forwards a complete answer to the
 // caller.
 func (x *execution) callAttempt() result {
@@ -63,7 +60,7 @@
 	}
 	x.beginAnswer()
 	a := x.begin(&EndpointRequest{Endpoint: ep}, place.Job{})
-	a.bodyLimit, a.quiet = maxAnswerBytes, x.callQuiet()
+	a.bodyLimit, a.quiet = maxBodyBytes, x.callQuiet()
 	ctx, cancel, _ := x.exchangeContext()
 	defer cancel()
 	g := newGuard(x, x.callAllowance(), func() (result, bool) { return x.replaceCall(a) }, leaver(a, cancel))
@@ -143,6 +140,8 @@
 		return result{outcome: lost, code: code.BadAnswer, err: errEncoded}
 	case a.bodyErr != nil && x.ctx.Err() != nil:
 		return result{outcome: gone, err: a.bodyErr}
+	case exceededBound(a.bodyErr) != nil:
+		return result{outcome: lost, code: exceededCode(exceededBound(a.bodyErr)), err: a.bodyErr}
 	case a.bodyErr != nil:
 		return result{outcome: lost, code: code.BadAnswer, err: a.bodyErr}
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -86,6 +86,9 @@
 	if x.ctx.Err() != nil {
 		return result{outcome: gone, err: err}
 	}
+	if exceeded := exceededBound(err); exceeded != nil {
+		return result{outcome: lost, code: exceededCode(exceeded), err: err}
+	}
 	return result{outcome: lost, code: code.EndpointCut, err: err}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -150,7 +150,7 @@
 
 // releaseUnused releases the KV cache of a prefill that was answered after another engine had replaced it.
 func (x *execution) releaseUnused(a *attempt) {
-	if handle, err := x.g.o.Codec.ParseHandoff(a.body); err == nil && a.bodyErr == nil && handle != "" {
+	if handle, err := x.g.o.Codec.ParseHandoff(a.body.bytes()); err == nil && a.bodyErr == nil && handle != "" {
 		x.inBackground(func() { x.g.releaseKVCache(Handoff{a.request.Endpoint, handle}) })
 	}
 }
@@ -177,7 +177,7 @@
 	if resp.Status != http.StatusOK {
 		return nil, result{outcome: failed, code: code.EndpointFailed}
 	}
-	handle, err := x.g.o.Codec.ParseHandoff(a.body)
+	handle, err := x.g.o.Codec.ParseHandoff(a.body.bytes())
 	if err != nil {
 		return nil, result{outcome: failed, code: code.BadAnswer, err: err}
 	}
@@ -250,6 +250,8 @@
 // as this one was silent. It returns the stream there, or the result.
 func (x *execution) forwardStream(o *openStream) (*openStream, result) {
 	rd := newEventReader(o.resp.Body)
+	rd.held = &x.held
+	defer rd.release()
 	o.life.Await(x.now())
 	for {
 		var events []byte
@@ -307,6 +309,9 @@
 
 // classifyReadError returns the result of an answer that ended early with err.
 func (x *execution) classifyReadError(err error) result {
+	if exceeded := exceededBound(err); exceeded != nil {
+		return result{outcome: lost, code: exceededCode(exceeded), err: err}
+	}
 	if x.ctx.Err() != nil {
 		return result{outcome: gone, code: code.DeadlineMissed, err: err}
 	}
@@ -314,8 +319,11 @@
 }
 
 func (x *execution) readStreamFailure(resp *exchange.Response) result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := x.readWholeAnswer(resp, maxBodyBytes)
 	r := result{outcome: failed, code: code.EndpointFailed, err: err}
+	if exceeded := exceededBound(err); exceeded != nil {
+		r.code = exceededCode(exceeded)
+	}
 	if err == nil && !promisesNotRun(resp.Status) {
 		r.answer = &bufferedAnswer{resp.Status, resp.Header, body}
 	}
