The byte budget of a VM follows limits.memoryMb

A missing limit no longer sets the garbage collector's limit to zero, at which it would run all the time. go test ./internal/vm passes.

--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -30,6 +30,7 @@
 	"fescuestand/internal/orders"
 	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/backpressure"
+	"fescuestand/internal/policy/bytebudget"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/repeat"
@@ -117,7 +118,7 @@
 
 // Tunables are the settings that may change while the process runs.
 type Tunables struct {
-	MemoryBytes int64 // memory limit of the process
+	MemoryBytes int64 // memory limit of the process, zero if it isn't known
 	Budget      repeat.Config
 }
 
@@ -160,6 +161,7 @@
 	callers          *gateway.Server
 	servers          []*gateway.Server
 	usageLedger      *usage.Ledger
+	bodies           *bytebudget.Budget
 }
 
 // setDefaults sets the options that are nil.
@@ -176,7 +178,7 @@
 func New(o Options, a Adapter) *Node {
 	o.setDefaults()
 	c := o.Clock
-	n := &Node{o: o, adapter: a, clock: c, eras: a.Eras(), catalog: catalog.NewStore(c), crashes: crash.New(), backpressure: backpressure.New(seedOf(o.Self.Incarnation))}
+	n := &Node{o: o, adapter: a, clock: c, eras: a.Eras(), catalog: catalog.NewStore(c), crashes: crash.New(), backpressure: backpressure.New(seedOf(o.Self.Incarnation)), bodies: bytebudget.New()}
 	n.members = gossip.NewMembers(c, o.Self)
 	n.pool = exchange.NewPoolOn(o.Network)
 	n.initReachability()
@@ -200,7 +202,7 @@
 		VMs: n.members.AdvertisedCount, OnPrefillSent: n.prefillSent, OnPrefixCached: n.prefixCached, OnCrash: n.endpointCrashed, OnEndpointLeaving: n.endpointLeaving,
 		MayTryQuarantined: n.isLeader,
 		KeyFreshness:      n.keyFreshness, Origins: n.origins, OnRequestRunning: n.requestRunning,
-		CutOff: n.isCutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPoolOn(o.Network),
+		CutOff: n.isCutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPoolOn(o.Network), Bodies: n.bodies,
 	})
 	n.planner.Admits = n.backpressure.Admits
 	n.backpressure.Self = o.Self.Peer
@@ -226,7 +228,10 @@
 // Tune applies the settings that may change while the process runs.
 func (n *Node) Tune(t Tunables) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryShare * float64(t.MemoryBytes)))
+	if t.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(t.MemoryBytes)))
+	}
+	n.bodies.SetMemory(t.MemoryBytes)
 	n.retryBudget.SetConfig(t.Budget)
 }
 
