Bounded answers of the store, the provider, engines' control calls and orders

Cause: these readers used an io.LimitReader and took what it gave for the whole answer, and the headers of http.Transport were bounded at 10 MB, those of an order's answer not at all.

Change: exchange.ReadBody fails over its limit; headers take at most 32 KB.

Measured, new tests on the readers before: an order of the provider and an engine's list of cached parts with a body without end counted as whole, a header took 73 to 115 MB of allocations, and a refusal of an order with blanks without end as a whole one. Now go test -count 3 ./platform -run WithoutEnd and go test ./internal/driver/httpdriver pass.

--- a/internal/cachesync/share.go
+++ b/internal/cachesync/share.go
@@ -34,7 +34,7 @@
 }
 
 // maxAnswerBytes bounds an answer. 4,300 engines with 300 parts each take 14 MB.
-const maxAnswerBytes = 32 << 20
+const maxAnswerBytes = 20 << 20
 
 func decode(rd io.Reader) (*wire.Caches, error) {
 	data, err := io.ReadAll(rd)
--- a/internal/driver/httpdriver/client.go
+++ b/internal/driver/httpdriver/client.go
@@ -21,6 +21,7 @@
 	idleConnTimeout = 30 * time.Second
 	maxAnswerBytes  = 64 << 20
 	maxFailureBytes = 64 << 10
+	maxHeaderBytes  = 32 << 10
 	bufferBytes     = 16 << 10
 )
 
@@ -44,12 +45,13 @@
 		opts:    o,
 		transport: &http.Transport{
 			// Endpoints are connected directly, without a proxy and compression.
-			DisableCompression:  true,
-			MaxIdleConns:        maxIdleConns,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     idleConnTimeout,
-			ReadBufferSize:      bufferBytes,
-			WriteBufferSize:     bufferBytes,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+			MaxIdleConns:           maxIdleConns,
+			MaxIdleConnsPerHost:    maxIdleConns,
+			IdleConnTimeout:        idleConnTimeout,
+			ReadBufferSize:         bufferBytes,
+			WriteBufferSize:        bufferBytes,
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				c, err := stall.DialContext(ctx, &net.Dialer{}, o.dialTimeout, network, address)
 				if err != nil {
@@ -125,10 +127,13 @@
 // body, which a proxy may have sent, doesn't show whether the work ran and gives ErrBadAnswer.
 func failure(resp *http.Response) error {
 	var f httpapi.Failure
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxFailureBytes))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxFailureBytes+1))
 	if err != nil {
 		return fmt.Errorf("%w: answer %s: %w", driver.ErrConnectionLost, resp.Status, err)
 	}
+	if len(b) > maxFailureBytes {
+		return fmt.Errorf("%w: answer %s: longer than %d bytes", driver.ErrBadAnswer, resp.Status, maxFailureBytes)
+	}
 	if json.Unmarshal(b, &f) != nil || f.Name == "" {
 		return fmt.Errorf("%w: answer %s without a reason", driver.ErrBadAnswer, resp.Status)
 	}
--- a/internal/driver/httpdriver/order.go
+++ b/internal/driver/httpdriver/order.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -60,7 +61,8 @@
 }
 
 func readOrderAnswer(conn net.Conn) error {
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	const maxBytes = maxHeaderBytes + maxFailureBytes // http.ReadResponse has no bound of its own
+	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxBytes)), nil)
 	if err != nil {
 		return fmt.Errorf("%w: %w", driver.ErrConnectionLost, err)
 	}
--- a/internal/exchange/bounds.go
+++ b/internal/exchange/bounds.go
@@ -52,7 +52,7 @@
 	if !b.reading {
 		return p, nil
 	}
-	left := maxHeaderBytes - b.read
+	left := MaxHeaderBytes - b.read
 	if left <= 0 {
 		b.exceeded = &BoundError{Cause: Header, Bytes: b.read}
 		return nil, b.exceeded
--- a/internal/exchange/bounds_test.go
+++ b/internal/exchange/bounds_test.go
@@ -55,7 +55,7 @@
 			var exceeded *BoundError
 			assert.Assert(t, errors.As(err, &exceeded), "%v", err)
 			assert.Equal(t, exceeded.Cause, tc.cause)
-			assert.Assert(t, exceeded.Bytes <= maxHeaderBytes*maxInterimResponses, "%d", exceeded.Bytes)
+			assert.Assert(t, exceeded.Bytes <= MaxHeaderBytes*maxInterimResponses, "%d", exceeded.Bytes)
 			assert.ErrorIs(t, err, driver.ErrBadAnswer)
 			assert.Assert(t, !errors.Is(err, driver.ErrConnectionLost) && !errors.Is(err, driver.ErrNotSent), "%v", err)
 			assert.Assert(t, time.Since(began) < 500*time.Millisecond)
@@ -71,7 +71,7 @@
 	for name, tc := range map[string]struct {
 		bytes int
 		fails bool
-	}{"at the bound": {bytes: maxHeaderBytes}, "over it": {bytes: maxHeaderBytes + 1, fails: true}} {
+	}{"at the bound": {bytes: MaxHeaderBytes}, "over it": {bytes: MaxHeaderBytes + 1, fails: true}} {
 		t.Run(name, func(t *testing.T) {
 			field := strings.Repeat("a", tc.bytes-len(head)-len(end))
 			e := listen(t, func(e *endpoint, _ int, c net.Conn, br *bufio.Reader) {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -49,9 +49,10 @@
 	userTimeout = 3 * time.Second
 	// maxInterimResponses bounds the responses read for one request, 1xx responses included.
 	maxInterimResponses = 8
-	// maxHeaderBytes bounds a response's status line and header fields. The endpoints' own take less than 1 KB. A
-	// thousand exchanges with endpoints that send headers without end hold 32 MB at this bound.
-	maxHeaderBytes = 32 << 10
+	// MaxHeaderBytes bounds a response's status line and header fields, also for other clients. The endpoints'
+	// own take less than 1 KB. A thousand exchanges with endpoints that send headers without end hold 32 MB at
+	// this bound.
+	MaxHeaderBytes = 32 << 10
 )
 
 // ErrSurplus means that an endpoint sent bytes that belong to no request.
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"fescuestand/internal/driver"
+	"fescuestand/internal/exchange"
 	"fescuestand/internal/status"
 )
 
@@ -72,5 +72,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%s%s answered %s", addr, path, resp.Status)
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	return exchange.ReadBody(resp.Body, maxResponseBytes)
 }
--- a/internal/peerhttp/peerhttp.go
+++ b/internal/peerhttp/peerhttp.go
@@ -19,6 +19,9 @@
 // ErrNotWhole means that an answer isn't known to be all that the other VM has.
 var ErrNotWhole = errors.New("the answer isn't whole")
 
+// maxHeaderBytes bounds an answer's header, which has five short fields.
+const maxHeaderBytes = 32 << 10
+
 // Client sends requests to other VMs. It is safe for concurrent use.
 type Client struct{ http *http.Client }
 
@@ -26,7 +29,7 @@
 // unnoticed, and requests are rare.
 func New(n network.Network) *Client {
 	dialer := n.Dialer(network.DialOptions{})
-	return &Client{&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}}}
+	return &Client{&http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // Write answers a request of another VM. The body may be empty.
@@ -55,6 +58,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
+	if resp.ContentLength > maxBytes {
+		return nil, fmt.Errorf("%w: it is longer than %d bytes", ErrNotWhole, maxBytes)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
 	if err != nil {
 		return nil, err
