--- a/internal/exchange/bounds_test.go
+++ b/internal/exchange/bounds_test.go
@@ -85,6 +85,23 @@
 	}
 }
 
+// Guards against a trailer or a chunk's line without end that fills the memory, or counts as a lost connection: the
+// endpoint is still there.
+func TestBodiesWithMalformedChunksAreInvalid(t *testing.T) {
+	for name, rest := range map[string]string{"trailer": "0\r\nX-A: ", "chunk line": "1;"} {
+		t.Run(name, func(t *testing.T) {
+			e := listen(t, func(e *endpoint, _ int, c net.Conn, br *bufio.Reader) {
+				e.read(br)
+				answer(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n"+rest)
+				flood(c, strings.Repeat("a", 4<<10), make(chan int64, 1))
+			})
+			_, err := do(t, NewPool(), e.addr, get("/"))
+			assert.ErrorIs(t, err, driver.ErrBadAnswer)
+			assert.Assert(t, !errors.Is(err, driver.ErrConnectionLost))
+		})
+	}
+}
+
 // Guards against bytes without end after a response: they filled the kernel's buffers until the connection's
 // idle time had passed.
 func TestSurplusClosesTheIdleConnectionAtOnce(t *testing.T) {
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -89,7 +90,8 @@
 	sawEOF    bool
 }
 
-// Read implements io.Reader. Errors other than io.EOF wrap driver.ErrConnectionLost.
+// Read implements io.Reader. Errors other than io.EOF wrap driver.ErrConnectionLost, or driver.ErrBadAnswer if the
+// endpoint has sent chunks or a trailer that are malformed or too long.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.rc.Read(p)
 	switch {
@@ -99,9 +101,18 @@
 		b.sawEOF = true
 		return n, err
 	}
+	if isMalformed(err) {
+		return n, fmt.Errorf("%w: %w", driver.ErrBadAnswer, err)
+	}
 	return n, fmt.Errorf("%w: %w", driver.ErrConnectionLost, err)
 }
 
+// isMalformed reports whether a body couldn't be read for what the endpoint has sent, not for the connection.
+func isMalformed(err error) bool {
+	var network net.Error
+	return !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &network) && !errors.Is(err, net.ErrClosed)
+}
+
 func (b *body) close() { b.once.Do(b.finish) }
 
 // finish returns the connection to the pool if the request was written and the response read in
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/code"
+	"fescuestand/internal/driver"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/policy/place"
 )
@@ -315,6 +316,9 @@
 	if x.ctx.Err() != nil {
 		return result{outcome: gone, code: code.DeadlineMissed, err: err}
 	}
+	if errors.Is(err, driver.ErrBadAnswer) {
+		return result{outcome: lost, code: code.BadAnswer, err: err}
+	}
 	return result{outcome: lost, code: code.EndpointCut, err: err}
 }
 
