--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -33,7 +33,7 @@
 
 // take takes n bytes for a body of which size bytes have been read.
 func (h *hold) take(n, size int64) error {
-	if !h.budget.Take(n) {
+	if !h.budget.Take(n, size) {
 		return &exchange.BoundError{Cause: exchange.Budget, Bytes: size}
 	}
 	h.bytes.Add(n)
@@ -74,7 +74,7 @@
 // read reads once. The last chunk may take one byte more than limit, to see whether the body goes on.
 func (b *wholeBody) read(rd io.Reader, length, limit int64, h *hold) error {
 	if b.size == b.taken {
-		if err := b.grow(min(b.nextChunk(length), limit+1-b.taken), h); err != nil {
+		if err := b.grow(min(b.nextChunk(length), limit+1-b.taken), length, h); err != nil {
 			return err
 		}
 	}
@@ -88,8 +88,12 @@
 	return err
 }
 
-func (b *wholeBody) grow(n int64, h *hold) error {
+func (b *wholeBody) grow(n, length int64, h *hold) error {
 	if err := h.take(n, b.size); err != nil {
+		if length < 0 && b.size >= bytebudget.LargeBytes {
+			// It may have no end. A body with a length that is within the limit has one.
+			return &exchange.BoundError{Cause: exchange.Body, Bytes: b.size}
+		}
 		return err
 	}
 	b.taken += n
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -88,9 +88,12 @@
 func (r *eventReader) fill() error {
 	if r.filled == len(r.buf) {
 		if len(r.buf) >= maxEventBytes {
-			return fmt.Errorf("%w: %w", errEventTooLong, &exchange.BoundError{Cause: exchange.Event, Bytes: int64(r.filled)})
+			return r.tooLong()
 		}
 		if err := r.held.take(int64(len(r.buf)), int64(r.filled)); err != nil {
+			if r.filled >= bytebudget.LargeBytes {
+				return r.tooLong()
+			}
 			return err
 		}
 		r.buf = append(r.buf, make([]byte, len(r.buf))...)
@@ -101,6 +104,10 @@
 	return nil
 }
 
+func (r *eventReader) tooLong() error {
+	return fmt.Errorf("%w: %w", errEventTooLong, &exchange.BoundError{Cause: exchange.Event, Bytes: int64(r.filled)})
+}
+
 // lastEventID returns the id of the last event in events, or "" if none has one.
 func lastEventID(events []byte) string {
 	id := ""
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -167,7 +167,7 @@
 	default:
 		return false
 	}
-	if last.code == code.NoEndpoint || last.code == code.RetryBudgetSpent || last.code == code.BodyBudgetSpent || x.ctx.Err() != nil {
+	if last.code == code.NoEndpoint || last.code == code.RetryBudgetSpent || x.ctx.Err() != nil {
 		return false
 	}
 	if x.arrivals == 0 {
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -199,7 +199,7 @@
 // mayAskAnother reports whether another endpoint may take the request, after one didn't run it.
 func (x *execution) mayAskAnother(r *result) bool {
 	switch {
-	case x.ctx.Err() != nil, r.code == code.NoEndpoint, r.code == code.RetryBudgetSpent, r.code == code.BodyBudgetSpent:
+	case x.ctx.Err() != nil, r.code == code.NoEndpoint, r.code == code.RetryBudgetSpent:
 		return false
 	case r.outcome == notRun, r.outcome == notSent:
 		return true
--- a/internal/policy/bytebudget/bytebudget.go
+++ b/internal/policy/bytebudget/bytebudget.go
@@ -14,9 +14,11 @@
 	memoryDivisor = 4
 	// reserveDivisor is the part of the capacity that is kept for responses that are being read.
 	reserveDivisor = 4
-	// shareDivisor is the part of the capacity that one body may take, so that a single one without end neither
-	// uses the budget up nor has new requests refused.
-	shareDivisor = 2
+	// largeDivisor is the part of the capacity up to which large bodies may grow, one or all together. Bodies without
+	// end are large: they must neither use the budget up nor have new requests refused.
+	largeDivisor = 2
+	// LargeBytes is the size in bytes from which a body is large. Ordinary answers are smaller.
+	LargeBytes = 256 << 10
 )
 
 // Budget is a number of bytes that is taken and given back. It is safe for concurrent use.
@@ -48,11 +50,15 @@
 	}
 }
 
-// Take takes n bytes and reports whether they were left.
-func (b *Budget) Take(n int64) bool {
+// Take takes n bytes for a body of which size bytes have been read, and reports whether they were left.
+func (b *Budget) Take(n, size int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n > b.s.Capacity-b.s.Used {
+	limit := b.s.Capacity
+	if size >= LargeBytes {
+		limit /= largeDivisor
+	}
+	if n > limit-b.s.Used {
 		b.s.Denied++
 		return false
 	}
@@ -83,7 +89,7 @@
 func (b *Budget) MaxBody() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.s.Capacity / shareDivisor
+	return b.s.Capacity / largeDivisor
 }
 
 // Snapshot returns the current figures.
