--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -49,7 +50,12 @@
 // readHeader skips interim responses and returns the final response once its header is read.
 func (x *activeExchange) readHeader(method string) (*Response, error) {
 	for range maxInterimResponses {
+		x.c.header.begin(x.c.br.Buffered())
 		resp, err := http.ReadResponse(x.c.br, &http.Request{Method: method})
+		x.c.header.end()
+		if exceeded := x.c.header.exceeded; exceeded != nil {
+			return nil, exceeded // net/http may report it as a malformed field
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -62,7 +68,7 @@
 			Status: resp.StatusCode, Header: resp.Header, Body: b, Length: resp.ContentLength, Framed: framed(resp), body: b,
 		}, nil
 	}
-	return nil, errors.New("too many interim responses")
+	return nil, &BoundError{Cause: Interim, Bytes: x.c.received}
 }
 
 // keepsAlive reports whether the connection can carry another exchange after resp.
@@ -84,7 +90,8 @@
 	sawEOF    bool
 }
 
-// Read implements io.Reader. Errors other than io.EOF wrap driver.ErrConnectionLost.
+// Read implements io.Reader. Errors other than io.EOF wrap driver.ErrConnectionLost, or driver.ErrBadAnswer if the
+// endpoint has sent chunks or a trailer that are malformed or too long.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.rc.Read(p)
 	switch {
@@ -94,9 +101,18 @@
 		b.sawEOF = true
 		return n, err
 	}
+	if isMalformed(err) {
+		return n, fmt.Errorf("%w: %w", driver.ErrBadAnswer, err)
+	}
 	return n, fmt.Errorf("%w: %w", driver.ErrConnectionLost, err)
 }
 
+// isMalformed reports whether a body couldn't be read for what the endpoint has sent, not for the connection.
+func isMalformed(err error) bool {
+	var network net.Error
+	return !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &network) && !errors.Is(err, net.ErrClosed)
+}
+
 func (b *body) close() { b.once.Do(b.finish) }
 
 // finish returns the connection to the pool if the request was written and the response read in
@@ -106,8 +122,8 @@
 	defer x.pool.end(x.addr, false)
 	detached := x.detach()
 	clean := b.sawEOF && b.keepAlive && detached && x.requestWritten()
-	if clean && x.c.br.Buffered() > 0 {
-		x.pool.count(func(s *Stats) { s.Surplus++ })
+	if surplus := x.c.br.Buffered(); clean && surplus > 0 {
+		x.pool.countSurplus(x.addr, surplus)
 		clean = false
 	}
 	if !clean {
