Decide by priority over all VMs when capacity is insufficient

Cause: each VM decided alone, without priorities, and assumed that the others hold as much as itself. In a burst of the least urgent kind the most urgent requests were refused while the others filled the engines' queues. Change: package scarcity orders, holds and refuses by effective priority, with the work that other VMs report that they hold; nothing uses it yet.

--- /dev/null
+++ b/internal/policy/scarcity/scarcity.go
@@ -0,0 +1,170 @@
+// Package scarcity decides which requests are served, held or refused when a service's endpoints can't do all
+// the work that callers ask for, so that the requests whose delay or refusal costs callers least are delayed or
+// refused.
+//
+// Load pattern: a service has routes of different priority, and more work arrives at many VMs than the endpoints
+// can do, for seconds at a time. If each VM sends what it has, the endpoints' queues fill with the least urgent
+// work, and the most urgent requests, which have the shortest targets, are late or refused.
+//
+// Approach: a VM keeps the requests that must wait in one queue, ordered by effective priority, and tells the
+// others how much work it holds at each level of priority. A less urgent request is sent only while the
+// endpoint's queue is so short that a more urgent one would still be on time behind it, and while no VM holds
+// more urgent work. A request is refused, at once, only if its first event can't come before its caller leaves.
+//
+// The package does no I/O and reads no clock.
+package scarcity
+
+import (
+	"time"
+
+	"fescuestand/internal/clock"
+)
+
+// Levels is the number of levels of priority that VMs tell apart. Less urgent priorities share the last one.
+const Levels = 4
+
+// LevelOf returns the level of a configured priority.
+func LevelOf(priority int) int { return min(max(priority, 0), Levels-1) }
+
+const (
+	// targetMargin is subtracted from a target to allow for errors of the prediction.
+	targetMargin = 10 * time.Millisecond
+	// A caller's patience is shortened by one part in patienceParts, up to maxPatienceMargin, for errors of the
+	// prediction and the delivery of the event.
+	patienceParts     = 10
+	maxPatienceMargin = 200 * time.Millisecond
+)
+
+// Request describes a request that hasn't been sent to an endpoint.
+type Request struct {
+	Level     int // 0 is the most urgent
+	Workspace string
+	Arrived   clock.Time
+	Target    time.Duration // after the arrival, for the first event or the answer; zero for none
+	Leaves    time.Duration // after the arrival: when the caller leaves
+	Work      time.Duration // that an endpoint must do before the first event
+	Fixed     time.Duration // the rest of the time to the first event, without waiting
+	Bytes     int           // that the request takes in memory while it is held
+	Early     bool          // it has come back before the end of its Retry-After delay
+}
+
+// duration is the time from sending to the first event without waiting.
+func (r *Request) duration() time.Duration { return r.Work + r.Fixed }
+
+// targetStart is the latest start with which the request is on time.
+func (r *Request) targetStart() clock.Time {
+	if r.Target == 0 {
+		return r.lastStart()
+	}
+	return r.Arrived.Add(r.Target - targetMargin - r.duration())
+}
+
+// lastStart is the latest start with which the first event comes before the caller leaves.
+func (r *Request) lastStart() clock.Time {
+	return r.Arrived.Add(r.Leaves - min(r.Leaves/patienceParts, maxPatienceMargin) - r.duration())
+}
+
+// onTime reports whether the request is on time if it starts at the given time. A request whose own work
+// exceeds its target counts as on time: waiting doesn't make it any earlier.
+func (r *Request) onTime(start clock.Time) bool { return start <= r.targetStart() }
+
+// Verdict is the decision on a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Serve  Verdict = iota
+	Hold           // keep it at this VM
+	Refuse         // it can't be in time
+)
+
+func (v Verdict) String() string { return [...]string{"serve", "hold", "refuse"}[v] }
+
+// Reason says why a request was held or refused, for the log and the metrics.
+type Reason uint8
+
+// The reasons.
+const (
+	None            Reason = iota
+	EndpointsBusy          // the endpoints' queues are too long for a request of its level
+	UrgentElsewhere        // other VMs hold more urgent work
+	NotFirst               // this VM holds requests that precede it
+	TooLate                // its first event can't come before its caller leaves
+	QueueFull              // this VM's queue is full of requests that precede it
+)
+
+func (r Reason) String() string {
+	return [...]string{"", "endpoints-busy", "urgent-elsewhere", "not-first", "too-late", "queue-full"}[r]
+}
+
+// almostIdleWait is the wait at which an endpoint counts as almost idle: half of a typical prompt's work, so that
+// it doesn't run out of work.
+const almostIdleWait = 30 * time.Millisecond
+
+// Situation is what a decision on a request depends on apart from the request.
+type Situation struct {
+	Now       clock.Time
+	Wait      time.Duration // at the endpoint that would take the request
+	Endpoints int           // that can do the work
+	Ahead     time.Duration // work that this VM holds and that precedes the request
+	Above     time.Duration // work of more urgent levels that other VMs hold
+	Same      time.Duration // work of the same level that other VMs hold
+	// UrgentTarget is the shortest target of the routes that are more urgent than the request, zero if none is.
+	UrgentTarget time.Duration
+	Random       uint64 // spreads the Retry-After delays
+}
+
+// Decision is the result of Decide.
+type Decision struct {
+	Verdict    Verdict
+	Reason     Reason
+	RetryAfter time.Duration // of a refusal
+	Recheck    time.Duration // of a held request: when the capacity is expected to be free
+}
+
+// Decide returns the decision on a request.
+func Decide(r *Request, s *Situation) Decision {
+	ahead := (s.Ahead + s.Above + s.Same/2) / time.Duration(max(s.Endpoints, 1))
+	if s.Now.Add(s.Wait+ahead) > r.lastStart() {
+		return Decision{Verdict: Refuse, Reason: TooLate, RetryAfter: RetryAfter(s.Wait+ahead, s.Random)}
+	}
+	limit := r.maxWait(s)
+	switch {
+	case s.Ahead > 0:
+		return Decision{Verdict: Hold, Reason: NotFirst, Recheck: maxRecheck}
+	case s.Above > time.Duration(s.Endpoints)*almostIdleWait:
+		return Decision{Verdict: Hold, Reason: UrgentElsewhere, Recheck: maxRecheck}
+	case s.Wait > limit:
+		return Decision{Verdict: Hold, Reason: EndpointsBusy, Recheck: min(max(s.Wait-limit, minRecheck), maxRecheck)}
+	}
+	return Decision{}
+}
+
+// urgentShare is the share of a more urgent route's target that less urgent requests may fill at an endpoint.
+const urgentShare = 4
+
+// maxWait returns the longest wait at an endpoint to which the request is sent: what its own target leaves, but
+// at most a part of the targets of more urgent routes.
+func (r *Request) maxWait(s *Situation) time.Duration {
+	limit := r.targetStart().Sub(s.Now)
+	if s.UrgentTarget > 0 {
+		limit = min(limit, s.UrgentTarget/urgentShare)
+	}
+	return max(limit, almostIdleWait)
+}
+
+const (
+	// minRecheck and maxRecheck bound the time after which a held request is decided again if no event wakes it.
+	minRecheck = 10 * time.Millisecond
+	maxRecheck = 100 * time.Millisecond
+	// minRetryAfter is the shortest Retry-After delay. retryAfterSpread is the shortest span over which the
+	// retries of requests that were refused together are spread; it is as long as the delay if that is longer.
+	minRetryAfter    = 300 * time.Millisecond
+	retryAfterSpread = 500 * time.Millisecond
+)
+
+// RetryAfter returns the Retry-After delay for a request that there will be capacity for after wait.
+func RetryAfter(wait time.Duration, random uint64) time.Duration {
+	spread := max(wait, retryAfterSpread)
+	return max(wait, minRetryAfter) + time.Duration(random%uint64(spread))
+}
