Hold and refuse streams by priority over all VMs

Cause: held requests polled every 20 ms and were sent in no order; a VM didn't know what others hold. Change: where routes of one service differ in priority, requests wait in the queue of package scarcity, woken by freed capacity, beats and catalog changes; beats carry the held work by service and level. Otherwise decisions are as before. Metrics, fields of "request ends" and the operations page follow.

--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -126,11 +126,12 @@
 	// keys.
 	Workspaces *workspace.Directory
 	routes     map[string][]*Route
+	priorities map[string]*servicePriorities // by service
 }
 
 // NewConfig returns a configuration with the given routes, indexed by host, and services.
 func NewConfig(version uint64, routes []*Route, services []*Service) *Config {
-	c := &Config{Version: version, Services: make(map[string]*Service, len(services)), routes: map[string][]*Route{}}
+	c := &Config{Version: version, Services: make(map[string]*Service, len(services)), routes: map[string][]*Route{}, priorities: prioritiesOf(routes)}
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -170,6 +170,7 @@
 		x.latest = a
 	}
 	x.g.o.Planner.End(x.now(), a.ticket, placementOutcome(r))
+	x.g.held.wake(x.now(), x.service)
 	switch {
 	case r.outcome == replaced, a.left.Load(), r.outcome == gone && a.silent:
 		ctx, now := context.WithoutCancel(x.callCtx), x.now()
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -53,6 +53,7 @@
 	workspaceCounted      bool                          // the request has been counted for its workspace
 	waited                bool                          // for an idle engine or for endpoint capacity
 	queueSlot             queueSlot
+	wait                  wait          // where the service has priorities
 	predictedCachedTokens int           // at the first placement
 	sharedTokens          int           // tokens of the prompt's shared parts
 	handoffTime           time.Duration // arrival to end of a separate prefill, zero without one
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"fescuestand/internal/code"
+	"fescuestand/internal/policy/scarcity"
 )
 
 // finish sends the final answer if none has been sent, and logs the request.
@@ -103,6 +104,12 @@
 			WithField("prefill_ms", x.handoffTime.Milliseconds()).WithField("tokens", x.call.PromptTokens).WithField("shared", x.sharedTokens).
 			WithField("cached", x.predictedCachedTokens).WithField("held", x.waited)
 	}
+	if x.wait.reason != scarcity.None {
+		e = e.WithField("scarcity", x.wait.reason.String()).WithField("level", scarcity.LevelOf(x.priority()))
+	}
+	if x.wait.time > 0 {
+		e = e.WithField("held_ms", x.wait.time.Milliseconds())
+	}
 	if x.withheld > 0 {
 		e = e.WithField("withheld", x.withheld)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	startedAt    clock.Time
 	metrics      *Metrics
 	heldWork     ontime.HeldWork
+	held         *HeldRequests
 	requestMeter serving.Meter
 	durations    *drain.Durations
 	shutdown     atomic.Pointer[shutdown] // nil if the process isn't shutting down
@@ -88,12 +89,15 @@
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), durations: drain.NewDurations(), silences: silence.New()}
+	return &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), durations: drain.NewDurations(), silences: silence.New(), held: newHeldRequests()}
 }
 
 // RequestRate returns the measured requests a second, zero before the first measurement.
 func (g *Gateway) RequestRate() float64 { return g.requestMeter.Rate(g.o.Clock.Now()) }
 
+// HeldRequests returns the requests that wait for capacity, for beats to other VMs.
+func (g *Gateway) HeldRequests() *HeldRequests { return g.held }
+
 // Metrics returns the counters.
 func (g *Gateway) Metrics() *Metrics { return g.metrics }
 
@@ -161,6 +165,7 @@
 		g.o.Planner.SetView(v)
 		g.o.Pressure.SetView(g.o.Clock.Now(), v)
 		g.silences.Sweep(g.o.Clock.Now())
+		g.held.wakeAll(g.o.Clock.Now())
 		inUse := map[string]bool{}
 		for _, e := range v.All() {
 			inUse[e.Address] = true
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fescuestand/internal/code"
+	"fescuestand/internal/policy/scarcity"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram. They range from the time of a plain
@@ -33,6 +34,7 @@
 	latency      map[string][]int64 // by route; the last bucket counts longer times
 	replacements map[string]int64
 	rejections   Rejections
+	scarcity     map[string]int64
 	faults       int64
 }
 
@@ -43,7 +45,7 @@
 }
 
 func newMetrics() *Metrics {
-	return &Metrics{outcomes: map[string]int64{}, codes: map[code.Code]int64{}, latency: map[string][]int64{}, replacements: map[string]int64{}}
+	return &Metrics{outcomes: map[string]int64{}, codes: map[code.Code]int64{}, latency: map[string][]int64{}, replacements: map[string]int64{}, scarcity: map[string]int64{}}
 }
 
 func (m *Metrics) countReplacement(result string) {
@@ -62,6 +64,13 @@
 	}
 }
 
+// countScarcity counts a request that is held or refused by priority.
+func (m *Metrics) countScarcity(d scarcity.Decision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.scarcity[d.Verdict.String()+" "+d.Reason.String()]++
+}
+
 func (m *Metrics) countFault() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -108,14 +117,15 @@
 	LatencyMS    map[string][]int64
 	Replacements map[string]int64
 	Rejections   Rejections
-	Faults       int64 // of work beside requests
+	Scarcity     map[string]int64 // requests held or refused by priority, by verdict and reason
+	Faults       int64            // of work beside requests
 }
 
 // Snapshot copies the counters.
 func (m *Metrics) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Faults: m.faults}
+	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Scarcity: maps.Clone(m.scarcity), Faults: m.faults}
 	for k, v := range m.outcomes {
 		s.Outcomes[k] = v
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -32,6 +32,8 @@
 	Crashes  *crash.Register
 	Catalog  *catalog.Store
 	Changes  *Changes
+	// Held are the gateway's held requests; nil if they aren't reported.
+	Held *HeldRequests
 	// RequestRate returns the requests a second that this VM receives.
 	RequestRate func() float64
 	// OnOrder is called for each engine that another VM has ordered to change its stage.
@@ -67,6 +69,9 @@
 	b.Demand = &wire.Demand{PrefillMs: uint32(1000 * d.Prefill), CentiStreams: uint32(100 * d.Streams)}
 	b.LeavingEndpoints = x.leaving.current(x.Clock.Now())
 	b.Notices = encodeNotices(x.Pressure.Reports(x.Clock.Now()))
+	if x.Held != nil {
+		x.Held.fill(x.Clock.Now(), b)
+	}
 	for _, r := range x.Planner.Outstanding() {
 		b.Outstanding = append(b.Outstanding, &wire.Outstanding{
 			Endpoint: r.Endpoint, Running: uint32(r.Running), PendingUs: uint32(r.PendingWork.Microseconds()),
@@ -306,6 +311,9 @@
 	x.Planner.ReceiveReport(now, from, reports, place.Demand{
 		Prefill: float64(d.GetPrefillMs()) / 1000, Streams: float64(d.GetCentiStreams()) / 100,
 	})
+	if x.Held != nil {
+		x.Held.receive(now, from, b.GetHeld())
+	}
 	x.Pressure.MergeReports(now, from, float64(b.GetRequests()), decodeNotices(b.GetNotices()))
 	for _, id := range b.GetChanging() {
 		x.Planner.MarkChangingStage(now, id)
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -7,6 +7,7 @@
 	"fescuestand/internal/code"
 	"fescuestand/internal/policy/ontime"
 	"fescuestand/internal/policy/place"
+	"fescuestand/internal/policy/scarcity"
 )
 
 // holdPollInterval is the time between two checks of whether a waiting request can be sent: a
@@ -15,13 +16,15 @@
 
 // placePrompt chooses the engines for a prompt. A request that would miss its target only because
 // of the engines' queues is held here until an engine is almost idle, or is refused with a
-// Retry-After delay if its caller would time out.
+// Retry-After delay if its caller would time out. Where a service has routes of different priority, requests wait in
+// the order of package scarcity.
 func (x *execution) placePrompt(prompt *place.Prompt) (place.Plan, result, bool) {
 	var release func()
 	defer func() {
 		if release != nil {
 			release()
 		}
+		x.endWait()
 	}()
 	for {
 		if r, refuse := x.refuseQuarantined(); refuse {
@@ -29,6 +32,7 @@
 		}
 		plan, ok := x.g.o.Planner.Plan(x.now(), x.openEndpoints(), prompt, x.tried)
 		if !ok {
+			x.endWait() // others may be placed
 			if r, retry := x.awaitCapacity(); !retry {
 				return plan, r, false
 			}
@@ -39,12 +43,24 @@
 		if r, refuse := x.refuseInDrain(); refuse {
 			return plan, r, false
 		}
+		if x.usesPriorities() && !x.isBegun() {
+			d := x.decideByPriority(&plan)
+			switch {
+			case d.Verdict == scarcity.Serve:
+				return plan, result{}, true
+			case d.Verdict == scarcity.Refuse:
+				return plan, tooLate(d.RetryAfter), false
+			case !x.awaitTurn(&d):
+				return plan, result{outcome: gone}, false
+			}
+			continue
+		}
 		verdict, retryAfter := x.decide(&plan)
 		switch verdict {
 		case ontime.Serve:
 			return plan, result{}, true
 		case ontime.Refuse:
-			return plan, result{outcome: refused, code: code.DeadlineInfeasible, err: errTooLate, retryAfter: retryAfter}, false
+			return plan, tooLate(retryAfter), false
 		}
 		if release == nil {
 			release = x.g.heldWork.Add(plan.Work)
@@ -56,6 +72,15 @@
 	}
 }
 
+// tooLate is the result of a request that is refused as it can't be in time.
+func tooLate(retryAfter time.Duration) result {
+	return result{outcome: refused, code: code.DeadlineInfeasible, err: errTooLate, retryAfter: retryAfter}
+}
+
+// isBegun reports whether the request has reached an endpoint or resumes a stream within its answer. It is then sent
+// at once.
+func (x *execution) isBegun() bool { return x.arrivals > 0 || x.headerSent }
+
 // recordPrediction keeps the prediction of the first placement for the log.
 func (x *execution) recordPrediction(plan *place.Plan, prompt *place.Prompt) {
 	if x.predictedFirstEvent > 0 {
@@ -66,9 +91,8 @@
 }
 
 // decide returns whether to send, hold or refuse a request, and the Retry-After delay of a refusal.
-// A request that has reached an endpoint or resumes a stream within its answer is always sent at once.
 func (x *execution) decide(plan *place.Plan) (ontime.Verdict, time.Duration) {
-	if x.arrivals > 0 || x.headerSent {
+	if x.isBegun() {
 		return ontime.Serve, 0
 	}
 	backlog := time.Duration(0)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -191,6 +191,7 @@
 // prefill or a KV cache transfer, and announces long shared prompts to the other VMs.
 func (x *execution) recordCachedPrompt(a *attempt, prompt *place.Prompt) {
 	x.g.o.Planner.PrefillDone(x.now(), a.ticket, prompt.Parts)
+	x.g.held.wake(x.now(), x.service)
 	if prompt.SharedTokens() >= minAnnouncedTokens {
 		x.g.o.OnPrefixCached(a.request.Endpoint, prompt.Parts)
 	}
--- a/internal/policy/scarcity/fleet_test.go
+++ b/internal/policy/scarcity/fleet_test.go
@@ -229,7 +229,7 @@
 		f.total[e] += own - vm.reported[e]
 		vm.reported[e] = own
 	}
-	held := map[string]Held{"s": vm.queue.Held(clock.Time(now))}
+	held := map[uint32]Held{1: vm.queue.Held(clock.Time(now))}
 	for j, other := range f.vms {
 		if j != i && now >= other.heard {
 			other.view.Receive(clock.Time(now), fmt.Sprint(i), held)
@@ -324,7 +324,7 @@
 
 func (f *fleet) decide(now time.Duration, vm *simVM, r *Request) Decision {
 	_, wait := f.choose(now, vm)
-	peers := vm.view.Held(clock.Time(now), "s")
+	peers := vm.view.Held(clock.Time(now), 1)
 	s := Situation{
 		Now: clock.Time(now), Wait: wait, Endpoints: simEngines, Ahead: vm.queue.Ahead(clock.Time(now), r),
 		Above: peers.Above(r.Level), Same: peers[r.Level].Work, Random: f.rng.Uint64(),
--- a/internal/policy/scarcity/queue.go
+++ b/internal/policy/scarcity/queue.go
@@ -34,6 +34,9 @@
 // Queued reports whether the entry is still in its queue; a full queue drops the last one in order.
 func (e *Entry) Queued() bool { return e.queued }
 
+// Expired reports whether the request can't be in time any more.
+func (e *Entry) Expired(now clock.Time) bool { return now > e.lastStart() }
+
 // key orders the entries of a queue; the lowest is served first.
 type key struct {
 	rank  int
@@ -67,6 +70,7 @@
 	entries []*Entry
 	bytes   int
 	usage   map[string]float64 // engine seconds by workspace, as of usageAt
+	total   float64            // sum of usage
 	usageAt clock.Time
 }
 
@@ -113,9 +117,11 @@
 
 // WakeFirst wakes the first request, and each that can't be in time any more so that it leaves.
 func (q *Queue) WakeFirst(now clock.Time) {
-	q.sort(now)
-	for i, e := range q.entries {
-		if i == 0 || now > e.lastStart() {
+	if first := q.First(now); first != nil {
+		first.wake()
+	}
+	for _, e := range q.entries {
+		if e.Expired(now) {
 			e.wake()
 		}
 	}
@@ -168,6 +174,10 @@
 		}
 	}
 	q.usage[r.Workspace] += r.Work.Seconds()
+	q.total = 0
+	for _, u := range q.usage {
+		q.total += u
+	}
 }
 
 // minUsage is the usage, in seconds, below which a workspace is forgotten.
@@ -178,11 +188,7 @@
 	if len(q.usage) < 2 {
 		return false
 	}
-	total := 0.0
-	for _, u := range q.usage {
-		total += u
-	}
-	return q.usage[workspace] > overShare*total/float64(len(q.usage))
+	return q.usage[workspace] > overShare*q.total/float64(len(q.usage))
 }
 
 func (q *Queue) sort(now clock.Time) {
--- a/internal/policy/scarcity/queue_test.go
+++ b/internal/policy/scarcity/queue_test.go
@@ -52,10 +52,10 @@
 // Guards against a VM that is cut off and holds requests back for work that others reported long ago.
 func TestReportsExpire(t *testing.T) {
 	v := NewView()
-	v.Receive(0, "vm", map[string]Held{"s": {{Work: time.Second, Count: 3}}})
-	h := v.Held(0, "s")
+	v.Receive(0, "vm", map[uint32]Held{1: {{Work: time.Second, Count: 3}}})
+	h := v.Held(0, 1)
 	assert.Equal(t, h.Above(1), time.Second)
-	h = v.Held(clock.Time(maxReportAge+1), "s")
+	h = v.Held(clock.Time(maxReportAge+1), 1)
 	assert.Equal(t, h, Held{})
 }
 
--- a/internal/policy/scarcity/scarcity.go
+++ b/internal/policy/scarcity/scarcity.go
@@ -64,8 +64,7 @@
 	return r.Arrived.Add(r.Leaves - min(r.Leaves/patienceParts, maxPatienceMargin) - r.duration())
 }
 
-// onTime reports whether the request is on time if it starts at the given time. A request whose own work
-// exceeds its target counts as on time: waiting doesn't make it any earlier.
+// onTime reports whether the request is on time if it starts at the given time.
 func (r *Request) onTime(start clock.Time) bool { return start <= r.targetStart() }
 
 // Verdict is the decision on a request.
--- a/internal/policy/scarcity/view.go
+++ b/internal/policy/scarcity/view.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fescuestand/internal/clock"
 )
 
@@ -20,7 +22,7 @@
 
 type report struct {
 	at        clock.Time
-	byService map[string]Held
+	byService map[uint32]Held
 }
 
 // View is what the other VMs have reported that they hold. It isn't safe for concurrent use.
@@ -30,7 +32,7 @@
 func NewView() *View { return &View{peers: map[string]report{}} }
 
 // Receive replaces the report of a VM, and drops those that are too old.
-func (v *View) Receive(now clock.Time, vm string, held map[string]Held) {
+func (v *View) Receive(now clock.Time, vm string, held map[uint32]Held) {
 	v.peers[vm] = report{now, held}
 	for name, r := range v.peers {
 		if now.Sub(r.at) > maxReportAge {
@@ -39,8 +41,11 @@
 	}
 }
 
-// Held returns the sum of the reports on a service.
-func (v *View) Held(now clock.Time, service string) Held {
+// Key returns a short identifier of a service for messages between VMs.
+func Key(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
+
+// Held returns the sum of the reports on the service with a Key.
+func (v *View) Held(now clock.Time, service uint32) Held {
 	var sum Held
 	for _, r := range v.peers {
 		if now.Sub(r.at) > maxReportAge {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -208,7 +208,7 @@
 	n.orders.OnEndpointLeaving = n.endpointLeaving
 	n.gossipContent = &gateway.GossipContent{
 		Clock: c, Eras: n.eras, Planner: n.planner, Pressure: n.backpressure, Crashes: n.crashes, Catalog: n.catalog, Changes: n.endpointChanges,
-		RequestRate: n.gateway.RequestRate, OnOrder: n.orders.RecordPeerOrder, OnPeerConfigVersion: n.configPuller.ReceiveVersion, OnChange: n.pushUpdates,
+		Held: n.gateway.HeldRequests(), RequestRate: n.gateway.RequestRate, OnOrder: n.orders.RecordPeerOrder, OnPeerConfigVersion: n.configPuller.ReceiveVersion, OnChange: n.pushUpdates,
 	}
 	if o.Usage.Window > 0 {
 		n.gossipContent.Time, n.gossipContent.Usage = n.timeEstimator, n.usageLedger
@@ -293,6 +293,7 @@
 	Draining      int // endpoints that accept no new work
 	Changes       gateway.ChangeCounters
 	Servers       map[string]httpserver.Counts // by name
+	HeldRequests  map[string]int               // that wait for capacity now, by service
 }
 
 // Metrics returns the current values.
@@ -303,7 +304,7 @@
 		servers[s.Name()] = s.Counts()
 	}
 	return Metrics{
-		Servers:  servers,
+		Servers: servers, HeldRequests: n.gateway.HeldRequests().Counts(),
 		Snapshot: n.gateway.Metrics().Snapshot(), Endpoints: len(v.All()), VMs: n.members.AdvertisedCount(), ConfigVersion: n.version(),
 		Limited: n.backpressure.LimitedCount(), Draining: len(v.All()) - v.AvailableCount(), Changes: n.endpointChanges.Counters(),
 	}
