Hold calls while the endpoints' queues are full

Cause: calls were sent into full queues: an endpoint known to be full was still chosen if all were, all VMs followed each other's counts to the same endpoint, and a call was refused after two rejections within milliseconds. Change: where endpoints have stated with a rejection how many calls they hold, each VM sends its share of the slots and of half of the queues, by the calls that all VMs have there or hold; the rest waits in the queue. A rejected call waits for about a call's duration, up to six rejections within the retry budget. VMs report held work at its own level: raised requests of several VMs held back each other's requests of the same kind.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -82,6 +82,10 @@
 // maxRejectionsOfBegun is the same for a stream that has events: refusing it loses what was generated.
 const maxRejectionsOfBegun = 6
 
+// maxRejectionsOfCall is the same for a call to endpoints that state their capacity, as it waits for room before each
+// attempt.
+const maxRejectionsOfCall = 6
+
 func (x *execution) isStream() bool { return x.route.Kind == catalog.Stream }
 
 // maxRejections returns how many endpoints may reject the request.
@@ -89,6 +93,9 @@
 	if x.headerSent {
 		return maxRejectionsOfBegun
 	}
+	if !x.isStream() && x.g.o.Planner.CallRoom(x.now(), x.openEndpoints()).Known {
+		return maxRejectionsOfCall
+	}
 	return maxRejections
 }
 
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,15 +23,18 @@
 // HeldRequests are the requests that wait at a VM for capacity of services with routes of different priority, and
 // what other VMs report of theirs. It is safe for concurrent use.
 type HeldRequests struct {
-	mu     sync.Mutex
-	queues map[string]*scarcity.Queue
-	view   *scarcity.View
-	delays map[uint64]clock.Time // end of the Retry-After delay by fingerprint of the refused request
-	wokeAt clock.Time            // the latest wake-up by a beat
+	mu      sync.Mutex
+	queues  map[string]*scarcity.Queue
+	view    *scarcity.View
+	delays  map[uint64]clock.Time    // end of the Retry-After delay by fingerprint of the refused request
+	wokeAt  clock.Time               // the latest wake-up by a beat
+	times   map[string]time.Duration // of a call at an endpoint that isn't busy, by service
+	granted map[string]int           // calls by service that may be sent and haven't been counted by the planner yet
+	seed    uint64                   // of the rounding of shares
 }
 
 func newHeldRequests() *HeldRequests {
-	return &HeldRequests{queues: map[string]*scarcity.Queue{}, view: scarcity.NewView(), delays: map[uint64]clock.Time{}}
+	return &HeldRequests{queues: map[string]*scarcity.Queue{}, view: scarcity.NewView(), delays: map[uint64]clock.Time{}, times: map[string]time.Duration{}, granted: map[string]int{}, seed: rand.Uint64()}
 }
 
 // queue returns the queue of a service. The caller holds the lock.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -9,7 +9,6 @@
 	"fescuestand/internal/code"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/policy/ontime"
-	"fescuestand/internal/policy/place"
 )
 
 // bufferedAnswer is an endpoint's complete answer, held in memory.
@@ -54,15 +53,10 @@
 // callOnce sends a call to one endpoint of its service and reads its answer. If the endpoint is silent, the
 // answer may be that of another one.
 func (x *execution) callOnce() result {
-	ep := x.g.o.Planner.ChooseEndpoint(x.now(), x.openEndpoints(), x.tried)
-	for ep == nil {
-		if r, retry := x.awaitCapacity(); !retry {
-			return r
-		}
-		ep = x.g.o.Planner.ChooseEndpoint(x.now(), x.openEndpoints(), x.tried)
+	a, r, ok := x.beginCall()
+	if !ok {
+		return r
 	}
-	x.beginAnswer()
-	a := x.begin(&EndpointRequest{Endpoint: ep}, place.Job{})
 	a.bodyLimit, a.quiet = maxAnswerBytes, x.callQuiet()
 	ctx, cancel, _ := x.exchangeContext()
 	defer cancel()
@@ -82,6 +76,9 @@
 	if ans.Requests > 0 {
 		x.g.o.Planner.RecordLoad(x.now(), a.ticket, ans.Requests-1)
 	}
+	if r.outcome == answered {
+		x.g.held.observeCall(x.service, x.now().Sub(a.sentAt))
+	}
 	x.recordAttempt(a, &r)
 	if replacement != nil {
 		return *replacement
--- a/internal/gateway/simulated_test.go
+++ b/internal/gateway/simulated_test.go
@@ -35,10 +35,16 @@
 	t.Helper()
 	n := simnet.New(simnet.Options{Seed: seed, Latency: testLatency, Jitter: testJitter})
 	t.Cleanup(func() { time.Sleep(settleTime); n.Close() })
+	return newSimulatedGatewayOn(t, n, 1)
+}
+
+// newSimulatedGatewayOn returns a gateway on a simulated network with the seed of its choices.
+func newSimulatedGatewayOn(t *testing.T, n *simnet.Network, seed uint64) *testGateway {
+	t.Helper()
 	host := n.NewHost()
 	pool, relayPool := exchange.NewPool(), exchange.NewPool()
 	pool.Dialer, relayPool.Dialer = host, host
-	w := newWorld(t, simnet.Clock{}, pool, relayPool)
+	w := newSeededWorld(t, seed, simnet.Clock{}, pool, relayPool)
 	w.network = n
 	ln, err := host.Listen(0)
 	assert.NilError(t, err)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -78,9 +78,13 @@
 }
 
 func (codec) Answer(c *Call, _ int, h http.Header) Answer {
+	requests, err := strconv.Atoi(h.Get("Held"))
+	if err != nil {
+		requests = -1
+	}
 	return Answer{
 		NotRun: h.Get("Not-Run")+h.Get("Gone") != "", Misdirected: h.Get("Gone") != "", Signed: h.Get("Seal") != "",
-		OtherRequest: h.Get("Id") != "" && h.Get("Id") != c.ID, Requests: -1, Notice: backpressure.Parse(backpressure.Fields{Limit: h.Get("Limit"), Leaving: h.Get("Leaving"), RetryAfter: h.Get("Retry-After")}),
+		OtherRequest: h.Get("Id") != "" && h.Get("Id") != c.ID, Requests: requests, Notice: backpressure.Parse(backpressure.Fields{Limit: h.Get("Limit"), Leaving: h.Get("Leaving"), RetryAfter: h.Get("Retry-After")}),
 	}
 }
 
@@ -231,12 +235,18 @@
 
 // newWorld returns a gateway without a server.
 func newWorld(t testing.TB, c clock.Clock, pool, relayPool *exchange.Pool) *testGateway {
+	t.Helper()
+	return newSeededWorld(t, 1, c, pool, relayPool)
+}
+
+// newSeededWorld is newWorld with the seed of the planner's choices.
+func newSeededWorld(t testing.TB, seed uint64, c clock.Clock, pool, relayPool *exchange.Pool) *testGateway {
 	t.Helper()
 	w := &testGateway{clock: c, store: catalog.NewStore(c), crashes: crash.New(), origins: &testOrigins{found: originsync.Only}}
 	w.budget = repeat.New(repeat.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
 	w.budget.SetMembers(1)
 	w.gateway = New(Options{
-		Codec: codec{}, Catalog: w.store, Planner: place.New("z", 1), Budget: w.budget, Crashes: w.crashes, Pressure: backpressure.New(1),
+		Codec: codec{}, Catalog: w.store, Planner: place.New("z", seed), Budget: w.budget, Crashes: w.crashes, Pressure: backpressure.New(1),
 		Pool: pool, Clock: c, Leaving: w.leaving.Load, Peers: func() (int, int) { return 1, 0 },
 		CutOff: w.cutOff.Load, RelayTargets: func() []string { return w.relayTargets }, RelayPool: relayPool,
 		Origins: w.origins, VMs: func() int { return 1 }, OnPrefillSent: func(time.Duration) {}, OnPrefixCached: func(*catalog.Endpoint, []place.Part) {},
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -94,6 +94,7 @@
 	health   health
 	load     reportedLoad
 	room     room
+	capacity statedCapacity
 }
 
 func newEndpointState(e *catalog.Endpoint) *endpointState {
--- a/internal/policy/place/room.go
+++ b/internal/policy/place/room.go
@@ -133,6 +133,7 @@
 		return false
 	}
 	t.s.room.reject(now, requests)
+	t.s.capacity.state(now, requests, t.s.ep.Slots)
 	return t.sentToFull
 }
 
--- a/internal/policy/scarcity/queue.go
+++ b/internal/policy/scarcity/queue.go
@@ -151,11 +151,12 @@
 	return sum
 }
 
-// Held returns the held work and the number of requests by level of effective priority.
+// Held returns the held work and the number of requests by level. A request whose effective priority is raised counts at its
+// own level: counted above it, the raised requests of several VMs hold back all others of their level.
 func (q *Queue) Held(now clock.Time) Held {
 	var h Held
 	for _, e := range q.entries {
-		l := &h[q.rank(now, &e.Request)/ranksPerLevel]
+		l := &h[e.Level]
 		l.Work += e.Work
 		l.Count++
 	}
--- a/internal/policy/scarcity/scarcity.go
+++ b/internal/policy/scarcity/scarcity.go
@@ -108,6 +108,7 @@
 	Ahead     time.Duration // work that this VM holds and that precedes the request
 	Above     time.Duration // work of more urgent levels that other VMs hold
 	Same      time.Duration // work of the same level that other VMs hold
+	Full      bool          // the endpoints can't take the request now
 	// UrgentTarget is the shortest target of the routes that are more urgent than the request, zero if none is.
 	UrgentTarget time.Duration
 	Random       uint64 // spreads the Retry-After delays
@@ -124,8 +125,9 @@
 // Decide returns the decision on a request.
 func Decide(r *Request, s *Situation) Decision {
 	ahead := (s.Ahead + s.Above + s.Same/2) / time.Duration(max(s.Endpoints, 1))
-	if s.Now.Add(s.Wait+ahead) > r.lastStart() {
-		return Decision{Verdict: Refuse, Reason: TooLate, RetryAfter: RetryAfter(s.Wait+ahead, s.Random)}
+	ahead += s.Wait
+	if s.Now.Add(ahead) > r.lastStart() {
+		return Decision{Verdict: Refuse, Reason: TooLate, RetryAfter: RetryAfter(ahead, s.Random)}
 	}
 	limit := r.maxWait(s)
 	switch {
@@ -133,12 +135,21 @@
 		return Decision{Verdict: Hold, Reason: NotFirst, Recheck: maxRecheck}
 	case s.Above > time.Duration(s.Endpoints)*almostIdleWait:
 		return Decision{Verdict: Hold, Reason: UrgentElsewhere, Recheck: maxRecheck}
+	case s.Full:
+		return Decision{Verdict: Hold, Reason: EndpointsBusy, Recheck: min(max(r.Work, minRecheck), maxRecheck)}
 	case s.Wait > limit:
 		return Decision{Verdict: Hold, Reason: EndpointsBusy, Recheck: min(max(s.Wait-limit, minRecheck), maxRecheck)}
 	}
 	return Decision{}
 }
 
+// Share returns how many calls a VM may have at endpoints that can take usable ones of all VMs, in proportion to its
+// demand: the calls that it and the others have there or hold. If they take what is free instead, all VMs send into the
+// same free places.
+func Share(usable float64, own, others int) float64 {
+	return usable * float64(own) / float64(max(own+others, 1))
+}
+
 // urgentShare is the share of a more urgent route's target that less urgent requests may fill at an endpoint.
 const urgentShare = 4
 
--- a/internal/policy/scarcity/view.go
+++ b/internal/policy/scarcity/view.go
@@ -14,7 +14,7 @@
 	Count int
 }
 
-// Held is what a VM holds for a service, by level of effective priority.
+// Held is what a VM holds for a service, by level.
 type Held [Levels]Load
 
 // maxReportAge is the age from which a report is ignored. Reports are up to a second old in a large fleet.
