--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -54,6 +54,7 @@
 	workspaceCounted      bool                          // the request has been counted for its workspace
 	waited                bool                          // for an idle engine or for endpoint capacity
 	queueSlot             queueSlot
+	wait                  wait          // where the service has priorities
 	predictedCachedTokens int           // at the first placement
 	sharedTokens          int           // tokens of the prompt's shared parts
 	handoffTime           time.Duration // arrival to end of a separate prefill, zero without one
@@ -83,6 +84,10 @@
 // maxRejectionsOfBegun is the same for a stream that has events: refusing it loses what was generated.
 const maxRejectionsOfBegun = 6
 
+// maxRejectionsOfCall is the same for a call to endpoints that state their capacity, as it waits for room before each
+// attempt.
+const maxRejectionsOfCall = 6
+
 func (x *execution) isStream() bool { return x.route.Kind == catalog.Stream }
 
 // maxRejections returns how many endpoints may reject the request.
@@ -90,6 +95,9 @@
 	if x.headerSent {
 		return maxRejectionsOfBegun
 	}
+	if !x.isStream() && x.g.o.Planner.CallRoom(x.now(), x.openEndpoints()).Known {
+		return maxRejectionsOfCall
+	}
 	return maxRejections
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"fescuestand/internal/code"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/policy/bytebudget"
+	"fescuestand/internal/policy/scarcity"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram. They range from the time of a plain
@@ -35,6 +36,7 @@
 	latency      map[string][]int64 // by route; the last bucket counts longer times
 	replacements map[string]int64
 	rejections   Rejections
+	scarcity     map[string]int64
 	faults       int64
 	silentEnds   int64
 	exceeded     map[exchange.Cause]int64
@@ -50,7 +52,7 @@
 func newMetrics() *Metrics {
 	m := &Metrics{
 		outcomes: map[string]int64{}, codes: map[code.Code]int64{}, latency: map[string][]int64{}, replacements: map[string]int64{},
-		exceeded: map[exchange.Cause]int64{}, bodies: bytebudget.New(),
+		exceeded: map[exchange.Cause]int64{}, scarcity: map[string]int64{}, bodies: bytebudget.New(),
 	}
 	for _, c := range exchange.Causes {
 		m.exceeded[c] = 0
@@ -86,6 +88,13 @@
 	m.silentEnds += int64(requests)
 }
 
+// countScarcity counts a request that is held or refused by priority.
+func (m *Metrics) countScarcity(d scarcity.Decision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.scarcity[d.Verdict.String()+" "+d.Reason.String()]++
+}
+
 func (m *Metrics) countFault() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -132,6 +141,7 @@
 	LatencyMS    map[string][]int64
 	Replacements map[string]int64
 	Rejections   Rejections
+	Scarcity     map[string]int64         // requests held or refused by priority, by verdict and reason
 	Faults       int64                    // of work beside requests
 	SilentEnds   int64                    // requests whose endpoints fell silent under them and have ended
 	Exceeded     map[exchange.Cause]int64 // responses that exceeded a bound
@@ -142,7 +152,7 @@
 func (m *Metrics) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Faults: m.faults, SilentEnds: m.silentEnds, Exceeded: maps.Clone(m.exceeded), Bodies: m.bodies.Snapshot()}
+	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Scarcity: maps.Clone(m.scarcity), Faults: m.faults, SilentEnds: m.silentEnds, Exceeded: maps.Clone(m.exceeded), Bodies: m.bodies.Snapshot()}
 	for k, v := range m.outcomes {
 		s.Outcomes[k] = v
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -32,6 +32,8 @@
 	Crashes  *crash.Register
 	Catalog  *catalog.Store
 	Changes  *Changes
+	// Held are the gateway's held requests; nil if they aren't reported.
+	Held *HeldRequests
 	// RequestRate returns the requests a second that this VM receives.
 	RequestRate func() float64
 	// OnOrder is called for each engine that another VM has ordered to change its stage.
@@ -72,6 +74,9 @@
 			Endpoint: s.Endpoint, Percent: uint32(math.Round(100 * s.Slowdown)), AgeMs: uint32(s.Age.Milliseconds()),
 		})
 	}
+	if x.Held != nil {
+		x.Held.fill(x.Clock.Now(), b)
+	}
 	for _, r := range x.Planner.Outstanding() {
 		b.Outstanding = append(b.Outstanding, &wire.Outstanding{
 			Endpoint: r.Endpoint, Running: uint32(r.Running), PendingUs: uint32(r.PendingWork.Microseconds()),
@@ -322,6 +327,9 @@
 		Prefill: float64(d.GetPrefillMs()) / 1000, Streams: float64(d.GetCentiStreams()) / 100,
 	})
 	x.Planner.ReceiveSlowdowns(now, decodeSlowdowns(b.GetSlowdowns()))
+	if x.Held != nil {
+		x.Held.receive(now, from, b.GetHeld())
+	}
 	x.Pressure.MergeReports(now, from, float64(b.GetRequests()), decodeNotices(b.GetNotices()))
 	for _, id := range b.GetChanging() {
 		x.Planner.MarkChangingStage(now, id)
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -104,6 +104,7 @@
 	room     room
 	pace     pace.Figure
 	paceOwn  bool // this VM has received the figure from the endpoint itself
+	capacity statedCapacity
 }
 
 func newEndpointState(e *catalog.Endpoint) *endpointState {
