--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -232,11 +232,12 @@
 // settle decides on a request, which begins or ends its wait.
 func (x *execution) settle(r *scarcity.Request, s scarcity.Situation) scarcity.Decision {
 	s.UrgentTarget = x.view.Config.UrgentTarget(x.service, x.priority())
+	s.Left = x.remainingTime()
 	s.Random = x.call.Fingerprint ^ uint64(s.Now)
 	isQueued := x.wait.entry == nil || x.g.held.update(x.wait.entry, r)
 	d := x.g.held.decide(x.service, r, s)
 	if !isQueued {
-		d = scarcity.Decision{Verdict: scarcity.Refuse, Reason: scarcity.QueueFull, RetryAfter: scarcity.RetryAfter(s.Wait, s.Random)}
+		d = scarcity.Decision{Verdict: scarcity.Refuse, Reason: scarcity.QueueFull, RetryAfter: scarcity.RetryAfter(s.Wait, s.Left, s.Random)}
 	}
 	switch d.Verdict {
 	case scarcity.Hold:
--- a/internal/policy/place/callroom.go
+++ b/internal/policy/place/callroom.go
@@ -43,21 +43,23 @@
 func (p *Planner) CallRoom(now clock.Time, open []*catalog.Endpoint) CallRoom {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := CallRoom{}
+	list := p.eligible(now, open, nil)
 	known, knownSlots := 0, 0
-	for _, s := range p.eligible(now, open, nil) {
-		r.Slots += s.ep.Slots
-		r.Own += s.running
-		r.Peers += p.peerRunning(now, s.key())
+	for _, s := range list {
 		if c := s.capacity; c.requests > 0 && now.Sub(c.at) < capacityMemory {
 			known += c.requests
 			knownSlots += s.ep.Slots
 		}
 	}
 	if knownSlots == 0 {
-		return r
+		return CallRoom{}
+	}
+	r := CallRoom{Known: true}
+	for _, s := range list {
+		r.Slots += s.ep.Slots
+		r.Own += s.running
+		r.Peers += p.peerRunning(now, s.key())
 	}
-	r.Known = true
 	queue := float64(known-knownSlots) / float64(knownSlots) // per slot
 	r.Usable = float64(r.Slots) * (1 + usedQueueShare*queue)
 	return r
--- a/internal/policy/scarcity/fleet_test.go
+++ b/internal/policy/scarcity/fleet_test.go
@@ -314,7 +314,7 @@
 		return
 	}
 	r := f.request(c)
-	if d := f.decide(now, vm, &r); d.Verdict == Refuse {
+	if d := f.decide(now, vm, c, &r); d.Verdict == Refuse {
 		f.refuse(now, c, d.RetryAfter)
 		return
 	}
@@ -322,12 +322,13 @@
 	vm.held = append(vm.held, c)
 }
 
-func (f *fleet) decide(now time.Duration, vm *simVM, r *Request) Decision {
+func (f *fleet) decide(now time.Duration, vm *simVM, c *simCall, r *Request) Decision {
 	_, wait := f.choose(now, vm)
 	peers := vm.view.Held(clock.Time(now), 1)
 	s := Situation{
 		Now: clock.Time(now), Wait: wait, Endpoints: simEngines, Ahead: vm.queue.Ahead(clock.Time(now), r),
 		Above: peers.Above(r.Level), Same: peers[r.Level].Work, Random: f.rng.Uint64(),
+		Left: c.begun + kinds[c.kind].limit - now,
 	}
 	if r.Level > 0 {
 		s.UrgentTarget = 250 * ms
@@ -357,7 +358,7 @@
 			return
 		}
 		c := vm.take(e)
-		d := f.decide(now, vm, &e.Request)
+		d := f.decide(now, vm, c, &e.Request)
 		switch d.Verdict {
 		case Hold:
 			vm.held = append(vm.held, c)
--- a/internal/policy/scarcity/queue_test.go
+++ b/internal/policy/scarcity/queue_test.go
@@ -77,3 +77,13 @@
 	s.Above = 20 * time.Second
 	assert.Equal(t, Decide(&r, &s).Reason, TooLate)
 }
+
+// Guards against a Retry-After delay that the caller doesn't wait for, so that it never comes back.
+func TestRetryAfterIsHonoured(t *testing.T) {
+	for random := range uint64(1000) {
+		random *= uint64(7919 * time.Microsecond)
+		d := RetryAfter(2*time.Second, 2400*ms, random)
+		assert.Assert(t, d <= 800*ms && d >= minRetryAfter, "%s", d)
+		assert.Assert(t, RetryAfter(2*time.Second, 20*time.Second, random) >= 2*time.Second)
+	}
+}
--- a/internal/policy/scarcity/scarcity.go
+++ b/internal/policy/scarcity/scarcity.go
@@ -111,7 +111,8 @@
 	Full      bool          // the endpoints can't take the request now
 	// UrgentTarget is the shortest target of the routes that are more urgent than the request, zero if none is.
 	UrgentTarget time.Duration
-	Random       uint64 // spreads the Retry-After delays
+	Left         time.Duration // that the caller has left
+	Random       uint64        // spreads the Retry-After delays
 }
 
 // Decision is the result of Decide.
@@ -127,7 +128,7 @@
 	ahead := (s.Ahead + s.Above + s.Same/2) / time.Duration(max(s.Endpoints, 1))
 	ahead += s.Wait
 	if s.Now.Add(ahead) > r.lastStart() {
-		return Decision{Verdict: Refuse, Reason: TooLate, RetryAfter: RetryAfter(ahead, s.Random)}
+		return Decision{Verdict: Refuse, Reason: TooLate, RetryAfter: RetryAfter(ahead, s.Left, s.Random)}
 	}
 	limit := r.maxWait(s)
 	switch {
@@ -173,8 +174,18 @@
 	retryAfterSpread = 500 * time.Millisecond
 )
 
-// RetryAfter returns the Retry-After delay for a request that there will be capacity for after wait.
-func RetryAfter(wait time.Duration, random uint64) time.Duration {
+// honouredParts is the part of their time that callers wait for a Retry-After delay at most: one of so many.
+const honouredParts = 3
+
+// RetryAfter returns the Retry-After delay for a request that there will be capacity for after wait and whose caller
+// has the given time left. A delay that its caller wouldn't wait for is shortened: it may find capacity by then, and
+// otherwise doesn't come back at all.
+func RetryAfter(wait, left time.Duration, random uint64) time.Duration {
 	spread := max(wait, retryAfterSpread)
-	return max(wait, minRetryAfter) + time.Duration(random%uint64(spread))
+	delay := max(wait, minRetryAfter) + time.Duration(random%uint64(spread))
+	longest := left / honouredParts
+	if delay <= longest || longest < minRetryAfter {
+		return delay
+	}
+	return longest - time.Duration(random%uint64(longest-minRetryAfter/2))/2
 }
