Priorities decide only where capacity is insufficient

On deployments whose configurations state priorities too, long prompts were late though nothing more urgent waited: a request was held while its VM held any that preceded it, and while an endpoint's wait exceeded a quarter of the target of a more urgent route. Engines admit more urgent requests first anyway. A request is now held for others only while more urgent work is held, here or at other VMs, that keeps the endpoints busy for 30 ms; else by its own target, as without priorities.

--- a/internal/catalog/priorities.go
+++ b/internal/catalog/priorities.go
@@ -35,19 +35,3 @@
 	p := c.priorities[service]
 	return p != nil && p.lowest != p.highest
 }
-
-// UrgentTarget returns the shortest target of a service's routes that are more urgent than the priority, zero if
-// there is none.
-func (c *Config) UrgentTarget(service string, priority int) time.Duration {
-	p := c.priorities[service]
-	if p == nil {
-		return 0
-	}
-	shortest := time.Duration(0)
-	for other, t := range p.targets {
-		if other < priority && (shortest == 0 || t < shortest) {
-			shortest = t
-		}
-	}
-	return shortest
-}
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -54,6 +54,7 @@
 	q := h.queue(service)
 	peers := h.view.Held(s.Now, scarcity.Key(service))
 	s.Ahead, s.Above, s.Same = q.Ahead(s.Now, r), peers.Above(r.Level), peers[r.Level].Work
+	s.Urgent = q.Held(s.Now).Above(r.Level)
 	d := scarcity.Decide(r, &s)
 	if d.Verdict == scarcity.Serve {
 		q.Served(s.Now, r)
@@ -231,7 +232,6 @@
 
 // settle decides on a request, which begins or ends its wait.
 func (x *execution) settle(r *scarcity.Request, s scarcity.Situation) scarcity.Decision {
-	s.UrgentTarget = x.view.Config.UrgentTarget(x.service, x.priority())
 	s.Left = x.remainingTime()
 	s.Random = x.call.Fingerprint ^ uint64(s.Now)
 	isQueued := x.wait.entry == nil || x.g.held.update(x.wait.entry, r)
--- a/internal/policy/scarcity/scarcity.go
+++ b/internal/policy/scarcity/scarcity.go
@@ -106,13 +106,12 @@
 	Wait      time.Duration // at the endpoint that would take the request
 	Endpoints int           // that can do the work
 	Ahead     time.Duration // work that this VM holds and that precedes the request
+	Urgent    time.Duration // work of more urgent levels that this VM holds
 	Above     time.Duration // work of more urgent levels that other VMs hold
 	Same      time.Duration // work of the same level that other VMs hold
 	Full      bool          // the endpoints can't take the request now
-	// UrgentTarget is the shortest target of the routes that are more urgent than the request, zero if none is.
-	UrgentTarget time.Duration
-	Left         time.Duration // that the caller has left
-	Random       uint64        // spreads the Retry-After delays
+	Left      time.Duration // that the caller has left
+	Random    uint64        // spreads the Retry-After delays
 }
 
 // Decision is the result of Decide.
@@ -130,11 +129,13 @@
 	if s.Now.Add(ahead) > r.lastStart() {
 		return Decision{Verdict: Refuse, Reason: TooLate, RetryAfter: RetryAfter(ahead, s.Left, s.Random)}
 	}
-	limit := r.maxWait(s)
+	limit := r.maxWait(s.Now)
+	// Until the endpoints have work for almostIdleWait more, a request that is held elsewhere keeps none of them busy.
+	spare := time.Duration(s.Endpoints) * almostIdleWait
 	switch {
-	case s.Ahead > 0:
+	case s.Urgent > spare:
 		return Decision{Verdict: Hold, Reason: NotFirst, Recheck: maxRecheck}
-	case s.Above > time.Duration(s.Endpoints)*almostIdleWait:
+	case s.Urgent+s.Above > spare:
 		return Decision{Verdict: Hold, Reason: UrgentElsewhere, Recheck: maxRecheck}
 	case s.Full:
 		return Decision{Verdict: Hold, Reason: EndpointsBusy, Recheck: min(max(r.Work, minRecheck), maxRecheck)}
@@ -151,17 +152,9 @@
 	return usable * float64(own) / float64(max(own+others, 1))
 }
 
-// urgentShare is the share of a more urgent route's target that less urgent requests may fill at an endpoint.
-const urgentShare = 4
-
-// maxWait returns the longest wait at an endpoint to which the request is sent: what its own target leaves, but
-// at most a part of the targets of more urgent routes.
-func (r *Request) maxWait(s *Situation) time.Duration {
-	limit := r.targetStart().Sub(s.Now)
-	if s.UrgentTarget > 0 {
-		limit = min(limit, s.UrgentTarget/urgentShare)
-	}
-	return max(limit, almostIdleWait)
+// maxWait returns the longest wait at an endpoint to which the request is sent: what its own target leaves.
+func (r *Request) maxWait(now clock.Time) time.Duration {
+	return max(r.targetStart().Sub(now), almostIdleWait)
 }
 
 const (
--- a/internal/policy/scarcity/view.go
+++ b/internal/policy/scarcity/view.go
@@ -60,7 +60,7 @@
 }
 
 // Above returns the work of the levels more urgent than level.
-func (h *Held) Above(level int) time.Duration {
+func (h Held) Above(level int) time.Duration {
 	var sum time.Duration
 	for _, l := range h[:level] {
 		sum += l.Work
