Stages: a pending order to an engine that left blocked all further changes

Cause: a pending order was dropped only once its engine reported the new stage, or was listed after the order's time-out. An engine that leaves while it changes its stage is never listed again, so that the order counted as pending for good. Fleets that shrink meet this soon.

Change: orders are dropped after their time-out whether or not the engine is listed.

Result: TestOrderToEngineThatLeavesIsDropped failed before and passes.

--- a/internal/policy/stages/stages.go
+++ b/internal/policy/stages/stages.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -201,6 +202,7 @@
 
 // Plan returns the engine to change now, if any.
 func (p *Planner) Plan(now clock.Time, engines []Engine, d Demand) (Change, bool) {
+	p.dropExpired(now)
 	prefill := 0
 	for i := range engines {
 		engines[i].Stage = p.effectiveStage(now, &engines[i])
@@ -281,13 +283,18 @@
 	return now.Sub(p.wrongFrom) >= delay
 }
 
+// dropExpired drops orders that are pending for too long, also those to engines that have left.
+func (p *Planner) dropExpired(now clock.Time) {
+	maps.DeleteFunc(p.pending, func(_ string, o order) bool { return now.Sub(o.at) > orderTimeout })
+}
+
 // effectiveStage returns the stage that an engine is in or changing to.
 func (p *Planner) effectiveStage(now clock.Time, e *Engine) catalog.Stage {
 	o, ok := p.pending[e.ID]
 	if !ok {
 		return e.Stage
 	}
-	if now.Sub(o.at) > orderTimeout || e.Stage == o.to {
+	if e.Stage == o.to {
 		delete(p.pending, e.ID)
 		return e.Stage
 	}
--- a/internal/policy/stages/stages_test.go
+++ b/internal/policy/stages/stages_test.go
@@ -332,3 +332,16 @@
 	assert.Equal(t, versions["v1"], stageCounts{prefill: 3, decode: 3})
 	assert.Equal(t, versions["v2"], stageCounts{prefill: 3, decode: 3})
 }
+
+// Guards against a planner that orders nothing more once an engine with a pending order has left: that
+// order counted as pending for good, and with few engines no other one may be pending.
+func TestOrderToEngineThatLeavesIsDropped(t *testing.T) {
+	p := NewPlanner()
+	d := Demand{Prefill: 5, Streams: 100, SlotsPerEngine: 96}
+	p.RecordOrder(0, Change{"gone", catalog.Prefill})
+	ordered := false
+	for now := clock.Time(0); now < clock.Time(orderTimeout+time.Second); now = now.Add(500 * time.Millisecond) {
+		_, ordered = p.Plan(now, fleet(3, 9), d)
+	}
+	assert.Assert(t, ordered)
+}
