--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -125,14 +125,14 @@
 	Limits   CallerLimits
 	// Workspaces finds a request's workspace by its API key; it is nil where requests carry no
 	// keys.
-	Workspaces *workspace.Directory
-	routes     map[string][]*Route
-	priorities map[string]*servicePriorities // by service
+	Workspaces    *workspace.Directory
+	routes        map[string][]*Route
+	hasPriorities map[string]bool // by service
 }
 
 // NewConfig returns a configuration with the given routes, indexed by host, and services.
 func NewConfig(version uint64, routes []*Route, services []*Service) *Config {
-	c := &Config{Version: version, Services: make(map[string]*Service, len(services)), routes: map[string][]*Route{}, priorities: prioritiesOf(routes)}
+	c := &Config{Version: version, Services: make(map[string]*Service, len(services)), routes: map[string][]*Route{}, hasPriorities: servicesWithPriorities(routes)}
 	for _, s := range services {
 		c.Services[s.Name] = s
 	}
--- a/internal/policy/scarcity/scarcity.go
+++ b/internal/policy/scarcity/scarcity.go
@@ -85,9 +85,9 @@
 // The reasons.
 const (
 	None            Reason = iota
-	EndpointsBusy          // the endpoints' queues are too long for a request of its level
-	UrgentElsewhere        // other VMs hold more urgent work
-	NotFirst               // this VM holds requests that precede it
+	EndpointsBusy          // the endpoints' queues are too long for the request's target
+	UrgentElsewhere        // other VMs, or they and this one, hold more urgent work
+	NotFirst               // this VM holds more urgent work
 	TooLate                // its first event can't come before its caller leaves
 	QueueFull              // this VM's queue is full of requests that precede it
 )
