Review: two cases as scripts, and their stand-ins

Case 1: bodies of requests that slow endpoints read take all memory of a VM. Case 2: a request that crashes endpoints is contained again only by further crashes once all VMs were lost.

--- /dev/null
+++ b/review/harness/endpoint.go
@@ -0,0 +1,122 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// beatInterval is beatIntervalMs of the settings: an endpoint writes its entry that often.
+	beatInterval = 1200 * time.Millisecond
+	// expiryBeats is the number of beats after which the entry of a silent endpoint is removed.
+	expiryBeats = 3
+	// endpointSlots is the number of requests that an endpoint of the plain service processes at a time.
+	endpointSlots = 32
+	// workTime is the processing time of a request.
+	workTime = 60 * time.Millisecond
+	// serviceName and host are names of the day.
+	serviceName = "gopu72b"
+	host        = "ficu95.example"
+)
+
+// endpoint is an endpoint of a plain service. Its handler decides what it does with a request.
+type endpoint struct {
+	w      *world
+	id     string
+	addr   string
+	born   time.Time
+	ln     net.Listener
+	server *http.Server
+	slots  chan struct{}
+	handle func(e *endpoint, rw http.ResponseWriter, r *http.Request)
+	read   func(c net.Conn) net.Conn // wraps the accepted connections, nil for none
+
+	once sync.Once
+	gone chan struct{} // closed when the endpoint has crashed or was stopped
+}
+
+func (w *world) startEndpoint(id, addr string, handle func(*endpoint, http.ResponseWriter, *http.Request), wrap func(net.Conn) net.Conn) (*endpoint, error) {
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{
+		w: w, id: id, addr: ln.Addr().String(), born: time.Now(), ln: ln, handle: handle, read: wrap,
+		slots: make(chan struct{}, endpointSlots), gone: make(chan struct{}),
+	}
+	e.server = &http.Server{Handler: e}
+	go func() { _ = e.server.Serve(&wrappedListener{ln, wrap}) }()
+	go e.report()
+	return e, nil
+}
+
+type wrappedListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *wrappedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil || l.wrap == nil {
+		return c, err
+	}
+	return l.wrap(c), nil
+}
+
+// report writes the endpoint's entry to the store until it is gone. The entry then expires.
+func (e *endpoint) report() {
+	tick := time.NewTicker(beatInterval)
+	defer tick.Stop()
+	for sequence := 1; ; sequence++ {
+		e.w.store.Put("keyed.servers", e.id, fmt.Sprintf(
+			`{"service":%q,"address":%q,"zone":"zone-a","version":"v1","slots":%d,"state":"ready","coldRemainingMs":0,"sequence":%d,"born":%d}`,
+			serviceName, e.addr, endpointSlots, sequence, e.born.UnixMilli()))
+		select {
+		case <-e.w.stopping:
+			return
+		case <-e.gone:
+			time.Sleep(expiryBeats * beatInterval)
+			e.w.store.Put("keyed.servers", e.id, "")
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// crash ends the endpoint as the end of its process does.
+func (e *endpoint) crash() {
+	e.once.Do(func() {
+		close(e.gone)
+		_ = e.server.Close()
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (e *endpoint) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	id := r.Header.Get("Attempt-Id")
+	if id == "" {
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	rw.Header().Set("Attempt-Id", id)
+	e.handle(e, rw, r)
+}
+
+// answer answers a request that has run.
+func (e *endpoint) answer(rw http.ResponseWriter, id string) {
+	rw.Header().Set("Server-Seal", "seal."+e.id+"."+id)
+	rw.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = io.WriteString(rw, "answer to "+id)
+}
