--- a/review/harness/endpoint.go
+++ b/review/harness/endpoint.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +38,9 @@
 	handle func(e *endpoint, rw http.ResponseWriter, r *http.Request)
 	read   func(c net.Conn) net.Conn // wraps the accepted connections, nil for none
 
+	draining atomic.Bool
+	sequence atomic.Int64
+
 	once sync.Once
 	gone chan struct{} // closed when the endpoint has crashed or was stopped
 }
@@ -74,10 +78,8 @@
 func (e *endpoint) report() {
 	tick := time.NewTicker(beatInterval)
 	defer tick.Stop()
-	for sequence := 1; ; sequence++ {
-		e.w.store.Put("keyed.servers", e.id, fmt.Sprintf(
-			`{"service":%q,"address":%q,"zone":"zone-a","version":"v1","slots":%d,"state":"ready","coldRemainingMs":0,"sequence":%d,"born":%d}`,
-			serviceName, e.addr, endpointSlots, sequence, e.born.UnixMilli()))
+	for {
+		e.write()
 		select {
 		case <-e.w.stopping:
 			return
@@ -90,6 +92,17 @@
 	}
 }
 
+// write writes the endpoint's entry to the store.
+func (e *endpoint) write() {
+	state := "ready"
+	if e.draining.Load() {
+		state = "draining"
+	}
+	e.w.store.Put("keyed.servers", e.id, fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":"zone-a","version":"v1","slots":%d,"state":%q,"coldRemainingMs":0,"sequence":%d,"born":%d}`,
+		serviceName, e.addr, endpointSlots, state, e.sequence.Add(1), e.born.UnixMilli()))
+}
+
 // crash ends the endpoint as the end of its process does.
 func (e *endpoint) crash() {
 	e.once.Do(func() {
