Review: case 2, streams that a planned shutdown cuts off

A VM that was asked to stop takes streams whose answers can't end in time, as it extrapolates from earlier answers of the route.

--- a/review/harness/endpoint.go
+++ b/review/harness/endpoint.go
@@ -35,9 +35,10 @@
 	ln     net.Listener
 	server *http.Server
 	slots  chan struct{}
-	handle func(e *endpoint, rw http.ResponseWriter, r *http.Request)
-	read   func(c net.Conn) net.Conn // wraps the accepted connections, nil for none
+	handle handler
 
+	service  string
+	stage    string // of a model engine, empty for a plain endpoint
 	draining atomic.Bool
 	sequence atomic.Int64
 
@@ -45,15 +46,26 @@
 	gone chan struct{} // closed when the endpoint has crashed or was stopped
 }
 
-func (w *world) startEndpoint(id, addr string, handle func(*endpoint, http.ResponseWriter, *http.Request), wrap func(net.Conn) net.Conn) (*endpoint, error) {
-	ln, err := net.Listen("tcp4", addr)
+// handler is what an endpoint does with a request.
+type handler func(*endpoint, http.ResponseWriter, *http.Request)
+
+// startEndpoint starts an endpoint of the plain service. wrap wraps its connections, unless it is nil.
+func (w *world) startEndpoint(id string, handle handler, wrap func(net.Conn) net.Conn) (*endpoint, error) {
+	return w.start(&endpoint{id: id, service: serviceName, handle: handle}, wrap)
+}
+
+// startEngine starts a model engine.
+func (w *world) startEngine(id, stage string, handle handler) (*endpoint, error) {
+	return w.start(&endpoint{id: id, service: engineService, stage: stage, handle: handle}, nil)
+}
+
+func (w *world) start(e *endpoint, wrap func(net.Conn) net.Conn) (*endpoint, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{
-		w: w, id: id, addr: ln.Addr().String(), born: time.Now(), ln: ln, handle: handle, read: wrap,
-		slots: make(chan struct{}, endpointSlots), gone: make(chan struct{}),
-	}
+	e.w, e.addr, e.born, e.ln = w, ln.Addr().String(), time.Now(), ln
+	e.slots, e.gone = make(chan struct{}, endpointSlots), make(chan struct{})
 	e.server = &http.Server{Handler: e}
 	go func() { _ = e.server.Serve(&wrappedListener{ln, wrap}) }()
 	go e.report()
@@ -98,9 +110,13 @@
 	if e.draining.Load() {
 		state = "draining"
 	}
+	stage := ""
+	if e.stage != "" {
+		stage = fmt.Sprintf(`"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],`, e.stage)
+	}
 	e.w.store.Put("keyed.servers", e.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"zone-a","version":"v1","slots":%d,"state":%q,"coldRemainingMs":0,"sequence":%d,"born":%d}`,
-		serviceName, e.addr, endpointSlots, state, e.sequence.Add(1), e.born.UnixMilli()))
+		`{"service":%q,"address":%q,"zone":"zone-a","version":"v1","slots":%d,"state":%q,%s"coldRemainingMs":0,"sequence":%d,"born":%d}`,
+		e.service, e.addr, endpointSlots, state, stage, e.sequence.Add(1), e.born.UnixMilli()))
 }
 
 // crash ends the endpoint as the end of its process does.
@@ -117,6 +133,9 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.stage != "" && serveControl(e, rw, r) {
+		return
+	}
 	id := r.Header.Get("Attempt-Id")
 	if id == "" {
 		rw.Header().Set("Not-Executed", "1")
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(*world) error{
 	"uploads":    uploads,
 	"quarantine": quarantineLost,
+	"shutdown":   shutdownLong,
 }
 
 func main() {
--- a/review/harness/quarantine.go
+++ b/review/harness/quarantine.go
@@ -125,7 +125,7 @@
 	q.nextID++
 	id := fmt.Sprintf("i-%06x", 0xc00+q.nextID)
 	q.mu.Unlock()
-	_, err := q.w.startEndpoint(id, "127.0.0.1:0", q.serve, nil)
+	_, err := q.w.startEndpoint(id, q.serve, nil)
 	return err
 }
 
--- a/review/harness/uploads.go
+++ b/review/harness/uploads.go
@@ -174,7 +174,7 @@
 		wrap = func(c net.Conn) net.Conn { return slowConn{smallWindow(c)} }
 	}
 	for i := range 4 {
-		if _, err := w.startEndpoint(fmt.Sprintf("i-%06x", 0xa1+i), "127.0.0.1:0", takeUpload, wrap); err != nil {
+		if _, err := w.startEndpoint(fmt.Sprintf("i-%06x", 0xa1+i), takeUpload, wrap); err != nil {
 			return err
 		}
 	}
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -123,13 +123,14 @@
 
 // vm is a machine with a process of the system. All VMs have the same ports, at addresses of their own.
 type vm struct {
-	w        *world
-	name     string
-	ip       string
-	front    string
-	ready    string
-	settings string // path
-	memoryMb int
+	w         *world
+	name      string
+	ip        string
+	front     string
+	ready     string
+	directory string
+	settings  string // path
+	memoryMb  int
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -199,7 +200,7 @@
 	for i, ip := range ips {
 		at := func(k int) string { return net.JoinHostPort(ip, strconv.Itoa(ports[k])) }
 		v := &vm{
-			w: w, name: fmt.Sprintf("front-zone-a-%d", i+1), ip: ip, front: at(0), ready: at(1), memoryMb: memoryMb,
+			w: w, name: fmt.Sprintf("front-zone-a-%d", i+1), ip: ip, front: at(0), ready: at(1), directory: at(2), memoryMb: memoryMb,
 			settings: filepath.Join(w.dir, fmt.Sprintf("settings-%d.json", i+1)),
 		}
 		settings := map[string]any{
