--- a/review/harness/endpoint.go
+++ b/review/harness/endpoint.go
@@ -39,7 +39,6 @@
 
 	service  string
 	stage    string // of a model engine, empty for a plain endpoint
-	draining atomic.Bool
 	sequence atomic.Int64
 
 	once sync.Once
@@ -106,17 +105,13 @@
 
 // write writes the endpoint's entry to the store.
 func (e *endpoint) write() {
-	state := "ready"
-	if e.draining.Load() {
-		state = "draining"
-	}
 	stage := ""
 	if e.stage != "" {
 		stage = fmt.Sprintf(`"stage":%q,"models":[{"name":"m","version":1,"adapters":[]}],`, e.stage)
 	}
 	e.w.store.Put("keyed.servers", e.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"zone-a","version":"v1","slots":%d,"state":%q,%s"coldRemainingMs":0,"sequence":%d,"born":%d}`,
-		e.service, e.addr, endpointSlots, state, stage, e.sequence.Add(1), e.born.UnixMilli()))
+		`{"service":%q,"address":%q,"zone":"zone-a","version":"v1","slots":%d,"state":"ready",%s"coldRemainingMs":0,"sequence":%d,"born":%d}`,
+		e.service, e.addr, endpointSlots, stage, e.sequence.Add(1), e.born.UnixMilli()))
 }
 
 // crash ends the endpoint as the end of its process does.
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -30,7 +30,6 @@
 	store   *standin.Store
 	address string // of the store
 	vms     []*vm
-	nextIP  int
 
 	mu       sync.Mutex
 	out      *bufio.Writer
