Log at which version a taken-up stream goes on, and how long the VM had run

The record of a stream's take-up named who knew its version, but neither the version nor the age of the process that concluded it, so that a wrong conclusion from a short life couldn't be told from a wrong record. Adds version and up_ms to 'request ends' and the counter TakenUp. No logic changes.

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -97,7 +97,11 @@
 		e = e.WithField(attemptField(i), x.attempts[i].String())
 	}
 	if x.call.continuesStream() {
-		e = e.WithField("resumes", x.call.Resumes).WithField("after_event", x.call.LastEventID).WithField("origin", x.originSource)
+		e = e.WithField("resumes", x.call.Resumes).WithField("after_event", x.call.LastEventID).WithField("origin", x.originSource).
+			WithField("up_ms", x.now().Sub(x.g.startedAt).Milliseconds())
+		if o := x.origin.Load(); o != nil {
+			e = e.WithField("version", o.Version)
+		}
 	}
 	if x.predictedFirstEvent > 0 {
 		e = e.WithField("predicted_ms", x.predictedFirstEvent.Milliseconds()).WithField("first_ms", x.firstEventTime.Milliseconds()).
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"fescuestand/internal/code"
 	"fescuestand/internal/exchange"
+	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/bytebudget"
 	"fescuestand/internal/policy/scarcity"
 )
@@ -37,6 +38,7 @@
 	replacements map[string]int64
 	rejections   Rejections
 	scarcity     map[string]int64
+	takenUp      map[string]int64
 	faults       int64
 	silentEnds   int64
 	exceeded     map[exchange.Cause]int64
@@ -52,7 +54,7 @@
 func newMetrics() *Metrics {
 	m := &Metrics{
 		outcomes: map[string]int64{}, codes: map[code.Code]int64{}, latency: map[string][]int64{}, replacements: map[string]int64{},
-		exceeded: map[exchange.Cause]int64{}, scarcity: map[string]int64{}, bodies: bytebudget.New(),
+		exceeded: map[exchange.Cause]int64{}, scarcity: map[string]int64{}, takenUp: map[string]int64{}, bodies: bytebudget.New(),
 	}
 	for _, c := range exchange.Causes {
 		m.exceeded[c] = 0
@@ -88,6 +90,13 @@
 	m.silentEnds += int64(requests)
 }
 
+// countTakenUp counts a stream that its caller takes up by who knew where it began.
+func (m *Metrics) countTakenUp(source originsync.Source) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.takenUp[source.String()]++
+}
+
 // countScarcity counts a request that is held or refused by priority.
 func (m *Metrics) countScarcity(d scarcity.Decision) {
 	m.mu.Lock()
@@ -142,6 +151,7 @@
 	Replacements map[string]int64
 	Rejections   Rejections
 	Scarcity     map[string]int64         // requests held or refused by priority, by verdict and reason
+	TakenUp      map[string]int64         // streams that callers took up, by who knew where they began
 	Faults       int64                    // of work beside requests
 	SilentEnds   int64                    // requests whose endpoints fell silent under them and have ended
 	Exceeded     map[exchange.Cause]int64 // responses that exceeded a bound
@@ -152,7 +162,7 @@
 func (m *Metrics) Snapshot() Snapshot {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Scarcity: maps.Clone(m.scarcity), Faults: m.faults, SilentEnds: m.silentEnds, Exceeded: maps.Clone(m.exceeded), Bodies: m.bodies.Snapshot()}
+	s := Snapshot{Outcomes: map[string]int64{}, Codes: map[string]int64{}, LatencyMS: map[string][]int64{}, Replacements: maps.Clone(m.replacements), Rejections: m.rejections, Scarcity: maps.Clone(m.scarcity), TakenUp: maps.Clone(m.takenUp), Faults: m.faults, SilentEnds: m.silentEnds, Exceeded: maps.Clone(m.exceeded), Bodies: m.bodies.Snapshot()}
 	for k, v := range m.outcomes {
 		s.Outcomes[k] = v
 	}
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -57,6 +57,7 @@
 	window := max(minStreamWindow, x.route.Timeout+takeUpSlack)
 	o, source := x.g.o.Origins.Find(x.ctx, x.call.resumedKey(), x.service, window)
 	x.originSource = source
+	x.g.metrics.countTakenUp(source)
 	switch {
 	case x.ctx.Err() != nil:
 		return result{outcome: gone}, false
