Scenarios: all VMs are killed at once beside two versions (reproduction)

What callers saw: all VMs were killed while two software versions of a service were in service, or while the engines of the earlier one left. Callers that took their streams up at the restarted VMs got 200 and an answer of two versions, or a refusal although engines of the version served.

Where two versions still serve, the origins are lost with the VMs and the streams are refused with 3013.

Answers of VMs that have just started count.

--- a/scenarios/soak_callers_test.go
+++ b/scenarios/soak_callers_test.go
@@ -59,12 +59,12 @@
 // pauses go on while some of them wait for an answer.
 func (s *soak) manyCallers(ctx context.Context, count int, interval time.Duration) {
 	for i := range count {
-		c := &soakCaller{
-			s: s, name: fmt.Sprintf("c%d", i), rng: rand.New(rand.NewPCG(uint64(s.seed), uint64(i)+7)),
-			http: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}},
-		}
+		c := s.newCaller(i)
 		s.wg.Go(func() {
 			defer c.http.CloseIdleConnections()
+			if s.persistent { // out of step with the other callers
+				time.Sleep(time.Duration(c.rng.Int64N(int64(warmUpTime))))
+			}
 			for n := 0; ctx.Err() == nil; n++ {
 				c.send(n)
 				time.Sleep(interval)
@@ -73,6 +73,13 @@
 	}
 }
 
+func (s *soak) newCaller(i int) *soakCaller {
+	return &soakCaller{
+		s: s, name: fmt.Sprintf("c%d", i), rng: rand.New(rand.NewPCG(uint64(s.seed), uint64(i)+7)),
+		http: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}},
+	}
+}
+
 // soakCaller is one caller with its connection pool and resolved addresses.
 type soakCaller struct {
 	s         *soak
@@ -129,24 +136,55 @@
 		return
 	}
 	path := []string{pathResumable, pathOnce, pathPay, pathReads}[c.rng.IntN(4)]
+	if c.s.persistent {
+		path = pathResumable
+	}
 	a := soakAnswer{id: fmt.Sprintf("%s-%d", c.name, n), path: path, vm: at, sent: time.Now()}
 	c.exchange(&a)
 	c.record(&a)
-	for i := 0; i < maxTakeUps && a.canBeTakenUp(); i++ {
+	end, answered := time.Now().Add(takeUpTime), 0
+	for i := 0; a.canBeTakenUp() && c.takesUp(i, answered, end); i++ {
 		if at = c.address(); at == "" {
 			return
 		}
-		a = soakAnswer{
-			id: fmt.Sprintf("%s-%d-%d", c.name, n, i), path: path, vm: at, sent: time.Now(),
-			stream: takenUp{cmp.Or(a.stream.root, a.id), a.events, a.version}, events: a.events, version: a.version,
-		}
+		a = takeUp(&a, fmt.Sprintf("%s-%d-%d", c.name, n, i), at)
 		c.exchange(&a)
 		c.record(&a)
+		if a.status != 0 {
+			answered++
+		}
+	}
+}
+
+// takeUp returns an attempt to receive the rest of a stream from a VM.
+func takeUp(a *soakAnswer, id, vm string) soakAnswer {
+	return soakAnswer{
+		id: id, path: a.path, vm: vm, sent: time.Now(),
+		stream: takenUp{cmp.Or(a.stream.root, a.id), a.events, a.version}, events: a.events, version: a.version,
 	}
 }
 
-// maxTakeUps is how often a caller takes up a stream that broke off.
-const maxTakeUps = 2
+const (
+	// maxTakeUps is how often a caller takes up a stream that broke off.
+	maxTakeUps = 2
+	// takeUpTime is how long a persistent caller takes up a stream, takeUpInterval the time between two
+	// attempts, and maxAnsweredTakeUps the number of them that VMs answer.
+	takeUpTime         = 6 * time.Second
+	takeUpInterval     = 100 * time.Millisecond
+	maxAnsweredTakeUps = 4
+)
+
+// takesUp reports whether the caller takes up a stream again after a number of attempts, of which VMs have
+// answered some. A persistent caller waits before it does.
+func (c *soakCaller) takesUp(attempts, answered int, end time.Time) bool {
+	if !c.s.persistent {
+		return attempts < maxTakeUps
+	}
+	if attempts > 0 {
+		time.Sleep(takeUpInterval)
+	}
+	return answered < maxAnsweredTakeUps && time.Now().Before(end)
+}
 
 func (c *soakCaller) record(a *soakAnswer) {
 	a.answered = time.Now()
@@ -181,7 +219,9 @@
 		req.Header.Set("Prompt-Prefix", fmt.Sprintf("aa%d:200,%x:100", c.rng.IntN(4), c.rng.Uint32()))
 	}
 	if a.stream.root != "" {
-		req.Header.Set("Resumes", a.stream.root)
+		if !c.s.anonymous {
+			req.Header.Set("Resumes", a.stream.root)
+		}
 		req.Header.Set("Last-Event-Id", fmt.Sprint(a.stream.events))
 	}
 	resp, err := c.http.Do(req)
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -52,6 +52,8 @@
 	mu         sync.Mutex
 	dropShare  float64 // share of the new streams that callers drop and take up elsewhere
 	ownPrompts bool    // no two callers send the same request
+	persistent bool    // callers send streams only, and take them up until VMs have answered several times
+	anonymous  bool    // callers that take a stream up don't name its first attempt
 	engines    engineSetup
 	endpoints  map[string]*soakEndpoint
 	drained    map[string]time.Time // when the store accepted that the endpoint is leaving
