--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -50,6 +50,7 @@
 	EndpointLeft         Code = 3011
 	StreamVersionGone    Code = 3012
 	StreamVersionUnknown Code = 3013
+	StreamVersionUnread  Code = 3014
 
 	CommitUnknown   Code = 4001
 	CommitRunning   Code = 4002
@@ -128,6 +129,7 @@
 	EndpointLeft:         {"endpoint-left", 503, true, "The endpoint left before the request was sent to it."},
 	StreamVersionGone:    {"stream-version-gone", 503, false, "No endpoint of the software version that began the stream takes work; the stream can't go on."},
 	StreamVersionUnknown: {"stream-version-unknown", 503, false, "The software version that began the stream isn't known and there are several; the stream can't go on."},
+	StreamVersionUnread:  {"stream-version-unread", 503, true, "The record of the software versions at which streams began can't be read for now."},
 	Poison:               {"poison", 422, false, "The request crashed the endpoints that ran it and is given up."},
 	BadAnswer:            {"bad-answer", 502, true, "The endpoint's answer failed its check."},
 	DeadlineMissed:       {"deadline-missed", 504, false, "The deadline passed while the work ran."},
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -222,7 +222,7 @@
 	if o := x.origin.Load(); o != nil {
 		return ofVersion(open, o.Version)
 	}
-	return open
+	return x.startable(open)
 }
 
 // send sends the request of an attempt and reads the response's header. It returns a response only
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,8 @@
 	Bodies *bytebudget.Budget
 	// Origins records and finds the software versions at which streams began.
 	Origins StreamOrigins
+	// Starts restricts where new streams begin.
+	Starts StreamStarts
 	// OnRequestRunning is called once for each request of a workspace that an endpoint has started
 	// to run.
 	OnRequestRunning func(at clock.Time, w *workspace.Workspace)
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -16,20 +16,29 @@
 // StreamOrigins records and finds where streams began. *originsync.Tracker implements it.
 type StreamOrigins interface {
 	// Record records the origin of a stream for ttl, here and at other VMs.
-	Record(stream origin.Key, o origin.Origin, ttl time.Duration)
+	Record(st *origin.Stream, o origin.Origin, ttl time.Duration)
 	// Find returns the origin of a stream that may have begun up to window ago.
-	Find(ctx context.Context, stream origin.Key, service string, window time.Duration) (origin.Origin, originsync.Source)
+	Find(ctx context.Context, st *origin.Stream, service string, window time.Duration) (origin.Origin, originsync.Source)
 }
 
-const (
-	// takeUpSlack is added to the time that a caller waits: its next attempt may arrive later than the
-	// deadline of this one.
-	takeUpSlack = 5 * time.Second
-	// minStreamWindow is the minimum time that a stream which is taken up may have lasted.
-	minStreamWindow = 30 * time.Second
-)
+// StreamStarts restricts where new streams begin. *originsync.Archive implements it.
+type StreamStarts interface {
+	// Pending reports whether MayBegin may return false.
+	Pending() bool
+	// MayBegin reports whether a new stream of a route may begin at an endpoint.
+	MayBegin(r *catalog.Route, e *catalog.Endpoint) bool
+}
+
+// takeUpSlack is added to the time that a caller waits: its next attempt may arrive later than the deadline of
+// this one.
+const takeUpSlack = 5 * time.Second
+
+// unreadRetryAfter is the Retry-After delay of a stream whose origin can't be read: an outage of the store may
+// end, or affect this VM only.
+const unreadRetryAfter = time.Second
 
 var (
+	errVersionUnread  = errors.New("the record of the versions at which streams began can't be read")
 	errVersionGone    = errors.New("no endpoint of the version that began the stream takes work")
 	errVersionUnknown = errors.New("the version that began the stream isn't known")
 )
@@ -45,8 +54,10 @@
 	return origin.KeyOf(c.Resumes)
 }
 
-// streamKey identifies the stream of the call, which may be a new one.
-func (c *Call) streamKey() origin.Key { return origin.KeyOf(cmp.Or(c.Resumes, c.ID)) }
+// stream describes a stream of the call.
+func (x *execution) stream(key origin.Key) *origin.Stream {
+	return &origin.Stream{Key: key, Host: x.route.Host, Path: x.call.Path}
+}
 
 // findOrigin restricts a call that takes up a stream to the service and version that began it. It returns
 // false, with the call's result, if the stream can't go on.
@@ -54,13 +65,14 @@
 	if !x.route.Resumable || !x.call.continuesStream() || x.origin.Load() != nil {
 		return result{}, true
 	}
-	window := max(minStreamWindow, x.route.Timeout+takeUpSlack)
-	o, source := x.g.o.Origins.Find(x.ctx, x.call.resumedKey(), x.service, window)
+	o, source := x.g.o.Origins.Find(x.ctx, x.stream(x.call.resumedKey()), x.service, originsync.Window(x.route.Timeout))
 	x.originSource = source
 	x.g.metrics.countTakenUp(source)
 	switch {
 	case x.ctx.Err() != nil:
 		return result{outcome: gone}, false
+	case source == originsync.Unread:
+		return result{outcome: refused, code: code.StreamVersionUnread, err: errVersionUnread, retryAfter: unreadRetryAfter}, false
 	case source == originsync.Unknown:
 		return result{outcome: refused, code: code.StreamVersionUnknown, err: errVersionUnknown}, false
 	case !x.route.LeadsTo(o.Service):
@@ -80,7 +92,21 @@
 	}
 	o := origin.Origin{Service: e.Service, Version: e.Version}
 	x.origin.Store(&o)
-	x.g.o.Origins.Record(x.call.streamKey(), o, max(x.remainingTime(), x.call.CallerTimeout)+takeUpSlack)
+	key := origin.KeyOf(cmp.Or(x.call.Resumes, x.call.ID)) // of the first attempt
+	x.g.o.Origins.Record(x.stream(key), o, max(x.remainingTime(), x.call.CallerTimeout)+takeUpSlack)
+}
+
+// startable returns the endpoints at which a stream without events may begin. Where none is on record, it
+// begins at any: the record can't be written, and refusing all streams would be worse.
+func (x *execution) startable(list []*catalog.Endpoint) []*catalog.Endpoint {
+	if !x.route.Resumable || !x.g.o.Starts.Pending() {
+		return list
+	}
+	allowed := slices.DeleteFunc(slices.Clone(list), func(e *catalog.Endpoint) bool { return !x.g.o.Starts.MayBegin(x.route, e) })
+	if !slices.ContainsFunc(allowed, func(e *catalog.Endpoint) bool { return e.Stage != catalog.Prefill }) {
+		return list
+	}
+	return allowed
 }
 
 // mayContinueAt reports whether the request may be sent to e: the stream has no event yet, or e is of the
--- a/internal/gossip/streams.go
+++ b/internal/gossip/streams.go
@@ -6,7 +6,7 @@
 )
 
 func isAboutStreams(b *wire.Beat) bool {
-	return len(b.GetStreamOrigins()) > 0 || b.GetStreamQuery() != nil || b.GetStreamAnswer() != nil
+	return len(b.GetStreamOrigins()) > 0 || len(b.GetArchivedOrigins()) > 0 || b.GetStreamQuery() != nil || b.GetStreamAnswer() != nil
 }
 
 // SendAboutStreams sends a datagram about streams to other VMs.
@@ -24,6 +24,12 @@
 	return order[:min(n, len(order))]
 }
 
+// archiverOrder determines the order of the VMs that write origins of streams to the store.
+const archiverOrder origin.Key = 0
+
+// Archivers returns the addresses of the first n VMs that write origins of streams to the store.
+func (m *Members) Archivers(n int) []string { return m.StreamReplicas(archiverOrder, n) }
+
 func (m *Members) activeVMs() []origin.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- /dev/null
+++ b/internal/originsync/archive.go
@@ -0,0 +1,393 @@
+package originsync
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
+	"fescuestand/internal/policy/origin"
+)
+
+// Archived is the origin of one stream in the store.
+type Archived struct {
+	Stream origin.Key
+	origin.Origin
+}
+
+// Store keeps records that outlive all VMs.
+type Store interface {
+	// Starts returns the starts on record.
+	Starts(ctx context.Context) ([]origin.Start, error)
+	// PutStarts adds starts to the record, and DeleteStarts removes some.
+	PutStarts(ctx context.Context, starts []origin.Start) error
+	DeleteStarts(ctx context.Context, starts []origin.Start) error
+	// AppendOrigins appends origins of streams to a log whose oldest records expire.
+	AppendOrigins(ctx context.Context, origins []Archived) error
+	// Origins returns a page of the origins from a position on, or of the newest ones from the zero
+	// position on. A page that isn't the last one isn't empty.
+	Origins(ctx context.Context, from era.Position) (OriginPage, error)
+}
+
+// OriginPage is a part of the archived origins.
+type OriginPage struct {
+	Origins []Archived
+	Next    era.Position // after the page
+	More    bool
+}
+
+const (
+	// checkInterval is the time between two checks of whether a visible start isn't on record.
+	checkInterval = 100 * time.Millisecond
+	// writeDelay is how much later than a reader of the endpoints' entries another VM records a start.
+	writeDelay = 150 * time.Millisecond
+	// retryInterval is the time between two attempts to record a start.
+	retryInterval = 300 * time.Millisecond
+	// spreadPerVM is the time per VM over which VMs spread calls that all of them make at the same event.
+	spreadPerVM = 2 * time.Millisecond
+	// appendInterval is the minimum time between two appends of origins.
+	appendInterval = 200 * time.Millisecond
+	// readInterval is the minimum time between two reads for streams that are taken up. All that wait
+	// share one read.
+	readInterval = 50 * time.Millisecond
+	// maxPending bounds the origins that wait for an append. Further ones are dropped: a stream whose
+	// origin isn't found is refused.
+	maxPending = 16 << 10
+	// archiveTTL is how long an archived origin is kept in memory, and maxArchived bounds their number.
+	archiveTTL  = time.Minute
+	maxArchived = 64 << 10
+	// minWindow is the minimum time for which callers may take up a stream, and takeUpSlack is added to its
+	// route's time limit.
+	minWindow   = 30 * time.Second
+	takeUpSlack = 5 * time.Second
+)
+
+// Window returns for how long callers may take up a stream that may last for limit.
+func Window(limit time.Duration) time.Duration { return max(minWindow, limit+takeUpSlack) }
+
+var (
+	// errStoreRead means that the store couldn't be read in time.
+	errStoreRead = errors.New("the record of versions can't be read")
+	// errRestored means that the store may have lost records that VMs write again.
+	errRestored = errors.New("the store has been restored lately")
+)
+
+// Archive keeps at the platform's store what has to outlive all VMs: at which versions streams of each route
+// may begin, and the origins of streams while there are several. It makes no call otherwise.
+//
+// It is safe for concurrent use.
+type Archive struct {
+	Store   Store
+	Clock   clock.Clock
+	Catalog *catalog.Store
+	// VMs returns the number of VMs, and Spread a number that differs between them.
+	VMs    func() int
+	Spread uint64
+	// IsReader reports whether this VM reads the endpoints' entries for all and its view is fresh.
+	IsReader func() bool
+	// IsSettled reports whether a read that was sent at the given time returned what VMs had recorded before
+	// the store was restored.
+	IsSettled func(at clock.Time) bool
+	// OnAmbiguous is called when streams of a route may begin at a further version.
+	OnAmbiguous func()
+
+	starts  *origin.Starts
+	checked atomic.Pointer[catalog.View] // whose starts are visible
+
+	mu       sync.Mutex
+	archived *origin.Register
+	waiting  []waiter
+	reading  bool
+	readAt   clock.Time // when the newest read began
+	pending  []Archived
+	dropped  int
+
+	next era.Position // of readForWaiting
+
+	// Of the goroutine that records starts.
+	retryAt    clock.Time
+	obsoleteAt clock.Time
+}
+
+// waiter waits for a read for a stream that was taken up.
+type waiter struct {
+	stream *origin.Stream
+	result chan<- readResult
+}
+
+type readResult struct {
+	starts []origin.Start
+	sentAt clock.Time
+	err    error
+}
+
+// NewArchive returns an archive whose exported fields are to be set.
+func NewArchive() *Archive {
+	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), OnAmbiguous: func() {}, IsSettled: func(clock.Time) bool { return true }}
+}
+
+// MayBegin reports whether a new stream of a route may begin at an endpoint.
+func (a *Archive) MayBegin(r *catalog.Route, e *catalog.Endpoint) bool {
+	return a.starts.MayBegin(a.Clock.Now(), startOf(r, e.Service, e.Version))
+}
+
+// Pending reports whether MayBegin may return false.
+func (a *Archive) Pending() bool { return a.starts.Pending() || a.Catalog.View() != a.checked.Load() }
+
+func startOf(r *catalog.Route, service, version string) *origin.Start {
+	return &origin.Start{Host: r.Host, PathPrefix: r.PathPrefix, Origin: origin.Origin{Service: service, Version: version}}
+}
+
+// Reset handles a restore of the store, which may have lost records.
+func (a *Archive) Reset() { a.starts.Reset(a.Clock.Now()) }
+
+// isAmbiguous reports whether a stream that begins now may later be taken for one of another version.
+func (a *Archive) isAmbiguous(st *origin.Stream) bool {
+	return len(origin.Possible(a.starts.Known(), st)) > 1
+}
+
+// Name implements kernel.Unit.
+func (a *Archive) Name() string { return "archive" }
+
+// Run implements kernel.Runner. It records starts as they become visible, drops obsolete ones and appends
+// origins.
+func (a *Archive) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return clock.Every(ctx, checkInterval, func() { a.maintain(ctx) }) })
+	group.Go(func() error { return clock.Every(ctx, appendInterval, func() { a.appendPending(ctx) }) })
+	return group.Wait()
+}
+
+func (a *Archive) maintain(ctx context.Context) {
+	a.updateVisible()
+	a.recordMissing(ctx)
+	a.dropObsolete(ctx)
+}
+
+func (a *Archive) updateVisible() {
+	v := a.Catalog.View()
+	if v.Config == nil || v == a.checked.Load() {
+		return
+	}
+	visible, window := visibleStarts(v)
+	a.checkAmbiguous(a.starts.SetVisible(a.Clock.Now(), visible, window))
+	a.checked.Store(v)
+}
+
+func (a *Archive) checkAmbiguous(added []origin.Start) {
+	if slices.ContainsFunc(added, func(s origin.Start) bool {
+		return a.isAmbiguous(&origin.Stream{Host: s.Host, Path: s.PathPrefix})
+	}) {
+		a.OnAmbiguous()
+	}
+}
+
+// visibleStarts returns the starts that a view allows, and for how long callers may take up a stream.
+func visibleStarts(v *catalog.View) (starts []origin.Start, window time.Duration) {
+	versions := map[string]map[string]struct{}{}
+	for _, e := range v.All() {
+		if versions[e.Service] == nil {
+			versions[e.Service] = map[string]struct{}{}
+		}
+		versions[e.Service][e.Version] = struct{}{}
+	}
+	window = minWindow
+	for r := range v.Config.Routes() {
+		if r.Kind != catalog.Stream || !r.Resumable {
+			continue
+		}
+		window = max(window, Window(r.Timeout))
+		for _, s := range r.Shares {
+			for version := range versions[s.Service] {
+				if s.Weight > 0 {
+					starts = append(starts, *startOf(r, s.Service, version))
+				}
+			}
+		}
+	}
+	return starts, window
+}
+
+// spread returns the part of the time over which all VMs spread their calls that this VM lets pass.
+func (a *Archive) spread() time.Duration {
+	return time.Duration(a.Spread % uint64(max(a.VMs(), 1)*int(spreadPerVM)))
+}
+
+// recordMissing puts the visible starts that aren't on record there. One of the VMs that read the endpoints'
+// entries writes first; the others find its record.
+func (a *Archive) recordMissing(ctx context.Context) {
+	missing, since := a.starts.Missing()
+	now := a.Clock.Now()
+	delay := a.spread()
+	if !a.IsReader() {
+		delay += writeDelay
+	}
+	if len(missing) == 0 || now < a.retryAt || now.Sub(since) < delay {
+		return
+	}
+	a.retryAt = now.Add(retryInterval)
+	if r := a.read(ctx); r.err != nil {
+		return
+	}
+	missing, _ = a.starts.Missing()
+	if len(missing) == 0 {
+		return
+	}
+	if err := a.Store.PutStarts(ctx, missing); err != nil {
+		log.WithError(err).WithField("starts", len(missing)).Warn("versions of streams not recorded")
+		return
+	}
+	for _, s := range missing {
+		log.WithField("host", s.Host).WithField("path", s.PathPrefix).WithField("service", s.Service).WithField("version", s.Version).Info("version of streams recorded")
+	}
+	a.read(ctx)
+}
+
+// dropObsolete removes from the record what no caller can need. The readers do it; the others read the
+// record again later.
+func (a *Archive) dropObsolete(ctx context.Context) {
+	now := a.Clock.Now()
+	obsolete := a.starts.Obsolete(now)
+	if len(obsolete) == 0 || now < a.obsoleteAt {
+		return
+	}
+	a.obsoleteAt = now.Add(minWindow + a.spread())
+	if a.IsReader() {
+		if err := a.Store.DeleteStarts(ctx, obsolete); err != nil {
+			log.WithError(err).Warn("obsolete versions of streams not dropped")
+		}
+	}
+	a.read(ctx)
+}
+
+// Add has the origins of streams appended to the log.
+func (a *Archive) Add(origins ...Archived) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	room := max(0, maxPending-len(a.pending))
+	if len(origins) > room {
+		a.dropped += len(origins) - room
+		origins = origins[:room]
+	}
+	a.pending = append(a.pending, origins...)
+}
+
+func (a *Archive) appendPending(ctx context.Context) {
+	a.mu.Lock()
+	origins, dropped := a.pending, a.dropped
+	a.pending, a.dropped = nil, 0
+	a.mu.Unlock()
+	if len(origins) == 0 {
+		return
+	}
+	err := a.Store.AppendOrigins(ctx, origins)
+	if err != nil {
+		a.Add(origins...)
+	}
+	if err != nil || dropped > 0 {
+		log.WithError(err).WithField("origins", len(origins)).WithField("dropped", dropped).Warn("origins of streams not archived")
+	}
+}
+
+// Lookup returns the archived origin of a stream, or the origins that it may have. It fails if the store
+// can't be read, or may lack records.
+func (a *Archive) Lookup(ctx context.Context, st *origin.Stream) (found origin.Origin, known bool, possible []origin.Origin, err error) {
+	if found, known = a.archived.Find(a.Clock.Now(), st.Key); known {
+		return found, true, nil, nil
+	}
+	r := a.readFor(ctx, st)
+	if r.err != nil {
+		return origin.Origin{}, false, nil, r.err
+	}
+	found, known = a.archived.Find(a.Clock.Now(), st.Key)
+	if !known && !a.IsSettled(r.sentAt) {
+		return origin.Origin{}, false, nil, errRestored
+	}
+	return found, known, origin.Possible(r.starts, st), nil
+}
+
+// readFor returns the result of a read that begins after the call.
+func (a *Archive) readFor(ctx context.Context, st *origin.Stream) readResult {
+	result := make(chan readResult, 1)
+	a.mu.Lock()
+	a.waiting = append(a.waiting, waiter{st, result})
+	if !a.reading {
+		a.reading = true
+		go a.readForWaiting(context.WithoutCancel(ctx))
+	}
+	a.mu.Unlock()
+	select {
+	case r := <-result:
+		return r
+	case <-ctx.Done():
+		return readResult{err: errors.Join(errStoreRead, ctx.Err())}
+	}
+}
+
+// readForWaiting reads until nobody waits.
+func (a *Archive) readForWaiting(ctx context.Context) {
+	for {
+		a.mu.Lock()
+		if len(a.waiting) == 0 {
+			a.reading = false
+			a.mu.Unlock()
+			return
+		}
+		pause := time.Duration(0)
+		if a.readAt != 0 {
+			pause = readInterval + a.spread() - a.Clock.Now().Sub(a.readAt)
+		}
+		a.mu.Unlock()
+		time.Sleep(pause)
+		a.mu.Lock()
+		waiting := a.waiting
+		a.waiting, a.readAt = nil, a.Clock.Now()
+		a.mu.Unlock()
+		r := a.read(ctx)
+		isAmbiguous := func(w waiter) bool { return len(origin.Possible(r.starts, w.stream)) > 1 }
+		if r.err == nil && slices.ContainsFunc(waiting, isAmbiguous) {
+			r.err = a.readOrigins(ctx)
+		}
+		for _, w := range waiting {
+			w.result <- r
+		}
+	}
+}
+
+// read reads the starts on record.
+func (a *Archive) read(ctx context.Context) readResult {
+	sentAt := a.Clock.Now()
+	starts, err := a.Store.Starts(ctx)
+	if err != nil {
+		log.WithError(err).Warn("versions of streams not read")
+		return readResult{err: errors.Join(errStoreRead, err)}
+	}
+	a.checkAmbiguous(a.starts.SetRecorded(a.Clock.Now(), starts))
+	return readResult{starts: starts, sentAt: sentAt}
+}
+
+// readOrigins reads the origins that were added since the last call. Only readForWaiting calls it.
+func (a *Archive) readOrigins(ctx context.Context) error {
+	for {
+		page, err := a.Store.Origins(ctx, a.next)
+		if err != nil {
+			log.WithError(err).Warn("origins of streams not read")
+			return errors.Join(errStoreRead, err)
+		}
+		for _, o := range page.Origins {
+			a.archived.Record(a.Clock.Now(), o.Stream, o.Origin, archiveTTL)
+		}
+		a.next = page.Next
+		if !page.More {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/originsync/archive_test.go
@@ -0,0 +1,284 @@
+package originsync
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
+	"fescuestand/internal/driver"
+	"fescuestand/internal/era"
+	"fescuestand/internal/policy/origin"
+)
+
+// memoryStore is a Store in memory.
+type memoryStore struct {
+	mu      sync.Mutex
+	starts  []origin.Start
+	origins []Archived
+	down    bool
+	calls   int
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{} }
+
+// call counts a call. It fails if the store is down.
+func (s *memoryStore) call() error {
+	s.calls++
+	if s.down {
+		return driver.ErrRefused
+	}
+	return nil
+}
+
+func (s *memoryStore) Starts(context.Context) ([]origin.Start, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.starts), s.call()
+}
+
+func (s *memoryStore) PutStarts(_ context.Context, starts []origin.Start) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.call(); err != nil {
+		return err
+	}
+	for _, st := range starts {
+		if !slices.Contains(s.starts, st) {
+			s.starts = append(s.starts, st)
+		}
+	}
+	return nil
+}
+
+func (s *memoryStore) DeleteStarts(_ context.Context, starts []origin.Start) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts = slices.DeleteFunc(s.starts, func(st origin.Start) bool { return slices.Contains(starts, st) })
+	return s.call()
+}
+
+func (s *memoryStore) AppendOrigins(_ context.Context, origins []Archived) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.call(); err != nil {
+		return err
+	}
+	s.origins = append(s.origins, origins...)
+	return nil
+}
+
+// Origins returns a few of the origins, so that tests need several pages.
+func (s *memoryStore) Origins(_ context.Context, from era.Position) (OriginPage, error) {
+	const pageSize = 10
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.call(); err != nil {
+		return OriginPage{}, err
+	}
+	end := min(from.Offset+pageSize, int64(len(s.origins)))
+	return OriginPage{slices.Clone(s.origins[from.Offset:end]), era.Position{Era: era.First, Offset: end}, end < int64(len(s.origins))}, nil
+}
+
+const (
+	testHost = "h.example"
+	testPath = "/streams/"
+)
+
+func streamOf(key origin.Key) *origin.Stream {
+	return &origin.Stream{Key: key, Host: testHost, Path: testPath + "x"}
+}
+
+func startsAt(versions ...string) []origin.Start {
+	var out []origin.Start
+	for _, v := range versions {
+		out = append(out, origin.Start{Host: testHost, PathPrefix: testPath, Origin: origin.Origin{Service: "m", Version: v}})
+	}
+	return out
+}
+
+func (w *network) newArchive() *Archive {
+	a := NewArchive()
+	a.Store, a.Clock, a.Catalog = w.store, &w.clock, catalog.NewStore(&w.clock)
+	a.VMs, a.IsReader = func() int { return 1 }, func() bool { return true }
+	return a
+}
+
+// restartAll starts all VMs anew at once.
+func (w *network) restartAll() {
+	for name := range w.vms {
+		w.start(name)
+		w.seen[name] = origin.Observation{Versions: []string{"v2"}, Fresh: true}
+	}
+}
+
+// Guards against streams that go on at another version after all VMs were lost at once: the new processes have
+// seen only the version that is left.
+func TestStreamsAfterALossOfAllVMs(t *testing.T) {
+	w := newNetwork(4)
+	w.store.starts = startsAt("v1", "v2")
+	for _, vm := range w.vms {
+		vm.Archive.read(t.Context())
+	}
+	w.vm(0).Record(streamOf(1), v1, time.Minute)
+	w.vm(0).Record(streamOf(2), v2, time.Minute)
+	for _, vm := range w.vms {
+		vm.Archive.appendPending(t.Context())
+	}
+	w.vm(0).Record(streamOf(3), v1, time.Minute) // lost before it was written
+	w.restartAll()
+	for i := range 4 {
+		for key, want := range map[origin.Key]origin.Origin{1: v1, 2: v2} {
+			o, source := w.vm(i).Find(t.Context(), streamOf(key), "m", window)
+			assert.Assert(t, source == Stored || source == Own || source == Peer, "%s", source)
+			assert.Equal(t, o, want)
+		}
+		_, source := w.vm(i).Find(t.Context(), streamOf(3), "m", window)
+		assert.Equal(t, source, Unknown)
+	}
+}
+
+// Guards against streams that are lost with all VMs although there was one version only.
+func TestOnlyVersionOnRecordIsTheOrigin(t *testing.T) {
+	w := newNetwork(4)
+	w.store.starts = startsAt("v2")
+	w.restartAll()
+	for _, key := range []origin.Key{1, origin.Unnamed} {
+		o, source := w.vm(0).Find(t.Context(), streamOf(key), "m", window)
+		assert.Equal(t, source, Only)
+		assert.Equal(t, o, v2)
+	}
+}
+
+// Guards against a conclusion from the short life of VMs that have all just started, while the store can't be
+// read.
+func TestYoungVMsDoNotGuessWithoutTheStore(t *testing.T) {
+	w := newNetwork(4)
+	w.store.down = true
+	w.restartAll()
+	for _, vm := range w.vms {
+		vm.Archive.starts.SetVisible(w.clock.T, startsAt("v2"), window)
+	}
+	_, source := w.vm(0).Find(t.Context(), streamOf(1), "m", window)
+	assert.Equal(t, source, Unread)
+}
+
+// Guards against a conclusion from a record that a restore of the store has shortened.
+func TestRestoredRecordIsNotWhole(t *testing.T) {
+	w := newNetwork(4)
+	w.store.starts = startsAt("v2")
+	w.restartAll()
+	settled := false
+	w.vm(0).Archive.IsSettled = func(clock.Time) bool { return settled }
+	_, source := w.vm(0).Find(t.Context(), streamOf(1), "m", window)
+	assert.Equal(t, source, Unread)
+	settled = true
+	_, source = w.vm(0).Find(t.Context(), streamOf(1), "m", window)
+	assert.Equal(t, source, Only)
+}
+
+// Guards against a stream of a service to which its route led before, and against one of a route that a longer
+// prefix hid.
+func TestStreamsOfRoutesThatMoved(t *testing.T) {
+	w := newNetwork(4)
+	for name, other := range map[string]origin.Start{
+		"other service": {Host: testHost, PathPrefix: testPath, Origin: origin.Origin{Service: "n", Version: "v2"}},
+		"longer prefix": {Host: testHost, PathPrefix: testPath + "x", Origin: v1},
+	} {
+		w.store.starts = append(startsAt("v2"), other)
+		w.restartAll()
+		_, source := w.vm(0).Find(t.Context(), streamOf(1), "m", window)
+		assert.Equal(t, source, Unknown, name)
+	}
+	w.store.starts = append(startsAt("v2"), origin.Start{Host: testHost, PathPrefix: "/other/", Origin: v1}, origin.Start{Host: "other", PathPrefix: testPath, Origin: v1})
+	_, source := w.vm(0).Find(t.Context(), streamOf(1), "m", window)
+	assert.Equal(t, source, Only)
+}
+
+// Guards against streams of the earlier version that are unknown to the archive since they began before the
+// later one appeared.
+func TestStreamsThatBeganBeforeARelease(t *testing.T) {
+	w := newNetwork(4)
+	w.store.starts = startsAt("v1")
+	for _, vm := range w.vms {
+		vm.Archive.read(t.Context())
+		vm.Archive.checkAmbiguous(vm.Archive.starts.SetVisible(w.clock.T, startsAt("v1"), window))
+	}
+	for key := origin.Key(1); key <= 50; key++ {
+		w.vm(0).Record(streamOf(key), v1, time.Minute)
+	}
+	for _, vm := range w.vms {
+		vm.Archive.appendPending(t.Context())
+	}
+	assert.Equal(t, len(w.store.origins), 0, "one version costs nothing")
+	for _, vm := range w.vms {
+		vm.Archive.checkAmbiguous(vm.Archive.starts.SetVisible(w.clock.T, startsAt("v1", "v2"), window))
+		vm.Archive.recordMissing(t.Context())
+	}
+	for _, vm := range w.vms {
+		vm.Archive.appendPending(t.Context())
+	}
+	w.restartAll()
+	for key := origin.Key(1); key <= 50; key++ {
+		o, source := w.vm(1).Find(t.Context(), streamOf(key), "m", window)
+		assert.Equal(t, source, Stored)
+		assert.Equal(t, o, v1)
+	}
+}
+
+// Guards against calls for each stream that is taken up: those that come together share one.
+func TestLookupsShareARead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(1)
+		w.store.starts = startsAt("v1", "v2")
+		a := w.newArchive()
+		a.Clock = clock.Boot{}
+		var lookups sync.WaitGroup
+		for key := range origin.Key(100) {
+			lookups.Go(func() {
+				_, known, possible, err := a.Lookup(t.Context(), streamOf(key+1))
+				assert.Check(t, err == nil && !known && len(possible) == 2)
+			})
+		}
+		lookups.Wait()
+		assert.Assert(t, w.store.calls <= 2*2, "%d calls", w.store.calls)
+	})
+}
+
+// Guards against origins that are lost with one failed call, and against memory without a bound.
+func TestFailedAppendsAreRepeated(t *testing.T) {
+	w := newNetwork(1)
+	a := w.newArchive()
+	w.store.down = true
+	for key := range origin.Key(maxPending + 5) {
+		a.Add(Archived{key + 1, v1})
+	}
+	a.appendPending(t.Context())
+	w.store.down = false
+	a.appendPending(t.Context())
+	assert.Equal(t, len(w.store.origins), maxPending)
+}
+
+// Guards against a record that grows with each release.
+func TestObsoleteStartsAreDropped(t *testing.T) {
+	w := newNetwork(1)
+	a := w.newArchive()
+	a.starts.SetVisible(w.clock.T, startsAt("v1"), window)
+	a.recordMissing(t.Context())
+	a.starts.SetVisible(w.clock.T, startsAt("v2"), window)
+	w.clock.T = w.clock.T.Add(retryInterval)
+	a.recordMissing(t.Context())
+	assert.Equal(t, len(w.store.starts), 2)
+	w.clock.T = w.clock.T.Add(2*window - retryInterval)
+	a.dropObsolete(t.Context())
+	assert.Equal(t, len(w.store.starts), 2, "a caller may still take up a stream")
+	w.clock.T = w.clock.T.Add(time.Second)
+	a.dropObsolete(t.Context())
+	assert.DeepEqual(t, w.store.starts, startsAt("v2"))
+}
--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -3,7 +3,8 @@
 // caller takes the stream up.
 //
 // A Tracker holds no connection: records, queries and answers are datagrams, and a query is repeated until
-// it is answered or its time is over.
+// it is answered or its time is over. An Archive keeps at the platform's store what VMs need that have all
+// started anew.
 package originsync
 
 import (
@@ -26,6 +27,15 @@
 	// queryTimeout bounds a query. It leaves time for a resend, and is a fraction of the gap after which a
 	// caller gives a stream up.
 	queryTimeout = 250 * time.Millisecond
+	// lookupTimeout bounds a look-up in the archive.
+	lookupTimeout = 600 * time.Millisecond
+	// lookupDelay is the head start of other VMs before the archive is read: a round trip between zones and
+	// some time to process it.
+	lookupDelay = 30 * time.Millisecond
+	// lookupRetryInterval is the time between two attempts to read the archive.
+	lookupRetryInterval = 100 * time.Millisecond
+	// sendBatch is the number of origins in a datagram.
+	sendBatch = 12
 	// maxNameBytes bounds the names in a received message.
 	maxNameBytes = 256
 	// maxAnswerVersions is the number of versions in an answer: with a second one, the origin is unknown.
@@ -44,6 +54,9 @@
 	Send func(peers []string, b *wire.Beat)
 	// Observe returns what this VM knows of a service's versions in the given time.
 	Observe func(service string, window time.Duration) origin.Observation
+	// Archive keeps what outlives all VMs, and Archivers are the VMs that write origins to it.
+	Archive   *Archive
+	Archivers func() []string
 
 	register *origin.Register
 
@@ -66,19 +79,58 @@
 }
 
 // Record records the origin of a stream here and at other VMs, for as long as callers may take it up.
-func (t *Tracker) Record(stream origin.Key, o origin.Origin, ttl time.Duration) {
-	t.record(stream, o, ttl, t.Self)
-	t.Send(t.others(stream, origin.Replicas), &wire.Beat{StreamOrigins: []*wire.StreamOrigin{{
-		Stream: uint64(stream), Service: o.Service, Version: o.Version, TtlMs: uint32(ttl.Milliseconds()),
-	}}})
+func (t *Tracker) Record(st *origin.Stream, o origin.Origin, ttl time.Duration) {
+	if !t.register.RecordOwn(t.Clock.Now(), st.Key, o, ttl) {
+		t.warnOther(st.Key, o, t.Self)
+	}
+	m := &wire.StreamOrigin{Stream: uint64(st.Key), Service: o.Service, Version: o.Version, TtlMs: uint32(ttl.Milliseconds())}
+	t.Send(t.others(st.Key, origin.Replicas), &wire.Beat{StreamOrigins: []*wire.StreamOrigin{m}})
+	if t.Archive.isAmbiguous(st) {
+		t.archive([]*wire.StreamOrigin{m})
+	}
+}
+
+// ArchiveOwn archives the origins of the streams that this VM has served: they began when there was one
+// version.
+func (t *Tracker) ArchiveOwn() {
+	var all []*wire.StreamOrigin
+	for stream, o := range t.register.Own(t.Clock.Now()) {
+		all = append(all, &wire.StreamOrigin{Stream: uint64(stream), Service: o.Service, Version: o.Version})
+	}
+	for batch := range slices.Chunk(all, sendBatch) {
+		t.archive(batch)
+	}
+}
+
+// archive has other VMs write origins to the store, and this one if it is among them.
+func (t *Tracker) archive(origins []*wire.StreamOrigin) {
+	archivers := t.Archivers()
+	if len(archivers) == 0 || slices.Contains(archivers, t.Self) {
+		t.addArchived(origins, t.Self)
+	}
+	t.Send(slices.DeleteFunc(archivers, func(peer string) bool { return peer == t.Self }), &wire.Beat{ArchivedOrigins: origins})
+}
+
+func (t *Tracker) addArchived(origins []*wire.StreamOrigin, from string) {
+	for _, m := range origins {
+		if o, ok := decodeOrigin(m); ok && m.GetStream() != uint64(origin.Unnamed) {
+			t.Archive.Add(Archived{origin.Key(m.GetStream()), o})
+		} else {
+			log.WithField("from", from).Warn("malformed stream origin dropped")
+		}
+	}
 }
 
 func (t *Tracker) record(stream origin.Key, o origin.Origin, ttl time.Duration, from string) {
 	if !t.register.Record(t.Clock.Now(), stream, o, ttl) {
-		log.WithField("stream", uint64(stream)).WithField("version", o.Version).WithField("from", from).Warn("stream has another origin already")
+		t.warnOther(stream, o, from)
 	}
 }
 
+func (t *Tracker) warnOther(stream origin.Key, o origin.Origin, from string) {
+	log.WithField("stream", uint64(stream)).WithField("version", o.Version).WithField("from", from).Warn("stream has another origin already")
+}
+
 // others returns the first n VMs that record the origin of a stream, except this one.
 func (t *Tracker) others(stream origin.Key, n int) []string {
 	return slices.DeleteFunc(t.Replicas(stream, n), func(peer string) bool { return peer == t.Self })
@@ -92,30 +144,116 @@
 	Unknown Source = iota // it wasn't found
 	Own                   // this VM's register
 	Peer                  // another VM's register
-	Only                  // the service has had only one version
+	Only                  // the stream can't have begun at another version
+	Stored                // the archive
+	Unread                // it wasn't found, and the archive can't be read for now
 )
 
-func (s Source) String() string { return [...]string{"unknown", "own", "peer", "only"}[s] }
+func (s Source) String() string {
+	return [...]string{"unknown", "own", "peer", "only", "stored", "unread"}[s]
+}
 
-// Find returns the origin of a stream that may have begun up to window ago. If no VM has recorded it, it is
-// the only version that the service had in that time, if there was only one.
-func (t *Tracker) Find(ctx context.Context, stream origin.Key, service string, window time.Duration) (origin.Origin, Source) {
-	if o, ok := t.register.Find(t.Clock.Now(), stream); ok {
+// Find returns the origin of a stream that may have begun up to window ago. If neither a VM nor the archive
+// has it, it is the only one that the stream can have, if there is only one.
+func (t *Tracker) Find(ctx context.Context, st *origin.Stream, service string, window time.Duration) (origin.Origin, Source) {
+	if o, ok := t.register.Find(t.Clock.Now(), st.Key); ok {
 		return o, Own
 	}
-	others := t.others(stream, origin.Lookups)
-	poll := origin.NewPoll(t.Observe(service, window), len(others))
-	if _, ok := poll.Only(); !ok || stream != origin.Unnamed {
-		if o, ok := t.query(ctx, others, poll, stream, service, window); ok {
-			return o, Peer
+	observed := t.Observe(service, window)
+	if st.Key == origin.Unnamed {
+		a := t.searchArchive(ctx, st, &observed)
+		if a.err == nil {
+			return a.origin, a.source
 		}
+		return t.concludeFrom(t.askPeers(ctx, st.Key, service, window, observed).poll, st, service)
 	}
-	if version, ok := poll.Only(); ok {
-		return origin.Origin{Service: service, Version: version}, Only
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers, archive := make(chan peerResult, 1), make(chan archiveResult, 1)
+	go func() { peers <- t.askPeers(ctx, st.Key, service, window, observed) }()
+	go func() { archive <- t.searchArchive(ctx, st, &observed) }()
+	var p *peerResult
+	var a *archiveResult
+	for p == nil || a == nil {
+		select {
+		case r := <-peers:
+			if r.known {
+				return r.origin, Peer
+			}
+			p = &r
+		case r := <-archive:
+			if r.source == Stored {
+				t.record(st.Key, r.origin, window, r.source.String())
+			}
+			if r.source != Unknown {
+				return r.origin, r.source
+			}
+			a = &r
+		}
+	}
+	if a.err != nil {
+		return t.concludeFrom(p.poll, st, service)
 	}
 	return origin.Origin{}, Unknown
 }
 
+// concludeFrom is for a store that can't be read: it returns the only version that the VMs have observed, if
+// this VM knows of no other route to the stream's beginning.
+func (t *Tracker) concludeFrom(poll *origin.Poll, st *origin.Stream, service string) (origin.Origin, Source) {
+	version, ok := poll.Only()
+	o := origin.Origin{Service: service, Version: version}
+	if possible := origin.Possible(t.Archive.starts.Known(), st); !ok || len(possible) != 1 || possible[0] != o {
+		return origin.Origin{}, Unread
+	}
+	return o, Only
+}
+
+// peerResult is what other VMs know of a stream.
+type peerResult struct {
+	origin origin.Origin
+	known  bool
+	poll   *origin.Poll
+}
+
+func (t *Tracker) askPeers(ctx context.Context, stream origin.Key, service string, window time.Duration, own origin.Observation) peerResult {
+	others := t.others(stream, origin.Lookups)
+	r := peerResult{poll: origin.NewPoll(own, len(others))}
+	r.origin, r.known = t.query(ctx, others, r.poll, stream, service, window)
+	return r
+}
+
+// archiveResult is what the archive has of a stream.
+type archiveResult struct {
+	origin origin.Origin
+	source Source
+	err    error // the store can't be read
+}
+
+// searchArchive looks a stream up in the archive. If VMs have been running for long, they probably know the
+// stream, and can tell without the store whether there was only one version.
+func (t *Tracker) searchArchive(ctx context.Context, st *origin.Stream, observed *origin.Observation) archiveResult {
+	mayRetry := !observed.Whole
+	if observed.Whole && st.Key != origin.Unnamed && !clock.Sleep(ctx, lookupDelay) {
+		return archiveResult{err: ctx.Err()}
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	for {
+		o, known, possible, err := t.Archive.Lookup(ctx, st)
+		switch {
+		case err != nil && mayRetry && clock.Sleep(ctx, lookupRetryInterval):
+		case err != nil:
+			return archiveResult{err: err}
+		case known:
+			return archiveResult{origin: o, source: Stored}
+		case len(possible) == 1:
+			return archiveResult{origin: possible[0], source: Only}
+		default:
+			return archiveResult{}
+		}
+	}
+}
+
 // query asks other VMs for the origin of a stream and adds what they have observed to poll. It ends with
 // the first VM that knows the origin, or when most of them agree on the only version that it can be.
 func (t *Tracker) query(ctx context.Context, vms []string, poll *origin.Poll, stream origin.Key, service string, window time.Duration) (origin.Origin, bool) {
@@ -178,6 +316,7 @@
 			log.WithField("from", from).Warn("malformed stream origin dropped")
 		}
 	}
+	t.addArchived(b.GetArchivedOrigins(), from)
 	if q := b.GetStreamQuery(); q != nil {
 		t.answerQuery(from, q)
 	}
@@ -193,12 +332,13 @@
 	} else {
 		observed := t.Observe(q.GetService(), time.Duration(q.GetWindowMs())*time.Millisecond)
 		a.Versions, a.Fresh = observed.Versions[:min(len(observed.Versions), maxAnswerVersions)], observed.Fresh
+		a.Whole = observed.Whole
 	}
 	t.Send([]string{from}, &wire.Beat{StreamAnswer: a})
 }
 
 func (t *Tracker) receiveAnswer(from string, m *wire.StreamAnswer) {
-	a := answer{from: from, observation: origin.Observation{Versions: m.GetVersions(), Fresh: m.GetFresh()}}
+	a := answer{from: from, observation: origin.Observation{Versions: m.GetVersions(), Fresh: m.GetFresh(), Whole: m.GetWhole()}}
 	if m.GetOrigin() != nil {
 		if a.origin, a.known = decodeOrigin(m.GetOrigin()); !a.known {
 			log.WithField("from", from).Warn("malformed stream origin dropped")
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -8,8 +8,9 @@
 //
 // Approach: the VM that forwards the first event of a stream records the stream's origin in its Register
 // and at a few other VMs, which the stream's key alone determines (Order). A VM to which a caller takes a
-// stream up looks there. If nobody knows, the stream goes on only if there is no other version at which it
-// could have begun (Poll).
+// stream up looks there. All VMs may be lost at once, so the store keeps at which versions streams may have
+// begun (Starts), and the origins themselves while there are several. If nobody knows the origin, the
+// stream goes on only if it can't have begun at another version.
 //
 // The package does no I/O and reads no clock. A Register is safe for concurrent use.
 package origin
@@ -28,6 +29,13 @@
 // KeyOf returns the key of the stream that began with an attempt.
 func KeyOf(attempt string) Key { return Key(xxhash.Sum64String(attempt)) }
 
+// Stream identifies a stream and the route that it took.
+type Stream struct {
+	Key  Key
+	Host string // in lower case and without a port
+	Path string
+}
+
 // Unnamed is the key of a stream whose first attempt the caller doesn't name. It is never recorded.
 const Unnamed Key = 0
 
@@ -35,12 +43,13 @@
 type Observation struct {
 	Versions []string // that had an endpoint at any time since the stream may have begun
 	Fresh    bool     // the VM would know of a version that was added lately
+	Whole    bool     // the VM has observed the service for the whole time
 }
 
 // Poll collects what this VM and others have observed of a service's versions.
 type Poll struct {
 	asked, answered int
-	fresh           bool
+	fresh, whole    bool
 	versions        map[string]struct{}
 }
 
@@ -52,9 +61,9 @@
 }
 
 // Add adds the answer of another VM. One that knows of no version, and wouldn't know of a new one, agrees
-// with nothing.
+// with nothing, and neither does one that hasn't observed the service for the whole time.
 func (p *Poll) Add(o Observation) {
-	if o.Fresh || len(o.Versions) > 0 {
+	if o.Whole && (o.Fresh || len(o.Versions) > 0) {
 		p.answered++
 	}
 	p.merge(o)
@@ -62,15 +71,17 @@
 
 func (p *Poll) merge(o Observation) {
 	p.fresh = p.fresh || o.Fresh
+	p.whole = p.whole || o.Whole
 	for _, v := range o.Versions {
 		p.versions[v] = struct{}{}
 	}
 }
 
 // Only returns the version of the service if it had only one. It returns false if there were several, or if
-// there may have been: no VM's knowledge is fresh, and most VMs haven't answered.
+// there may have been: no VM has observed the whole time, or no VM's knowledge is fresh and most VMs haven't
+// answered.
 func (p *Poll) Only() (string, bool) {
-	if len(p.versions) != 1 || !p.fresh && !p.HasMajority() {
+	if len(p.versions) != 1 || !p.whole || !p.fresh && !p.HasMajority() {
 		return "", false
 	}
 	for v := range p.versions {
--- /dev/null
+++ b/internal/policy/origin/starts.go
@@ -0,0 +1,189 @@
+package origin
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fescuestand/internal/clock"
+)
+
+const (
+	// maxRecordTime bounds how long a version is left unused because the store doesn't record it.
+	maxRecordTime = 2 * time.Second
+	// obsoleteWindows is the number of windows without an endpoint after which a version is dropped from the
+	// record. A VM relies on what it has read of the record for one window less: another VM may have seen the
+	// last endpoint earlier.
+	obsoleteWindows = 2
+)
+
+// Start is a service and a version at which streams of a route may begin.
+type Start struct {
+	Host, PathPrefix string // of the route
+	Origin
+}
+
+func (s *Start) matches(st *Stream) bool {
+	return s.Host == st.Host && strings.HasPrefix(st.Path, s.PathPrefix)
+}
+
+// Possible returns the distinct origins in starts that a stream may have.
+func Possible(starts []Start, st *Stream) []Origin {
+	var out []Origin
+	for i := range starts {
+		if s := &starts[i]; s.matches(st) && !slices.Contains(out, s.Origin) {
+			out = append(out, s.Origin)
+		}
+	}
+	return out
+}
+
+// Starts tracks the starts that are visible in the configuration and the endpoints' entries, and which of
+// them the store has on record. It is safe for concurrent use.
+//
+// A stream begins only at a start that is on record: VMs that all have started anew conclude from the
+// record where a stream may have begun.
+type Starts struct {
+	pending atomic.Bool // some visible start isn't on record
+
+	mu      sync.RWMutex
+	window  time.Duration // for which callers may take up a stream
+	entries map[Start]*startState
+}
+
+type startState struct {
+	visible  bool
+	seenAt   clock.Time // when it was visible last, or became known
+	since    clock.Time // when it became visible
+	recorded bool
+}
+
+// NewStarts returns an empty tracker.
+func NewStarts() *Starts { return &Starts{entries: map[Start]*startState{}} }
+
+// SetVisible sets the starts that the configuration and the endpoints allow now, and for how long callers may
+// take up a stream. It returns those that weren't known.
+func (s *Starts) SetVisible(now clock.Time, visible []Start, window time.Duration) (added []Start) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window = window
+	for _, e := range s.entries {
+		if e.visible {
+			e.seenAt = now
+		}
+		e.visible = false
+	}
+	for _, start := range visible {
+		if s.entries[start] == nil {
+			added = append(added, start)
+		}
+		e := s.entry(now, start)
+		if e.since == 0 {
+			e.since = now
+		}
+		if now.Sub(e.seenAt) > window {
+			e.recorded = false
+		}
+		e.visible, e.seenAt = true, now
+	}
+	for _, e := range s.entries {
+		if !e.visible {
+			e.since = 0
+		}
+	}
+	s.forget(now)
+	return added
+}
+
+func (s *Starts) entry(now clock.Time, start Start) *startState {
+	e := s.entries[start]
+	if e == nil {
+		e = &startState{seenAt: now}
+		s.entries[start] = e
+	}
+	return e
+}
+
+// SetRecorded sets the starts that the store has on record. It returns those that weren't known.
+func (s *Starts) SetRecorded(now clock.Time, recorded []Start) (added []Start) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.entries {
+		e.recorded = false
+	}
+	for _, start := range recorded {
+		if s.entries[start] == nil {
+			added = append(added, start)
+		}
+		s.entry(now, start).recorded = true
+	}
+	s.forget(now)
+	return added
+}
+
+// Reset marks all starts as not on record: the store may have lost them.
+func (s *Starts) Reset(now clock.Time) { s.SetRecorded(now, nil) }
+
+// forget drops the starts that have been invisible for long, and updates pending. The caller holds mu.
+func (s *Starts) forget(now clock.Time) {
+	maps.DeleteFunc(s.entries, func(_ Start, e *startState) bool {
+		return !e.visible && !e.recorded && now.Sub(e.seenAt) > s.window
+	})
+	pending := false
+	for _, e := range s.entries {
+		pending = pending || e.visible && !e.recorded
+	}
+	s.pending.Store(pending)
+}
+
+// Missing returns the visible starts that aren't known to be on record, and when the first of them became
+// visible.
+func (s *Starts) Missing() (missing []Start, since clock.Time) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for start, e := range s.entries {
+		if !e.visible || e.recorded {
+			continue
+		}
+		if len(missing) == 0 || e.since < since {
+			since = e.since
+		}
+		missing = append(missing, start)
+	}
+	return missing, since
+}
+
+// Obsolete returns the starts on record that no stream which is taken up can have any more.
+func (s *Starts) Obsolete(now clock.Time) []Start {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []Start
+	for start, e := range s.entries {
+		if e.recorded && !e.visible && now.Sub(e.seenAt) > obsoleteWindows*s.window {
+			out = append(out, start)
+		}
+	}
+	return out
+}
+
+// Pending reports whether some start isn't on record, so that MayBegin may return false.
+func (s *Starts) Pending() bool { return s.pending.Load() }
+
+// MayBegin reports whether a new stream may begin at a start: it is on record, or recording it takes too
+// long.
+func (s *Starts) MayBegin(now clock.Time, start *Start) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	e := s.entries[*start]
+	return e != nil && (e.recorded || e.visible && now.Sub(e.since) > maxRecordTime)
+}
+
+// Known returns the starts that are visible, on record or were visible within the last window.
+func (s *Starts) Known() []Start {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Collect(maps.Keys(s.entries))
+}
--- /dev/null
+++ b/internal/policy/origin/starts_test.go
@@ -0,0 +1,71 @@
+package origin
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+)
+
+const testWindow = 30 * time.Second
+
+func startAt(version string) Start {
+	return Start{Host: "h", PathPrefix: "/p/", Origin: Origin{"m", version}}
+}
+
+// Guards against a stream that begins at a version of which the record doesn't tell: VMs that all start anew
+// would take another version for its.
+func TestStreamsBeginOnRecordOnly(t *testing.T) {
+	s, now, v1, v2 := NewStarts(), clock.Time(time.Hour), startAt("v1"), startAt("v2")
+	s.SetVisible(now, []Start{v1}, testWindow)
+	s.SetRecorded(now, []Start{v1})
+	assert.Assert(t, s.MayBegin(now, &v1) && !s.Pending())
+	assert.Assert(t, !s.MayBegin(now, &v2), "an unknown start")
+	s.SetVisible(now, []Start{v1, v2}, testWindow)
+	assert.Assert(t, s.MayBegin(now, &v1) && !s.MayBegin(now, &v2) && s.Pending())
+	missing, since := s.Missing()
+	assert.DeepEqual(t, missing, []Start{v2})
+	assert.Equal(t, since, now)
+	assert.Assert(t, s.MayBegin(now.Add(maxRecordTime+1), &v2), "a record that can't be written doesn't stop the service")
+	s.SetRecorded(now, []Start{v1, v2})
+	assert.Assert(t, s.MayBegin(now, &v2) && !s.Pending())
+	s.Reset(now)
+	assert.Assert(t, !s.MayBegin(now, &v1), "the store has lost its records")
+}
+
+// Guards against a version that comes back after another VM has dropped it from the record.
+func TestVersionThatReturnsIsRecordedAgain(t *testing.T) {
+	for _, tc := range []struct {
+		away     time.Duration
+		recorded bool
+	}{{testWindow, true}, {testWindow + 1, false}} {
+		s, now, v1 := NewStarts(), clock.Time(time.Hour), startAt("v1")
+		s.SetVisible(now, []Start{v1}, testWindow)
+		s.SetRecorded(now, []Start{v1})
+		s.SetVisible(now, nil, testWindow)
+		s.SetVisible(now.Add(tc.away), []Start{v1}, testWindow)
+		assert.Equal(t, s.MayBegin(now.Add(tc.away), &v1), tc.recorded, "%v", tc.away)
+	}
+}
+
+func TestStartsBecomeObsolete(t *testing.T) {
+	s, now, v1, v2 := NewStarts(), clock.Time(time.Hour), startAt("v1"), startAt("v2")
+	s.SetRecorded(now, []Start{v1, v2})
+	s.SetVisible(now, []Start{v2}, testWindow)
+	assert.Equal(t, len(s.Obsolete(now.Add(2*testWindow))), 0)
+	assert.DeepEqual(t, s.Obsolete(now.Add(2*testWindow+1)), []Start{v1})
+	later := now.Add(2*testWindow + 1)
+	s.SetRecorded(later, []Start{v2})
+	assert.DeepEqual(t, s.Known(), []Start{v2})
+}
+
+func TestPossibleOrigins(t *testing.T) {
+	starts := []Start{
+		startAt("v1"), {"h", "/p/", Origin{"m", "v2"}}, {"h", "/p/a", Origin{"m", "v1"}}, {"h", "/q/", Origin{"n", "v1"}}, {"i", "/p/", Origin{"n", "v1"}},
+	}
+	for path, want := range map[string]int{"/p/a": 2, "/p/b": 2, "/q/": 1, "/r/": 0} {
+		assert.Equal(t, len(Possible(starts, &Stream{1, "h", path})), want, path)
+	}
+}
--- a/internal/simworld/adapter_test.go
+++ b/internal/simworld/adapter_test.go
@@ -20,6 +20,7 @@
 	"fescuestand/internal/gossip"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/orders"
+	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/scaling"
 	"fescuestand/internal/simnet"
@@ -97,6 +98,9 @@
 // UsageRecords implements vm.Adapter.
 func (a *adapter) UsageRecords() usage.Records { return nil }
 
+// StreamRecords implements vm.Adapter.
+func (a *adapter) StreamRecords() originsync.Store { return a.client }
+
 // Billing implements vm.Adapter.
 func (a *adapter) Billing() usage.Billing { return nil }
 
--- a/internal/simworld/store_test.go
+++ b/internal/simworld/store_test.go
@@ -17,6 +17,8 @@
 	"fescuestand/internal/era"
 	"fescuestand/internal/gossip"
 	"fescuestand/internal/keyedlog"
+	"fescuestand/internal/originsync"
+	"fescuestand/internal/policy/origin"
 )
 
 const (
@@ -32,6 +34,8 @@
 	configLog = iota
 	endpointLog
 	leaderLog
+	startLog
+	originLog
 	logs // the number of logs
 )
 
@@ -226,6 +230,73 @@
 	return out, nil
 }
 
+// Starts implements originsync.Store.
+func (c *client) Starts(ctx context.Context) ([]origin.Start, error) {
+	entries, _, err := keyedlog.ReadNewest(ctx, &source{c, startLog})
+	var out []origin.Start
+	for _, e := range entries {
+		var s origin.Start
+		if err := json.Unmarshal(e.Value, &s); err != nil {
+			return nil, err
+		}
+		out = append(out, s)
+	}
+	return out, err
+}
+
+// PutStarts implements originsync.Store.
+func (c *client) PutStarts(ctx context.Context, starts []origin.Start) error {
+	return c.putStarts(ctx, starts, func(text string) string { return text })
+}
+
+// DeleteStarts implements originsync.Store.
+func (c *client) DeleteStarts(ctx context.Context, starts []origin.Start) error {
+	return c.putStarts(ctx, starts, func(string) string { return "" })
+}
+
+func (c *client) putStarts(ctx context.Context, starts []origin.Start, value func(text string) string) error {
+	if err := c.call(ctx); err != nil {
+		return err
+	}
+	for _, s := range starts {
+		key, err := json.Marshal(s)
+		if err != nil {
+			return err
+		}
+		c.s.put(startLog, string(key), value(string(key)))
+	}
+	return nil
+}
+
+// AppendOrigins implements originsync.Store.
+func (c *client) AppendOrigins(ctx context.Context, origins []originsync.Archived) error {
+	if err := c.call(ctx); err != nil {
+		return err
+	}
+	text, err := json.Marshal(origins)
+	if err == nil {
+		c.s.put(originLog, "", string(text))
+	}
+	return err
+}
+
+// Origins implements originsync.Store. It returns all origins as one page.
+func (c *client) Origins(ctx context.Context, from era.Position) (originsync.OriginPage, error) {
+	page, err := (&source{c, originLog}).Read(ctx, from, 0)
+	if err != nil {
+		return originsync.OriginPage{}, err
+	}
+	out := originsync.OriginPage{Next: page.Next}
+	for _, e := range page.Entries {
+		var origins []originsync.Archived
+		if err := json.Unmarshal(e.Value, &origins); err != nil {
+			return originsync.OriginPage{}, err
+		}
+		out.Origins = append(out.Origins, origins...)
+	}
+	return out, nil
+}
+
 // LastLeader implements authority.LeaderRecord.
 func (c *client) LastLeader(ctx context.Context) (last authority.LastLeader, version era.Position, err error) {
 	entries, end, err := keyedlog.ReadNewest(ctx, &source{c, leaderLog})
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"fescuestand/internal/clock"
+	"fescuestand/internal/era"
 	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/origin"
 )
@@ -12,7 +14,27 @@
 	n.origins = originsync.New()
 	n.origins.Self, n.origins.Process, n.origins.Clock = n.o.Self.Peer, seedOf(n.o.Self.Incarnation), n.clock
 	n.origins.Replicas = n.members.StreamReplicas
+	started := n.clock.Now()
 	n.origins.Observe = func(service string, window time.Duration) origin.Observation {
-		return origin.Observation{Versions: n.catalog.Versions(service, window), Fresh: n.members.HasFreshView()}
+		return origin.Observation{
+			Versions: n.catalog.Versions(service, window), Fresh: n.members.HasFreshView(), Whole: n.clock.Now().Sub(started) >= window,
+		}
 	}
+	n.initArchive()
+}
+
+// streamArchivers is the number of VMs that write origins of streams to the store: one may be lost before it
+// has written.
+const streamArchivers = 2
+
+func (n *Node) initArchive() {
+	a := originsync.NewArchive()
+	a.Store, a.Clock, a.Catalog = n.adapter.StreamRecords(), n.clock, n.catalog
+	a.VMs, a.Spread = n.members.AdvertisedCount, seedOf(n.o.Self.Incarnation)
+	a.IsReader = func() bool { return n.members.IsReader() && n.members.HasFreshRead() }
+	a.IsSettled = func(at clock.Time) bool { return n.eras.Current() <= era.First || n.eras.SettledBy(at) }
+	a.OnAmbiguous = n.origins.ArchiveOwn
+	n.eras.OnRestore(a.Reset)
+	n.archive, n.origins.Archive = a, a
+	n.origins.Archivers = func() []string { return n.members.Archivers(streamArchivers) }
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -71,6 +71,8 @@
 	// UsageRecords stores the decided usage windows, and Billing receives the reports.
 	UsageRecords() usage.Records
 	Billing() usage.Billing
+	// StreamRecords stores where streams may begin and have begun.
+	StreamRecords() originsync.Store
 	// Provider rents out endpoints. It is nil if this system doesn't scale services.
 	Provider() scaling.Provider
 }
@@ -145,6 +147,7 @@
 	gossip           *gossip.Unit
 	gossipContent    *gateway.GossipContent
 	origins          *originsync.Tracker
+	archive          *originsync.Archive
 	pool             *exchange.Pool
 	reachability     *reachability.Unit
 	authority        *authority.Authority
@@ -201,7 +204,7 @@
 		Peers: n.members.PeerCounts, AddressLifetime: o.AddressLifetime,
 		VMs: n.members.AdvertisedCount, OnPrefillSent: n.prefillSent, OnPrefixCached: n.prefixCached, OnCrash: n.endpointCrashed, OnEndpointLeaving: n.endpointLeaving,
 		MayTryQuarantined: n.isLeader,
-		KeyFreshness:      n.keyFreshness, Origins: n.origins, OnRequestRunning: n.requestRunning,
+		KeyFreshness:      n.keyFreshness, Origins: n.origins, Starts: n.archive, OnRequestRunning: n.requestRunning,
 		CutOff: n.isCutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPoolOn(o.Network), Bodies: n.bodies,
 	})
 	n.planner.Admits = n.backpressure.Admits
@@ -253,6 +256,7 @@
 		&authority.Keeper{Authority: n.authority, Record: n.adapter.LeaderRecord(), Clock: n.clock, VM: n.o.Self.Peer},
 		n.orders,
 		&catalogUnit{n},
+		n.archive,
 		n.cachesUnit(),
 		n.reachability,
 	}
