Taken-up streams precede new requests in an overload

Cause: a taken-up stream was admitted at the level of its route, behind all more urgent work, and the work that other VMs hold for all endpoints was counted against the few of its version.

Change: a taken-up stream whose origin is known has the most urgent level, and isn't put behind the held requests of a service without priorities. Refusing it loses what has been generated.

TestTakenUpStreamsPrecedeNewOnes failed before (503 in both cases).

--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -109,7 +109,7 @@
 			WithField("cached", x.predictedCachedTokens).WithField("held", x.waited)
 	}
 	if x.wait.reason != scarcity.None {
-		e = e.WithField("scarcity", x.wait.reason.String()).WithField("level", scarcity.LevelOf(x.priority()))
+		e = e.WithField("scarcity", x.wait.reason.String()).WithField("level", x.level())
 	}
 	if x.wait.time > 0 {
 		e = e.WithField("held_ms", x.wait.time.Milliseconds())
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -214,7 +214,7 @@
 // to the first event or the answer.
 func (x *execution) heldRequest(work, fixed, leaves time.Duration) *scarcity.Request {
 	r := &scarcity.Request{
-		Level: scarcity.LevelOf(x.priority()), Arrived: x.call.Arrived, Target: x.route.LatencyTarget, Leaves: leaves,
+		Level: x.level(), Arrived: x.call.Arrived, Target: x.route.LatencyTarget, Leaves: leaves,
 		Work: work, Fixed: fixed, Bytes: len(x.call.Body), Early: x.g.held.isEarly(x.call.Arrived, x.call.Fingerprint),
 	}
 	if w := x.call.Workspace; w != nil {
@@ -223,6 +223,18 @@
 	return r
 }
 
+// isTakenUp reports whether the caller takes up a stream whose origin is known. It precedes new requests: refusing
+// it loses what was generated, and only endpoints of its version can do the work.
+func (x *execution) isTakenUp() bool { return x.call.continuesStream() && x.origin.Load() != nil }
+
+// level returns the request's level of priority.
+func (x *execution) level() int {
+	if x.isTakenUp() {
+		return 0
+	}
+	return scarcity.LevelOf(x.priority())
+}
+
 // decideByPriority decides on a request of a service with priorities.
 func (x *execution) decideByPriority(plan *place.Plan) scarcity.Decision {
 	work := plan.Work + plan.Fetch
--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -6,12 +6,15 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/catalog"
+	"fescuestand/internal/originsync"
+	"fescuestand/internal/policy/origin"
 	"fescuestand/internal/policy/scarcity"
 	"fescuestand/internal/wire"
 )
@@ -83,6 +86,42 @@
 	})
 }
 
+// Guards against taken-up streams that are refused in an overload as if nothing had been generated, with routes of
+// different priority or without.
+func TestTakenUpStreamsPrecedeNewOnes(t *testing.T) {
+	for name, priority := range map[string]int{"priorities": 0, "no priorities": 2} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.origins.origin, w.origins.found = origin.Origin{Version: "v1"}, originsync.Peer
+				other := otherStream
+				other.Resumable = true
+				w.setPriorities(urgentStream, other)
+				w.store.View().Config.Match("h.example", "/u/").Priority = priority
+				s := newSerial(80 * time.Millisecond)
+				w.addVersion("a", "v1", catalog.Decode, w.serve(t, s.handle))
+				var callers sync.WaitGroup
+				var refused atomic.Int64
+				for range 60 {
+					callers.Go(func() {
+						resp, _, err := w.request(t, "POST", "/x/new", "", "Tokens", "8000", "Patience", "2000")
+						assert.Check(t, err)
+						if resp.StatusCode != http.StatusOK {
+							refused.Add(1)
+						}
+					})
+					time.Sleep(time.Millisecond)
+				}
+				resp, _, err := w.request(t, "POST", "/x/taken", "", "Tokens", "8000", "Patience", "2000", "Resumes", "0", "Last", "3")
+				assert.Check(t, err)
+				assert.Check(t, resp.StatusCode == http.StatusOK, "%d", resp.StatusCode)
+				callers.Wait()
+				assert.Assert(t, refused.Load() > 0, "no overload")
+				assert.Assert(t, slices.Index(s.paths, "/x/taken") < len(s.paths)/2, "%v", s.paths)
+			})
+		})
+	}
+}
+
 // Guards against a VM that takes the capacity which another one needs for more urgent requests, and against one
 // that goes on waiting when it hears nothing any more.
 func TestUrgentWorkElsewhereIsAwaited(t *testing.T) {
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -96,7 +96,7 @@
 		return ontime.Serve, 0
 	}
 	backlog := time.Duration(0)
-	if !x.waited {
+	if !x.waited && !x.isTakenUp() {
 		backlog = x.g.heldWork.Backlog(x.g.o.VMs(), plan.Candidates)
 	}
 	return ontime.Decide(ontime.Request{
