Quarantines outlive a loss of all VMs

What callers saw: a request, or requests with a prompt part, that had crashed its endpoints and was quarantined crashed endpoints again after each loss of all VMs, with the work of other callers that ran there.

Cause: quarantines follow from crashes that processes remember and tell each other. Where all processes have just started none knows any, and each concludes that nothing is quarantined.

Change: the leader writes the crashes of the quarantines in force to the record that VMs read at their start; a VM isn't ready until it has read it, or can't read it for 3 s. No call is made while nothing is quarantined.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -81,8 +81,8 @@
 // only what was read from the headers, and is nil if they can't be decoded.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, v *catalog.View) (*Call, *catalog.Route, *refusal) {
 	c, err := g.o.Codec.Decode(r)
-	if v.Config == nil {
-		f := refuse(code.NotReady, "no configuration is known yet")
+	if v.Config == nil || !g.o.HasRecords() {
+		f := refuse(code.NotReady, "the configuration or the records of earlier processes aren't known yet")
 		f.retryAfter = ontime.StartingRetryAfter(g.o.Clock.Now().Sub(g.startedAt), rand.Uint64())
 		return c, nil, f
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,8 @@
 	Origins StreamOrigins
 	// Starts restricts where new streams begin.
 	Starts StreamStarts
+	// HasRecords reports whether this VM has read what it must know from before it started.
+	HasRecords func() bool
 	// OnRequestRunning is called once for each request of a workspace that an endpoint has started
 	// to run.
 	OnRequestRunning func(at clock.Time, w *workspace.Workspace)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -168,15 +168,16 @@
 func (x *GossipContent) fillCrashes(b *wire.Beat) {
 	now := x.Clock.Now()
 	for _, c := range x.crashes.current(now) {
-		b.Crashes = append(b.Crashes, encodeCrash(c.Later(now.Sub(c.at))))
+		b.Crashes = append(b.Crashes, EncodeCrash(c.Later(now.Sub(c.at))))
 	}
 	for _, c := range x.Crashes.Report(now, maxReportedRequests) {
-		b.Crashes = append(b.Crashes, encodeCrash(c))
+		b.Crashes = append(b.Crashes, EncodeCrash(c))
 	}
 	x.logQuarantines(now)
 }
 
-func encodeCrash(c crash.Crash) *wire.Crash {
+// EncodeCrash encodes a crash as of now.
+func EncodeCrash(c crash.Crash) *wire.Crash {
 	m := &wire.Crash{Request: c.Request, Endpoint: c.Endpoint, AgeMs: milliseconds(c.Age)}
 	if c.HasSuccess {
 		m.SuccessAgeMs = 1 + milliseconds(min(c.SuccessAge, time.Hour))
@@ -191,7 +192,8 @@
 	return m
 }
 
-func decodeCrash(m *wire.Crash) crash.Crash {
+// DecodeCrash decodes a crash as of now.
+func DecodeCrash(m *wire.Crash) crash.Crash {
 	c := crash.Crash{Request: m.GetRequest(), Endpoint: m.GetEndpoint(), Age: fromMilliseconds(m.GetAgeMs())}
 	if age := m.GetSuccessAgeMs(); age > 0 {
 		c.HasSuccess, c.SuccessAge = true, fromMilliseconds(age-1)
@@ -245,12 +247,15 @@
 		x.receiveLeaving(l)
 	}
 	for _, c := range b.GetCrashes() {
-		if x.recordCrash(decodeCrash(c), from) != nil {
+		if x.recordCrash(DecodeCrash(c), from) != nil {
 			x.OnChange()
 		}
 	}
 }
 
+// RecordStoredCrash records a crash for which a request or a part was quarantined when the store recorded it.
+func (x *GossipContent) RecordStoredCrash(c crash.Crash) { x.recordCrash(c, "store") }
+
 // recordCrash records a crash that this VM or the VM from has observed, and announces it to all VMs if
 // it is recent. It returns the message for other VMs, or nil if the crash was known.
 func (x *GossipContent) recordCrash(c crash.Crash, from string) *wire.Crash {
@@ -271,7 +276,7 @@
 	}
 	e.WithField("parts", x.formatPartCrashes(now, c.Parts)).Info("endpoint crash recorded")
 	x.logQuarantines(now)
-	return encodeCrash(c)
+	return EncodeCrash(c)
 }
 
 // formatPartCrashes returns parts with the number of endpoints that crashed under each, for the log.
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -186,16 +186,17 @@
 // testGateway is a gateway with its HTTP server, catalog and gossip content.
 type testGateway struct {
 	*httptest.Server
-	caller  *http.Client
-	network *simnet.Network // nil if the gateway has sockets
-	clock   clock.Clock
-	gateway *Gateway
-	store   *catalog.Store
-	budget  *repeat.Budget
-	crashes *crash.Register
-	leaving atomic.Bool
-	cutOff  atomic.Bool
-	gossip  *GossipContent
+	caller   *http.Client
+	network  *simnet.Network // nil if the gateway has sockets
+	clock    clock.Clock
+	gateway  *Gateway
+	store    *catalog.Store
+	budget   *repeat.Budget
+	crashes  *crash.Register
+	leaving  atomic.Bool
+	cutOff   atomic.Bool
+	starting atomic.Bool // the records of earlier processes haven't been read
+	gossip   *GossipContent
 
 	relayTargets []string
 	origins      *testOrigins
@@ -261,7 +262,7 @@
 		Codec: codec{}, Catalog: w.store, Planner: place.New("z", seed), Budget: w.budget, Crashes: w.crashes, Pressure: backpressure.New(1),
 		Pool: pool, Clock: c, Leaving: w.leaving.Load, Peers: func() (int, int) { return 1, 0 },
 		CutOff: w.cutOff.Load, RelayTargets: func() []string { return w.relayTargets }, RelayPool: relayPool,
-		Origins: w.origins, Starts: w.origins, VMs: func() int { return 1 }, OnPrefillSent: func(time.Duration) {}, OnPrefixCached: func(*catalog.Endpoint, []place.Part) {},
+		Origins: w.origins, Starts: w.origins, HasRecords: func() bool { return !w.starting.Load() }, VMs: func() int { return 1 }, OnPrefillSent: func(time.Duration) {}, OnPrefixCached: func(*catalog.Endpoint, []place.Part) {},
 		OnCrash: func(e crash.Crash) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -14,6 +14,7 @@
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/era"
+	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/origin"
 )
 
@@ -23,10 +24,16 @@
 	origin.Origin
 }
 
+// Records are what a VM that starts reads, with one call.
+type Records struct {
+	Starts      []origin.Start
+	Quarantines []crash.Crash // for which requests and prompt parts are quarantined, with their ages when they were written
+}
+
 // Store keeps records that outlive all VMs.
 type Store interface {
-	// Starts returns the starts on record.
-	Starts(ctx context.Context) ([]origin.Start, error)
+	// Records returns the newest records.
+	Records(ctx context.Context) (Records, error)
 	// PutStarts adds starts to the record, and DeleteStarts removes some.
 	PutStarts(ctx context.Context, starts []origin.Start) error
 	DeleteStarts(ctx context.Context, starts []origin.Start) error
@@ -49,7 +56,9 @@
 	checkInterval = 100 * time.Millisecond
 	// writeDelay is how much later than a reader of the endpoints' entries another VM records a start.
 	writeDelay = 150 * time.Millisecond
-	// retryInterval is the time between two attempts to record a start.
+	// maxLoadTime is the time after which a VM serves without the records of earlier processes.
+	maxLoadTime = 3 * time.Second
+	// retryInterval is the time between two attempts to record a start, or to read the records first.
 	retryInterval = 300 * time.Millisecond
 	// spreadPerVM is the time per VM over which VMs spread calls that all of them make at the same event.
 	spreadPerVM = 2 * time.Millisecond
@@ -96,9 +105,12 @@
 	// IsSettled reports whether a read that was sent at the given time returned what VMs had recorded before
 	// the store was restored.
 	IsSettled func(at clock.Time) bool
+	// OnRecords is called with the records that this VM reads first.
+	OnRecords func(Records)
 	// OnAmbiguous is called when streams of a route may begin at a further version.
 	OnAmbiguous func()
 
+	loaded  atomic.Bool
 	starts  *origin.Starts
 	checked atomic.Pointer[catalog.View] // whose starts are visible
 
@@ -124,14 +136,14 @@
 }
 
 type readResult struct {
-	starts []origin.Start
+	Records
 	sentAt clock.Time
 	err    error
 }
 
 // NewArchive returns an archive whose exported fields are to be set.
 func NewArchive() *Archive {
-	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), OnAmbiguous: func() {}, IsSettled: func(clock.Time) bool { return true }}
+	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), OnAmbiguous: func() {}, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }}
 }
 
 // MayBegin reports whether a new stream of a route may begin at an endpoint.
@@ -157,15 +169,41 @@
 // Name implements kernel.Unit.
 func (a *Archive) Name() string { return "archive" }
 
-// Run implements kernel.Runner. It records starts as they become visible, drops obsolete ones and appends
-// origins.
+// Loaded reports whether the records have been read, or can't be read for long.
+func (a *Archive) Loaded() bool { return a.loaded.Load() }
+
+// Run implements kernel.Runner. It reads the records, then records starts as they become visible, drops
+// obsolete ones and appends origins.
 func (a *Archive) Run(ctx context.Context) error {
+	if !a.load(ctx) {
+		return ctx.Err()
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return clock.Every(ctx, checkInterval, func() { a.maintain(ctx) }) })
 	group.Go(func() error { return clock.Every(ctx, appendInterval, func() { a.appendPending(ctx) }) })
 	return group.Wait()
 }
 
+// load reads the records. If the store can't be read, the VM serves without them after maxLoadTime: others may
+// tell it what is quarantined, and refusing all requests would be worse. It returns false if ctx has ended.
+func (a *Archive) load(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	overdue := time.AfterFunc(maxLoadTime, func() { a.loaded.Store(true) })
+	defer overdue.Stop()
+	for {
+		r := a.read(ctx)
+		if r.err == nil {
+			a.OnRecords(r.Records)
+			a.loaded.Store(true)
+			return true
+		}
+		if !clock.Sleep(ctx, retryInterval) {
+			return false
+		}
+	}
+}
+
 func (a *Archive) maintain(ctx context.Context) {
 	a.updateVisible()
 	a.recordMissing(ctx)
@@ -311,7 +349,7 @@
 	if !known && !a.IsSettled(r.sentAt) {
 		return origin.Origin{}, false, nil, errRestored
 	}
-	return found, known, origin.Possible(r.starts, st), nil
+	return found, known, origin.Possible(r.Starts, st), nil
 }
 
 // readFor returns the result of a read that begins after the call.
@@ -352,7 +390,7 @@
 		a.waiting, a.readAt = nil, a.Clock.Now()
 		a.mu.Unlock()
 		r := a.read(ctx)
-		isAmbiguous := func(w waiter) bool { return len(origin.Possible(r.starts, w.stream)) > 1 }
+		isAmbiguous := func(w waiter) bool { return len(origin.Possible(r.Starts, w.stream)) > 1 }
 		if r.err == nil && slices.ContainsFunc(waiting, isAmbiguous) {
 			r.err = a.readOrigins(ctx)
 		}
@@ -365,13 +403,13 @@
 // read reads the starts on record.
 func (a *Archive) read(ctx context.Context) readResult {
 	sentAt := a.Clock.Now()
-	starts, err := a.Store.Starts(ctx)
+	records, err := a.Store.Records(ctx)
 	if err != nil {
-		log.WithError(err).Warn("versions of streams not read")
+		log.WithError(err).Warn("records not read")
 		return readResult{err: errors.Join(errStoreRead, err)}
 	}
-	a.checkAmbiguous(a.starts.SetRecorded(a.Clock.Now(), starts))
-	return readResult{starts: starts, sentAt: sentAt}
+	a.checkAmbiguous(a.starts.SetRecorded(a.Clock.Now(), records.Starts))
+	return readResult{Records: records, sentAt: sentAt}
 }
 
 // readOrigins reads the origins that were added since the last call. Only readForWaiting calls it.
--- a/internal/originsync/archive_test.go
+++ b/internal/originsync/archive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"testing"
@@ -37,10 +38,10 @@
 	return nil
 }
 
-func (s *memoryStore) Starts(context.Context) ([]origin.Start, error) {
+func (s *memoryStore) Records(context.Context) (Records, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.starts), s.call()
+	return Records{Starts: slices.Clone(s.starts)}, s.call()
 }
 
 func (s *memoryStore) PutStarts(_ context.Context, starts []origin.Start) error {
@@ -183,6 +184,32 @@
 	assert.Equal(t, source, Only)
 }
 
+// Guards against a VM that serves as if nothing had been quarantined before it read the records, and against one
+// that never serves as the store can't be read.
+func TestRecordsAreReadFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(1)
+		w.store.down = true
+		a := w.newArchive()
+		read := 0
+		a.OnRecords = func(Records) { read++ }
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- a.Run(ctx) }()
+		time.Sleep(maxLoadTime - time.Millisecond)
+		assert.Check(t, !a.Loaded())
+		time.Sleep(2 * time.Millisecond)
+		assert.Check(t, a.Loaded() && read == 0)
+		w.store.mu.Lock()
+		w.store.down = false
+		w.store.mu.Unlock()
+		time.Sleep(time.Second)
+		assert.Check(t, read == 1)
+		cancel()
+		assert.Check(t, errors.Is(<-ended, context.Canceled))
+	})
+}
+
 // Guards against a stream of a service to which its route led before, and against one of a route that a longer
 // prefix hid.
 func TestStreamsOfRoutesThatMoved(t *testing.T) {
--- a/internal/policy/crash/crash.go
+++ b/internal/policy/crash/crash.go
@@ -368,6 +368,28 @@
 	return append(out, r.parts.report(now)...)
 }
 
+// InForce returns the crashes for which requests and parts are quarantined, up to n of them, in an order that
+// doesn't depend on time.
+func (r *Register) InForce(now clock.Time, n int) []Crash {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.judge(now)
+	var out []Crash
+	for _, request := range r.crashingRequests(now) {
+		if r.count(now, request) >= quarantineCrashes {
+			out = append(out, r.newestCrashes(now, request)...)
+		}
+	}
+	for _, part := range slices.Sorted(maps.Keys(r.parts.quarantined)) {
+		out = append(out, r.parts.reportPart(now, part)...)
+	}
+	out = out[:min(n, len(out))]
+	slices.SortStableFunc(out, func(a, b Crash) int {
+		return cmp.Or(cmp.Compare(a.Request, b.Request), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return out
+}
+
 // crashingRequests returns, in order, the requests that have crashed enough endpoints to be quarantined
 // unless they were completed as well.
 func (r *Register) crashingRequests(now clock.Time) []uint64 {
--- a/internal/policy/crash/crash_test.go
+++ b/internal/policy/crash/crash_test.go
@@ -85,6 +85,26 @@
 	assert.Assert(t, r.ShouldRefuse(now, 7))
 }
 
+// Guards against quarantines that end with the processes: what is stored must quarantine the same requests.
+func TestCrashesInForceMakeUpTheQuarantines(t *testing.T) {
+	r, now := New(), clock.Time(time.Hour)
+	for _, e := range []string{"a", "b", "c", "d"} {
+		recordCrash(r, now, 7, e)
+	}
+	recordCrash(r, now, 8, "a")
+	stored := r.InForce(now.Add(time.Minute), 100)
+	assert.Equal(t, len(stored), quarantineCrashes)
+	started, later := New(), clock.Time(3*time.Hour)
+	for _, c := range stored {
+		assert.Assert(t, c.Age == time.Minute)
+		started.Record(later, c)
+	}
+	assert.Assert(t, started.ShouldRefuse(later, 7) && !started.ShouldRefuse(later, 8))
+	assert.DeepEqual(t, started.InForce(later, 100), stored)
+	assert.Equal(t, len(started.InForce(later.Add(crashTTL), 100)), 0)
+	assert.Equal(t, len(r.InForce(now, 2)), 2, "the record is bounded")
+}
+
 // Guards against a full table that forgets the request which crashes endpoints for those that were
 // running beside it.
 func TestAFullTableKeepsRepeatedCrashes(t *testing.T) {
--- a/internal/simworld/adapter_test.go
+++ b/internal/simworld/adapter_test.go
@@ -101,6 +101,9 @@
 // StreamRecords implements vm.Adapter.
 func (a *adapter) StreamRecords() originsync.Store { return a.client }
 
+// QuarantineStore implements vm.Adapter.
+func (a *adapter) QuarantineStore() vm.QuarantineStore { return a.client }
+
 // Billing implements vm.Adapter.
 func (a *adapter) Billing() usage.Billing { return nil }
 
--- a/internal/simworld/store_test.go
+++ b/internal/simworld/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -18,6 +19,7 @@
 	"fescuestand/internal/gossip"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/originsync"
+	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/origin"
 )
 
@@ -34,7 +36,7 @@
 	configLog = iota
 	endpointLog
 	leaderLog
-	startLog
+	recordLog
 	originLog
 	logs // the number of logs
 )
@@ -230,20 +232,38 @@
 	return out, nil
 }
 
-// Starts implements originsync.Store.
-func (c *client) Starts(ctx context.Context) ([]origin.Start, error) {
-	entries, _, err := keyedlog.ReadNewest(ctx, &source{c, startLog})
-	var out []origin.Start
+// Records implements originsync.Store.
+func (c *client) Records(ctx context.Context) (originsync.Records, error) {
+	entries, _, err := keyedlog.ReadNewest(ctx, &source{c, recordLog})
+	var out originsync.Records
 	for _, e := range entries {
-		var s origin.Start
-		if err := json.Unmarshal(e.Value, &s); err != nil {
-			return nil, err
+		if e.Key == quarantinesKey {
+			err = errors.Join(err, json.Unmarshal(e.Value, &out.Quarantines))
+			continue
 		}
-		out = append(out, s)
+		var s origin.Start
+		err = errors.Join(err, json.Unmarshal(e.Value, &s))
+		out.Starts = append(out.Starts, s)
 	}
 	return out, err
 }
 
+// quarantinesKey is the key of the quarantines in recordLog.
+const quarantinesKey = "quarantines"
+
+// PutQuarantines implements vm.QuarantineStore.
+func (c *client) PutQuarantines(ctx context.Context, crashes []crash.Crash) error {
+	if err := c.call(ctx); err != nil {
+		return err
+	}
+	text, err := json.Marshal(crashes)
+	if len(crashes) == 0 {
+		text = nil
+	}
+	c.s.put(recordLog, quarantinesKey, string(text))
+	return err
+}
+
 // PutStarts implements originsync.Store.
 func (c *client) PutStarts(ctx context.Context, starts []origin.Start) error {
 	return c.putStarts(ctx, starts, func(text string) string { return text })
@@ -263,7 +283,7 @@
 		if err != nil {
 			return err
 		}
-		c.s.put(startLog, string(key), value(string(key)))
+		c.s.put(recordLog, string(key), value(string(key)))
 	}
 	return nil
 }
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -145,7 +145,7 @@
 	for {
 		u.n.catalog.RemoveExpired()
 		u.n.refreshConfig()
-		u.n.members.SetReady(u.n.catalog.View().Config != nil)
+		u.n.members.SetReady(u.n.catalog.View().Config != nil && u.n.archive.Loaded())
 		u.n.announceCutOff() // two changes at the same moment may have been announced in the wrong order
 		if u.n.members.HasPeers() {
 			u.n.retryBudget.SetMembers(u.n.members.Count())
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -33,7 +33,7 @@
 	a.VMs, a.Spread = n.members.AdvertisedCount, seedOf(n.o.Self.Incarnation)
 	a.IsReader = func() bool { return n.members.IsReader() && n.members.HasFreshRead() }
 	a.IsSettled = func(at clock.Time) bool { return n.eras.Current() <= era.First || n.eras.SettledBy(at) }
-	a.OnAmbiguous = n.origins.ArchiveOwn
+	a.OnAmbiguous, a.OnRecords = n.origins.ArchiveOwn, n.recordsRead
 	n.eras.OnRestore(a.Reset)
 	n.archive, n.origins.Archive = a, a
 	n.origins.Archivers = func() []string { return n.members.Archivers(streamArchivers) }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -73,6 +73,8 @@
 	Billing() usage.Billing
 	// StreamRecords stores where streams may begin and have begun.
 	StreamRecords() originsync.Store
+	// QuarantineStore stores the quarantines among the same records.
+	QuarantineStore() QuarantineStore
 	// Provider rents out endpoints. It is nil if this system doesn't scale services.
 	Provider() scaling.Provider
 }
@@ -148,6 +150,7 @@
 	gossipContent    *gateway.GossipContent
 	origins          *originsync.Tracker
 	archive          *originsync.Archive
+	hasStored        atomic.Bool // quarantines may be on record at the store
 	pool             *exchange.Pool
 	reachability     *reachability.Unit
 	authority        *authority.Authority
@@ -204,7 +207,7 @@
 		Peers: n.members.PeerCounts, AddressLifetime: o.AddressLifetime,
 		VMs: n.members.AdvertisedCount, OnPrefillSent: n.prefillSent, OnPrefixCached: n.prefixCached, OnCrash: n.endpointCrashed, OnEndpointLeaving: n.endpointLeaving,
 		MayTryQuarantined: n.isLeader,
-		KeyFreshness:      n.keyFreshness, Origins: n.origins, Starts: n.archive, OnRequestRunning: n.requestRunning,
+		KeyFreshness:      n.keyFreshness, Origins: n.origins, Starts: n.archive, HasRecords: n.archive.Loaded, OnRequestRunning: n.requestRunning,
 		CutOff: n.isCutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPoolOn(o.Network), Bodies: n.bodies,
 	})
 	n.planner.Admits = n.backpressure.Admits
@@ -257,6 +260,7 @@
 		n.orders,
 		&catalogUnit{n},
 		n.archive,
+		&quarantineUnit{n: n},
 		n.cachesUnit(),
 		n.reachability,
 	}
