Streams are not taken up on routes that don't allow it

What callers would see: after a configuration removed a stream's route, so that a shorter prefix had its path, or no longer let its streams be resumed, a stream that was taken up went on at any endpoint of the new route, with status 200.

Cause: the origin was looked up only where the route allows resumption; elsewhere the id of the last event was passed on with a new request. Class: the absence of a mark on today's route taken for the absence of an earlier part.

Change: such an attempt is refused with 3012 and not run.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -39,6 +39,7 @@
 
 var (
 	errVersionUnread  = errors.New("the record of the versions at which streams began can't be read")
+	errNotResumable   = errors.New("the route's streams may not be resumed")
 	errVersionGone    = errors.New("no endpoint of the version that began the stream takes work")
 	errVersionUnknown = errors.New("the version that began the stream isn't known")
 )
@@ -62,8 +63,11 @@
 // findOrigin restricts a call that takes up a stream to the service and version that began it. It returns
 // false, with the call's result, if the stream can't go on.
 func (x *execution) findOrigin() (result, bool) {
-	if !x.route.Resumable || !x.call.continuesStream() || x.origin.Load() != nil {
+	switch {
+	case !x.isStream() || !x.call.continuesStream() || x.origin.Load() != nil:
 		return result{}, true
+	case !x.route.Resumable: // by now; it may have been when the stream began, or the path led to another route
+		return result{outcome: refused, code: code.StreamVersionGone, err: errNotResumable}, false
 	}
 	o, source := x.g.o.Origins.Find(x.ctx, x.stream(x.call.resumedKey()), x.service, originsync.Window(x.route.Timeout))
 	x.originSource = source
