Test of streams that are taken up after a loss of all VMs

What callers saw: after all VMs had been killed at once, streams that they took up were answered 200 and went on at another version than the one that began them, or were refused although endpoints of their version served.

The new world in simulated time reproduces it: VMs are killed without a signal and start again two seconds later, while or after a service's version or a route's service changes. A killed process sends nothing more: it opens no socket and makes no call of the store.

--- a/internal/simworld/adapter_test.go
+++ b/internal/simworld/adapter_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"fescuestand/internal/authority"
@@ -37,7 +38,7 @@
 
 func newAdapter(s *store, name string) *adapter {
 	eras := era.NewTracker(simnet.Clock{})
-	return &adapter{&client{s, name, eras}, eras}
+	return &adapter{&client{s: s, name: name, eras: eras}, eras}
 }
 
 // Eras implements vm.Adapter.
@@ -54,11 +55,16 @@
 
 // DecodeConfig implements vm.Adapter.
 func (a *adapter) DecodeConfig(data []byte) (*catalog.Config, error) {
-	version, err := strconv.ParseUint(string(data), 10, 64)
+	number, variant, _ := strings.Cut(string(data), " ")
+	version, err := strconv.ParseUint(number, 10, 64)
 	if err != nil {
 		return nil, err
 	}
-	return config(version), nil
+	c := config(version)
+	if change := variants[variant]; change != nil {
+		change(c)
+	}
+	return c, nil
 }
 
 // DecodeEndpoint implements vm.Adapter.
--- a/internal/simworld/store_test.go
+++ b/internal/simworld/store_test.go
@@ -76,9 +76,10 @@
 
 // client is the store's client of one VM.
 type client struct {
-	s    *store
-	name string
-	eras *era.Tracker
+	s       *store
+	name    string
+	eras    *era.Tracker
+	process *process // that makes the calls
 }
 
 // call takes the time of a call. It fails if ctx ends.
@@ -87,6 +88,9 @@
 	if !clock.Sleep(ctx, storeLatency+time.Duration(moment%uint64(storeJitter))) {
 		return fmt.Errorf("%w: %w", driver.ErrConnectionLost, ctx.Err())
 	}
+	if c.process.isKilled() {
+		return driver.ErrConnectionLost
+	}
 	c.eras.Observe(era.First, "call")
 	return nil
 }
@@ -165,6 +169,9 @@
 // Join implements gossip.Group. It takes no time: a drain waits for a join under way with a lock, on which a bubble's
 // time stands still.
 func (c *client) Join(_ context.Context, n gossip.Node, ttl time.Duration) (gossip.Assignment, error) {
+	if c.process.isKilled() {
+		return gossip.Assignment{}, driver.ErrConnectionLost
+	}
 	s := c.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -204,6 +211,9 @@
 
 // Leave implements gossip.Group.
 func (c *client) Leave(_ context.Context, n gossip.Node) error {
+	if c.process.isKilled() {
+		return driver.ErrConnectionLost
+	}
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
 	c.s.remove(n.Peer)
--- a/internal/simworld/world_test.go
+++ b/internal/simworld/world_test.go
@@ -87,9 +87,15 @@
 	}
 	resumable := route(pathResumable, "m", catalog.Stream)
 	resumable.Resumable = true
-	c := catalog.NewConfig(version, []*catalog.Route{
+	return newConfig(version, []*catalog.Route{
 		resumable, route(pathOnce, "m", catalog.Stream), route(pathPay, "s", catalog.NonIdempotent), route(pathReads, "s", catalog.Idempotent),
-	}, []*catalog.Service{{Name: "m", Engine: &catalog.Engine{Slots: defaultSlots, CacheTokens: 100_000}}, {Name: "s"}})
+	})
+}
+
+// newConfig returns a configuration with the given routes.
+func newConfig(version uint64, routes []*catalog.Route) *catalog.Config {
+	engine := &catalog.Engine{Slots: defaultSlots, CacheTokens: 100_000}
+	c := catalog.NewConfig(version, routes, []*catalog.Service{{Name: "m", Engine: engine}, {Name: "m2", Engine: engine}, {Name: "s"}})
 	c.Limits.BodyBytes = 64 << 10
 	return c
 }
@@ -160,15 +166,18 @@
 }
 
 // publish writes a new version of the configuration.
-func (w *world) publish() {
+func (w *world) publish() { w.publishVariant("") }
+
+// publishVariant writes a new version of the configuration with a change.
+func (w *world) publishVariant(name string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	w.store.put(configLog, vm.ConfigKey, strconv.FormatUint(w.version, 10))
+	w.store.put(configLog, vm.ConfigKey, strings.TrimSpace(fmt.Sprint(w.version, " ", name)))
 }
 
 // addEndpoint starts an endpoint, which reports itself to the store until it is retired.
-func (w *world) addEndpoint(spec endpointSpec) {
+func (w *world) addEndpoint(spec endpointSpec) *endpoint {
 	spec.slots = cmp.Or(spec.slots, defaultSlots)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -177,6 +186,7 @@
 	w.endpoints = append(w.endpoints, e)
 	w.writeEntry(e)
 	go w.report(e)
+	return e
 }
 
 // report writes an endpoint's entry after each change of its stage, until it is retired. Also an endpoint that is
@@ -248,6 +258,7 @@
 	name    string
 	host    *simnet.Host
 	starts  int
+	process *process
 	signals chan os.Signal
 	ended   chan error
 
@@ -272,7 +283,7 @@
 		},
 		MinLeaderChangeInterval: 3 * time.Second, FirstStart: true,
 		AddressLifetime: 1800 * time.Millisecond, Linger: linger, DrainTimeout: exitTimeout - 300*time.Millisecond,
-		Network: v.host.Sockets(), Clock: simnet.Clock{},
+		Network: processNetwork{v.host.Sockets(), v.process}, Clock: simnet.Clock{},
 		Tunables: vm.Tunables{Budget: repeat.Config{Ratio: 0.2, Extra: 54, Window: 10 * time.Second}},
 	}
 }
@@ -283,12 +294,16 @@
 // start starts the VM's process.
 func (v *machine) start() {
 	v.starts++
-	node := vm.New(v.options(), newAdapter(v.w.store, v.name))
+	ctx, cancel := context.WithCancel(context.Background())
+	v.process = &process{cancel: cancel}
+	a := newAdapter(v.w.store, v.name)
+	a.process = v.process
+	node := vm.New(v.options(), a)
 	o := node.KernelOptions()
 	v.signals, v.ended = make(chan os.Signal, 1), make(chan error, 1)
 	o.Signals = v.signals
 	go func() {
-		err := kernel.Run(context.Background(), o, node.Units()...)
+		err := kernel.Run(ctx, o, node.Units()...)
 		v.host.CloseAll()
 		v.ended <- err
 	}()
