Streams that have begun aren't put behind held requests

Cause: the work that all VMs hold for the service, for engines of any version, was divided by the engines of the stream's version alone. At the most urgent level the same still holds for the work of the most urgent routes.

Change: scarcity.Decide takes a request that has begun for one that nothing precedes; only the wait at the endpoint counts. TestBegunRequestsPrecedeHeldOnes failed before.

--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -216,6 +216,7 @@
 	r := &scarcity.Request{
 		Level: x.level(), Arrived: x.call.Arrived, Target: x.route.LatencyTarget, Leaves: leaves,
 		Work: work, Fixed: fixed, Bytes: len(x.call.Body), Early: x.g.held.isEarly(x.call.Arrived, x.call.Fingerprint),
+		Begun: x.isTakenUp(),
 	}
 	if w := x.call.Workspace; w != nil {
 		r.Workspace = w.Name
--- a/internal/policy/scarcity/queue_test.go
+++ b/internal/policy/scarcity/queue_test.go
@@ -81,6 +81,21 @@
 	assert.Equal(t, Decide(&r, &s).Reason, TooLate)
 }
 
+// Guards against a stream that is refused since the work which all VMs hold for a service is counted against the
+// few endpoints that can continue it.
+func TestBegunRequestsPrecedeHeldOnes(t *testing.T) {
+	const now = clock.Time(time.Hour)
+	held := Situation{Now: now, Endpoints: 1, Ahead: time.Second, Urgent: time.Second, Above: 10 * time.Second, Same: 10 * time.Second}
+	r := Request{Level: 2, Arrived: now, Target: 500 * time.Millisecond, Leaves: 2 * time.Second, Work: 12 * time.Millisecond}
+	assert.Equal(t, Decide(&r, &held).Verdict, Refuse)
+	r.Begun = true
+	assert.Equal(t, Decide(&r, &held).Verdict, Serve)
+	held.Full = true
+	assert.Equal(t, Decide(&r, &held).Verdict, Hold, "no endpoint can take it")
+	held.Wait = 3 * time.Second
+	assert.Equal(t, Decide(&r, &held).Verdict, Refuse, "its caller leaves before an endpoint can")
+}
+
 // Guards against a Retry-After delay that the caller doesn't wait for, so that it never comes back.
 func TestRetryAfterIsHonoured(t *testing.T) {
 	for random := range uint64(1000) {
--- a/internal/policy/scarcity/scarcity.go
+++ b/internal/policy/scarcity/scarcity.go
@@ -46,6 +46,7 @@
 	Fixed     time.Duration // the rest of the time to the first event, without waiting
 	Bytes     int           // that the request takes in memory while it is held
 	Early     bool          // it has come back before the end of its Retry-After delay
+	Begun     bool          // endpoints have generated a part of its answer
 }
 
 // duration is the time from sending to the first event without waiting.
@@ -122,14 +123,19 @@
 	Recheck    time.Duration // of a held request: when the capacity is expected to be free
 }
 
-// Decide returns the decision on a request.
+// Decide returns the decision on a request. One that has begun isn't put behind those that VMs hold: refusing it
+// loses what was generated, and few of the endpoints for which they wait may be able to continue it.
 func Decide(r *Request, s *Situation) Decision {
-	ahead := (s.Ahead + s.Above + s.Same/2) / time.Duration(max(s.Endpoints, 1))
-	ahead += s.Wait
+	ahead := s.Wait
+	if !r.Begun {
+		ahead += (s.Ahead + s.Above + s.Same/2) / time.Duration(max(s.Endpoints, 1))
+	}
 	if s.Now.Add(ahead) > r.lastStart() {
 		return Decision{Verdict: Refuse, Reason: TooLate, RetryAfter: RetryAfter(ahead, s.Left, s.Random)}
 	}
-	limit := r.maxWait(s.Now)
+	if r.Begun {
+		return decideByWait(r, s)
+	}
 	// Until the endpoints have work for almostIdleWait more, a request that is held elsewhere keeps none of them busy.
 	spare := time.Duration(s.Endpoints) * almostIdleWait
 	switch {
@@ -137,6 +143,14 @@
 		return Decision{Verdict: Hold, Reason: NotFirst, Recheck: maxRecheck}
 	case s.Urgent+s.Above > spare:
 		return Decision{Verdict: Hold, Reason: UrgentElsewhere, Recheck: maxRecheck}
+	}
+	return decideByWait(r, s)
+}
+
+// decideByWait returns the decision on a request that none precedes.
+func decideByWait(r *Request, s *Situation) Decision {
+	limit := r.maxWait(s.Now)
+	switch {
 	case s.Full:
 		return Decision{Verdict: Hold, Reason: EndpointsBusy, Recheck: min(max(r.Work, minRecheck), maxRecheck)}
 	case s.Wait > limit:
