--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -57,7 +57,7 @@
 	// writeDelay is how much later than a reader of the endpoints' entries another VM records a start.
 	writeDelay = 150 * time.Millisecond
 	// maxLoadTime is the time after which a VM serves without the records of earlier processes.
-	maxLoadTime = 3 * time.Second
+	maxLoadTime = 1500 * time.Millisecond
 	// retryInterval is the time between two attempts to record a start, or to read the records first.
 	retryInterval = 300 * time.Millisecond
 	// spreadPerVM is the time per VM over which VMs spread calls that all of them make at the same event.
