--- a/internal/policy/repeat/repeat_test.go
+++ b/internal/policy/repeat/repeat_test.go
@@ -98,3 +98,34 @@
 	assert.Assert(t, b.Allows(0, "labels", Begun, 9) && !b.Allows(0, "labels", Begun, 10))
 	assert.Equal(t, takeAll(b, 0), 9)
 }
+
+// Guards against a budget that is full again after a loss of all VMs: the window spans the loss, and the retries
+// before it still count.
+func TestBudgetHoldsAcrossALossOfAllVMs(t *testing.T) {
+	const vms, requestsPerVM = 7, 100
+	taken := 0
+	for start := range 2 {
+		for range vms {
+			b := New(cfg)
+			b.SetMembers(vms)
+			now := clock.Time(time.Hour).Add(time.Duration(start) * cfg.Window / 2)
+			for range requestsPerVM / 2 {
+				b.CountRequest(now, "labels")
+			}
+			taken += takeAll(b, now)
+		}
+	}
+	allowed := int(cfg.Ratio*vms*requestsPerVM + cfg.Extra)
+	assert.Assert(t, taken <= allowed, "%d retries in a window, %d allowed", taken, allowed)
+}
+
+// Guards against VMs of a large deployment that, before they know its size, use more than the budget together.
+func TestBudgetHoldsBeforeTheNumberOfVMsIsKnown(t *testing.T) {
+	for _, vms := range []int{8, 64, 420, 1000} {
+		taken := 0
+		for range vms {
+			taken += takeAll(New(Config{Ratio: 0.2, Extra: 216, Window: 10 * time.Second}), clock.Time(time.Hour))
+		}
+		assert.Check(t, taken <= 216, "%d VMs: %d retries, 216 allowed", vms, taken)
+	}
+}
