An incomplete record of versions isn't taken for a whole one

Cause: the conclusion was moved from a VM's memory to the store's record, which was then trusted alone.

Change: 'only' is concluded from the union of the record, of the starts that this VM knows to have been used and of what the others answer; a known origin goes first. The window of a VM never shrinks. A version that appears while no VM runs stays unused for 2 s where a recorded one serves. Reads for look-ups pause for 250 ms at most, and the bounds hold a window at 3,900 streams a second. A VM counts as one that has observed the whole window only while its view of the endpoints has been fresh throughout.

The stub of the look-up tests answers for versions as a VM does; the last case of TestStreamsOfRoutesThatMoved starts with new VMs, as those that knew another version don't rule it out; TestStreamsThatBeganBeforeARelease has its release 3 s after the start.

--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -62,17 +62,21 @@
 	retryInterval = 300 * time.Millisecond
 	// spreadPerVM is the time per VM over which VMs spread calls that all of them make at the same event.
 	spreadPerVM = 2 * time.Millisecond
+	// lateCallTime is how long after it was sent the store may carry out a call.
+	lateCallTime = 5 * time.Second
 	// appendInterval is the minimum time between two appends of origins.
 	appendInterval = 200 * time.Millisecond
 	// readInterval is the minimum time between two reads for streams that are taken up. All that wait
 	// share one read.
 	readInterval = 50 * time.Millisecond
-	// maxPending bounds the origins that wait for an append. Further ones are dropped: a stream whose
-	// origin isn't found is refused.
-	maxPending = 16 << 10
+	// maxReadPause bounds the time between two such reads in a large deployment. Look-ups wait for it.
+	maxReadPause = 250 * time.Millisecond
+	// maxPending bounds the origins that wait for an append: those of all streams of a window, when a second
+	// version appears. Further ones are dropped: a stream whose origin isn't found is refused.
+	maxPending = 128 << 10
 	// archiveTTL is how long an archived origin is kept in memory, and maxArchived bounds their number.
 	archiveTTL  = time.Minute
-	maxArchived = 64 << 10
+	maxArchived = 128 << 10
 	// minWindow is the minimum time for which callers may take up a stream, and takeUpSlack is added to its
 	// route's time limit.
 	minWindow   = 30 * time.Second
@@ -111,6 +115,7 @@
 	OnAmbiguous func()
 
 	loaded  atomic.Bool
+	hasRead atomic.Bool // the records have been read
 	starts  *origin.Starts
 	checked atomic.Pointer[catalog.View] // whose starts are visible
 
@@ -127,6 +132,7 @@
 	// Of the goroutine that records starts.
 	retryAt    clock.Time
 	obsoleteAt clock.Time
+	verifyAt   clock.Time // zero if nothing was written lately
 }
 
 // waiter waits for a read for a stream that was taken up.
@@ -169,6 +175,27 @@
 // Name implements kernel.Unit.
 func (a *Archive) Name() string { return "archive" }
 
+// mayHaveBegun returns where a stream may have begun, as far as this VM knows. As long as it hasn't read the
+// records, that is wherever one might.
+func (a *Archive) mayHaveBegun(st *origin.Stream) []origin.Origin {
+	if !a.hasRead.Load() {
+		return origin.Possible(a.starts.Known(), st)
+	}
+	return origin.Possible(a.starts.MayHaveBegun(a.Clock.Now()), st)
+}
+
+// VersionsBegun returns the versions of a service at which streams may have begun, as far as this VM knows. It
+// returns false if it hasn't read the records yet.
+func (a *Archive) VersionsBegun(service string) (versions []string, ok bool) {
+	for _, s := range a.starts.MayHaveBegun(a.Clock.Now()) {
+		if s.Service == service && !slices.Contains(versions, s.Version) {
+			versions = append(versions, s.Version)
+		}
+	}
+	slices.Sort(versions)
+	return versions, a.hasRead.Load()
+}
+
 // Loaded reports whether the records have been read, or can't be read for long.
 func (a *Archive) Loaded() bool { return a.loaded.Load() }
 
@@ -207,6 +234,7 @@
 func (a *Archive) maintain(ctx context.Context) {
 	a.updateVisible()
 	a.recordMissing(ctx)
+	a.verify(ctx)
 	a.dropObsolete(ctx)
 }
 
@@ -262,8 +290,8 @@
 // recordMissing puts the visible starts that aren't on record there. One of the VMs that read the endpoints'
 // entries writes first; the others find its record.
 func (a *Archive) recordMissing(ctx context.Context) {
-	missing, since := a.starts.Missing()
 	now := a.Clock.Now()
+	missing, since := a.starts.Missing(now)
 	delay := a.spread()
 	if !a.IsReader() {
 		delay += writeDelay
@@ -275,7 +303,7 @@
 	if r := a.read(ctx); r.err != nil {
 		return
 	}
-	missing, _ = a.starts.Missing()
+	missing, _ = a.starts.Missing(now)
 	if len(missing) == 0 {
 		return
 	}
@@ -286,9 +314,20 @@
 	for _, s := range missing {
 		log.WithField("host", s.Host).WithField("path", s.PathPrefix).WithField("service", s.Service).WithField("version", s.Version).Info("version of streams recorded")
 	}
+	a.starts.SetWritten(missing)
+	a.verifyAt = now.Add(lateCallTime)
 	a.read(ctx)
 }
 
+// verify reads the record again once calls that were sent before a start was written have been carried out: one of
+// them may have removed it.
+func (a *Archive) verify(ctx context.Context) {
+	if a.verifyAt != 0 && a.Clock.Now() >= a.verifyAt {
+		a.verifyAt = 0
+		a.read(ctx)
+	}
+}
+
 // dropObsolete removes from the record what no caller can need. The readers do it; the others read the
 // record again later.
 func (a *Archive) dropObsolete(ctx context.Context) {
@@ -381,7 +420,7 @@
 		}
 		pause := time.Duration(0)
 		if a.readAt != 0 {
-			pause = readInterval + a.spread() - a.Clock.Now().Sub(a.readAt)
+			pause = min(readInterval+a.spread(), maxReadPause) - a.Clock.Now().Sub(a.readAt)
 		}
 		a.mu.Unlock()
 		time.Sleep(pause)
@@ -390,7 +429,7 @@
 		a.waiting, a.readAt = nil, a.Clock.Now()
 		a.mu.Unlock()
 		r := a.read(ctx)
-		isAmbiguous := func(w waiter) bool { return len(origin.Possible(r.Starts, w.stream)) > 1 }
+		isAmbiguous := func(w waiter) bool { return a.isAmbiguous(w.stream) }
 		if r.err == nil && slices.ContainsFunc(waiting, isAmbiguous) {
 			r.err = a.readOrigins(ctx)
 		}
@@ -408,6 +447,7 @@
 		log.WithError(err).Warn("records not read")
 		return readResult{err: errors.Join(errStoreRead, err)}
 	}
+	a.hasRead.Store(true)
 	a.checkAmbiguous(a.starts.SetRecorded(a.Clock.Now(), records.Starts))
 	return readResult{Records: records, sentAt: sentAt}
 }
--- a/internal/originsync/archive_test.go
+++ b/internal/originsync/archive_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -191,20 +192,20 @@
 		w := newNetwork(1)
 		w.store.down = true
 		a := w.newArchive()
-		read := 0
-		a.OnRecords = func(Records) { read++ }
+		var read atomic.Int64
+		a.OnRecords = func(Records) { read.Add(1) }
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error)
 		go func() { ended <- a.Run(ctx) }()
 		time.Sleep(maxLoadTime - time.Millisecond)
 		assert.Check(t, !a.Loaded())
 		time.Sleep(2 * time.Millisecond)
-		assert.Check(t, a.Loaded() && read == 0)
+		assert.Check(t, a.Loaded() && read.Load() == 0)
 		w.store.mu.Lock()
 		w.store.down = false
 		w.store.mu.Unlock()
 		time.Sleep(time.Second)
-		assert.Check(t, read == 1)
+		assert.Check(t, read.Load() == 1)
 		cancel()
 		assert.Check(t, errors.Is(<-ended, context.Canceled))
 	})
@@ -224,6 +225,7 @@
 		assert.Equal(t, source, Unknown, name)
 	}
 	w.store.starts = append(startsAt("v2"), origin.Start{Host: testHost, PathPrefix: "/other/", Origin: v1}, origin.Start{Host: "other", PathPrefix: testPath, Origin: v1})
+	w.restartAll()
 	_, source := w.vm(0).Find(t.Context(), streamOf(1), "m", window)
 	assert.Equal(t, source, Only)
 }
@@ -244,6 +246,7 @@
 		vm.Archive.appendPending(t.Context())
 	}
 	assert.Equal(t, len(w.store.origins), 0, "one version costs nothing")
+	w.clock.T = w.clock.T.Add(3 * time.Second)
 	for _, vm := range w.vms {
 		vm.Archive.checkAmbiguous(vm.Archive.starts.SetVisible(w.clock.T, startsAt("v1", "v2"), window))
 		vm.Archive.recordMissing(t.Context())
--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -85,6 +85,7 @@
 	}
 	m := &wire.StreamOrigin{Stream: uint64(st.Key), Service: o.Service, Version: o.Version, TtlMs: uint32(ttl.Milliseconds())}
 	t.Send(t.others(st.Key, origin.Replicas), &wire.Beat{StreamOrigins: []*wire.StreamOrigin{m}})
+	t.Archive.starts.MarkBegun(st, o)
 	if t.Archive.isAmbiguous(st) {
 		t.archive([]*wire.StreamOrigin{m})
 	}
@@ -154,7 +155,8 @@
 }
 
 // Find returns the origin of a stream that may have begun up to window ago. If neither a VM nor the archive
-// has it, it is the only one that the stream can have, if there is only one.
+// has it, it is the only one that the stream can have by the record, by what this VM knows and by what the others
+// answer, if there is only one.
 func (t *Tracker) Find(ctx context.Context, st *origin.Stream, service string, window time.Duration) (origin.Origin, Source) {
 	if o, ok := t.register.Find(t.Clock.Now(), st.Key); ok {
 		return o, Own
@@ -163,7 +165,7 @@
 	if st.Key == origin.Unnamed {
 		a := t.searchArchive(ctx, st, &observed)
 		if a.err == nil {
-			return a.origin, a.source
+			return only(a.possible, t.Archive.mayHaveBegun(st))
 		}
 		return t.concludeFrom(t.askPeers(ctx, st.Key, service, window, observed).poll, st, service)
 	}
@@ -182,11 +184,9 @@
 			}
 			p = &r
 		case r := <-archive:
-			if r.source == Stored {
-				t.record(st.Key, r.origin, window, r.source.String())
-			}
-			if r.source != Unknown {
-				return r.origin, r.source
+			if r.known {
+				t.record(st.Key, r.origin, window, Stored.String())
+				return r.origin, Stored
 			}
 			a = &r
 		}
@@ -194,7 +194,16 @@
 	if a.err != nil {
 		return t.concludeFrom(p.poll, st, service)
 	}
-	return origin.Origin{}, Unknown
+	return only(a.possible, t.Archive.mayHaveBegun(st), p.poll.Origins(service))
+}
+
+// only returns the origin that the lists have in common if they have no other.
+func only(lists ...[]origin.Origin) (origin.Origin, Source) {
+	all := slices.Concat(lists...)
+	if len(all) == 0 || slices.ContainsFunc(all, func(o origin.Origin) bool { return o != all[0] }) {
+		return origin.Origin{}, Unknown
+	}
+	return all[0], Only
 }
 
 // concludeFrom is for a store that can't be read: it returns the only version that the VMs have observed, if
@@ -202,7 +211,7 @@
 func (t *Tracker) concludeFrom(poll *origin.Poll, st *origin.Stream, service string) (origin.Origin, Source) {
 	version, ok := poll.Only()
 	o := origin.Origin{Service: service, Version: version}
-	if possible := origin.Possible(t.Archive.starts.Known(), st); !ok || len(possible) != 1 || possible[0] != o {
+	if possible := t.Archive.mayHaveBegun(st); !ok || len(possible) != 1 || possible[0] != o {
 		return origin.Origin{}, Unread
 	}
 	return o, Only
@@ -224,9 +233,10 @@
 
 // archiveResult is what the archive has of a stream.
 type archiveResult struct {
-	origin origin.Origin
-	source Source
-	err    error // the store can't be read
+	origin   origin.Origin
+	known    bool
+	possible []origin.Origin // that the stream may have by the record, if its origin isn't known
+	err      error           // the store can't be read
 }
 
 // searchArchive looks a stream up in the archive. If VMs have been running for long, they probably know the
@@ -242,15 +252,11 @@
 		o, known, possible, err := t.Archive.Lookup(ctx, st)
 		switch {
 		case err != nil && mayRetry && clock.Sleep(ctx, lookupRetryInterval):
+			continue
 		case err != nil:
 			return archiveResult{err: err}
-		case known:
-			return archiveResult{origin: o, source: Stored}
-		case len(possible) == 1:
-			return archiveResult{origin: possible[0], source: Only}
-		default:
-			return archiveResult{}
 		}
+		return archiveResult{origin: o, known: known, possible: possible}
 	}
 }
 
--- a/internal/originsync/originsync_test.go
+++ b/internal/originsync/originsync_test.go
@@ -64,7 +64,11 @@
 	t.Observe = func(string, time.Duration) origin.Observation {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		return w.seen[name]
+		o := w.seen[name]
+		if versions, ok := t.Archive.VersionsBegun("m"); ok {
+			o.Versions = versions
+		}
+		return o
 	}
 	t.Send = func(peers []string, b *wire.Beat) {
 		for _, peer := range peers {
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -90,5 +90,14 @@
 	return "", false
 }
 
+// Origins returns the versions that the VMs have observed as origins of a service.
+func (p *Poll) Origins(service string) []Origin {
+	var out []Origin
+	for v := range p.versions {
+		out = append(out, Origin{service, v})
+	}
+	return out
+}
+
 // HasMajority reports whether more than half of the other VMs have answered, or there is no other VM.
 func (p *Poll) HasMajority() bool { return p.asked == 0 || 2*p.answered > p.asked }
--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -50,7 +50,8 @@
 	pending atomic.Bool // some visible start isn't on record
 
 	mu      sync.RWMutex
-	window  time.Duration // for which callers may take up a stream
+	window  time.Duration // for which callers may take up a stream: the longest so far
+	started clock.Time    // when starts were visible first
 	entries map[Start]*startState
 }
 
@@ -59,6 +60,19 @@
 	seenAt   clock.Time // when it was visible last, or became known
 	since    clock.Time // when it became visible
 	recorded bool
+	// renew means that the start has come back after so long that another VM may be removing it from the record:
+	// it is written again, also if the record still has it.
+	renew bool
+	// begun means that a stream has begun there, or that the store had it on record before it was restored.
+	begun bool
+}
+
+// isWritten reports whether the start is on record for good.
+func (e *startState) isWritten() bool { return e.recorded && !e.renew }
+
+// mayHaveBegun reports whether streams may have begun at the start.
+func (e *startState) mayHaveBegun(now clock.Time) bool {
+	return e.recorded || e.begun || e.visible && now.Sub(e.since) > maxRecordTime
 }
 
 // NewStarts returns an empty tracker.
@@ -69,7 +83,10 @@
 func (s *Starts) SetVisible(now clock.Time, visible []Start, window time.Duration) (added []Start) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.window = window
+	if s.window == 0 {
+		s.started = now
+	}
+	s.window = max(s.window, window)
 	for _, e := range s.entries {
 		if e.visible {
 			e.seenAt = now
@@ -84,9 +101,7 @@
 		if e.since == 0 {
 			e.since = now
 		}
-		if now.Sub(e.seenAt) > window {
-			e.recorded = false
-		}
+		e.renew = e.renew || now.Sub(e.seenAt) > s.window
 		e.visible, e.seenAt = true, now
 	}
 	for _, e := range s.entries {
@@ -124,8 +139,40 @@
 	return added
 }
 
+// SetWritten marks starts that this VM has written.
+func (s *Starts) SetWritten(starts []Start) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, start := range starts {
+		if e := s.entries[start]; e != nil {
+			e.renew = false
+		}
+	}
+}
+
 // Reset marks all starts as not on record: the store may have lost them.
-func (s *Starts) Reset(now clock.Time) { s.SetRecorded(now, nil) }
+func (s *Starts) Reset(now clock.Time) {
+	s.mu.Lock()
+	for _, e := range s.entries {
+		e.begun = e.begun || e.recorded
+	}
+	s.mu.Unlock()
+	s.SetRecorded(now, nil)
+}
+
+// MarkBegun records that a stream has begun at an origin.
+func (s *Starts) MarkBegun(st *Stream, o Origin) {
+	if !s.Pending() {
+		return // all that is visible is on record
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for start, e := range s.entries {
+		if start.Origin == o && start.matches(st) {
+			e.begun = true
+		}
+	}
+}
 
 // forget drops the starts that have been invisible for long, and updates pending. The caller holds mu.
 func (s *Starts) forget(now clock.Time) {
@@ -134,18 +181,17 @@
 	})
 	pending := false
 	for _, e := range s.entries {
-		pending = pending || e.visible && !e.recorded
+		pending = pending || e.visible && !e.isWritten()
 	}
 	s.pending.Store(pending)
 }
 
-// Missing returns the visible starts that aren't known to be on record, and when the first of them became
-// visible.
-func (s *Starts) Missing() (missing []Start, since clock.Time) {
+// Missing returns the starts that have to be written, and when the first of them became visible.
+func (s *Starts) Missing(now clock.Time) (missing []Start, since clock.Time) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	for start, e := range s.entries {
-		if !e.visible || e.recorded {
+		if !e.visible && !e.begun || e.isWritten() || s.isHeldBack(now, start, e) {
 			continue
 		}
 		if len(missing) == 0 || e.since < since {
@@ -156,6 +202,20 @@
 	return missing, since
 }
 
+// isHeldBack reports whether a start isn't written yet, although it is visible: if all VMs have just started, the
+// streams that callers take up now began at the versions that were on record before.
+func (s *Starts) isHeldBack(now clock.Time, start Start, e *startState) bool {
+	if now.Sub(s.started) > maxRecordTime || e.begun {
+		return false
+	}
+	for other, o := range s.entries {
+		if o.visible && o.recorded && other.Host == start.Host && other.PathPrefix == start.PathPrefix {
+			return true
+		}
+	}
+	return false
+}
+
 // Obsolete returns the starts on record that no stream which is taken up can have any more.
 func (s *Starts) Obsolete(now clock.Time) []Start {
 	s.mu.RLock()
@@ -178,7 +238,20 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	e := s.entries[*start]
-	return e != nil && (e.recorded || e.visible && now.Sub(e.since) > maxRecordTime)
+	return e != nil && (e.isWritten() || e.visible && now.Sub(e.since) > maxRecordTime)
+}
+
+// MayHaveBegun returns the starts at which streams may have begun, as far as this VM knows.
+func (s *Starts) MayHaveBegun(now clock.Time) []Start {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []Start
+	for start, e := range s.entries {
+		if e.mayHaveBegun(now) {
+			out = append(out, start)
+		}
+	}
+	return out
 }
 
 // Known returns the starts that are visible, on record or were visible within the last window.
--- a/internal/policy/origin/starts_test.go
+++ b/internal/policy/origin/starts_test.go
@@ -25,7 +25,7 @@
 	assert.Assert(t, !s.MayBegin(now, &v2), "an unknown start")
 	s.SetVisible(now, []Start{v1, v2}, testWindow)
 	assert.Assert(t, s.MayBegin(now, &v1) && !s.MayBegin(now, &v2) && s.Pending())
-	missing, since := s.Missing()
+	missing, since := s.Missing(now.Add(maxRecordTime + 1))
 	assert.DeepEqual(t, missing, []Start{v2})
 	assert.Equal(t, since, now)
 	assert.Assert(t, s.MayBegin(now.Add(maxRecordTime+1), &v2), "a record that can't be written doesn't stop the service")
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -144,6 +144,9 @@
 	defer tick.Stop()
 	for {
 		u.n.catalog.RemoveExpired()
+		if !u.n.members.HasFreshView() {
+			u.n.observedSince.Store(int64(u.n.clock.Now()))
+		}
 		u.n.refreshConfig()
 		u.n.members.SetReady(u.n.catalog.View().Config != nil && u.n.archive.Loaded())
 		u.n.announceCutOff() // two changes at the same moment may have been announced in the wrong order
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -14,11 +14,14 @@
 	n.origins = originsync.New()
 	n.origins.Self, n.origins.Process, n.origins.Clock = n.o.Self.Peer, seedOf(n.o.Self.Incarnation), n.clock
 	n.origins.Replicas = n.members.StreamReplicas
-	started := n.clock.Now()
+	n.observedSince.Store(int64(n.clock.Now()))
 	n.origins.Observe = func(service string, window time.Duration) origin.Observation {
-		return origin.Observation{
-			Versions: n.catalog.Versions(service, window), Fresh: n.members.HasFreshView(), Whole: n.clock.Now().Sub(started) >= window,
+		o := origin.Observation{Fresh: n.members.HasFreshView(), Whole: n.clock.Now().Sub(clock.Time(n.observedSince.Load())) >= window}
+		var ok bool
+		if o.Versions, ok = n.archive.VersionsBegun(service); !ok {
+			o.Versions = n.catalog.Versions(service, window)
 		}
+		return o
 	}
 	n.initArchive()
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -150,7 +150,8 @@
 	gossipContent    *gateway.GossipContent
 	origins          *originsync.Tracker
 	archive          *originsync.Archive
-	hasStored        atomic.Bool // quarantines may be on record at the store
+	observedSince    atomic.Int64 // clock.Time since which this VM has had a fresh view of the endpoints
+	hasStored        atomic.Bool  // quarantines may be on record at the store
 	pool             *exchange.Pool
 	reachability     *reachability.Unit
 	authority        *authority.Authority
