Retry budget: 1,000 VMs are assumed until their number is known

What endpoints would see: 420 VMs that start together could make 840 retries in a window where 216 are allowed, 1,000 VMs 2,000: each assumed 64 VMs until it knew another one.

Change: the number assumed is that of the largest deployment. TestBudgetHoldsBeforeTheNumberOfVMsIsKnown failed before (420: 840, 1,000: 2,000) and passes. TestBudgetHoldsAcrossALossOfAllVMs still fails and stays listed.

--- a/internal/policy/repeat/repeat.go
+++ b/internal/policy/repeat/repeat.go
@@ -30,7 +30,7 @@
 	// counting requests when they arrive, as here, and when they were sent, as elsewhere.
 	safetyFactor = 0.8
 	// maxMembers is the number of VMs that is assumed until SetMembers is called.
-	maxMembers = 64
+	maxMembers = 1000
 )
 
 // Priority is a request's claim on the budget.
