Taken-up streams are the most urgent ones at their engine

Cause: the rank by which an engine admits is the slack left when a request is sent. A taken-up stream is sent at once and needs no prefill, so it has the most slack, and an engine that is never idle doesn't begin it.

Change: rank 0. TestTakenUpStreamsAreTheMostUrgentAtTheirEngine failed before.

--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -136,6 +137,33 @@
 	assert.NilError(t, resp.Body.Close())
 }
 
+// Guards against a taken-up stream that an engine never begins, as new requests that have less time left come first.
+func TestTakenUpStreamsAreTheMostUrgentAtTheirEngine(t *testing.T) {
+	w := newTestGateway(t)
+	w.origins.origin, w.origins.found = origin.Origin{Version: "v1"}, originsync.Peer
+	route := streamRoute
+	route.LatencyTarget = 400 * time.Millisecond
+	w.setRoute(route)
+	ranks := make(chan string, 2)
+	w.addVersion("a", "v1", catalog.Decode, serve(t, func(_ *backend, _ int, r *http.Request, c net.Conn) bool {
+		ranks <- r.Header.Get("Urgency")
+		return events(c, 4, 5, true)
+	}))
+	for _, tc := range []struct {
+		resumes string
+		want    bool
+	}{{"0", true}, {"", false}} {
+		header := []string{"Tokens", "10", "Patience", "8000"}
+		if tc.resumes != "" {
+			header = append(header, "Resumes", tc.resumes, "Last", "3")
+		}
+		resp, _, err := w.request(t, "POST", "/x/", tc.resumes, header...)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, <-ranks == "0", tc.want)
+	}
+}
+
 // Guards against a stream that begins at a version of which no record outlives all VMs.
 func TestStreamsBeginAtRecordedVersions(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -114,6 +114,9 @@
 // urgencyRank is the rank by which engines order the request. It follows from the time left until
 // the route's target, or is the call's priority if the route has no target.
 func (x *execution) urgencyRank() int {
+	if x.isTakenUp() {
+		return 0 // it has much slack, being sent at once, and starves behind new ones that have less
+	}
 	if x.route.LatencyTarget == 0 {
 		return min(max(x.priority(), 0), ontime.MaxUrgencyRank)
 	}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -64,6 +64,7 @@
 	h := c.Header.Clone()
 	h.Set("Left", strconv.FormatInt(s.RemainingTime.Milliseconds(), 10))
 	h.Set("To", s.Endpoint.ID)
+	h.Set("Urgency", strconv.Itoa(s.UrgencyRank))
 	h.Del("Content-Length")
 	if s.PrefillOnly {
 		h.Set("Only", "prefill")
