A version that appeared while no VM ran is held back for longer, but not at any price

Change: 4 s, only for a version that was visible when the VM first saw endpoints; streams begin there all the same if versions on record have less than half of the usable endpoints. A stream that the caller names counts as taken up also if its origin follows from the record.

--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"fescuestand/internal/clock"
-	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/scarcity"
 	"fescuestand/internal/wire"
@@ -225,11 +224,9 @@
 	return r
 }
 
-// isTakenUp reports whether the caller takes up a stream of which a VM has recorded that it began. It precedes new
+// isTakenUp reports whether the caller takes up a stream that it names and whose origin is known. It precedes new
 // requests: refusing it loses what was generated, and only endpoints of its version can do the work.
-func (x *execution) isTakenUp() bool {
-	return x.originSource == originsync.Own || x.originSource == originsync.Peer || x.originSource == originsync.Stored
-}
+func (x *execution) isTakenUp() bool { return x.call.Resumes != "" && x.origin.Load() != nil }
 
 // level returns the request's level of priority.
 func (x *execution) level() int {
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -100,19 +100,22 @@
 	x.g.o.Origins.Record(x.stream(key), o, max(x.remainingTime(), x.call.CallerTimeout)+takeUpSlack)
 }
 
-// startable returns the endpoints at which a stream without events may begin. Where none is on record, it
-// begins at any: the record can't be written, and refusing all streams would be worse.
+// startable returns the endpoints at which a stream without events may begin. Where less than half of them are of a
+// version on record, it begins at any: refusing that many streams would be worse.
 func (x *execution) startable(list []*catalog.Endpoint) []*catalog.Endpoint {
 	if !x.route.Resumable || !x.g.o.Starts.Pending() {
 		return list
 	}
 	allowed := slices.DeleteFunc(slices.Clone(list), func(e *catalog.Endpoint) bool { return !x.g.o.Starts.MayBegin(x.route, e) })
-	if !slices.ContainsFunc(allowed, func(e *catalog.Endpoint) bool { return e.Stage != catalog.Prefill }) {
+	if 2*len(allowed) < len(list) || !slices.ContainsFunc(allowed, canRun) {
 		return list
 	}
 	return allowed
 }
 
+// canRun reports whether an endpoint runs requests to their end.
+func canRun(e *catalog.Endpoint) bool { return e.Stage != catalog.Prefill }
+
 // mayContinueAt reports whether the request may be sent to e: the stream has no event yet, or e is of the
 // version that made them.
 func (x *execution) mayContinueAt(e *catalog.Endpoint) bool {
@@ -130,7 +133,6 @@
 
 // noEndpoint is the result of a request for which there is no endpoint to try.
 func (x *execution) noEndpoint() result {
-	canRun := func(e *catalog.Endpoint) bool { return e.Stage != catalog.Prefill }
 	if x.origin.Load() != nil && !slices.ContainsFunc(x.openEndpoints(), canRun) {
 		return result{outcome: refused, code: code.StreamVersionGone, err: errVersionGone}
 	}
--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -14,6 +14,9 @@
 const (
 	// maxRecordTime bounds how long a version is left unused because the store doesn't record it.
 	maxRecordTime = 2 * time.Second
+	// holdTime is how long a version that appeared while this VM wasn't running is left unused and off the record:
+	// if all VMs have just started, most streams that were broken off are taken up in that time.
+	holdTime = 4 * time.Second
 	// obsoleteWindows is the number of windows without an endpoint after which a version is dropped from the
 	// record. A VM relies on what it has read of the record for one window less: another VM may have seen the
 	// last endpoint earlier.
@@ -70,11 +73,6 @@
 // isWritten reports whether the start is on record for good.
 func (e *startState) isWritten() bool { return e.recorded && !e.renew }
 
-// mayHaveBegun reports whether streams may have begun at the start.
-func (e *startState) mayHaveBegun(now clock.Time) bool {
-	return e.recorded || e.begun || e.visible && now.Sub(e.since) > maxRecordTime
-}
-
 // NewStarts returns an empty tracker.
 func NewStarts() *Starts { return &Starts{entries: map[Start]*startState{}} }
 
@@ -83,7 +81,7 @@
 func (s *Starts) SetVisible(now clock.Time, visible []Start, window time.Duration) (added []Start) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.window == 0 {
+	if s.started == 0 && len(visible) > 0 {
 		s.started = now
 	}
 	s.window = max(s.window, window)
@@ -202,10 +200,10 @@
 	return missing, since
 }
 
-// isHeldBack reports whether a start isn't written yet, although it is visible: if all VMs have just started, the
-// streams that callers take up now began at the versions that were on record before.
+// isHeldBack reports whether a start isn't written yet, although it is visible: another one of the route was on
+// record when this VM started, and the streams that callers take up now began there.
 func (s *Starts) isHeldBack(now clock.Time, start Start, e *startState) bool {
-	if now.Sub(s.started) > maxRecordTime || e.begun {
+	if e.since != s.started || now.Sub(s.started) > holdTime || e.begun {
 		return false
 	}
 	for other, o := range s.entries {
@@ -216,6 +214,11 @@
 	return false
 }
 
+// isOverdue reports whether a start hasn't been recorded in time, so that streams begin there without a record.
+func (s *Starts) isOverdue(now clock.Time, start Start, e *startState) bool {
+	return e.visible && now.Sub(e.since) > maxRecordTime && !s.isHeldBack(now, start, e)
+}
+
 // Obsolete returns the starts on record that no stream which is taken up can have any more.
 func (s *Starts) Obsolete(now clock.Time) []Start {
 	s.mu.RLock()
@@ -238,7 +241,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	e := s.entries[*start]
-	return e != nil && (e.isWritten() || e.visible && now.Sub(e.since) > maxRecordTime)
+	return e != nil && (e.isWritten() || s.isOverdue(now, *start, e))
 }
 
 // MayHaveBegun returns the starts at which streams may have begun, as far as this VM knows.
@@ -247,7 +250,7 @@
 	defer s.mu.RUnlock()
 	var out []Start
 	for start, e := range s.entries {
-		if e.mayHaveBegun(now) {
+		if e.recorded || e.begun || s.isOverdue(now, start, e) {
 			out = append(out, start)
 		}
 	}
