Exchange: a test reads the pool's idle connections under its lock

What was seen: TestSweepClosesConnectionsToRemovedAddresses failed with -race, once in make test and in 1 of 2,000 runs.

Cause: a fault of the test. The product's accesses hold the lock.

Change: the test reads the same counts under the lock.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -104,16 +104,27 @@
 	for range 50 {
 		_, err := do(t, p, addr, get("/"))
 		assert.NilError(t, err)
-		p.mu.Lock()
-		kept := len(p.idle[addr])
-		p.mu.Unlock()
-		if kept > 0 {
+		if idleCount(p, addr) > 0 {
 			return
 		}
 	}
 	t.Fatal("the pool holds no idle connection")
 }
 
+// idleCount returns the number of idle connections to addr.
+func idleCount(p *Pool, addr string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[addr])
+}
+
+// idleAddresses returns the number of addresses to which there are idle connections.
+func idleAddresses(p *Pool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
+
 func TestRequestIsSentUnchanged(t *testing.T) {
 	got := make(chan *http.Request, 1)
 	e := listen(t, func(_ *endpoint, _ int, c net.Conn, br *bufio.Reader) {
@@ -339,9 +350,9 @@
 	p := NewPool()
 	keepOne(t, p, e.addr)
 	p.Sweep(map[string]bool{e.addr: true})
-	assert.Equal(t, len(p.idle), 1)
+	assert.Equal(t, idleAddresses(p), 1)
 	p.Sweep(nil)
-	assert.Equal(t, len(p.idle), 0)
+	assert.Equal(t, idleAddresses(p), 0)
 	<-closed
 	assert.NilError(t, p.Close())
 }
