Scenarios: routes for streams are split, moved and removed beside pauses

What callers saw on an earlier landing: text joined from two versions beside configurations and engines that fell silent; no logs were kept.

TestStreamsKeepTheirVersion logs the VMs' calls to the store. The flags for callers that send streams only and that take streams up persistently are separate.

--- a/scenarios/soak_callers_test.go
+++ b/scenarios/soak_callers_test.go
@@ -62,7 +62,7 @@
 		c := s.newCaller(i)
 		s.wg.Go(func() {
 			defer c.http.CloseIdleConnections()
-			if s.persistent { // out of step with the other callers
+			if s.onlyStreams { // out of step with the other callers
 				time.Sleep(time.Duration(c.rng.Int64N(int64(warmUpTime))))
 			}
 			for n := 0; ctx.Err() == nil; n++ {
@@ -136,7 +136,7 @@
 		return
 	}
 	path := []string{pathResumable, pathOnce, pathPay, pathReads}[c.rng.IntN(4)]
-	if c.s.persistent {
+	if c.s.onlyStreams {
 		path = pathResumable
 	}
 	a := soakAnswer{id: fmt.Sprintf("%s-%d", c.name, n), path: path, vm: at, sent: time.Now()}
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -49,23 +49,24 @@
 	ctx       context.Context
 	wg        sync.WaitGroup
 
-	mu         sync.Mutex
-	dropShare  float64 // share of the new streams that callers drop and take up elsewhere
-	ownPrompts bool    // no two callers send the same request
-	persistent bool    // callers send streams only, and take them up until VMs have answered several times
-	anonymous  bool    // callers that take a stream up don't name its first attempt
-	engines    engineSetup
-	endpoints  map[string]*soakEndpoint
-	drained    map[string]time.Time // when the store accepted that the endpoint is leaving
-	faults     []injectedFault
-	storeDown  bool
-	configs    []published
-	answers    []soakAnswer
-	started    int // number of endpoints started so far
-	limits     []limitPeriod
-	announced  []*standin.Endpoint // announced only in their answers that they are leaving
-	rejections []rejection
-	noticesEnd time.Time // when the last notice of an endpoint ended
+	mu          sync.Mutex
+	dropShare   float64 // share of the new streams that callers drop and take up elsewhere
+	ownPrompts  bool    // no two callers send the same request
+	onlyStreams bool    // callers send streams that may be resumed, and nothing else
+	persistent  bool    // callers take up streams until VMs have answered several times
+	anonymous   bool    // callers that take a stream up don't name its first attempt
+	engines     engineSetup
+	endpoints   map[string]*soakEndpoint
+	drained     map[string]time.Time // when the store accepted that the endpoint is leaving
+	faults      []injectedFault
+	storeDown   bool
+	configs     []published
+	answers     []soakAnswer
+	started     int // number of endpoints started so far
+	limits      []limitPeriod
+	announced   []*standin.Endpoint // announced only in their answers that they are leaving
+	rejections  []rejection
+	noticesEnd  time.Time // when the last notice of an endpoint ended
 
 	violations []string
 }
@@ -90,8 +91,15 @@
 	streams []string      // those that share the routes for streams, nil for the engines' only one
 	timeout time.Duration // of all routes, zero for the default
 	idle    time.Duration // limit of callers' connections, zero for the default
+
+	removed  bool     // there is no route for pathResumable
+	shorter  []string // the services of a route whose prefix is a part of pathResumable, nil for no such route
+	unresume bool     // streams of that route may not be resumed
 }
 
+// pathShorter is the prefix of a route that takes over requests for pathResumable when that route is removed.
+const pathShorter = "/res"
+
 const (
 	soakEngineService = "m"
 	soakRouteTimeout  = 8 * time.Second
@@ -266,13 +274,25 @@
 	for _, name := range engineServices {
 		services = append(services, fmt.Sprintf(`{"name": %q, "engine": {"slots": 32, "kvTokens": 100000}}`, name))
 	}
-	return fmt.Sprintf(`{"version": %d, "routes": [%s, %s, %s, %s],
+	const resumable, stream = `, "resumable": true, "targetLatencyMs": 400, "gapAimMs": 200`, `, "targetLatencyMs": 400, "gapAimMs": 200`
+	routes := []string{
+		route(pathOnce, "streaming", streams, stream),
+		route(pathPay, "non_idempotent", []string{"s"}, ""), route(pathReads, "idempotent", c.reads, ""),
+	}
+	if !c.removed {
+		routes = append(routes, route(pathResumable, "streaming", streams, resumable))
+	}
+	if c.shorter != nil {
+		more := resumable
+		if c.unresume {
+			more = stream
+		}
+		routes = append(routes, route(pathShorter, "streaming", c.shorter, more))
+	}
+	return fmt.Sprintf(`{"version": %d, "routes": [%s],
  "services": [%s],
  "limits": {"maxBodyBytes": 65536, "idleTimeoutMs": %d}}`, version,
-		route(pathResumable, "streaming", streams, `, "resumable": true, "targetLatencyMs": 400, "gapAimMs": 200`),
-		route(pathOnce, "streaming", streams, `, "targetLatencyMs": 400, "gapAimMs": 200`),
-		route(pathPay, "non_idempotent", []string{"s"}, ""), route(pathReads, "idempotent", c.reads, ""),
-		strings.Join(services, ", "), cmp.Or(c.idle, soakIdleLimit).Milliseconds())
+		strings.Join(routes, ", "), strings.Join(services, ", "), cmp.Or(c.idle, soakIdleLimit).Milliseconds())
 }
 
 // sharesOf returns the field of a route that has services share its requests.
--- a/scenarios/versions_test.go
+++ b/scenarios/versions_test.go
@@ -88,7 +88,8 @@
 				versions = versions[:1]
 			}
 			s := newSoakOf(t, 2, engineSetup{count: versionEngines, versions: versions, eventInterval: versionEventInterval, slots: versionSlots})
-			s.dropShare, s.ownPrompts, s.persistent, s.anonymous = tc.dropShare, true, tc.restarts(), tc.anonymous
+			s.dropShare, s.ownPrompts, s.anonymous = tc.dropShare, true, tc.anonymous
+			s.onlyStreams, s.persistent = tc.restarts(), tc.restarts()
 			s.awaitServing()
 			ctx, stop := context.WithCancel(s.ctx)
 			s.manyCallers(ctx, versionCallers, requestInterval)
@@ -105,6 +106,7 @@
 				clear(down)
 			}
 			s.checkTakenUp(down)
+			s.logStoreCalls()
 			s.mu.Unlock()
 			s.checkQuarantines()
 			s.checkProcesses()
@@ -270,6 +272,15 @@
 	}
 }
 
+// logStoreCalls logs how often VMs called the store.
+func (s *soak) logStoreCalls() {
+	var calls []string
+	for _, path := range []string{"/log-newest", "/log-read", "/log-append", "/log-join", "/log-leave", "/log-owners"} {
+		calls = append(calls, fmt.Sprintf("%d %s", s.store.Calls(path), path))
+	}
+	s.t.Logf("calls to the store: %s", strings.Join(calls, ", "))
+}
+
 // serving returns how many engines of a version served at the given time.
 func (s *soak) serving(version string, at time.Time) int {
 	n := 0
@@ -291,7 +302,7 @@
 		if joined {
 			mixed++
 		}
-		if a.path != pathResumable || s.persistent && a.status == 0 || slices.ContainsFunc(down[a.vm], func(d span) bool { return a.sent.After(d.from) && a.sent.Before(d.to) }) {
+		if a.path != pathResumable || s.onlyStreams && a.status == 0 || slices.ContainsFunc(down[a.vm], func(d span) bool { return a.sent.After(d.from) && a.sent.Before(d.to) }) {
 			continue
 		}
 		if a.stream.root != "" && s.serving(a.stream.version, a.sent) < minServing {
