Versions of routes whose streams may not be resumed count, too

Cause: only resumable routes had their services and versions on record.

Change: all routes for streams have theirs on record, and their streams begin at recorded versions.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -103,7 +103,7 @@
 // startable returns the endpoints at which a stream without events may begin. Where less than half of them are of a
 // version on record, it begins at any: refusing that many streams would be worse.
 func (x *execution) startable(list []*catalog.Endpoint) []*catalog.Endpoint {
-	if !x.route.Resumable || !x.g.o.Starts.Pending() {
+	if !x.isStream() || !x.g.o.Starts.Pending() {
 		return list
 	}
 	allowed := slices.DeleteFunc(slices.Clone(list), func(e *catalog.Endpoint) bool { return !x.g.o.Starts.MayBegin(x.route, e) })
--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -256,7 +256,8 @@
 	}
 }
 
-// visibleStarts returns the starts that a view allows, and for how long callers may take up a stream.
+// visibleStarts returns the starts that a view allows, and for how long callers may take up a stream. Routes whose
+// streams may not be resumed count, too: another one may have their paths when callers try.
 func visibleStarts(v *catalog.View) (starts []origin.Start, window time.Duration) {
 	versions := map[string]map[string]struct{}{}
 	for _, e := range v.All() {
@@ -267,7 +268,7 @@
 	}
 	window = minWindow
 	for r := range v.Config.Routes() {
-		if r.Kind != catalog.Stream || !r.Resumable {
+		if r.Kind != catalog.Stream {
 			continue
 		}
 		window = max(window, Window(r.Timeout))
