Drain: a stream's own limit and its engine's speed decide whether it is taken

Callers saw streams of a VM that was stopped as planned begin and break off, while other VMs were ready and idle.

Cause: the time of an answer was extrapolated from the durations of its route's answers in the last 30 to 60 s. Answers end at their own limits, so that those of 10 to 30 tokens say nothing about one of 106. A duration also mixes length and speed: a slowdown showed only as answers ended. The request's limit was read and not used.

Change: a stream is taken if its bound of events, times the time for an event at the engine that is to run it, fits into the time left. The limit of output tokens is the bound. The history lowers it only with 20 answers whose limits were as high, and not below the caller's Length-Hint. The time for an event comes from the VM's own streams at each engine, those that have ended and those that are being sent, and from what endpoints say of their speed. Streams that a caller resumes or leaves no longer count as whole answers. Calls are decided as before.

Tests: drain_test.go only follows the new types, with the same bounds.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -33,8 +33,9 @@
 }
 
 // refuseInDrain returns the refusal of a request that could be cut off by the end of the process.
-// A request that an endpoint may have run is always continued.
-func (x *execution) refuseInDrain() (result, bool) {
+// A request that an endpoint may have run is always continued. endpoint is the ID of the one that is to
+// run the request, "" before it is chosen.
+func (x *execution) refuseInDrain(endpoint string) (result, bool) {
 	s := x.g.shutdown.Load()
 	if s == nil || x.headerSent || x.runs > 0 {
 		return result{}, false
@@ -43,7 +44,7 @@
 	ready, leaving := x.g.o.Peers()
 	r := drain.Request{
 		TimeLeft: s.end.Sub(now), CallerTimeout: x.remainingTime(), Wait: firstEventFactor * x.untilFirstEvent,
-		Answers: x.g.durations.Sample(now, x.route.Name), AddressesOld: now >= s.addressesOld, PeersReady: ready, PeersLeaving: leaving,
+		Answer: x.expectedAnswer(now, endpoint), AddressesOld: now >= s.addressesOld, PeersReady: ready, PeersLeaving: leaving,
 	}
 	verdict, retryAfter := drain.Decide(r)
 	if verdict == drain.Take {
@@ -53,25 +54,63 @@
 	return result{outcome: refused, code: code.Leaving, err: errLeaving, retryAfter: retryAfter}, true
 }
 
+// expectedAnswer returns what is known of the answer's length, and of its speed at an endpoint.
+func (x *execution) expectedAnswer(now clock.Time, endpoint string) drain.Answer {
+	if !x.isStream() {
+		return drain.Answer{Calls: x.g.callTimes.Sample(now, x.route.Name)}
+	}
+	limit := x.call.MaxOutputTokens
+	return drain.Answer{
+		Limit: limit, Hint: x.call.ExpectedOutputTokens, Lengths: x.g.lengths.Sample(now, x.route.Name, limit),
+		PerEvent: x.g.paces.PerEvent(now, x.service, endpoint, x.g.o.Planner.Slowdown(now, endpoint)),
+	}
+}
+
 // logLeft logs the decision to refuse the request and what it rests on.
 func (x *execution) logLeft(r *drain.Request) {
 	e := log.WithField("id", x.call.ID).WithField("left_ms", r.TimeLeft.Milliseconds()).WithField("wait_ms", r.Wait.Milliseconds()).
-		WithField("answers", r.Answers.Count).WithField("longest_ms", r.Answers.Longest.Milliseconds()).
 		WithField("peers_ready", r.PeersReady).WithField("peers_leaving", r.PeersLeaving)
+	a := &r.Answer
+	if x.isStream() {
+		e = e.WithField("limit", a.Limit).WithField("hint", a.Hint).WithField("answers", a.Lengths.Count).WithField("longest", a.Lengths.Longest).
+			WithField("event_ms", a.PerEvent.Milliseconds())
+	} else {
+		e = e.WithField("answers", a.Calls.Count).WithField("longest_ms", a.Calls.Longest.Milliseconds())
+	}
 	e.Info("request left to other VMs")
 }
 
-// beginAnswer records that the request's answer begins, once for all attempts.
-func (x *execution) beginAnswer() {
-	if x.answer == nil {
-		x.answer = x.g.durations.Begin(x.now(), x.route.Name)
+// beginCallTime records that an endpoint begins to run the call, once for all attempts.
+func (x *execution) beginCallTime() {
+	if x.callTime == nil {
+		x.callTime = x.g.callTimes.Begin(x.now(), x.route.Name)
+	}
+}
+
+// recordPace records that n events of a stream have arrived from its engine.
+func (x *execution) recordPace(o *openStream, now clock.Time, n int) {
+	if o.pace == nil {
+		o.pace = x.g.paces.Begin(now, x.service, o.request.Endpoint.ID)
+		return
+	}
+	o.pace.Record(now, n)
+}
+
+// countEvents counts n events of the answer, over all attempts.
+func (x *execution) countEvents(n int) {
+	if x.events == nil {
+		x.events = x.g.lengths.Begin(x.now(), x.route.Name, x.call.MaxOutputTokens)
 	}
+	x.events.Count(n)
 }
 
-// endAnswer records the end of the request's answer. A caller that disconnects shows that the answer
-// takes at least that long.
+// endAnswer records the end of the request's answer. A caller that disconnects shows that a call takes
+// at least that long. A stream that its caller has resumed lacks the events before that.
 func (x *execution) endAnswer(o outcome) {
-	if x.answer != nil {
-		x.answer.End(x.now(), o == answered || o == gone)
+	if x.callTime != nil {
+		x.callTime.End(x.now(), o == answered || o == gone)
+	}
+	if x.events != nil {
+		x.events.End(x.now(), o == answered && !x.call.continuesStream())
 	}
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -60,8 +60,10 @@
 	handoffTime           time.Duration // arrival to end of a separate prefill, zero without one
 	prefillWork           time.Duration // predicted at the newest placement
 	predictedFirstEvent   time.Duration // predicted time to the first event at the first placement
-	untilFirstEvent       time.Duration // predicted at the newest placement, zero once the prefill is done
-	answer                *drain.Answer // nil until the answer begins
+	untilFirstEvent       time.Duration // predicted at the newest placement, or once its prefill is done
+	callTime              *drain.Call   // nil until an endpoint begins to run the call
+	events                *drain.Events // of the answer, nil before the first one
+	runsAt                string        // ID of the engine that is to run the stream, by the newest placement
 	firstEventTime        time.Duration // from the arrival to the first event
 	latest                *attempt      // that has ended
 	attempts              []attemptTrace
@@ -230,6 +232,9 @@
 // runs the exchange, and reports whether another endpoint has taken the request meanwhile.
 func (x *execution) send(ctx context.Context, a *attempt, wait waiter) (*exchange.Response, Answer, result) {
 	s := a.request
+	if !s.PrefillOnly {
+		x.runsAt = s.Endpoint.ID
+	}
 	if r, ok := x.admitSend(s.Endpoint); !ok {
 		return nil, Answer{}, r
 	}
@@ -305,7 +310,7 @@
 	if r, ok := x.reauthorize(); !ok {
 		return r, false
 	}
-	if r, refuse := x.refuseInDrain(); refuse {
+	if r, refuse := x.refuseInDrain(x.runsAt); refuse {
 		return r, false
 	}
 	if r, refuse := x.refuseQuarantined(); refuse {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,7 +84,9 @@
 	heldWork     ontime.HeldWork
 	held         *HeldRequests
 	requestMeter serving.Meter
-	durations    *drain.Durations
+	callTimes    *drain.Durations
+	lengths      *drain.Lengths
+	paces        *drain.Paces
 	shutdown     atomic.Pointer[shutdown] // nil if the process isn't shutting down
 	queues       sync.Map                 // of *queue, by service
 	silences     *silence.Register
@@ -97,7 +99,8 @@
 	if o.Bodies == nil {
 		o.Bodies = bytebudget.New()
 	}
-	g := &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), durations: drain.NewDurations(), silences: silence.New(), exposures: crash.NewExposures(), held: newHeldRequests()}
+	g := &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), silences: silence.New(), exposures: crash.NewExposures(), held: newHeldRequests()}
+	g.callTimes, g.lengths, g.paces = drain.NewDurations(), drain.NewLengths(), drain.NewPaces()
 	g.metrics.bodies = o.Bodies
 	for _, p := range []*exchange.Pool{o.Pool, o.RelayPool} {
 		if p != nil {
--- a/internal/gateway/held_calls.go
+++ b/internal/gateway/held_calls.go
@@ -92,7 +92,7 @@
 		ep := choose(x.now(), x.openEndpoints(), x.tried)
 		var a *attempt
 		if ep != nil {
-			x.beginAnswer()
+			x.beginCallTime()
 			a = x.begin(&EndpointRequest{Endpoint: ep}, place.Job{})
 		}
 		if granted {
@@ -122,7 +122,7 @@
 		if !room.Known {
 			return false, result{}, true
 		}
-		if r, refuse := x.refuseInDrain(); refuse {
+		if r, refuse := x.refuseInDrain(""); refuse {
 			return false, r, false
 		}
 		d := x.decideCall(&room)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -87,7 +87,7 @@
 		q := x.g.queueFor(x.service)
 		x.queueSlot = queueSlot{queue: q, number: q.enter(), deadline: x.waitDeadline()}
 	}
-	if r, refuse := x.refuseInDrain(); refuse {
+	if r, refuse := x.refuseInDrain(""); refuse {
 		return r, false
 	}
 	if r, refuse := x.refuseQuarantined(); refuse {
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -39,8 +39,8 @@
 			continue
 		}
 		x.recordPrediction(&plan, prompt)
-		x.prefillWork, x.untilFirstEvent = plan.Work, plan.FirstEvent
-		if r, refuse := x.refuseInDrain(); refuse {
+		x.prefillWork, x.untilFirstEvent, x.runsAt = plan.Work, plan.FirstEvent, plan.Engine.ID
+		if r, refuse := x.refuseInDrain(x.runsAt); refuse {
 			return plan, r, false
 		}
 		if x.usesPriorities() && !x.isBegun() {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -30,7 +30,7 @@
 		x.w.Header().Set(cutOffHeader, "1")
 		return true, result{outcome: refused, code: code.EndpointCut, err: errCutOff}
 	}
-	if r, refuse := x.refuseInDrain(); refuse {
+	if r, refuse := x.refuseInDrain(""); refuse {
 		return true, r
 	}
 	targets := x.g.o.RelayTargets()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -12,6 +13,7 @@
 	"fescuestand/internal/code"
 	"fescuestand/internal/driver"
 	"fescuestand/internal/exchange"
+	"fescuestand/internal/policy/drain"
 	"fescuestand/internal/policy/place"
 )
 
@@ -23,6 +25,7 @@
 	guard  *guard[*openStream]
 	ctx    context.Context    // of the exchange
 	cancel context.CancelFunc // ends the exchange
+	pace   *drain.Stream      // nil before the first event
 }
 
 // close ends the exchange and records it with its result.
@@ -30,6 +33,9 @@
 	o.guard.stop()
 	o.resp.Close()
 	o.cancel()
+	if o.pace != nil {
+		o.pace.End(x.now())
+	}
 	x.recordAttempt(o.attempt, r)
 }
 
@@ -142,7 +148,7 @@
 	}
 	if resp != nil && replacement.kv != nil {
 		x.handoffTime = x.now().Sub(x.call.Arrived)
-		x.untilFirstEvent = 0
+		x.untilFirstEvent = max(plan.FirstEvent-plan.Wait-plan.Fetch-plan.Work, 0)
 		x.recordCachedPrompt(a, prompt)
 	}
 	x.recordAttempt(a, &r)
@@ -297,6 +303,9 @@
 	}
 	x.recordEvents(o.attempt)
 	x.sendHeader(o.resp.Header)
+	n := bytes.Count(events, eventEnd)
+	x.recordPace(o, o.progressAt, n)
+	x.countEvents(n)
 	return x.sendEvents(events)
 }
 
@@ -342,7 +351,6 @@
 		return
 	}
 	x.headerSent = true
-	x.beginAnswer()
 	x.firstEventTime = x.now().Sub(x.call.Arrived)
 	copyHeader(x.w.Header(), h)
 	x.w.WriteHeader(http.StatusOK)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -50,6 +50,7 @@
 	ms, _ := strconv.Atoi(r.Header.Get("Patience"))
 	c.CallerTimeout = time.Duration(ms) * time.Millisecond
 	c.PromptTokens, _ = strconv.Atoi(r.Header.Get("Tokens"))
+	c.MaxOutputTokens, _ = strconv.Atoi(r.Header.Get("Max-Tokens"))
 	for _, part := range strings.Fields(r.Header.Get("Parts")) {
 		var p place.Part
 		if _, err := fmt.Sscanf(part, "%d:%d", &p.ID, &p.Tokens); err != nil {
--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -3,15 +3,22 @@
 // Load pattern: callers cache the addresses of VMs, so a VM receives requests for seconds after it
 // has announced that it leaves. The process ends at a fixed time, and a stream that is still running
 // then is cut off in the middle. How long an answer takes isn't known when the request arrives: the
-// longest streams of a route take several times the median, and more while the engines are full. A
+// longest streams of a route take several times the median, callers may begin to ask for longer
+// answers at any time, and engines slow down while they are full. A
 // request that is refused can be run by another VM, unless its caller reaches one that is shutting
 // down too, as in a rolling restart with short pauses.
 //
 // Approach: a request is taken if it ends before the process does: because its caller's timeout
-// passes earlier, or because the share of its route's answers that take longer than the time that is
-// left is small enough. Any other request is refused before it is sent to an endpoint. Once callers
-// must have learned new addresses, only a negligible share may take longer. Before that, the share
-// grows with the probability that no other VM takes the request.
+// passes earlier, or because its answer is short enough at the speed at which its endpoint works now.
+// The answer of a stream has as many events as the request's limit of output tokens at most. The
+// lengths of its route's answers lower that bound only if enough of them could have been as long:
+// answers end at their own limits, so that those with lower limits say nothing about higher ones.
+// The time for an event is that of the endpoint's slowest recent answers, or of the streams that it
+// is sending if they are slower. Any other request is refused before it is sent to an endpoint.
+//
+// Where the bound rests on recent answers, a share of them may take longer than the time that is
+// left. Once callers must have learned new addresses, only a negligible share may. Before that, the
+// share grows with the probability that no other VM takes the request.
 //
 // The package does no I/O and reads no clock.
 package drain
@@ -40,11 +47,20 @@
 type Request struct {
 	TimeLeft      time.Duration // until the process ends
 	CallerTimeout time.Duration // time left until the caller disconnects
-	Wait          time.Duration // predicted time until the answer starts
-	Answers       Sample        // of the time from the start of an answer to its end
-	AddressesOld  bool          // addresses from before the shutdown have expired at callers that respect the TTL
-	PeersReady    int           // other VMs that accept callers
-	PeersLeaving  int           // other VMs that are shutting down
+	Wait          time.Duration // upper bound of the time until the answer starts
+	Answer        Answer
+	AddressesOld  bool // addresses from before the shutdown have expired at callers that respect the TTL
+	PeersReady    int  // other VMs that accept callers
+	PeersLeaving  int  // other VMs that are shutting down
+}
+
+// Answer is what is known of the time from the start of a request's answer to its end.
+type Answer struct {
+	Limit    int                   // output tokens that the request allows, zero if it doesn't say
+	Hint     int                   // output tokens that the caller expects, zero if it doesn't say
+	Lengths  Sample[int]           // events of answers that could have been as long
+	PerEvent time.Duration         // upper bound of the mean time for an event at the endpoint, zero if unknown
+	Calls    Sample[time.Duration] // durations of calls, which aren't answered with events
 }
 
 // Verdict is the decision on a request.
@@ -64,7 +80,7 @@
 	if r.CallerTimeout <= left {
 		return Take, 0
 	}
-	if longest, known := r.Answers.Exceeded(r.cutShare()); known && r.Wait+longest <= left {
+	if longest, known := r.Answer.longest(r.cutShare()); known && r.Wait+longest <= left {
 		return Take, 0
 	}
 	if r.PeersReady > 0 {
@@ -82,24 +98,59 @@
 	return max(alsoLeaving/cutCost, minCutShare)
 }
 
-// Sample summarizes the durations of answers.
-type Sample struct {
+// minShorterLengths is the minimum number of lengths that lower the bound of the request's own limit.
+const minShorterLengths = 20
+
+// longest returns the time that a share of such answers exceeds, or false if it isn't known.
+func (a *Answer) longest(share float64) (time.Duration, bool) {
+	if d, known := a.Calls.Exceeded(share); known {
+		return d, true
+	}
+	events, known := a.maxEvents(share)
+	if !known || a.PerEvent <= 0 {
+		return 0, false
+	}
+	if time.Duration(events) > maxAnswerTime/a.PerEvent {
+		return maxAnswerTime, true
+	}
+	return time.Duration(max(events-1, 0)) * a.PerEvent, true // it starts with its first event
+}
+
+// maxAnswerTime is longer than any shutdown. It bounds the time that follows from the limit that a caller states.
+const maxAnswerTime = 24 * time.Hour
+
+// maxEvents returns the number of events that a share of such answers exceeds, or false if it isn't
+// known. An event has one token at least.
+func (a *Answer) maxEvents(share float64) (int, bool) {
+	events, known := a.Lengths.Exceeded(share)
+	events = max(events, a.Hint)
+	switch {
+	case a.Limit <= 0:
+		return events, known
+	case a.Lengths.Count < minShorterLengths:
+		return a.Limit, true
+	}
+	return min(events, a.Limit), true
+}
+
+// Sample summarizes the lengths or durations of answers.
+type Sample[T int | time.Duration] struct {
 	Count   int
-	Longest time.Duration
+	Longest T
 }
 
-// Exceeded returns the duration that a share of the answers exceeds, or false if no answer has been
-// observed. The tail of the durations is taken for exponential: the longest of n values is expected
-// at ln(n)+γ times the tail's scale, and a share p exceeds ln(1/p) times the scale.
-func (s Sample) Exceeded(share float64) (time.Duration, bool) {
+// Exceeded returns the value that a share of the answers exceeds, or false if no answer has been
+// observed. The tail of the values is taken for exponential: the longest of n values is expected at
+// ln(n)+γ times the tail's scale, and a share p exceeds ln(1/p) times the scale.
+func (s Sample[T]) Exceeded(share float64) (T, bool) {
 	const eulerGamma = 0.5772
 	if s.Count == 0 {
 		return 0, false
 	}
 	scale := float64(s.Longest) / (math.Log(float64(s.Count)) + eulerGamma)
-	return time.Duration(math.Log(1/share) * scale), true
+	return T(math.Ceil(math.Log(1/share) * scale)), true
 }
 
-func (s Sample) merge(other Sample) Sample {
-	return Sample{s.Count + other.Count, max(s.Longest, other.Longest)}
+func (s Sample[T]) merge(other Sample[T]) Sample[T] {
+	return Sample[T]{s.Count + other.Count, max(s.Longest, other.Longest)}
 }
--- a/internal/policy/drain/drain_test.go
+++ b/internal/policy/drain/drain_test.go
@@ -15,7 +15,7 @@
 const ms = time.Millisecond
 
 func TestDecide(t *testing.T) {
-	base := Request{TimeLeft: 4000 * ms, CallerTimeout: 8000 * ms, Wait: 100 * ms, Answers: Sample{Count: 500, Longest: 2500 * ms}, PeersReady: 3}
+	base := Request{TimeLeft: 4000 * ms, CallerTimeout: 8000 * ms, Wait: 100 * ms, Answer: Answer{Calls: Sample[time.Duration]{Count: 500, Longest: 2500 * ms}}, PeersReady: 3}
 	for _, tc := range []struct {
 		name   string
 		change func(r *Request)
@@ -25,8 +25,8 @@
 		{"answers may take longer", func(r *Request) { r.TimeLeft = 3100 * ms }, Refuse},
 		{"the wait is too long", func(r *Request) { r.Wait = 1000 * ms }, Refuse},
 		{"the caller disconnects before", func(r *Request) { r.TimeLeft, r.CallerTimeout = 3100*ms, 3000*ms }, Take},
-		{"nothing is known of the answers", func(r *Request) { r.Answers = Sample{} }, Refuse},
-		{"few answers are known", func(r *Request) { r.Answers.Count = 20 }, Refuse},
+		{"nothing is known of the answers", func(r *Request) { r.Answer = Answer{} }, Refuse},
+		{"few answers are known", func(r *Request) { r.Answer.Calls.Count = 20 }, Refuse},
 		{"the process has ended", func(r *Request) { r.TimeLeft, r.CallerTimeout = -ms, 0 }, Refuse},
 		{"other VMs leave too", func(r *Request) { r.TimeLeft, r.PeersLeaving = 3100*ms, 2 }, Take},
 		{"other VMs leave too, but callers know new addresses", func(r *Request) { r.TimeLeft, r.PeersLeaving, r.AddressesOld = 3100*ms, 2, true }, Refuse},
@@ -57,14 +57,14 @@
 	now = now.Add(windowLength + time.Second)
 	d.Begin(now, "r").End(now.Add(300*ms), true)
 	d.Begin(now, "r").End(now.Add(900*ms), false)
-	assert.Equal(t, d.Sample(now, "r"), Sample{Count: 2, Longest: 400 * ms})
-	assert.Equal(t, d.Sample(now, "other"), Sample{})
+	assert.Equal(t, d.Sample(now, "r"), Sample[time.Duration]{Count: 2, Longest: 400 * ms})
+	assert.Equal(t, d.Sample(now, "other"), Sample[time.Duration]{})
 	now = now.Add(windowLength + time.Second)
 	running := d.Begin(now, "r")
-	assert.Equal(t, d.Sample(now.Add(200*ms), "r"), Sample{Count: 1, Longest: 300 * ms})
-	assert.Equal(t, d.Sample(now.Add(700*ms), "r"), Sample{Count: 1, Longest: 700 * ms})
+	assert.Equal(t, d.Sample(now.Add(200*ms), "r"), Sample[time.Duration]{Count: 1, Longest: 300 * ms})
+	assert.Equal(t, d.Sample(now.Add(700*ms), "r"), Sample[time.Duration]{Count: 1, Longest: 700 * ms})
 	running.End(now.Add(800*ms), true)
-	assert.Equal(t, d.Sample(now.Add(3*windowLength), "r"), Sample{})
+	assert.Equal(t, d.Sample(now.Add(3*windowLength), "r"), Sample[time.Duration]{})
 }
 
 func TestRoutesWithoutAnswersAreForgotten(t *testing.T) {
@@ -108,7 +108,7 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	d := NewDurations()
 	type running struct {
-		a   *Answer
+		a   *Call
 		end clock.Time
 	}
 	var answers []running
@@ -134,7 +134,7 @@
 			length = time.Duration(slowdown * float64(length))
 			addressesOld := now.Sub(stop) >= grace/4
 			r := Request{
-				TimeLeft: end.Sub(now), CallerTimeout: 2 * grace, Answers: d.Sample(now, route),
+				TimeLeft: end.Sub(now), CallerTimeout: 2 * grace, Answer: Answer{Calls: d.Sample(now, route)},
 				AddressesOld: addressesOld, PeersReady: 4, PeersLeaving: 1,
 			}
 			if decide(r, grace) == Refuse {
--- a/internal/policy/drain/durations.go
+++ b/internal/policy/drain/durations.go
@@ -14,7 +14,7 @@
 // maxRoutes is the number of routes from which those without recent answers are forgotten.
 const maxRoutes = 4096
 
-// Durations tracks how long the answers of each route take. It is safe for concurrent use.
+// Durations tracks how long the calls of each route take. It is safe for concurrent use.
 type Durations struct {
 	mu     sync.Mutex
 	routes map[string]*route
@@ -22,13 +22,13 @@
 
 // route holds the observations of one route.
 type route struct {
-	running           map[*Answer]struct{}
-	current, previous Sample // of the answers that ended within a window
+	running           map[*Call]struct{}
+	current, previous Sample[time.Duration] // of the answers that ended within a window
 	windowStart       clock.Time
 }
 
-// Answer is an answer that is being sent to a caller.
-type Answer struct {
+// Call is a call that an endpoint is running.
+type Call struct {
 	durations *Durations
 	route     string
 	start     clock.Time
@@ -37,17 +37,17 @@
 // NewDurations returns a tracker without observations.
 func NewDurations() *Durations { return &Durations{routes: map[string]*route{}} }
 
-// Begin records that an answer of a route begins. The caller must call End.
-func (d *Durations) Begin(now clock.Time, name string) *Answer {
+// Begin records that a call of a route begins. The caller must call End.
+func (d *Durations) Begin(now clock.Time, name string) *Call {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.routes[name]
 	if r == nil {
 		d.makeRoom(now)
-		r = &route{running: map[*Answer]struct{}{}, windowStart: now}
+		r = &route{running: map[*Call]struct{}{}, windowStart: now}
 		d.routes[name] = r
 	}
-	a := &Answer{durations: d, route: name, start: now}
+	a := &Call{durations: d, route: name, start: now}
 	r.running[a] = struct{}{}
 	return a
 }
@@ -66,9 +66,9 @@
 	}
 }
 
-// End records the end of the answer. An answer that broke off isn't observed, as a complete one would
-// have taken longer.
-func (a *Answer) End(now clock.Time, complete bool) {
+// End records the end of the call. One that broke off isn't observed, as a complete one would have
+// taken longer.
+func (a *Call) End(now clock.Time, complete bool) {
 	d := a.durations
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -76,21 +76,21 @@
 	delete(r.running, a)
 	r.rotate(now)
 	if complete {
-		r.current = r.current.merge(Sample{1, now.Sub(a.start)})
+		r.current = r.current.merge(Sample[time.Duration]{1, now.Sub(a.start)})
 	}
 }
 
-// Sample returns the sample of a route's answers.
-func (d *Durations) Sample(now clock.Time, name string) Sample {
+// Sample returns the sample of a route's calls.
+func (d *Durations) Sample(now clock.Time, name string) Sample[time.Duration] {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.routes[name]
 	if r == nil {
-		return Sample{}
+		return Sample[time.Duration]{}
 	}
 	r.rotate(now)
 	s := r.current.merge(r.previous)
-	// Answers that are still running show a slowdown before they end.
+	// Calls that are still running show a slowdown before they end.
 	for a := range r.running {
 		s.Longest = max(s.Longest, now.Sub(a.start))
 	}
@@ -105,7 +105,7 @@
 	}
 	r.previous = r.current
 	if elapsed >= 2*windowLength {
-		r.previous = Sample{}
+		r.previous = Sample[time.Duration]{}
 	}
-	r.current, r.windowStart = Sample{}, now
+	r.current, r.windowStart = Sample[time.Duration]{}, now
 }
--- a/internal/policy/place/pace_test.go
+++ b/internal/policy/place/pace_test.go
@@ -91,3 +91,18 @@
 	}
 	assert.Equal(t, len(c.p.Slowdowns(clock.Time(ms))), maxSlowdownsSent)
 }
+
+// Guards against taking an endpoint that is always slow for one that has just become slower.
+func TestSlowdownOfTheMoment(t *testing.T) {
+	c := newCluster(t, engine("a", catalog.Whole))
+	a := c.open[0]
+	assert.Equal(t, c.p.Slowdown(0, a.ID), 1.0)
+	assert.Equal(t, c.p.Slowdown(0, "other"), 1.0)
+	c.p.RecordSlowdown(0, a, 4)
+	assert.Assert(t, c.p.Slowdown(clock.Time(500*time.Millisecond), a.ID) > 3.5)
+	assert.Equal(t, c.p.Slowdown(clock.Time(700*time.Millisecond), a.ID), 1.0)
+	for i := range 100 {
+		c.p.RecordSlowdown(clock.Time(time.Second*time.Duration(i+1)), a, 4)
+	}
+	assert.Equal(t, c.p.Slowdown(clock.Time(100*time.Second), a.ID), 1.0)
+}
--- a/internal/policy/place/slowdowns.go
+++ b/internal/policy/place/slowdowns.go
@@ -81,6 +81,21 @@
 	return t.s.pace.Lasting()
 }
 
+// Slowdown returns how much longer than usual work takes at an endpoint, as it has just said or a peer has just
+// received. It returns 1 if nothing is known of this moment.
+func (p *Planner) Slowdown(now clock.Time, id string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.endpoints[id]
+	if s == nil {
+		return 1
+	}
+	if slowdown, _, ok := s.pace.Current(now); ok {
+		return slowdown / s.pace.Lasting()
+	}
+	return 1
+}
+
 // SlowdownMetrics are what a planner knows of the slowdowns of this moment, for expvar.
 type SlowdownMetrics struct {
 	Known   int                // endpoints with a figure that says something about this moment
