Drain: Length-Hint no longer raises the bound of a stream's length

Cause: the hint counts tokens and was compared with a history in events. There, hints of 100 to 900 tokens stand beside answers of 60 to 106 events at most. A hint is also often far off.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -44,15 +44,13 @@
 	CallerTimeout   time.Duration // how long the caller waits, zero if it didn't state it
 	PromptTokens    int           // zero for a call of a plain service
 	MaxOutputTokens int           // tokens, zero if the caller stated no limit
-	// ExpectedOutputTokens is the caller's estimate of the answer's length, zero if it sent none.
-	ExpectedOutputTokens int
-	Parts                []place.Part
-	LastEventID          string   // the last event of the stream that the caller has received
-	Resumes              string   // id of the caller's attempt that brought the stream's first event, empty for a new stream
-	Fingerprint          uint64   // the same for all retries of a request by its caller
-	SharedParts          []uint64 // ids of the prompt's parts but the last one, which belongs to this request
-	Trial                bool     // shows whether a quarantined prompt part still crashes endpoints
-	Relayed              bool     // another VM, which reaches no endpoint, has sent it
+	Parts           []place.Part
+	LastEventID     string   // the last event of the stream that the caller has received
+	Resumes         string   // id of the caller's attempt that brought the stream's first event, empty for a new stream
+	Fingerprint     uint64   // the same for all retries of a request by its caller
+	SharedParts     []uint64 // ids of the prompt's parts but the last one, which belongs to this request
+	Trial           bool     // shows whether a quarantined prompt part still crashes endpoints
+	Relayed         bool     // another VM, which reaches no endpoint, has sent it
 
 	HasKey    bool // the caller sent an API key
 	Key       workspace.Digest
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -61,7 +61,7 @@
 	}
 	limit := x.call.MaxOutputTokens
 	return drain.Answer{
-		Limit: limit, Hint: x.call.ExpectedOutputTokens, Lengths: x.g.lengths.Sample(now, x.route.Name, limit),
+		Limit: limit, Lengths: x.g.lengths.Sample(now, x.route.Name, limit),
 		PerEvent: x.g.paces.PerEvent(now, x.service, endpoint, x.g.o.Planner.Slowdown(now, endpoint)),
 	}
 }
@@ -72,7 +72,7 @@
 		WithField("peers_ready", r.PeersReady).WithField("peers_leaving", r.PeersLeaving)
 	a := &r.Answer
 	if x.isStream() {
-		e = e.WithField("limit", a.Limit).WithField("hint", a.Hint).WithField("answers", a.Lengths.Count).WithField("longest", a.Lengths.Longest).
+		e = e.WithField("limit", a.Limit).WithField("answers", a.Lengths.Count).WithField("longest", a.Lengths.Longest).
 			WithField("event_ms", a.PerEvent.Milliseconds())
 	} else {
 		e = e.WithField("answers", a.Calls.Count).WithField("longest_ms", a.Calls.Longest.Milliseconds())
--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -57,7 +57,6 @@
 // Answer is what is known of the time from the start of a request's answer to its end.
 type Answer struct {
 	Limit    int                   // output tokens that the request allows, zero if it doesn't say
-	Hint     int                   // output tokens that the caller expects, zero if it doesn't say
 	Lengths  Sample[int]           // events of answers that could have been as long
 	PerEvent time.Duration         // upper bound of the mean time for an event at the endpoint, zero if unknown
 	Calls    Sample[time.Duration] // durations of calls, which aren't answered with events
@@ -123,7 +122,6 @@
 // known. An event has one token at least.
 func (a *Answer) maxEvents(share float64) (int, bool) {
 	events, known := a.Lengths.Exceeded(share)
-	events = max(events, a.Hint)
 	switch {
 	case a.Limit <= 0:
 		return events, known
--- a/internal/policy/drain/streams_test.go
+++ b/internal/policy/drain/streams_test.go
@@ -37,15 +37,11 @@
 		{"the limit takes longer by an event", func(r *Request) {
 			r.TimeLeft, r.Answer.Limit, r.Answer.Lengths = 2000*ms+base.Wait+deliveryMargin, 42, Sample[int]{}
 		}, Refuse},
-		{"the caller expects a long answer", func(r *Request) { r.Answer.Hint = 100 }, Refuse},
-		{"the caller expects more than the limit", func(r *Request) { r.Answer.Limit, r.Answer.Hint = 40, 1000 }, Take},
-		{"the caller expects a shorter answer", func(r *Request) { r.Answer.Hint, r.Answer.Lengths.Longest = 10, 100 }, Refuse},
-		{"only the expectation is known", func(r *Request) { r.Answer.Limit, r.Answer.Hint, r.Answer.Lengths = 0, 10, Sample[int]{} }, Refuse},
 		{"there is no limit", func(r *Request) { r.Answer.Limit = 0 }, Take},
 		{"there is no limit, and little is known", func(r *Request) { r.Answer.Limit, r.Answer.Lengths.Count = 0, 5 }, Refuse},
 		{"the speed isn't known", func(r *Request) { r.Answer.PerEvent = 0 }, Refuse},
 		{"the limit is absurd", func(r *Request) { r.Answer.Limit, r.Answer.Lengths = math.MaxInt, Sample[int]{} }, Refuse},
-		{"the limit is negative", func(r *Request) { r.Answer.Limit, r.Answer.Hint = -5, -5 }, Take},
+		{"the limit is negative", func(r *Request) { r.Answer.Limit = -5 }, Take},
 	} {
 		r := base
 		tc.change(&r)
