--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -43,7 +43,7 @@
 	Arrived         clock.Time
 	CallerTimeout   time.Duration // how long the caller waits, zero if it didn't state it
 	PromptTokens    int           // zero for a call of a plain service
-	MaxOutputTokens int           // tokens
+	MaxOutputTokens int           // tokens, zero if the caller stated no limit
 	Parts           []place.Part
 	LastEventID     string   // the last event of the stream that the caller has received
 	Resumes         string   // id of the caller's attempt that brought the stream's first event, empty for a new stream
