Exchange: requests' bodies aren't copied, and endpoints must read them in time

Callers saw connections closed without an answer: VMs were killed for their memory while endpoints read large bodies slowly.

Cause, first part: Request.encode made a second whole copy of each body, which lived until the endpoint had read it, and nothing but the caller's deadline ended a write. The kernel held up to 4 MB more of each.

Change: header and body are written apart, the body in parts of 32 KB without a copy. Each part must be accepted within 5 s, and all of them 250 ms before the end of the exchange. An endpoint that has read for 2 s at less than half of the pace that the rest needs is given up before; a pause of an endpoint counts as one second at most, so that it isn't taken for slowness. What is given up counts as cause "upload", and as a request that may have run, unless a response has begun. The kernel's buffer for a long request is bounded.

--- a/internal/exchange/bounds.go
+++ b/internal/exchange/bounds.go
@@ -10,7 +10,8 @@
 // Cause is the part of a response that exceeded its bound. The names are written to the log and the metrics.
 type Cause string
 
-// The causes. Budget means that the VM's memory for bodies was spent, which isn't the endpoint's fault.
+// The causes. Budget means that the VM's memory for bodies was spent, which isn't the endpoint's fault. Upload means that
+// the endpoint read the request too slowly; the bytes are those of the request.
 const (
 	Header    Cause = "header"
 	Interim   Cause = "interim"
@@ -19,10 +20,11 @@
 	Rejection Cause = "rejection"
 	Surplus   Cause = "surplus"
 	Budget    Cause = "budget"
+	Upload    Cause = "upload"
 )
 
 // Causes lists all causes.
-var Causes = []Cause{Header, Interim, Body, Event, Rejection, Surplus, Budget}
+var Causes = []Cause{Header, Interim, Body, Event, Rejection, Surplus, Budget, Upload}
 
 // BoundError means that a response was given up as a part of it exceeded its bound. The request may have run.
 type BoundError struct {
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -25,6 +25,7 @@
 	idleAt      time.Time // when it was returned to the pool
 	idleTimeout time.Duration
 	watch       *watch // of the idle connection, nil if it isn't idle
+	bounded     bool   // boundSendBuffer has been called
 }
 
 func newConn(nc net.Conn, o Observer) *conn {
@@ -48,6 +49,15 @@
 	return n, err
 }
 
+// boundSendBuffer bounds what the kernel holds for an endpoint that reads slowly. Its own limit is several MB.
+func (c *conn) boundSendBuffer() {
+	if b, ok := c.Conn.(interface{ SetWriteBuffer(bytes int) error }); ok && !c.bounded {
+		c.bounded = true
+		// A failure means that the connection has been closed, or leaves the kernel's limit.
+		_ = b.SetWriteBuffer(sendBufferBytes)
+	}
+}
+
 // reusable reports whether an idle connection can carry another request: the endpoint hasn't
 // closed it and has sent nothing on it. Unsolicited bytes would be read as the start of the next
 // response.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -88,6 +88,9 @@
 // so that the endpoint cancels the request.
 func (r *Response) Close() { r.body.close() }
 
+// RequestWritten reports whether the whole request has been written, so that its body isn't in use any more.
+func (r *Response) RequestWritten() bool { return r.body.x.requestWritten() }
+
 // Observer observes the exchanges of a pool.
 type Observer interface {
 	// Dialed is called with the result of each attempt to connect, unless it was canceled.
@@ -149,7 +152,8 @@
 // the connection is closed, also while the body is being read.
 //
 // The error wraps driver.ErrNotSent if no byte of r was sent. Otherwise r may have run, and the error wraps
-// driver.ErrBadAnswer and a *BoundError if the response exceeded a bound, or driver.ErrConnectionLost.
+// driver.ErrBadAnswer and a *BoundError if the response exceeded a bound or the endpoint read the request too slowly, or
+// driver.ErrConnectionLost.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
 	p.begin(addr)
 	c, err := p.acquire(ctx, addr, r.NoRetry)
@@ -159,6 +163,9 @@
 	}
 	detach := context.AfterFunc(ctx, func() { _ = c.Close() })
 	x := &activeExchange{pool: p, addr: addr, c: c, detach: detach, writeDone: make(chan struct{})}
+	if deadline, ok := ctx.Deadline(); ok {
+		x.writeBy = deadline.Add(-writeMargin)
+	}
 	x.start(r)
 	resp, err := x.readHeader(r.Method)
 	if err == nil {
@@ -172,6 +179,8 @@
 	switch {
 	case x.sent.n == 0:
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
+	case x.gaveUp.Load():
+		return nil, fmt.Errorf("%w: %w", driver.ErrBadAnswer, &BoundError{Cause: Upload, Bytes: x.sent.n})
 	case errors.As(err, &exceeded):
 		p.exceeded(addr, exceeded)
 		return nil, fmt.Errorf("%w: %w", driver.ErrBadAnswer, err)
@@ -368,16 +377,19 @@
 // maxIdleTimeoutSeconds bounds the timeout that an endpoint may announce.
 const maxIdleTimeoutSeconds = 60
 
-// encode returns r in wire format.
-func (r *Request) encode() []byte {
+// encodeHead returns the request line and the header of r in wire format, with room for the body if it is short.
+func (r *Request) encodeHead() []byte {
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1<<10)
+	room := 1 << 10
+	if len(r.Body) <= maxInlineWrite {
+		room += len(r.Body)
+	}
+	b.Grow(room)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodDelete && r.Method != http.MethodHead) {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	_ = r.Header.Write(&b) // writing to a bytes.Buffer never fails
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -6,8 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"fescuestand/internal/driver"
 )
@@ -21,6 +25,9 @@
 	sent        countingWriter
 	writeDone   chan struct{} // closed when write has returned
 	writeFailed bool          // valid once writeDone is closed
+	responding  atomic.Bool   // the header of the final response has been read
+	gaveUp      atomic.Bool   // the endpoint hasn't read the request in time
+	writeBy     time.Time     // by when the request must be written, zero for no limit
 }
 
 // maxInlineWrite is the size of a request in bytes up to which it is written before its response is
@@ -29,22 +36,94 @@
 // before the writer has returned.
 const maxInlineWrite = 8 << 10
 
+const (
+	// maxWritePause is the time in which an endpoint must have accepted the next writePartBytes of a long request.
+	maxWritePause  = 5 * time.Second
+	writePartBytes = 32 << 10
+	// writeMargin is the time before the end of an exchange by which a long request must be written: the endpoint
+	// still has to work and to answer, and the caller to be told that it hasn't.
+	writeMargin = 250 * time.Millisecond
+	// paceKnownAfter is the time after which an endpoint's pace is taken to be known. It must not be slower than
+	// maxPaceShortfall times below the one that is needed to write the rest in time.
+	paceKnownAfter   = 2 * time.Second
+	maxPaceShortfall = 2
+	// maxPacePart is the longest time that one part counts for the pace: an endpoint that pauses isn't slow.
+	maxPacePart = time.Second
+	// sendBufferBytes bounds what the kernel holds of a long request, in addition to the process. It fills a link of
+	// 200 Mbit/s for 10 ms; the kernel doubles it.
+	sendBufferBytes = 256 << 10
+)
+
 // start sends r. A long request is written concurrently with readHeader, since an endpoint may respond
 // to a long body before it has read all of it.
 func (x *activeExchange) start(r *Request) {
-	data := r.encode()
-	if len(data) <= maxInlineWrite {
-		x.write(data)
+	x.sent.w = x.c.Conn
+	head := r.encodeHead()
+	if len(head)+len(r.Body) <= maxInlineWrite {
+		defer close(x.writeDone)
+		_, err := x.sent.Write(append(head, r.Body...))
+		x.writeFailed = err != nil
 		return
 	}
-	go x.write(data)
+	go x.writeLong(head, r.Body)
 }
 
-func (x *activeExchange) write(data []byte) {
+// writeLong writes a request in parts, each of which the endpoint must accept in time. If it doesn't, the exchange is
+// given up, unless a response has begun: that one is still read.
+func (x *activeExchange) writeLong(head, body []byte) {
 	defer close(x.writeDone)
-	x.sent.w = x.c.Conn
-	_, err := x.sent.Write(data)
+	x.c.boundSendBuffer()
+	err := x.writeParts(head, body)
 	x.writeFailed = err != nil
+	if errors.Is(err, os.ErrDeadlineExceeded) && !x.responding.Load() {
+		x.gaveUp.Store(true)
+		_ = x.c.Close()
+	}
+}
+
+func (x *activeExchange) writeParts(head, body []byte) error {
+	// The first part of the body goes with the header, in one packet as far as it fits.
+	first := min(len(body), max(writePartBytes-len(head), 0))
+	total := int64(len(head) + len(body))
+	reading, err := x.writePart(append(head, body[:first]...))
+	for part := range slices.Chunk(body[first:], writePartBytes) {
+		switch {
+		case err != nil:
+			return err
+		case x.isTooSlow(reading, total):
+			return os.ErrDeadlineExceeded
+		}
+		var took time.Duration
+		took, err = x.writePart(part)
+		reading += min(took, maxPacePart)
+	}
+	if err != nil {
+		return err
+	}
+	return x.c.SetWriteDeadline(time.Time{})
+}
+
+// writePart writes a part and returns how long that took.
+func (x *activeExchange) writePart(part []byte) (time.Duration, error) {
+	began := time.Now()
+	until := began.Add(maxWritePause)
+	if !x.writeBy.IsZero() && x.writeBy.Before(until) {
+		until = x.writeBy
+	}
+	if err := x.c.SetWriteDeadline(until); err != nil {
+		return 0, err
+	}
+	_, err := x.sent.Write(part)
+	return time.Since(began), err
+}
+
+// isTooSlow reports whether the endpoint has read for so long and so slowly that the rest can't be written in time.
+func (x *activeExchange) isTooSlow(reading time.Duration, total int64) bool {
+	if x.writeBy.IsZero() || reading < paceKnownAfter {
+		return false
+	}
+	rest := reading.Seconds() * float64(total-x.sent.n) / float64(x.sent.n)
+	return rest > maxPaceShortfall*time.Until(x.writeBy).Seconds()
 }
 
 // readHeader skips interim responses and returns the final response once its header is read.
@@ -62,6 +141,7 @@
 		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		x.responding.Store(true)
 		b := &body{x: x, rc: resp.Body, keepAlive: keepsAlive(resp)}
 		x.c.idleTimeout = idleTimeoutFrom(resp.Header)
 		return &Response{
