Gateway: bodies of requests are taken from the byte budget before they are read

Callers saw: endpoints that read bodies slowly made a VM hold bodies until it passed memoryMb and was killed, again and again; most requests ended with a closed connection and without an answer.

Cause: readBody read each body that the configuration allows, whatever else was held. Nothing bounded their number. The class is memory that a peer's pace holds and that no budget counts.

Change: - A body with a length takes all of it before a byte is read, one without takes each buffer before it grows. What has no room is refused at once with 503 (2009), as not run, with a Retry-After that follows how long large bodies are held at present. One that states to be over the limit isn't read. - A body is given back when its request ends, or with the header of the answer if it can't be sent again and has been written. - An endpoint that holds its share is passed over for others; if all do, the request is refused as not run. - A large body must bring 32 KB in 5 s. - A refusal is sent before the rest of the body is dropped, for 500 ms at most, so that callers that read late get it. - Bodies has the figures of requests, and by reason of refusal; one line when the budget begins to refuse, one when it hasn't refused for 5 s.

TestSlowEndpointsDoNotFillTheMemoryWithBodies, TestEndpointThatDoesNotRead- IsGivenUp and TestLargeBodyMustMakeProgress fail on the base (24 bodies of 1 MB on their way at a time where 16 MB may be held) and pass. TestRouteLeavesRoomForAnother fails without the share of a route (3 of 8), TestSlowEndpointLeavesRoomForOthers without that of an endpoint.

--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -118,7 +118,7 @@
 	ShedForPriority:    {"shed-for-priority", 503, true, "Dropped from the queue for work of higher priority."},
 	RetryBudgetSpent:   {"retry-budget-spent", 503, true, "An endpoint failed and the retry budget is spent."},
 	EndpointsLimited:   {"endpoints-limited", 503, true, "The endpoints have named limits that leave no room for the request now."},
-	BodyBudgetSpent:    {"body-budget-spent", 503, true, "The VM's memory for bodies of answers is spent for now."},
+	BodyBudgetSpent:    {"body-budget-spent", 503, true, "The VM's memory for bodies of requests and answers is spent for now, or the share of it of the route, the workspace or the endpoints."},
 	CommitLogBudget:    {"commit-log-budget", 503, true, "The append budget of the log is spent for now."},
 
 	NoEndpoint:           {"no-endpoint", 503, true, "No endpoint of the pool takes work now."},
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,7 +14,7 @@
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/code"
-	"fescuestand/internal/httpserver"
+	"fescuestand/internal/policy/bytebudget"
 	"fescuestand/internal/policy/ontime"
 	"fescuestand/internal/policy/place"
 )
@@ -73,10 +72,6 @@
 // endpoints: the longest delay after which callers retry at all.
 const quarantineRetryAfter = 10 * time.Second
 
-// bodyBudgetRetryAfter is the shortest Retry-After delay of a request that is refused as bodies of answers take the
-// memory for them: a body of a few MB takes that long on a link of 100 Mbit/s. The delay is up to twice as long.
-const bodyBudgetRetryAfter = 500 * time.Millisecond
-
 // accept reads the request and finds its route. If it refuses the request, the returned call holds
 // only what was read from the headers, and is nil if they can't be decoded.
 func (g *Gateway) accept(w http.ResponseWriter, r *http.Request, v *catalog.View) (*Call, *catalog.Route, *refusal) {
@@ -100,15 +95,11 @@
 		return c, nil, refuse(code.HeaderTooLarge, "the header is longer than the limit")
 	}
 	if !g.o.Bodies.Admit() {
-		f := refuse(code.BodyBudgetSpent, "the bodies of other answers take the memory for them")
-		f.retryAfter = bodyBudgetRetryAfter + rand.N(bodyBudgetRetryAfter)
-		return c, nil, f
+		return c, nil, g.refuseForBytes(bytebudget.NoRoom)
 	}
-	body, refused := readBodyInTime(w, r, v.Config.Limits.BodyBytes, c.CallerTimeout)
-	if refused != nil {
+	if refused := g.readBodyInTime(w, r, v.Config.Limits.BodyBytes, c, route); refused != nil {
 		return c, nil, refused
 	}
-	c.Body = body
 	c.Fingerprint, c.SharedParts = fingerprint(c), sharedParts(c.Parts)
 	if err := g.quarantine(c); err != nil {
 		f := refuse(code.Quarantined, err.Error())
@@ -171,18 +162,30 @@
 )
 
 // endBody reads the rest of the body of a request that is refused. If it isn't there, the connection is closed after
-// the refusal: net/http would wait for the body before it sends an answer.
-func endBody(w http.ResponseWriter, r *http.Request) {
+// the refusal: net/http would wait for the body before it sends an answer. It then reports whether the caller may still
+// be sending.
+func endBody(w http.ResponseWriter, r *http.Request) (sending bool) {
 	if r.ContentLength == 0 || r.ProtoMajor > 1 {
-		return
+		return false
 	}
 	rc := http.NewResponseController(w)
-	if !expectsContinue(r) && readRest(rc, r.Body) {
-		return
+	expects := expectsContinue(r)
+	if !expects && readRest(rc, r.Body) {
+		return false
 	}
 	w.Header().Set("Connection", "close")
 	// A failure means that the connection has been closed.
 	_ = rc.SetReadDeadline(time.Now().Add(bodyLinger))
+	return !expects
+}
+
+// discardBody sends the refusal and drops what still arrives of the request's body, for bodyLinger at most: a caller that
+// reads only after it has sent the whole body would otherwise not get the refusal.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	if http.NewResponseController(w).Flush() == nil {
+		// An error means that the caller has stopped to send.
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 }
 
 // expectsContinue reports whether the caller sends the body only after it has been asked for it.
@@ -218,81 +221,3 @@
 	}
 	return int64(n)
 }
-
-// maxBodyPause is the time that a caller may take between two parts of a body.
-const maxBodyPause = 5 * time.Second
-
-// timedBody is a request's body that its caller must send in time.
-type timedBody struct {
-	io.ReadCloser
-	rc    *http.ResponseController
-	until time.Time // zero for no limit but maxBodyPause
-}
-
-// Read implements io.Reader.
-func (b *timedBody) Read(p []byte) (int, error) {
-	until := time.Now().Add(maxBodyPause)
-	if !b.until.IsZero() && b.until.Before(until) {
-		until = b.until
-	}
-	if err := b.rc.SetReadDeadline(until); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return 0, err
-	}
-	return b.ReadCloser.Read(p)
-}
-
-// readBodyInTime reads a body that must arrive within the caller's timeout, if it isn't zero.
-func readBodyInTime(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, *refusal) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body := &timedBody{ReadCloser: r.Body, rc: http.NewResponseController(w)}
-	if timeout > 0 {
-		body.until = time.Now().Add(timeout)
-	}
-	r.Body = body
-	b, refused := readBody(w, r, limit)
-	r.Body = body.ReadCloser
-	// A failure means that the connection has been closed, which the call notices.
-	_ = body.rc.SetReadDeadline(time.Time{})
-	return b, refused
-}
-
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
-	rd := r.Body
-	if limit > 0 {
-		rd = httpserver.LimitBody(w, r.Body, limit)
-	}
-	var body []byte
-	var err error
-	if n := r.ContentLength; n > 0 && (limit <= 0 || n <= limit) {
-		body = make([]byte, n)
-		_, err = io.ReadFull(rd, body)
-		if err == nil {
-			// net/http detects that the caller closes its connection only after the
-			// body has been read to EOF.
-			_, err = rd.Read(make([]byte, 1))
-			if errors.Is(err, io.EOF) {
-				err = nil
-			}
-		}
-	} else {
-		body, err = io.ReadAll(rd)
-	}
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, refuse(code.BodyTooLarge, "the body is longer than the limit")
-	case err != nil && isInvalidFraming(err):
-		return nil, refuse(code.BadField, "the framing of the body is invalid")
-	case err != nil:
-		return nil, refuse(code.SlowSender, "the body didn't arrive whole")
-	}
-	return body, nil
-}
-
-// isInvalidFraming reports whether a body couldn't be read for what the caller has sent, not for what it hasn't.
-func isInvalidFraming(err error) bool {
-	var network net.Error
-	return !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, io.EOF) && !errors.As(err, &network)
-}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,6 +55,8 @@
 	HasKey    bool // the caller sent an API key
 	Key       workspace.Digest
 	Workspace *workspace.Workspace // to which the key belongs, nil if the request needs no key
+
+	claim *bodyClaim // of Body, nil before the body is read
 }
 
 // EndpointRequest describes one request to an endpoint.
--- a/internal/gateway/call_bench_test.go
+++ b/internal/gateway/call_bench_test.go
@@ -38,3 +38,31 @@
 		})
 	}
 }
+
+// BenchmarkUpload measures a call with a body, with its caller's and its endpoint's part in it.
+func BenchmarkUpload(b *testing.B) {
+	for name, bytes := range map[string]int{"100B": 100, "10KB": 10 << 10, "1MB": 1 << 20} {
+		b.Run(name, func(b *testing.B) {
+			w := newTestGateway(b)
+			w.setRoute(lookupRoute)
+			w.store.View().Config.Limits.BodyBytes = 1 << 20
+			body := strings.Repeat("b", bytes)
+			w.addEndpoint("a", catalog.Whole, serve(b, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+				return respond(c, 200, "ok", "Seal: s")
+			}))
+			b.ReportAllocs()
+			for b.Loop() {
+				req, err := http.NewRequestWithContext(b.Context(), "POST", w.URL+"/x/", strings.NewReader(body))
+				assert.NilError(b, err)
+				req.Host = "h.example"
+				req.Header.Set("Id", "1")
+				resp, err := w.caller.Do(req)
+				assert.NilError(b, err)
+				assert.Equal(b, resp.StatusCode, 200)
+				_, err = io.Copy(io.Discard, resp.Body)
+				assert.NilError(b, err)
+				assert.NilError(b, resp.Body.Close())
+			}
+		})
+	}
+}
--- a/internal/gateway/exceeded.go
+++ b/internal/gateway/exceeded.go
@@ -82,3 +82,46 @@
 	}
 	return place.ExchangeFailed
 }
+
+// bytesRefusedPause is the time without a refusal for lack of bytes after which the byte budget counts as having room
+// again. It bounds the log lines, too.
+const bytesRefusedPause = 5 * time.Second
+
+// bytesRefusedLog logs when the byte budget begins to refuse requests and when it has stopped.
+type bytesRefusedLog struct {
+	mu      sync.Mutex
+	timer   *time.Timer // nil while no request is refused
+	began   clock.Time
+	total   int // refusals since it began
+	counted int // those that the timer has seen
+}
+
+// record records a refusal.
+func (l *bytesRefusedLog) record(g *Gateway) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.total++
+	if l.timer != nil {
+		return
+	}
+	l.began, l.counted = g.o.Clock.Now(), l.total
+	l.timer = time.AfterFunc(bytesRefusedPause, func() { l.expire(g) })
+	bytesLine(g).Warn("byte budget refuses requests")
+}
+
+func (l *bytesRefusedLog) expire(g *Gateway) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.total > l.counted {
+		l.counted = l.total
+		l.timer.Reset(bytesRefusedPause)
+		return
+	}
+	bytesLine(g).WithField("refused", l.total).WithField("ms", g.o.Clock.Now().Sub(l.began).Milliseconds()).Info("byte budget has room again")
+	l.timer, l.total = nil, 0
+}
+
+func bytesLine(g *Gateway) *log.Entry {
+	s := g.o.Bodies.Snapshot()
+	return log.WithField("capacity", s.Capacity).WithField("used", s.Used).WithField("requests", s.Requests)
+}
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -38,6 +38,7 @@
 
 	arrivals              int                           // requests that have reached endpoints, except the first prefill
 	runs                  int                           // arrivals in which the request may have run
+	shareDenials          int                           // attempts that weren't sent as the endpoint held its share of bytes
 	rejections            int                           // arrivals that endpoints haven't run, but for forgotten ones
 	runsSent              atomic.Int32                  // requests sent that aren't prefills; a guard reads it while a replacement is secured
 	prepaidRetries        int                           // taken from the retry budget and not sent yet
@@ -164,7 +165,10 @@
 func (x *execution) mayRetry(last *result) bool {
 	switch last.outcome {
 	case notSent:
-		if len(x.attempts) >= maxUnreachableEndpoints+x.arrivals {
+		if len(x.attempts) >= maxUnreachableEndpoints+x.arrivals+x.shareDenials {
+			return false
+		}
+		if last.code == code.BodyBudgetSpent && len(x.untriedEndpoints()) == 0 {
 			return false
 		}
 	case notRun:
@@ -230,6 +234,11 @@
 // runs the exchange, and reports whether another endpoint has taken the request meanwhile.
 func (x *execution) send(ctx context.Context, a *attempt, wait waiter) (*exchange.Response, Answer, result) {
 	s := a.request
+	upload, r, ok := x.beginUpload(s.Endpoint.ID)
+	if !ok {
+		return nil, Answer{}, r
+	}
+	defer upload.End()
 	if r, ok := x.admitSend(s.Endpoint); !ok {
 		return nil, Answer{}, r
 	}
@@ -273,11 +282,14 @@
 		return nil, ans, x.classifySendError(a, err)
 	}
 	x.markResumed(a)
-	r := x.receive(a, ans)
+	r = x.receive(a, ans)
 	if r.outcome != answered {
 		resp.Close()
 		return nil, ans, r
 	}
+	if !s.PrefillOnly && !x.mayRunAgain() && resp.RequestWritten() {
+		x.call.releaseBody() // it isn't sent again
+	}
 	return resp, ans, r
 }
 
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -65,6 +65,9 @@
 		}
 	}
 	if f.run == code.NotRun {
+		if f.code == code.BodyBudgetSpent {
+			x.g.bytesRefused.record(x.g)
+		}
 		if f.status() == http.StatusBadGateway {
 			f.code = code.EndpointRefused
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,7 @@
 	CutOff       func() bool
 	RelayTargets func() []string
 	RelayPool    *exchange.Pool
-	// Bodies is the budget of the answers that are held in memory, one of the default capacity if it is nil.
+	// Bodies is the budget of the bodies that are held in memory, one of the default capacity if it is nil.
 	Bodies *bytebudget.Budget
 	// Origins records and finds the software versions at which streams began.
 	Origins StreamOrigins
@@ -90,6 +90,7 @@
 	silences     *silence.Register
 	exposures    *crash.Exposures
 	exceeded     exceededLog
+	bytesRefused bytesRefusedLog
 }
 
 // New returns a gateway.
@@ -132,11 +133,20 @@
 	g.requestMeter.Count(arrived)
 	view := g.o.Catalog.View()
 	call, route, refused := g.accept(w, r, view)
+	if call != nil {
+		defer call.releaseBody()
+	}
 	if refused != nil {
-		endBody(w, r)
+		sending := endBody(w, r)
 		refused.write(w)
 		g.metrics.count(refused.code)
 		logRefusal(call, view, refused)
+		if sending {
+			if call != nil {
+				call.releaseBody()
+			}
+			discardBody(w, r)
+		}
 		return
 	}
 	call.Arrived = arrived
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -58,6 +58,7 @@
 	errBudgetSpent      = errors.New("the budget of repeats is spent")
 	errEndpointLeft     = errors.New("the endpoint left before the request was sent")
 	errEndpointsLimited = errors.New("the endpoints have named limits that leave no room now")
+	errEndpointShare    = errors.New("other bodies on their way to the endpoint take its share of the memory for them")
 	errLeaving          = errors.New("the VM shuts down before the answer would be complete")
 	errCutOff           = errors.New("no endpoint can be reached")
 	errUnsigned         = errors.New("the answer lacks the endpoint's signature")
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -53,10 +53,15 @@
 	if x.ctx.Err() != nil {
 		return result{outcome: gone}
 	}
+	upload, r, ok := x.beginUpload(address)
+	if !ok {
+		return r
+	}
 	resp, err := x.g.o.RelayPool.Do(x.ctx, address, &exchange.Request{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
 		Header: x.g.o.Codec.Relay(x.request, x.remainingTime()), Body: x.call.Body, NoRetry: !x.route.Retryable(),
 	})
+	upload.End()
 	switch {
 	case errors.Is(err, driver.ErrNotSent) && x.ctx.Err() == nil:
 		return result{outcome: notSent, code: code.EndpointCut, err: err}
