--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -391,3 +393,31 @@
 	_, err := do(t, NewPool(), e.addr, get("/"))
 	assert.Assert(t, errors.Is(err, driver.ErrConnectionLost), "%v", err)
 }
+
+// Guards against a long request of which a part is lost or sent twice, as it is written in parts.
+func TestLongRequestArrivesWhole(t *testing.T) {
+	e := listen(t, func(_ *endpoint, _ int, c net.Conn, br *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			answer(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		}
+	})
+	p := NewPool()
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, size := range []int{1, maxInlineWrite - 100, maxInlineWrite, writePartBytes - 60, writePartBytes, writePartBytes + 1, 4*writePartBytes - 1, 1<<20 + 7} {
+		body := make([]byte, size)
+		for i := range body {
+			body[i] = byte('a' + random.IntN(26))
+		}
+		got, err := do(t, p, e.addr, &Request{Method: "POST", Target: "/", Host: "h", Body: body})
+		assert.NilError(t, err)
+		assert.Assert(t, got == string(body), "%d bytes", size)
+	}
+}
