Gateway: a request with a large body is answered before its caller's time is over

The VM's own limit is the same 10 s from the request's arrival, which is later than the caller's.

Change: a request with a body of 256 KB or more ends 500 ms before its time, a tenth of it at most, so that its caller is told.

Result: TestLateUploadIsAnsweredBeforeItsCallerLeaves fails without the margin and passes. A test of the two log lines of the byte budget is added.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,6 +123,13 @@
 // defaultCallerTimeout is assumed for a caller that sends no timeout and whose route has none.
 const defaultCallerTimeout = 10 * time.Second
 
+// A request with a large body ends earlier than its time by largeBodyMargin, and by a part of its time at most: an endpoint
+// that reads slowly often uses all of it, and the caller would leave before it is told.
+const (
+	largeBodyMargin        = 500 * time.Millisecond
+	largeBodyMarginDivisor = 10
+)
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if g.o.Leaving() {
@@ -157,6 +164,9 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
+	if len(call.Body) >= bytebudget.LargeBytes {
+		timeout -= min(largeBodyMargin, timeout/largeBodyMarginDivisor)
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), timeout-g.o.Clock.Now().Sub(arrived))
 	defer cancel()
 	x := &execution{
--- a/internal/gateway/upload_test.go
+++ b/internal/gateway/upload_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/catalog"
@@ -367,6 +369,17 @@
 	})
 }
 
+// Guards against a caller that leaves without an answer as its endpoint has read the body hardly in time.
+func TestLateUploadIsAnsweredBeforeItsCallerLeaves(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setUploadRoutes("large")
+		w.addPacedEndpoint(t, "e", &pacedEndpoint{pace: uploadBytes / 11})
+		status, _ := w.upload(t, "/large/", uploadBytes, false)
+		assert.Equal(t, status, 504)
+		assert.Equal(t, w.gateway.o.Bodies.Snapshot().Used, int64(0))
+	})
+}
+
 // Guards against an endpoint that is taken for a slow one as it pauses while it reads.
 func TestPauseDuringAnUploadIsNoSlowness(t *testing.T) {
 	simulated(t, func(t *testing.T, w *testGateway) {
@@ -376,3 +389,34 @@
 		assert.Equal(t, status, 200)
 	})
 }
+
+// Guards against a log line for each refused request, and against an end of the refusals that isn't logged.
+func TestRefusalsForBytesAreLoggedAtTheirBeginAndEnd(t *testing.T) {
+	entries := memory.New()
+	before := log.Log.(*log.Logger).Handler
+	log.SetHandler(entries)
+	defer log.SetHandler(before)
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setUploadRoutes("large")
+		for range 2 {
+			claim := w.gateway.o.Bodies.NewClaim("other", "")
+			assert.Equal(t, claim.Take(w.gateway.o.Bodies.MaxRequest(), bytebudget.LargeBytes), bytebudget.Granted)
+			for range 30 {
+				status, _ := w.upload(t, "/large/", uploadBytes, false)
+				assert.Equal(t, status, 503)
+				time.Sleep(time.Second)
+			}
+			claim.End(0)
+			time.Sleep(2 * bytesRefusedPause)
+		}
+	})
+	lines := map[string]int{}
+	for _, e := range entries.Entries {
+		lines[e.Message]++
+		if e.Message == "byte budget has room again" {
+			assert.Equal(t, e.Fields.Get("refused"), 30)
+		}
+	}
+	assert.Equal(t, lines["byte budget refuses requests"], 2)
+	assert.Equal(t, lines["byte budget has room again"], 2)
+}
