Exchange: an endpoint that doesn't read a long request isn't taken for a crash

What callers could see: a request refused as quarantined (3010), as endpoints had "crashed" that only didn't read its body.

Cause: the kernel ends a connection whose peer reads nothing for TCP_USER_TIMEOUT (3 s), also if it acknowledges the probes. The write fails with ETIMEDOUT, but the reader of the connection gets an end of file, which was taken for the end of the endpoint's process. Measured with a plain program: a write of 16 MB failed after 3.27 s, the read with EOF at the same moment.

Change: such a write counts as cause "upload", as one does that makes no progress.

Result: TestEndpointThatDoesNotReadIsNoCrash fails before ("connection cut after sending: unexpected EOF") and passes.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -421,3 +421,20 @@
 		assert.Assert(t, got == string(body), "%d bytes", size)
 	}
 }
+
+// Guards against an endpoint that doesn't read a long request and is taken for one that has crashed: the kernel ends the
+// connection.
+func TestEndpointThatDoesNotReadIsNoCrash(t *testing.T) {
+	t.Parallel()
+	e := listen(t, func(_ *endpoint, _ int, c net.Conn, _ *bufio.Reader) {
+		<-t.Context().Done()
+		_ = c.Close()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err := NewPool().Do(ctx, e.addr, &Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 16<<20)})
+	var exceeded *BoundError
+	assert.Assert(t, errors.As(err, &exceeded), "%v", err)
+	assert.Equal(t, exceeded.Cause, Upload)
+	assert.Assert(t, !errors.Is(err, driver.ErrConnectionLost))
+}
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"fescuestand/internal/driver"
@@ -75,12 +76,18 @@
 	x.c.boundSendBuffer()
 	err := x.writeParts(head, body)
 	x.writeFailed = err != nil
-	if errors.Is(err, os.ErrDeadlineExceeded) && !x.responding.Load() {
+	if isStalled(err) && !x.responding.Load() {
 		x.gaveUp.Store(true)
 		_ = x.c.Close()
 	}
 }
 
+// isStalled reports whether a write has failed as the endpoint doesn't read. The kernel says so after userTimeout; the
+// reader of the connection gets its end then, which isn't that of the endpoint's process.
+func isStalled(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
+}
+
 func (x *activeExchange) writeParts(head, body []byte) error {
 	// The first part of the body goes with the header, in one packet as far as it fits.
 	first := min(len(body), max(writePartBytes-len(head), 0))
