Gateway: Retry-After by size, and the last buffer of a body has the limit's length

Cause: a small request refused while answers take the memory was told the delay of large bodies, up to 5 s. A body without a stated length that has just the allowed one was copied once more for the byte that shows its end, and took twice its memory for that moment.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -95,7 +95,7 @@
 		return c, nil, refuse(code.HeaderTooLarge, "the header is longer than the limit")
 	}
 	if !g.o.Bodies.Admit() {
-		return c, nil, g.refuseForBytes(bytebudget.NoRoom)
+		return c, nil, g.refuseForBytes(bytebudget.NoRoom, 0)
 	}
 	if refused := g.readBodyInTime(w, r, v.Config.Limits.BodyBytes, c, route); refused != nil {
 		return c, nil, refused
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -46,21 +46,24 @@
 	}
 }
 
-// refuseForBytes returns the refusal of a request whose body gets no bytes.
-func (g *Gateway) refuseForBytes(v bytebudget.Verdict) *refusal {
+// refuseForBytes returns the refusal of a request whose body of at least size bytes gets none.
+func (g *Gateway) refuseForBytes(v bytebudget.Verdict, size int64) *refusal {
 	f := refuse(code.BodyBudgetSpent, "the bodies of other requests and answers take the memory for them")
 	if v == bytebudget.OverShare {
 		f.reason = "other bodies of the route or the workspace take its share of the memory for them"
 	}
-	f.retryAfter = g.bytesRetryAfter()
+	f.retryAfter = g.bytesRetryAfter(size)
 	g.bytesRefused.record(g)
 	return f
 }
 
-// bytesRetryAfter returns the Retry-After delay of a request whose body gets no bytes. Callers come back spread over the
-// time for which large bodies are held at present.
-func (g *Gateway) bytesRetryAfter() time.Duration {
-	delay := min(max(g.o.Bodies.MeanHold()/2, minBytesRetryAfter), maxBytesRetryAfter/2)
+// bytesRetryAfter returns the Retry-After delay of a request whose body of at least size bytes gets none. Callers with
+// large bodies come back spread over the time for which such bodies are held at present.
+func (g *Gateway) bytesRetryAfter(size int64) time.Duration {
+	delay := minBytesRetryAfter
+	if size >= bytebudget.LargeBytes {
+		delay = min(max(g.o.Bodies.MeanHold()/2, delay), maxBytesRetryAfter/2)
+	}
 	return delay + rand.N(delay)
 }
 
@@ -122,8 +125,11 @@
 	return refused
 }
 
-// errNoBytes means that the byte budget has refused a body.
-type errNoBytes struct{ verdict bytebudget.Verdict }
+// errNoBytes means that the byte budget has refused a body of at least size bytes.
+type errNoBytes struct {
+	verdict bytebudget.Verdict
+	size    int64
+}
 
 func (errNoBytes) Error() string { return "the byte budget is spent" }
 
@@ -147,7 +153,7 @@
 	var noBytes errNoBytes
 	switch {
 	case errors.As(err, &noBytes):
-		return g.refuseForBytes(noBytes.verdict)
+		return g.refuseForBytes(noBytes.verdict, noBytes.size)
 	case errors.As(err, &large):
 		return refuse(code.BodyTooLarge, "the body is longer than the limit")
 	case err != nil && isInvalidFraming(err):
@@ -161,7 +167,7 @@
 // readKnown reads a body of n bytes.
 func readKnown(rd io.Reader, n int64, claim *bodyClaim) ([]byte, error) {
 	if v := claim.Take(n, n); v != bytebudget.Granted {
-		return nil, errNoBytes{v}
+		return nil, errNoBytes{v, n}
 	}
 	body := make([]byte, n)
 	if _, err := io.ReadFull(rd, body); err != nil {
@@ -196,12 +202,15 @@
 	}
 }
 
-// grow returns body in a buffer of twice its size, at most limit bytes.
+// grow returns body in a buffer of twice its size, or of limit bytes if no more than one would be missing.
 func grow(body []byte, limit int64, claim *bodyClaim) ([]byte, error) {
 	held := int64(cap(body))
-	n := min(max(2*held, minBodyBytes), max(limit, minBodyBytes))
+	n := max(2*held, minBodyBytes)
+	if n >= limit-1 {
+		n = max(limit, minBodyBytes)
+	}
 	if v := claim.Take(n, n); v != bytebudget.Granted {
-		return nil, errNoBytes{v}
+		return nil, errNoBytes{v, n}
 	}
 	larger := make([]byte, len(body), n)
 	copy(larger, body)
@@ -220,7 +229,7 @@
 	s, ok := x.g.o.Bodies.BeginSend(id, int64(len(x.call.Body)), len(x.openEndpoints()) <= 1)
 	if !ok {
 		x.shareDenials++
-		return s, result{outcome: notSent, code: code.BodyBudgetSpent, err: errEndpointShare, retryAfter: x.g.bytesRetryAfter()}, false
+		return s, result{outcome: notSent, code: code.BodyBudgetSpent, err: errEndpointShare, retryAfter: x.g.bytesRetryAfter(int64(len(x.call.Body)))}, false
 	}
 	return s, result{}, true
 }
--- a/internal/gateway/upload_test.go
+++ b/internal/gateway/upload_test.go
@@ -420,3 +420,18 @@
 	assert.Equal(t, lines["byte budget refuses requests"], 2)
 	assert.Equal(t, lines["byte budget has room again"], 2)
 }
+
+// Guards against a body of the allowed length that takes twice its memory for the byte which shows that it has ended.
+func TestBodyOfTheAllowedLengthIsHeldOnce(t *testing.T) {
+	for _, limit := range []int64{1 << 10, 64 << 10, 1 << 20} {
+		for _, size := range []int64{limit - 1, limit} {
+			budget := bytebudget.New()
+			claim := &bodyClaim{Claim: budget.NewClaim("r", "")}
+			body, err := readUnknown(strings.NewReader(strings.Repeat("b", int(size))), limit, claim)
+			assert.NilError(t, err)
+			assert.Equal(t, int64(len(body)), size)
+			assert.Check(t, claim.Bytes() <= max(limit+1, minBodyBytes), "%d bytes for %d", claim.Bytes(), size)
+			assert.Check(t, budget.Snapshot().Peak <= max(limit+1, minBodyBytes)*3/2, "%d bytes at a time for %d", budget.Snapshot().Peak, size)
+		}
+	}
+}
