--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,7 +67,7 @@
 	CutOff       func() bool
 	RelayTargets func() []string
 	RelayPool    *exchange.Pool
-	// Bodies is the budget of the answers that are held in memory, one of the default capacity if it is nil.
+	// Bodies is the budget of the bodies that are held in memory, one of the default capacity if it is nil.
 	Bodies *bytebudget.Budget
 	// Origins records and finds the software versions at which streams began.
 	Origins StreamOrigins
@@ -96,6 +96,7 @@
 	silences     *silence.Register
 	exposures    *crash.Exposures
 	exceeded     exceededLog
+	bytesRefused bytesRefusedLog
 }
 
 // New returns a gateway.
@@ -129,6 +130,13 @@
 // defaultCallerTimeout is assumed for a caller that sends no timeout and whose route has none.
 const defaultCallerTimeout = 10 * time.Second
 
+// A request with a large body ends earlier than its time by largeBodyMargin, and by a part of its time at most: an endpoint
+// that reads slowly often uses all of it, and the caller would leave before it is told.
+const (
+	largeBodyMargin        = 500 * time.Millisecond
+	largeBodyMarginDivisor = 10
+)
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if g.o.Leaving() {
@@ -139,11 +147,20 @@
 	g.requestMeter.Count(arrived)
 	view := g.o.Catalog.View()
 	call, route, refused := g.accept(w, r, view)
+	if call != nil {
+		defer call.releaseBody()
+	}
 	if refused != nil {
-		endBody(w, r)
+		sending := endBody(w, r)
 		refused.write(w)
 		g.metrics.count(refused.code)
 		logRefusal(call, view, refused)
+		if sending {
+			if call != nil {
+				call.releaseBody()
+			}
+			discardBody(w, r)
+		}
 		return
 	}
 	call.Arrived = arrived
@@ -154,6 +171,9 @@
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
+	if len(call.Body) >= bytebudget.LargeBytes {
+		timeout -= min(largeBodyMargin, timeout/largeBodyMarginDivisor)
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), timeout-g.o.Clock.Now().Sub(arrived))
 	defer cancel()
 	x := &execution{
