Worlds of a loss of all VMs beside faults of the store and the VMs

Further worlds: the store rejects writes or some VMs, is down, is slow or is restored from an older copy around the loss; all VMs are lost twice; a version comes back after two minutes; a release while no VM runs; three versions; a VM that hears nothing; VMs that join; lost datagrams.

--- /dev/null
+++ b/internal/simworld/lost_vms_faults_test.go
@@ -0,0 +1,171 @@
+package simworld
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	versionThird = "v3"
+	// soonAfter is a short time after a restart or a change, in which VMs have read the store.
+	soonAfter = 300 * time.Millisecond
+	// storeDownTime is how long the store is down.
+	storeDownTime = 1500 * time.Millisecond
+	// entryLifetime is the time after which the store drops the entry of an endpoint that doesn't write it again.
+	entryLifetime = 3600 * time.Millisecond
+	// slowStore is what a slow store adds to each call.
+	slowStore = 700 * time.Millisecond
+	// absence is how long a version is away that comes back, longer than streams may be taken up.
+	absence = 2 * time.Minute
+	// lateRetryPause is that of callers that come late after the restart.
+	lateRetryPause = 1500 * time.Millisecond
+	// joinedVMs is the number of VMs that join.
+	joinedVMs = 2
+	// lostDatagrams is the share of the datagrams that are lost.
+	lostDatagrams = 0.3
+)
+
+// replaceAll has the old version leave.
+func replaceAll(l *lossRun) { l.replace(lossEndpoints, versionOld, serviceBefore, versionNew) }
+
+// replaceByThird has three versions serve side by side.
+func replaceByThird(l *lossRun) {
+	const each = lossEndpoints / 3
+	l.replace(each, versionOld, serviceBefore, versionNew)
+	l.replace(each, versionOld, serviceBefore, versionThird)
+	time.Sleep(lossStartSpread)
+}
+
+// inOrder returns a function that takes steps one after the other.
+func inOrder(steps ...func(l *lossRun)) func(l *lossRun) {
+	return func(l *lossRun) {
+		for _, step := range steps {
+			step(l)
+		}
+	}
+}
+
+func pause(d time.Duration) func(l *lossRun) { return func(*lossRun) { time.Sleep(d) } }
+
+// storeFails sets the store's faults.
+func storeFails(f storeFaults) func(l *lossRun) { return func(l *lossRun) { l.store.setFaults(f) } }
+
+var (
+	storeWorks         = storeFails(storeFaults{})
+	storeRejectsAll    = storeFails(storeFaults{rejects: func(string, bool) bool { return true }})
+	storeRejectsWrites = storeFails(storeFaults{rejects: func(_ string, isWrite bool) bool { return isWrite }})
+	storeRejectsSome   = storeFails(storeFaults{rejects: func(vm string, _ bool) bool { return vm == "vm0" || vm == "vm1" }})
+	storeIsSlow        = storeFails(storeFaults{latency: slowStore})
+)
+
+// copyStore copies the store, and restoreStore restores the copy. Operators and endpoints write again what is lost.
+func copyStore(l *lossRun) { l.copied = l.store.lengths() }
+
+func restoreStore(l *lossRun) {
+	l.store.restore(l.copied)
+	time.AfterFunc(entryLifetime, func() {
+		for _, e := range l.removed() {
+			l.store.put(endpointLog, e.id, "")
+		}
+	})
+	time.AfterFunc(soonAfter, func() {
+		l.rewriteConfig()
+		for _, e := range l.allEndpoints() {
+			l.writeEntry(e)
+		}
+	})
+}
+
+// loseAgain kills all VMs soon after they have started.
+func loseAgain(l *lossRun) { l.lose(l.vms, nothing, maxRestartGap) }
+
+// freeze has the last VM hear nothing, and thaw ends that.
+func freeze(l *lossRun) {
+	v := l.vms[len(l.vms)-1]
+	l.setFrozen(v.address(portCallers))
+	v.host.Silence()
+}
+
+func thaw(l *lossRun) {
+	l.vms[len(l.vms)-1].host.Resume()
+	l.setFrozen("")
+}
+
+func (l *lossRun) setFrozen(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.frozen = address
+}
+
+// join adds VMs.
+func join(l *lossRun) {
+	for range joinedVMs {
+		l.addVM()
+	}
+}
+
+// goBack replaces the new version by the old one.
+func goBack(l *lossRun) {
+	l.replace(len(l.ofVersion(versionNew)), versionNew, serviceBefore, versionOld)
+}
+
+var bothVersions = []string{versionOld, versionNew}
+
+var faultCases = map[string]lossCase{
+	"writes_rejected_both": {
+		before: inOrder(storeRejectsWrites, replaceHalf), meanwhile: nothing, after: inOrder(pause(time.Second), storeWorks), awaitsStore: true,
+	},
+	"writes_rejected_left": {
+		before: inOrder(storeRejectsWrites, replaceAll), meanwhile: nothing, after: inOrder(pause(time.Second), storeWorks), awaitsStore: true,
+	},
+	"some_vms_rejected": {before: inOrder(storeRejectsSome, replaceHalf), meanwhile: nothing, judgedVersions: bothVersions, awaitsStore: true},
+	"store_down_in_restart_both": {
+		before: replaceHalf, meanwhile: storeRejectsAll, after: inOrder(pause(storeDownTime), storeWorks), judgedVersions: bothVersions, awaitsStore: true,
+	},
+	"store_down_in_restart_left": {
+		before: replaceAll, meanwhile: storeRejectsAll, after: inOrder(pause(storeDownTime), storeWorks), judgedVersions: []string{versionNew}, awaitsStore: true,
+	},
+	"store_down_after_restart_both": {
+		before: replaceHalf, meanwhile: nothing, after: inOrder(storeRejectsAll, pause(storeDownTime), storeWorks),
+		judgedVersions: bothVersions, awaitsStore: true,
+	},
+	"store_down_after_restart_left": {
+		before: replaceAll, meanwhile: nothing, after: inOrder(storeRejectsAll, pause(storeDownTime), storeWorks),
+		judgedVersions: []string{versionNew}, awaitsStore: true,
+	},
+	"slow_store_both":         {before: inOrder(storeIsSlow, replaceHalf), meanwhile: nothing, judgedVersions: bothVersions, awaitsStore: true},
+	"slow_store_left":         {before: inOrder(storeIsSlow, replaceAll), meanwhile: nothing, minOldTakeUps: minJudgedTakeUps, awaitsStore: true},
+	"restored_before_both":    {before: inOrder(copyStore, replaceHalf, restoreStore, pause(time.Second)), meanwhile: nothing},
+	"restored_before_left":    {before: inOrder(copyStore, replaceAll, restoreStore), meanwhile: nothing},
+	"restored_meanwhile_both": {before: inOrder(copyStore, replaceHalf), meanwhile: restoreStore},
+	"restored_meanwhile_left": {before: inOrder(copyStore, replaceAll), meanwhile: restoreStore},
+	"restored_meanwhile_back": {before: inOrder(copyStore, replaceHalf, goBack), meanwhile: restoreStore},
+	"restored_after_both":     {before: inOrder(copyStore, replaceHalf), meanwhile: nothing, after: restoreStore},
+	"restored_after_left":     {before: inOrder(copyStore, replaceAll), meanwhile: nothing, after: restoreStore},
+	"second_loss_both":        {before: replaceHalf, meanwhile: nothing, after: loseAgain, judgedVersions: bothVersions},
+	"second_loss_left":        {before: replaceAll, meanwhile: nothing, after: loseAgain, judgedVersions: []string{versionNew}},
+	"returns_both": {
+		before: inOrder(replaceAll, pause(absence), goBackHalf, pause(lossStartSpread)), meanwhile: nothing, judgedVersions: bothVersions,
+	},
+	"returns_left":            {before: inOrder(replaceAll, pause(absence), goBack), meanwhile: nothing, judgedVersions: []string{versionOld}},
+	"release_meanwhile":       {before: nothing, meanwhile: replaceHalf, judgedVersions: []string{versionOld}},
+	"release_meanwhile_late":  {before: nothing, meanwhile: replaceHalf, retryPause: lateRetryPause, judgedVersions: []string{versionOld}},
+	"release_meanwhile_whole": {before: nothing, meanwhile: replaceAll, minOldTakeUps: minJudgedTakeUps},
+	"three_versions":          {before: replaceByThird, meanwhile: nothing, judgedVersions: []string{versionOld, versionNew, versionThird}},
+	"frozen_vm_both":          {before: inOrder(freeze, replaceHalf), meanwhile: nothing, after: inOrder(pause(time.Second), thaw), survivors: 1, judgedVersions: bothVersions},
+	"frozen_vm_left":          {before: inOrder(freeze, replaceAll), meanwhile: nothing, after: inOrder(pause(time.Second), thaw), survivors: 1, judgedVersions: []string{versionNew}},
+	"joined_vms_stay_both":    {before: inOrder(replaceHalf, join, pause(time.Second)), meanwhile: nothing, survivors: joinedVMs, judgedVersions: bothVersions},
+	"joined_vms_stay_left":    {before: inOrder(replaceAll, join, pause(time.Second)), meanwhile: nothing, survivors: joinedVMs, judgedVersions: []string{versionNew}},
+	"vms_join_after_both":     {before: replaceHalf, meanwhile: nothing, after: join, judgedVersions: bothVersions},
+	"vms_join_after_left":     {before: replaceAll, meanwhile: nothing, after: join, judgedVersions: []string{versionNew}},
+	"datagrams_lost_both":     {before: replaceHalf, meanwhile: nothing, lossShare: lostDatagrams, judgedVersions: bothVersions},
+	"datagrams_lost_left":     {before: replaceAll, meanwhile: nothing, lossShare: lostDatagrams, judgedVersions: []string{versionNew}},
+	"datagrams_lost_one":      {before: nothing, meanwhile: nothing, lossShare: lostDatagrams, judgedVersions: []string{versionOld}},
+}
+
+// goBackHalf replaces half of the endpoints of the new version by the old one.
+func goBackHalf(l *lossRun) { l.replace(lossEndpoints/2, versionNew, serviceBefore, versionOld) }
+
+// Guards against joined streams, and refusals of those that could go on, where the store or some VMs fail beside a
+// loss of all VMs.
+func TestWorldOfALossOfAllVMsBesideFaults(t *testing.T) { runLossCases(t, faultCases) }
