Worlds of changes that are undone while no VM runs

What was seen: a route moved to another service, all VMs were lost within 150 ms, and the route moved back before they started again.

Cause: where no start that is visible is on record, startable lets a stream begin at any, without waiting for the record that is being written. The record then names the other service or version only.

The product isn't changed.

--- a/internal/simworld/lost_vms_faults_test.go
+++ b/internal/simworld/lost_vms_faults_test.go
@@ -19,6 +19,10 @@
 	absence = 2 * time.Minute
 	// lateRetryPause is that of callers that come late after the restart.
 	lateRetryPause = 1500 * time.Millisecond
+	// briefLossDelay bounds the time to a loss right after a change, and quickInterval is the time between two events of
+	// streams that begin in it.
+	briefLossDelay = 150 * time.Millisecond
+	quickInterval  = 20 * time.Millisecond
 	// joinedVMs is the number of VMs that join.
 	joinedVMs = 2
 	// lostDatagrams is the share of the datagrams that are lost.
@@ -104,6 +108,23 @@
 	}
 }
 
+// quicken has the endpoints of a version send events in short intervals.
+func quicken(version string) func(l *lossRun) { return func(l *lossRun) { l.quick = version } }
+
+// swap has all endpoints of a version end before those of another one start.
+func swap(version, by string) func(l *lossRun) {
+	return func(l *lossRun) {
+		for _, e := range l.ofVersion(version) {
+			l.remove(e)
+			e.close()
+		}
+		time.Sleep(learnTime)
+		for range lossEndpoints {
+			l.add(serviceBefore, by)
+		}
+	}
+}
+
 // goBack replaces the new version by the old one.
 func goBack(l *lossRun) {
 	l.replace(len(l.ofVersion(versionNew)), versionNew, serviceBefore, versionOld)
@@ -147,9 +168,14 @@
 	"returns_both": {
 		before: inOrder(replaceAll, pause(absence), goBackHalf, pause(lossStartSpread)), meanwhile: nothing, judgedVersions: bothVersions,
 	},
-	"returns_left":            {before: inOrder(replaceAll, pause(absence), goBack), meanwhile: nothing, judgedVersions: []string{versionOld}},
-	"release_meanwhile":       {before: nothing, meanwhile: replaceHalf, judgedVersions: []string{versionOld}},
-	"release_meanwhile_late":  {before: nothing, meanwhile: replaceHalf, retryPause: lateRetryPause, judgedVersions: []string{versionOld}},
+	"returns_left":           {before: inOrder(replaceAll, pause(absence), goBack), meanwhile: nothing, judgedVersions: []string{versionOld}},
+	"release_meanwhile":      {before: nothing, meanwhile: replaceHalf, judgedVersions: []string{versionOld}},
+	"release_meanwhile_late": {before: nothing, meanwhile: replaceHalf, retryPause: lateRetryPause, judgedVersions: []string{versionOld}},
+	"moved_and_back": {
+		before:    inOrder(quicken(versionMoved), addMoved, func(l *lossRun) { l.publishVariant(routeMoved) }),
+		meanwhile: func(l *lossRun) { l.publishVariant("") }, maxLossDelay: briefLossDelay, minOldTakeUps: minJudgedTakeUps,
+	},
+	"swapped_and_back":        {before: inOrder(quicken(versionNew), swap(versionOld, versionNew)), meanwhile: swap(versionNew, versionOld), maxLossDelay: briefLossDelay},
 	"release_meanwhile_whole": {before: nothing, meanwhile: replaceAll, minOldTakeUps: minJudgedTakeUps},
 	"three_versions":          {before: replaceByThird, meanwhile: nothing, judgedVersions: []string{versionOld, versionNew, versionThird}},
 	"frozen_vm_both":          {before: inOrder(freeze, replaceHalf), meanwhile: nothing, after: inOrder(pause(time.Second), thaw), survivors: 1, judgedVersions: bothVersions},
--- a/internal/simworld/lost_vms_test.go
+++ b/internal/simworld/lost_vms_test.go
@@ -139,6 +139,7 @@
 	ending   sync.WaitGroup
 	lost     time.Time // when VMs were lost last
 	copied   [logs]int // lengths of the logs in a copy of the store
+	quick    string    // version whose endpoints send events each quickInterval, or empty
 	frozen   string    // address of a VM that hears nothing, or empty
 }
 
@@ -148,7 +149,11 @@
 
 // add starts an endpoint.
 func (l *lossRun) add(service, version string) {
-	e := l.addEndpoint(lossSpec(service, version))
+	spec := lossSpec(service, version)
+	if version == l.quick {
+		spec.interval = quickInterval
+	}
+	e := l.addEndpoint(spec)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.served[e] = &served{version: version, from: time.Now()}
@@ -356,6 +361,8 @@
 	// on in the end.
 	awaitsStore bool
 	retryPause  time.Duration // of the callers, zero for the default
+	// maxLossDelay bounds the time from the last change to the loss, zero for the default.
+	maxLossDelay time.Duration
 	// judgedVersions are the versions of which streams must go on.
 	judgedVersions []string
 	// unnamedGoOn means that streams whose first attempt isn't named must go on, too.
@@ -377,7 +384,7 @@
 	}
 	time.Sleep(2 * lossStartSpread)
 	tc.before(l)
-	time.Sleep(time.Duration(l.rand("loss").Int64N(int64(maxLossDelay))))
+	time.Sleep(time.Duration(l.rand("loss").Int64N(int64(cmp.Or(tc.maxLossDelay, maxLossDelay)))))
 	l.lose(l.vms[:len(l.vms)-tc.survivors], tc.meanwhile, maxRestartGap)
 	if tc.after != nil {
 		tc.after(l)
