Records after restores, while a route moves and right before a loss

Causes and changes: - A version is held back only if the store has never been restored: the record may lack it. - A new stream waits for up to 0.5 s until enough endpoints are of recorded versions, where it began at any of them before. - A look-up after a restore is refused at once; origins are archived again when the store has been restored. - Origins are appended at once after a pause, and each 0.1 s at most. - Hosts of routes are compared in lower case.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -130,6 +130,7 @@
 			break
 		}
 		if tries == 0 {
+			x.awaitRecord()
 			x.g.o.Budget.CountRequest(x.now(), x.service)
 		}
 		last = x.attempt()
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"fescuestand/internal/catalog"
+	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
 	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/origin"
@@ -57,7 +59,7 @@
 
 // stream describes a stream of the call.
 func (x *execution) stream(key origin.Key) *origin.Stream {
-	return &origin.Stream{Key: key, Host: x.route.Host, Path: x.call.Path}
+	return &origin.Stream{Key: key, Host: strings.ToLower(x.route.Host), Path: x.call.Path}
 }
 
 // findOrigin restricts a call that takes up a stream to the service and version that began it. It returns
@@ -100,17 +102,46 @@
 	x.g.o.Origins.Record(x.stream(key), o, max(x.remainingTime(), x.call.CallerTimeout)+takeUpSlack)
 }
 
-// startable returns the endpoints at which a stream without events may begin. Where less than half of them are of a
-// version on record, it begins at any: refusing that many streams would be worse.
-func (x *execution) startable(list []*catalog.Endpoint) []*catalog.Endpoint {
+const (
+	// recordWait is how long a new stream waits for a version to be recorded, and recordPollInterval the time
+	// between two looks.
+	recordWait         = 500 * time.Millisecond
+	recordPollInterval = 20 * time.Millisecond
+)
+
+// awaitRecord waits until a new stream may begin at enough of the endpoints, for a while.
+func (x *execution) awaitRecord() {
+	if !x.isStream() || x.origin.Load() != nil {
+		return
+	}
+	for end := x.now().Add(recordWait); x.g.o.Starts.Pending() && x.now() < end; {
+		open := x.g.o.Catalog.View().Available(x.service)
+		if !slices.ContainsFunc(open, canRun) || x.areStartable(open, x.recorded(open)) || !clock.Sleep(x.ctx, recordPollInterval) {
+			return
+		}
+	}
+}
+
+// recorded returns the endpoints at which a new stream may begin.
+func (x *execution) recorded(list []*catalog.Endpoint) []*catalog.Endpoint {
 	if !x.isStream() || !x.g.o.Starts.Pending() {
 		return list
 	}
-	allowed := slices.DeleteFunc(slices.Clone(list), func(e *catalog.Endpoint) bool { return !x.g.o.Starts.MayBegin(x.route, e) })
-	if 2*len(allowed) < len(list) || !slices.ContainsFunc(allowed, canRun) {
-		return list
+	return slices.DeleteFunc(slices.Clone(list), func(e *catalog.Endpoint) bool { return !x.g.o.Starts.MayBegin(x.route, e) })
+}
+
+// areStartable reports whether the recorded ones of the endpoints are enough for new streams.
+func (x *execution) areStartable(list, recorded []*catalog.Endpoint) bool {
+	return 2*len(recorded) >= len(list) && slices.ContainsFunc(recorded, canRun)
+}
+
+// startable returns the endpoints at which a stream without events may begin. Where less than half of them are of a
+// version on record, it begins at any: refusing that many streams would be worse.
+func (x *execution) startable(list []*catalog.Endpoint) []*catalog.Endpoint {
+	if recorded := x.recorded(list); x.areStartable(list, recorded) {
+		return recorded
 	}
-	return allowed
+	return list
 }
 
 // canRun reports whether an endpoint runs requests to their end.
--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,7 +66,7 @@
 	// lateCallTime is how long after it was sent the store may carry out a call.
 	lateCallTime = 5 * time.Second
 	// appendInterval is the minimum time between two appends of origins.
-	appendInterval = 200 * time.Millisecond
+	appendInterval = 100 * time.Millisecond
 	// readInterval is the minimum time between two reads for streams that are taken up. All that wait
 	// share one read.
 	readInterval = 50 * time.Millisecond
@@ -109,6 +110,8 @@
 	// IsSettled reports whether a read that was sent at the given time returned what VMs had recorded before
 	// the store was restored.
 	IsSettled func(at clock.Time) bool
+	// IsRestored reports whether the store has ever been restored.
+	IsRestored func() bool
 	// OnRecords is called with the records that this VM reads first.
 	OnRecords func(Records)
 	// OnAmbiguous is called when streams of a route may begin at a further version.
@@ -123,7 +126,8 @@
 	archived *origin.Register
 	waiting  []waiter
 	reading  bool
-	readAt   clock.Time // when the newest read began
+	readAt   clock.Time    // when the newest read began
+	added    chan struct{} // origins wait for an append
 	pending  []Archived
 	dropped  int
 
@@ -149,7 +153,7 @@
 
 // NewArchive returns an archive whose exported fields are to be set.
 func NewArchive() *Archive {
-	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), OnAmbiguous: func() {}, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }}
+	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, IsRestored: func() bool { return false }}
 }
 
 // MayBegin reports whether a new stream of a route may begin at an endpoint.
@@ -161,7 +165,7 @@
 func (a *Archive) Pending() bool { return a.starts.Pending() || a.Catalog.View() != a.checked.Load() }
 
 func startOf(r *catalog.Route, service, version string) *origin.Start {
-	return &origin.Start{Host: r.Host, PathPrefix: r.PathPrefix, Origin: origin.Origin{Service: service, Version: version}}
+	return &origin.Start{Host: strings.ToLower(r.Host), PathPrefix: r.PathPrefix, Origin: origin.Origin{Service: service, Version: version}}
 }
 
 // Reset handles a restore of the store, which may have lost records.
@@ -172,6 +176,14 @@
 	return len(origin.Possible(a.starts.Known(), st)) > 1
 }
 
+// isAnyAmbiguous reports whether streams of any route may have begun at several versions.
+func (a *Archive) isAnyAmbiguous() bool {
+	known := a.starts.Known()
+	return slices.ContainsFunc(known, func(s origin.Start) bool {
+		return len(origin.Possible(known, &origin.Stream{Host: s.Host, Path: s.PathPrefix})) > 1
+	})
+}
+
 // Name implements kernel.Unit.
 func (a *Archive) Name() string { return "archive" }
 
@@ -207,7 +219,7 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return clock.Every(ctx, checkInterval, func() { a.maintain(ctx) }) })
-	group.Go(func() error { return clock.Every(ctx, appendInterval, func() { a.appendPending(ctx) }) })
+	group.Go(func() error { return a.runAppends(ctx) })
 	return group.Wait()
 }
 
@@ -243,6 +255,7 @@
 	if v.Config == nil || v == a.checked.Load() {
 		return
 	}
+	a.starts.SetWhole(!a.IsRestored())
 	visible, window := visibleStarts(v)
 	a.checkAmbiguous(a.starts.SetVisible(a.Clock.Now(), visible, window))
 	a.checked.Store(v)
@@ -356,6 +369,25 @@
 		origins = origins[:room]
 	}
 	a.pending = append(a.pending, origins...)
+	select {
+	case a.added <- struct{}{}:
+	default: // an append is due already
+	}
+}
+
+// runAppends appends origins as they are added, each time after appendInterval at least.
+func (a *Archive) runAppends(ctx context.Context) error {
+	for {
+		select {
+		case <-a.added:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		a.appendPending(ctx)
+		if !clock.Sleep(ctx, appendInterval) {
+			return ctx.Err()
+		}
+	}
 }
 
 func (a *Archive) appendPending(ctx context.Context) {
--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -91,9 +92,12 @@
 	}
 }
 
-// ArchiveOwn archives the origins of the streams that this VM has served: they began when there was one
-// version.
+// ArchiveOwn archives the origins of the streams that this VM has served, if streams of a route may have begun at
+// several versions: they began when there was one, or the store has lost them.
 func (t *Tracker) ArchiveOwn() {
+	if !t.Archive.isAnyAmbiguous() {
+		return
+	}
 	var all []*wire.StreamOrigin
 	for stream, o := range t.register.Own(t.Clock.Now()) {
 		all = append(all, &wire.StreamOrigin{Stream: uint64(stream), Service: o.Service, Version: o.Version})
@@ -251,7 +255,7 @@
 	for {
 		o, known, possible, err := t.Archive.Lookup(ctx, st)
 		switch {
-		case err != nil && mayRetry && clock.Sleep(ctx, lookupRetryInterval):
+		case err != nil && mayRetry && !errors.Is(err, errRestored) && clock.Sleep(ctx, lookupRetryInterval):
 			continue
 		case err != nil:
 			return archiveResult{err: err}
--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -55,6 +55,7 @@
 	mu      sync.RWMutex
 	window  time.Duration // for which callers may take up a stream: the longest so far
 	started clock.Time    // when starts were visible first
+	whole   bool          // the record has all that was written before this VM started
 	entries map[Start]*startState
 }
 
@@ -74,7 +75,7 @@
 func (e *startState) isWritten() bool { return e.recorded && !e.renew }
 
 // NewStarts returns an empty tracker.
-func NewStarts() *Starts { return &Starts{entries: map[Start]*startState{}} }
+func NewStarts() *Starts { return &Starts{entries: map[Start]*startState{}, whole: true} }
 
 // SetVisible sets the starts that the configuration and the endpoints allow now, and for how long callers may
 // take up a stream. It returns those that weren't known.
@@ -137,6 +138,14 @@
 	return added
 }
 
+// SetWhole sets whether the record is sure to have all that was written before this VM started: the store hasn't
+// been restored.
+func (s *Starts) SetWhole(whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.whole = whole
+}
+
 // SetWritten marks starts that this VM has written.
 func (s *Starts) SetWritten(starts []Start) {
 	s.mu.Lock()
@@ -203,7 +212,7 @@
 // isHeldBack reports whether a start isn't written yet, although it is visible: another one of the route was on
 // record when this VM started, and the streams that callers take up now began there.
 func (s *Starts) isHeldBack(now clock.Time, start Start, e *startState) bool {
-	if e.since != s.started || now.Sub(s.started) > holdTime || e.begun {
+	if !s.whole || e.since != s.started || now.Sub(s.started) > holdTime || e.begun {
 		return false
 	}
 	for other, o := range s.entries {
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -35,9 +35,11 @@
 	a.Store, a.Clock, a.Catalog = n.adapter.StreamRecords(), n.clock, n.catalog
 	a.VMs, a.Spread = n.members.AdvertisedCount, seedOf(n.o.Self.Incarnation)
 	a.IsReader = func() bool { return n.members.IsReader() && n.members.HasFreshRead() }
-	a.IsSettled = func(at clock.Time) bool { return n.eras.Current() <= era.First || n.eras.SettledBy(at) }
+	a.IsRestored = func() bool { return n.eras.Current() > era.First }
+	a.IsSettled = func(at clock.Time) bool { return !a.IsRestored() || n.eras.SettledBy(at) }
 	a.OnAmbiguous, a.OnRecords = n.origins.ArchiveOwn, n.recordsRead
 	n.eras.OnRestore(a.Reset)
+	n.eras.OnRestore(n.origins.ArchiveOwn) // the store may have lost them
 	n.archive, n.origins.Archive = a, a
 	n.origins.Archivers = func() []string { return n.members.Archivers(streamArchivers) }
 }
