Archive: starts are tracked while the records can't be read yet; failed appends back off

A VM that started during an outage of the store would have had each new stream wait for half a second until the store was back, as it didn't compare the endpoints' versions with the record before it had read it. Found by reading.

--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -59,7 +59,7 @@
 	writeDelay = 150 * time.Millisecond
 	// maxLoadTime is the time after which a VM serves without the records of earlier processes.
 	maxLoadTime = 1500 * time.Millisecond
-	// retryInterval is the time between two attempts to record a start, or to read the records first.
+	// retryInterval is the time between two attempts to write, or to read the records first.
 	retryInterval = 300 * time.Millisecond
 	// spreadPerVM is the time per VM over which VMs spread calls that all of them make at the same event.
 	spreadPerVM = 2 * time.Millisecond
@@ -214,20 +214,16 @@
 // Run implements kernel.Runner. It reads the records, then records starts as they become visible, drops
 // obsolete ones and appends origins.
 func (a *Archive) Run(ctx context.Context) error {
-	if !a.load(ctx) {
-		return ctx.Err()
-	}
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return a.load(ctx) })
 	group.Go(func() error { return clock.Every(ctx, checkInterval, func() { a.maintain(ctx) }) })
 	group.Go(func() error { return a.runAppends(ctx) })
 	return group.Wait()
 }
 
 // load reads the records. If the store can't be read, the VM serves without them after maxLoadTime: others may
-// tell it what is quarantined, and refusing all requests would be worse. It returns false if ctx has ended.
-func (a *Archive) load(ctx context.Context) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+// tell it what is quarantined, and refusing all requests would be worse.
+func (a *Archive) load(ctx context.Context) error {
 	overdue := time.AfterFunc(maxLoadTime, func() { a.loaded.Store(true) })
 	defer overdue.Stop()
 	for {
@@ -235,10 +231,10 @@
 		if r.err == nil {
 			a.OnRecords(r.Records)
 			a.loaded.Store(true)
-			return true
+			return nil
 		}
 		if !clock.Sleep(ctx, retryInterval) {
-			return false
+			return ctx.Err()
 		}
 	}
 }
@@ -383,20 +379,24 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		a.appendPending(ctx)
-		if !clock.Sleep(ctx, appendInterval) {
+		pause := appendInterval
+		if !a.appendPending(ctx) {
+			pause = retryInterval
+		}
+		if !clock.Sleep(ctx, pause) {
 			return ctx.Err()
 		}
 	}
 }
 
-func (a *Archive) appendPending(ctx context.Context) {
+// appendPending appends the origins that wait. It returns false if the store doesn't take them.
+func (a *Archive) appendPending(ctx context.Context) bool {
 	a.mu.Lock()
 	origins, dropped := a.pending, a.dropped
 	a.pending, a.dropped = nil, 0
 	a.mu.Unlock()
 	if len(origins) == 0 {
-		return
+		return true
 	}
 	err := a.Store.AppendOrigins(ctx, origins)
 	if err != nil {
@@ -405,6 +405,7 @@
 	if err != nil || dropped > 0 {
 		log.WithError(err).WithField("origins", len(origins)).WithField("dropped", dropped).Warn("origins of streams not archived")
 	}
+	return err == nil
 }
 
 // Lookup returns the archived origin of a stream, or the origins that it may have. It fails if the store
