--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -4,9 +4,9 @@
 // has announced that it leaves. The process ends at a fixed time, and a stream that is still running
 // then is cut off in the middle. How long an answer takes isn't known when the request arrives: the
 // longest streams of a route take several times the median, callers may begin to ask for longer
-// answers at any time, and engines slow down while they are full. A request that is refused can be
-// run by another VM, unless its caller reaches one that is shutting down too, as in a rolling restart
-// with short pauses.
+// answers at any time, and engines slow down while they are full. A
+// request that is refused can be run by another VM, unless its caller reaches one that is shutting
+// down too, as in a rolling restart with short pauses.
 //
 // Approach: a request is taken if it ends before the process does: because its caller's timeout
 // passes earlier, or because its answer is short enough at the speed at which its endpoint works now.
