--- a/internal/simworld/lost_vms_test.go
+++ b/internal/simworld/lost_vms_test.go
@@ -64,7 +64,7 @@
 	// learnTime is the time after which VMs must know of a new endpoint.
 	learnTime = 500 * time.Millisecond
 	// minJudgedTakeUps is the minimum number of take-ups to judge.
-	minJudgedTakeUps = 4
+	minJudgedTakeUps = 6
 )
 
 // The services and versions of the engines.
@@ -365,8 +365,6 @@
 	maxLossDelay time.Duration
 	// judgedVersions are the versions of which streams must go on.
 	judgedVersions []string
-	// mayBeFew means that too few streams of judgedVersions to judge are no failure.
-	mayBeFew bool
 	// unnamedGoOn means that streams whose first attempt isn't named must go on, too.
 	unnamedGoOn bool
 	// minOldTakeUps is the minimum number of take-ups of streams that the old version began.
@@ -468,10 +466,6 @@
 	assert.Check(l.t, taken >= tc.minOldTakeUps, "seed %d: too few take-ups of the old version to judge: %d", l.seed, taken)
 	for _, version := range tc.judgedVersions {
 		s := wentOn[version]
-		if tc.mayBeFew && s.all < minJudgedTakeUps {
-			l.t.Logf("seed %d: too few streams of %s to judge: %d", l.seed, version, s.all)
-			continue
-		}
 		isEnough := s.all >= minJudgedTakeUps && 2*s.succeeded*begun.all >= s.all*begun.succeeded
 		assert.Check(l.t, isEnough, "seed %d: %d of %d streams of %s went on, %d of %d new ones began", l.seed, s.succeeded, s.all, version, begun.succeeded, begun.all)
 	}
@@ -502,7 +496,7 @@
 	},
 	"old_version_left": {
 		before:    func(l *lossRun) { l.replace(lossEndpoints, versionOld, serviceBefore, versionNew) },
-		meanwhile: nothing, judgedVersions: []string{versionNew}, mayBeFew: true, minOldTakeUps: 1,
+		meanwhile: nothing, judgedVersions: []string{versionNew}, minOldTakeUps: 1,
 	},
 	"old_version_leaves_meanwhile": {
 		before:         replaceHalf,
