Stand-ins: an endpoint's queue is first in, first out

Cause: a fault of the test. Requests that wait at a stand-in polled for a free slot each 5 ms, and any of them, or a new one, could take it. By the VMs' logs p1-2 reached the queue of its decode engine at 21.3 s; p5-71 and p10-20 came there at 24.1 s and began at 24.3 s, p1-2 at 27.5 s. With three slots and two places in the queue a request loses nine draws of a half in 6 s about once in 500. The engines that the stand-in represents admit requests of the same urgency in their order.

Bounds and checks of the scenarios are as they were.

--- a/internal/simworld/endpoint_test.go
+++ b/internal/simworld/endpoint_test.go
@@ -19,6 +19,7 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/orders"
 	"fescuestand/internal/simnet"
+	"fescuestand/internal/standin/turn"
 )
 
 const (
@@ -96,7 +97,7 @@
 	current     catalog.Stage
 	orders      int64
 	busy        int
-	waiting     int
+	waiting     turn.Queue
 	sequence    int64
 	pausedUntil time.Time
 	changed     chan struct{} // closed and replaced when pausedUntil changes
@@ -245,26 +246,27 @@
 
 // awaitSlot reports whether a request gets a slot.
 func (e *endpoint) awaitSlot(ctx context.Context) bool {
-	if e.takeSlot() {
+	if e.takeSlot(0) {
 		return true
 	}
-	if !e.enterQueue() {
+	t, ok := e.enterQueue()
+	if !ok {
 		return false
 	}
-	defer e.leaveQueue()
+	defer e.leaveQueue(t)
 	for clock.Sleep(ctx, queueInterval) {
 		e.awaitResume()
-		if e.takeSlot() {
+		if e.takeSlot(t) {
 			return true
 		}
 	}
 	return false
 }
 
-func (e *endpoint) takeSlot() bool {
+func (e *endpoint) takeSlot(t turn.Turn) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.busy >= e.slots {
+	if e.busy >= e.slots || !e.waiting.IsNext(t) {
 		return false
 	}
 	e.busy++
@@ -277,20 +279,16 @@
 	e.busy--
 }
 
-func (e *endpoint) enterQueue() bool {
+func (e *endpoint) enterQueue() (turn.Turn, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.waiting >= e.queue {
-		return false
-	}
-	e.waiting++
-	return true
+	return e.waiting.Enter(e.queue)
 }
 
-func (e *endpoint) leaveQueue() {
+func (e *endpoint) leaveQueue(t turn.Turn) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.waiting--
+	e.waiting.Leave(t)
 }
 
 func (e *endpoint) prefill(w http.ResponseWriter) {
