Gateway: an answer that ends after its header isn't whole

Callers got 200 with an empty body, framed as whole, where an endpoint had sent a header with neither a length nor chunks and closed its connection. The end of the connection was taken for the end of the answer, as the endpoint still accepted connections. A stream was ended so even with the header sent before the check.

Such an answer is lost now: repeated where that is allowed, else 502. An answer to HEAD has no body and is whole, and the rest of a stream that goes on after an event may be empty.

--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -165,7 +165,7 @@
 
 // framed reports whether the end of resp shows without the connection being closed.
 func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 }
 
 // body reads a response's body. Closing it returns the connection to the pool or closes it.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -86,7 +86,8 @@
 
 // verifyEnd returns the result of an answer that has been read to its end. An answer with neither a length
 // nor chunks ends with its connection, so that a crash of the endpoint looks like its end: it counts as lost
-// if nobody listens at the endpoint's address any more. Only a later answer proves that the endpoint lived on.
+// if nobody listens at the endpoint's address any more, or if it is empty. Only a later answer proves that the
+// endpoint lived on.
 func (x *execution) verifyEnd(resp *exchange.Response, a *attempt) result {
 	if resp.Framed {
 		return result{outcome: answered, proven: true}
@@ -108,9 +109,20 @@
 		ctx := context.WithoutCancel(x.callCtx)
 		x.inBackground(func() { x.verifyLater(ctx, a, endedAt) })
 	}
+	if a.isEmpty() {
+		return result{outcome: lost, code: code.BadAnswer, err: errEmptyAnswer}
+	}
 	return result{outcome: answered}
 }
 
+// isEmpty reports whether the answer has no body. That of a stream which goes on after an event may have none.
+func (a *attempt) isEmpty() bool {
+	if a.body != nil {
+		return a.body.size == 0
+	}
+	return a.eventAt == 0 && a.request.LastEventID == ""
+}
+
 // verifyLater checks again whether an endpoint lives on that ended an answer with its connection at endedAt.
 func (x *execution) verifyLater(ctx context.Context, a *attempt, endedAt clock.Time) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -61,6 +61,7 @@
 	errEndpointShare    = errors.New("other bodies on their way to the endpoint take its share of the memory for them")
 	errLeaving          = errors.New("the VM shuts down before the answer would be complete")
 	errCutOff           = errors.New("no endpoint can be reached")
+	errEmptyAnswer      = errors.New("the connection ended after the header of the answer")
 	errUnsigned         = errors.New("the answer lacks the endpoint's signature")
 	errQuarantined      = errors.New("endpoints broke off while they ran this request")
 	errPartQuarantined  = errors.New("endpoints broke off while they ran requests with a part of this prompt")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -314,8 +314,11 @@
 	if !errors.Is(err, io.EOF) {
 		return x.classifyReadError(err)
 	}
-	x.sendHeader(o.resp.Header)
-	return x.verifyEnd(o.resp, o.attempt)
+	r := x.verifyEnd(o.resp, o.attempt)
+	if r.outcome == answered {
+		x.sendHeader(o.resp.Header)
+	}
+	return r
 }
 
 // classifyReadError returns the result of an answer that ended early with err.
