HTTP server: a broken answer of HTTP/1.0 is reset

A caller of HTTP/1.0 got a part of a stream that looked complete: such an answer has neither a length nor chunks and ends with its connection, and net/http closes the connection of an aborted handler in order.

TestBrokenAnswerOfHTTP10IsReset fails without the change (the caller reads the part and io.EOF). An aborted answer of HTTP/1.0 that has begun now resets its connection. With it the package's tests pass, and those of the gateway about ends of requests and half-closed connections.

--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -66,26 +66,35 @@
 	s.handler.ServeHTTP(a, r)
 }
 
-// endRequest is deferred around a handler. The panic with http.ErrAbortHandler makes net/http abort the connection.
+// endRequest is deferred around a handler. It aborts the connection if there is no whole answer.
 func (s *Server) endRequest(a *answer, r *http.Request) {
 	switch f := recover(); {
 	case f == http.ErrAbortHandler: //nolint:errorlint // net/http compares it in the same way
 		s.counts.add(aborted)
-		panic(http.ErrAbortHandler)
+		abort(a, r)
 	case f != nil:
 		s.counts.add(faulty)
 		fault.Entry(s.logRequest(r).WithField("answered", a.given), f).Error("handler failed")
 		if a.given {
-			panic(http.ErrAbortHandler)
+			abort(a, r)
 		}
 		s.refuse(a, r)
 	case !a.given:
 		s.counts.add(unanswered)
 		s.logRequest(r).Error("handler gave no answer")
-		panic(http.ErrAbortHandler)
+		abort(a, r)
 	}
 }
 
+// abort has net/http close the connection of a request that gets no whole answer. An answer of HTTP/1.0 may end with
+// its connection, which is reset then: an orderly end would look like that of the answer.
+func abort(a *answer, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && a.given && !r.ProtoAtLeast(1, 1) {
+		c.resetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (s *Server) logRequest(r *http.Request) *log.Entry {
 	e := log.WithField("server", s.o.Name).WithField("method", r.Method).WithField("path", r.URL.Path)
 	if s.o.RequestID != nil {
--- a/internal/httpserver/answer_test.go
+++ b/internal/httpserver/answer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -116,6 +117,27 @@
 	assert.Equal(t, s.Counts().Faults, int64(1))
 }
 
+// Guards against a caller of HTTP/1.0 that takes the part of an answer that it got for the whole: there are no chunks, so
+// that only the end of the connection shows that of the answer.
+func TestBrokenAnswerOfHTTP10IsReset(t *testing.T) {
+	s := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/whole" {
+			_, _ = io.WriteString(w, "whole")
+			return
+		}
+		_, _ = io.WriteString(w, "part")
+		assert.NilError(t, http.NewResponseController(w).Flush())
+		panic(http.ErrAbortHandler)
+	}), nil, Options{})
+	for path, reset := range map[string]error{"/whole": nil, "/part": syscall.ECONNRESET} {
+		c, _ := dial(t, s)
+		sendText(t, c, "GET "+path+" HTTP/1.0\r\nHost: h\r\n\r\n")
+		_, err := io.ReadAll(c)
+		assert.ErrorIs(t, err, reset, path)
+	}
+	s.drain(t)
+}
+
 // Guards against a fault that ends the process or the handling of other requests.
 func TestServerGoesOnAfterFaults(t *testing.T) {
 	s := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -111,6 +111,14 @@
 	return nil
 }
 
+// resetOnClose has Close reset the connection.
+func (c *conn) resetOnClose() {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		// A failure means that the connection has been closed.
+		_ = l.SetLinger(0)
+	}
+}
+
 // isHandling reports whether a request is being handled on a connection that carries one at a time.
 func (c *conn) isHandling() bool {
 	c.mu.Lock()
