Exchange: a request doesn't follow itself on a connection

A request that may run once ran twice, and could be refused with a promise while it ran. An endpoint that was full rejected it, the request came back to the same endpoint on the same connection, and the endpoint sent a copy of the rejection late, where the next response is expected. The id tells a late response from that to another request, but both were of this one: the gateway took the copy for the answer and sent the request once more.

Evidence: TestLateCopyOfARejectionIsNoAnswer, a call that isn't repeatable and an endpoint that states its capacity. Without the change two runs, and the attempts a:not-run, a:not-run, a:answered; with it one run and its answer.

A connection now carries the id of its latest request, and a request that is sent once more takes another one.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -21,6 +21,7 @@
 	observer    Observer // nil if there is none
 	received    int64    // bytes received in the exchange in progress
 	header      headerBound
+	latestID    string    // of the latest request
 	firstUse    bool      // carries its first exchange
 	idleAt      time.Time // when it was returned to the pool
 	idleTimeout time.Duration
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,6 +66,9 @@
 	Host   string
 	Header http.Header // without Host, Content-Length and hop-by-hop fields
 	Body   []byte
+	// ID is that of the request in its responses, empty if they have none. A request that is sent once more doesn't
+	// follow itself on a connection, where a late copy of the earlier response would be taken for its own.
+	ID string
 	// NoRetry marks a request that must not be retried after a lost connection, since it may
 	// have run. It is sent only on new or recently used connections, which the endpoint is
 	// unlikely to be closing at the same moment.
@@ -156,7 +160,7 @@
 // driver.ErrConnectionLost.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
 	p.begin(addr)
-	c, err := p.acquire(ctx, addr, r.NoRetry)
+	c, err := p.acquire(ctx, addr, r)
 	if err != nil {
 		p.end(addr, false)
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
@@ -189,14 +193,18 @@
 }
 
 // acquire returns an idle connection that is still reusable, or dials a new one.
-func (p *Pool) acquire(ctx context.Context, addr string, noRetry bool) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, addr string, r *Request) (*conn, error) {
 	for {
-		c := p.takeIdle(addr, noRetry)
+		c := p.takeIdle(addr, r)
 		if c == nil {
-			return p.dial(ctx, addr)
+			c, err := p.dial(ctx, addr)
+			if err == nil {
+				c.latestID = r.ID
+			}
+			return c, err
 		}
 		if c.watch.end(c) && c.reusable() {
-			c.firstUse, c.received, c.watch = false, 0, nil
+			c.firstUse, c.received, c.watch, c.latestID = false, 0, nil, r.ID
 			return c, nil
 		}
 		_ = c.Close()
@@ -207,28 +215,32 @@
 // endpoints close idle connections after a few seconds.
 const maxIdleNoRetry = time.Second
 
-// takeIdle removes the most recently used idle connection to addr from the pool and returns it.
-// It returns nil if there is none that may be used.
-func (p *Pool) takeIdle(addr string, noRetry bool) *conn {
+// takeIdle removes the most recently used idle connection to addr that may carry r from the pool and returns it.
+// It returns nil if there is none.
+func (p *Pool) takeIdle(addr string, r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
+	i := len(list) - 1
+	for i >= 0 && r.ID != "" && list[i].latestID == r.ID {
+		i--
+	}
+	if i < 0 {
 		return nil
 	}
-	c := list[len(list)-1]
+	c := list[i]
 	idle := time.Since(c.idleAt)
-	if noRetry && idle > maxIdleNoRetry {
+	if r.NoRetry && idle > maxIdleNoRetry {
 		return nil
 	}
 	if idle > c.idleTimeout {
-		for _, expired := range list {
+		for _, expired := range list[:i+1] {
 			_ = expired.Close()
 		}
-		delete(p.idle, addr)
+		p.idle[addr] = slices.Delete(list, 0, i+1)
 		return nil
 	}
-	p.idle[addr] = list[:len(list)-1]
+	p.idle[addr] = slices.Delete(list, i, i+1)
 	p.stats.Reused++
 	return c
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -251,7 +251,7 @@
 	s.RemainingTime, s.UrgencyRank = x.remainingTime(), x.urgencyRank()
 	req := &exchange.Request{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
-		Header: x.g.o.Codec.Header(x.call, s), Body: x.call.Body, NoRetry: !x.route.Retryable(),
+		Header: x.g.o.Codec.Header(x.call, s), Body: x.call.Body, ID: x.call.ID, NoRetry: !x.route.Retryable(),
 	}
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
--- /dev/null
+++ b/internal/gateway/late_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/catalog"
+)
+
+// Guards against a request that is refused with a promise, or sent once more, while an endpoint runs it: the endpoint has
+// rejected it before, and sends that answer again, late, on the connection on which the request has come back.
+func TestLateCopyOfARejectionIsNoAnswer(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(commitRoute)
+		const rejection = "HTTP/1.1 503 X\r\nContent-Length: 0\r\nNot-Run: 1\r\nHeld: 8\r\nId: 1\r\n\r\n"
+		rejected := map[net.Conn]bool{}
+		b := w.serve(t, func(b *backend, n int, _ *http.Request, c net.Conn) bool {
+			if n == 1 {
+				rejected[c] = true
+				write(rejection)(c)
+				return true
+			}
+			if rejected[c] {
+				write(rejection)(c)
+			}
+			b.runs.Add(1)
+			time.Sleep(silenceCallTime)
+			return respond(c, 200, "answer", "Seal: s", "Id: 1")
+		})
+		w.addEndpoint("a", catalog.Whole, b)
+		resp, _, err := w.request(t, "POST", "/x/", "x")
+		assert.NilError(t, err)
+		time.Sleep(settleTime)
+		assert.Equal(t, b.runs.Load(), int32(1))
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	})
+}
