Exchange: a connection that isn't read ends as such, whoever is told first

An endpoint that doesn't read a long request was taken for one that has crashed, which counts against the request. The kernel ends the connection after the user timeout and reports it once: to the writer, or to the reader, which then got "connection timed out" while the writer got a broken pipe. Only the writer's error was looked at.

Evidence: TestEndpointThatDoesNotReadIsNoCrash failed once beside load ("connection cut after sending: ... read: connection timed out"). TestEndOfAConnectionThatIsNotReadIsNoCrash has the reader told first and fails without the change each time.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -183,7 +183,7 @@
 	switch {
 	case x.sent.n == 0:
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
-	case x.gaveUp.Load():
+	case x.gaveUp.Load(), x.writeFailed && isStalled(err):
 		return nil, fmt.Errorf("%w: %w", driver.ErrBadAnswer, &BoundError{Cause: Upload, Bytes: x.sent.n})
 	case errors.As(err, &exceeded):
 		p.exceeded(addr, exceeded)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -449,3 +450,38 @@
 	assert.Equal(t, exceeded.Cause, Upload)
 	assert.Assert(t, !errors.Is(err, driver.ErrConnectionLost))
 }
+
+// timedOutConn is a connection that the kernel ends as the endpoint doesn't read. The reader is told so, and the writer
+// only that the connection has ended.
+type timedOutConn struct {
+	net.Conn
+	writing, read chan struct{} // closed when the writer has begun, and when the reader has been told
+}
+
+func (c *timedOutConn) Read([]byte) (int, error) {
+	<-c.writing
+	close(c.read)
+	return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}
+}
+
+func (c *timedOutConn) Write(b []byte) (int, error) {
+	close(c.writing)
+	<-c.read
+	return len(b) / 2, &net.OpError{Op: "write", Err: syscall.EPIPE}
+}
+
+// DialContext implements stall.Dialer.
+func (c *timedOutConn) DialContext(context.Context, string, string) (net.Conn, error) { return c, nil }
+
+// Guards against an endpoint that doesn't read a long request and is taken for one that has crashed, as the reader of the
+// connection is told of its end before the writer.
+func TestEndOfAConnectionThatIsNotReadIsNoCrash(t *testing.T) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	p := NewPool()
+	p.Dialer = &timedOutConn{near, make(chan struct{}), make(chan struct{})}
+	_, err := p.Do(t.Context(), "127.0.0.1:1", &Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, maxInlineWrite)})
+	var exceeded *BoundError
+	assert.Assert(t, errors.As(err, &exceeded), "%v", err)
+	assert.Equal(t, exceeded.Cause, Upload)
+}
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// isStalled reports whether a write has failed as the endpoint doesn't read. The kernel says so after userTimeout; the
-// reader of the connection gets its end then, which isn't that of the endpoint's process.
+// isStalled reports whether a write has failed as the endpoint doesn't read. The kernel says so after userTimeout, to the
+// writer or to the reader of the connection; the other one gets its end, which isn't that of the endpoint's process.
 func isStalled(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
 }
