Gateway: the rejection of another request takes back no run

A request could reach one endpoint more than its route allows. Where an endpoint was replaced in a pause and went on with a rejection that bore the id of another request, the run that was assumed there was taken back, though the endpoint may have run the request. Everywhere else an answer to another request counts as a lost run.

TestRejectionOfAnotherRequestTakesBackNoRun: two attempts are allowed, a third endpoint answers without the change, none with it.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -280,7 +280,7 @@
 		return nil, ans, result{outcome: replaced}
 	case taken && err == nil:
 		resp.Close()
-		if ans.NotRun {
+		if ans.NotRun && !ans.OtherRequest {
 			x.uncountRun(a)
 		}
 		return nil, ans, result{outcome: replaced}
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -39,3 +39,28 @@
 		assert.Equal(t, resp.StatusCode, http.StatusOK)
 	})
 }
+
+// Guards against a request that more endpoints run than its route allows: one that has run it, and was replaced in a
+// pause, goes on with the rejection of another request.
+func TestRejectionOfAnotherRequestTakesBackNoRun(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(streamRoute)
+		p := newPausing()
+		third := w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool { return events(c, 2, 3, true) })
+		second := w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			p.goOn()
+			time.Sleep(100 * time.Millisecond)
+			w.addEndpoint("c", catalog.Decode, third)
+			return events(c, 1, 1, false)
+		})
+		w.addEndpoint("a", catalog.Decode, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			w.addEndpoint("b", catalog.Decode, second)
+			<-p.resume
+			return respond(c, 503, "", "Not-Run: 1", "Id: 2")
+		}))
+		_, _, err := w.request(t, "POST", "/x/", "", "Tokens", "100")
+		assert.Assert(t, err != nil)
+		assert.Equal(t, second.arrivals.Load(), int32(1))
+		assert.Equal(t, third.arrivals.Load(), int32(0))
+	})
+}
