Gateway: events whose ids go back aren't forwarded

Callers got events twice, and those of two runs in one stream, where an engine that was to go on after an event began before it. The gateway sent its events on without a look at their ids.

TestEventsAreNotRepeated has an engine ignore the position, or repeat the latest event. Without the change the caller gets "1 2 3 1 2 3 4 5 6" and "1 2 3 3 4 5 6" as a whole stream; with it the exchange counts as a bad answer and another engine goes on: "1 2 3 4 5 6". Where no other may, the stream is broken off. That holds for streams that the caller takes up, too. Ids that aren't numbers aren't compared.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 
 	"fescuestand/internal/driver"
 	"fescuestand/internal/exchange"
@@ -108,13 +109,23 @@
 	return fmt.Errorf("%w: %w", errEventTooLong, &exchange.BoundError{Cause: exchange.Event, Bytes: int64(r.filled)})
 }
 
-// lastEventID returns the id of the last event in events, or "" if none has one.
-func lastEventID(events []byte) string {
-	id := ""
+// followingID returns the id of the last event in events that follow the one with the id after, or after if none has
+// an id. It reports whether the ids increase: an event that has been sent isn't sent again. Ids that aren't numbers
+// aren't compared.
+func followingID(after string, events []byte) (id string, increasing bool) {
+	id = after
 	for line := range bytes.Lines(events) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if !ok {
+			continue
 		}
+		next := string(bytes.TrimSpace(value))
+		n, err := strconv.ParseUint(next, 10, 64)
+		before, err2 := strconv.ParseUint(id, 10, 64)
+		if err == nil && err2 == nil && n <= before {
+			return id, false
+		}
+		id = next
 	}
-	return id
+	return id, true
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -62,6 +62,7 @@
 	errLeaving          = errors.New("the VM shuts down before the answer would be complete")
 	errCutOff           = errors.New("no endpoint can be reached")
 	errEmptyAnswer      = errors.New("the connection ended after the header of the answer")
+	errRepeatedEvent    = errors.New("the id of an event doesn't follow that of the one before")
 	errUnsigned         = errors.New("the answer lacks the endpoint's signature")
 	errQuarantined      = errors.New("endpoints broke off while they ran this request")
 	errPartQuarantined  = errors.New("endpoints broke off while they ran requests with a part of this prompt")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -283,8 +283,14 @@
 			o.close(x, &r)
 			return nil, r
 		}
+		id, increasing := followingID(x.lastEventID, events)
+		if !increasing {
+			r := result{outcome: lost, code: code.BadAnswer, err: errRepeatedEvent}
+			o.close(x, &r)
+			return nil, r
+		}
 		x.markResumed(o.attempt)
-		if !x.forwardEvents(o, events) {
+		if !x.forwardEvents(o, events, id) {
 			r := result{outcome: gone, code: code.CallerGone}
 			o.close(x, &r)
 			return nil, r
@@ -294,8 +300,8 @@
 	}
 }
 
-// forwardEvents forwards events of a stream. It returns false if the caller doesn't take them.
-func (x *execution) forwardEvents(o *openStream, events []byte) bool {
+// forwardEvents forwards events of a stream up to the one with an id. It returns false if the caller doesn't take them.
+func (x *execution) forwardEvents(o *openStream, events []byte, id string) bool {
 	if o.eventAt == 0 {
 		x.countForWorkspace(x.now())
 		x.recordOrigin(o.request.Endpoint)
@@ -306,7 +312,7 @@
 	n := bytes.Count(events, eventEnd)
 	x.recordPace(o, o.progressAt, n)
 	x.countEvents(n)
-	return x.sendEvents(events)
+	return x.sendEvents(events, id)
 }
 
 // endOfStream returns the result of a stream that has ended, with err if not in order.
@@ -359,15 +365,13 @@
 	x.w.WriteHeader(http.StatusOK)
 }
 
-// sendEvents writes events to the caller and flushes them. It returns false if that fails.
-func (x *execution) sendEvents(events []byte) bool {
+// sendEvents writes events up to the one with an id to the caller and flushes them. It returns false if that fails.
+func (x *execution) sendEvents(events []byte, id string) bool {
 	if _, err := x.w.Write(events); err != nil {
 		return false
 	}
 	x.lastEventAt = x.now()
-	if id := lastEventID(events); id != "" {
-		x.lastEventID = id
-	}
+	x.lastEventID = id
 	return http.NewResponseController(x.w).Flush() == nil
 }
 
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -36,6 +36,34 @@
 	assert.Equal(t, eventIDs(body), "1 2 3 4 5 6")
 }
 
+// Guards against a caller that gets events twice, or those of two runs, as an engine doesn't go on where the one before
+// broke off.
+func TestEventsAreNotRepeated(t *testing.T) {
+	for name, first := range map[string]int{"from the beginning": 1, "the latest event": 3} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(catalog.Route{Kind: catalog.Stream, MaxAttempts: 3, Resumable: true})
+				b := w.serve(t, func(_ *backend, n int, _ *http.Request, c net.Conn) bool {
+					switch n {
+					case 1:
+						return events(c, 1, 3, false)
+					case 2:
+						return events(c, first, 6, true)
+					}
+					return events(c, 4, 6, true)
+				})
+				for _, id := range []string{"a", "b", "c"} {
+					w.addEndpoint(id, catalog.Decode, b)
+				}
+				resp, body, err := w.request(t, "POST", "/x/", "", "Tokens", "100")
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, 200)
+				assert.Equal(t, eventIDs(body), "1 2 3 4 5 6")
+			})
+		})
+	}
+}
+
 // Guards against a caller that takes a partial stream for a complete one, after a stream that can't
 // be resumed has broken off.
 func TestBrokenStreamIsNotReportedAsComplete(t *testing.T) {
