Gateway: a stream keeps the status of its endpoint

A stream was answered with 200 whatever the 2xx status of its endpoint, beside the signature of an answer with another one. TestStreamKeepsItsStatus gets 200 instead of 206 without the change.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -308,7 +308,7 @@
 		x.recordCachedPrompt(o.attempt, o.prompt)
 	}
 	x.recordEvents(o.attempt)
-	x.sendHeader(o.resp.Header)
+	x.sendHeader(o.resp)
 	n := bytes.Count(events, eventEnd)
 	x.recordPace(o, o.progressAt, n)
 	x.countEvents(n)
@@ -322,7 +322,7 @@
 	}
 	r := x.verifyEnd(o.resp, o.attempt)
 	if r.outcome == answered {
-		x.sendHeader(o.resp.Header)
+		x.sendHeader(o.resp)
 	}
 	return r
 }
@@ -355,14 +355,14 @@
 
 // sendHeader sends the answer's header to the caller, once: a stream that is resumed at another
 // engine keeps the header of the first engine.
-func (x *execution) sendHeader(h http.Header) {
+func (x *execution) sendHeader(resp *exchange.Response) {
 	if x.headerSent {
 		return
 	}
 	x.headerSent = true
 	x.firstEventTime = x.now().Sub(x.call.Arrived)
-	copyHeader(x.w.Header(), h)
-	x.w.WriteHeader(http.StatusOK)
+	copyHeader(x.w.Header(), resp.Header)
+	x.w.WriteHeader(resp.Status)
 }
 
 // sendEvents writes events up to the one with an id to the caller and flushes them. It returns false if that fails.
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -207,3 +207,17 @@
 	assert.Equal(t, resp.StatusCode, 503)
 	assert.Equal(t, <-freed, "/free/h1")
 }
+
+// Guards against a stream that bears another status than that of its endpoint, with the endpoint's signature.
+func TestStreamKeepsItsStatus(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(streamRoute)
+		w.addEndpoint("a", catalog.Decode, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			return respond(c, 206, "id: 1\n\n", "Seal: s")
+		}))
+		resp, body, err := w.request(t, "POST", "/x/", "", "Tokens", "100")
+		assert.NilError(t, err)
+		assert.Equal(t, eventIDs(body), "1")
+		assert.Equal(t, resp.StatusCode, 206)
+	})
+}
