Exchange: a switch of protocols is no answer

A caller got 101 Switching Protocols, which it had not asked for, where an endpoint answered so: the status counted as that of a final answer and as a failure that may be forwarded. It is an invalid response now, and the exchange is lost. TestSwitchOfProtocolsIsNoAnswer gets 101 instead of 502 without the change, on the route of a call and on that of a stream.

--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -133,6 +133,9 @@
 	return rest > maxPaceShortfall*time.Until(x.writeBy).Seconds()
 }
 
+// errSwitched means that an endpoint has left HTTP without having been asked to.
+var errSwitched = errors.New("the endpoint switches protocols")
+
 // readHeader skips interim responses and returns the final response once its header is read.
 func (x *activeExchange) readHeader(method string) (*Response, error) {
 	for range maxInterimResponses {
@@ -145,7 +148,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitched
+		case resp.StatusCode < 200:
 			continue
 		}
 		x.responding.Store(true)
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -64,3 +64,21 @@
 		assert.Equal(t, third.arrivals.Load(), int32(0))
 	})
 }
+
+// Guards against a response that ends the use of HTTP on the caller's connection, which the caller hasn't asked for.
+func TestSwitchOfProtocolsIsNoAnswer(t *testing.T) {
+	for name, route := range map[string]catalog.Route{"commit": commitRoute, "stream": streamRoute} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(route)
+				w.addEndpoint("a", catalog.Whole, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+					write("HTTP/1.1 101 X\r\nSeal: s\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")(c)
+					return true
+				}))
+				resp, _, err := w.request(t, "POST", "/x/", "x", "Tokens", "100")
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+			})
+		})
+	}
+}
