Gateway: an answer cut by the restart of its endpoint isn't whole

Callers got a part of an answer with 200, framed as whole: the endpoint's process ended within an answer with neither a length nor chunks, and another process listened at the address at once, its next one or that of another service. The check connects to the address, which showed that one.

Evidence: TestAnswerCutByARestartIsNotWhole, a stream at an endpoint that was in use before or wasn't, and a call.

A process that ends closes all its connections. The pool now notes when an endpoint has ended an idle connection that could have been used for longer. If that was within 50 ms of the end of the answer, and no connection from before is open, the process has ended and the answer is lost. An open one shows that the process lives and saves the new connection. What remains: a call at an endpoint without an idle connection (a restart within the time of a connect), and an endpoint that can't be reached at the end of the answer.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -21,8 +21,9 @@
 	observer    Observer // nil if there is none
 	received    int64    // bytes received in the exchange in progress
 	header      headerBound
-	latestID    string    // of the latest request
-	firstUse    bool      // carries its first exchange
+	latestID    string // of the latest request
+	firstUse    bool   // carries its first exchange
+	dialedAt    time.Time
 	idleAt      time.Time // when it was returned to the pool
 	idleTimeout time.Duration
 	watch       *watch // of the idle connection, nil if it isn't idle
@@ -30,7 +31,7 @@
 }
 
 func newConn(nc net.Conn, o Observer) *conn {
-	c := &conn{Conn: nc, firstUse: true, observer: o}
+	c := &conn{Conn: nc, firstUse: true, dialedAt: time.Now(), observer: o}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -119,6 +120,7 @@
 
 	mu      sync.Mutex
 	idle    map[string][]*conn
+	endedAt map[string]time.Time // when an endpoint has ended an idle connection
 	stats   Stats
 	closing bool
 }
@@ -142,7 +144,7 @@
 // NewPoolOn returns an empty pool on a network. Its connections detect dead peers.
 func NewPoolOn(n network.Network) *Pool {
 	d := n.Dialer(network.DialOptions{KeepAlivePeriod: keepAlivePeriod, UserTimeout: userTimeout})
-	return &Pool{idle: map[string][]*conn{}, Dialer: d}
+	return &Pool{idle: map[string][]*conn{}, endedAt: map[string]time.Time{}, Dialer: d}
 }
 
 // Stats returns the counters.
@@ -286,6 +288,7 @@
 	Unknown Life = iota
 	Alive        // it keeps the connection open
 	Refused      // no process listens at its address
+	Ended        // its process has ended, whether or not another one listens at its address
 )
 
 // lifeCheckTime is how long a new connection must stay open to show that its endpoint lives.
@@ -334,6 +337,7 @@
 func (p *Pool) Sweep(keep map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	maps.DeleteFunc(p.endedAt, func(addr string, _ time.Time) bool { return !keep[addr] })
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -397,6 +397,28 @@
 	})
 }
 
+// Guards against an endpoint that is taken to live on, as another process listens at its address.
+func TestEndOfIdleConnectionsShowsThatOfTheProcess(t *testing.T) {
+	end := make(chan struct{})
+	e := listen(t, func(e *endpoint, n int, c net.Conn, br *bufio.Reader) {
+		if n == 1 && e.read(br) != nil {
+			answer(c, ok)
+			<-end
+			return
+		}
+		_, _ = br.ReadByte()
+	})
+	p := NewPool()
+	keepOne(t, p, e.addr)
+	assert.Equal(t, p.CheckProcess(t.Context(), e.addr), Alive)
+	assert.Equal(t, e.accepted.Load(), int32(1))
+	close(end)
+	assert.Equal(t, p.CheckProcess(t.Context(), e.addr), Ended)
+	assert.Equal(t, p.Check(t.Context(), e.addr), Alive)
+	time.Sleep(endsTogether)
+	assert.Equal(t, p.CheckProcess(t.Context(), e.addr), Alive)
+}
+
 func TestNonHTTPResponseIsAnError(t *testing.T) {
 	e := listen(t, func(e *endpoint, _ int, c net.Conn, br *bufio.Reader) {
 		e.read(br)
--- a/internal/exchange/idle.go
+++ b/internal/exchange/idle.go
@@ -1,10 +1,15 @@
 package exchange
 
 import (
+	"context"
 	"errors"
+	"io"
 	"os"
 	"slices"
+	"syscall"
 	"time"
+
+	"fescuestand/internal/clock"
 )
 
 // watch waits for what arrives on an idle connection. Nothing may: the endpoint has either closed the
@@ -23,6 +28,9 @@
 	if w.quiet {
 		return
 	}
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		p.recordEnd(addr, c)
+	}
 	p.removeIdle(addr, c)
 	_ = c.Close()
 	if n > 0 {
@@ -51,6 +59,55 @@
 	p.idle[addr] = list
 }
 
+// recordEnd records that an endpoint has ended an idle connection which could have been used for longer.
+func (p *Pool) recordEnd(addr string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := time.Now(); now.Sub(c.idleAt) < c.idleTimeout {
+		p.endedAt[addr] = now
+	}
+}
+
+// endsTogether is within which the connections of a process that ends are closed, as they arrive.
+const endsTogether = 50 * time.Millisecond
+
+// Prepare opens an idle connection to addr if there is none, for CheckProcess.
+func (p *Pool) Prepare(ctx context.Context, addr string) {
+	if len(p.idleTo(addr)) == 0 {
+		p.Check(ctx, addr)
+	}
+}
+
+// CheckProcess reports whether the process lives that has just ended an exchange at addr. Idle connections from before
+// show it, as they end with their process. Without one it is Check, which may find another process.
+func (p *Pool) CheckProcess(ctx context.Context, addr string) Life {
+	before := p.idleTo(addr)
+	if len(before) > 0 && !clock.Sleep(ctx, lifeCheckTime) {
+		return Unknown
+	}
+	now := p.idleTo(addr)
+	p.mu.Lock()
+	endedAt := p.endedAt[addr]
+	p.mu.Unlock()
+	hasEnded := time.Since(endedAt) < endsTogether
+	if slices.ContainsFunc(now, func(c *conn) bool {
+		return slices.Contains(before, c) && (!hasEnded || c.dialedAt.Before(endedAt))
+	}) {
+		return Alive
+	}
+	if hasEnded {
+		return Ended
+	}
+	return p.Check(ctx, addr)
+}
+
+// idleTo returns the idle connections to addr.
+func (p *Pool) idleTo(addr string) []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.idle[addr])
+}
+
 // countSurplus counts bytes that belong to no request, of which n were read.
 func (p *Pool) countSurplus(addr string, n int) {
 	p.count(func(s *Stats) { s.Surplus++ })
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -86,7 +86,7 @@
 
 // verifyEnd returns the result of an answer that has been read to its end. An answer with neither a length
 // nor chunks ends with its connection, so that a crash of the endpoint looks like its end: it counts as lost
-// if nobody listens at the endpoint's address any more, or if it is empty. Only a later answer proves that the
+// if the endpoint's process is known to have ended, or if it is empty. Only a later answer proves that the
 // endpoint lived on.
 func (x *execution) verifyEnd(resp *exchange.Response, a *attempt) result {
 	if resp.Framed {
@@ -94,8 +94,8 @@
 	}
 	endedAt := x.now()
 	e := a.request.Endpoint
-	life := x.g.o.Pool.Check(x.ctx, e.Address)
-	if life == exchange.Refused {
+	life := x.g.o.Pool.CheckProcess(x.ctx, e.Address)
+	if life == exchange.Refused || life == exchange.Ended {
 		return result{outcome: lost, code: code.EndpointCut, err: driver.ErrConnectionLost}
 	}
 	u := crash.Unproven{Request: x.call.Fingerprint, SentAt: a.sentAt, EndedAt: endedAt}
--- /dev/null
+++ b/internal/gateway/restart_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/catalog"
+)
+
+// Guards against a part of an answer that is delivered as a whole one, as it had neither a length nor chunks and its
+// endpoint's process ended within it: another process listens at the address at once.
+func TestAnswerCutByARestartIsNotWhole(t *testing.T) {
+	for name, tc := range map[string]struct {
+		route catalog.Route
+		part  string
+		used  bool // the VM has a connection to the endpoint before
+	}{
+		"stream":               {catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, "id: 1\n\n", false},
+		"stream at a used one": {catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, "id: 1\n\n", true},
+		"call at a used one":   {commitRoute, "part", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(tc.route)
+				host := w.network.NewHost()
+				ln, err := host.Listen(0)
+				assert.NilError(t, err)
+				restart := func() {
+					host.CloseAll()
+					ln, err := host.Listen(uint16(ln.Addr().(*net.TCPAddr).Port))
+					assert.Check(t, err)
+					serveOn(t, ln, answerSigned)
+				}
+				w.addEndpoint("a", catalog.Whole, serveOn(t, ln, func(_ *backend, _ int, r *http.Request, c net.Conn) bool {
+					if r.Header.Get("Id") != "cut" {
+						time.Sleep(time.Millisecond)
+						return respond(c, 500, "", "Seal: s")
+					}
+					write("HTTP/1.1 200 OK\r\nSeal: s\r\n\r\n" + tc.part)(c)
+					time.Sleep(silenceCallTime)
+					restart()
+					return false
+				}))
+				if tc.used {
+					for i := range 2 { // at the same time, on two connections
+						go func() { _, _, _ = w.request(t, "POST", "/x/", fmt.Sprint(i), "Id", fmt.Sprint(i), "Tokens", "100") }()
+					}
+					time.Sleep(silenceCallTime)
+				}
+				resp, body, err := w.request(t, "POST", "/x/", "x", "Id", "cut", "Tokens", "100")
+				assert.Assert(t, err != nil || resp.StatusCode == http.StatusBadGateway, "%d %q", resp.StatusCode, body)
+			})
+		})
+	}
+}
+
+// Guards against an answer with neither a length nor chunks that is lost though its endpoint goes on.
+func TestAnswerWithoutALengthIsWhole(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(catalog.Route{Kind: catalog.Stream, MaxAttempts: 1})
+		b := w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			write("HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nid: 1\n\n")(c)
+			time.Sleep(silenceCallTime)
+			return false
+		})
+		w.addEndpoint("a", catalog.Whole, b)
+		for range 10 {
+			resp, body, err := w.request(t, "POST", "/x/", "x", "Tokens", "100")
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			assert.Equal(t, eventIDs(body), "1")
+		}
+		dials := w.gateway.o.Pool.Stats().Dials
+		assert.Assert(t, dials <= 11, "%d connections for ten answers", dials)
+	})
+}
