HTTP driver: the refusal of another attempt is no refusal

A commit could run twice. A late copy of an endpoint's refusal of another attempt, on the connection on which the next attempt was sent, counted as the refusal of that one, which was then sent to another endpoint: only successes were compared with the attempt's id.

TestAnswerIsMappedToError/refused,_other_attempt gets ErrRefused without the change, ErrBadAnswer with it. A failure that bears no id is taken for that of the request, as before. The stand-in service now repeats the id in all its answers, as httpapi says.

--- a/internal/driver/httpdriver/client.go
+++ b/internal/driver/httpdriver/client.go
@@ -104,6 +104,10 @@
 	}
 	if resp.StatusCode < 200 || resp.StatusCode > 299 {
 		defer func() { _ = resp.Body.Close() }()
+		// The failure of another attempt says nothing of this one.
+		if got, want := resp.Header.Get(httpapi.HeaderAttempt), header.Get(httpapi.HeaderAttempt); got != "" && want != "" && got != want {
+			return nil, wrongAttempt(want, got)
+		}
 		return nil, failure(resp)
 	}
 	return resp, nil
--- a/internal/driver/httpdriver/errors_test.go
+++ b/internal/driver/httpdriver/errors_test.go
@@ -63,6 +63,7 @@
 		{"ok", "a1", "{}", 200, nil},
 		{"other attempt", "a2", "{}", 200, driver.ErrBadAnswer},
 		{"refused", "", `{"name":"queue-full","ran":false}`, 503, driver.ErrRefused},
+		{"refused, other attempt", "a2", `{"name":"queue-full","ran":false}`, 503, driver.ErrBadAnswer},
 		{"ran and failed", "", `{"name":"failed","ran":true}`, 500, driver.ErrFailed},
 		{"no reason", "", "Bad Gateway", 502, driver.ErrBadAnswer},
 		{"stale", "", `{"name":"stale-fence"}`, 409, driver.ErrStaleFence},
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -102,6 +102,8 @@
 }
 
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(httpapi.HeaderAttempt)
+	w.Header().Set(httpapi.HeaderAttempt, attempt)
 	operation := r.PathValue("operation")
 	if len(s.cfg.Operations) > 0 && !slices.Contains(s.cfg.Operations, operation) {
 		httpjson.Refuse(w, http.StatusNotFound, "unknown-operation", operation)
@@ -116,7 +118,6 @@
 		httpjson.Refuse(w, http.StatusServiceUnavailable, outOfService, "")
 		return
 	}
-	attempt := r.Header.Get(httpapi.HeaderAttempt)
 	s.execute(operation, r.Header.Get(httpapi.HeaderKey), attempt)
 	s.answer(w, attempt, oracle.Answer(operation, body))
 }
