--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -16,7 +16,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,6 +67,9 @@
 	Host   string
 	Header http.Header // without Host, Content-Length and hop-by-hop fields
 	Body   []byte
+	// ID is that of the request in its responses, empty if they have none. A request that is sent once more doesn't
+	// follow itself on a connection, where a late copy of the earlier response would be taken for its own.
+	ID string
 	// NoRetry marks a request that must not be retried after a lost connection, since it may
 	// have run. It is sent only on new or recently used connections, which the endpoint is
 	// unlikely to be closing at the same moment.
@@ -115,6 +120,7 @@
 
 	mu      sync.Mutex
 	idle    map[string][]*conn
+	endedAt map[string]time.Time // when an endpoint has ended an idle connection
 	stats   Stats
 	closing bool
 }
@@ -138,7 +144,7 @@
 // NewPoolOn returns an empty pool on a network. Its connections detect dead peers.
 func NewPoolOn(n network.Network) *Pool {
 	d := n.Dialer(network.DialOptions{KeepAlivePeriod: keepAlivePeriod, UserTimeout: userTimeout})
-	return &Pool{idle: map[string][]*conn{}, Dialer: d}
+	return &Pool{idle: map[string][]*conn{}, endedAt: map[string]time.Time{}, Dialer: d}
 }
 
 // Stats returns the counters.
@@ -156,7 +162,7 @@
 // driver.ErrConnectionLost.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
 	p.begin(addr)
-	c, err := p.acquire(ctx, addr, r.NoRetry)
+	c, err := p.acquire(ctx, addr, r)
 	if err != nil {
 		p.end(addr, false)
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
@@ -179,7 +185,7 @@
 	switch {
 	case x.sent.n == 0:
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
-	case x.gaveUp.Load():
+	case x.gaveUp.Load(), x.writeFailed && isStalled(err):
 		return nil, fmt.Errorf("%w: %w", driver.ErrBadAnswer, &BoundError{Cause: Upload, Bytes: x.sent.n})
 	case errors.As(err, &exceeded):
 		p.exceeded(addr, exceeded)
@@ -189,14 +195,18 @@
 }
 
 // acquire returns an idle connection that is still reusable, or dials a new one.
-func (p *Pool) acquire(ctx context.Context, addr string, noRetry bool) (*conn, error) {
+func (p *Pool) acquire(ctx context.Context, addr string, r *Request) (*conn, error) {
 	for {
-		c := p.takeIdle(addr, noRetry)
+		c := p.takeIdle(addr, r)
 		if c == nil {
-			return p.dial(ctx, addr)
+			c, err := p.dial(ctx, addr)
+			if err == nil {
+				c.latestID = r.ID
+			}
+			return c, err
 		}
 		if c.watch.end(c) && c.reusable() {
-			c.firstUse, c.received, c.watch = false, 0, nil
+			c.firstUse, c.received, c.watch, c.latestID = false, 0, nil, r.ID
 			return c, nil
 		}
 		_ = c.Close()
@@ -207,28 +217,32 @@
 // endpoints close idle connections after a few seconds.
 const maxIdleNoRetry = time.Second
 
-// takeIdle removes the most recently used idle connection to addr from the pool and returns it.
-// It returns nil if there is none that may be used.
-func (p *Pool) takeIdle(addr string, noRetry bool) *conn {
+// takeIdle removes the most recently used idle connection to addr that may carry r from the pool and returns it.
+// It returns nil if there is none.
+func (p *Pool) takeIdle(addr string, r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
+	i := len(list) - 1
+	for i >= 0 && r.ID != "" && list[i].latestID == r.ID {
+		i--
+	}
+	if i < 0 {
 		return nil
 	}
-	c := list[len(list)-1]
+	c := list[i]
 	idle := time.Since(c.idleAt)
-	if noRetry && idle > maxIdleNoRetry {
+	if r.NoRetry && idle > maxIdleNoRetry {
 		return nil
 	}
 	if idle > c.idleTimeout {
-		for _, expired := range list {
+		for _, expired := range list[:i+1] {
 			_ = expired.Close()
 		}
-		delete(p.idle, addr)
+		p.idle[addr] = slices.Delete(list, 0, i+1)
 		return nil
 	}
-	p.idle[addr] = list[:len(list)-1]
+	p.idle[addr] = slices.Delete(list, i, i+1)
 	p.stats.Reused++
 	return c
 }
@@ -274,6 +288,7 @@
 	Unknown Life = iota
 	Alive        // it keeps the connection open
 	Refused      // no process listens at its address
+	Ended        // its process has ended, whether or not another one listens at its address
 )
 
 // lifeCheckTime is how long a new connection must stay open to show that its endpoint lives.
@@ -322,6 +337,7 @@
 func (p *Pool) Sweep(keep map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	maps.DeleteFunc(p.endedAt, func(addr string, _ time.Time) bool { return !keep[addr] })
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// isStalled reports whether a write has failed as the endpoint doesn't read. The kernel says so after userTimeout; the
-// reader of the connection gets its end then, which isn't that of the endpoint's process.
+// isStalled reports whether a write has failed as the endpoint doesn't read. The kernel says so after userTimeout, to the
+// writer or to the reader of the connection; the other one gets its end, which isn't that of the endpoint's process.
 func isStalled(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
 }
@@ -133,6 +133,9 @@
 	return rest > maxPaceShortfall*time.Until(x.writeBy).Seconds()
 }
 
+// errSwitched means that an endpoint has left HTTP without having been asked to.
+var errSwitched = errors.New("the endpoint switches protocols")
+
 // readHeader skips interim responses and returns the final response once its header is read.
 func (x *activeExchange) readHeader(method string) (*Response, error) {
 	for range maxInterimResponses {
@@ -145,7 +148,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errSwitched
+		case resp.StatusCode < 200:
 			continue
 		}
 		x.responding.Store(true)
@@ -165,7 +171,7 @@
 
 // framed reports whether the end of resp shows without the connection being closed.
 func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 }
 
 // body reads a response's body. Closing it returns the connection to the pool or closes it.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -251,7 +251,7 @@
 	s.RemainingTime, s.UrgencyRank = x.remainingTime(), x.urgencyRank()
 	req := &exchange.Request{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
-		Header: x.g.o.Codec.Header(x.call, s), Body: x.call.Body, NoRetry: !x.route.Retryable(),
+		Header: x.g.o.Codec.Header(x.call, s), Body: x.call.Body, ID: x.call.ID, NoRetry: !x.route.Retryable(),
 	}
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
@@ -280,7 +280,7 @@
 		return nil, ans, result{outcome: replaced}
 	case taken && err == nil:
 		resp.Close()
-		if ans.NotRun {
+		if ans.NotRun && !ans.OtherRequest {
 			x.uncountRun(a)
 		}
 		return nil, ans, result{outcome: replaced}
--- /dev/null
+++ b/internal/gateway/late_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/catalog"
+)
+
+// Guards against a request that is refused with a promise, or sent once more, while an endpoint runs it: the endpoint has
+// rejected it before, and sends that answer again, late, on the connection on which the request has come back.
+func TestLateCopyOfARejectionIsNoAnswer(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(commitRoute)
+		const rejection = "HTTP/1.1 503 X\r\nContent-Length: 0\r\nNot-Run: 1\r\nHeld: 8\r\nId: 1\r\n\r\n"
+		rejected := map[net.Conn]bool{}
+		b := w.serve(t, func(b *backend, n int, _ *http.Request, c net.Conn) bool {
+			if n == 1 {
+				rejected[c] = true
+				write(rejection)(c)
+				return true
+			}
+			if rejected[c] {
+				write(rejection)(c)
+			}
+			b.runs.Add(1)
+			time.Sleep(silenceCallTime)
+			return respond(c, 200, "answer", "Seal: s", "Id: 1")
+		})
+		w.addEndpoint("a", catalog.Whole, b)
+		resp, _, err := w.request(t, "POST", "/x/", "x")
+		assert.NilError(t, err)
+		time.Sleep(settleTime)
+		assert.Equal(t, b.runs.Load(), int32(1))
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	})
+}
+
+// Guards against a request that more endpoints run than its route allows: one that has run it, and was replaced in a
+// pause, goes on with the rejection of another request.
+func TestRejectionOfAnotherRequestTakesBackNoRun(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(streamRoute)
+		p := newPausing()
+		third := w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool { return events(c, 2, 3, true) })
+		second := w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			p.goOn()
+			time.Sleep(100 * time.Millisecond)
+			w.addEndpoint("c", catalog.Decode, third)
+			return events(c, 1, 1, false)
+		})
+		w.addEndpoint("a", catalog.Decode, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			w.addEndpoint("b", catalog.Decode, second)
+			<-p.resume
+			return respond(c, 503, "", "Not-Run: 1", "Id: 2")
+		}))
+		_, _, err := w.request(t, "POST", "/x/", "", "Tokens", "100")
+		assert.Assert(t, err != nil)
+		assert.Equal(t, second.arrivals.Load(), int32(1))
+		assert.Equal(t, third.arrivals.Load(), int32(0))
+	})
+}
+
+// Guards against a response that ends the use of HTTP on the caller's connection, which the caller hasn't asked for.
+func TestSwitchOfProtocolsIsNoAnswer(t *testing.T) {
+	for name, route := range map[string]catalog.Route{"commit": commitRoute, "stream": streamRoute} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(route)
+				w.addEndpoint("a", catalog.Whole, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+					write("HTTP/1.1 101 X\r\nSeal: s\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")(c)
+					return true
+				}))
+				resp, _, err := w.request(t, "POST", "/x/", "x", "Tokens", "100")
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+			})
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -261,6 +261,9 @@
 	rd.held = &x.held
 	defer rd.release()
 	o.life.Await(x.now())
+	if !o.resp.Framed {
+		x.inBackground(func() { x.g.o.Pool.Prepare(o.ctx, o.request.Endpoint.Address) })
+	}
 	for {
 		var events []byte
 		var err error
@@ -283,8 +286,14 @@
 			o.close(x, &r)
 			return nil, r
 		}
+		id, increasing := followingID(x.lastEventID, events)
+		if !increasing {
+			r := result{outcome: lost, code: code.BadAnswer, err: errRepeatedEvent}
+			o.close(x, &r)
+			return nil, r
+		}
 		x.markResumed(o.attempt)
-		if !x.forwardEvents(o, events) {
+		if !x.forwardEvents(o, events, id) {
 			r := result{outcome: gone, code: code.CallerGone}
 			o.close(x, &r)
 			return nil, r
@@ -294,19 +303,19 @@
 	}
 }
 
-// forwardEvents forwards events of a stream. It returns false if the caller doesn't take them.
-func (x *execution) forwardEvents(o *openStream, events []byte) bool {
+// forwardEvents forwards events of a stream up to the one with an id. It returns false if the caller doesn't take them.
+func (x *execution) forwardEvents(o *openStream, events []byte, id string) bool {
 	if o.eventAt == 0 {
 		x.countForWorkspace(x.now())
 		x.recordOrigin(o.request.Endpoint)
 		x.recordCachedPrompt(o.attempt, o.prompt)
 	}
 	x.recordEvents(o.attempt)
-	x.sendHeader(o.resp.Header)
+	x.sendHeader(o.resp)
 	n := bytes.Count(events, eventEnd)
 	x.recordPace(o, o.progressAt, n)
 	x.countEvents(n)
-	return x.sendEvents(events)
+	return x.sendEvents(events, id)
 }
 
 // endOfStream returns the result of a stream that has ended, with err if not in order.
@@ -314,8 +323,11 @@
 	if !errors.Is(err, io.EOF) {
 		return x.classifyReadError(err)
 	}
-	x.sendHeader(o.resp.Header)
-	return x.verifyEnd(o.resp, o.attempt)
+	r := x.verifyEnd(o.resp, o.attempt)
+	if r.outcome == answered {
+		x.sendHeader(o.resp)
+	}
+	return r
 }
 
 // classifyReadError returns the result of an answer that ended early with err.
@@ -346,25 +358,23 @@
 
 // sendHeader sends the answer's header to the caller, once: a stream that is resumed at another
 // engine keeps the header of the first engine.
-func (x *execution) sendHeader(h http.Header) {
+func (x *execution) sendHeader(resp *exchange.Response) {
 	if x.headerSent {
 		return
 	}
 	x.headerSent = true
 	x.firstEventTime = x.now().Sub(x.call.Arrived)
-	copyHeader(x.w.Header(), h)
-	x.w.WriteHeader(http.StatusOK)
+	copyHeader(x.w.Header(), resp.Header)
+	x.w.WriteHeader(resp.Status)
 }
 
-// sendEvents writes events to the caller and flushes them. It returns false if that fails.
-func (x *execution) sendEvents(events []byte) bool {
+// sendEvents writes events up to the one with an id to the caller and flushes them. It returns false if that fails.
+func (x *execution) sendEvents(events []byte, id string) bool {
 	if _, err := x.w.Write(events); err != nil {
 		return false
 	}
 	x.lastEventAt = x.now()
-	if id := lastEventID(events); id != "" {
-		x.lastEventID = id
-	}
+	x.lastEventID = id
 	return http.NewResponseController(x.w).Flush() == nil
 }
 
