Streams begin off the record only where the versions on record don't suffice

What callers saw (writes_rejected_both): the store was read and rejected writes during a release; streams of the new version went on at the old one after a loss of all VMs (ORDER).

Cause: a version that couldn't be recorded for 2 s was used all the same, and VMs that had all started anew took the record for whole. A record proves "no other version" only if nothing may have begun off it since. The store can't say that: where VMs can't write and where they are gone it is the same.

Change: streams begin off the record only where the versions on record have less than half of the service's endpoints that accept work (or none that runs requests to their end), for 2 s as much as for the shorter wait that had this condition. A VM that starts sees the same endpoints: it counts an unrecorded version as possible under the same condition, and rules it out otherwise. The condition is judged by the catalog's view, not by what one request has left to try. The visible versions follow the catalog before a conclusion, not 0.1 s behind it. A held back version is written at once where the others don't suffice.

The price: half of the endpoints may stay unused while the store rejects writes; refusing more wasn't wanted. No further call to the store.

New: writes_rejected_most (four of six endpoints replaced), in which streams do begin off the record.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -29,6 +29,8 @@
 	Pending() bool
 	// MayBegin reports whether a new stream of a route may begin at an endpoint.
 	MayBegin(r *catalog.Route, e *catalog.Endpoint) bool
+	// IsCovered reports whether the versions on record suffice for the new streams of a route and service.
+	IsCovered(r *catalog.Route, service string) bool
 }
 
 // takeUpSlack is added to the time that a caller waits: its next attempt may arrive later than the deadline of
@@ -135,10 +137,11 @@
 	return 2*len(recorded) >= len(list) && slices.ContainsFunc(recorded, canRun)
 }
 
-// startable returns the endpoints at which a stream without events may begin. Where less than half of them are of a
-// version on record, it begins at any: refusing that many streams would be worse.
+// startable returns the endpoints at which a stream without events may begin. Where less than half of the service's
+// are of a version on record, it begins at any: refusing that many streams would be worse.
 func (x *execution) startable(list []*catalog.Endpoint) []*catalog.Endpoint {
-	if recorded := x.recorded(list); x.areStartable(list, recorded) {
+	recorded := x.recorded(list)
+	if len(recorded) == len(list) || x.areStartable(list, recorded) || x.g.o.Starts.IsCovered(x.route, x.service) {
 		return recorded
 	}
 	return list
--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -205,6 +205,20 @@
 	assert.Equal(t, eventIDs(body), "1 2 3 4 5")
 }
 
+// Guards against a stream that begins off the record since its request can use none of the endpoints on record, although
+// these suffice for the service.
+func TestStreamsStayOnRecordWhereItSuffices(t *testing.T) {
+	w := newTestGateway(t)
+	w.setRoute(streamRoute)
+	w.origins.unrecorded, w.origins.covered = "v2", true
+	other := serveRest(t, 5)
+	w.addVersion("a", "v1", catalog.Prefill, serveRest(t, 5))
+	w.addVersion("b", "v2", catalog.Decode, other)
+	resp, _, err := w.request(t, "POST", "/x/", "", "Tokens", "100")
+	assert.NilError(t, err)
+	assert.Assert(t, resp.StatusCode != http.StatusOK && other.arrivals.Load() == 0)
+}
+
 // Guards against records of streams that no caller may take up, and of requests that aren't streams.
 func TestOnlyResumableStreamsAreRecorded(t *testing.T) {
 	for name, route := range map[string]catalog.Route{
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -215,6 +215,7 @@
 	recorded map[origin.Key]origin.Origin
 
 	unrecorded string // version that isn't on record, if any
+	covered    bool   // the others suffice
 }
 
 func (o *testOrigins) Record(st *origin.Stream, from origin.Origin, _ time.Duration) {
@@ -238,6 +239,9 @@
 	return e.Version != o.unrecorded
 }
 
+// IsCovered implements StreamStarts.
+func (o *testOrigins) IsCovered(*catalog.Route, string) bool { return o.covered }
+
 // newTestGateway returns a gateway with sockets.
 func newTestGateway(t testing.TB) *testGateway {
 	t.Helper()
--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -122,6 +123,8 @@
 	starts  *origin.Starts
 	checked atomic.Pointer[catalog.View] // whose starts are visible
 
+	updating sync.Mutex // serializes updateVisible
+
 	mu       sync.Mutex
 	archived *origin.Register
 	waiting  []waiter
@@ -164,6 +167,12 @@
 // Pending reports whether MayBegin may return false.
 func (a *Archive) Pending() bool { return a.starts.Pending() || a.Catalog.View() != a.checked.Load() }
 
+// IsCovered reports whether the versions on record suffice for the new streams of a route and service.
+func (a *Archive) IsCovered(r *catalog.Route, service string) bool {
+	a.updateVisible()
+	return a.starts.IsCovered(startOf(r, service, ""))
+}
+
 func startOf(r *catalog.Route, service, version string) *origin.Start {
 	return &origin.Start{Host: strings.ToLower(r.Host), PathPrefix: r.PathPrefix, Origin: origin.Origin{Service: service, Version: version}}
 }
@@ -190,16 +199,18 @@
 // mayHaveBegun returns where a stream may have begun, as far as this VM knows. As long as it hasn't read the
 // records, that is wherever one might.
 func (a *Archive) mayHaveBegun(st *origin.Stream) []origin.Origin {
+	a.updateVisible()
 	if !a.hasRead.Load() {
 		return origin.Possible(a.starts.Known(), st)
 	}
-	return origin.Possible(a.starts.MayHaveBegun(a.Clock.Now()), st)
+	return origin.Possible(a.starts.MayHaveBegun(), st)
 }
 
 // VersionsBegun returns the versions of a service at which streams may have begun, as far as this VM knows. It
 // returns false if it hasn't read the records yet.
 func (a *Archive) VersionsBegun(service string) (versions []string, ok bool) {
-	for _, s := range a.starts.MayHaveBegun(a.Clock.Now()) {
+	a.updateVisible()
+	for _, s := range a.starts.MayHaveBegun() {
 		if s.Service == service && !slices.Contains(versions, s.Version) {
 			versions = append(versions, s.Version)
 		}
@@ -246,15 +257,24 @@
 	a.dropObsolete(ctx)
 }
 
+// updateVisible has the starts follow the catalog's newest view.
 func (a *Archive) updateVisible() {
+	if a.Catalog.View() == a.checked.Load() {
+		return
+	}
+	a.updating.Lock()
 	v := a.Catalog.View()
 	if v.Config == nil || v == a.checked.Load() {
+		a.updating.Unlock()
 		return
 	}
 	a.starts.SetWhole(!a.IsRestored())
-	visible, window := visibleStarts(v)
-	a.checkAmbiguous(a.starts.SetVisible(a.Clock.Now(), visible, window))
+	serving, window := visibleStarts(v)
+	a.starts.SetServing(serving)
+	added := a.starts.SetVisible(a.Clock.Now(), slices.Collect(maps.Keys(serving)), window)
 	a.checked.Store(v)
+	a.updating.Unlock()
+	a.checkAmbiguous(added)
 }
 
 func (a *Archive) checkAmbiguous(added []origin.Start) {
@@ -267,24 +287,29 @@
 
 // visibleStarts returns the starts that a view allows, and for how long callers may take up a stream. Routes whose
 // streams may not be resumed count, too: another one may have their paths when callers try.
-func visibleStarts(v *catalog.View) (starts []origin.Start, window time.Duration) {
-	versions := map[string]map[string]struct{}{}
+func visibleStarts(v *catalog.View) (starts map[origin.Start]origin.Serving, window time.Duration) {
+	versions := map[string]map[string]origin.Serving{}
 	for _, e := range v.All() {
 		if versions[e.Service] == nil {
-			versions[e.Service] = map[string]struct{}{}
+			versions[e.Service] = map[string]origin.Serving{}
+		}
+		s := versions[e.Service][e.Version]
+		if !e.Draining {
+			s.Endpoints++
+			s.CanRun = s.CanRun || e.Stage != catalog.Prefill
 		}
-		versions[e.Service][e.Version] = struct{}{}
+		versions[e.Service][e.Version] = s
 	}
-	window = minWindow
+	starts, window = map[origin.Start]origin.Serving{}, minWindow
 	for r := range v.Config.Routes() {
 		if r.Kind != catalog.Stream {
 			continue
 		}
 		window = max(window, Window(r.Timeout))
-		for _, s := range r.Shares {
-			for version := range versions[s.Service] {
-				if s.Weight > 0 {
-					starts = append(starts, *startOf(r, s.Service, version))
+		for _, share := range r.Shares {
+			for version, serving := range versions[share.Service] {
+				if share.Weight > 0 {
+					starts[*startOf(r, share.Service, version)] = serving
 				}
 			}
 		}
--- a/internal/originsync/incomplete_record_test.go
+++ b/internal/originsync/incomplete_record_test.go
@@ -45,6 +45,9 @@
 			for _, vm := range w.vms {
 				vm.Archive.Store = refusingStore{w.store}
 			}
+			for _, vm := range w.vms { // v1 doesn't suffice
+				vm.Archive.starts.SetServing(map[origin.Start]origin.Serving{startsAt("v1")[0]: {Endpoints: 1, CanRun: true}, startsAt("v2")[0]: {Endpoints: 2, CanRun: true}})
+			}
 			w.settle(t, "v1", "v2")
 			w.clock.T = w.clock.T.Add(3 * time.Second)
 			assert.Assert(t, w.vm(1).Archive.starts.MayBegin(w.clock.T, &startsAt("v2")[0]), "streams begin at v2")
--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// maxRecordTime bounds how long a version is left unused because the store doesn't record it.
+	// maxRecordTime bounds how long a version is left unused because the store doesn't record it, where the ones on
+	// record don't suffice.
 	maxRecordTime = 2 * time.Second
 	// holdTime is how long a version that appeared while this VM wasn't running is left unused and off the record:
 	// if all VMs have just started, most streams that were broken off are taken up in that time.
@@ -57,6 +58,13 @@
 	started clock.Time    // when starts were visible first
 	whole   bool          // the record has all that was written before this VM started
 	entries map[Start]*startState
+	serving map[Start]Serving // of the visible starts, nil if not known
+}
+
+// Serving is what serves new streams at a start.
+type Serving struct {
+	Endpoints int  // that accept new work
+	CanRun    bool // one of them runs requests to their end
 }
 
 type startState struct {
@@ -112,6 +120,41 @@
 	return added
 }
 
+// SetServing sets what serves at the visible starts. Without it, one endpoint counts for each.
+func (s *Starts) SetServing(serving map[Start]Serving) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serving = serving
+}
+
+// IsCovered reports whether starts on record suffice for the new streams of start's route and service: streams begin at
+// no other one then.
+func (s *Starts) IsCovered(start *Start) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.isCovered(start)
+}
+
+// isCovered implements IsCovered. The caller holds mu.
+func (s *Starts) isCovered(start *Start) bool {
+	all, written, canRun := 0, 0, false
+	for other, e := range s.entries {
+		if !e.visible || other.Host != start.Host || other.PathPrefix != start.PathPrefix || other.Service != start.Service {
+			continue
+		}
+		serving := Serving{1, true}
+		if s.serving != nil {
+			serving = s.serving[other]
+		}
+		all += serving.Endpoints
+		if e.isWritten() {
+			written += serving.Endpoints
+			canRun = canRun || serving.CanRun
+		}
+	}
+	return canRun && 2*written >= all
+}
+
 func (s *Starts) entry(now clock.Time, start Start) *startState {
 	e := s.entries[start]
 	if e == nil {
@@ -209,23 +252,15 @@
 	return missing, since
 }
 
-// isHeldBack reports whether a start isn't written yet, although it is visible: another one of the route was on
-// record when this VM started, and the streams that callers take up now began there.
+// isHeldBack reports whether a start isn't written yet, although it is visible: others of the route were on record when
+// this VM started and suffice for new streams, and the streams that callers take up now began there.
 func (s *Starts) isHeldBack(now clock.Time, start Start, e *startState) bool {
-	if !s.whole || e.since != s.started || now.Sub(s.started) > holdTime || e.begun {
-		return false
-	}
-	for other, o := range s.entries {
-		if o.visible && o.recorded && other.Host == start.Host && other.PathPrefix == start.PathPrefix {
-			return true
-		}
-	}
-	return false
+	return s.whole && e.since == s.started && now.Sub(s.started) <= holdTime && !e.begun && s.isCovered(&start)
 }
 
 // isOverdue reports whether a start hasn't been recorded in time, so that streams begin there without a record.
 func (s *Starts) isOverdue(now clock.Time, start Start, e *startState) bool {
-	return e.visible && now.Sub(e.since) > maxRecordTime && !s.isHeldBack(now, start, e)
+	return e.visible && now.Sub(e.since) > maxRecordTime && !s.isCovered(&start)
 }
 
 // Obsolete returns the starts on record that no stream which is taken up can have any more.
@@ -245,7 +280,7 @@
 func (s *Starts) Pending() bool { return s.pending.Load() }
 
 // MayBegin reports whether a new stream may begin at a start: it is on record, or recording it takes too
-// long.
+// long and those on record don't suffice.
 func (s *Starts) MayBegin(now clock.Time, start *Start) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -253,13 +288,14 @@
 	return e != nil && (e.isWritten() || s.isOverdue(now, *start, e))
 }
 
-// MayHaveBegun returns the starts at which streams may have begun, as far as this VM knows.
-func (s *Starts) MayHaveBegun(now clock.Time) []Start {
+// MayHaveBegun returns the starts at which streams may have begun, as far as this VM knows. A visible one that isn't on
+// record is among them unless others suffice: VMs that have ended since may have used it.
+func (s *Starts) MayHaveBegun() []Start {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	var out []Start
 	for start, e := range s.entries {
-		if e.recorded || e.begun || s.isOverdue(now, start, e) {
+		if e.recorded || e.begun || e.visible && !s.isCovered(&start) {
 			out = append(out, start)
 		}
 	}
--- a/internal/policy/origin/starts_test.go
+++ b/internal/policy/origin/starts_test.go
@@ -29,7 +29,11 @@
 	missing, since := s.Missing(now)
 	assert.DeepEqual(t, missing, []Start{v2})
 	assert.Equal(t, since, now)
-	assert.Assert(t, s.MayBegin(now.Add(maxRecordTime+1), &v2), "a record that can't be written doesn't stop the service")
+	late := now.Add(maxRecordTime + 1)
+	assert.Assert(t, !s.MayBegin(late, &v2), "v1 has half of the endpoints")
+	s.SetServing(map[Start]Serving{v1: {1, true}, v2: {2, true}})
+	assert.Assert(t, s.MayBegin(late, &v2), "a record that can't be written doesn't stop the service")
+	assert.Assert(t, !s.MayBegin(late.Add(-1), &v2))
 	s.SetRecorded(now, []Start{v1, v2})
 	assert.Assert(t, s.MayBegin(now, &v2) && !s.Pending())
 	s.Reset(now)
@@ -82,11 +86,36 @@
 	held := now.Add(holdTime)
 	missing, _ := s.Missing(held)
 	assert.Assert(t, len(missing) == 0 && !s.MayBegin(held, &v2) && s.MayBegin(held, &v1))
-	assert.DeepEqual(t, s.MayHaveBegun(held), []Start{v1})
+	assert.DeepEqual(t, s.MayHaveBegun(), []Start{v1})
 	missing, _ = s.Missing(held + 1)
 	assert.DeepEqual(t, missing, []Start{v2})
 	s.MarkBegun(&Stream{1, "h", "/p/x"}, v2.Origin)
 	missing, _ = s.Missing(now)
 	assert.DeepEqual(t, missing, []Start{v2})
-	assert.Equal(t, len(s.MayHaveBegun(now)), 2)
+	assert.Equal(t, len(s.MayHaveBegun()), 2)
+}
+
+// Guards against a stream that goes on at the version on record since a VM that starts doesn't know that streams began
+// at another one, which the store didn't take: that is where the versions on record didn't suffice.
+func TestUnrecordedVersionMayHaveBegunUnlessOthersSuffice(t *testing.T) {
+	for name, tc := range map[string]struct {
+		v1, v2   Serving
+		possible int
+	}{
+		"half":          {Serving{3, true}, Serving{3, true}, 1},
+		"less":          {Serving{2, true}, Serving{3, true}, 2},
+		"none runs":     {Serving{3, false}, Serving{3, true}, 2},
+		"none is ready": {Serving{}, Serving{3, true}, 2},
+	} {
+		s, now, v1, v2 := NewStarts(), clock.Time(time.Hour), startAt("v1"), startAt("v2")
+		s.SetRecorded(now, []Start{v1})
+		s.SetServing(map[Start]Serving{v1: tc.v1, v2: tc.v2})
+		s.SetVisible(now, []Start{v1, v2}, testWindow)
+		assert.Equal(t, len(s.MayHaveBegun()), tc.possible, name)
+		for _, after := range []time.Duration{0, maxRecordTime + 1, holdTime, time.Hour} {
+			assert.Assert(t, tc.possible == 2 || !s.MayBegin(now.Add(after), &v2), name)
+		}
+		missing, _ := s.Missing(now)
+		assert.Equal(t, len(missing), tc.possible-1, name)
+	}
 }
--- a/internal/simworld/lost_vms_faults_test.go
+++ b/internal/simworld/lost_vms_faults_test.go
@@ -32,6 +32,9 @@
 // replaceAll has the old version leave.
 func replaceAll(l *lossRun) { l.replace(lossEndpoints, versionOld, serviceBefore, versionNew) }
 
+// replaceMost leaves few endpoints of the old version.
+func replaceMost(l *lossRun) { l.replace(lossEndpoints*2/3, versionOld, serviceBefore, versionNew) }
+
 // replaceByThird has three versions serve side by side.
 func replaceByThird(l *lossRun) {
 	const each = lossEndpoints / 3
@@ -139,6 +142,12 @@
 	"writes_rejected_left": {
 		before: inOrder(storeRejectsWrites, replaceAll), meanwhile: nothing, after: inOrder(pause(time.Second), storeWorks), awaitsStore: true,
 	},
+	"writes_rejected_most": {
+		before: inOrder(storeRejectsWrites, replaceMost, pause(lossStartSpread)), meanwhile: nothing, after: inOrder(pause(time.Second), storeWorks), awaitsStore: true,
+	},
+	"writes_rejected_back": {
+		before: inOrder(storeRejectsWrites, replaceAll, goBack), meanwhile: nothing, after: inOrder(pause(time.Second), storeWorks), awaitsStore: true,
+	},
 	"some_vms_rejected": {before: inOrder(storeRejectsSome, replaceHalf), meanwhile: nothing, judgedVersions: bothVersions, awaitsStore: true},
 	"store_down_in_restart_both": {
 		before: replaceHalf, meanwhile: storeRejectsAll, after: inOrder(pause(storeDownTime), storeWorks), judgedVersions: bothVersions, awaitsStore: true,
