A version is given its time to be recorded whatever request comes

Cause: the 0.5 s until a stream begins off the record counted from the request's arrival. One that had waited for an endpoint began as soon as the version appeared. After a restore of the store it didn't wait at all: the 2 s counted from when the version had become visible.

Change: one rule in one place (Starts.MayBegin): a start that isn't on record may be used once it has been visible, or lost from the record, for 0.5 s, where those on record don't suffice. The gateway's own exception is gone.

Tests: the gateway's tests use the real Starts in place of a flag; TestStreamsBeginOnRecordOnly wants the wait after a restore for a start that has been visible for long, too (it fails without the change).

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -29,8 +29,6 @@
 	Pending() bool
 	// MayBegin reports whether a new stream of a route may begin at an endpoint.
 	MayBegin(r *catalog.Route, e *catalog.Endpoint) bool
-	// IsCovered reports whether the versions on record suffice for the new streams of a route and service.
-	IsCovered(r *catalog.Route, service string) bool
 }
 
 // takeUpSlack is added to the time that a caller waits: its next attempt may arrive later than the deadline of
@@ -107,7 +105,7 @@
 const (
 	// recordWait is how long a new stream waits for a version to be recorded, and recordPollInterval the time
 	// between two looks.
-	recordWait         = 500 * time.Millisecond
+	recordWait         = origin.MaxRecordTime + recordPollInterval
 	recordPollInterval = 20 * time.Millisecond
 )
 
@@ -118,33 +116,23 @@
 	}
 	for end := x.now().Add(recordWait); x.g.o.Starts.Pending() && x.now() < end; {
 		open := x.g.o.Catalog.View().Available(x.service)
-		if !slices.ContainsFunc(open, canRun) || x.areStartable(open, x.recorded(open)) || !clock.Sleep(x.ctx, recordPollInterval) {
+		if !slices.ContainsFunc(open, canRun) || x.areEnough(open, x.startable(open)) || !clock.Sleep(x.ctx, recordPollInterval) {
 			return
 		}
 	}
 }
 
-// recorded returns the endpoints at which a new stream may begin.
-func (x *execution) recorded(list []*catalog.Endpoint) []*catalog.Endpoint {
+// startable returns the endpoints at which a new stream may begin.
+func (x *execution) startable(list []*catalog.Endpoint) []*catalog.Endpoint {
 	if !x.isStream() || !x.g.o.Starts.Pending() {
 		return list
 	}
 	return slices.DeleteFunc(slices.Clone(list), func(e *catalog.Endpoint) bool { return !x.g.o.Starts.MayBegin(x.route, e) })
 }
 
-// areStartable reports whether the recorded ones of the endpoints are enough for new streams.
-func (x *execution) areStartable(list, recorded []*catalog.Endpoint) bool {
-	return 2*len(recorded) >= len(list) && slices.ContainsFunc(recorded, canRun)
-}
-
-// startable returns the endpoints at which a stream without events may begin. Where less than half of the service's
-// are of a version on record, it begins at any: refusing that many streams would be worse.
-func (x *execution) startable(list []*catalog.Endpoint) []*catalog.Endpoint {
-	recorded := x.recorded(list)
-	if len(recorded) == len(list) || x.areStartable(list, recorded) || x.g.o.Starts.IsCovered(x.route, x.service) {
-		return recorded
-	}
-	return list
+// areEnough reports whether the startable ones of the endpoints are enough for new streams.
+func (x *execution) areEnough(list, startable []*catalog.Endpoint) bool {
+	return 2*len(startable) >= len(list) && slices.ContainsFunc(startable, canRun)
 }
 
 // canRun reports whether an endpoint runs requests to their end.
--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -167,20 +167,20 @@
 // Guards against a stream that begins at a version of which no record outlives all VMs.
 func TestStreamsBeginAtRecordedVersions(t *testing.T) {
 	for name, tc := range map[string]struct {
-		unrecorded string
-		want       string // engine
+		visible, recorded []string
+		want              string // engine
 	}{
-		"one of two versions":          {"v2", "a"},
-		"the other":                    {"v1", "b"},
-		"a version that doesn't serve": {"v0", "a"},
+		"one of two versions":          {[]string{"v1", "v2"}, []string{"v1"}, "a"},
+		"the other":                    {[]string{"v1", "v2"}, []string{"v2"}, "b"},
+		"a version that doesn't serve": {[]string{"v1"}, []string{"v0", "v1"}, "a"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newTestGateway(t)
 			w.setRoute(streamRoute)
-			w.origins.unrecorded = tc.unrecorded
+			w.origins.setRecord(tc.visible, tc.recorded)
 			engines := map[string]*backend{"a": serveRest(t, 5), "b": serveRest(t, 5)}
 			w.addVersion("a", "v1", catalog.Decode, engines["a"])
-			if tc.unrecorded != "v0" {
+			if len(tc.visible) > 1 {
 				w.addVersion("b", "v2", catalog.Decode, engines["b"])
 			}
 			for i := range 6 {
@@ -198,7 +198,7 @@
 func TestStreamsBeginWhereNoVersionIsRecorded(t *testing.T) {
 	w := newTestGateway(t)
 	w.setRoute(streamRoute)
-	w.origins.unrecorded = "v1"
+	w.origins.setRecord([]string{"v1"}, nil)
 	w.addVersion("a", "v1", catalog.Decode, serveRest(t, 5))
 	_, body, err := w.request(t, "POST", "/x/", "", "Tokens", "100")
 	assert.NilError(t, err)
@@ -210,7 +210,7 @@
 func TestStreamsStayOnRecordWhereItSuffices(t *testing.T) {
 	w := newTestGateway(t)
 	w.setRoute(streamRoute)
-	w.origins.unrecorded, w.origins.covered = "v2", true
+	w.origins.setRecord([]string{"v1", "v2"}, []string{"v1"})
 	other := serveRest(t, 5)
 	w.addVersion("a", "v1", catalog.Prefill, serveRest(t, 5))
 	w.addVersion("b", "v2", catalog.Decode, other)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -214,8 +214,7 @@
 	found    originsync.Source
 	recorded map[origin.Key]origin.Origin
 
-	unrecorded string // version that isn't on record, if any
-	covered    bool   // the others suffice
+	starts *origin.Starts // nil if all are on record
 }
 
 func (o *testOrigins) Record(st *origin.Stream, from origin.Origin, _ time.Duration) {
@@ -232,15 +231,25 @@
 }
 
 // Pending implements StreamStarts.
-func (o *testOrigins) Pending() bool { return o.unrecorded != "" }
+func (o *testOrigins) Pending() bool { return o.starts != nil && o.starts.Pending() }
 
 // MayBegin implements StreamStarts.
 func (o *testOrigins) MayBegin(_ *catalog.Route, e *catalog.Endpoint) bool {
-	return e.Version != o.unrecorded
+	return o.starts.MayBegin(clock.Boot{}.Now(), &origin.Start{Origin: origin.Origin{Service: e.Service, Version: e.Version}})
 }
 
-// IsCovered implements StreamStarts.
-func (o *testOrigins) IsCovered(*catalog.Route, string) bool { return o.covered }
+// setRecord sets the versions of "s" that are visible, and those that are on record.
+func (o *testOrigins) setRecord(visible, recorded []string) {
+	now, starts := clock.Boot{}.Now(), func(versions []string) (out []origin.Start) {
+		for _, v := range versions {
+			out = append(out, origin.Start{Origin: origin.Origin{Service: "s", Version: v}})
+		}
+		return out
+	}
+	o.starts = origin.NewStarts()
+	o.starts.SetRecorded(now, starts(recorded))
+	o.starts.SetVisible(now, starts(visible), time.Minute)
+}
 
 // newTestGateway returns a gateway with sockets.
 func newTestGateway(t testing.TB) *testGateway {
--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -161,18 +161,13 @@
 
 // MayBegin reports whether a new stream of a route may begin at an endpoint.
 func (a *Archive) MayBegin(r *catalog.Route, e *catalog.Endpoint) bool {
+	a.updateVisible()
 	return a.starts.MayBegin(a.Clock.Now(), startOf(r, e.Service, e.Version))
 }
 
 // Pending reports whether MayBegin may return false.
 func (a *Archive) Pending() bool { return a.starts.Pending() || a.Catalog.View() != a.checked.Load() }
 
-// IsCovered reports whether the versions on record suffice for the new streams of a route and service.
-func (a *Archive) IsCovered(r *catalog.Route, service string) bool {
-	a.updateVisible()
-	return a.starts.IsCovered(startOf(r, service, ""))
-}
-
 func startOf(r *catalog.Route, service, version string) *origin.Start {
 	return &origin.Start{Host: strings.ToLower(r.Host), PathPrefix: r.PathPrefix, Origin: origin.Origin{Service: service, Version: version}}
 }
--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// maxRecordTime bounds how long a version is left unused because the store doesn't record it, where the ones on
+	// MaxRecordTime bounds how long a version is left unused because the store doesn't record it, where the ones on
 	// record don't suffice.
-	maxRecordTime = 2 * time.Second
+	MaxRecordTime = 500 * time.Millisecond
 	// holdTime is how long a version that appeared while this VM wasn't running is left unused and off the record:
 	// if all VMs have just started, most streams that were broken off are taken up in that time.
 	holdTime = 4 * time.Second
@@ -70,7 +70,7 @@
 type startState struct {
 	visible  bool
 	seenAt   clock.Time // when it was visible last, or became known
-	since    clock.Time // when it became visible
+	since    clock.Time // when it became visible, or was lost from the record
 	recorded bool
 	// renew means that the start has come back after so long that another VM may be removing it from the record:
 	// it is written again, also if the record still has it.
@@ -127,15 +127,8 @@
 	s.serving = serving
 }
 
-// IsCovered reports whether starts on record suffice for the new streams of start's route and service: streams begin at
-// no other one then.
-func (s *Starts) IsCovered(start *Start) bool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.isCovered(start)
-}
-
-// isCovered implements IsCovered. The caller holds mu.
+// isCovered reports whether starts on record suffice for the new streams of start's route and service: streams begin at
+// no other one then. The caller holds mu.
 func (s *Starts) isCovered(start *Start) bool {
 	all, written, canRun := 0, 0, false
 	for other, e := range s.entries {
@@ -168,8 +161,9 @@
 func (s *Starts) SetRecorded(now clock.Time, recorded []Start) (added []Start) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	wasRecorded := map[*startState]bool{}
 	for _, e := range s.entries {
-		e.recorded = false
+		wasRecorded[e], e.recorded = e.recorded, false
 	}
 	for _, start := range recorded {
 		if s.entries[start] == nil {
@@ -177,6 +171,11 @@
 		}
 		s.entry(now, start).recorded = true
 	}
+	for e, was := range wasRecorded {
+		if was && !e.recorded && e.visible {
+			e.since = now
+		}
+	}
 	s.forget(now)
 	return added
 }
@@ -236,7 +235,7 @@
 	s.pending.Store(pending)
 }
 
-// Missing returns the starts that have to be written, and when the first of them became visible.
+// Missing returns the starts that have to be written, and since when the first of them is missing.
 func (s *Starts) Missing(now clock.Time) (missing []Start, since clock.Time) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -260,7 +259,7 @@
 
 // isOverdue reports whether a start hasn't been recorded in time, so that streams begin there without a record.
 func (s *Starts) isOverdue(now clock.Time, start Start, e *startState) bool {
-	return e.visible && now.Sub(e.since) > maxRecordTime && !s.isCovered(&start)
+	return e.visible && now.Sub(e.since) > MaxRecordTime && !s.isCovered(&start)
 }
 
 // Obsolete returns the starts on record that no stream which is taken up can have any more.
--- a/internal/policy/origin/starts_test.go
+++ b/internal/policy/origin/starts_test.go
@@ -29,15 +29,17 @@
 	missing, since := s.Missing(now)
 	assert.DeepEqual(t, missing, []Start{v2})
 	assert.Equal(t, since, now)
-	late := now.Add(maxRecordTime + 1)
+	late := now.Add(MaxRecordTime + 1)
 	assert.Assert(t, !s.MayBegin(late, &v2), "v1 has half of the endpoints")
 	s.SetServing(map[Start]Serving{v1: {1, true}, v2: {2, true}})
 	assert.Assert(t, s.MayBegin(late, &v2), "a record that can't be written doesn't stop the service")
 	assert.Assert(t, !s.MayBegin(late.Add(-1), &v2))
 	s.SetRecorded(now, []Start{v1, v2})
 	assert.Assert(t, s.MayBegin(now, &v2) && !s.Pending())
+	now = now.Add(time.Minute)
 	s.Reset(now)
-	assert.Assert(t, !s.MayBegin(now, &v1), "the store has lost its records")
+	assert.Assert(t, !s.MayBegin(now.Add(MaxRecordTime), &v1), "the store has lost its records")
+	assert.Assert(t, s.MayBegin(now.Add(MaxRecordTime+1), &v1))
 }
 
 // Guards against a version that comes back after another VM has dropped it from the record.
@@ -112,7 +114,7 @@
 		s.SetServing(map[Start]Serving{v1: tc.v1, v2: tc.v2})
 		s.SetVisible(now, []Start{v1, v2}, testWindow)
 		assert.Equal(t, len(s.MayHaveBegun()), tc.possible, name)
-		for _, after := range []time.Duration{0, maxRecordTime + 1, holdTime, time.Hour} {
+		for _, after := range []time.Duration{0, MaxRecordTime + 1, holdTime, time.Hour} {
 			assert.Assert(t, tc.possible == 2 || !s.MayBegin(now.Add(after), &v2), name)
 		}
 		missing, _ := s.Missing(now)
