--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// maxRecordTime bounds how long a version is left unused because the store doesn't record it.
-	maxRecordTime = 2 * time.Second
+	// MaxRecordTime bounds how long a version is left unused because the store doesn't record it, where the ones on
+	// record don't suffice.
+	MaxRecordTime = 500 * time.Millisecond
 	// holdTime is how long a version that appeared while this VM wasn't running is left unused and off the record:
 	// if all VMs have just started, most streams that were broken off are taken up in that time.
 	holdTime = 4 * time.Second
@@ -57,12 +58,19 @@
 	started clock.Time    // when starts were visible first
 	whole   bool          // the record has all that was written before this VM started
 	entries map[Start]*startState
+	serving map[Start]Serving // of the visible starts, nil if not known
+}
+
+// Serving is what serves new streams at a start.
+type Serving struct {
+	Endpoints int  // that accept new work
+	CanRun    bool // one of them runs requests to their end
 }
 
 type startState struct {
 	visible  bool
 	seenAt   clock.Time // when it was visible last, or became known
-	since    clock.Time // when it became visible
+	since    clock.Time // when it became visible, or was lost from the record
 	recorded bool
 	// renew means that the start has come back after so long that another VM may be removing it from the record:
 	// it is written again, also if the record still has it.
@@ -112,6 +120,34 @@
 	return added
 }
 
+// SetServing sets what serves at the visible starts. Without it, one endpoint counts for each.
+func (s *Starts) SetServing(serving map[Start]Serving) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serving = serving
+}
+
+// isCovered reports whether starts on record suffice for the new streams of start's route and service: streams begin at
+// no other one then. The caller holds mu.
+func (s *Starts) isCovered(start *Start) bool {
+	all, written, canRun := 0, 0, false
+	for other, e := range s.entries {
+		if !e.visible || other.Host != start.Host || other.PathPrefix != start.PathPrefix || other.Service != start.Service {
+			continue
+		}
+		serving := Serving{1, true}
+		if s.serving != nil {
+			serving = s.serving[other]
+		}
+		all += serving.Endpoints
+		if e.isWritten() {
+			written += serving.Endpoints
+			canRun = canRun || serving.CanRun
+		}
+	}
+	return canRun && 2*written >= all
+}
+
 func (s *Starts) entry(now clock.Time, start Start) *startState {
 	e := s.entries[start]
 	if e == nil {
@@ -125,8 +161,9 @@
 func (s *Starts) SetRecorded(now clock.Time, recorded []Start) (added []Start) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	wasRecorded := map[*startState]bool{}
 	for _, e := range s.entries {
-		e.recorded = false
+		wasRecorded[e], e.recorded = e.recorded, false
 	}
 	for _, start := range recorded {
 		if s.entries[start] == nil {
@@ -134,6 +171,11 @@
 		}
 		s.entry(now, start).recorded = true
 	}
+	for e, was := range wasRecorded {
+		if was && !e.recorded && e.visible {
+			e.since = now
+		}
+	}
 	s.forget(now)
 	return added
 }
@@ -193,7 +235,7 @@
 	s.pending.Store(pending)
 }
 
-// Missing returns the starts that have to be written, and when the first of them became visible.
+// Missing returns the starts that have to be written, and since when the first of them is missing.
 func (s *Starts) Missing(now clock.Time) (missing []Start, since clock.Time) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -209,23 +251,15 @@
 	return missing, since
 }
 
-// isHeldBack reports whether a start isn't written yet, although it is visible: another one of the route was on
-// record when this VM started, and the streams that callers take up now began there.
+// isHeldBack reports whether a start isn't written yet, although it is visible: others of the route were on record when
+// this VM started and suffice for new streams, and the streams that callers take up now began there.
 func (s *Starts) isHeldBack(now clock.Time, start Start, e *startState) bool {
-	if !s.whole || e.since != s.started || now.Sub(s.started) > holdTime || e.begun {
-		return false
-	}
-	for other, o := range s.entries {
-		if o.visible && o.recorded && other.Host == start.Host && other.PathPrefix == start.PathPrefix {
-			return true
-		}
-	}
-	return false
+	return s.whole && e.since == s.started && now.Sub(s.started) <= holdTime && !e.begun && s.isCovered(&start)
 }
 
 // isOverdue reports whether a start hasn't been recorded in time, so that streams begin there without a record.
 func (s *Starts) isOverdue(now clock.Time, start Start, e *startState) bool {
-	return e.visible && now.Sub(e.since) > maxRecordTime && !s.isHeldBack(now, start, e)
+	return e.visible && now.Sub(e.since) > MaxRecordTime && !s.isCovered(&start)
 }
 
 // Obsolete returns the starts on record that no stream which is taken up can have any more.
@@ -245,7 +279,7 @@
 func (s *Starts) Pending() bool { return s.pending.Load() }
 
 // MayBegin reports whether a new stream may begin at a start: it is on record, or recording it takes too
-// long.
+// long and those on record don't suffice.
 func (s *Starts) MayBegin(now clock.Time, start *Start) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -253,13 +287,14 @@
 	return e != nil && (e.isWritten() || s.isOverdue(now, *start, e))
 }
 
-// MayHaveBegun returns the starts at which streams may have begun, as far as this VM knows.
-func (s *Starts) MayHaveBegun(now clock.Time) []Start {
+// MayHaveBegun returns the starts at which streams may have begun, as far as this VM knows. A visible one that isn't on
+// record is among them unless others suffice: VMs that have ended since may have used it.
+func (s *Starts) MayHaveBegun() []Start {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	var out []Start
 	for start, e := range s.entries {
-		if e.recorded || e.begun || s.isOverdue(now, start, e) {
+		if e.recorded || e.begun || e.visible && !s.isCovered(&start) {
 			out = append(out, start)
 		}
 	}
