--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -31,6 +31,8 @@
 	delay     time.Duration
 	conns     map[net.Conn]bool           // true for those that the relay has accepted
 	cut       func(accepted net.Conn) Cut // nil if no connection is cut
+	surplus   Surplus                     // nil for none
+	truncate  Truncate                    // nil for none
 }
 
 // Cut says what happens to the connections of one of the connecting processes.
@@ -47,6 +49,58 @@
 // cutPollInterval is the time between two checks whether a stalled connection is still cut.
 const cutPollInterval = 20 * time.Millisecond
 
+// Surplus returns bytes that the connecting process receives before a chunk of its data is forwarded, nil for none.
+type Surplus func(accepted net.Conn, chunk []byte) []byte
+
+// SetSurplus sets what connecting processes receive that the target hasn't sent.
+func (r *Relay) SetSurplus(s Surplus) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.surplus = s
+}
+
+// Truncate returns how many bytes of a chunk of the target's data are forwarded before the connection ends, and whether
+// that is a reset. The connection goes on if it returns the whole length.
+type Truncate func(chunk []byte) (n int, reset bool)
+
+// SetTruncate sets which connections end within an answer.
+func (r *Relay) SetTruncate(t Truncate) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.truncate = t
+}
+
+// truncated returns what is forwarded of a chunk of the target's data, and the error with which the connection ends.
+func (r *Relay) truncated(chunk []byte) ([]byte, error) {
+	r.mu.Lock()
+	t := r.truncate
+	r.mu.Unlock()
+	if t == nil {
+		return chunk, nil
+	}
+	n, reset := t(chunk)
+	switch {
+	case n >= len(chunk):
+		return chunk, nil
+	case reset:
+		return chunk[:n], errCut
+	}
+	return chunk[:n], io.EOF
+}
+
+// sendSurplus sends what the process that has sent a chunk is to receive before the target's answer.
+func (r *Relay) sendSurplus(in net.Conn, chunk []byte) {
+	r.mu.Lock()
+	s := r.surplus
+	r.mu.Unlock()
+	if s == nil {
+		return
+	}
+	if b := s(in, chunk); b != nil {
+		_, _ = in.Write(b) // fails only if the process has closed the connection
+	}
+}
+
 // New starts a relay to target on a free port.
 func New(target string) (*Relay, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -111,8 +165,19 @@
 			return
 		}
 		r.sleepDelay()
+		if n > 0 && d == ToTarget {
+			r.sendSurplus(in, buf[:n])
+		}
+		chunk := buf[:n]
+		if n > 0 && d == FromTarget {
+			var end error
+			if chunk, end = r.truncated(chunk); end != nil {
+				_ = src.Close()
+				err = end
+			}
+		}
 		if n > 0 {
-			if _, werr := dst.Write(buf[:n]); werr != nil {
+			if _, werr := dst.Write(chunk); werr != nil {
 				_ = src.Close()
 				return
 			}
--- a/scenarios/soak_callers_test.go
+++ b/scenarios/soak_callers_test.go
@@ -34,8 +34,9 @@
 // soakAnswer is the outcome of a request as observed by its caller.
 type soakAnswer struct {
 	id, path, vm   string
-	status         int  // 0 if there was no answer
-	complete       bool // the answer is complete and belongs to the request
+	body           string // of the request, empty for the default
+	status         int    // 0 if there was no answer
+	complete       bool   // the answer is complete and belongs to the request
 	problem        string
 	sent, answered time.Time
 	err            error
@@ -89,6 +90,8 @@
 	http      *http.Client
 	addresses []string
 	expires   time.Time
+	counted   bool          // http dials with dialCounted
+	timeout   time.Duration // callerTimeout if it is zero
 }
 
 // address returns a random address of the last resolution and resolves again after it has expired.
@@ -200,13 +203,18 @@
 }
 
 func (c *soakCaller) exchange(a *soakAnswer) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	timeout := cmp.Or(c.timeout, callerTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	// A body that can't be read twice keeps the HTTP client from retrying.
-	body := "x"
+	body := cmp.Or(a.body, "x")
 	if c.s.ownPrompts {
 		body = cmp.Or(a.stream.root, a.id)
 	}
+	var w writes
+	if c.counted {
+		ctx = w.trace(ctx)
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.vm+a.path, io.NopCloser(strings.NewReader(body)))
 	if err != nil {
 		a.err = err
@@ -214,7 +222,7 @@
 	}
 	req.ContentLength, req.Host = int64(len(body)), soakHost
 	req.Header.Set("Attempt-Id", a.id)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	req.Header.Set("Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
 	if a.path == pathResumable || a.path == pathOnce {
 		req.Header.Set("Token-Count", "300,20")
 		req.Header.Set("Prompt-Prefix", fmt.Sprintf("aa%d:200,%x:100", c.rng.IntN(4), c.rng.Uint32()))
@@ -227,7 +235,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		a.err = err
+		a.err, a.unwritten = err, c.counted && w.unwritten()
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/scenarios/soak_test.go
+++ b/scenarios/soak_test.go
@@ -13,6 +13,7 @@
 	soakSeeds = flag.Int("soak.seeds", 0, "number of seeds that the soak runs in addition to the kept ones")
 	soakFirst = flag.Int64("soak.first", 1000, "the first of these seeds")
 	soakOld   = flag.String("soak.old", "", "path of another build of fescue-node that every other VM runs")
+	soakNode  = flag.String("soak.node", "", "path of another build of fescue-node that all VMs run")
 )
 
 // soakKept lists the seeds that CI runs: one with planned work only, one with faults of all kinds, and
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -89,6 +89,7 @@
 type soakConfig struct {
 	reads   []string      // the services that share the route for reads
 	streams []string      // those that share the routes for streams, nil for the engines' only one
+	pays    []string      // those that share the route for non-idempotent calls, nil for the first one
 	timeout time.Duration // of all routes, zero for the default
 	idle    time.Duration // limit of callers' connections, zero for the default
 
@@ -222,8 +223,9 @@
 	v.proc = &process{
 		name: v.name, args: []string{"fescue-node", "--config", s.file(v, "json")}, log: s.file(v, "log"),
 	}
+	v.proc.binary = *soakNode
 	if i%2 == 1 {
-		v.proc.binary = *soakOld
+		v.proc.binary = cmp.Or(*soakOld, *soakNode)
 	}
 	assert.NilError(s.t, v.proc.start())
 }
@@ -270,6 +272,10 @@
 	if streams == nil {
 		streams = []string{soakEngineService}
 	}
+	pays := c.pays
+	if pays == nil {
+		pays = []string{"s"}
+	}
 	services := []string{`{"name": "s"}`, `{"name": "t"}`}
 	for _, name := range engineServices {
 		services = append(services, fmt.Sprintf(`{"name": %q, "engine": {"slots": 32, "kvTokens": 100000}}`, name))
@@ -277,7 +283,7 @@
 	const resumable, stream = `, "resumable": true, "targetLatencyMs": 400, "gapAimMs": 200`, `, "targetLatencyMs": 400, "gapAimMs": 200`
 	routes := []string{
 		route(pathOnce, "streaming", streams, stream),
-		route(pathPay, "non_idempotent", []string{"s"}, ""), route(pathReads, "idempotent", c.reads, ""),
+		route(pathPay, "non_idempotent", pays, ""), route(pathReads, "idempotent", c.reads, ""),
 	}
 	if !c.removed {
 		routes = append(routes, route(pathResumable, "streaming", streams, resumable))
