--- a/internal/gateway/drain_speed_test.go
+++ b/internal/gateway/drain_speed_test.go
@@ -37,6 +37,7 @@
 	sendTo time.Duration // time after the signal of the last request
 	slowed time.Duration // time from the signal to a slowdown, negative before the signal; zero for at the signal
 	slow   int           // number of the engines that slow down
+	queue  time.Duration // for which requests wait at the engines for others' requests
 }
 
 // drainedStream is a request during a shutdown.
@@ -56,10 +57,14 @@
 func (s drainedStream) cutOff() bool { return s.status == http.StatusOK && s.ended > drainTime }
 
 // pacedEngine answers streams with an event for each token.
-type pacedEngine struct{ tokenTime atomic.Int64 }
+type pacedEngine struct {
+	tokenTime atomic.Int64
+	queue     time.Duration // before a request runs
+}
 
 func (e *pacedEngine) handle(_ *backend, _ int, r *http.Request, c net.Conn) bool {
 	tokens, _ := strconv.Atoi(r.Header.Get("Answer-Tokens"))
+	time.Sleep(e.queue)
 	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
 		return false
 	}
@@ -96,7 +101,7 @@
 		w.addEndpoint(fmt.Sprint("p", i), catalog.Prefill, w.serve(t, answerStaying))
 	}
 	for i := range 4 {
-		e := &pacedEngine{}
+		e := &pacedEngine{queue: load.queue}
 		e.tokenTime.Store(int64(tokenTime))
 		b := w.serve(t, e.handle)
 		d.engines, d.decodes = append(d.engines, e), append(d.decodes, b)
@@ -235,3 +240,30 @@
 		}
 	}
 }
+
+// Guards against streams that a VM takes during its shutdown and cuts off at its end, as they wait in the queues of
+// their engines before they run.
+func TestStreamsThatQueueAtTheirEnginesAreLeftToOtherVMs(t *testing.T) {
+	for name, load := range map[string]drainLoad{
+		"limits of their own": {queue: queueTime},
+		"limit of the route":  {queue: queueTime, limit: maxTokens},
+	} {
+		load.sendTo = drainTime
+		for seed := range *drainSeeds {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				d := newDrainWorld(t, w, seed, load)
+				taken := 0
+				for _, s := range d.run(d.shortTokens) {
+					assert.Check(t, !s.cutOff(), "%s, seed %d: %s", name, seed, s)
+					if s.status == http.StatusOK {
+						taken++
+					}
+				}
+				assert.Check(t, taken > 0, "%s, seed %d: none was taken", name, seed)
+			})
+		}
+	}
+}
+
+// queueTime is shorter than a silence after which another engine is asked.
+const queueTime = 450 * time.Millisecond
