Test ports: a port that is reserved elsewhere isn't tried

A VM of a run ended at its start with "bind: address already in use" and the run failed after 120 s, as a test process binds each port to see whether it is free before it looks whether another process has reserved it. Its owner may be opening it at that moment. The reservation is made first now.

TestReservedPortsCanBeOpenedAtAnyTime failed before.

--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -27,12 +27,16 @@
 	for {
 		port := firstPort + (int(nextPort.Add(1))-firstPort)%(lastPort-firstPort)
 		addr := net.JoinHostPort("127.0.0.1", fmt.Sprint(port))
-		if isFree(addr) && reserve(port) {
+		if take(port, addr) {
 			return addr
 		}
 	}
 }
 
+// take reserves a port and reports whether it is free. A port that another test process has reserved isn't tried: its
+// owner may be opening it at that moment.
+func take(port int, addr string) bool { return reserve(port) && isFree(addr) }
+
 // reservations keeps the locks of ports until the process ends.
 var reservations sync.Map
 
