Test of a late append: the delay isn't shorter than a loaded machine's call

TestLateAppendIsOrderedAfterLaterAppends failed once beside a load of 31: the stand-in delays the first append by 50 ms, and the second, which has to be executed before it, took longer. The delay is 2 s now and the read waits accordingly; what is asserted is the same.

--- a/internal/standin/logservice/logservice_test.go
+++ b/internal/standin/logservice/logservice_test.go
@@ -89,7 +89,7 @@
 // after later records.
 func TestLateAppendIsOrderedAfterLaterAppends(t *testing.T) {
 	s, l := start(t, Config{})
-	setFault(t, s, `{"name":"late-append","count":1,"delay":"50ms"}`)
+	setFault(t, s, `{"name":"late-append","count":1,"delay":"2s"}`)
 	_, err := l.Append(t.Context(), "s", []byte("late"))
 	assert.ErrorIs(t, err, driver.ErrConnectionLost)
 	_, err = l.Append(t.Context(), "s", []byte("next,"))
@@ -97,7 +97,7 @@
 	p, err := l.Read(t.Context(), "s", 1, 10, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, texts(p), "next,")
-	_, err = l.Read(t.Context(), "s", 2, 10, 5*time.Second)
+	_, err = l.Read(t.Context(), "s", 2, 10, 10*time.Second)
 	assert.NilError(t, err)
 	p, err = l.Read(t.Context(), "s", 1, 10, 0)
 	assert.NilError(t, err)
