Dispatch: a commit that is sent again has another attempt

A commit could run twice where all endpoints of a service had refused it and it came back to one of them: a late copy of the refusal, on the connection of the next attempt, had the same id and counted as its refusal. The id tells late answers from that to the attempt only if each attempt has its own, as those of lookups have.

TestACommitThatIsSentAgainHasAnotherAttempt sees one id for three attempts without the change. The commits stream keeps the first one; nothing compares it with that at the endpoint. The packages dispatch and commit pass.

--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -244,6 +245,24 @@
 	}
 }
 
+// Guards against a commit that is executed twice, as a late copy of an endpoint's refusal counts as that of the next
+// attempt there: the id tells them apart.
+func TestACommitThatIsSentAgainHasAnotherAttempt(t *testing.T) {
+	s := &script{call: func(n int64) ([]byte, error) {
+		if n < 3 {
+			return nil, driver.ErrRefused
+		}
+		return nil, nil
+	}}
+	d := startDispatcher(t, s, 1, withBudget())
+	_, err := d.Dispatch(t.Context(), &commit.Call{Service: "svc", Attempt: "a"}, func() error { return nil })
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.called), 3)
+	assert.Equal(t, s.called[0], "a")
+	slices.Sort(s.called)
+	assert.Equal(t, len(slices.Compact(s.called)), 3)
+}
+
 // Before a control process changes an engine, it asks what is in flight there. If the answer is
 // none, no request that chose the engine earlier may still reach it; otherwise the change would
 // interrupt it. A newer control process must be able to reopen the engine after the first one died,
--- a/internal/entry/dispatch/fakes_test.go
+++ b/internal/entry/dispatch/fakes_test.go
@@ -34,6 +34,7 @@
 
 	mu      sync.Mutex             // held while the functions of the script are called
 	streams map[string]*fakeStream // by attempt
+	called  []string               // attempts of calls
 }
 
 func (s *script) outcome(engine string, r *driver.GenerateRequest) (end error, refuse error) {
@@ -195,7 +196,10 @@
 
 type fakeService struct{ s *script }
 
-func (f *fakeService) Call(context.Context, *driver.Call) ([]byte, error) {
+func (f *fakeService) Call(_ context.Context, c *driver.Call) ([]byte, error) {
+	f.s.mu.Lock()
+	f.s.called = append(f.s.called, c.Attempt)
+	f.s.mu.Unlock()
 	return f.s.call(f.s.attempts.Add(1))
 }
 func (f *fakeService) Report(context.Context) (driver.LoadReport, error) {
--- a/internal/entry/dispatch/service.go
+++ b/internal/entry/dispatch/service.go
@@ -144,6 +144,7 @@
 	pool := fleet.ServicePool(c.Service)
 	var exclude []*route.Endpoint
 	var lastErr error
+	attempt := c.Attempt
 	for n := 0; n < maxAttempts; {
 		if err := permit(); err != nil {
 			return nil, errors.Join(lastErr, err)
@@ -152,12 +153,13 @@
 			return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, ctx.Err())
 		}
 		body, ep, err := d.callOnce(ctx, pool, exclude, &driver.Call{
-			Attempt: c.Attempt, Operation: c.Operation, Key: c.Key, Body: c.Body,
+			Attempt: attempt, Operation: c.Operation, Key: c.Key, Body: c.Body,
 		})
 		if err == nil || ep != nil && !notExecuted(err) {
 			return body, err
 		}
 		lastErr = errors.Join(driver.ErrNotSent, err)
+		attempt = d.newAttempt() // a late copy of this refusal isn't taken for that of the next attempt
 		if ep == nil {
 			exclude = nil
 			sleep(ctx, callRetryDelay)
