Gateway: an answer that isn't verified in time isn't whole

A part of an answer with neither a length nor chunks was delivered with 200 where the caller's time ended while the VM still looked whether the endpoint lived: a check that was broken off counted as an inconclusive one.

TestAnswerThatCannotBeVerifiedInTimeIsNotWhole: the endpoint writes "part", closes the connection and can't be reached any more. 200 "part" without the change, 504 with it. The package's tests pass.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -109,7 +109,10 @@
 		ctx := context.WithoutCancel(x.callCtx)
 		x.inBackground(func() { x.verifyLater(ctx, a, endedAt) })
 	}
-	if a.isEmpty() {
+	switch {
+	case life == exchange.Unknown && x.ctx.Err() != nil:
+		return result{outcome: gone, code: code.DeadlineMissed, err: x.ctx.Err()}
+	case a.isEmpty():
 		return result{outcome: lost, code: code.BadAnswer, err: errEmptyAnswer}
 	}
 	return result{outcome: answered}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -79,3 +79,24 @@
 		assert.Assert(t, dials <= 11, "%d connections for ten answers", dials)
 	})
 }
+
+// Guards against a part of an answer that is delivered as a whole one, as the caller's time was over before the endpoint
+// could be found to have ended.
+func TestAnswerThatCannotBeVerifiedInTimeIsNotWhole(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(commitRoute)
+		host := w.network.NewHost()
+		ln, err := host.Listen(0)
+		assert.NilError(t, err)
+		w.addEndpoint("a", catalog.Whole, serveOn(t, ln, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			write("HTTP/1.1 200 OK\r\nSeal: s\r\n\r\npart")(c)
+			_ = c.Close()
+			time.Sleep(testLatency + 2*testJitter) // the end has arrived, and no new connection is open
+			host.Silence()
+			return false
+		}))
+		resp, body, err := w.request(t, "POST", "/x/", "x", "Patience", "100")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout, body)
+	})
+}
