Exchange: a test that nothing arrives of a request that was not sent

Short and long requests on new and used connections, whose exchanges are given up after 0 to 0.4 ms, while they connect or write.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -262,6 +263,67 @@
 
 // A response without Content-Length or chunked encoding ends when the connection closes. Guards
 // against treating one that was truncated by a reset as complete.
+// Guards against a request that counts as not sent though a part of it has arrived, as the exchange was given up while it
+// was connecting or writing, on a new connection or on one that was in use before.
+func TestNothingArrivesOfARequestThatWasNotSent(t *testing.T) {
+	const connections, requests = 8, 300
+	var mu sync.Mutex
+	arrived := map[string]bool{} // targets
+	e := listen(t, func(_ *endpoint, _ int, c net.Conn, br *bufio.Reader) {
+		for {
+			line, err := br.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if _, target, ok := strings.Cut(line, " /"); ok {
+				mu.Lock()
+				arrived[target[:strings.Index(target, " ")]] = true
+				mu.Unlock()
+			}
+			if line == "\r\n" {
+				_, _ = br.Discard(len("body"))
+				answer(c, ok)
+			}
+		}
+	})
+	p := NewPool()
+	notSent := map[string]bool{}
+	var all sync.WaitGroup
+	for i := range connections {
+		random := rand.New(rand.NewPCG(1, uint64(i)))
+		all.Go(func() {
+			for n := range requests {
+				target := fmt.Sprintf("%d-%d", i, n)
+				body := make([]byte, len("body"))
+				if n%3 == 0 {
+					body = make([]byte, 64*maxInlineWrite) // the endpoint reads it as lines
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(random.IntN(400))*time.Microsecond)
+				resp, err := p.Do(ctx, e.addr, &Request{Method: "POST", Target: "/" + target, Host: "h", Body: body})
+				if err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					resp.Close()
+				}
+				cancel()
+				mu.Lock()
+				notSent[target] = errors.Is(err, driver.ErrNotSent)
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	time.Sleep(lifeCheckTime) // what has been sent arrives
+	mu.Lock()
+	defer mu.Unlock()
+	counts := map[bool]int{}
+	for target, not := range notSent {
+		counts[not]++
+		assert.Assert(t, !not || !arrived[target], target)
+	}
+	t.Log(counts, len(arrived))
+	assert.Assert(t, counts[true] > 0 && counts[false] > 0 && len(arrived) > 0, "%v, %d arrived", counts, len(arrived))
+}
+
 func TestResetOfResponseWithoutLengthIsAnError(t *testing.T) {
 	e := listen(t, func(e *endpoint, n int, c net.Conn, br *bufio.Reader) {
 		e.read(br)
