Gateway: a test that repeats follow the configuration of the arrival

A route becomes repeatable, resumable, gets more attempts or leads to another service while an endpoint runs a request and breaks off: the runs stay those that the configuration of the arrival allows. No change of the code was needed.

--- a/internal/gateway/config_change_test.go
+++ b/internal/gateway/config_change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -179,3 +180,42 @@
 	assert.Equal(t, len(s.faults), 0, "%s", strings.Join(s.faults, "\n"))
 	assert.Assert(t, s.whole > 0)
 }
+
+// Guards against a request that is repeated by another configuration than that by which it was accepted: its route
+// becomes repeatable, may have more attempts or leads to another service while an endpoint runs it.
+func TestRepeatsFollowTheConfigurationOfTheArrival(t *testing.T) {
+	for name, tc := range map[string]struct {
+		arrival, later catalog.Route
+		runs           int32
+	}{
+		"kind":     {commitRoute, catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 5}, 1},
+		"resumed":  {catalog.Route{Kind: catalog.Stream, MaxAttempts: 5}, catalog.Route{Kind: catalog.Stream, MaxAttempts: 5, Resumable: true}, 1},
+		"attempts": {lookupRoute, catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 5}, 2},
+		"service":  {lookupRoute, catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 2, Shares: []catalog.Share{{Service: "other", Weight: 1}}}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(tc.arrival)
+				b := w.serve(t, func(b *backend, _ int, _ *http.Request, _ net.Conn) bool {
+					b.runs.Add(1)
+					changed := tc.later
+					changed.Name, changed.Host, changed.PathPrefix = "r", "h.example", "/x/"
+					if changed.Shares == nil {
+						changed.Shares = []catalog.Share{{Service: "s", Weight: 1}}
+					}
+					services := []*catalog.Service{{Name: "s", Engine: &catalog.Engine{CacheTokens: 100_000}}, {Name: "other"}}
+					w.store.SetConfig(catalog.NewConfig(uint64(time.Now().UnixNano()), []*catalog.Route{&changed}, services))
+					time.Sleep(silenceCallTime)
+					return false
+				})
+				for _, id := range []string{"a", "b", "c", "d"} {
+					w.addEndpoint(id, catalog.Whole, b)
+				}
+				resp, _, err := w.request(t, "POST", "/x/", "x", "Tokens", "100")
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+				assert.Equal(t, b.runs.Load(), tc.runs)
+			})
+		})
+	}
+}
