Peers: a request to a draining peer cuts no answer

Callers of the own interface whose requests had been forwarded to a peer got broken answers, or that of an unknown outcome, when that peer began to shut down too.

Cause: a peer that drains tells its links that it takes no further requests, and still answers those that it has taken. The next request to it, such as a gossip message, failed to open a stream and closed the whole link, with all answers that were in progress on it.

Evidence: TestRequestToADrainingPeerCutsNoAnswer.

The link stays open where opening a stream fails for that reason. It ends with the peer, and the next request connects anew. Other failures to open a stream close the link as before.

--- a/internal/peer/drain_test.go
+++ b/internal/peer/drain_test.go
@@ -131,3 +131,52 @@
 	cancel()
 	assert.NilError(t, <-served)
 }
+
+// slowHandler answers a forwarded call in two frames, the second of which waits.
+type slowHandler struct {
+	echoHandler
+	resume chan struct{}
+}
+
+func (h *slowHandler) Forward(_ context.Context, _ *wire.Hello, _ *wire.Forward, send func(*wire.ForwardFrame) error) error {
+	if err := send(&wire.ForwardFrame{Status: 200}); err != nil {
+		return err
+	}
+	<-h.resume
+	return send(&wire.ForwardFrame{End: true})
+}
+
+// Guards against answers that are cut off as another request is sent to the peer, which takes no further ones and still
+// answers those that it has taken.
+func TestRequestToADrainingPeerCutsNoAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	h := &slowHandler{resume: make(chan struct{})}
+	s := NewServer(hello("server"), h)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ctx, ln) }()
+	p := NewPool(hello("client"))
+	defer func() { _ = p.Close() }()
+	frames, err := p.Forward(t.Context(), ln.Addr().String(), &wire.Forward{Path: "/x"})
+	assert.NilError(t, err)
+	_, err = frames.Next()
+	assert.NilError(t, err)
+
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	for refused := false; !refused; {
+		_, err := p.Call(t.Context(), ln.Addr().String(), &wire.PeerRequest{})
+		refused = err != nil
+	}
+	_, err = p.Forward(t.Context(), ln.Addr().String(), &wire.Forward{Path: "/x"})
+	assert.Equal(t, code.Of(err).Run, code.NotRun, "%v", err)
+	close(h.resume)
+	last, err := frames.Next()
+	assert.NilError(t, err)
+	assert.Assert(t, last.End)
+	assert.NilError(t, frames.Close())
+	assert.NilError(t, <-drained)
+	cancel()
+	assert.NilError(t, <-served)
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -174,6 +174,10 @@
 		return nil, err
 	}
 	stream, err := session.OpenStream()
+	if errors.Is(err, yamux.ErrRemoteGoAway) {
+		// The peer still answers the requests that it has taken.
+		return nil, code.Wrap(code.PeerGone, err, "%s takes no further requests", addr)
+	}
 	if err != nil {
 		_ = session.Close()
 		return nil, code.Wrap(code.PeerGone, err, "stream to %s", addr)
