HTTP driver: engines' refusals of other attempts are no refusals either

A completion counted as not run, and was sent to another engine, while its engine ran it: the engine had answered with the refusal of another attempt.

Cause: the refusal's attempt was compared with that of the request's header, which only calls of plain services have. Completions, prefills and exports name their attempt in the body, so theirs wasn't compared.

The attempt is now part of each request in the driver, whatever carries it to the endpoint. A failure that names no attempt counts as the request's own, as before.

--- a/internal/driver/httpdriver/client.go
+++ b/internal/driver/httpdriver/client.go
@@ -78,20 +78,28 @@
 
 func (onceBody) Close() error { return nil }
 
+// request is a request to an endpoint.
+type request struct {
+	method, path string
+	header       http.Header
+	body         []byte
+	attempt      string // that the answer repeats, empty if it names none
+}
+
 // send sends one request and returns the answer if its status is 2xx.
-func (c *client) send(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, nil)
+func (c *client) send(ctx context.Context, r *request) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+c.address+r.path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
 	}
-	if method != http.MethodGet {
-		req.Body = onceBody{bytes.NewReader(body)}
-		req.ContentLength = int64(len(body))
-		if len(body) == 0 {
+	if r.method != http.MethodGet {
+		req.Body = onceBody{bytes.NewReader(r.body)}
+		req.ContentLength = int64(len(r.body))
+		if len(r.body) == 0 {
 			req.ContentLength = -1 // with 0, net/http would replace the body
 		}
 	}
-	for k, v := range header {
+	for k, v := range r.header {
 		req.Header[k] = v
 	}
 	if c.opts.client != "" {
@@ -105,8 +113,8 @@
 	if resp.StatusCode < 200 || resp.StatusCode > 299 {
 		defer func() { _ = resp.Body.Close() }()
 		// The failure of another attempt says nothing of this one.
-		if got, want := resp.Header.Get(httpapi.HeaderAttempt), header.Get(httpapi.HeaderAttempt); got != "" && want != "" && got != want {
-			return nil, wrongAttempt(want, got)
+		if got := resp.Header.Get(httpapi.HeaderAttempt); got != "" && r.attempt != "" && got != r.attempt {
+			return nil, wrongAttempt(r.attempt, got)
 		}
 		return nil, failure(resp)
 	}
@@ -201,19 +209,20 @@
 	if len(query) > 0 {
 		path += "?" + query.Encode()
 	}
-	resp, err := c.send(ctx, http.MethodGet, path, nil, nil)
+	resp, err := c.send(ctx, &request{method: http.MethodGet, path: path})
 	if err != nil {
 		return err
 	}
 	return decode(resp, v, fields...)
 }
 
-func (c *client) post(ctx context.Context, path string, body, v any, fields ...string) (*http.Response, error) {
+// post sends a request of an attempt.
+func (c *client) post(ctx context.Context, path, attempt string, body, v any, fields ...string) (*http.Response, error) {
 	b, err := json.Marshal(body)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
 	}
-	resp, err := c.send(ctx, http.MethodPost, path, nil, b)
+	resp, err := c.send(ctx, &request{method: http.MethodPost, path: path, body: b, attempt: attempt})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/driver/httpdriver/engine.go
+++ b/internal/driver/httpdriver/engine.go
@@ -43,7 +43,7 @@
 // Prefill implements driver.Engine.
 func (e *engine) Prefill(ctx context.Context, req *driver.GenerateRequest) (driver.KVHandle, error) {
 	var h driver.KVHandle
-	resp, err := e.post(ctx, httpapi.PathPrefill, generateBody(req), &h, "id")
+	resp, err := e.post(ctx, httpapi.PathPrefill, req.Attempt, generateBody(req), &h, "id")
 	if err != nil {
 		return driver.KVHandle{}, err
 	}
@@ -56,7 +56,7 @@
 // Generate implements driver.Engine.
 func (e *engine) Generate(ctx context.Context, req *driver.GenerateRequest) (driver.TokenStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := e.post(ctx, httpapi.PathGenerate, generateBody(req), nil)
+	resp, err := e.post(ctx, httpapi.PathGenerate, req.Attempt, generateBody(req), nil)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -72,7 +72,7 @@
 // Export implements driver.Engine.
 func (e *engine) Export(ctx context.Context, attempt string) (driver.KVHandle, error) {
 	var h driver.KVHandle
-	_, err := e.post(ctx, httpapi.PathExport, httpapi.Export{Attempt: attempt}, &h, "id")
+	_, err := e.post(ctx, httpapi.PathExport, attempt, httpapi.Export{Attempt: attempt}, &h, "id")
 	return h, err
 }
 
--- a/internal/driver/httpdriver/platform.go
+++ b/internal/driver/httpdriver/platform.go
@@ -18,7 +18,7 @@
 
 // Append implements driver.Log.
 func (l *logService) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
-	resp, err := l.send(ctx, http.MethodPost, httpapi.PathStreams+url.PathEscape(stream), nil, data)
+	resp, err := l.send(ctx, &request{method: http.MethodPost, path: httpapi.PathStreams + url.PathEscape(stream), body: data})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/driver/httpdriver/service.go
+++ b/internal/driver/httpdriver/service.go
@@ -20,7 +20,9 @@
 	if c.Key != "" {
 		h.Set(httpapi.HeaderKey, c.Key)
 	}
-	resp, err := s.send(ctx, http.MethodPost, httpapi.PathCall+url.PathEscape(c.Operation), h, c.Body)
+	resp, err := s.send(ctx, &request{
+		method: http.MethodPost, path: httpapi.PathCall + url.PathEscape(c.Operation), header: h, body: c.Body, attempt: c.Attempt,
+	})
 	if err != nil {
 		return nil, err
 	}
