Commits: each call of a commit is an attempt of its own

A commit could run twice, or be refused with a promise while it ran: a service that had refused it sent that answer again, late, on the kept connection on which the commit came back.

Cause: a commit that is refused is sent to another endpoint, and to the same one if there is no other, each time with the same attempt id. Only that id tells a late answer from the one that is due.

Evidence: TestEachCallOfACommitIsAnAttemptOfItsOwn. Without the change all calls of a commit at a service with one endpoint bear the id "w.1".

Calls after a refused one add its number to the id.

--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -244,6 +244,24 @@
 	}
 }
 
+// Guards against a commit that runs twice: a service sends its refusal again, late, when the commit has come back to it,
+// and only the id of the attempt tells that answer from the one that is due.
+func TestEachCallOfACommitIsAnAttemptOfItsOwn(t *testing.T) {
+	seen := map[string]bool{}
+	s := &script{
+		call: func(int64) ([]byte, error) { return nil, driver.ErrRefused },
+		onCall: func(c *driver.Call) {
+			assert.Check(t, !seen[c.Attempt], "attempt %q again", c.Attempt)
+			seen[c.Attempt] = true
+		},
+	}
+	d := startDispatcher(t, s, 1, withBudget())
+	_, err := d.Dispatch(t.Context(), &commit.Call{Service: "svc", Attempt: "w.1"}, func() error { return nil })
+	assert.ErrorIs(t, err, driver.ErrRefused)
+	assert.Assert(t, len(seen) > 1)
+	assert.Assert(t, seen["w.1"])
+}
+
 // Before a control process changes an engine, it asks what is in flight there. If the answer is
 // none, no request that chose the engine earlier may still reach it; otherwise the change would
 // interrupt it. A newer control process must be able to reopen the engine after the first one died,
--- a/internal/entry/dispatch/fakes_test.go
+++ b/internal/entry/dispatch/fakes_test.go
@@ -20,6 +20,7 @@
 	// openAt is used instead of open if it is set.
 	openAt func(engine string, n int64) (end error, refuse error)
 	call   func(n int64) ([]byte, error)
+	onCall func(c *driver.Call) // nil if nothing observes calls
 	// export returns the error of an export; nil ends the exported attempt. Without it, engines
 	// refuse exports.
 	export func() error
@@ -195,8 +196,12 @@
 
 type fakeService struct{ s *script }
 
-func (f *fakeService) Call(context.Context, *driver.Call) ([]byte, error) {
-	return f.s.call(f.s.attempts.Add(1))
+func (f *fakeService) Call(_ context.Context, c *driver.Call) ([]byte, error) {
+	n := f.s.attempts.Add(1)
+	if f.s.onCall != nil {
+		f.s.onCall(c)
+	}
+	return f.s.call(n)
 }
 func (f *fakeService) Report(context.Context) (driver.LoadReport, error) {
 	return driver.LoadReport{}, nil
--- a/internal/entry/dispatch/service.go
+++ b/internal/entry/dispatch/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"fescuestand/internal/code"
@@ -152,7 +153,7 @@
 			return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, ctx.Err())
 		}
 		body, ep, err := d.callOnce(ctx, pool, exclude, &driver.Call{
-			Attempt: c.Attempt, Operation: c.Operation, Key: c.Key, Body: c.Body,
+			Attempt: attemptID(c, n), Operation: c.Operation, Key: c.Key, Body: c.Body,
 		})
 		if err == nil || ep != nil && !notExecuted(err) {
 			return body, err
@@ -168,3 +169,11 @@
 	}
 	return nil, lastErr
 }
+
+// attemptID returns the id of a commit's call after n refused ones. It tells their answers from that of the call.
+func attemptID(c *commit.Call, n int) string {
+	if n == 0 {
+		return c.Attempt
+	}
+	return c.Attempt + "/" + strconv.Itoa(n)
+}
