Calls: lookups and commits share no attempt

The answer to a lookup could be taken for that to a commit, and the other way round, as a late answer is told from the one that is due by its attempt id: the process numbers its commits and its other calls separately, and gave both the same ids.

Evidence: TestLookupsAndCommitsShareNoAttempt. Without the change the first lookup after a process's first commit has the commit's id, "w.1". Whether an operator has seen this isn't known.

Attempts of the dispatcher have another form than those of the committer. With the change two runs of the package dispatch pass.

--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -72,7 +72,7 @@
 func (d *Dispatcher) Counts() *Counts { return d.counts }
 
 func (d *Dispatcher) newAttempt() string {
-	return fmt.Sprintf("%s.%d", d.writer, d.attempts.Add(1))
+	return fmt.Sprintf("%s/%d", d.writer, d.attempts.Add(1))
 }
 
 // admitInterval is how often the queues check for free slots and for requests that can no longer
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -262,6 +262,25 @@
 	assert.Assert(t, seen["w.1"])
 }
 
+// Guards against the answer to a lookup that is taken for that of a commit: the process numbers both, and gave them the
+// same ids.
+func TestLookupsAndCommitsShareNoAttempt(t *testing.T) {
+	seen := map[string]bool{}
+	s := &script{
+		call: func(int64) ([]byte, error) { return nil, nil },
+		onCall: func(c *driver.Call) {
+			assert.Check(t, !seen[c.Attempt], "attempt %q again", c.Attempt)
+			seen[c.Attempt] = true
+		},
+	}
+	d := startDispatcher(t, s, 1, withBudget())
+	_, err := d.Dispatch(t.Context(), &commit.Call{Service: "svc", Attempt: "w.1"}, func() error { return nil })
+	assert.NilError(t, err)
+	_, err = d.Lookup(t.Context(), &callerapi.Call{Service: "svc", Operation: "op"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(seen), 2)
+}
+
 // Before a control process changes an engine, it asks what is in flight there. If the answer is
 // none, no request that chose the engine earlier may still reach it; otherwise the change would
 // interrupt it. A newer control process must be able to reopen the engine after the first one died,
