Exchange: no request follows one without an id on a connection

A request could be refused with a promise, or sent once more, while an endpoint ran it: the endpoint had rejected an order or a report before, and sent that answer again, late, on the kept connection on which the request followed.

Cause: requests of callers share their connections with orders, reports, lists of cached parts and releases of KV caches, which have no id. A late answer to one of these has none either, so that it counts as the answer to the request. A rejection such as 421 then says that the request hasn't run.

Evidence: TestLateCopyOfARejectionWithoutAnIDIsNoAnswer. Without the change the caller gets 503 while the endpoint runs the request. Whether an endpoint has sent such an answer twice isn't known.

A connection that has carried a request without an id carries no request that has one. It is still used for others without an id. Each order, list or release may take a connection from the requests, and cost a new one.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -22,6 +22,7 @@
 	received    int64    // bytes received in the exchange in progress
 	header      headerBound
 	latestID    string // of the latest request
+	unnamed     bool   // has carried a request without an ID
 	firstUse    bool   // carries its first exchange
 	dialedAt    time.Time
 	idleAt      time.Time // when it was returned to the pool
@@ -51,6 +52,17 @@
 	return n, err
 }
 
+// begin records that the connection carries r.
+func (c *conn) begin(r *Request) {
+	c.latestID = r.ID
+	c.unnamed = c.unnamed || r.ID == ""
+}
+
+// mayCarry reports whether no late response to an earlier request can be taken for that to r.
+func (c *conn) mayCarry(r *Request) bool {
+	return r.ID == "" || r.ID != c.latestID && !c.unnamed
+}
+
 // boundSendBuffer bounds what the kernel holds for an endpoint that reads slowly. Its own limit is several MB.
 func (c *conn) boundSendBuffer() {
 	if b, ok := c.Conn.(interface{ SetWriteBuffer(bytes int) error }); ok && !c.bounded {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -68,7 +68,8 @@
 	Header http.Header // without Host, Content-Length and hop-by-hop fields
 	Body   []byte
 	// ID is that of the request in its responses, empty if they have none. A request that is sent once more doesn't
-	// follow itself on a connection, where a late copy of the earlier response would be taken for its own.
+	// follow itself on a connection, where a late copy of the earlier response would be taken for its own, nor a request
+	// without an ID, whose response doesn't show that it is another one's.
 	ID string
 	// NoRetry marks a request that must not be retried after a lost connection, since it may
 	// have run. It is sent only on new or recently used connections, which the endpoint is
@@ -201,12 +202,13 @@
 		if c == nil {
 			c, err := p.dial(ctx, addr)
 			if err == nil {
-				c.latestID = r.ID
+				c.begin(r)
 			}
 			return c, err
 		}
 		if c.watch.end(c) && c.reusable() {
-			c.firstUse, c.received, c.watch, c.latestID = false, 0, nil, r.ID
+			c.firstUse, c.received, c.watch = false, 0, nil
+			c.begin(r)
 			return c, nil
 		}
 		_ = c.Close()
@@ -224,7 +226,7 @@
 	defer p.mu.Unlock()
 	list := p.idle[addr]
 	i := len(list) - 1
-	for i >= 0 && r.ID != "" && list[i].latestID == r.ID {
+	for i >= 0 && !list[i].mayCarry(r) {
 		i--
 	}
 	if i < 0 {
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/catalog"
+	"fescuestand/internal/exchange"
 )
 
 // Guards against a request that is refused with a promise, or sent once more, while an endpoint runs it: the endpoint has
@@ -40,6 +42,39 @@
 	})
 }
 
+// Guards against a request that is refused with a promise, or sent once more, while an endpoint runs it: the endpoint has
+// rejected a request without an id, and sends that answer again, late, on the connection.
+func TestLateCopyOfARejectionWithoutAnIDIsNoAnswer(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(commitRoute)
+		const rejection = "HTTP/1.1 421 X\r\nContent-Length: 0\r\nGone: 1\r\n\r\n"
+		rejected := map[net.Conn]bool{}
+		b := w.serve(t, func(b *backend, _ int, r *http.Request, c net.Conn) bool {
+			if r.URL.Path == "/report" {
+				rejected[c] = true
+				write(rejection)(c)
+				return true
+			}
+			if rejected[c] {
+				write(rejection)(c)
+			}
+			b.runs.Add(1)
+			time.Sleep(silenceCallTime)
+			return respond(c, 200, "answer", "Seal: s", "Id: 1")
+		})
+		w.addEndpoint("a", catalog.Whole, b)
+		resp, err := w.gateway.o.Pool.Do(t.Context(), b.addr, &exchange.Request{Method: "GET", Target: "/report", Host: b.addr})
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Close()
+		answer, _, err := w.request(t, "POST", "/x/", "x")
+		assert.NilError(t, err)
+		time.Sleep(settleTime)
+		assert.Equal(t, b.runs.Load(), int32(1))
+		assert.Assert(t, !promisesNotRun(answer.StatusCode), "%d", answer.StatusCode)
+	})
+}
+
 // Guards against a request that more endpoints run than its route allows: one that has run it, and was replaced in a
 // pause, goes on with the rejection of another request.
 func TestRejectionOfAnotherRequestTakesBackNoRun(t *testing.T) {
