Gateway: an empty answer with status 205 is whole

A caller whose request an endpoint had answered with status 205, without a length and by closing the connection, got 502. Such an answer has no body.

Cause: an answer without a length counts as cut if it is empty. Those with status 204 and 304, and answers to HEAD, were known to have no body.

Evidence: TestAnswerWhoseStatusHasNoContentIsWhole/205: 502 without the change, 205 before and with the change. The gateway's tests of answers and cuts pass.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -109,7 +110,7 @@
 		ctx := context.WithoutCancel(x.callCtx)
 		x.inBackground(func() { x.verifyLater(ctx, a, endedAt) })
 	}
-	if a.isEmpty() {
+	if a.isEmpty() && resp.Status != http.StatusResetContent { // which has no body
 		return result{outcome: lost, code: code.BadAnswer, err: errEmptyAnswer}
 	}
 	return result{outcome: answered}
--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -125,6 +125,24 @@
 	})
 }
 
+// Guards against an answer without content that is lost, though its status says that it has none.
+func TestAnswerWhoseStatusHasNoContentIsWhole(t *testing.T) {
+	for _, head := range []string{"204 No Content", "205 Reset Content", "304 Not Modified"} {
+		t.Run(head, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(commitRoute)
+				w.addEndpoint("a", catalog.Whole, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+					write("HTTP/1.1 " + head + "\r\nSeal: s\r\n\r\n")(c)
+					return false
+				}))
+				resp, _, err := w.request(t, "POST", "/x/", "x")
+				assert.NilError(t, err)
+				assert.Equal(t, resp.Status, head)
+			})
+		})
+	}
+}
+
 // endsWithConnection reports whether only the end of the connection shows that of the answer.
 func (a *cutAnswer) endsWithConnection() bool {
 	field, _ := a.frame("")
