HTTP server: the end of the server resets answers of HTTP/1.0

A caller of HTTP/1.0 took the part of an answer that it had for the whole when the process ended within the answer, as at the end of a shutdown.

Cause: such an answer may have neither a length nor chunks and ends with its connection. Only a handler that failed or gave up had it reset. Closing the server closes the connections of handlers that still run in order.

Evidence: TestAnswerOfHTTP10ThatIsCutByTheEndOfTheServerIsReset. Without the change the caller reads "part" and EOF; with it the read fails with ECONNRESET, and a caller of HTTP/1.1 reads EOF as before.

The connection knows whether an answer of HTTP/1.0 is incomplete and resets itself when it is closed then, whoever closes it. That replaces the reset by the handler's end. What remains: the server is closed after the handler has returned and before the last bytes have been written, and a process that is killed.

--- a/internal/httpserver/answer.go
+++ b/internal/httpserver/answer.go
@@ -15,25 +15,51 @@
 type answer struct {
 	http.ResponseWriter
 	given bool
+	conn  *conn // of HTTP/1.0, nil for others
+}
+
+// newAnswer returns the answer to r.
+func newAnswer(w http.ResponseWriter, r *http.Request) *answer {
+	a := &answer{ResponseWriter: w}
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !r.ProtoAtLeast(1, 1) {
+		a.conn = c
+	}
+	return a
+}
+
+// begin records that the answer has begun.
+func (a *answer) begin() {
+	if !a.given {
+		a.given = true
+		a.setPartial(true)
+	}
+}
+
+// setPartial records whether the answer is incomplete. One of HTTP/1.0 may end with its connection, which is reset
+// then: an orderly end would look like that of the answer.
+func (a *answer) setPartial(partial bool) {
+	if a.conn != nil {
+		a.conn.setPartial(partial)
+	}
 }
 
 // WriteHeader implements http.ResponseWriter. An interim response is no answer.
 func (a *answer) WriteHeader(status int) {
 	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
-		a.given = true
+		a.begin()
 	}
 	a.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (a *answer) Write(b []byte) (int, error) {
-	a.given = true
+	a.begin()
 	return a.ResponseWriter.Write(b)
 }
 
 // FlushError is used by http.ResponseController.
 func (a *answer) FlushError() error {
-	a.given = true
+	a.begin()
 	return http.NewResponseController(a.ResponseWriter).Flush()
 }
 
@@ -61,38 +87,30 @@
 	if s.isDraining() {
 		w.Header().Set("Connection", "close")
 	}
-	a := &answer{ResponseWriter: w}
+	a := newAnswer(w, r)
 	defer s.endRequest(a, r)
 	s.handler.ServeHTTP(a, r)
 }
 
-// endRequest is deferred around a handler. It aborts the connection if there is no whole answer.
+// endRequest is deferred around a handler. The panic with http.ErrAbortHandler makes net/http abort the connection.
 func (s *Server) endRequest(a *answer, r *http.Request) {
 	switch f := recover(); {
 	case f == http.ErrAbortHandler: //nolint:errorlint // net/http compares it in the same way
 		s.counts.add(aborted)
-		abort(a, r)
+		panic(http.ErrAbortHandler)
 	case f != nil:
 		s.counts.add(faulty)
 		fault.Entry(s.logRequest(r).WithField("answered", a.given), f).Error("handler failed")
 		if a.given {
-			abort(a, r)
+			panic(http.ErrAbortHandler)
 		}
 		s.refuse(a, r)
 	case !a.given:
 		s.counts.add(unanswered)
 		s.logRequest(r).Error("handler gave no answer")
-		abort(a, r)
-	}
-}
-
-// abort has net/http close the connection of a request that gets no whole answer. An answer of HTTP/1.0 may end with
-// its connection, which is reset then: an orderly end would look like that of the answer.
-func abort(a *answer, r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok && a.given && !r.ProtoAtLeast(1, 1) {
-		c.resetOnClose()
+		panic(http.ErrAbortHandler)
 	}
-	panic(http.ErrAbortHandler)
+	a.setPartial(false)
 }
 
 func (s *Server) logRequest(r *http.Request) *log.Entry {
--- a/internal/httpserver/answer_test.go
+++ b/internal/httpserver/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -138,6 +139,34 @@
 	s.drain(t)
 }
 
+// Guards against a caller of HTTP/1.0 that takes the part of an answer for the whole which it got before the server was
+// closed, as at the end of a shutdown.
+func TestAnswerOfHTTP10ThatIsCutByTheEndOfTheServerIsReset(t *testing.T) {
+	for proto, want := range map[string]error{"HTTP/1.0": syscall.ECONNRESET, "HTTP/1.1": nil} {
+		ended := make(chan struct{})
+		s := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "part")
+			assert.Check(t, http.NewResponseController(w).Flush())
+			<-ended
+		}), nil, Options{})
+		c, answers := dial(t, s)
+		sendText(t, c, "GET / "+proto+"\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(answers, nil)
+		assert.NilError(t, err)
+		part := make([]byte, len("part"))
+		_, err = io.ReadFull(resp.Body, part)
+		assert.NilError(t, err)
+		assert.NilError(t, s.Close())
+		_, err = answers.ReadByte()
+		if want == nil {
+			want = io.EOF
+		}
+		assert.Check(t, errors.Is(err, want), "%s: %v", proto, err)
+		close(ended)
+		_ = resp.Body.Close()
+	}
+}
+
 // Guards against a fault that ends the process or the handling of other requests.
 func TestServerGoesOnAfterFaults(t *testing.T) {
 	s := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -34,6 +34,7 @@
 	handled     bool // the request has reached the handler
 	gaveUp      bool // the rest of its header isn't waited for
 	multiplexed bool // it carries concurrent requests (HTTP/2)
+	partial     bool // an answer is incomplete whose end may show only by that of the connection
 
 	headerSince time.Time // when the latest header began
 	wait        wait      // for the caller
@@ -111,12 +112,23 @@
 	return nil
 }
 
-// resetOnClose has Close reset the connection.
-func (c *conn) resetOnClose() {
-	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+// setPartial records whether an answer is incomplete whose end may show only by that of the connection.
+func (c *conn) setPartial(partial bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partial = partial
+}
+
+// Close implements net.Conn. It resets the connection if its answer is incomplete.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	partial := c.partial
+	c.mu.Unlock()
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && partial {
 		// A failure means that the connection has been closed.
 		_ = l.SetLinger(0)
 	}
+	return c.Conn.Close()
 }
 
 // isHandling reports whether a request is being handled on a connection that carries one at a time.
