Gateway: a whole answer beside the end of an idle connection (test, fails)

An answer with neither a length nor chunks is broken off, or refused with 502, though it is whole and its endpoint goes on: within 50 ms before its end the endpoint has closed an idle connection, for its own idle timeout or a bound of its connections, and no other one from before is open. That is taken for the end of the process.

Streams of this kind open an idle connection at their beginning, which an endpoint that names no timeout, or one below ours of 4 s, closes in their course. The test's streams end 1, 20 and 45 ms after that: all three are broken off ("unexpected EOF"), and pass on.

Not fixed: that the process lives shows only by another answer of it, or by bytes of the answer that arrive after the connection has ended, within what the order of arrival can tell.

--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -79,3 +80,46 @@
 		assert.Assert(t, dials <= 11, "%d connections for ten answers", dials)
 	})
 }
+
+// Guards against a whole answer without a length that is lost, as its endpoint closes an idle connection right before its
+// end.
+func TestAnswerBesideTheEndOfAnIdleConnectionIsWhole(t *testing.T) {
+	for name, after := range map[string]time.Duration{"1 ms": time.Millisecond, "20 ms": 20 * time.Millisecond, "45 ms": 45 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(catalog.Route{Kind: catalog.Stream, MaxAttempts: 1})
+				const idle = time.Second
+				ln, err := w.network.NewHost().Listen(0)
+				assert.NilError(t, err)
+				t.Cleanup(func() { _ = ln.Close() })
+				go serveClosingIdle(ln, idle, after)
+				w.addEndpoint("a", catalog.Whole, &backend{addr: ln.Addr().String()})
+				resp, body, err := w.request(t, "POST", "/x/", "x", "Tokens", "100")
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusOK)
+				assert.Equal(t, eventIDs(body), "1 2")
+			})
+		})
+	}
+}
+
+// serveClosingIdle serves streams without a length which end the given time after idle connections that were opened at
+// their beginning are closed.
+func serveClosingIdle(ln net.Listener, idle, after time.Duration) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			_ = c.SetReadDeadline(time.Now().Add(idle))
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			write("HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nid: 1\n\n")(c)
+			time.Sleep(idle + after)
+			write("id: 2\n\n")(c)
+		}()
+	}
+}
