--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -123,3 +123,25 @@
 		}()
 	}
 }
+
+// Guards against a part of an answer to a call that is delivered as a whole one: its endpoint, to which there was no idle
+// connection, has ended within it, and another process listens at the address at once.
+func TestCallCutByARestartAtAnUnusedEndpointIsNotWhole(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(commitRoute)
+		host := w.network.NewHost()
+		ln, err := host.Listen(0)
+		assert.NilError(t, err)
+		w.addEndpoint("a", catalog.Whole, serveOn(t, ln, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			write("HTTP/1.1 200 OK\r\nSeal: s\r\n\r\npart")(c)
+			time.Sleep(silenceCallTime)
+			host.CloseAll()
+			ln, err := host.Listen(uint16(ln.Addr().(*net.TCPAddr).Port))
+			assert.Check(t, err)
+			serveOn(t, ln, answerSigned)
+			return false
+		}))
+		resp, body, err := w.request(t, "POST", "/x/", "x")
+		assert.Assert(t, err != nil || resp.StatusCode == http.StatusBadGateway, "%d %q", resp.StatusCode, body)
+	})
+}
