--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -245,22 +244,41 @@
 	}
 }
 
-// Guards against a commit that is executed twice, as a late copy of an endpoint's refusal counts as that of the next
-// attempt there: the id tells them apart.
-func TestACommitThatIsSentAgainHasAnotherAttempt(t *testing.T) {
-	s := &script{call: func(n int64) ([]byte, error) {
-		if n < 3 {
-			return nil, driver.ErrRefused
-		}
-		return nil, nil
-	}}
+// Guards against a commit that runs twice: a service sends its refusal again, late, when the commit has come back to it,
+// and only the id of the attempt tells that answer from the one that is due.
+func TestEachCallOfACommitIsAnAttemptOfItsOwn(t *testing.T) {
+	seen := map[string]bool{}
+	s := &script{
+		call: func(int64) ([]byte, error) { return nil, driver.ErrRefused },
+		onCall: func(c *driver.Call) {
+			assert.Check(t, !seen[c.Attempt], "attempt %q again", c.Attempt)
+			seen[c.Attempt] = true
+		},
+	}
 	d := startDispatcher(t, s, 1, withBudget())
-	_, err := d.Dispatch(t.Context(), &commit.Call{Service: "svc", Attempt: "a"}, func() error { return nil })
+	_, err := d.Dispatch(t.Context(), &commit.Call{Service: "svc", Attempt: "w.1"}, func() error { return nil })
+	assert.ErrorIs(t, err, driver.ErrRefused)
+	assert.Assert(t, len(seen) > 1)
+	assert.Assert(t, seen["w.1"])
+}
+
+// Guards against the answer to a lookup that is taken for that of a commit: the process numbers both, and gave them the
+// same ids.
+func TestLookupsAndCommitsShareNoAttempt(t *testing.T) {
+	seen := map[string]bool{}
+	s := &script{
+		call: func(int64) ([]byte, error) { return nil, nil },
+		onCall: func(c *driver.Call) {
+			assert.Check(t, !seen[c.Attempt], "attempt %q again", c.Attempt)
+			seen[c.Attempt] = true
+		},
+	}
+	d := startDispatcher(t, s, 1, withBudget())
+	_, err := d.Dispatch(t.Context(), &commit.Call{Service: "svc", Attempt: "w.1"}, func() error { return nil })
+	assert.NilError(t, err)
+	_, err = d.Lookup(t.Context(), &callerapi.Call{Service: "svc", Operation: "op"})
 	assert.NilError(t, err)
-	assert.Equal(t, len(s.called), 3)
-	assert.Equal(t, s.called[0], "a")
-	slices.Sort(s.called)
-	assert.Equal(t, len(slices.Compact(s.called)), 3)
+	assert.Equal(t, len(seen), 2)
 }
 
 // Before a control process changes an engine, it asks what is in flight there. If the answer is
--- a/internal/entry/dispatch/fakes_test.go
+++ b/internal/entry/dispatch/fakes_test.go
@@ -20,6 +20,7 @@
 	// openAt is used instead of open if it is set.
 	openAt func(engine string, n int64) (end error, refuse error)
 	call   func(n int64) ([]byte, error)
+	onCall func(c *driver.Call) // nil if nothing observes calls
 	// export returns the error of an export; nil ends the exported attempt. Without it, engines
 	// refuse exports.
 	export func() error
@@ -34,7 +35,6 @@
 
 	mu      sync.Mutex             // held while the functions of the script are called
 	streams map[string]*fakeStream // by attempt
-	called  []string               // attempts of calls
 }
 
 func (s *script) outcome(engine string, r *driver.GenerateRequest) (end error, refuse error) {
@@ -197,10 +197,11 @@
 type fakeService struct{ s *script }
 
 func (f *fakeService) Call(_ context.Context, c *driver.Call) ([]byte, error) {
-	f.s.mu.Lock()
-	f.s.called = append(f.s.called, c.Attempt)
-	f.s.mu.Unlock()
-	return f.s.call(f.s.attempts.Add(1))
+	n := f.s.attempts.Add(1)
+	if f.s.onCall != nil {
+		f.s.onCall(c)
+	}
+	return f.s.call(n)
 }
 func (f *fakeService) Report(context.Context) (driver.LoadReport, error) {
 	return driver.LoadReport{}, nil
--- a/internal/entry/dispatch/service.go
+++ b/internal/entry/dispatch/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"fescuestand/internal/code"
@@ -144,7 +145,6 @@
 	pool := fleet.ServicePool(c.Service)
 	var exclude []*route.Endpoint
 	var lastErr error
-	attempt := c.Attempt
 	for n := 0; n < maxAttempts; {
 		if err := permit(); err != nil {
 			return nil, errors.Join(lastErr, err)
@@ -153,13 +153,12 @@
 			return nil, fmt.Errorf("%w: %w", driver.ErrNotSent, ctx.Err())
 		}
 		body, ep, err := d.callOnce(ctx, pool, exclude, &driver.Call{
-			Attempt: attempt, Operation: c.Operation, Key: c.Key, Body: c.Body,
+			Attempt: attemptID(c, n), Operation: c.Operation, Key: c.Key, Body: c.Body,
 		})
 		if err == nil || ep != nil && !notExecuted(err) {
 			return body, err
 		}
 		lastErr = errors.Join(driver.ErrNotSent, err)
-		attempt = d.newAttempt() // a late copy of this refusal isn't taken for that of the next attempt
 		if ep == nil {
 			exclude = nil
 			sleep(ctx, callRetryDelay)
@@ -170,3 +169,11 @@
 	}
 	return nil, lastErr
 }
+
+// attemptID returns the id of a commit's call after n refused ones. It tells their answers from that of the call.
+func attemptID(c *commit.Call, n int) string {
+	if n == 0 {
+		return c.Attempt
+	}
+	return c.Attempt + "/" + strconv.Itoa(n)
+}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/apex/log"
@@ -112,7 +113,7 @@
 	switch {
 	case life == exchange.Unknown && x.ctx.Err() != nil:
 		return result{outcome: gone, code: code.DeadlineMissed, err: x.ctx.Err()}
-	case a.isEmpty():
+	case a.isEmpty() && resp.Status != http.StatusResetContent: // which has no body
 		return result{outcome: lost, code: code.BadAnswer, err: errEmptyAnswer}
 	}
 	return result{outcome: answered}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -100,3 +101,68 @@
 		assert.Equal(t, resp.StatusCode, http.StatusGatewayTimeout, body)
 	})
 }
+
+// Guards against a whole answer without a length that is lost, as its endpoint closes an idle connection right before its
+// end.
+func TestAnswerBesideTheEndOfAnIdleConnectionIsWhole(t *testing.T) {
+	for name, after := range map[string]time.Duration{"1 ms": time.Millisecond, "20 ms": 20 * time.Millisecond, "45 ms": 45 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(catalog.Route{Kind: catalog.Stream, MaxAttempts: 1})
+				const idle = time.Second
+				ln, err := w.network.NewHost().Listen(0)
+				assert.NilError(t, err)
+				t.Cleanup(func() { _ = ln.Close() })
+				go serveClosingIdle(ln, idle, after)
+				w.addEndpoint("a", catalog.Whole, &backend{addr: ln.Addr().String()})
+				resp, body, err := w.request(t, "POST", "/x/", "x", "Tokens", "100")
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusOK)
+				assert.Equal(t, eventIDs(body), "1 2")
+			})
+		})
+	}
+}
+
+// serveClosingIdle serves streams without a length which end the given time after idle connections that were opened at
+// their beginning are closed.
+func serveClosingIdle(ln net.Listener, idle, after time.Duration) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = c.Close() }()
+			_ = c.SetReadDeadline(time.Now().Add(idle))
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			write("HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nid: 1\n\n")(c)
+			time.Sleep(idle + after)
+			write("id: 2\n\n")(c)
+		}()
+	}
+}
+
+// Guards against a part of an answer to a call that is delivered as a whole one: its endpoint, to which there was no idle
+// connection, has ended within it, and another process listens at the address at once.
+func TestCallCutByARestartAtAnUnusedEndpointIsNotWhole(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(commitRoute)
+		host := w.network.NewHost()
+		ln, err := host.Listen(0)
+		assert.NilError(t, err)
+		w.addEndpoint("a", catalog.Whole, serveOn(t, ln, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			write("HTTP/1.1 200 OK\r\nSeal: s\r\n\r\npart")(c)
+			time.Sleep(silenceCallTime)
+			host.CloseAll()
+			ln, err := host.Listen(uint16(ln.Addr().(*net.TCPAddr).Port))
+			assert.Check(t, err)
+			serveOn(t, ln, answerSigned)
+			return false
+		}))
+		resp, body, err := w.request(t, "POST", "/x/", "x")
+		assert.Assert(t, err != nil || resp.StatusCode == http.StatusBadGateway, "%d %q", resp.StatusCode, body)
+	})
+}
