VM: SIGHUP doesn't end a process that starts or stops

The platform sends SIGHUP after each change of the settings, to whatever runs. The handler was registered when the unit that reloads the settings ran, and removed at its end: before and after that, SIGHUP ended the process without a line in its log. A process that ends so is one fewer VM until it is started once more.

SIGHUP is caught from the start of main to the end of the process now. What comes before main can't be handled.

TestVMsOutliveSIGHUPWhileTheyStartAndStop failed before at the first start.

--- a/cmd/fescue-node/main.go
+++ b/cmd/fescue-node/main.go
@@ -10,6 +10,7 @@
 
 	"fescuestand/internal/eventlog"
 	"fescuestand/internal/kernel"
+	"fescuestand/internal/vm"
 	"fescuestand/platform"
 )
 
@@ -17,6 +18,7 @@
 const flushTimeout = 100 * time.Millisecond
 
 func main() {
+	vm.CatchHangUps()
 	about := "fescue-node serves callers on the users' platform: it advertises addresses, routes and streams requests, and retries failed ones."
 	args := os.Args[1:]
 	if path := platform.SettingsPath(); path != "" && len(args) == 0 {
--- a/internal/vm/reload.go
+++ b/internal/vm/reload.go
@@ -26,6 +26,10 @@
 	lastText []byte
 }
 
+// CatchHangUps keeps SIGHUP from ending the process as long as it runs. It is called first: the platform doesn't know
+// when a SettingsReloader begins or ends.
+func CatchHangUps() { signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP) }
+
 // Name implements kernel.Unit.
 func (r *SettingsReloader) Name() string { return "settings" }
 
--- a/scenarios/start_test.go
+++ b/scenarios/start_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,3 +51,50 @@
 	s.checkProcesses()
 	s.reportViolations()
 }
+
+// Guards against a VM that a SIGHUP ends while it starts or stops: the platform may send one after each change of the
+// settings.
+func TestVMsOutliveSIGHUPWhileTheyStartAndStop(t *testing.T) {
+	s := newSoak(t, 2)
+	s.awaitServing()
+	v := s.vms[0]
+	for range hangUpStarts {
+		v.proc.kill()
+		assert.NilError(t, os.Truncate(v.proc.log, 0))
+		assert.NilError(t, v.proc.start())
+		s.awaitLine(v, "message=started")
+		s.hangUpUntil(v, time.Now().Add(hangUpTime))
+		assert.Assert(t, v.proc.running(), "SIGHUP ended a VM that started:\n%s", endOfLog(v.proc.log))
+	}
+	assert.NilError(t, v.proc.signal(syscall.SIGTERM))
+	s.hangUpUntil(v, time.Now().Add(exitTimeout))
+	status, err := v.proc.await()
+	assert.NilError(t, err)
+	assert.Equal(t, status, 0, endOfLog(v.proc.log))
+}
+
+const (
+	// hangUpStarts is the number of starts of a VM, and hangUpTime the time after each in which it gets SIGHUP.
+	hangUpStarts = 5
+	hangUpTime   = 300 * time.Millisecond
+)
+
+// awaitLine waits until a VM has logged a line with the given text.
+func (s *soak) awaitLine(v *soakVM, text string) {
+	for end := time.Now().Add(exitTimeout); ; time.Sleep(time.Millisecond) {
+		b, err := os.ReadFile(v.proc.log)
+		assert.NilError(s.t, err)
+		if strings.Contains(string(b), text) {
+			return
+		}
+		assert.Assert(s.t, v.proc.running() && time.Now().Before(end), "no %q in the log:\n%s", text, b)
+	}
+}
+
+// hangUpUntil sends SIGHUP to a VM until its process has ended, or until the given time.
+func (s *soak) hangUpUntil(v *soakVM, until time.Time) {
+	for v.proc.running() && time.Now().Before(until) {
+		_ = v.proc.signal(syscall.SIGHUP) // fails only if the process has ended meanwhile
+		time.Sleep(time.Millisecond)
+	}
+}
