--- a/scenarios/promises_test.go
+++ b/scenarios/promises_test.go
@@ -154,7 +154,7 @@
 	}
 }
 
-// pollTime is the time between two looks for faults that are to begin.
+// pollTime is the time between two looks for faults that are to begin, or at a log.
 const pollTime = 20 * time.Millisecond
 
 func (p *promisesRun) upTo(d time.Duration) time.Duration {
