Drain: a stream's wait in the queue of its engine is counted

A VM that shuts down took streams by the predicted time to their first event. An engine whose places are taken queues a request for as long as the others run, which no prediction of this VM knows: streams predicted to start within 60 ms started 1 to 4 s later, and the end of the process cut some off.

The time by which streams of a route start later than predicted is observed now, and a bound of it, extrapolated as that of calls is, is added to the wait. Streams that haven't started yet count as well.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -44,6 +44,7 @@
 	ready, leaving := x.g.o.Peers()
 	r := drain.Request{
 		TimeLeft: s.end.Sub(now), CallerTimeout: x.remainingTime(), Wait: firstEventFactor * x.untilFirstEvent,
+		Delays: x.g.startDelays.Sample(now, x.route.Name),
 		Answer: x.expectedAnswer(now, endpoint), AddressesOld: now >= s.addressesOld, PeersReady: ready, PeersLeaving: leaving,
 	}
 	verdict, retryAfter := drain.Decide(r)
@@ -69,7 +70,7 @@
 // logLeft logs the decision to refuse the request and what it rests on.
 func (x *execution) logLeft(r *drain.Request) {
 	e := log.WithField("id", x.call.ID).WithField("left_ms", r.TimeLeft.Milliseconds()).WithField("wait_ms", r.Wait.Milliseconds()).
-		WithField("peers_ready", r.PeersReady).WithField("peers_leaving", r.PeersLeaving)
+		WithField("delay_ms", r.Delays.Longest.Milliseconds()).WithField("peers_ready", r.PeersReady).WithField("peers_leaving", r.PeersLeaving)
 	a := &r.Answer
 	if x.isStream() {
 		e = e.WithField("limit", a.Limit).WithField("answers", a.Lengths.Count).WithField("longest", a.Lengths.Longest).
@@ -87,6 +88,22 @@
 	}
 }
 
+// beginStart records that a stream is sent for the first time. It is to start after the predicted time.
+func (x *execution) beginStart() {
+	if x.isStream() && !x.headerSent && x.startDelay == nil {
+		x.startDelay = x.g.startDelays.Begin(x.now().Add(x.untilFirstEvent), x.route.Name)
+	}
+}
+
+// endStart records that a stream has started, or has ended before. A caller that disconnects shows that it would have
+// started later.
+func (x *execution) endStart(observed bool) {
+	if x.startDelay != nil {
+		x.startDelay.End(x.now(), observed)
+		x.startDelay = nil
+	}
+}
+
 // recordPace records that n events of a stream have arrived from its engine.
 func (x *execution) recordPace(o *openStream, now clock.Time, n int) {
 	if o.pace == nil {
@@ -110,6 +127,7 @@
 	if x.callTime != nil {
 		x.callTime.End(x.now(), o == answered || o == gone)
 	}
+	x.endStart(o == gone)
 	if x.events != nil {
 		x.events.End(x.now(), o == answered && !x.call.continuesStream())
 	}
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -63,6 +63,7 @@
 	predictedFirstEvent   time.Duration // predicted time to the first event at the first placement
 	untilFirstEvent       time.Duration // predicted at the newest placement, or once its prefill is done
 	callTime              *drain.Call   // nil until an endpoint begins to run the call
+	startDelay            *drain.Call   // of a stream that has been sent, nil before that and from its first event on
 	events                *drain.Events // of the answer, nil before the first one
 	runsAt                string        // ID of the engine that is to run the stream, by the newest placement
 	firstEventTime        time.Duration // from the arrival to the first event
@@ -255,6 +256,7 @@
 	}
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
+	x.beginStart()
 	a.life = x.g.silences.Begin(silenceProcess(s.Endpoint), a.sentAt.Add(a.quiet))
 	a.exposure = x.g.exposures.Begin(a.sentAt, processOf(s.Endpoint), x.call.Fingerprint, x.crashParts())
 	if !s.PrefillOnly {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 	held         *HeldRequests
 	requestMeter serving.Meter
 	callTimes    *drain.Durations
+	startDelays  *drain.Durations // by which streams start later than predicted
 	lengths      *drain.Lengths
 	paces        *drain.Paces
 	shutdown     atomic.Pointer[shutdown] // nil if the process isn't shutting down
@@ -105,6 +106,7 @@
 		o.Bodies = bytebudget.New()
 	}
 	g := &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), silences: silence.New(), exposures: crash.NewExposures(), held: newHeldRequests()}
+	g.startDelays = drain.NewDurations()
 	g.callTimes, g.lengths, g.paces = drain.NewDurations(), drain.NewLengths(), drain.NewPaces()
 	g.metrics.bodies = o.Bodies
 	for _, p := range []*exchange.Pool{o.Pool, o.RelayPool} {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -352,6 +352,7 @@
 	}
 	x.headerSent = true
 	x.firstEventTime = x.now().Sub(x.call.Arrived)
+	x.endStart(true)
 	copyHeader(x.w.Header(), h)
 	x.w.WriteHeader(http.StatusOK)
 }
--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -13,6 +13,7 @@
 // The answer of a stream has as many events as the request's limit of output tokens at most. The
 // lengths of its route's answers lower that bound only if enough of them could have been as long:
 // answers end at their own limits, so that those with lower limits say nothing about higher ones.
+// Its wait before that is what is predicted and what recent answers took longer, as in the queue of an endpoint.
 // The time for an event is that of the endpoint's slowest recent answers, or of the streams that it
 // is sending if they are slower. Any other request is refused before it is sent to an endpoint.
 //
@@ -45,9 +46,10 @@
 
 // Request describes a request that no endpoint has run.
 type Request struct {
-	TimeLeft      time.Duration // until the process ends
-	CallerTimeout time.Duration // time left until the caller disconnects
-	Wait          time.Duration // upper bound of the time until the answer starts
+	TimeLeft      time.Duration         // until the process ends
+	CallerTimeout time.Duration         // time left until the caller disconnects
+	Wait          time.Duration         // predicted upper bound of the time until the answer starts
+	Delays        Sample[time.Duration] // by which answers have started later than predicted
 	Answer        Answer
 	AddressesOld  bool // addresses from before the shutdown have expired at callers that respect the TTL
 	PeersReady    int  // other VMs that accept callers
@@ -79,7 +81,9 @@
 	if r.CallerTimeout <= left {
 		return Take, 0
 	}
-	if longest, known := r.Answer.longest(r.cutShare()); known && r.Wait+longest <= left {
+	share := r.cutShare()
+	delay, _ := r.Delays.Exceeded(share)
+	if longest, known := r.Answer.longest(share); known && r.Wait+delay+longest <= left {
 		return Take, 0
 	}
 	if r.PeersReady > 0 {
--- a/internal/policy/drain/drain_test.go
+++ b/internal/policy/drain/drain_test.go
@@ -24,6 +24,8 @@
 		{"answers are short enough", func(*Request) {}, Take},
 		{"answers may take longer", func(r *Request) { r.TimeLeft = 3100 * ms }, Refuse},
 		{"the wait is too long", func(r *Request) { r.Wait = 1000 * ms }, Refuse},
+		{"answers start late", func(r *Request) { r.Delays = Sample[time.Duration]{Count: 500, Longest: 1000 * ms} }, Refuse},
+		{"answers start a little late", func(r *Request) { r.Delays = Sample[time.Duration]{Count: 500, Longest: 100 * ms} }, Take},
 		{"the caller disconnects before", func(r *Request) { r.TimeLeft, r.CallerTimeout = 3100*ms, 3000*ms }, Take},
 		{"nothing is known of the answers", func(r *Request) { r.Answer = Answer{} }, Refuse},
 		{"few answers are known", func(r *Request) { r.Answer.Calls.Count = 20 }, Refuse},
--- a/internal/policy/drain/durations.go
+++ b/internal/policy/drain/durations.go
@@ -14,7 +14,7 @@
 // maxRoutes is the number of routes from which those without recent answers are forgotten.
 const maxRoutes = 4096
 
-// Durations tracks how long the calls of each route take. It is safe for concurrent use.
+// Durations tracks how long the calls of each route take, or the waits for their answers. It is safe for concurrent use.
 type Durations struct {
 	mu     sync.Mutex
 	routes map[string]*route
