Gateway: the KV cache of another request isn't released

A request lost the KV cache of its prompt, and was prefilled once more: the answer to its prefill had arrived, late, in the place of the answer to another one's, which released what the answer names as unused.

Cause: the answer counted as lost, as it belongs to another request, but its body was read before and its handle released. Endpoints don't check whose handle it is.

Evidence: TestKVCacheOfAnotherRequestIsNotReleased. Without the change the handle of the other request is released.

--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -117,3 +117,26 @@
 		})
 	}
 }
+
+// Guards against a KV cache that is released while its own request needs it, as the answer to that one's prefill has
+// arrived, late, in the place of the answer to another one's.
+func TestKVCacheOfAnotherRequestIsNotReleased(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(streamRoute)
+		released := make(chan string, 8)
+		w.addEndpoint("p", catalog.Prefill, w.serve(t, func(_ *backend, _ int, r *http.Request, c net.Conn) bool {
+			if r.Method == http.MethodDelete {
+				released <- r.URL.Path
+				return respond(c, 200, "")
+			}
+			return respond(c, 200, `"of-another"`, "Id: 2")
+		}))
+		w.addEndpoint("d", catalog.Decode, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			return events(c, 1, 1, true)
+		}))
+		_, _, err := w.request(t, "POST", "/x/", "", "Tokens", "5000")
+		assert.NilError(t, err)
+		time.Sleep(settleTime)
+		assert.Equal(t, len(released), 0)
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -136,14 +136,15 @@
 	defer g.stop()
 	x.g.o.OnPrefillSent(plan.Work)
 	var replacement prefillReplacement
-	resp, _, r := x.send(ctx, a, func(op func() bool) (taken bool) {
+	resp, ans, r := x.send(ctx, a, func(op func() bool) (taken bool) {
 		replacement, taken = g.await(op)
 		return taken
 	})
-	if resp != nil {
+	switch {
+	case resp != nil:
 		defer resp.Close()
 		replacement.kv, r = x.parseHandoff(resp, a)
-	} else {
+	case !ans.OtherRequest:
 		x.releaseUnused(a)
 	}
 	if resp != nil && replacement.kv != nil {
