Streams without a length open no idle connection at their beginning

A stream with neither a length nor chunks opened an idle connection to its endpoint, to see whether the process ends with the stream. An endpoint that closes such a connection after an idle time of its own, right before the end of the answer, was taken for one that has ended.

--- a/internal/exchange/idle.go
+++ b/internal/exchange/idle.go
@@ -71,13 +71,6 @@
 // endsTogether is within which the connections of a process that ends are closed, as they arrive.
 const endsTogether = 50 * time.Millisecond
 
-// Prepare opens an idle connection to addr if there is none, for CheckProcess.
-func (p *Pool) Prepare(ctx context.Context, addr string) {
-	if len(p.idleTo(addr)) == 0 {
-		p.Check(ctx, addr)
-	}
-}
-
 // CheckProcess reports whether the process lives that has just ended an exchange at addr. Idle connections from before
 // show it, as they end with their process. Without one it is Check, which may find another process.
 func (p *Pool) CheckProcess(ctx context.Context, addr string) Life {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -262,9 +262,6 @@
 	rd.held = &x.held
 	defer rd.release()
 	o.life.Await(x.now())
-	if !o.resp.Framed {
-		x.inBackground(func() { x.g.o.Pool.Prepare(o.ctx, o.request.Endpoint.Address) })
-	}
 	for {
 		var events []byte
 		var err error
