Exchange: requests without an id keep to connections of their own

Since a connection that has carried a request without an id carries none with one. Orders, reports and releases took the connection that was used last, so that each of them could cost the next request a new connection, which is priced. They take one that has carried such a request if there is one.

TestRequestsWithoutAnIDKeepToTheirConnection: the package's choice had none of this before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -225,10 +225,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	i := len(list) - 1
-	for i >= 0 && !list[i].mayCarry(r) {
-		i--
-	}
+	i := choose(list, r)
 	if i < 0 {
 		return nil
 	}
@@ -249,6 +246,18 @@
 	return c
 }
 
+// choose returns the index of the most recently used connection that may carry r, -1 if there is none. A request without
+// an ID takes one that has carried such a request, if there is one: the others are left to requests with an ID.
+func choose(list []*conn, r *Request) int {
+	chosen := -1
+	for i, c := range list {
+		if c.mayCarry(r) && (chosen < 0 || c.unnamed || !list[chosen].unnamed) {
+			chosen = i
+		}
+	}
+	return chosen
+}
+
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	p.count(func(s *Stats) { s.Dials++ })
 	c, err := stall.DialContext(ctx, p.Dialer, dialTimeout, "tcp4", addr)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -569,3 +569,13 @@
 	assert.Assert(t, errors.As(err, &exceeded), "%v", err)
 	assert.Equal(t, exceeded.Cause, Upload)
 }
+
+// Guards against requests with an ID that need a new connection each time a request without one has been sent.
+func TestRequestsWithoutAnIDKeepToTheirConnection(t *testing.T) {
+	list := []*conn{{unnamed: true}, {latestID: "1"}, {unnamed: true}, {latestID: "2"}}
+	assert.Equal(t, choose(list, &Request{}), 2)
+	assert.Equal(t, choose(list, &Request{ID: "1"}), 3)
+	assert.Equal(t, choose(list, &Request{ID: "2"}), 1)
+	assert.Equal(t, choose(list[:1], &Request{ID: "3"}), -1)
+	assert.Equal(t, choose(list[1:2], &Request{}), 0)
+}
