The record of versions says whether it is complete after a restore

(2) After any restore, however old, each loss of all VMs refused streams for 2 s (LOST). The same at a store that numbers its first era 1, as platform/standin does: it counted as restored for good, and a version that appeared during a loss was never held back.

Cause: (1) 2 s after the era began, as far as a VM knew, the record was taken for whole; nobody may have been left to write the version again. (2) A VM that starts can't tell how old an era is.

Change: VMs mark the record as complete in its era (Archive.markComplete): 2 s after a restore by one that has been running for a window before it, else when the era is a window old. Without a mark nothing is concluded from the record; with it, at once. A VM that finds no start on record marks it before it writes the first, in an era that may be the first. One write a restore.

TestRestoredRecordIsNotWhole wants Unknown where it wanted Only, as long as the record isn't marked.

--- a/internal/era/era.go
+++ b/internal/era/era.go
@@ -23,6 +23,10 @@
 // First is the lowest era that a store reports.
 const First Era = 1
 
+// MaxFirst is the highest era that a store may report before its first restore: some stores number their eras from 0,
+// others from 1.
+const MaxFirst Era = 2
+
 // RewriteTime is the time after a restore within which operators and endpoints write again what the
 // store has lost of theirs.
 const RewriteTime = 2 * time.Second
--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -28,7 +28,9 @@
 
 // Records are what a VM that starts reads, with one call.
 type Records struct {
-	Starts      []origin.Start
+	Starts []origin.Start
+	// Incomplete means that the store may have lost starts in a restore: no VM has marked them as complete since.
+	Incomplete  bool
 	Quarantines []crash.Crash // for which requests and prompt parts are quarantined, with their ages when they were written
 }
 
@@ -39,6 +41,8 @@
 	// PutStarts adds starts to the record, and DeleteStarts removes some.
 	PutStarts(ctx context.Context, starts []origin.Start) error
 	DeleteStarts(ctx context.Context, starts []origin.Start) error
+	// MarkComplete marks the starts on record as complete, unless the store has been restored since the era began.
+	MarkComplete(ctx context.Context, e era.Era) error
 	// AppendOrigins appends origins of streams to a log whose oldest records expire.
 	AppendOrigins(ctx context.Context, origins []Archived) error
 	// Origins returns a page of the origins from a position on, or of the newest ones from the zero
@@ -93,6 +97,8 @@
 	errStoreRead = errors.New("the record of versions can't be read")
 	// errRestored means that the store may have lost records that VMs write again.
 	errRestored = errors.New("the store has been restored lately")
+	// errIncomplete means that the store may have lost records that no VM knows of any more.
+	errIncomplete = errors.New("the store has been restored, and its record of versions may be incomplete")
 )
 
 // Archive keeps at the platform's store what has to outlive all VMs: at which versions streams of each route
@@ -111,8 +117,8 @@
 	// IsSettled reports whether a read that was sent at the given time returned what VMs had recorded before
 	// the store was restored.
 	IsSettled func(at clock.Time) bool
-	// IsRestored reports whether the store has ever been restored.
-	IsRestored func() bool
+	// Era returns the store's era, and since when it is known.
+	Era func() (era.Era, clock.Time)
 	// OnRecords is called with the records that this VM reads first.
 	OnRecords func(Records)
 	// OnAmbiguous is called when streams of a route may begin at a further version.
@@ -120,8 +126,10 @@
 
 	loaded  atomic.Bool
 	hasRead atomic.Bool // the records have been read
-	starts  *origin.Starts
-	checked atomic.Pointer[catalog.View] // whose starts are visible
+	// completeIn is the newest era in which the starts on record are known to be complete.
+	completeIn atomic.Uint64
+	starts     *origin.Starts
+	checked    atomic.Pointer[catalog.View] // whose starts are visible
 
 	updating sync.Mutex // serializes updateVisible
 
@@ -140,6 +148,7 @@
 	retryAt    clock.Time
 	obsoleteAt clock.Time
 	verifyAt   clock.Time // zero if nothing was written lately
+	markAt     clock.Time
 }
 
 // waiter waits for a read for a stream that was taken up.
@@ -156,7 +165,7 @@
 
 // NewArchive returns an archive whose exported fields are to be set.
 func NewArchive() *Archive {
-	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, IsRestored: func() bool { return false }}
+	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 }}
 }
 
 // MayBegin reports whether a new stream of a route may begin at an endpoint.
@@ -249,6 +258,7 @@
 	a.updateVisible()
 	a.recordMissing(ctx)
 	a.verify(ctx)
+	a.markComplete(ctx)
 	a.dropObsolete(ctx)
 }
 
@@ -263,7 +273,6 @@
 		a.updating.Unlock()
 		return
 	}
-	a.starts.SetWhole(!a.IsRestored())
 	serving, window := visibleStarts(v)
 	a.starts.SetServing(serving)
 	added := a.starts.SetVisible(a.Clock.Now(), slices.Collect(maps.Keys(serving)), window)
@@ -330,7 +339,8 @@
 		return
 	}
 	a.retryAt = now.Add(retryInterval)
-	if r := a.read(ctx); r.err != nil {
+	r := a.read(ctx)
+	if r.err != nil || !a.markEmpty(ctx, &r) {
 		return
 	}
 	missing, _ = a.starts.Missing(now)
@@ -349,6 +359,20 @@
 	a.read(ctx)
 }
 
+// markEmpty marks a record without starts as complete, before the first start is written, where the store may be one
+// that was never restored. It returns false if the store doesn't take the mark.
+func (a *Archive) markEmpty(ctx context.Context, r *readResult) bool {
+	e, _ := a.Era()
+	if !r.Incomplete || len(r.Starts) > 0 || e > era.MaxFirst {
+		return true
+	}
+	err := a.Store.MarkComplete(ctx, e)
+	if err != nil {
+		log.WithError(err).Warn("record of versions not marked as complete")
+	}
+	return err == nil
+}
+
 // verify reads the record again once calls that were sent before a start was written have been carried out: one of
 // them may have removed it.
 func (a *Archive) verify(ctx context.Context) {
@@ -358,6 +382,33 @@
 	}
 }
 
+// markComplete marks the starts on record as complete after a restore of the store, once the VMs have written again
+// what they know. That is all that callers can need if this VM has been running for a window before the restore, or
+// nobody can take up a stream from before it any more. As with starts, one of the readers comes first.
+func (a *Archive) markComplete(ctx context.Context) {
+	now := a.Clock.Now()
+	e, since := a.Era()
+	if e <= era.First || a.completeIn.Load() >= uint64(e) || now < a.markAt || !a.IsSettled(now) || !a.starts.KnowsBefore(now, since) {
+		return
+	}
+	if !a.IsReader() && !a.IsSettled(now.Add(-a.spread()-writeDelay)) {
+		return
+	}
+	a.markAt = now.Add(retryInterval)
+	if missing, _ := a.starts.Missing(now); len(missing) > 0 {
+		return
+	}
+	if r := a.read(ctx); r.err != nil || !r.Incomplete {
+		return
+	}
+	if err := a.Store.MarkComplete(ctx, e); err != nil {
+		log.WithError(err).Warn("record of versions not marked as complete")
+		return
+	}
+	log.WithField("era", uint64(e)).Info("record of versions marked as complete")
+	a.read(ctx)
+}
+
 // dropObsolete removes from the record what no caller can need. The readers do it; the others read the
 // record again later.
 func (a *Archive) dropObsolete(ctx context.Context) {
@@ -439,7 +490,10 @@
 		return origin.Origin{}, false, nil, r.err
 	}
 	found, known = a.archived.Find(a.Clock.Now(), st.Key)
-	if !known && !a.IsSettled(r.sentAt) {
+	if !known && r.Incomplete {
+		if a.IsSettled(r.sentAt) {
+			return origin.Origin{}, false, nil, errIncomplete
+		}
 		return origin.Origin{}, false, nil, errRestored
 	}
 	return found, known, origin.Possible(r.Starts, st), nil
@@ -502,6 +556,10 @@
 		return readResult{err: errors.Join(errStoreRead, err)}
 	}
 	a.hasRead.Store(true)
+	if e, _ := a.Era(); !records.Incomplete {
+		a.completeIn.Store(uint64(e))
+	}
+	a.starts.SetWhole(!records.Incomplete)
 	a.checkAmbiguous(a.starts.SetRecorded(a.Clock.Now(), records.Starts))
 	return readResult{Records: records, sentAt: sentAt}
 }
--- a/internal/originsync/archive_test.go
+++ b/internal/originsync/archive_test.go
@@ -26,6 +26,9 @@
 	origins []Archived
 	down    bool
 	calls   int
+
+	era      era.Era // zero for a store that was never restored
+	complete era.Era
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{} }
@@ -42,7 +45,14 @@
 func (s *memoryStore) Records(context.Context) (Records, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Records{Starts: slices.Clone(s.starts)}, s.call()
+	return Records{Starts: slices.Clone(s.starts), Incomplete: s.era > s.complete}, s.call()
+}
+
+func (s *memoryStore) MarkComplete(_ context.Context, e era.Era) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.complete = e
+	return s.call()
 }
 
 func (s *memoryStore) PutStarts(_ context.Context, starts []origin.Start) error {
@@ -171,18 +181,74 @@
 	assert.Equal(t, source, Unread)
 }
 
-// Guards against a conclusion from a record that a restore of the store has shortened.
+// Guards against a conclusion from a record that a restore of the store has shortened, and against streams that are
+// refused for a time by each VM that starts after one.
 func TestRestoredRecordIsNotWhole(t *testing.T) {
 	w := newNetwork(4)
-	w.store.starts = startsAt("v2")
+	w.store.starts, w.store.era = startsAt("v2"), 2
 	w.restartAll()
 	settled := false
 	w.vm(0).Archive.IsSettled = func(clock.Time) bool { return settled }
 	_, source := w.vm(0).Find(t.Context(), streamOf(1), "m", window)
 	assert.Equal(t, source, Unread)
 	settled = true
+	for _, key := range []origin.Key{1, origin.Unnamed} {
+		_, source = w.vm(0).Find(t.Context(), streamOf(key), "m", window)
+		assert.Equal(t, source, Unknown, "streams may have begun at a version that was lost from the record")
+	}
+	settled, w.store.complete = false, 2
 	_, source = w.vm(0).Find(t.Context(), streamOf(1), "m", window)
-	assert.Equal(t, source, Only)
+	assert.Equal(t, source, Only, "marked as complete since")
+}
+
+// Guards against a new deployment that is taken for one whose store was restored, as the store numbers its first era 1:
+// after a loss of all VMs its streams would be refused.
+func TestFirstRecordIsComplete(t *testing.T) {
+	for e, want := range map[era.Era]bool{era.MaxFirst: true, era.MaxFirst + 1: false} {
+		w := newNetwork(1)
+		w.store.era = e
+		a := w.newArchive()
+		a.Era = func() (era.Era, clock.Time) { return e, w.clock.T }
+		a.starts.SetVisible(w.clock.T, startsAt("v1"), minWindow)
+		a.maintain(t.Context())
+		assert.Equal(t, len(w.store.starts), 1)
+		assert.Equal(t, w.store.complete == e, want)
+	}
+}
+
+// Guards against a record that is taken for complete after a restore by VMs that haven't seen what was lost, and against
+// one that nobody marks.
+func TestRecordIsMarkedAsComplete(t *testing.T) {
+	const restored, restoredEra = clock.Time(time.Hour), era.Era(3)
+	for name, tc := range map[string]struct {
+		started time.Duration // before the restore
+		at      time.Duration // after it
+		want    bool
+	}{
+		"seen a window before":        {minWindow, era.RewriteTime, true},
+		"others may not have written": {minWindow, era.RewriteTime - 1, false},
+		"seen less":                   {minWindow - 1, era.RewriteTime, false},
+		"seen less, nearly over":      {0, minWindow - 1, false},
+		"over":                        {0, minWindow, true},
+	} {
+		w := newNetwork(1)
+		w.store.era = restoredEra
+		a := w.newArchive()
+		a.Era = func() (era.Era, clock.Time) { return restoredEra, restored }
+		a.IsSettled = func(at clock.Time) bool { return at.Sub(restored) >= era.RewriteTime }
+		a.starts.SetVisible(restored.Add(-tc.started), startsAt("v1"), minWindow)
+		a.Reset()
+		w.clock.T = restored.Add(tc.at)
+		a.maintain(t.Context())
+		a.maintain(t.Context())
+		assert.Equal(t, w.store.complete == restoredEra, tc.want, name)
+		assert.Equal(t, len(w.store.starts), 1, name)
+		calls := w.store.calls
+		w.clock.T = w.clock.T.Add(lateCallTime)
+		a.maintain(t.Context()) // reads once, to verify what was written
+		a.maintain(t.Context())
+		assert.Assert(t, !tc.want || w.store.calls <= calls+1, name)
+	}
 }
 
 // Guards against a VM that serves as if nothing had been quarantined before it read the records, and against one
--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -171,7 +171,7 @@
 		if a.err == nil {
 			return only(a.possible, t.Archive.mayHaveBegun(st))
 		}
-		return t.concludeFrom(t.askPeers(ctx, st.Key, service, window, observed).poll, st, service)
+		return t.concludeFrom(t.askPeers(ctx, st.Key, service, window, observed).poll, st, service, a.err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -196,7 +196,7 @@
 		}
 	}
 	if a.err != nil {
-		return t.concludeFrom(p.poll, st, service)
+		return t.concludeFrom(p.poll, st, service, a.err)
 	}
 	return only(a.possible, t.Archive.mayHaveBegun(st), p.poll.Origins(service))
 }
@@ -210,15 +210,18 @@
 	return all[0], Only
 }
 
-// concludeFrom is for a store that can't be read: it returns the only version that the VMs have observed, if
-// this VM knows of no other route to the stream's beginning.
-func (t *Tracker) concludeFrom(poll *origin.Poll, st *origin.Stream, service string) (origin.Origin, Source) {
+// concludeFrom is for a store that can't be read, or whose record may be incomplete: it returns the only version that
+// the VMs have observed, if this VM knows of no other route to the stream's beginning.
+func (t *Tracker) concludeFrom(poll *origin.Poll, st *origin.Stream, service string, err error) (origin.Origin, Source) {
 	version, ok := poll.Only()
 	o := origin.Origin{Service: service, Version: version}
-	if possible := t.Archive.mayHaveBegun(st); !ok || len(possible) != 1 || possible[0] != o {
-		return origin.Origin{}, Unread
+	if possible := t.Archive.mayHaveBegun(st); ok && len(possible) == 1 && possible[0] == o {
+		return o, Only
 	}
-	return o, Only
+	if errors.Is(err, errIncomplete) {
+		return origin.Origin{}, Unknown
+	}
+	return origin.Origin{}, Unread
 }
 
 // peerResult is what other VMs know of a stream.
@@ -255,7 +258,7 @@
 	for {
 		o, known, possible, err := t.Archive.Lookup(ctx, st)
 		switch {
-		case err != nil && mayRetry && !errors.Is(err, errRestored) && clock.Sleep(ctx, lookupRetryInterval):
+		case err != nil && mayRetry && !errors.Is(err, errRestored) && !errors.Is(err, errIncomplete) && clock.Sleep(ctx, lookupRetryInterval):
 			continue
 		case err != nil:
 			return archiveResult{err: err}
--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -180,8 +180,16 @@
 	return added
 }
 
-// SetWhole sets whether the record is sure to have all that was written before this VM started: the store hasn't
-// been restored.
+// KnowsBefore reports whether this VM has seen all starts at which streams from before a time may have begun that
+// callers can still take up.
+func (s *Starts) KnowsBefore(now, at clock.Time) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.started != 0 && (at.Sub(s.started) >= s.window || now.Sub(at) >= s.window)
+}
+
+// SetWhole sets whether the record is sure to have all that was written before this VM started: it has lost nothing in
+// a restore of the store.
 func (s *Starts) SetWhole(whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -202,6 +210,7 @@
 // Reset marks all starts as not on record: the store may have lost them.
 func (s *Starts) Reset(now clock.Time) {
 	s.mu.Lock()
+	s.whole = false
 	for _, e := range s.entries {
 		e.begun = e.begun || e.recorded
 	}
--- a/internal/simworld/store_test.go
+++ b/internal/simworld/store_test.go
@@ -109,7 +109,7 @@
 }
 
 func newStore(seed uint64) *store {
-	return &store{seed: seed, era: era.First, changed: make(chan struct{}), nodes: map[string]gossip.Node{}, expires: map[string]time.Time{}}
+	return &store{seed: seed, era: era.MaxFirst, changed: make(chan struct{}), nodes: map[string]gossip.Node{}, expires: map[string]time.Time{}}
 }
 
 func (s *store) put(log int, key, value string) {
@@ -312,9 +312,13 @@
 
 // Records implements originsync.Store.
 func (c *client) Records(ctx context.Context) (originsync.Records, error) {
-	entries, _, err := keyedlog.ReadNewest(ctx, &source{c, recordLog})
-	var out originsync.Records
+	entries, end, err := keyedlog.ReadNewest(ctx, &source{c, recordLog})
+	out := originsync.Records{Incomplete: end.Era > era.First}
 	for _, e := range entries {
+		if e.Key == completeKey {
+			out.Incomplete = out.Incomplete && string(e.Value) != fmt.Sprint(uint64(end.Era))
+			continue
+		}
 		if e.Key == quarantinesKey {
 			err = errors.Join(err, json.Unmarshal(e.Value, &out.Quarantines))
 			continue
@@ -326,8 +330,20 @@
 	return out, err
 }
 
-// quarantinesKey is the key of the quarantines in recordLog.
-const quarantinesKey = "quarantines"
+// The keys in recordLog, apart from those of starts.
+const (
+	quarantinesKey = "quarantines"
+	completeKey    = "starts-complete"
+)
+
+// MarkComplete implements originsync.Store.
+func (c *client) MarkComplete(ctx context.Context, e era.Era) error {
+	if err := c.write(ctx); err != nil {
+		return err
+	}
+	c.s.put(recordLog, completeKey, fmt.Sprint(uint64(e)))
+	return nil
+}
 
 // PutQuarantines implements vm.QuarantineStore.
 func (c *client) PutQuarantines(ctx context.Context, crashes []crash.Crash) error {
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -35,8 +35,8 @@
 	a.Store, a.Clock, a.Catalog = n.adapter.StreamRecords(), n.clock, n.catalog
 	a.VMs, a.Spread = n.members.AdvertisedCount, seedOf(n.o.Self.Incarnation)
 	a.IsReader = func() bool { return n.members.IsReader() && n.members.HasFreshRead() }
-	a.IsRestored = func() bool { return n.eras.Current() > era.First }
-	a.IsSettled = func(at clock.Time) bool { return !a.IsRestored() || n.eras.SettledBy(at) }
+	a.Era = n.eras.Since
+	a.IsSettled = func(at clock.Time) bool { return n.eras.Current() <= era.First || n.eras.SettledBy(at) }
 	a.OnAmbiguous, a.OnRecords = n.origins.ArchiveOwn, n.recordsRead
 	n.eras.OnRestore(a.Reset)
 	n.eras.OnRestore(n.origins.ArchiveOwn) // the store may have lost them
