--- a/internal/gateway/deadline_test.go
+++ b/internal/gateway/deadline_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,16 +24,17 @@
 				simulated(t, func(t *testing.T, w *testGateway) {
 					w.setRoute(route)
 					stream := route.Kind == catalog.Stream
-					var work time.Duration
+					var work atomic.Int64 // of an endpoint, in nanoseconds
 					b := w.serve(t, func(b *backend, _ int, _ *http.Request, c net.Conn) bool {
-						time.Sleep(work)
+						time.Sleep(time.Duration(work.Load()))
 						return answer(b, stream, c)
 					})
 					w.addEndpoint("a", catalog.Whole, b)
 					w.addEndpoint("b", catalog.Whole, b)
-					for work = patience - span; work < patience+span; work += step {
+					for after := patience - span; after < patience+span; after += step {
+						work.Store(int64(after))
 						before := b.runs.Load()
-						resp, body, err := w.request(t, "POST", "/x/", fmt.Sprint(work), "Tokens", "100",
+						resp, body, err := w.request(t, "POST", "/x/", fmt.Sprint(after), "Tokens", "100",
 							"Patience", fmt.Sprint(patience.Milliseconds()))
 						time.Sleep(2 * patience)
 						got := finalAnswer{broken: err, body: body}
@@ -40,8 +42,8 @@
 							got.status, got.seal = resp.StatusCode, resp.Header.Get("Seal")
 						}
 						runs := b.runs.Load() - before
-						assert.Equal(t, got.judge(stream, runs), "", "after %v: %+v, %d runs", work, got, runs)
-						assert.Assert(t, runs <= int32(max(route.MaxAttempts, 1)), "after %v: %d runs", work, runs)
+						assert.Equal(t, got.judge(stream, runs), "", "after %v: %+v, %d runs", after, got, runs)
+						assert.Assert(t, runs <= int32(max(route.MaxAttempts, 1)), "after %v: %d runs", after, runs)
 					}
 				})
 			})
