Read over as a newcomer: one endpoint that rejects twice, clearer names

The two tests of a late copy share their endpoint, and CheckProcess says what it compares. Behaviour, bounds and assertions are as they were.

--- a/internal/exchange/idle.go
+++ b/internal/exchange/idle.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// endsTogether is within which the connections of a process that ends are closed, as they arrive.
+// endsTogether is the time within which the ends of all connections of a process arrive that has ended.
 const endsTogether = 50 * time.Millisecond
 
 // CheckProcess reports whether the process lives that has just ended an exchange at addr. Idle connections from before
@@ -78,17 +78,17 @@
 	if len(before) > 0 && !clock.Sleep(ctx, lifeCheckTime) {
 		return Unknown
 	}
-	now := p.idleTo(addr)
+	after := p.idleTo(addr)
 	p.mu.Lock()
 	endedAt := p.endedAt[addr]
 	p.mu.Unlock()
 	hasEnded := time.Since(endedAt) < endsTogether
-	if slices.ContainsFunc(now, func(c *conn) bool {
-		return slices.Contains(before, c) && (!hasEnded || c.dialedAt.Before(endedAt))
-	}) {
+	// A connection that was dialed after the end may lead to the next process.
+	isOpen := func(c *conn) bool { return slices.Contains(before, c) && (!hasEnded || c.dialedAt.Before(endedAt)) }
+	switch {
+	case slices.ContainsFunc(after, isOpen):
 		return Alive
-	}
-	if hasEnded {
+	case hasEnded:
 		return Ended
 	}
 	return p.Check(ctx, addr)
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -13,26 +13,32 @@
 	"fescuestand/internal/exchange"
 )
 
+// rejectTwice returns an endpoint that rejects the requests for which rejects is true, and sends the rejection again, late,
+// when another request follows on the connection. It runs the others.
+func rejectTwice(rejection string, rejects func(n int, r *http.Request) bool) func(*backend, int, *http.Request, net.Conn) bool {
+	rejected := map[net.Conn]bool{}
+	return func(b *backend, n int, r *http.Request, c net.Conn) bool {
+		if rejects(n, r) {
+			rejected[c] = true
+			write(rejection)(c)
+			return true
+		}
+		if rejected[c] {
+			write(rejection)(c)
+		}
+		b.runs.Add(1)
+		time.Sleep(silenceCallTime)
+		return respond(c, 200, "answer", "Seal: s", "Id: 1")
+	}
+}
+
 // Guards against a request that is refused with a promise, or sent once more, while an endpoint runs it: the endpoint has
 // rejected it before, and sends that answer again, late, on the connection on which the request has come back.
 func TestLateCopyOfARejectionIsNoAnswer(t *testing.T) {
 	simulated(t, func(t *testing.T, w *testGateway) {
 		w.setRoute(commitRoute)
 		const rejection = "HTTP/1.1 503 X\r\nContent-Length: 0\r\nNot-Run: 1\r\nHeld: 8\r\nId: 1\r\n\r\n"
-		rejected := map[net.Conn]bool{}
-		b := w.serve(t, func(b *backend, n int, _ *http.Request, c net.Conn) bool {
-			if n == 1 {
-				rejected[c] = true
-				write(rejection)(c)
-				return true
-			}
-			if rejected[c] {
-				write(rejection)(c)
-			}
-			b.runs.Add(1)
-			time.Sleep(silenceCallTime)
-			return respond(c, 200, "answer", "Seal: s", "Id: 1")
-		})
+		b := w.serve(t, rejectTwice(rejection, func(n int, _ *http.Request) bool { return n == 1 }))
 		w.addEndpoint("a", catalog.Whole, b)
 		resp, _, err := w.request(t, "POST", "/x/", "x")
 		assert.NilError(t, err)
@@ -48,20 +54,7 @@
 	simulated(t, func(t *testing.T, w *testGateway) {
 		w.setRoute(commitRoute)
 		const rejection = "HTTP/1.1 421 X\r\nContent-Length: 0\r\nGone: 1\r\n\r\n"
-		rejected := map[net.Conn]bool{}
-		b := w.serve(t, func(b *backend, _ int, r *http.Request, c net.Conn) bool {
-			if r.URL.Path == "/report" {
-				rejected[c] = true
-				write(rejection)(c)
-				return true
-			}
-			if rejected[c] {
-				write(rejection)(c)
-			}
-			b.runs.Add(1)
-			time.Sleep(silenceCallTime)
-			return respond(c, 200, "answer", "Seal: s", "Id: 1")
-		})
+		b := w.serve(t, rejectTwice(rejection, func(_ int, r *http.Request) bool { return r.URL.Path == "/report" }))
 		w.addEndpoint("a", catalog.Whole, b)
 		resp, err := w.gateway.o.Pool.Do(t.Context(), b.addr, &exchange.Request{Method: "GET", Target: "/report", Host: b.addr})
 		assert.NilError(t, err)
