A lost connection is a crash only once its endpoint has ended

What callers saw: a sound request was refused with 503, code 3010, for minutes after three endpoints that live on had cut their answers to it.

Cause: the end of a connection was taken for the end of a process. A connection that ended in order counted as a crash at once; only a reset was verified.

Change: a lost connection is verified by connecting again, first before another endpoint is asked, so that a crashing request doesn't get ahead of the evidence. It counts if the address refuses, or if the connection ended in order and three further ones aren't kept within 0.4 s, or once the catalog entry shows the end of the process. The last one covers endpoints that are back at their address at once; a stream that had got on for a second counts there for its request, which it did only by the immediate report before.

Why it works: no evidence is taken from the connection alone; the end of the process shows at its address or in its entry, whichever comes first.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -183,10 +183,7 @@
 	case r.outcome == replaced, a.left.Load(), r.outcome == gone && a.silent:
 		ctx, now := context.WithoutCancel(x.callCtx), x.now()
 		x.inBackground(func() { x.verifyLeft(ctx, a, now) })
-	case r.isReset():
-		ctx, now := context.WithoutCancel(x.callCtx), x.now()
-		x.inBackground(func() { x.verifyReset(ctx, a, now) })
 	case r.mayBeCrash():
-		x.reportCrash(a, x.now())
+		x.verifyLost(a, r.isReset())
 	}
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -26,6 +26,9 @@
 // inconclusive.
 var lifeCheckDelays = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond}
 
+// firstLifeCheckTime bounds the first check whether an endpoint lives on that has lost a connection.
+const firstLifeCheckTime = 20 * time.Millisecond
+
 // leftCheckDelays are the times before checks whether an endpoint that was left in a silence has crashed.
 var leftCheckDelays = []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond}
 
@@ -129,14 +132,23 @@
 
 // verifyLater checks again whether an endpoint lives on that ended an answer with its connection at endedAt.
 func (x *execution) verifyLater(ctx context.Context, a *attempt, endedAt clock.Time) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
+	if x.findLife(ctx, a) != exchange.Alive {
+		x.reportCrash(a, endedAt)
+	}
+}
+
+// findLife returns the first conclusive finding of checks whether the endpoint of an attempt lives, Unknown if there is
+// none.
+func (x *execution) findLife(ctx context.Context, a *attempt) exchange.Life {
 	for _, delay := range lifeCheckDelays {
-		if !clock.Sleep(ctx, delay) || x.g.o.Pool.Check(ctx, a.request.Endpoint.Address) == exchange.Alive {
-			return
+		if !clock.Sleep(ctx, delay) {
+			break
+		}
+		if life := x.g.o.Pool.Check(ctx, a.request.Endpoint.Address); life != exchange.Unknown {
+			return life
 		}
 	}
-	x.reportCrash(a, endedAt)
+	return exchange.Unknown
 }
 
 // recordSign records that the endpoint of an attempt has sent a header. One that the address now belongs to another
@@ -149,7 +161,7 @@
 
 // endExposure ends the exposure of the endpoint of an attempt to the request. If the exchange was left in a silence,
 // the end of the endpoint's process still counts when it becomes known later. So it does if the connection was lost:
-// the crash that was reported then may have been refuted by an answer of the process that follows at the address.
+// another process may listen at the address already, and its answers refute a crash that was reported.
 func (x *execution) endExposure(a *attempt, r *result) {
 	if a.exposure == nil {
 		return
@@ -197,13 +209,28 @@
 	}
 }
 
-// verifyReset checks whether the endpoint of an attempt whose connection was reset at endedAt has crashed.
-func (x *execution) verifyReset(ctx context.Context, a *attempt, endedAt clock.Time) {
-	if x.g.o.Pool.Check(ctx, a.request.Endpoint.Address) == exchange.Refused {
+// verifyLost reports a crash if the endpoint of an attempt whose connection was lost has ended: one that lives on has
+// only cut its answer. The first check is made before another endpoint is asked.
+func (x *execution) verifyLost(a *attempt, reset bool) {
+	endedAt := x.now()
+	ctx, cancel := context.WithTimeout(x.ctx, firstLifeCheckTime)
+	life := x.g.o.Pool.Check(ctx, a.request.Endpoint.Address)
+	cancel()
+	if life == exchange.Refused {
 		x.reportCrash(a, endedAt)
 		return
 	}
-	x.verifyLeft(ctx, a, endedAt)
+	background := context.WithoutCancel(x.callCtx)
+	x.inBackground(func() {
+		if life == exchange.Unknown && !reset { // a reset may be that of a partition, and so may what follows it
+			life = x.findLife(background, a)
+		}
+		if life == exchange.Alive || reset {
+			x.verifyLeft(background, a, endedAt)
+			return
+		}
+		x.reportCrash(a, endedAt)
+	})
 }
 
 // verifyLeft checks whether the endpoint of an attempt, which was left in a silence at leftAt, has crashed: an
--- a/internal/gateway/replaced_test.go
+++ b/internal/gateway/replaced_test.go
@@ -108,7 +108,7 @@
 }
 
 // Guards against a crash that leaves no evidence: the engine is silent, its connection is lost while another
-// one is asked, and its address accepts connections again when that one has taken the stream.
+// one is asked, and another process accepts connections at its address when that one has taken the stream.
 func TestCrashWhileAReplacementIsSecuredIsReported(t *testing.T) {
 	simulated(t, func(t *testing.T, w *testGateway) {
 		w.setRoute(streamRoute)
@@ -122,11 +122,13 @@
 			events(c, 1, 2, false)
 			w.addEndpoint("b", catalog.Decode, other)
 			<-p.resume
+			time.AfterFunc(time.Second, func() { w.restartEntry("a", 2) })
 			return false
 		}))
 		_, body, err := w.request(t, "POST", "/x/", "", "Tokens", "100")
 		assert.NilError(t, err)
 		assert.Equal(t, eventIDs(body), "1 2 3")
+		time.Sleep(settleTime)
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		assert.Assert(t, slices.Equal(w.crashed, []string{"a@1"}), "%v", w.crashed)
--- a/internal/gateway/simulated_test.go
+++ b/internal/gateway/simulated_test.go
@@ -66,3 +66,17 @@
 	assert.NilError(t, err)
 	return serveOn(t, ln, handle)
 }
+
+// serveUntilCrash is serve at an endpoint whose process ends with the first connection that handle closes.
+func (w *testGateway) serveUntilCrash(t *testing.T, handle func(b *backend, n int, r *http.Request, c net.Conn) bool) *backend {
+	t.Helper()
+	ln, err := w.network.NewHost().Listen(0)
+	assert.NilError(t, err)
+	return serveOn(t, ln, func(b *backend, n int, r *http.Request, c net.Conn) bool {
+		if handle(b, n, r, c) {
+			return true
+		}
+		_ = ln.Close()
+		return false
+	})
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -318,6 +318,17 @@
 	w.gateway.o.Planner.SetView(w.store.View())
 }
 
+// restartEntry has the entry of an endpoint name a process that was born later, at the same address.
+func (w *testGateway) restartEntry(id string, born int64) {
+	for _, e := range w.store.View().All() {
+		if e.ID == id {
+			next := *e
+			next.Born, next.Sequence = born, 1
+			w.store.SetEndpoint(&next)
+		}
+	}
+}
+
 // request sends a request with headers given as pairs.
 func (w *testGateway) request(t *testing.T, method, path, body string, headers ...string) (*http.Response, string, error) {
 	t.Helper()
--- a/internal/policy/crash/exposure.go
+++ b/internal/policy/crash/exposure.go
@@ -109,10 +109,13 @@
 	if len(x.open[e.process]) == 0 {
 		delete(x.open, e.process)
 	}
-	isExposed := how == Broken || how == Left && now.Sub(e.signAt) >= minLeftSilence
-	if !isExposed || e.reported || e.hasSettled() {
+	isExposed := how == Broken || how == Left && now.Sub(e.signAt) >= minLeftSilence && !e.hasSettled()
+	if !isExposed || e.reported {
 		return Crash{}, false
 	}
+	if e.hasSettled() {
+		e.parts = nil // a run that had got on for a while isn't evidence against the parts of its prompt
+	}
 	if e.ended {
 		return e.report(now), true
 	}
--- a/internal/policy/crash/exposure_test.go
+++ b/internal/policy/crash/exposure_test.go
@@ -50,11 +50,17 @@
 			exposed(x, now)
 			answerAt(x, now.Add(-successorTime))
 		}, 1},
-		"left in order":        {func(x *Exposures) { exposed(x, now); x.Forget("e@1") }, 0},
-		"another process":      {func(x *Exposures) { x.End(now, x.Begin(now.Add(-time.Second), "e@2", 1, nil), Left) }, 0},
-		"too old":              {func(x *Exposures) { exposed(x, now.Add(-leftTime)) }, 0},
-		"answered":             {func(x *Exposures) { x.End(now, x.Begin(now.Add(-time.Second), "e@1", 1, nil), Answered) }, 0},
-		"connection lost":      {func(x *Exposures) { x.End(now, x.Begin(now, "e@1", 1, nil), Broken) }, 1},
+		"left in order":   {func(x *Exposures) { exposed(x, now); x.Forget("e@1") }, 0},
+		"another process": {func(x *Exposures) { x.End(now, x.Begin(now.Add(-time.Second), "e@2", 1, nil), Left) }, 0},
+		"too old":         {func(x *Exposures) { exposed(x, now.Add(-leftTime)) }, 0},
+		"answered":        {func(x *Exposures) { x.End(now, x.Begin(now.Add(-time.Second), "e@1", 1, nil), Answered) }, 0},
+		"connection lost": {func(x *Exposures) { x.End(now, x.Begin(now, "e@1", 1, nil), Broken) }, 1},
+		"connection of a settled one lost": {func(x *Exposures) {
+			e := x.Begin(now.Add(-4*time.Second), "e@1", 1, []uint64{7})
+			x.Sign(now.Add(-4*time.Second), e, true)
+			x.Sign(now.Add(-3*time.Second), e, true)
+			x.End(now, e, Broken)
+		}, 1},
 		"in progress, silent":  {func(x *Exposures) { x.Begin(now.Add(-minOpenSilence), "e@1", 1, nil) }, 1},
 		"in progress, working": {func(x *Exposures) { x.Begin(now.Add(-minOpenSilence/2), "e@1", 1, nil) }, 0},
 	} {
