An endpoint that ends after an unusable answer gives evidence

An exchange that the VM itself broke off counted as answered.

Class: evidence is dropped, as the exchange has ended in another way than the endpoint.

Change: an attempt that was lost as its answer can't be used (a repeated event, no signature, an encoding, another request's answer) is exposed like a lost connection: the end of the process counts when its entry shows it, or when its address refuses within 2.5 s. A process that goes on and answers clears it.

Evidence before: TestEndAfterAnUnusableAnswerCounts, cases repeated event (5 endpoints ended, 4 allowed), unsigned, encoded and other request (12 each).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -179,11 +179,12 @@
 	x.g.o.Planner.End(x.now(), a.ticket, placementOutcome(r))
 	x.endExposure(a, r)
 	x.g.held.wake(x.now(), x.service)
+	isLeft := r.outcome == replaced || a.left.Load() || r.outcome == gone && a.silent
 	switch {
-	case r.outcome == replaced, a.left.Load(), r.outcome == gone && a.silent:
+	case r.mayBeCrash() && !isLeft:
+		x.verifyLost(a, r.isReset())
+	case isLeft, r.outcome == lost: // the VM has broken off a silent exchange, or an answer that it can't use
 		ctx, now := context.WithoutCancel(x.callCtx), x.now()
 		x.inBackground(func() { x.verifyLeft(ctx, a, now) })
-	case r.mayBeCrash():
-		x.verifyLost(a, r.isReset())
 	}
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -168,7 +168,7 @@
 	}
 	how := crash.Answered
 	switch {
-	case r.mayBeCrash():
+	case r.mayBeCrash(), r.outcome == lost:
 		how = crash.Broken
 	case r.outcome == replaced, r.outcome == gone, a.left.Load():
 		how = crash.Left
@@ -233,8 +233,8 @@
 	})
 }
 
-// verifyLeft checks whether the endpoint of an attempt, which was left in a silence at leftAt, has crashed: an
-// endpoint that only pauses still accepts connections.
+// verifyLeft checks whether the endpoint of an attempt, which was left at leftAt, has crashed: one that only pauses
+// still accepts connections.
 func (x *execution) verifyLeft(ctx context.Context, a *attempt, leftAt clock.Time) {
 	for _, delay := range leftCheckDelays {
 		if !clock.Sleep(ctx, delay) {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -109,6 +109,46 @@
 	}
 }
 
+// unusableAnswers are answers that the gateway doesn't wait for the end of.
+var unusableAnswers = map[string]struct {
+	route catalog.Route
+	begin func(c net.Conn)
+}{
+	"repeated event": {streamRoute, func(c net.Conn) { events(c, 1, 1, false) }},
+	"unsigned":       {streamRoute, write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")},
+	"encoded":        {streamRoute, write("HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Encoding: br\r\nTransfer-Encoding: chunked\r\n\r\n")},
+	"other request":  {lookupRoute, write("HTTP/1.1 200 OK\r\nSeal: s\r\nId: other\r\nContent-Length: 9\r\n\r\n")},
+	"no response":    {lookupRoute, write("no response\r\n\r\n")},
+}
+
+// Guards against a request that ends endpoint after endpoint and counts for nothing, as the gateway has broken off the
+// answer right before each end.
+func TestEndAfterAnUnusableAnswerCounts(t *testing.T) {
+	for name, tc := range unusableAnswers {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(tc.route)
+				ran := &runners{ids: map[string]bool{}}
+				for i := range 12 {
+					id := fmt.Sprint(i)
+					w.addEndpoint(id, catalog.Whole, w.serveUntilCrash(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+						ran.add(id)
+						tc.begin(c)
+						time.Sleep(20 * time.Millisecond)
+						return false
+					}))
+				}
+				for range 12 {
+					_, _, _ = w.request(t, "POST", "/x/", "the same", "Tokens", "100") // fails if the stream breaks off
+					time.Sleep(time.Second)
+				}
+				most := 2 + tc.route.MaxAttempts // the attempts of one request may come before the evidence
+				assert.Assert(t, ran.count() <= most, "%d endpoints ended, %d allowed", ran.count(), most)
+			})
+		})
+	}
+}
+
 // Guards against a caller that learns of the quarantine only by a closed connection.
 func TestAQuarantinedRequestIsRefusedAsNotRun(t *testing.T) {
 	simulated(t, func(t *testing.T, w *testGateway) {
--- a/internal/policy/crash/exposure.go
+++ b/internal/policy/crash/exposure.go
@@ -98,7 +98,7 @@
 const (
 	Answered Ending = iota // or rejected, or not sent
 	Left                   // its caller left, or another endpoint took the request
-	Broken                 // its connection was lost
+	Broken                 // its connection was lost, or its answer was of no use
 )
 
 // End ends the exposure. If the process is known to have ended meanwhile, End returns the crash.
