Worlds of paused endpoints check that no two engines work on one stream for long

Simulated time leaves lack of processor time out: an overlap of more than 400 ms there would be a fault of the VM's logic. An engine that is withdrawn as soon as it has begun isn't counted, as in the scenarios; the number of such streams is logged. Engines of the world notice the end of a connection within 1 ms when they go on after a pause.

--- a/internal/simworld/endpoint_test.go
+++ b/internal/simworld/endpoint_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 	stageChangeTime = 500 * time.Millisecond
 	// queueInterval is the time between two checks of a waiting request for a slot.
 	queueInterval = 5 * time.Millisecond
+	// noticeTime is how long an endpoint that goes on takes to notice that a connection has ended.
+	noticeTime = time.Millisecond
 	// eventCount is the number of a stream's events.
 	eventCount = 20
 )
@@ -34,7 +37,8 @@
 // ledger records what endpoints run, and keeps the handles of prefills.
 type ledger struct {
 	mu         sync.Mutex
-	runs       map[string]int // by id
+	runs       map[string]int     // by id
+	work       map[string][]*work // on a stream, by id, in the order of its beginnings
 	handles    map[string]bool
 	lastHandle int
 }
@@ -52,6 +56,53 @@
 	return l.runs[id]
 }
 
+// work is the work of an endpoint on a stream.
+type work struct {
+	endpoint    string
+	first, last time.Time // of its events
+	ended       bool      // it made the last event
+}
+
+// isGivenUp reports whether another endpoint was preferred as soon as this one had begun.
+func (w *work) isGivenUp() bool { return !w.ended && w.last.Sub(w.first) <= maxOverlap }
+
+// recordEvent records that an endpoint makes an event of a stream.
+func (l *ledger) recordEvent(id, endpoint string, number int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	i := slices.IndexFunc(l.work[id], func(w *work) bool { return w.endpoint == endpoint })
+	if i < 0 {
+		i = len(l.work[id])
+		l.work[id] = append(l.work[id], &work{endpoint: endpoint, first: now})
+	}
+	l.work[id][i].last, l.work[id][i].ended = now, number == eventCount
+}
+
+// maxOverlap is the time for which an endpoint may work on a stream that another one has gone on with.
+const maxOverlap = 400 * time.Millisecond
+
+// overlaps returns the streams on which an endpoint worked for longer than that, and the number of those of which two
+// endpoints made events at the same time.
+func (l *ledger) overlaps() (long []string, shared int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, list := range l.work {
+		for i, next := range list {
+			for _, w := range list[:i] {
+				overlap := w.last.Sub(next.first)
+				if overlap > maxOverlap && !next.isGivenUp() {
+					long = append(long, fmt.Sprintf("%s: %s worked for %s after %s had gone on", id, w.endpoint, overlap, next.endpoint))
+				}
+				if overlap > 0 {
+					shared++
+				}
+			}
+		}
+	}
+	return long, shared
+}
+
 func (l *ledger) newHandle() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -332,6 +383,10 @@
 			return
 		}
 		e.awaitResume()
+		if !clock.Sleep(r.Context(), noticeTime) {
+			return
+		}
+		e.ledger.recordEvent(id, e.id, n)
 		if _, err := io.WriteString(w, event(n, id, e.version)); err != nil {
 			return
 		}
--- a/internal/simworld/world_test.go
+++ b/internal/simworld/world_test.go
@@ -131,7 +131,7 @@
 	w := &world{
 		t: t, seed: seed, store: newStore(seed), rng: rand.New(rand.NewPCG(seed, 1)), logged: newLogged(),
 		network: simnet.New(simnet.Options{Seed: seed, Latency: hostLatency, Jitter: hostJitter, Loss: loss}),
-		ledger:  &ledger{runs: map[string]int{}, handles: map[string]bool{}},
+		ledger:  &ledger{runs: map[string]int{}, work: map[string][]*work{}, handles: map[string]bool{}},
 	}
 	w.publish()
 	for _, spec := range endpoints {
