Ask an engine for a sign of life before it replaces a silent one

What callers saw: nothing.

What the VM has seen of an engine was taken for its state.

Change: such an engine is asked for its report first, which takes no slot, and is sent the stream or the prefill only if it answers within 0.15 s. Otherwise the next engine is asked, and the attempt is logged as not sent (code 3015). It costs no retry and no run. The answer is a sign of life for the VM's other requests. Calls, and requests whose exchange has ended, are sent as before.

--- a/internal/code/table.go
+++ b/internal/code/table.go
@@ -51,6 +51,7 @@
 	StreamVersionGone    Code = 3012
 	StreamVersionUnknown Code = 3013
 	StreamVersionUnread  Code = 3014
+	EndpointSilent       Code = 3015
 
 	CommitUnknown   Code = 4001
 	CommitRunning   Code = 4002
@@ -127,6 +128,7 @@
 	EndpointCut:          {"endpoint-cut", 502, true, "The connection to the endpoint broke before the answer was whole."},
 	EndpointRefused:      {"endpoint-refused", 503, true, "The endpoint refused the work without running it."},
 	EndpointLeft:         {"endpoint-left", 503, true, "The endpoint left before the request was sent to it."},
+	EndpointSilent:       {"endpoint-silent", 503, true, "The engine that was to replace a silent one is silent, too; the request wasn't sent to it."},
 	StreamVersionGone:    {"stream-version-gone", 503, false, "No endpoint of the software version that began the stream takes work; the stream can't go on."},
 	StreamVersionUnknown: {"stream-version-unknown", 503, false, "The software version that began the stream isn't known and there are several; the stream can't go on."},
 	StreamVersionUnread:  {"stream-version-unread", 503, true, "The record of the software versions at which streams began can't be read for now."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -94,6 +94,8 @@
 	ParseHandoff(body []byte) (handle string, err error)
 	// Release returns the request that releases a KV cache that no engine will use.
 	Release(handle string) (method, target string)
+	// LifeCheck returns a request that an engine answers at once, whatever it works on.
+	LifeCheck() (method, target string)
 }
 
 // Answer is the metadata of an endpoint's response.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -38,6 +38,7 @@
 
 	arrivals              int                           // requests that have reached endpoints, except the first prefill
 	runs                  int                           // arrivals in which the request may have run
+	silentEngines         int                           // attempts that weren't sent as the engine was silent, too
 	shareDenials          int                           // attempts that weren't sent as the endpoint held its share of bytes
 	rejections            int                           // arrivals that endpoints haven't run, but for forgotten ones
 	runsSent              atomic.Int32                  // requests sent that aren't prefills; a guard reads it while a replacement is secured
@@ -169,7 +170,7 @@
 func (x *execution) mayRetry(last *result) bool {
 	switch last.outcome {
 	case notSent:
-		if len(x.attempts) >= maxUnreachableEndpoints+x.arrivals+x.shareDenials {
+		if len(x.attempts) >= maxUnreachableEndpoints+x.arrivals+x.shareDenials+x.silentEngines {
 			return false
 		}
 		if last.code == code.BodyBudgetSpent && len(x.untriedEndpoints()) == 0 {
@@ -241,6 +242,9 @@
 	if !s.PrefillOnly {
 		x.runsAt = s.Endpoint.ID
 	}
+	if r, ok := x.checkLife(s.Endpoint); !ok {
+		return nil, Answer{}, r
+	}
 	upload, r, ok := x.beginUpload(s.Endpoint.ID)
 	if !ok {
 		return nil, Answer{}, r
--- a/internal/gateway/judgement_test.go
+++ b/internal/gateway/judgement_test.go
@@ -16,6 +16,7 @@
 		code.RetryBudgetSpent: place.Ignored,
 		code.EndpointsLimited: place.Ignored,
 		code.EndpointLeft:     place.Ignored,
+		code.EndpointSilent:   place.Ignored,
 	} {
 		assert.Equal(t, placementOutcome(&result{outcome: notSent, code: c}), want, c)
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -57,6 +57,7 @@
 	errTooLate          = errors.New("the first event would come after the caller has left")
 	errBudgetSpent      = errors.New("the budget of repeats is spent")
 	errEndpointLeft     = errors.New("the endpoint left before the request was sent")
+	errEndpointSilent   = errors.New("the engine is silent, too")
 	errEndpointsLimited = errors.New("the endpoints have named limits that leave no room now")
 	errEndpointShare    = errors.New("other bodies on their way to the endpoint take its share of the memory for them")
 	errLeaving          = errors.New("the VM shuts down before the answer would be complete")
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -75,6 +75,7 @@
 		e.work(pausedEventInterval)
 		return respond(c, 200, "answer", "Seal: s")
 	})
+	e.onLifeCheck = func() { e.work(0) }
 	p.endpoints = append(p.endpoints, e)
 	p.addEndpoint(id, stage, e.backend)
 }
--- a/internal/gateway/withdrawal_test.go
+++ b/internal/gateway/withdrawal_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -129,6 +130,60 @@
 	}
 }
 
+// Guards against a stream that two engines begin or go on with together, as both have paused: the one that was to replace
+// the other isn't sent the stream while it shows no sign of life.
+func TestEngineThatPausesIsSentNoReplacement(t *testing.T) {
+	for name, tc := range map[string]struct {
+		pauseAfter time.Duration
+		alive      int // engines that don't pause
+	}{
+		"before the first event":          {0, 0},
+		"after events":                    {time.Second, 0},
+		"before the first event, one not": {0, 1},
+		"after events, one not":           {time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				synctest.Test(t, func(t *testing.T) {
+					p := newPausedPool(t, newSimulatedGateway(t, seed), longStreamRoute, 4)
+					time.AfterFunc(tc.pauseAfter, func() {
+						for i, e := range p.endpoints {
+							if i < len(p.endpoints)-tc.alive || e.arrivals.Load() > 0 {
+								e.pause(pauseTime)
+							}
+						}
+					})
+					whole, _ := p.streams(t, 1)
+					assert.Equal(t, whole, 1)
+					paused := 0
+					for _, e := range p.endpoints[:len(p.endpoints)-tc.alive] {
+						paused += int(e.arrivals.Load())
+					}
+					assert.Assert(t, paused <= 1, "%d engines that pause were sent the stream", paused)
+				})
+			}
+		})
+	}
+}
+
+// Guards against checks for life at endpoints of plain services, which would take them for requests.
+func TestEndpointOfAPlainServiceGetsNoLifeCheck(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(streamRoute)
+		other := w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool { return events(c, 3, 3, true) })
+		other.onLifeCheck = func() { t.Error("checked for life") }
+		w.addEndpoint("a", catalog.Whole, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			events(c, 1, 2, false)
+			w.addEndpoint("b", catalog.Whole, other)
+			awaitClose(c)
+			return false
+		}))
+		_, body, err := w.request(t, "POST", "/x/", "", "Patience", "5000")
+		assert.NilError(t, err)
+		assert.Equal(t, eventIDs(body), "1 2 3")
+	})
+}
+
 // Guards against two exchanges of a request that may run once, while its endpoint and others are silent.
 func TestRequestThatMayRunOnceHasOneExchange(t *testing.T) {
 	onceRoute := catalog.Route{Kind: catalog.Stream, MaxAttempts: 3}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -104,13 +104,20 @@
 	return handle, json.Unmarshal(body, &handle)
 }
 
+func (codec) LifeCheck() (method, target string) { return "GET", lifeCheckTarget }
+
+// lifeCheckTarget is answered by a backend itself.
+const lifeCheckTarget = "/live"
+
 func (codec) Release(handle string) (method, target string) { return "DELETE", "/free/" + handle }
 
 // backend is an endpoint whose answers a test writes.
 type backend struct {
-	addr     string
-	arrivals atomic.Int32
-	runs     atomic.Int32
+	addr string
+	// onLifeCheck is called before a check for life is answered, unless it is nil.
+	onLifeCheck func()
+	arrivals    atomic.Int32
+	runs        atomic.Int32
 }
 
 // serve starts an endpoint on a socket that answers each request as handle writes it. The
@@ -154,6 +161,13 @@
 		}
 		body, _ := io.ReadAll(r.Body)
 		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		if r.RequestURI == lifeCheckTarget {
+			if b.onLifeCheck != nil {
+				b.onLifeCheck()
+			}
+			respond(c, 200, "{}")
+			continue
+		}
 		if !handle(b, int(b.arrivals.Add(1)), r, c) {
 			return
 		}
--- a/internal/policy/silence/silence.go
+++ b/internal/policy/silence/silence.go
@@ -127,6 +127,14 @@
 	return last != 0 && clock.Time(last) > now.Add(-maxWindow)
 }
 
+// IsAlive reports whether a process has shown a sign of life within the window.
+func (r *Register) IsAlive(now clock.Time, p Process) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.endpoints[p]
+	return e != nil && e.isAlive(now, maxWindow)
+}
+
 // End ends the exchange. Further calls have no effect.
 func (x *Exchange) End(now clock.Time) {
 	x.r.mu.Lock()
--- a/internal/simworld/adapter_test.go
+++ b/internal/simworld/adapter_test.go
@@ -248,6 +248,9 @@
 	return handle, nil
 }
 
+// LifeCheck implements gateway.Codec.
+func (codec) LifeCheck() (method, target string) { return http.MethodGet, "/report" }
+
 // Release implements gateway.Codec.
 func (codec) Release(handle string) (method, target string) {
 	return http.MethodDelete, "/handle/" + handle
