Origins are written by VMs that reach the store

Cause: VMs agree on the two writers without a look at whether they reach the store. A writer kept what the store didn't take and tried again, until it was lost with all other VMs, of which some reached the store throughout. The log of the world has "origins of streams not archived" at vm0 and vm1 with each attempt from the second version on, and no append that succeeds.

Fix: what the store doesn't take from a writer goes once to the VM two places after it in the common order, which writes it or passes it on the same way, up to eight VMs in all. The writer keeps it for its own next attempt. While the store rejects all VMs, an origin costs six more records in datagrams, whatever the number of VMs (TestOriginsAreHandedOverOnce).

--- a/internal/gossip/streams.go
+++ b/internal/gossip/streams.go
@@ -27,7 +27,7 @@
 // archiverOrder determines the order of the VMs that write origins of streams to the store.
 const archiverOrder origin.Key = 0
 
-// Archivers returns the addresses of the first n VMs that write origins of streams to the store.
+// Archivers returns the addresses of the first n VMs that may write origins of streams to the store.
 func (m *Members) Archivers(n int) []string { return m.StreamReplicas(archiverOrder, n) }
 
 func (m *Members) activeVMs() []origin.VM {
--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -123,6 +123,8 @@
 	OnRecords func(Records)
 	// OnAmbiguous is called when streams of a route may begin at a further version.
 	OnAmbiguous func()
+	// OnAppendFailed is called once with each origin that the store doesn't take from this VM.
+	OnAppendFailed func([]Archived)
 
 	loaded  atomic.Bool
 	hasRead atomic.Bool // the records have been read
@@ -144,6 +146,10 @@
 
 	next era.Position // of readForWaiting
 
+	// handedOver is the number of origins at the head of pending with which OnAppendFailed was called. It belongs to
+	// the goroutine that appends.
+	handedOver int
+
 	// Of the goroutine that records starts.
 	retryAt    clock.Time
 	obsoleteAt clock.Time
@@ -165,7 +171,7 @@
 
 // NewArchive returns an archive whose exported fields are to be set.
 func NewArchive() *Archive {
-	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 }}
+	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnAppendFailed: func([]Archived) {}, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 }}
 }
 
 // MayBegin reports whether a new stream of a route may begin at an endpoint.
@@ -471,7 +477,9 @@
 	}
 	err := a.Store.AppendOrigins(ctx, origins)
 	if err != nil {
-		a.Add(origins...)
+		a.appendLater(origins)
+	} else {
+		a.handedOver = 0
 	}
 	if err != nil || dropped > 0 {
 		log.WithError(err).WithField("origins", len(origins)).WithField("dropped", dropped).Warn("origins of streams not archived")
@@ -479,6 +487,20 @@
 	return err == nil
 }
 
+// appendLater keeps origins that the store hasn't taken, in front of those that were added meanwhile.
+func (a *Archive) appendLater(origins []Archived) {
+	a.mu.Lock()
+	added := a.pending
+	a.pending = origins
+	a.mu.Unlock()
+	a.Add(added...)
+	first := origins[a.handedOver:]
+	a.handedOver = len(origins)
+	if len(first) > 0 {
+		a.OnAppendFailed(first)
+	}
+}
+
 // Lookup returns the archived origin of a stream, or the origins that it may have. It fails if the store
 // can't be read, or may lack records.
 func (a *Archive) Lookup(ctx context.Context, st *origin.Stream) (found origin.Origin, known bool, possible []origin.Origin, err error) {
--- a/internal/originsync/archive_test.go
+++ b/internal/originsync/archive_test.go
@@ -378,3 +378,62 @@
 	a.dropObsolete(t.Context())
 	assert.DeepEqual(t, w.store.starts, startsAt("v2"))
 }
+
+// rejectingStore is a store that takes no origins from one VM.
+type rejectingStore struct {
+	*memoryStore
+	appends atomic.Int64 // that it rejected
+}
+
+func (s *rejectingStore) AppendOrigins(context.Context, []Archived) error {
+	s.appends.Add(1)
+	return driver.ErrRefused
+}
+
+// Guards against streams whose origins are lost with all VMs, although others than the VMs that write origins reach
+// the store.
+func TestOriginsAreWrittenByVMsThatReachTheStore(t *testing.T) {
+	w := newNetwork(MaxArchivers)
+	w.store.starts = startsAt("v1", "v2")
+	order := w.vm(0).Archivers()
+	rejected := &rejectingStore{memoryStore: w.store}
+	for _, name := range order[:MaxArchivers-1] {
+		w.vms[name].Archive.Store = rejected
+	}
+	for _, vm := range w.vms {
+		vm.Archive.read(t.Context())
+	}
+	for stream := origin.Key(1); stream <= 3*sendBatch; stream++ {
+		w.vm(0).Record(streamOf(stream), v1, time.Minute)
+	}
+	for _, name := range order {
+		w.vms[name].Archive.appendPending(t.Context())
+	}
+	for stream := origin.Key(1); stream <= 3*sendBatch; stream++ {
+		assert.Check(t, slices.Contains(w.store.origins, Archived{stream, v1}), "stream %d isn't archived", stream)
+	}
+}
+
+// Guards against VMs that pass on the same origins with each attempt to write them, while the store rejects all.
+func TestOriginsAreHandedOverOnce(t *testing.T) {
+	w := newNetwork(MaxArchivers)
+	w.store.starts = startsAt("v1", "v2")
+	for _, vm := range w.vms {
+		vm.Archive.read(t.Context())
+		vm.Archive.Store = &rejectingStore{memoryStore: w.store}
+	}
+	w.vm(0).Record(streamOf(1), v1, time.Minute)
+	w.sent = 0
+	for range 5 {
+		for _, name := range w.vm(0).Archivers() {
+			w.vms[name].Archive.appendPending(t.Context())
+		}
+	}
+	assert.Equal(t, w.sent, MaxArchivers-Writers)
+	w.store.origins = nil
+	for _, vm := range w.vms {
+		vm.Archive.Store = w.store
+		vm.Archive.appendPending(t.Context())
+	}
+	assert.Equal(t, len(w.store.origins), MaxArchivers, "an origin was lost")
+}
--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -35,6 +35,10 @@
 	lookupDelay = 30 * time.Millisecond
 	// lookupRetryInterval is the time between two attempts to read the archive.
 	lookupRetryInterval = 100 * time.Millisecond
+	// Writers is the number of VMs that write origins to the archive: one may be lost before it has written.
+	Writers = 2
+	// MaxArchivers bounds the VMs that write origins, with those that stand in for others: the store may reject some.
+	MaxArchivers = 4 * Writers
 	// sendBatch is the number of origins in a datagram.
 	sendBatch = 12
 	// maxNameBytes bounds the names in a received message.
@@ -55,7 +59,8 @@
 	Send func(peers []string, b *wire.Beat)
 	// Observe returns what this VM knows of a service's versions in the given time.
 	Observe func(service string, window time.Duration) origin.Observation
-	// Archive keeps what outlives all VMs, and Archivers are the VMs that write origins to it.
+	// Archive keeps what outlives all VMs. Archivers returns, in an order on which VMs agree, those that may write
+	// origins to it: the first Writers do, and each of the others for the one Writers before it that can't.
 	Archive   *Archive
 	Archivers func() []string
 
@@ -110,12 +115,30 @@
 // archive has other VMs write origins to the store, and this one if it is among them.
 func (t *Tracker) archive(origins []*wire.StreamOrigin) {
 	archivers := t.Archivers()
+	archivers = archivers[:min(Writers, len(archivers))]
 	if len(archivers) == 0 || slices.Contains(archivers, t.Self) {
 		t.addArchived(origins, t.Self)
 	}
 	t.Send(slices.DeleteFunc(archivers, func(peer string) bool { return peer == t.Self }), &wire.Beat{ArchivedOrigins: origins})
 }
 
+// HandOver has another VM write origins that the store doesn't take from this one.
+func (t *Tracker) HandOver(origins []Archived) {
+	archivers := t.Archivers()
+	self := slices.Index(archivers, t.Self)
+	if self < 0 || self+Writers >= len(archivers) {
+		return
+	}
+	standIn := []string{archivers[self+Writers]}
+	for batch := range slices.Chunk(origins, sendBatch) {
+		b := &wire.Beat{}
+		for _, o := range batch {
+			b.ArchivedOrigins = append(b.ArchivedOrigins, &wire.StreamOrigin{Stream: uint64(o.Stream), Service: o.Service, Version: o.Version})
+		}
+		t.Send(standIn, b)
+	}
+}
+
 func (t *Tracker) addArchived(origins []*wire.StreamOrigin, from string) {
 	for _, m := range origins {
 		if o, ok := decodeOrigin(m); ok && m.GetStream() != uint64(origin.Unnamed) {
--- a/internal/originsync/originsync_test.go
+++ b/internal/originsync/originsync_test.go
@@ -60,8 +60,8 @@
 		order := origin.Order(stream, vms)
 		return order[:min(n, len(order))]
 	}
-	t.Archive, t.Archivers = w.newArchive(), func() []string { return t.Replicas(0, 2) }
-	t.Archive.OnAmbiguous = t.ArchiveOwn
+	t.Archive, t.Archivers = w.newArchive(), func() []string { return t.Replicas(0, MaxArchivers) }
+	t.Archive.OnAmbiguous, t.Archive.OnAppendFailed = t.ArchiveOwn, t.HandOver
 	t.Observe = func(string, time.Duration) origin.Observation {
 		w.mu.Lock()
 		defer w.mu.Unlock()
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -26,10 +26,6 @@
 	n.initArchive()
 }
 
-// streamArchivers is the number of VMs that write origins of streams to the store: one may be lost before it
-// has written.
-const streamArchivers = 2
-
 func (n *Node) initArchive() {
 	a := originsync.NewArchive()
 	a.Store, a.Clock, a.Catalog = n.adapter.StreamRecords(), n.clock, n.catalog
@@ -37,9 +33,9 @@
 	a.IsReader = func() bool { return n.members.IsReader() && n.members.HasFreshRead() }
 	a.Era = n.eras.Since
 	a.IsSettled = func(at clock.Time) bool { return n.eras.Current() <= era.First || n.eras.SettledBy(at) }
-	a.OnAmbiguous, a.OnRecords = n.origins.ArchiveOwn, n.recordsRead
+	a.OnAmbiguous, a.OnAppendFailed, a.OnRecords = n.origins.ArchiveOwn, n.origins.HandOver, n.recordsRead
 	n.eras.OnRestore(a.Reset)
 	n.eras.OnRestore(n.origins.ArchiveOwn) // the store may have lost them
 	n.archive, n.origins.Archive = a, a
-	n.origins.Archivers = func() []string { return n.members.Archivers(streamArchivers) }
+	n.origins.Archivers = func() []string { return n.members.Archivers(originsync.MaxArchivers) }
 }
