A version is used once the store has accepted its record

Cause, part one: a VM read the record, wrote the new version, and used it only after a second read: 2.1 s of calls after it saw the version, and the streams that began there were younger than a call when the VMs were lost.

Fix: the store's answer to the write is as good as a read, unless a restore has come between. A reader of the endpoints' entries that has read the complete record in this era writes at once; at the worst both readers write the same start. The others still read first.

Failed before: TestWrittenVersionIsUsedAtOnce (no call, or two).

--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -345,13 +345,15 @@
 		return
 	}
 	a.retryAt = now.Add(retryInterval)
-	r := a.read(ctx)
-	if r.err != nil || !a.markEmpty(ctx, &r) {
-		return
-	}
-	missing, _ = a.starts.Missing(now)
-	if len(missing) == 0 {
-		return
+	e, _ := a.Era()
+	if !a.IsReader() || !a.knowsRecord(e) {
+		r := a.read(ctx)
+		if r.err != nil || !a.markEmpty(ctx, &r) {
+			return
+		}
+		if missing, _ = a.starts.Missing(now); len(missing) == 0 {
+			return
+		}
 	}
 	if err := a.Store.PutStarts(ctx, missing); err != nil {
 		log.WithError(err).WithField("starts", len(missing)).Warn("versions of streams not recorded")
@@ -360,11 +362,19 @@
 	for _, s := range missing {
 		log.WithField("host", s.Host).WithField("path", s.PathPrefix).WithField("service", s.Service).WithField("version", s.Version).Info("version of streams recorded")
 	}
-	a.starts.SetWritten(missing)
+	if newest, _ := a.Era(); newest == e {
+		a.starts.SetWritten(a.Clock.Now(), missing)
+	}
 	a.verifyAt = now.Add(lateCallTime)
 	a.read(ctx)
 }
 
+// knowsRecord reports whether this VM has read a complete record in an era. Others may have added starts since: a
+// reader writes them again at the worst.
+func (a *Archive) knowsRecord(e era.Era) bool {
+	return a.hasRead.Load() && a.completeIn.Load() == uint64(e)
+}
+
 // markEmpty marks a record without starts as complete, before the first start is written, where the store may be one
 // that was never restored. It returns false if the store doesn't take the mark.
 func (a *Archive) markEmpty(ctx context.Context, r *readResult) bool {
--- a/internal/originsync/archive_test.go
+++ b/internal/originsync/archive_test.go
@@ -437,3 +437,43 @@
 	}
 	assert.Equal(t, len(w.store.origins), MaxArchivers, "an origin was lost")
 }
+
+// Guards against a version that stays unused for a second and third call after it was written, which a slow store takes
+// long for, and against one that counts as recorded although a restore has lost it.
+func TestWrittenVersionIsUsedAtOnce(t *testing.T) {
+	for _, isRestored := range []bool{false, true} {
+		w := newNetwork(1)
+		a := w.newArchive()
+		newest := era.First
+		a.Era = func() (era.Era, clock.Time) { return newest, w.clock.T }
+		w.store.starts = startsAt("v1")
+		a.starts.SetVisible(w.clock.T, startsAt("v1"), window)
+		a.read(t.Context())
+		w.clock.T = w.clock.T.Add(time.Second)
+		a.starts.SetVisible(w.clock.T, startsAt("v1", "v2"), window)
+		a.Store = &unreadableStore{memoryStore: w.store, onPut: func() {
+			if isRestored {
+				newest++
+			}
+		}}
+		w.store.calls = 0
+		a.recordMissing(t.Context())
+		assert.Equal(t, w.store.calls, 1)
+		assert.Equal(t, a.starts.MayBegin(w.clock.T, &startsAt("v2")[0]), !isRestored)
+	}
+}
+
+// unreadableStore is a store that takes starts and returns no records.
+type unreadableStore struct {
+	*memoryStore
+	onPut func()
+}
+
+func (s *unreadableStore) Records(context.Context) (Records, error) {
+	return Records{}, driver.ErrRefused
+}
+
+func (s *unreadableStore) PutStarts(ctx context.Context, starts []origin.Start) error {
+	s.onPut()
+	return s.memoryStore.PutStarts(ctx, starts)
+}
--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -196,15 +196,16 @@
 	s.whole = whole
 }
 
-// SetWritten marks starts that this VM has written.
-func (s *Starts) SetWritten(starts []Start) {
+// SetWritten marks starts that this VM has written: the store has them on record.
+func (s *Starts) SetWritten(now clock.Time, starts []Start) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, start := range starts {
 		if e := s.entries[start]; e != nil {
-			e.renew = false
+			e.recorded, e.renew = true, false
 		}
 	}
+	s.forget(now)
 }
 
 // Reset marks all starts as not on record: the store may have lost them.
