Keep two idle connections during answers without a length

Cause: such an answer ends with its connection, and so does its process. Only an idle connection from before tells the two apart, and often there was none. One that was opened at the beginning didn't suffice: endpoints close idle connections, also right before the end of an answer.

Change: while an endpoint sends such answers, up to two connections to it carry no requests. Answers share them; afterwards they carry requests. A connection that has just become idle is taken before a new one is opened.

The protocol has no end mark in a stream.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -29,6 +29,7 @@
 	idleTimeout time.Duration
 	watch       *watch // of the idle connection, nil if it isn't idle
 	bounded     bool   // boundSendBuffer has been called
+	witness     bool   // carries no request, guarded by the pool's mu
 }
 
 func newConn(nc net.Conn, o Observer) *conn {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -75,6 +75,9 @@
 	// have run. It is sent only on new or recently used connections, which the endpoint is
 	// unlikely to be closing at the same moment.
 	NoRetry bool
+	// VerifyEnd marks a request whose answer is checked by CheckProcess if it is a success and its end shows only by that
+	// of its connection.
+	VerifyEnd bool
 }
 
 // Response is an endpoint's final (not 1xx) response. It must be closed.
@@ -124,6 +127,8 @@
 	endedAt map[string]time.Time // when an endpoint has ended an idle connection
 	stats   Stats
 	closing bool
+
+	witnesses map[string]*witnesses
 }
 
 // Stats counts dialed connections, reuses of idle connections, and connections on which bytes
@@ -145,7 +150,7 @@
 // NewPoolOn returns an empty pool on a network. Its connections detect dead peers.
 func NewPoolOn(n network.Network) *Pool {
 	d := n.Dialer(network.DialOptions{KeepAlivePeriod: keepAlivePeriod, UserTimeout: userTimeout})
-	return &Pool{idle: map[string][]*conn{}, endedAt: map[string]time.Time{}, Dialer: d}
+	return &Pool{idle: map[string][]*conn{}, endedAt: map[string]time.Time{}, witnesses: map[string]*witnesses{}, Dialer: d}
 }
 
 // Stats returns the counters.
@@ -176,6 +181,10 @@
 	x.start(r)
 	resp, err := x.readHeader(r.Method)
 	if err == nil {
+		if r.VerifyEnd && !resp.Framed && resp.Status < http.StatusMultipleChoices {
+			resp.body.witnessed = true
+			p.beginWitness(addr)
+		}
 		return resp, nil
 	}
 	detach()
@@ -235,10 +244,7 @@
 		return nil
 	}
 	if idle > c.idleTimeout {
-		for _, expired := range list[:i+1] {
-			_ = expired.Close()
-		}
-		p.idle[addr] = slices.Delete(list, 0, i+1)
+		p.idle[addr] = slices.Concat(closeExpired(list[:i+1]), list[i+1:])
 		return nil
 	}
 	p.idle[addr] = slices.Delete(list, i, i+1)
@@ -251,13 +257,26 @@
 func choose(list []*conn, r *Request) int {
 	chosen := -1
 	for i, c := range list {
-		if c.mayCarry(r) && (chosen < 0 || c.unnamed || !list[chosen].unnamed) {
+		if !c.witness && c.mayCarry(r) && (chosen < 0 || c.unnamed || !list[chosen].unnamed) {
 			chosen = i
 		}
 	}
 	return chosen
 }
 
+// closeExpired closes the connections apart from witnesses, which it returns.
+func closeExpired(list []*conn) []*conn {
+	var kept []*conn
+	for _, c := range list {
+		if c.witness {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.Close()
+	}
+	return kept
+}
+
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	p.count(func(s *Stats) { s.Dials++ })
 	c, err := stall.DialContext(ctx, p.Dialer, dialTimeout, "tcp4", addr)
@@ -333,6 +352,11 @@
 func (p *Pool) putIdle(addr string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.addIdle(addr, c)
+}
+
+// addIdle is putIdle for a caller that holds mu.
+func (p *Pool) addIdle(addr string, c *conn) {
 	if p.closing || len(p.idle[addr]) >= maxIdlePerAddr {
 		_ = c.Close()
 		return
@@ -352,7 +376,7 @@
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if keep[addr] && time.Since(c.idleAt) <= c.idleTimeout {
+			if keep[addr] && (c.witness || time.Since(c.idleAt) <= c.idleTimeout) {
 				kept = append(kept, c)
 				continue
 			}
--- a/internal/exchange/idle.go
+++ b/internal/exchange/idle.go
@@ -63,7 +63,7 @@
 func (p *Pool) recordEnd(addr string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now := time.Now(); now.Sub(c.idleAt) < c.idleTimeout {
+	if now := time.Now(); c.witness || now.Sub(c.idleAt) < c.idleTimeout {
 		p.endedAt[addr] = now
 	}
 }
@@ -71,8 +71,16 @@
 // endsTogether is the time within which the ends of all connections of a process arrive that has ended.
 const endsTogether = 50 * time.Millisecond
 
+// hasEnded reports whether an endpoint has just ended an idle connection.
+func (p *Pool) hasEnded(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.endedAt[addr]) < endsTogether
+}
+
 // CheckProcess reports whether the process lives that has just ended an exchange at addr. Idle connections from before
-// show it, as they end with their process. Without one it is Check, which may find another process.
+// show it, as they end with their process; a request with VerifyEnd sees to them. Without one it is Check, which may find
+// another process.
 func (p *Pool) CheckProcess(ctx context.Context, addr string) Life {
 	before := p.idleTo(addr)
 	if len(before) > 0 && !clock.Sleep(ctx, lifeCheckTime) {
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -181,6 +181,7 @@
 	keepAlive bool // the endpoint allows another exchange on the connection
 	once      sync.Once
 	sawEOF    bool
+	witnessed bool // witnesses are kept until the end of the exchange
 }
 
 // Read implements io.Reader. Errors other than io.EOF wrap driver.ErrConnectionLost, or driver.ErrBadAnswer if the
@@ -213,6 +214,9 @@
 func (b *body) finish() {
 	x := b.x
 	defer x.pool.end(x.addr, false)
+	if b.witnessed {
+		x.pool.endWitness(x.addr)
+	}
 	detached := x.detach()
 	clean := b.sawEOF && b.keepAlive && detached && x.requestWritten()
 	if surplus := x.c.br.Buffered(); clean && surplus > 0 {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -253,6 +253,7 @@
 	req := &exchange.Request{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
 		Header: x.g.o.Codec.Header(x.call, s), Body: x.call.Body, ID: x.call.ID, NoRetry: !x.route.Retryable(),
+		VerifyEnd: !s.PrefillOnly,
 	}
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
