Exchange: a response without its request's id is no answer on a used connection

What callers saw: a commit refused with 503 while an endpoint ran it (REFUSED; TWICE if the caller or the VM sends it once more), and a stream that went on from the KV cache of another request (MIXED).

Cause: an answer without an id counted as the request's own. A late copy of an earlier response on the connection, without an id, was taken for the answer to the next request: a rejection for a request that runs, the answer to a prefill for that of another one.

Change: the exchange compares the ids. A response without an id is believed only on a connection that has carried no other request, else it counts as that of another request: outcome unknown, connection closed. A connection is kept only after a response with the request's own id, so that no copy without an id can follow, and no actual answer after that of another request. (Connections were kept after the rejection of another request whose body had been read.)

Costs: endpoints that repeat no ids get a connection for each request.

Evidence: TestLateCopyOfARejectionThatNamesNoRequestIsNoAnswer and TestAnswerToAPrefillThatNamesNoRequestIsNotThatOfAnother failed before, in both cases each, and pass now.

The codecs of the tests of gateway and simworld get the new method.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -21,9 +21,9 @@
 	observer    Observer // nil if there is none
 	received    int64    // bytes received in the exchange in progress
 	header      headerBound
+	exchanges   int    // with the one in progress
 	latestID    string // of the latest request
 	unnamed     bool   // has carried a request without an ID
-	firstUse    bool   // carries its first exchange
 	dialedAt    time.Time
 	idleAt      time.Time // when it was returned to the pool
 	idleTimeout time.Duration
@@ -33,7 +33,7 @@
 }
 
 func newConn(nc net.Conn, o Observer) *conn {
-	c := &conn{Conn: nc, firstUse: true, dialedAt: time.Now(), observer: o}
+	c := &conn{Conn: nc, dialedAt: time.Now(), observer: o}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
@@ -55,6 +55,7 @@
 
 // begin records that the connection carries r.
 func (c *conn) begin(r *Request) {
+	c.exchanges++
 	c.latestID = r.ID
 	c.unnamed = c.unnamed || r.ID == ""
 }
@@ -64,6 +65,13 @@
 	return r.ID == "" || r.ID != c.latestID && !c.unnamed
 }
 
+// belongsTo reports whether the response that bears an ID is known to be that to r, and whether it may be. One without an
+// ID may be if the connection has carried no other request.
+func (c *conn) belongsTo(r *Request, id string) (known, possible bool) {
+	known = id == r.ID
+	return known, known || id == "" && c.exchanges == 1
+}
+
 // boundSendBuffer bounds what the kernel holds for an endpoint that reads slowly. Its own limit is several MB.
 func (c *conn) boundSendBuffer() {
 	if b, ok := c.Conn.(interface{ SetWriteBuffer(bytes int) error }); ok && !c.bounded {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -71,6 +71,8 @@
 	// follow itself on a connection, where a late copy of the earlier response would be taken for its own, nor a request
 	// without an ID, whose response doesn't show that it is another one's.
 	ID string
+	// ResponseID returns the ID that a response bears, "" if it bears none. It is nil if responses aren't told apart.
+	ResponseID func(http.Header) string
 	// NoRetry marks a request that must not be retried after a lost connection, since it may
 	// have run. It is sent only on new or recently used connections, which the endpoint is
 	// unlikely to be closing at the same moment.
@@ -89,6 +91,9 @@
 	Length int64
 	// Framed means that the body's end can be told from a connection that the endpoint closed early.
 	Framed bool
+	// OtherRequest means that the response belongs to another request, or that it may and doesn't say to which one. The
+	// request may have run.
+	OtherRequest bool
 
 	body *body
 }
@@ -179,7 +184,7 @@
 		x.writeBy = deadline.Add(-writeMargin)
 	}
 	x.start(r)
-	resp, err := x.readHeader(r.Method)
+	resp, err := x.readHeader(r)
 	if err == nil {
 		if r.VerifyEnd && !resp.Framed && resp.Status < http.StatusMultipleChoices {
 			resp.body.witnessed = true
@@ -216,7 +221,7 @@
 			return c, err
 		}
 		if c.watch.end(c) && c.reusable() {
-			c.firstUse, c.received, c.watch = false, 0, nil
+			c.received, c.watch = 0, nil
 			c.begin(r)
 			return c, nil
 		}
--- a/internal/exchange/running.go
+++ b/internal/exchange/running.go
@@ -137,10 +137,10 @@
 var errSwitched = errors.New("the endpoint switches protocols")
 
 // readHeader skips interim responses and returns the final response once its header is read.
-func (x *activeExchange) readHeader(method string) (*Response, error) {
+func (x *activeExchange) readHeader(r *Request) (*Response, error) {
 	for range maxInterimResponses {
 		x.c.header.begin(x.c.br.Buffered())
-		resp, err := http.ReadResponse(x.c.br, &http.Request{Method: method})
+		resp, err := http.ReadResponse(x.c.br, &http.Request{Method: r.Method})
 		x.c.header.end()
 		if exceeded := x.c.header.exceeded; exceeded != nil {
 			return nil, exceeded // net/http may report it as a malformed field
@@ -157,9 +157,16 @@
 		x.responding.Store(true)
 		b := &body{x: x, rc: resp.Body, keepAlive: keepsAlive(resp)}
 		x.c.idleTimeout = idleTimeoutFrom(resp.Header)
-		return &Response{
+		out := &Response{
 			Status: resp.StatusCode, Header: resp.Header, Body: b, Length: resp.ContentLength, Framed: framed(resp), body: b,
-		}, nil
+		}
+		if r.ResponseID != nil {
+			known, possible := x.c.belongsTo(r, r.ResponseID(resp.Header))
+			// The actual response may follow, or a copy of this one that can't be told from the next response.
+			b.keepAlive = b.keepAlive && known
+			out.OtherRequest = !possible
+		}
+		return out, nil
 	}
 	return nil, &BoundError{Cause: Interim, Bytes: x.c.received}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -90,6 +90,8 @@
 	Relay(r *http.Request, remaining time.Duration) http.Header
 	// Answer reads the metadata in the headers of an endpoint's response.
 	Answer(c *Call, status int, h http.Header) Answer
+	// ResponseID returns the id of the request that an endpoint's response bears, "" if it bears none.
+	ResponseID(h http.Header) string
 	// ParseHandoff reads the KV cache's handle from the body of the answer to a prefill.
 	ParseHandoff(body []byte) (handle string, err error)
 	// Release returns the request that releases a KV cache that no engine will use.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -253,7 +253,7 @@
 	req := &exchange.Request{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
 		Header: x.g.o.Codec.Header(x.call, s), Body: x.call.Body, ID: x.call.ID, NoRetry: !x.route.Retryable(),
-		VerifyEnd: !s.PrefillOnly,
+		VerifyEnd: !s.PrefillOnly, ResponseID: x.g.o.Codec.ResponseID,
 	}
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
@@ -273,6 +273,7 @@
 		}
 		a.life.Sign(x.now())
 		ans = x.g.o.Codec.Answer(x.call, resp.Status, resp.Header)
+		ans.OtherRequest = ans.OtherRequest || resp.OtherRequest
 		x.recordSlowdown(s.Endpoint, &ans)
 		x.recordSign(a, &ans)
 		x.readBody(a, resp, &ans)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -92,6 +92,8 @@
 	}
 }
 
+func (codec) ResponseID(h http.Header) string { return h.Get("Id") }
+
 func (codec) Relay(r *http.Request, remaining time.Duration) http.Header {
 	h := EndToEnd(r.Header)
 	h.Set("Patience", strconv.FormatInt(remaining.Milliseconds(), 10))
--- a/internal/simworld/adapter_test.go
+++ b/internal/simworld/adapter_test.go
@@ -222,6 +222,9 @@
 	return h
 }
 
+// ResponseID implements gateway.Codec.
+func (codec) ResponseID(h http.Header) string { return h.Get(headerID) }
+
 // Relay implements gateway.Codec.
 func (codec) Relay(r *http.Request, remaining time.Duration) http.Header {
 	h := gateway.EndToEnd(r.Header)
