Exchange: a request that comes back doesn't use a connection again

Cause: a connection knew only the id of its latest request. A rejected request came back on a connection that had carried another one since; a late copy of its rejection had its id and was taken for its second answer, so that it was sent a third time while the endpoint ran it.

Change: an execution remembers the connections that have carried its request, by number, and doesn't use them for it again, however many exchanges lie between. A bounded list of ids at each connection would have had an end, and would have cost memory at all idle connections.

Evidence: TestLateCopyOfARejectionAfterAnotherExchangeIsNoAnswer failed before (2 runs instead of 1) and passes. ./internal/exchange passes.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	observer    Observer // nil if there is none
 	received    int64    // bytes received in the exchange in progress
 	header      headerBound
+	serial      uint64 // unlike those of all other connections
 	exchanges   int    // with the one in progress
 	latestID    string // of the latest request
 	unnamed     bool   // has carried a request without an ID
@@ -32,8 +34,10 @@
 	witness     bool   // carries no request, guarded by the pool's mu
 }
 
+var serials atomic.Uint64
+
 func newConn(nc net.Conn, o Observer) *conn {
-	c := &conn{Conn: nc, dialedAt: time.Now(), observer: o}
+	c := &conn{Conn: nc, serial: serials.Add(1), dialedAt: time.Now(), observer: o}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
@@ -58,11 +62,12 @@
 	c.exchanges++
 	c.latestID = r.ID
 	c.unnamed = c.unnamed || r.ID == ""
+	r.History.add(c.serial)
 }
 
 // mayCarry reports whether no late response to an earlier request can be taken for that to r.
 func (c *conn) mayCarry(r *Request) bool {
-	return r.ID == "" || r.ID != c.latestID && !c.unnamed
+	return r.ID == "" || r.ID != c.latestID && !c.unnamed && !r.History.has(c.serial)
 }
 
 // belongsTo reports whether the response that bears an ID is known to be that to r, and whether it may be. One without an
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -73,6 +73,8 @@
 	ID string
 	// ResponseID returns the ID that a response bears, "" if it bears none. It is nil if responses aren't told apart.
 	ResponseID func(http.Header) string
+	// History is that of a request which may be sent more than once, nil without one.
+	History *History
 	// NoRetry marks a request that must not be retried after a lost connection, since it may
 	// have run. It is sent only on new or recently used connections, which the endpoint is
 	// unlikely to be closing at the same moment.
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -43,6 +43,7 @@
 	runsSent              atomic.Int32                  // requests sent that aren't prefills; a guard reads it while a replacement is secured
 	prepaidRetries        int                           // taken from the retry budget and not sent yet
 	prefillDone           bool                          // an engine has accepted the prefill that is no arrival
+	history               exchange.History              // connections to endpoints that have carried the request
 	tried                 map[string]bool               // ids of endpoints that further attempts exclude
 	rejectedBy            map[string]bool               // those of them that haven't run the request and may take it later
 	silent                map[string]bool               // ids of endpoints that the replacement which is being secured excludes
@@ -253,7 +254,7 @@
 	req := &exchange.Request{
 		Method: x.call.Method, Target: x.call.Target, Host: x.call.Host,
 		Header: x.g.o.Codec.Header(x.call, s), Body: x.call.Body, ID: x.call.ID, NoRetry: !x.route.Retryable(),
-		VerifyEnd: !s.PrefillOnly, ResponseID: x.g.o.Codec.ResponseID,
+		VerifyEnd: !s.PrefillOnly, ResponseID: x.g.o.Codec.ResponseID, History: &x.history,
 	}
 	a.sentAt = x.now()
 	a.progressAt = a.sentAt
--- a/internal/gateway/unnamed_test.go
+++ b/internal/gateway/unnamed_test.go
@@ -51,6 +51,42 @@
 	}
 }
 
+// Guards against a request that is refused with a promise, or sent once more, while an endpoint runs it: a late copy of its
+// own rejection arrives on a connection that has carried another request since.
+func TestLateCopyOfARejectionAfterAnotherExchangeIsNoAnswer(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(commitRoute)
+		const rejection = "HTTP/1.1 503 X\r\nContent-Length: 0\r\nNot-Run: 1\r\nHeld: 8\r\nId: 1\r\n\r\n"
+		rejected := map[net.Conn]bool{}
+		b := w.serve(t, func(b *backend, n int, r *http.Request, c net.Conn) bool {
+			id := r.Header.Get("Id")
+			switch {
+			case n == 1:
+				rejected[c] = true
+				write(rejection)(c)
+				return true
+			case id == "1":
+				if rejected[c] {
+					write(rejection)(c)
+				}
+				b.runs.Add(1)
+				time.Sleep(silenceCallTime)
+			}
+			return respond(c, 200, "answer", "Seal: s", "Id: "+id)
+		})
+		w.addEndpoint("a", catalog.Whole, b)
+		go func() {
+			time.Sleep(2 * time.Millisecond) // the first request has been rejected
+			_, _, _ = w.request(t, "POST", "/x/", "x", "Id", "2")
+		}()
+		resp, _, err := w.request(t, "POST", "/x/", "x")
+		assert.NilError(t, err)
+		time.Sleep(settleTime)
+		assert.Equal(t, b.runs.Load(), int32(1))
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	})
+}
+
 // Guards against a stream that goes on from the KV cache of another request, as a late copy of the answer to that one's
 // prefill, without its id, has arrived in the place of its own.
 func TestAnswerToAPrefillThatNamesNoRequestIsNotThatOfAnother(t *testing.T) {
