Engines: an order isn't answered by the response to another request

What was seen: an order that the engine had refused counted as accepted, and the response to a caller's request as an engine's report. Callers aren't told anything wrong by it: the stage of an engine is planned wrongly until its next report.

Cause: orders and reports have no attempt id and may use connections that have carried other requests, and their answers' ids weren't looked at. A late copy of an earlier response was taken for their own.

A late copy of a report or a list has no id either, so an order opens a new connection. Orders are rare.

Evidence: TestAnswerToAnotherRequestAcceptsNoOrder, both cases, and TestAnswerToAnotherRequestIsNoReport failed before and pass. ./platform passes (10.7 s).

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -67,7 +67,13 @@
 
 // mayCarry reports whether no late response to an earlier request can be taken for that to r.
 func (c *conn) mayCarry(r *Request) bool {
-	return r.ID == "" || r.ID != c.latestID && !c.unnamed && !r.History.has(c.serial)
+	switch {
+	case r.Unshared:
+		return false
+	case r.ID == "":
+		return true
+	}
+	return r.ID != c.latestID && !c.unnamed && !r.History.has(c.serial)
 }
 
 // belongsTo reports whether the response that bears an ID is known to be that to r, and whether it may be. One without an
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -75,6 +75,8 @@
 	ResponseID func(http.Header) string
 	// History is that of a request which may be sent more than once, nil without one.
 	History *History
+	// Unshared marks a request that is sent on a new connection: nothing else on it can be taken for its response.
+	Unshared bool
 	// NoRetry marks a request that must not be retried after a lost connection, since it may
 	// have run. It is sent only on new or recently used connections, which the endpoint is
 	// unlikely to be closing at the same moment.
