--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,18 +22,22 @@
 	observer    Observer // nil if there is none
 	received    int64    // bytes received in the exchange in progress
 	header      headerBound
+	serial      uint64 // unlike those of all other connections
+	exchanges   int    // with the one in progress
 	latestID    string // of the latest request
 	unnamed     bool   // has carried a request without an ID
-	firstUse    bool   // carries its first exchange
 	dialedAt    time.Time
 	idleAt      time.Time // when it was returned to the pool
 	idleTimeout time.Duration
 	watch       *watch // of the idle connection, nil if it isn't idle
 	bounded     bool   // boundSendBuffer has been called
+	witness     bool   // carries no request, guarded by the pool's mu
 }
 
+var serials atomic.Uint64
+
 func newConn(nc net.Conn, o Observer) *conn {
-	c := &conn{Conn: nc, firstUse: true, dialedAt: time.Now(), observer: o}
+	c := &conn{Conn: nc, serial: serials.Add(1), dialedAt: time.Now(), observer: o}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
@@ -63,13 +68,28 @@
 
 // begin records that the connection carries r.
 func (c *conn) begin(r *Request) {
+	c.exchanges++
 	c.latestID = r.ID
 	c.unnamed = c.unnamed || r.ID == ""
+	r.History.add(c.serial)
 }
 
 // mayCarry reports whether no late response to an earlier request can be taken for that to r.
 func (c *conn) mayCarry(r *Request) bool {
-	return r.ID == "" || r.ID != c.latestID && !c.unnamed
+	switch {
+	case r.Unshared:
+		return false
+	case r.ID == "":
+		return true
+	}
+	return r.ID != c.latestID && !c.unnamed && !r.History.has(c.serial)
+}
+
+// belongsTo reports whether the response that bears an ID is known to be that to r, and whether it may be. One without an
+// ID may be if the connection has carried no other request.
+func (c *conn) belongsTo(r *Request, id string) (known, possible bool) {
+	known = id == r.ID
+	return known, known || id == "" && c.exchanges == 1
 }
 
 // boundSendBuffer bounds what the kernel holds for an endpoint that reads slowly. Its own limit is several MB.
