Ends of endpoints that are learned of while none is reached count afterwards

What callers saw: a request that ends all engines of a pool within one wave did so again and again.

Cause: with all engines gone each VM finds that it is cut off, and endpointCrashed drops every crash that it hears of until a round of tests reaches an endpoint. Class: evidence is looked at in one moment and dropped for good.

A crash that rests on a connection is dropped as before; its exposure is reported again when the entry shows the end.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -440,6 +440,11 @@
 	return e.ID + "@" + strconv.FormatInt(e.Born, 10)
 }
 
+// HasProcess reports whether an endpoint of a view is the process that a crash names.
+func HasProcess(v *catalog.View, process string) bool {
+	return slices.ContainsFunc(v.All(), func(e *catalog.Endpoint) bool { return processOf(e) == process })
+}
+
 // placementOutcome returns the outcome that the planner records for the endpoint of r.
 func placementOutcome(r *result) place.Outcome {
 	if r.outcome == notSent && r.code != code.EndpointCut {
--- a/internal/policy/crash/crash.go
+++ b/internal/policy/crash/crash.go
@@ -100,6 +100,7 @@
 	HasSuccess bool          // an endpoint has completed the request
 	SuccessAge time.Duration // since then
 	Parts      []PartCrash
+	Ended      bool // the process is known to have ended, and not only the connection; this VM's own reports only
 }
 
 // Later returns c with all ages increased by d.
--- a/internal/policy/crash/exposure.go
+++ b/internal/policy/crash/exposure.go
@@ -131,7 +131,7 @@
 // were sent before the end was known don't confirm it.
 func (e *Exposure) report(now clock.Time) Crash {
 	e.reported = true
-	c := Crash{Request: e.request, Endpoint: e.process}
+	c := Crash{Request: e.request, Endpoint: e.process, Ended: true}
 	for _, p := range e.parts {
 		c.Parts = append(c.Parts, PartCrash{Part: p, SentAge: now.Sub(e.sentAt)})
 	}
--- a/internal/simworld/silent_end_test.go
+++ b/internal/simworld/silent_end_test.go
@@ -30,8 +30,12 @@
 	silentEndTimeout  = 3 * time.Second // of the callers
 	silentEndInterval = 50 * time.Millisecond
 	silentEndPoison   = "poison"
-	soundCaller       = "sound"
-	silentEndCallers  = 3 // that repeat the request
+	// wholePoolEndpoints are few enough that a request ends all of them before the first end is known.
+	wholePoolEndpoints = 4
+	wholePoolEndAfter  = time.Second
+	wholePoolRestart   = 800 * time.Millisecond
+	soundCaller        = "sound"
+	silentEndCallers   = 3 // that repeat the request
 	// minSoundCalls and minSoundStreams are the minimum numbers of answers to sound requests; a stream takes 0.2 s.
 	minSoundCalls   = 400
 	minSoundStreams = 100
@@ -42,6 +46,10 @@
 	*world
 	t    *testing.T
 	stop context.Context
+	// endAfter is how long an endpoint is silent until its process ends, and restartAfter how long after that another
+	// one begins.
+	endAfter, restartAfter time.Duration
+	endpoints              int
 
 	mu          sync.Mutex
 	silent      map[*endpoint]bool
@@ -63,7 +71,7 @@
 	}
 	s.silent[e] = true
 	e.pause(time.Hour)
-	time.AfterFunc(silentEndAfter, func() { s.endSilent(e) })
+	time.AfterFunc(s.endAfter, func() { s.endSilent(e) })
 }
 
 func (s *silentEndRun) endSilent(e *endpoint) {
@@ -71,6 +79,7 @@
 	s.ends = append(s.ends, time.Now())
 	s.mu.Unlock()
 	s.retire(e)
+	time.Sleep(s.restartAfter)
 	if s.stop.Err() == nil {
 		s.addEndpoint(e.endpointSpec)
 	}
@@ -133,7 +142,7 @@
 	if path == pathResumable {
 		spec.service, spec.stage = "m", catalog.Decode
 	}
-	s.world = newWorld(s.t, seed, slices.Repeat([]endpointSpec{spec}, silentEndEndpoints))
+	s.world = newWorld(s.t, seed, slices.Repeat([]endpointSpec{spec}, s.endpoints))
 	var callers sync.WaitGroup
 	for i := range silentEndCallers {
 		callers.Go(func() { s.call(fmt.Sprint(silentEndPoison, i), path, func(int) string { return "the same" }) })
@@ -152,7 +161,7 @@
 			for i := range uint64(*worldSeeds) {
 				seed := *worldFirst + i
 				synctest.Test(t, func(t *testing.T) {
-					s := &silentEndRun{t: t, silent: map[*endpoint]bool{}}
+					s := &silentEndRun{t: t, silent: map[*endpoint]bool{}, endAfter: silentEndAfter, endpoints: silentEndEndpoints}
 					s.run(seed, path)
 					late := s.lateSends()
 					t.Logf("seed %d: %d endpoints ended, %d sends, %d late, %d sound answers, %d quarantined", seed, len(s.ends), len(s.sends), late, s.whole, s.quarantined)
@@ -165,3 +174,24 @@
 		})
 	}
 }
+
+// Guards against a request that ends all endpoints of a pool again and again, as each VM finds itself cut off by then
+// and takes none of the ends for a crash.
+func TestWorldOfARequestThatEndsAWholePool(t *testing.T) {
+	for _, path := range []string{pathReads, pathPay, pathResumable} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			for i := range uint64(*worldSeeds) {
+				seed := *worldFirst + i
+				synctest.Test(t, func(t *testing.T) {
+					s := &silentEndRun{t: t, silent: map[*endpoint]bool{}, endAfter: wholePoolEndAfter, restartAfter: wholePoolRestart, endpoints: wholePoolEndpoints}
+					s.run(seed, path)
+					late := s.lateSends()
+					t.Logf("seed %d: %d endpoints ended, %d sends, %d late, %d sound answers, %d quarantined", seed, len(s.ends), len(s.sends), late, s.whole, s.quarantined)
+					assert.Check(t, len(s.ends) >= 3, "seed %d", seed)
+					assert.Check(t, late <= maxLateSilentEnds, "seed %d: %d late sends", seed, late)
+					assert.Check(t, s.quarantined == 0, "seed %d: %d sound requests refused", seed, s.quarantined)
+				})
+			}
+		})
+	}
+}
--- a/internal/vm/reachability.go
+++ b/internal/vm/reachability.go
@@ -30,9 +30,11 @@
 		n.announceCutOff()
 		n.gossip.SendEarly()
 		n.pushUpdates()
-		if cutOff {
-			n.pool.CloseIdle() // these connections hang, and would go on hanging after the partition
+		if !cutOff {
+			n.recordPendingCrashes()
+			return
 		}
+		n.pool.CloseIdle() // these connections hang, and would go on hanging after the partition
 	}
 	n.pool.Observer = n.reachability
 	n.announceCutOff()
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -144,6 +144,7 @@
 	planner          *place.Planner
 	retryBudget      *repeat.Budget
 	crashes          *crash.Register
+	pendingCrashes   crash.Pending
 	backpressure     *backpressure.Tracker
 	gateway          *gateway.Gateway
 	gossip           *gossip.Unit
@@ -351,16 +352,30 @@
 	n.gossip.QueueUpdate(func(b *wire.Beat) { b.Cached = append(b.Cached, cachesync.Prefix(e, parts)) })
 }
 
-// endpointCrashed records a crash unless a partition of this VM may have cut the connection.
+// endpointCrashed records a crash unless a partition of this VM may have cut the connection. If the process has ended,
+// it is recorded later.
 func (n *Node) endpointCrashed(c crash.Crash) {
 	observedAt := n.clock.Now()
 	n.reachability.Verify(func(reached bool) {
-		if reached {
-			n.recordCrash(c.Later(n.clock.Now().Sub(observedAt)))
+		now := n.clock.Now()
+		switch c = c.Later(now.Sub(observedAt)); {
+		case reached:
+			n.recordCrash(c)
+		case c.Ended:
+			n.pendingCrashes.Add(now, c)
 		}
 	})
 }
 
+// recordPendingCrashes records the crashes that became known while this VM reached no endpoint.
+func (n *Node) recordPendingCrashes() {
+	view := n.catalog.View()
+	lives := func(process string) bool { return gateway.HasProcess(view, process) }
+	for _, c := range n.pendingCrashes.Take(n.clock.Now(), lives) {
+		n.recordCrash(c)
+	}
+}
+
 func (n *Node) recordCrash(observed crash.Crash) {
 	c := n.gossipContent.RecordOwnCrash(observed)
 	if c == nil {
