Scenarios of promises: cut prefills and reports, held links beside VMs that end, many VMs

- steps: half of the answers to prefills and reports are cut at any byte, at all engines, by an end or a reset.
- held_killed, held_suspended: single requests on kept connections whose endpoint's link holds data, beside VMs that are killed or suspended, while configurations turn the idle limit, the routes' timeout and the routes.
Callers repeat what failed on the connections that they keep.
- many_vms, many_vms_held: eight VMs before endpoints with two places and a queue of four.
- paused: streams alone, at engines that pause.

The log line of a run counts the answers of which two engines made events at the same time, with the excuses of the check. The world's log counts runs beyond the first of a request. No check is changed. TestAnswerToACallEndsItsOtherExchange: two endpoints may run a call that may be repeated; the other exchange is reset within 5 ms of the answer.

--- a/internal/gateway/withdrawal_test.go
+++ b/internal/gateway/withdrawal_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,6 +185,39 @@
 	})
 }
 
+// Guards against an endpoint that works on a call which another one has answered: both may run it, until one of them has.
+func TestAnswerToACallEndsItsOtherExchange(t *testing.T) {
+	for name, tc := range map[string]struct{ first, second time.Duration }{
+		"the first endpoint answers": {time.Second, time.Hour}, "the second endpoint answers": {time.Hour, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(lookupRoute)
+				reset := make(chan time.Time, 1)
+				work := func(d time.Duration, c net.Conn) bool {
+					assert.Check(t, c.SetReadDeadline(time.Now().Add(d)))
+					if _, err := c.Read(make([]byte, 1)); errors.Is(err, syscall.ECONNRESET) {
+						reset <- time.Now()
+						return false
+					}
+					return respond(c, 200, "ok", "Seal: s")
+				}
+				other := w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool { return work(tc.second, c) })
+				w.addEndpoint("a", catalog.Whole, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+					w.addEndpoint("b", catalog.Whole, other)
+					return work(tc.first, c)
+				}))
+				resp, body, err := w.request(t, "GET", "/x/", "", "Patience", "5000")
+				answered := time.Now()
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, 200, body)
+				late := (<-reset).Sub(answered)
+				assert.Assert(t, late < 5*time.Millisecond, "%s", late)
+			})
+		})
+	}
+}
+
 // Guards against two exchanges of a request that may run once, while its endpoint and others are silent.
 func TestRequestThatMayRunOnceHasOneExchange(t *testing.T) {
 	onceRoute := catalog.Route{Kind: catalog.Stream, MaxAttempts: 3}
--- a/internal/simworld/pause_test.go
+++ b/internal/simworld/pause_test.go
@@ -319,15 +319,17 @@
 // checkRuns checks that nothing ran twice that may run once, that nothing ran that was refused, and that no endpoint
 // worked for long on a stream that another one had gone on with.
 func (p *pauseRun) checkRuns() {
+	more := 0
 	for _, e := range p.all {
 		runs := p.ledger.runsOf(e.id)
+		more += max(runs-1, 0)
 		once := p.tc.path == pathPay || p.tc.path == pathOnce
 		assert.Check(p.t, !once || runs <= 1, "seed %d: %s ran %d times", p.seed, e, runs)
 		assert.Check(p.t, e.outcome != refusedAnswer || runs == 0, "seed %d: %s ran %d times", p.seed, e, runs)
 	}
 	long, shared := p.ledger.overlaps()
 	assert.Check(p.t, len(long) == 0, "seed %d: %s", p.seed, strings.Join(long, "; "))
-	p.t.Logf("seed %d: two endpoints made events of %d streams at the same time", p.seed, shared)
+	p.t.Logf("seed %d: %d runs beyond the first of a request; two endpoints made events of %d streams at the same time", p.seed, more, shared)
 }
 
 // count returns the number of requests by outcome.
--- a/scenarios/promises_test.go
+++ b/scenarios/promises_test.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -72,6 +73,7 @@
 	resumed   []time.Time // when paused endpoints went on
 	outOfWork []span      // when VMs were suspended or didn't reach endpoints
 	configs   int
+	cutSteps  atomic.Int32 // answers to prefills and reports that were cut
 }
 
 func (p *promisesRun) setup() engineSetup {
@@ -192,6 +194,21 @@
 	return noop
 }
 
+// changeLimits publishes a configuration that changes the idle limit, the routes' timeout and the routes.
+func (p *promisesRun) changeLimits() func() {
+	p.configs++
+	plain := [][]string{{"t"}, {"s", "t"}, {"s"}}[p.configs%3]
+	p.publishConfig(soakConfig{
+		reads: plain, pays: plain,
+		idle:    []time.Duration{shortIdleLimit, soakIdleLimit}[p.configs%2],
+		timeout: []time.Duration{promisesRouteTimeout, longRouteTimeout}[p.configs/2%2],
+	})
+	return noop
+}
+
+// promisesRouteTimeout is shorter than many requests last whose endpoint's link holds data.
+const promisesRouteTimeout = 1500 * time.Millisecond
+
 // pauseSome pauses two random endpoints.
 func (p *promisesRun) pauseSome() func() {
 	return p.pauseAll([]*soakEndpoint{p.randomEndpoint(), p.randomEndpoint()})
@@ -321,6 +338,30 @@
 	return func() { e.link.SetTruncate(nil) }
 }
 
+// truncateSteps has all endpoints' connections end within the answers to prefills and reports, at any byte.
+func (p *promisesRun) truncateSteps() func() {
+	list, seed := p.live(), p.rng.Uint64()
+	for i, e := range list {
+		var mu sync.Mutex
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		e.link.SetTruncate(func(chunk []byte) (int, bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			isStep := bytes.Contains(chunk, []byte(`"transferHandle"`)) || bytes.Contains(chunk, []byte(`"sequence"`))
+			if !isStep || rng.IntN(2) > 0 {
+				return len(chunk), false
+			}
+			p.cutSteps.Add(1)
+			return 1 + rng.IntN(len(chunk)-1), rng.IntN(2) == 0
+		})
+	}
+	return func() {
+		for _, e := range list {
+			e.link.SetTruncate(nil)
+		}
+	}
+}
+
 func attemptID(chunk []byte) string {
 	_, after, _ := strings.Cut(string(chunk), "\r\nAttempt-Id: ")
 	id, _, _ := strings.Cut(after, "\r\n")
@@ -447,6 +488,7 @@
 
 // summary counts the answers for the log.
 func (p *promisesRun) summary() string {
+	shared := p.sharedStreams()
 	p.soak.mu.Lock()
 	defer p.soak.mu.Unlock()
 	counts := map[string]int{}
@@ -469,7 +511,23 @@
 		}
 		counts[a.path+" "+how]++
 	}
-	return fmt.Sprintf("%d requests, %d runs, %d faults: %v", len(p.answers), len(p.ledger.Runs()), len(p.faults), counts)
+	return fmt.Sprintf("%d requests, %d runs, %d faults, %d answers to prefills and reports cut, %d answers of which two engines made events at the same time: %v",
+		len(p.answers), len(p.ledger.Runs()), len(p.faults), p.cutSteps.Load(), shared, counts)
+}
+
+// sharedStreams returns the number of answers for which an engine made events after another one had gone on.
+func (p *promisesRun) sharedStreams() (n int) {
+	for _, list := range p.workOfStreams() {
+		for i, next := range list {
+			isShared := func(w *work) bool {
+				return w.id == next.id && w.endpoint != next.endpoint && w.last.After(next.first) && !p.excused(w, next)
+			}
+			if slices.ContainsFunc(list[:i], isShared) {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 var allPaths = []string{pathPay, pathPay, pathOnce, pathResumable, pathReads}
@@ -495,6 +553,8 @@
 	faultPartition = promisesFault{2500 * time.Millisecond, time.Second, promisesLong, (*promisesRun).partition}
 	faultRestart   = promisesFault{500 * time.Millisecond, promisesShort, promisesLong, (*promisesRun).restartEndpoint}
 	faultSurplus   = promisesFault{300 * time.Millisecond, promisesShort, promisesLong, (*promisesRun).surplus}
+	faultLimits    = promisesFault{400 * time.Millisecond, 0, 0, (*promisesRun).changeLimits}
+	faultSteps     = promisesFault{time.Second, promisesShort, promisesLong, (*promisesRun).truncateSteps}
 	faultTruncate  = promisesFault{300 * time.Millisecond, promisesShort, promisesLong, (*promisesRun).truncate}
 	faultCrash     = promisesFault{2 * time.Second, 0, 0, func(p *promisesRun) func() { return p.crash() }}
 	faultDrain     = promisesFault{2 * time.Second, 0, 0, func(p *promisesRun) func() { return p.drain() }}
@@ -507,11 +567,15 @@
 
 var fullEngines = engineSetup{slots: 3, serviceSlots: 3, queue: 2, moreServices: []string{secondEngineService}}
 
+// manyVMs are VMs that know little of each other's endpoints, which have few places and a queue.
+var manyVMs = engineSetup{slots: 2, serviceSlots: 2, queue: 4, vms: 2 * soakVMs}
+
 var promisesCases = map[string]promisesCase{
 	"killed":       {paths: allPaths, faults: []promisesFault{faultKill, faultPause}},
 	"suspended":    {paths: allPaths, faults: []promisesFault{faultSuspend, faultSuspendL, faultPause}},
 	"held":         {paths: allPaths, faults: []promisesFault{faultHold}},
 	"held_single":  {paths: []string{pathPay}, engines: engineSetup{serviceSlots: 3}, faults: []promisesFault{faultHold, faultPause, faultRoutes}},
+	"paused":       {paths: []string{pathResumable}, faults: []promisesFault{faultPause, faultPauseEach}, planned: true},
 	"paused_full":  {paths: allPaths, engines: fullEngines, faults: []promisesFault{faultPause, faultPauseEach, faultRoutes}, planned: true},
 	"terms_full":   {paths: allPaths, engines: fullEngines, faults: []promisesFault{faultTerminate, faultHangUp, faultRoutes, faultPause}, planned: true, timeout: graceTimeout},
 	"terms_single": {paths: []string{pathPay}, engines: fullEngines, faults: []promisesFault{faultTerminate, faultRoutes, faultPause}, planned: true, timeout: graceTimeout},
@@ -521,7 +585,14 @@
 	"restarts":     {paths: allPaths, faults: []promisesFault{faultRestart, faultPause}},
 	"surplus":      {paths: allPaths, faults: []promisesFault{faultSurplus, faultPause}},
 	"truncated":    {paths: allPaths, engines: engineSetup{prefills: pauseEndpoints / 2}, faults: []promisesFault{faultTruncate, faultPause}},
-	"left":         {paths: allPaths, engines: fullEngines, faults: []promisesFault{faultCrash, faultDrain, faultPause, faultRoutes}},
+	"steps": {
+		paths: []string{pathOnce, pathResumable}, engines: engineSetup{slots: 3, prefills: pauseEndpoints / 2}, faults: []promisesFault{faultSteps, faultPause},
+	},
+	"held_killed":    {paths: []string{pathPay, pathOnce}, faults: []promisesFault{faultHold, faultKill, faultLimits}},
+	"held_suspended": {paths: []string{pathPay, pathOnce}, faults: []promisesFault{faultHold, faultSuspend, faultLimits}},
+	"many_vms":       {paths: allPaths, engines: manyVMs, faults: []promisesFault{faultPause, faultPauseEach, faultRoutes, faultTerminate}, planned: true, timeout: graceTimeout},
+	"many_vms_held":  {paths: allPaths, engines: manyVMs, faults: []promisesFault{faultHold, faultKill, faultSuspend, faultLimits, faultPause}},
+	"left":           {paths: allPaths, engines: fullEngines, faults: []promisesFault{faultCrash, faultDrain, faultPause, faultRoutes}},
 	"all": {paths: allPaths, engines: fullEngines, faults: []promisesFault{
 		faultKill, faultSuspend, faultHold, faultPartition, faultRestart, faultSurplus, faultRestore, faultRoutes, faultTerminate, faultPause,
 	}},
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -146,6 +146,7 @@
 	callTime      time.Duration // of calls of plain services, zero for the default
 	prefills      int           // engines that start as prefill engines
 	services      int           // endpoints of each plain service, zero for the default
+	vms           int           // zero for the default
 	unframed      bool          // all answers end with their connection
 	crashParts    map[string]standin.CrashPoint
 	partsSound    func() bool   // crashParts don't crash endpoints for now
@@ -195,7 +196,7 @@
 		s.addEndpoint("s", "")
 		s.addEndpoint("t", "")
 	}
-	for i := range soakVMs {
+	for i := range cmp.Or(engines.vms, soakVMs) {
 		s.addVM(i)
 	}
 	return s
