Appends of origins don't wait for each other

An origin waited for up to a call's time and then took another one, so that with all VMs the origins of the last 1.5 s were lost.

Fix: an append begins each 100 ms at most, also while others are under way, 8 at most. Which origins the store hasn't taken is kept apart from those that are new; only the latter are handed over. While the latest append has failed, the next one waits 300 ms as before.

Failed before: TestAppendsDoNotWaitForEachOther.

--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -70,8 +70,9 @@
 	spreadPerVM = 2 * time.Millisecond
 	// lateCallTime is how long after it was sent the store may carry out a call.
 	lateCallTime = 5 * time.Second
-	// appendInterval is the minimum time between two appends of origins.
+	// appendInterval is the minimum time between two appends of origins, and maxAppends bounds those under way.
 	appendInterval = 100 * time.Millisecond
+	maxAppends     = 8
 	// readInterval is the minimum time between two reads for streams that are taken up. All that wait
 	// share one read.
 	readInterval = 50 * time.Millisecond
@@ -142,13 +143,12 @@
 	readAt   clock.Time    // when the newest read began
 	added    chan struct{} // origins wait for an append
 	pending  []Archived
+	failed   []Archived // origins that the store hasn't taken yet
 	dropped  int
 
-	next era.Position // of readForWaiting
+	appendsFail atomic.Bool // the latest append failed
 
-	// handedOver is the number of origins at the head of pending with which OnAppendFailed was called. It belongs to
-	// the goroutine that appends.
-	handedOver int
+	next era.Position // of readForWaiting
 
 	// Of the goroutine that records starts.
 	retryAt    clock.Time
@@ -446,28 +446,45 @@
 func (a *Archive) Add(origins ...Archived) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	room := max(0, maxPending-len(a.pending))
+	a.pending = a.addBounded(a.pending, origins)
+	a.requestAppend()
+}
+
+// addBounded adds origins to a list of those that wait. mu is held.
+func (a *Archive) addBounded(list, origins []Archived) []Archived {
+	room := max(0, maxPending-len(a.pending)-len(a.failed))
 	if len(origins) > room {
 		a.dropped += len(origins) - room
 		origins = origins[:room]
 	}
-	a.pending = append(a.pending, origins...)
+	return append(list, origins...)
+}
+
+func (a *Archive) requestAppend() {
 	select {
 	case a.added <- struct{}{}:
 	default: // an append is due already
 	}
 }
 
-// runAppends appends origins as they are added, each time after appendInterval at least.
+// runAppends appends origins as they are added. An append doesn't wait for the one before it, which a slow store may
+// take long for.
 func (a *Archive) runAppends(ctx context.Context) error {
+	var appends errgroup.Group
+	appends.SetLimit(maxAppends)
+	defer func() { _ = appends.Wait() }() // they return no error
 	for {
 		select {
 		case <-a.added:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		appends.Go(func() error {
+			a.appendPending(ctx)
+			return nil
+		})
 		pause := appendInterval
-		if !a.appendPending(ctx) {
+		if a.appendsFail.Load() {
 			pause = retryInterval
 		}
 		if !clock.Sleep(ctx, pause) {
@@ -476,39 +493,36 @@
 	}
 }
 
-// appendPending appends the origins that wait. It returns false if the store doesn't take them.
-func (a *Archive) appendPending(ctx context.Context) bool {
+// appendPending appends the origins that wait.
+func (a *Archive) appendPending(ctx context.Context) {
 	a.mu.Lock()
-	origins, dropped := a.pending, a.dropped
-	a.pending, a.dropped = nil, 0
+	failed, added, dropped := a.failed, a.pending, a.dropped
+	a.failed, a.pending, a.dropped = nil, nil, 0
 	a.mu.Unlock()
+	origins := slices.Concat(failed, added)
 	if len(origins) == 0 {
-		return true
+		return
 	}
 	err := a.Store.AppendOrigins(ctx, origins)
-	if err != nil {
-		a.appendLater(origins)
-	} else {
-		a.handedOver = 0
-	}
+	a.appendsFail.Store(err != nil)
 	if err != nil || dropped > 0 {
 		log.WithError(err).WithField("origins", len(origins)).WithField("dropped", dropped).Warn("origins of streams not archived")
 	}
-	return err == nil
+	if err == nil {
+		return
+	}
+	a.appendLater(origins)
+	if len(added) > 0 {
+		a.OnAppendFailed(added)
+	}
 }
 
-// appendLater keeps origins that the store hasn't taken, in front of those that were added meanwhile.
+// appendLater keeps origins that the store hasn't taken for the next append.
 func (a *Archive) appendLater(origins []Archived) {
 	a.mu.Lock()
-	added := a.pending
-	a.pending = origins
-	a.mu.Unlock()
-	a.Add(added...)
-	first := origins[a.handedOver:]
-	a.handedOver = len(origins)
-	if len(first) > 0 {
-		a.OnAppendFailed(first)
-	}
+	defer a.mu.Unlock()
+	a.failed = a.addBounded(a.failed, origins)
+	a.requestAppend()
 }
 
 // Lookup returns the archived origin of a stream, or the origins that it may have. It fails if the store
--- a/internal/originsync/archive_test.go
+++ b/internal/originsync/archive_test.go
@@ -477,3 +477,62 @@
 	s.onPut()
 	return s.memoryStore.PutStarts(ctx, starts)
 }
+
+// Guards against origins that wait for the append before theirs, while a slow store is at it: they are lost with all
+// VMs.
+func TestAppendsDoNotWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const latency = 700 * time.Millisecond
+		w := newNetwork(1)
+		a := w.newArchive()
+		a.Store = &slowStore{memoryStore: w.store, latency: latency}
+		ctx, cancel := context.WithCancel(t.Context())
+		var appends sync.WaitGroup
+		appends.Go(func() { _ = a.runAppends(ctx) })
+		for key := range origin.Key(30) {
+			a.Add(Archived{key + 1, v1})
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(latency + appendInterval - 50*time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, len(w.store.origins), 30)
+		cancel()
+		appends.Wait()
+	})
+}
+
+// Guards against calls without a bound, while a slow store takes origins.
+func TestAppendsUnderWayAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(1)
+		a := w.newArchive()
+		slow := &slowStore{memoryStore: w.store, latency: time.Minute}
+		a.Store = slow
+		ctx, cancel := context.WithCancel(t.Context())
+		var appends sync.WaitGroup
+		appends.Go(func() { _ = a.runAppends(ctx) })
+		for key := range origin.Key(100) {
+			a.Add(Archived{key + 1, v1})
+			time.Sleep(appendInterval)
+		}
+		assert.Equal(t, slow.underWay.Load(), int64(maxAppends))
+		cancel()
+		appends.Wait()
+	})
+}
+
+// slowStore is a store that takes long for an append.
+type slowStore struct {
+	*memoryStore
+	latency  time.Duration
+	underWay atomic.Int64
+}
+
+func (s *slowStore) AppendOrigins(ctx context.Context, origins []Archived) error {
+	s.underWay.Add(1)
+	defer s.underWay.Add(-1)
+	if !clock.Sleep(ctx, s.latency) {
+		return ctx.Err()
+	}
+	return s.memoryStore.AppendOrigins(ctx, origins)
+}
