Exchange: the reset of a connection that was just opened isn't the end of its process

What callers would have seen: a whole answer without a length broken off, if its endpoint was at its bound of connections and the answer ended within 50 ms after its header.

Cause: the idle connection that is opened during such an answer was reset by the endpoint, as it was one too many, and the end of an idle connection counted as that of the process.

Change: the reset of a connection within 50 ms after its beginning says nothing. Its orderly end still does: a process that ends closes its idle connections so.

Evidence: TestResetOfAFurtherConnectionIsNoEndOfTheProcess failed before (Ended instead of Unknown) and passes, as does the package (5.2 s).

--- a/internal/exchange/idle.go
+++ b/internal/exchange/idle.go
@@ -28,7 +28,7 @@
 	if w.quiet {
 		return
 	}
-	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) && !c.isNew() {
 		p.recordEnd(addr, c)
 	}
 	p.removeIdle(addr, c)
@@ -38,6 +38,9 @@
 	}
 }
 
+// isNew reports whether the endpoint may not have accepted c yet: it resets connections beyond its bound.
+func (c *conn) isNew() bool { return time.Since(c.dialedAt) < endsTogether }
+
 // end ends the watch of c, which has been taken from the pool, and reports whether nothing had arrived.
 func (w *watch) end(c *conn) bool {
 	if c.SetReadDeadline(time.Unix(1, 0)) != nil {
--- a/internal/exchange/witness_test.go
+++ b/internal/exchange/witness_test.go
@@ -86,6 +86,39 @@
 	}
 }
 
+// Guards against a whole answer that is lost, as its endpoint resets connections beyond those that it has.
+func TestResetOfAFurtherConnectionIsNoEndOfTheProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, host := simulatedPool(t)
+		ln, err := host.Listen(0)
+		assert.NilError(t, err)
+		go func() {
+			for n := 0; ; n++ {
+				c, err := ln.Accept()
+				switch {
+				case err != nil:
+					return
+				case n > 0:
+					c.(*simnet.Conn).Reset()
+					continue
+				}
+				go func() {
+					(&endpoint{}).read(bufio.NewReader(c))
+					answer(c, unframed)
+					time.Sleep(20 * time.Millisecond)
+					_ = c.Close()
+				}()
+			}
+		}()
+		resp, err := p.Do(t.Context(), ln.Addr().String(), &Request{Method: "GET", Target: "/", Host: "h", VerifyEnd: true})
+		assert.NilError(t, err)
+		defer resp.Close()
+		_, err = io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, p.CheckProcess(t.Context(), ln.Addr().String()), Unknown)
+	})
+}
+
 // Guards against connections in proportion to the answers without a length, which endpoints have bounds for, and against
 // witnesses that are kept once no answer needs them.
 func TestAnswersShareTheirWitnesses(t *testing.T) {
