Scenarios: endpoints also send copies of rejections without an id

What callers saw, with real processes: unrepeatable requests ran twice (TWICE). TestCallersGetWhatTheyArePromised/surplus now has surplus rejections without an id among its answers.

No answer and no check was taken away.

--- a/scenarios/promises_test.go
+++ b/scenarios/promises_test.go
@@ -296,8 +296,9 @@
 	return func() { e.link.SetSurplus(nil) }
 }
 
-// surplusAnswers are answers to the request before, whose id is put for ID.
+// surplusAnswers are answers to the request before, whose id is put for ID. The first one has none.
 var surplusAnswers = []string{
+	"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 	"HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: ID\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Seal: x\r\nContent-Length: 12\r\n\r\nanswer to ID",
 	"HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: ID\r\nContent-Length: 0\r\n\r\n",
