A request doesn't come back on a connection that has carried it recently

Callers of calls that may run once saw two rules broken: a call ran twice, or was answered 503 with the promise that it didn't run, and ran.

A copy of the rejection that arrives only now bears the call's id and counts as the answer: the call is sent once more, or refused, while the endpoint runs it.

Evidence: TestLateCopyOfARejectionAfterAnotherRequestIsNoAnswer failed 3 of 3 runs before (two runs of the call).

A connection now remembers hashes of the latest 32 ids, 256 bytes, and carries none of them again. The contract has a copy arrive where the next response is expected; 32 is for copies that come later, and wasn't measured. IDs themselves would keep the callers' headers in memory.

TestRequestsWithoutAnIDKeepToTheirConnection sets its connections up by begin instead of a field that is gone; its checks are unchanged.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -5,9 +5,11 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -21,9 +23,9 @@
 	observer    Observer // nil if there is none
 	received    int64    // bytes received in the exchange in progress
 	header      headerBound
-	latestID    string // of the latest request
-	unnamed     bool   // has carried a request without an ID
-	firstUse    bool   // carries its first exchange
+	recent      recentIDs
+	unnamed     bool // has carried a request without an ID
+	firstUse    bool // carries its first exchange
 	dialedAt    time.Time
 	idleAt      time.Time // when it was returned to the pool
 	idleTimeout time.Duration
@@ -54,15 +56,35 @@
 
 // begin records that the connection carries r.
 func (c *conn) begin(r *Request) {
-	c.latestID = r.ID
-	c.unnamed = c.unnamed || r.ID == ""
+	if r.ID == "" {
+		c.unnamed = true
+		return
+	}
+	c.recent.add(r.ID)
 }
 
 // mayCarry reports whether no late response to an earlier request can be taken for that to r.
 func (c *conn) mayCarry(r *Request) bool {
-	return r.ID == "" || r.ID != c.latestID && !c.unnamed
+	return r.ID == "" || !c.unnamed && !c.recent.has(r.ID)
+}
+
+// recentRequests is the number of requests after which no late response to one is expected on its connection.
+const recentRequests = 32
+
+// recentIDs holds hashes of the IDs of the latest requests. The IDs themselves would keep the callers' headers in memory.
+type recentIDs struct {
+	hashes [recentRequests]uint64
+	next   int
 }
 
+func (l *recentIDs) add(id string) {
+	l.hashes[l.next] = xxhash.Sum64String(id)
+	l.next = (l.next + 1) % recentRequests
+}
+
+// has reports whether one of the latest requests had the ID. It may also report so for another ID.
+func (l *recentIDs) has(id string) bool { return slices.Contains(l.hashes[:], xxhash.Sum64String(id)) }
+
 // boundSendBuffer bounds what the kernel holds for an endpoint that reads slowly. Its own limit is several MB.
 func (c *conn) boundSendBuffer() {
 	if b, ok := c.Conn.(interface{ SetWriteBuffer(bytes int) error }); ok && !c.bounded {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -67,9 +67,9 @@
 	Host   string
 	Header http.Header // without Host, Content-Length and hop-by-hop fields
 	Body   []byte
-	// ID is that of the request in its responses, empty if they have none. A request that is sent once more doesn't
-	// follow itself on a connection, where a late copy of the earlier response would be taken for its own, nor a request
-	// without an ID, whose response doesn't show that it is another one's.
+	// ID is that of the request in its responses, empty if they have none. A request that is sent once more isn't sent on
+	// a connection that has carried it recently, where a late copy of the earlier response would be taken for its own, nor
+	// after a request without an ID, whose response doesn't show that it is another one's.
 	ID string
 	// NoRetry marks a request that must not be retried after a lost connection, since it may
 	// have run. It is sent only on new or recently used connections, which the endpoint is
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -572,10 +573,26 @@
 
 // Guards against requests with an ID that need a new connection each time a request without one has been sent.
 func TestRequestsWithoutAnIDKeepToTheirConnection(t *testing.T) {
-	list := []*conn{{unnamed: true}, {latestID: "1"}, {unnamed: true}, {latestID: "2"}}
+	list := []*conn{{}, {}, {}, {}}
+	for i, id := range []string{"", "1", "", "2"} {
+		list[i].begin(&Request{ID: id})
+	}
 	assert.Equal(t, choose(list, &Request{}), 2)
 	assert.Equal(t, choose(list, &Request{ID: "1"}), 3)
 	assert.Equal(t, choose(list, &Request{ID: "2"}), 1)
 	assert.Equal(t, choose(list[:1], &Request{ID: "3"}), -1)
 	assert.Equal(t, choose(list[1:2], &Request{}), 0)
 }
+
+// Guards against a request that comes back on a connection which has carried it, and others since.
+func TestConnectionCarriesARequestOnce(t *testing.T) {
+	c := &conn{}
+	for i := range recentRequests {
+		r := &Request{ID: strconv.Itoa(i)}
+		assert.Assert(t, c.mayCarry(r))
+		c.begin(r)
+		for earlier := range i + 1 {
+			assert.Assert(t, !c.mayCarry(&Request{ID: strconv.Itoa(earlier)}), "%d after %d", earlier, i)
+		}
+	}
+}
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -48,6 +49,46 @@
 	})
 }
 
+// Guards against a request that is refused with a promise, or sent once more, while an endpoint runs it: the connection on
+// which the endpoint has rejected it carries another request before it comes back, and the copy of the rejection is later
+// than that.
+func TestLateCopyOfARejectionAfterAnotherRequestIsNoAnswer(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(commitRoute)
+		const rejection = "HTTP/1.1 503 X\r\nContent-Length: 0\r\nNot-Run: 1\r\nHeld: 8\r\nId: 1\r\n\r\n"
+		other := func() {
+			time.Sleep(time.Millisecond)
+			_, _, err := w.request(t, "POST", "/x/", "y", "Id", "2")
+			assert.Check(t, err)
+		}
+		var between sync.WaitGroup
+		rejected := map[net.Conn]bool{}
+		b := w.serve(t, func(b *backend, n int, r *http.Request, c net.Conn) bool {
+			switch id := r.Header.Get("Id"); {
+			case n == 1:
+				rejected[c] = true
+				between.Go(other)
+				return respond(c, 503, "", "Not-Run: 1", "Held: 8", "Id: 1")
+			case id == "2":
+				assert.Check(t, rejected[c], "the other request didn't follow on the connection")
+				return respond(c, 200, "answer", "Seal: s", "Id: 2")
+			case rejected[c]:
+				write(rejection)(c)
+			}
+			b.runs.Add(1)
+			time.Sleep(silenceCallTime)
+			return respond(c, 200, "answer", "Seal: s", "Id: 1")
+		})
+		w.addEndpoint("a", catalog.Whole, b)
+		resp, _, err := w.request(t, "POST", "/x/", "x")
+		assert.NilError(t, err)
+		between.Wait()
+		time.Sleep(settleTime)
+		assert.Equal(t, b.runs.Load(), int32(1))
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	})
+}
+
 // Guards against a request that is refused with a promise, or sent once more, while an endpoint runs it: the endpoint has
 // rejected a request without an id, and sends that answer again, late, on the connection.
 func TestLateCopyOfARejectionWithoutAnIDIsNoAnswer(t *testing.T) {
