--- a/scenarios/main_test.go
+++ b/scenarios/main_test.go
@@ -21,6 +21,10 @@
 var binaries string
 
 func TestMain(m *testing.M) {
+	if spec := os.Getenv(endpointEnv); spec != "" {
+		fmt.Fprintln(os.Stderr, serveEndpoint(spec))
+		os.Exit(1)
+	}
 	dir, err := os.MkdirTemp("", "fescue-scenarios-")
 	if err == nil {
 		err = buildInto(dir)
