--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -622,7 +622,10 @@
 
 // Guards against requests with an ID that need a new connection each time a request without one has been sent.
 func TestRequestsWithoutAnIDKeepToTheirConnection(t *testing.T) {
-	list := []*conn{{unnamed: true}, {latestID: "1"}, {unnamed: true}, {latestID: "2"}}
+	list := []*conn{{}, {}, {}, {}}
+	for i, id := range []string{"", "1", "", "2"} {
+		list[i].begin(&Request{ID: id})
+	}
 	assert.Equal(t, choose(list, &Request{}), 2)
 	assert.Equal(t, choose(list, &Request{ID: "1"}), 3)
 	assert.Equal(t, choose(list, &Request{ID: "2"}), 1)
