Test of logged refusals reads its own gateway's log

What was seen: TestRefusalsForBytesAreLoggedAtTheirBeginAndEnd found a line "byte budget has room again" with 1 refusal instead of 30.

Cause: the test took over the log of the whole process. Its gateway runs in simulated time; TestRefusalReachesACallerThatSendsItsWholeBodyFirst, which runs before it, refuses one request in real time, and the line about that comes 5 s later. In a verbose run of the package that test logged its refusal at 04:54:37, and this one ran at 04:54:41.

Shown: both tests alone, with a pause of 5 s of real time after this one has set its handler: "1 (int) != 30 (int)", the failure that was listed. With the same pause and this change both pass.

Change: the lines of a gateway's refusals go to a log that a test may set. The assertions are the same.

Measured: go test -race ./internal/gateway -run TestRefusalsForBytesAreLogged -count=30: 30 passed.

--- a/internal/gateway/exceeded.go
+++ b/internal/gateway/exceeded.go
@@ -89,6 +89,8 @@
 
 // bytesRefusedLog logs when the byte budget begins to refuse requests and when it has stopped.
 type bytesRefusedLog struct {
+	log log.Interface // nil for the process's log
+
 	mu      sync.Mutex
 	timer   *time.Timer // nil while no request is refused
 	began   clock.Time
@@ -106,7 +108,7 @@
 	}
 	l.began, l.counted = g.o.Clock.Now(), l.total
 	l.timer = time.AfterFunc(bytesRefusedPause, func() { l.expire(g) })
-	bytesLine(g).Warn("byte budget refuses requests")
+	l.line(g).Warn("byte budget refuses requests")
 }
 
 func (l *bytesRefusedLog) expire(g *Gateway) {
@@ -117,11 +119,15 @@
 		l.timer.Reset(bytesRefusedPause)
 		return
 	}
-	bytesLine(g).WithField("refused", l.total).WithField("ms", g.o.Clock.Now().Sub(l.began).Milliseconds()).Info("byte budget has room again")
+	l.line(g).WithField("refused", l.total).WithField("ms", g.o.Clock.Now().Sub(l.began).Milliseconds()).Info("byte budget has room again")
 	l.timer, l.total = nil, 0
 }
 
-func bytesLine(g *Gateway) *log.Entry {
+func (l *bytesRefusedLog) line(g *Gateway) *log.Entry {
 	s := g.o.Bodies.Snapshot()
-	return log.WithField("capacity", s.Capacity).WithField("used", s.Used).WithField("requests", s.Requests)
+	to := l.log
+	if to == nil {
+		to = log.Log
+	}
+	return to.WithField("capacity", s.Capacity).WithField("used", s.Used).WithField("requests", s.Requests)
 }
--- a/internal/gateway/upload_test.go
+++ b/internal/gateway/upload_test.go
@@ -393,10 +393,8 @@
 // Guards against a log line for each refused request, and against an end of the refusals that isn't logged.
 func TestRefusalsForBytesAreLoggedAtTheirBeginAndEnd(t *testing.T) {
 	entries := memory.New()
-	before := log.Log.(*log.Logger).Handler
-	log.SetHandler(entries)
-	defer log.SetHandler(before)
 	simulated(t, func(t *testing.T, w *testGateway) {
+		w.gateway.bytesRefused.log = &log.Logger{Handler: entries, Level: log.InfoLevel}
 		w.setUploadRoutes("large")
 		for range 2 {
 			claim := w.gateway.o.Bodies.NewClaim("other", "")
