Retry budget: a VM that starts doesn't use the fixed part again

What callers see: none of it; the rule BUDGET bounds the arrivals beyond the first of each request in any window. After a loss of all VMs each VM took its part of the fixed number again, in the same window: 196 retries where 194 are allowed, 84 of the fixed part alone where 54 are allowed.

Cause: what earlier processes have used was concluded from the life of the process.

Fix: a VM uses none of the fixed part for a window after its first request, nor after the window's length has changed, which empties the counts. Then the retries of the fixed part in any window are those of one process of each VM. A part that grows over the window, as the review proposed, isn't enough: all of it can be used right before the loss, and nearly all of it again by the end of the window. Where the settings say that the whole system starts for the first time, the fixed part may be used at once.

Price: a VM that was restarted has only the share of its requests for 10 s.

Tests: TestBudgetHoldsAcrossALossOfAllVMs is unchanged and passes. New: TestBudgetHoldsAcrossLosses and TestFixedPartReturns; with the guard off these and the first fail. The worlds' VMs start for the first time only with their world.

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -14,6 +14,7 @@
 // isn't counted against the budget.
 func TestReplacedPrefillTakesOneRetry(t *testing.T) {
 	budget := repeat.New(repeat.Config{Extra: 10, Window: 10 * time.Second})
+	budget.SetUnused()
 	budget.SetMembers(1)
 	x := &execution{g: &Gateway{o: Options{Budget: budget, Clock: clock.Boot{}}}, service: "m"}
 	send := func(prefill bool) *attempt {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -272,6 +272,7 @@
 	t.Helper()
 	w := &testGateway{clock: c, store: catalog.NewStore(c), crashes: crash.New(), origins: &testOrigins{found: originsync.Only}}
 	w.budget = repeat.New(repeat.Config{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
+	w.budget.SetUnused()
 	w.budget.SetMembers(1)
 	w.gateway = New(Options{
 		Codec: codec{}, Catalog: w.store, Planner: place.New("z", seed), Budget: w.budget, Crashes: w.crashes, Pressure: backpressure.New(1),
--- a/internal/policy/repeat/repeat.go
+++ b/internal/policy/repeat/repeat.go
@@ -6,11 +6,12 @@
 //
 // Approach: the budget is a share of the requests in a sliding window plus a fixed number for the
 // whole deployment. Each VM may use the share of its own requests and an equal part of the fixed
-// number.
+// number. A VM that has just started doesn't know what earlier processes have used of the fixed number,
+// so it uses none of it for the length of a window.
 //
 // Guarantees: the VMs exchange no messages for this. The sum of their retries stays within the
-// budget as long as no VM underestimates the number of members. Until a VM has that number it
-// assumes the largest supported deployment.
+// budget as long as no VM underestimates the number of members, also when VMs are restarted. Until a
+// VM has that number it assumes the largest supported deployment.
 //
 // A Budget is safe for concurrent use.
 package repeat
@@ -63,6 +64,9 @@
 	mu      sync.Mutex
 	members int
 	windows map[string]*window // by service
+	// fixedFrom is when the fixed part may be used, unless it isn't known yet.
+	fixedFrom      clock.Time
+	knowsFixedFrom bool
 }
 
 // window is a ring of slots, each of which counts for the window's length / slotsPerWindow.
@@ -71,18 +75,27 @@
 	newest            int64 // number of the newest slot
 }
 
-// New returns a budget that assumes maxMembers until SetMembers is called.
+// New returns a budget that assumes maxMembers until SetMembers is called. It has no fixed part until a window after
+// its first use.
 func New(cfg Config) *Budget {
 	return &Budget{cfg: cfg, members: maxMembers, windows: map[string]*window{}}
 }
 
+// SetUnused tells that no process has used the budget before, so that the fixed part may be used at once.
+func (b *Budget) SetUnused() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fixedFrom, b.knowsFixedFrom = 0, true
+}
+
 // SetConfig replaces the configuration. If the length of the window changes, all counts are reset:
-// retries are then allowed as in an empty window until the new one has filled up.
+// retries are then allowed as after a start until the new one has filled up.
 func (b *Budget) SetConfig(cfg Config) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if cfg.Window != b.cfg.Window {
 		clear(b.windows)
+		b.knowsFixedFrom = false
 	}
 	b.cfg = cfg
 }
@@ -107,7 +120,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
-	if !b.allows(w, p, 1) {
+	if !b.allows(now, w, p, 1) {
 		return false
 	}
 	w.retries[w.newest%(slotsPerWindow+1)]++
@@ -118,16 +131,20 @@
 func (b *Budget) Allows(now clock.Time, service string, p Priority, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.allows(b.window(now, service), p, n)
+	return b.allows(now, b.window(now, service), p, n)
 }
 
-func (b *Budget) allows(w *window, p Priority, n int) bool {
+func (b *Budget) allows(now clock.Time, w *window, p Priority, n int) bool {
 	requests, retries := 0, 0
 	for i := range w.requests {
 		requests += w.requests[i]
 		retries += w.retries[i]
 	}
-	allowed := safetyFactor * (b.cfg.Ratio*float64(requests) + b.cfg.Extra/float64(b.members))
+	allowed := b.cfg.Ratio * float64(requests)
+	if now >= b.fixedFrom {
+		allowed += b.cfg.Extra / float64(b.members)
+	}
+	allowed *= safetyFactor
 	if p == NotBegun {
 		allowed *= notBegunShare
 	}
@@ -136,6 +153,9 @@
 
 // window returns a service's window after advancing it to now.
 func (b *Budget) window(now clock.Time, service string) *window {
+	if !b.knowsFixedFrom {
+		b.fixedFrom, b.knowsFixedFrom = now.Add(max(b.cfg.Window, minWindow)), true
+	}
 	w := b.windows[service]
 	if w == nil {
 		w = &window{}
--- a/internal/policy/repeat/repeat_test.go
+++ b/internal/policy/repeat/repeat_test.go
@@ -67,12 +67,14 @@
 func TestBudgetIsSmallUntilTheMembersAreSet(t *testing.T) {
 	assert.Equal(t, takeAll(New(cfg), 0), 0)
 	alone := New(cfg)
+	alone.SetUnused()
 	alone.SetMembers(1)
 	assert.Equal(t, takeAll(alone, 0), 43)
 }
 
 func TestServicesHaveTheirOwnBudgets(t *testing.T) {
 	b := New(cfg)
+	b.SetUnused()
 	b.SetMembers(1)
 	takeAll(b, 0)
 	assert.Assert(t, b.Take(0, "other", Begun))
@@ -80,6 +82,7 @@
 
 func TestBudgetIsRestoredAfterTheWindow(t *testing.T) {
 	b := New(cfg)
+	b.SetUnused()
 	b.SetMembers(1)
 	n := takeAll(b, 0)
 	assert.Equal(t, takeAll(b, clock.Time(cfg.Window/2)), 0)
@@ -89,6 +92,7 @@
 // Guards against streams that end early as requests without an answer have used up the retry budget.
 func TestBegunRequestsHaveRetriesLeft(t *testing.T) {
 	b := New(cfg)
+	b.SetUnused()
 	b.SetMembers(1)
 	taken := 0
 	for b.Take(0, "labels", NotBegun) {
@@ -119,6 +123,49 @@
 	assert.Assert(t, taken <= allowed, "%d retries in a window, %d allowed", taken, allowed)
 }
 
+// Guards against retries beyond the budget as VMs are lost again and again, at any time in the window.
+func TestBudgetHoldsAcrossLosses(t *testing.T) {
+	const vms, ticks = 7, 20
+	for lifetime := 1; lifetime <= 3*ticks; lifetime++ {
+		var budgets [vms]*Budget
+		var taken [6 * ticks]int
+		for tick := range taken {
+			now := clock.Time(time.Hour).Add(time.Duration(tick) * cfg.Window / ticks)
+			for i := range budgets {
+				if tick%lifetime == 0 {
+					budgets[i] = New(cfg)
+					budgets[i].SetMembers(vms)
+				}
+				if tick == 0 {
+					budgets[i].SetUnused()
+				}
+				taken[tick] += takeAll(budgets[i], now)
+			}
+			sum := 0
+			for _, n := range taken[max(0, tick-ticks+1) : tick+1] {
+				sum += n
+			}
+			assert.Assert(t, sum <= int(cfg.Extra), "lost each %d ticks: %d retries in a window", lifetime, sum)
+		}
+	}
+}
+
+// Guards against a budget without its fixed part for longer than a window, and against a full one right after the
+// window's length was changed.
+func TestFixedPartReturns(t *testing.T) {
+	b, now := New(cfg), clock.Time(time.Hour)
+	b.SetMembers(1)
+	assert.Equal(t, takeAll(b, now), 0)
+	assert.Equal(t, takeAll(b, now.Add(cfg.Window-1)), 0)
+	assert.Equal(t, takeAll(b, now.Add(cfg.Window)), 43)
+	longer := cfg
+	longer.Window *= 2
+	b.SetConfig(longer)
+	now = now.Add(cfg.Window)
+	assert.Equal(t, takeAll(b, now), 0)
+	assert.Equal(t, takeAll(b, now.Add(longer.Window)), 43)
+}
+
 // Guards against VMs of a large deployment that, before they know its size, use more than the budget together.
 func TestBudgetHoldsBeforeTheNumberOfVMsIsKnown(t *testing.T) {
 	for _, vms := range []int{8, 64, 420, 1000} {
--- a/internal/simworld/world_test.go
+++ b/internal/simworld/world_test.go
@@ -109,6 +109,7 @@
 	ledger  *ledger
 	logged  *logged
 	vms     []*machine
+	running bool // all VMs have started for the first time
 
 	mu        sync.Mutex
 	rng       *rand.Rand
@@ -142,6 +143,7 @@
 		w.addVM()
 	}
 	w.awaitReady()
+	w.running = true
 	return w
 }
 
@@ -310,7 +312,7 @@
 		Addresses: vm.Addresses{
 			Callers: v.address(portCallers), Ready: v.address(portReady), Directory: v.address(portDirectory), Metrics: v.address(portMetrics),
 		},
-		MinLeaderChangeInterval: 3 * time.Second, FirstStart: true,
+		MinLeaderChangeInterval: 3 * time.Second, FirstStart: !v.w.running,
 		AddressLifetime: 1800 * time.Millisecond, Linger: linger, DrainTimeout: exitTimeout - 300*time.Millisecond,
 		Network: processNetwork{v.host.Sockets(), v.process}, Clock: simnet.Clock{},
 		Tunables: vm.Tunables{Budget: repeat.Config{Ratio: 0.2, Extra: 54, Window: 10 * time.Second}},
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -192,6 +192,9 @@
 	n.authority = authority.New(o.MinLeaderChangeInterval, o.FirstStart, c.Now())
 	n.planner = place.New(o.Self.Zone, seedOf(o.Self.Incarnation))
 	n.retryBudget = repeat.New(o.Budget)
+	if o.FirstStart {
+		n.retryBudget.SetUnused()
+	}
 	n.orders = &orders.Unit{
 		Catalog: n.catalog, Authority: n.authority, Engine: a.Engine(n.pool), Clock: c,
 		Load: n.planner.Running, Demand: n.demand, OnOrder: n.stageChangeOrdered,
