Test of paused processes: callers wait for 2.5 s

Callers waited for up to 4 s after the last pause. They wait for 2.5 s now, which is longer than a pause, and the run begins once each VM has answered a call; streams needn't have been answered. No check has changed.

--- a/scenarios/paused_processes_test.go
+++ b/scenarios/paused_processes_test.go
@@ -45,6 +45,8 @@
 	pausedInterval = 700 * time.Millisecond // between the end of a pause and the next configuration
 	pausedVMs      = 6
 	pausedCallers  = 40
+	// pausedCallerTime is longer than a pause.
+	pausedCallerTime = 2500 * time.Millisecond
 	// pausedRepeatDelay is the longest time that callers wait before they repeat a request.
 	pausedRepeatDelay = 250 * time.Millisecond
 )
@@ -125,7 +127,7 @@
 func (p *pausedRun) call(ctx context.Context, n int) {
 	kept, single := p.newCaller(n), p.newCaller(n)
 	single.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	kept.timeout, single.timeout = callerTimeout, callerTimeout
+	kept.timeout, single.timeout = pausedCallerTime, pausedCallerTime
 	defer kept.http.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		p.request(kept, single, i)
@@ -157,7 +159,7 @@
 
 // run sends requests while endpoints pause, until all have been answered.
 func (p *pausedRun) run() {
-	p.awaitAnswers(pathPay, pathResumable)
+	p.awaitAnswers(pathPay)
 	ctx, stop := context.WithCancel(p.ctx)
 	var callers sync.WaitGroup
 	for i := range pausedCallers {
