The VMs that write origins append out of step

Cause: all of the refused streams whose take-ups were looked at had one event when they were lost: they had begun less than 100 ms before. (Endpoints that end break off many streams at once, so that many begin at once.) Two VMs write origins, and each receives the same ones at the same time. Both appended the first one at once and the next ones 100 ms later, so the second writer made nothing known any sooner.

Fix: after a pause the second writer waits for half of the interval. Then an origin is written within 50 ms, at the same number of calls.

--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -126,6 +126,8 @@
 	OnAmbiguous func()
 	// OnAppendFailed is called once with each origin that the store doesn't take from this VM.
 	OnAppendFailed func([]Archived)
+	// AppendDelay returns how long this VM waits before the first append after a pause.
+	AppendDelay func() time.Duration
 
 	loaded  atomic.Bool
 	hasRead atomic.Bool // the records have been read
@@ -171,7 +173,7 @@
 
 // NewArchive returns an archive whose exported fields are to be set.
 func NewArchive() *Archive {
-	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnAppendFailed: func([]Archived) {}, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 }}
+	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnAppendFailed: func([]Archived) {}, AppendDelay: func() time.Duration { return 0 }, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 }}
 }
 
 // MayBegin reports whether a new stream of a route may begin at an endpoint.
@@ -473,11 +475,9 @@
 	var appends errgroup.Group
 	appends.SetLimit(maxAppends)
 	defer func() { _ = appends.Wait() }() // they return no error
-	for {
-		select {
-		case <-a.added:
-		case <-ctx.Done():
-			return ctx.Err()
+	for isFirst := true; ; isFirst = false {
+		if err := a.awaitAppend(ctx, isFirst); err != nil {
+			return err
 		}
 		appends.Go(func() error {
 			a.appendPending(ctx)
@@ -493,6 +493,24 @@
 	}
 }
 
+// awaitAppend waits until an append is due. If there is nothing to append right after another one, the next one comes
+// after AppendDelay.
+func (a *Archive) awaitAppend(ctx context.Context, isFirst bool) error {
+	if len(a.added) > 0 && !isFirst {
+		<-a.added
+		return nil
+	}
+	select {
+	case <-a.added:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if !clock.Sleep(ctx, a.AppendDelay()) {
+		return ctx.Err()
+	}
+	return nil
+}
+
 // appendPending appends the origins that wait.
 func (a *Archive) appendPending(ctx context.Context) {
 	a.mu.Lock()
--- a/internal/originsync/archive_test.go
+++ b/internal/originsync/archive_test.go
@@ -536,3 +536,32 @@
 	}
 	return s.memoryStore.AppendOrigins(ctx, origins)
 }
+
+// Guards against writers that append in step: what begins right after an append would be lost with all VMs for the
+// whole interval, although there are two of them.
+func TestWritersAppendOutOfStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(Writers)
+		w.store.starts = startsAt("v1", "v2")
+		ctx, cancel := context.WithCancel(t.Context())
+		var appends sync.WaitGroup
+		for _, vm := range w.vms {
+			vm.Archive.read(ctx)
+			vm.Archive.AppendDelay = vm.AppendDelay
+			appends.Go(func() { _ = vm.Archive.runAppends(ctx) })
+		}
+		const step = 10 * time.Millisecond
+		for key := origin.Key(1); key <= 100; key++ {
+			w.vm(0).Record(streamOf(key), v1, time.Minute)
+			time.Sleep(step)
+			synctest.Wait()
+			if old := key - origin.Key(appendInterval/Writers/step) - 1; old > 0 && old < key {
+				w.store.mu.Lock()
+				assert.Check(t, slices.Contains(w.store.origins, Archived{old, v1}), "stream %d isn't archived", old)
+				w.store.mu.Unlock()
+			}
+		}
+		cancel()
+		appends.Wait()
+	})
+}
--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -139,6 +139,13 @@
 	}
 }
 
+// AppendDelay keeps the appends of the Writers out of step: all of them receive the same origins at the same time, and
+// the first append makes an origin outlast all VMs.
+func (t *Tracker) AppendDelay() time.Duration {
+	rank := max(slices.Index(t.Archivers(), t.Self), 0) % Writers
+	return time.Duration(rank) * appendInterval / Writers
+}
+
 func (t *Tracker) addArchived(origins []*wire.StreamOrigin, from string) {
 	for _, m := range origins {
 		if o, ok := decodeOrigin(m); ok && m.GetStream() != uint64(origin.Unnamed) {
