--- a/internal/simworld/lost_vms_test.go
+++ b/internal/simworld/lost_vms_test.go
@@ -360,6 +360,7 @@
 	// awaitsStore means that streams may be refused for a time while the store is unavailable: those count that went
 	// on in the end.
 	awaitsStore bool
+	callers     int           // zero for the default
 	retryPause  time.Duration // of the callers, zero for the default
 	// maxLossDelay bounds the time from the last change to the loss, zero for the default.
 	maxLossDelay time.Duration
@@ -379,7 +380,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	time.Sleep(lossWarmUp)
-	for i := range lossCallers {
+	for i := range cmp.Or(tc.callers, lossCallers) {
 		callers.Go(func() { l.newCaller(i).run(ctx) })
 	}
 	time.Sleep(2 * lossStartSpread)
@@ -495,8 +496,8 @@
 		before: nothing, meanwhile: nothing, judgedVersions: []string{versionOld}, unnamedGoOn: true, minOldTakeUps: minJudgedTakeUps,
 	},
 	"old_version_left": {
-		before:    func(l *lossRun) { l.replace(lossEndpoints, versionOld, serviceBefore, versionNew) },
-		meanwhile: nothing, judgedVersions: []string{versionNew}, minOldTakeUps: 1,
+		before:    inOrder(replaceAll, pause(replaceInterval)),
+		meanwhile: nothing, maxLossDelay: maxLossDelay - replaceInterval, callers: 2 * lossCallers, judgedVersions: []string{versionNew}, minOldTakeUps: 1,
 	},
 	"old_version_leaves_meanwhile": {
 		before:         replaceHalf,
