A reset connection has the VM's links tested

What callers saw: the links of two VMs reset each new connection to an endpoint, while older ones go on.

Cause: a VM learns that it is cut off by a round of tests, which a failed connect, silence or two lost connections without a byte from any endpoint between make due. Here the connect succeeds, and bytes arrive all the time over older connections. Until each reset counted as a crash, which had a round made; since then the endpoint's own address is looked at instead.

Fix: a reset has a round made again. It counts as a crash only by the evidence that asks for. A round is one connection to an endpoint, and some more only if that one fails; resets that come while one is under way share the next.

Ruled out: a round for one lost connection in the tracker itself; TestLostConnectionsAreTested asks for two endpoints there and is unchanged.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -184,6 +184,7 @@
 		ctx, now := context.WithoutCancel(x.callCtx), x.now()
 		x.inBackground(func() { x.verifyLeft(ctx, a, now) })
 	case r.isReset():
+		x.g.o.OnReset()
 		ctx, now := context.WithoutCancel(x.callCtx), x.now()
 		x.inBackground(func() { x.verifyReset(ctx, a, now) })
 	case r.mayBeCrash():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,8 @@
 	OnEndpointLeaving func(e *catalog.Endpoint)
 	// OnCrash is called for each endpoint that a request may have crashed.
 	OnCrash func(c crash.Crash)
+	// OnReset is called when the connection of an exchange was reset. If it is nil, nothing is called.
+	OnReset func()
 	// MayTryQuarantined reports whether this VM may send requests with quarantined prompt parts from time to
 	// time, to see whether they still crash endpoints. At most one VM may at a time.
 	MayTryQuarantined func() bool
@@ -105,6 +107,9 @@
 	if o.Bodies == nil {
 		o.Bodies = bytebudget.New()
 	}
+	if o.OnReset == nil {
+		o.OnReset = func() {}
+	}
 	g := &Gateway{o: o, startedAt: o.Clock.Now(), metrics: newMetrics(), silences: silence.New(), exposures: crash.NewExposures(), held: newHeldRequests()}
 	g.startDelays = drain.NewDurations()
 	g.callTimes, g.lengths, g.paces = drain.NewDurations(), drain.NewLengths(), drain.NewPaces()
--- a/internal/gateway/reset_test.go
+++ b/internal/gateway/reset_test.go
@@ -77,3 +77,23 @@
 		assert.Equal(t, len(w.crashed), 0)
 	})
 }
+
+// Guards against a VM that isn't known to be cut off, as its links reset new connections while exchanges go on over
+// older ones.
+func TestResetHasTheLinksTested(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		resets := 0
+		w.gateway.o.OnReset = func() { resets++ }
+		w.setRoute(commitRoute)
+		ln, err := w.network.NewHost().Listen(0)
+		assert.NilError(t, err)
+		w.addEndpoint("a", catalog.Whole, serveOn(t, ln, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			c.(*simnet.Conn).Reset()
+			return false
+		}))
+		_, _, err = w.request(t, "POST", "/x/", "x")
+		assert.NilError(t, err)
+		time.Sleep(settleTime)
+		assert.Equal(t, resets, 1)
+	})
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -209,7 +209,7 @@
 		Codec: a.Codec(), Catalog: n.catalog, Planner: n.planner, Budget: n.retryBudget, Crashes: n.crashes,
 		Pressure: n.backpressure, Pool: n.pool, Clock: c, Leaving: n.members.Leaving,
 		Peers: n.members.PeerCounts, AddressLifetime: o.AddressLifetime,
-		VMs: n.members.AdvertisedCount, OnPrefillSent: n.prefillSent, OnPrefixCached: n.prefixCached, OnCrash: n.endpointCrashed, OnEndpointLeaving: n.endpointLeaving,
+		VMs: n.members.AdvertisedCount, OnPrefillSent: n.prefillSent, OnPrefixCached: n.prefixCached, OnCrash: n.endpointCrashed, OnReset: n.connectionReset, OnEndpointLeaving: n.endpointLeaving,
 		MayTryQuarantined: n.isLeader,
 		KeyFreshness:      n.keyFreshness, Origins: n.origins, Starts: n.archive, HasRecords: n.archive.Loaded, OnRequestRunning: n.requestRunning,
 		CutOff: n.isCutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPoolOn(o.Network), Bodies: n.bodies,
@@ -364,6 +364,10 @@
 	})
 }
 
+// connectionReset has it tested whether this VM reaches any endpoint: its links may reset new connections, while
+// exchanges go on over older ones.
+func (n *Node) connectionReset() { n.reachability.Verify(func(bool) {}) }
+
 func (n *Node) recordCrash(observed crash.Crash) {
 	c := n.gossipContent.RecordOwnCrash(observed)
 	if c == nil {
