--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -182,6 +182,9 @@
 	isLeft := r.outcome == replaced || a.left.Load() || r.outcome == gone && a.silent
 	switch {
 	case r.mayBeCrash() && !isLeft:
+		if r.isReset() {
+			x.g.o.OnReset()
+		}
 		x.verifyLost(a, r.isReset())
 	case isLeft, r.outcome == lost: // the VM has broken off a silent exchange, or an answer that it can't use
 		ctx, now := context.WithoutCancel(x.callCtx), x.now()
