Exchange: witnesses outlive the entry of their endpoint

Callers got a part of an answer as a whole one: 200, where the endpoint had neither a length nor chunks, its entry was removed within the answer, its process ended and another one listened at the address at once.

Endpoints may go on serving after their entry was removed. At the end of the answer no connection from before was left, and the check by a new one found the next process. With frequent views witnesses were also opened again each 500 ms.

Evidence: TestEndOfAProcessWithoutAnEntryShowsAtTheEndOfAnAnswer failed before in both cases (Alive instead of Ended; 6 connections opened where 3 are enough), and so did the two cases "at one without entry" of TestAnswerCutByARestartIsNotWhole (200 "part" and 200 with the first event). All pass now.

Why this works: a witness is kept as long as an answer needs it, whatever the catalog says, and so is the record of ends. Other idle connections to removed addresses are closed as before, and a witness becomes one of them with the end of the last answer.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -377,15 +377,15 @@
 }
 
 // Sweep closes idle connections whose idle timeout has passed, and those to addresses that aren't
-// in keep.
+// in keep. Witnesses are kept: an endpoint whose entry was removed may still send an answer.
 func (p *Pool) Sweep(keep map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.endedAt, func(addr string, _ time.Time) bool { return !keep[addr] })
+	maps.DeleteFunc(p.endedAt, func(addr string, _ time.Time) bool { return !keep[addr] && p.witnesses[addr] == nil })
 	for addr, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if keep[addr] && (c.witness || time.Since(c.idleAt) <= c.idleTimeout) {
+			if c.witness || keep[addr] && time.Since(c.idleAt) <= c.idleTimeout {
 				kept = append(kept, c)
 				continue
 			}
--- a/internal/exchange/witness_test.go
+++ b/internal/exchange/witness_test.go
@@ -169,3 +169,38 @@
 		assert.Equal(t, p.Stats().Reused, int64(0))
 	})
 }
+
+// Guards against a part of an answer that is taken for a whole one: the entry of its endpoint was removed before the process
+// ended, and another one listens at the address at once.
+func TestEndOfAProcessWithoutAnEntryShowsAtTheEndOfAnAnswer(t *testing.T) {
+	for name, want := range map[string]Life{"lives": Alive, "restarts": Ended} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, host := simulatedPool(t)
+				ln, err := host.Listen(0)
+				assert.NilError(t, err)
+				const lasts, sweepInterval = 2 * time.Second, 100 * time.Millisecond
+				go (&unframedEndpoint{lasts, time.Minute}).serve(ln)
+				addr := ln.Addr().String()
+				resp, err := p.Do(t.Context(), addr, &Request{Method: "GET", Target: "/", Host: "h", VerifyEnd: true})
+				assert.NilError(t, err)
+				defer resp.Close()
+				for range lasts/sweepInterval - 1 {
+					time.Sleep(sweepInterval)
+					p.Sweep(nil)
+				}
+				if want == Ended {
+					host.CloseAll()
+					ln, err := host.Listen(uint16(ln.Addr().(*net.TCPAddr).Port))
+					assert.NilError(t, err)
+					go (&unframedEndpoint{0, time.Minute}).serve(ln)
+				}
+				_, err = io.ReadAll(resp.Body)
+				assert.NilError(t, err)
+				p.Sweep(nil)
+				assert.Equal(t, p.CheckProcess(t.Context(), addr), want)
+				assert.Assert(t, p.Stats().Dials <= 1+maxWitnesses, "%d connections", p.Stats().Dials)
+			})
+		})
+	}
+}
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -20,10 +20,13 @@
 		route catalog.Route
 		part  string
 		used  bool // the VM has a connection to the endpoint before
+		gone  bool // the endpoint's entry is removed within the answer
 	}{
-		"stream":               {catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, "id: 1\n\n", false},
-		"stream at a used one": {catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, "id: 1\n\n", true},
-		"call at a used one":   {commitRoute, "part", true},
+		"stream":                      {catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, "id: 1\n\n", false, false},
+		"stream at a used one":        {catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, "id: 1\n\n", true, false},
+		"call at a used one":          {commitRoute, "part", true, false},
+		"stream at one without entry": {catalog.Route{Kind: catalog.Stream, MaxAttempts: 1}, "id: 1\n\n", false, true},
+		"call at one without entry":   {commitRoute, "part", true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			simulated(t, func(t *testing.T, w *testGateway) {
@@ -44,6 +47,10 @@
 					}
 					write("HTTP/1.1 200 OK\r\nSeal: s\r\n\r\n" + tc.part)(c)
 					time.Sleep(silenceCallTime)
+					if tc.gone {
+						w.store.RemoveEndpoint("a", false)
+						time.Sleep(time.Millisecond) // until the gateway has closed idle connections
+					}
 					restart()
 					return false
 				}))
