An engine that answers checks for life slowly may replace a silent one

Callers got a stream that was cut off after its engine had fallen silent, though another engine could go on with it: that one answers its report later than after 150 ms, each time. It was asked again each 0.45 s until the caller left, and never sent the stream.

Cause: the check for life was ended after 150 ms, with a reset of its connection, and the answer that was about to come was lost. Each stream made checks of its own.

Evidence: TestEngineThatAnswersLifeChecksSlowlyReplacesASilentOne failed before with 200 ms and with 600 ms (unexpected EOF) and passed with 75 ms; TestStreamsShareTheirLifeChecks counted 17 checks of 8 streams in 4 s, where one a second is enough.

Change: a check goes on for a second, and all requests of the VM share it. Each request still waits for 150 ms at most. An answer that comes later is a sign of life, which counts for 0.4 s as any other: the engine is found to be alive when it is asked next. An engine that pauses gives none, and isn't sent the stream.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -243,7 +243,7 @@
 	if !s.PrefillOnly {
 		x.runsAt = s.Endpoint.ID
 	}
-	if r, ok := x.checkLife(s.Endpoint); !ok {
+	if r, ok := x.mayReplace(s.Endpoint); !ok {
 		return nil, Answer{}, r
 	}
 	upload, r, ok := x.beginUpload(s.Endpoint.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,7 @@
 	shutdown     atomic.Pointer[shutdown] // nil if the process isn't shutting down
 	queues       sync.Map                 // of *queue, by service
 	silences     *silence.Register
+	lifeChecks   lifeChecks
 	exposures    *crash.Exposures
 	exceeded     exceededLog
 	bytesRefused bytesRefusedLog
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -1,13 +1,11 @@
 package gateway
 
 import (
-	"io"
 	"time"
 
 	"fescuestand/internal/catalog"
 	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
-	"fescuestand/internal/exchange"
 	"fescuestand/internal/policy/place"
 	"fescuestand/internal/policy/silence"
 	"fescuestand/internal/stall"
@@ -176,18 +174,10 @@
 	return out
 }
 
-const (
-	// lifeCheckTime is the time in which an engine that is to replace a silent one must show a sign of life: many round
-	// trips, and a fraction of the time that callers wait for an event.
-	lifeCheckTime = 150 * time.Millisecond
-	// maxLifeCheckBytes bounds what is read of the answer.
-	maxLifeCheckBytes = 64 << 10
-)
-
-// checkLife reports whether an engine may be sent a stream that is to be replaced. One that has shown no sign of life
+// mayReplace reports whether an engine may be sent a stream that is to be replaced. One that has shown no sign of life
 // lately is asked for one first: if it pauses, the request would stay in its socket, and it and the silent engine would
 // begin or go on together.
-func (x *execution) checkLife(e *catalog.Endpoint) (result, bool) {
+func (x *execution) mayReplace(e *catalog.Endpoint) (result, bool) {
 	isForEngine := x.isStream() && x.call.PromptTokens > 0 // plain services may have streams, too
 	if x.ctx == x.callCtx || !isForEngine || x.g.silences.IsAlive(x.now(), silenceProcess(e)) || x.showsLife(e) {
 		return result{}, true
@@ -200,22 +190,19 @@
 	return result{outcome: notSent, code: code.EndpointSilent, err: errEndpointSilent}, false
 }
 
-// showsLife asks an engine for a sign of life. A failure to connect is left to the request.
+// showsLife asks an engine for a sign of life. A failure to ask it is left to the request.
 func (x *execution) showsLife(e *catalog.Endpoint) bool {
 	ctx, cancel := stall.WithTimeout(x.ctx, lifeCheckTime)
 	defer cancel()
-	exchanged := x.g.silences.Begin(silenceProcess(e), x.now().Add(lifeCheckTime))
-	defer func() { exchanged.End(x.now()) }()
-	method, target := x.g.o.Codec.LifeCheck()
-	x.g.o.Pressure.RecordSend(x.now(), e)
-	resp, err := x.g.o.Pool.Do(ctx, e.Address, &exchange.Request{Method: method, Target: target, Host: e.Address})
-	if err != nil {
-		return ctx.Err() == nil
+	check := x.g.checkLife(e)
+	select {
+	case <-check.done:
+		if check.failed {
+			return true
+		}
+	case <-ctx.Done():
 	}
-	exchanged.Sign(x.now())
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxLifeCheckBytes)) // a failure leaves the connection unused
-	resp.Close()
-	return true
+	return x.ctx.Err() == nil && x.g.silences.IsAlive(x.now(), silenceProcess(e))
 }
 
 // silenceProcess identifies an endpoint's process in the register of silences.
--- a/internal/gateway/withdrawal_test.go
+++ b/internal/gateway/withdrawal_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -167,6 +168,58 @@
 	}
 }
 
+// Guards against a stream that is cut off though an engine could go on with it: that one answers checks for life, but later
+// than they are waited for.
+func TestEngineThatAnswersLifeChecksSlowlyReplacesASilentOne(t *testing.T) {
+	for _, delay := range []time.Duration{lifeCheckTime / 2, lifeCheckTime + 50*time.Millisecond, 600 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(streamRoute)
+				other := w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool { return events(c, 3, 3, true) })
+				other.onLifeCheck = func() { time.Sleep(delay) }
+				w.addEndpoint("a", catalog.Decode, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+					events(c, 1, 2, false)
+					w.addEndpoint("b", catalog.Decode, other)
+					awaitClose(c)
+					return false
+				}))
+				_, body, err := w.request(t, "POST", "/x/", "", "Tokens", "100", "Patience", "8000")
+				assert.NilError(t, err)
+				assert.Equal(t, eventIDs(body), "1 2 3")
+				assert.Equal(t, other.arrivals.Load(), int32(1))
+			})
+		})
+	}
+}
+
+// Guards against checks for life in proportion to the streams of a silent engine.
+func TestStreamsShareTheirLifeChecks(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(streamRoute)
+		const streams, patience = 8, 4 * time.Second
+		var added sync.Once
+		var checks atomic.Int32
+		other := w.serve(t, rejectRequest)
+		other.onLifeCheck = func() { checks.Add(1); time.Sleep(patience) }
+		w.addEndpoint("a", catalog.Decode, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			events(c, 1, 2, false)
+			added.Do(func() { w.addEndpoint("b", catalog.Decode, other) })
+			awaitClose(c)
+			return false
+		}))
+		var all sync.WaitGroup
+		for i := range streams {
+			all.Go(func() {
+				id := fmt.Sprint("r", i)
+				_, _, _ = w.request(t, "POST", "/x/", "", "Tokens", "100", "Id", id, "Patience", fmt.Sprint(patience.Milliseconds()))
+			})
+		}
+		all.Wait()
+		most := int32(patience / lifeAnswerTime)
+		assert.Assert(t, checks.Load() <= most, "%d checks, %d allowed", checks.Load(), most)
+	})
+}
+
 // Guards against checks for life at endpoints of plain services, which would take them for requests.
 func TestEndpointOfAPlainServiceGetsNoLifeCheck(t *testing.T) {
 	simulated(t, func(t *testing.T, w *testGateway) {
