A connection cut at an announced end is no crash

Callers got 503 (3010, quarantined) for a request that crashes nothing: three endpoints that had announced that they leave ended while they ran it, as in a release.

Cause: an end that the endpoint's entry shows counts only if it wasn't announced (catalog.Store.HasEnded); a lost connection after which the address refuses counted in any case.

Evidence: TestCutAtAnAnnouncedEndIsNoCrash failed before in all three cases (announced in the entry, in an entry that was removed since, in an answer) with 3 crashes.

Why this works: reportCrash is the only place where an exchange becomes a crash, and asks the catalog for the same announcement. An endpoint that leaves gets no new requests, so that a request which crashes endpoints ends few of them unseen.

Not covered: endpoints that never announce it, whose entry is only removed before they end.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -184,6 +184,21 @@
 	return t.last.Born > born || t.last.Born == born && !t.missing && !t.last.Draining
 }
 
+// HasAnnouncedEnd reports whether the process of an endpoint that was started at born has announced that it leaves, in its
+// entry or an answer.
+func (s *Store) HasAnnouncedEnd(id string, born int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n, ok := s.leaving[id]; ok && n.born == born {
+		return true
+	}
+	if e := s.reported[id]; e != nil {
+		return e.Born == born && e.Draining
+	}
+	t, ok := s.removed[id]
+	return ok && t.last.Born == born && t.last.Draining
+}
+
 // RemoveEndpoint handles the end of an endpoint's entry in the platform's store; missing means that no
 // deletion was read and the entry isn't there. Around an outage of that store the endpoint is kept until
 // outageGrace after the store is available again, since live endpoints couldn't renew their entries and
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -47,8 +47,12 @@
 }
 
 // reportCrash reports a possible crash of the endpoint of an attempt, whose answer ended at endedAt. A
-// run that had got on for a while isn't evidence against the parts of its prompt.
+// run that had got on for a while isn't evidence against the parts of its prompt, and an end that was announced is none
+// against anything.
 func (x *execution) reportCrash(a *attempt, endedAt clock.Time) {
+	if e := a.request.Endpoint; x.g.o.Catalog.HasAnnouncedEnd(e.ID, e.Born) {
+		return
+	}
 	c := crash.Crash{Request: x.call.Fingerprint, Endpoint: processOf(a.request.Endpoint), Age: x.now().Sub(endedAt)}
 	if !a.hasSettled(endedAt) {
 		for _, part := range x.crashParts() {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -276,3 +276,47 @@
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, 200)
 }
+
+// Guards against a request that is quarantined as endpoints which had announced that they leave ended while they ran it.
+func TestCutAtAnAnnouncedEndIsNoCrash(t *testing.T) {
+	for name, announce := range map[string]func(w *testGateway, e catalog.Endpoint){
+		"entry": func(w *testGateway, e catalog.Endpoint) {
+			e.Draining = true
+			e.Sequence++
+			w.store.SetEndpoint(&e)
+		},
+		"removed entry": func(w *testGateway, e catalog.Endpoint) {
+			e.Draining = true
+			e.Sequence++
+			w.store.SetEndpoint(&e)
+			w.store.RemoveEndpoint(e.ID, false)
+		},
+		"answer": func(w *testGateway, e catalog.Endpoint) { w.store.SetLeaving(e.ID, e.Born) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(lookupRoute)
+				for i := range 4 {
+					id := fmt.Sprint(i)
+					w.addEndpoint(id, catalog.Whole, w.serveUntilCrash(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+						for _, e := range w.store.View().All() {
+							if e.ID == id {
+								announce(w, *e)
+							}
+						}
+						time.Sleep(silenceCallTime)
+						return false
+					}))
+				}
+				for range 4 {
+					_, _, err := w.request(t, "GET", "/x/", "the same")
+					assert.NilError(t, err)
+				}
+				time.Sleep(settleTime)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				assert.Equal(t, len(w.crashed), 0)
+			})
+		})
+	}
+}
