A full endpoint that cuts an answer hasn't crashed

A caller's request could be quarantined (503, 3010) though the endpoints that cut its answers go on with others: an endpoint that has as many connections as it accepts resets those by which the gateway checks whether it lives, and three such checks in 0.4 s counted as its end. That three endpoints do so for one request wasn't seen; the test shows one.

Evidence: TestCutByAnEndpointWithoutFreeConnectionsIsNoCrash failed before with one crash, while a stream of the same process went on to its end.

Change: a sign of life of the process more than 0.1 s after the cut refutes the checks. What a process had sent before its end has been read by then, and the end of one that has ended still counts when its entry shows it.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -229,7 +229,10 @@
 		if life == exchange.Unknown && !reset { // a reset may be that of a partition, and so may what follows it
 			life = x.findLife(background, a)
 		}
-		if life == exchange.Alive || reset {
+		// An endpoint that is full resets the connections by which it is checked, and goes on with others. What it had
+		// sent before its end has been read by then.
+		goesOn := x.g.silences.HasSignSince(endedAt.Add(lifeCheckDelays[0]), silenceProcess(a.request.Endpoint))
+		if life == exchange.Alive || reset || life == exchange.Unknown && goesOn {
 			x.verifyLeft(background, a, endedAt)
 			return
 		}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -20,6 +20,7 @@
 	"fescuestand/internal/policy/backpressure"
 	"fescuestand/internal/policy/crash"
 	"fescuestand/internal/policy/place"
+	"fescuestand/internal/simnet"
 	"fescuestand/internal/wire"
 )
 
@@ -320,3 +321,57 @@
 		})
 	}
 }
+
+// Guards against a request that is quarantined as endpoints cut its answers that live, and have as many connections as they
+// accept: they reset those by which the gateway checks them.
+func TestCutByAnEndpointWithoutFreeConnectionsIsNoCrash(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(streamRoute)
+		var full atomic.Bool
+		ln, err := w.network.NewHost().Listen(0)
+		assert.NilError(t, err)
+		b := serveOn(t, &boundedListener{ln, &full}, func(_ *backend, _ int, r *http.Request, c net.Conn) bool {
+			if r.Header.Get("Id") == "cut" {
+				full.Store(true)
+				return false
+			}
+			events(c, 1, 1, false)
+			for id := 2; id <= 20; id++ {
+				time.Sleep(100 * time.Millisecond)
+				e := fmt.Sprintf("id: %d\ndata: piece\n\n", id)
+				write(fmt.Sprintf("%x\r\n%s\r\n", len(e), e))(c)
+			}
+			write("0\r\n\r\n")(c)
+			return true
+		})
+		w.addEndpoint("a", catalog.Decode, b)
+		var long sync.WaitGroup
+		long.Go(func() {
+			_, body, err := w.request(t, "POST", "/x/", "long", "Tokens", "100", "Id", "long")
+			assert.Check(t, err)
+			assert.Check(t, strings.HasSuffix(eventIDs(body), " 20"), body)
+		})
+		time.Sleep(time.Second)
+		_, _, _ = w.request(t, "POST", "/x/", "cut", "Tokens", "100", "Id", "cut") // has no answer
+		long.Wait()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		assert.Equal(t, len(w.crashed), 0)
+	})
+}
+
+// boundedListener resets connections while its endpoint is full.
+type boundedListener struct {
+	net.Listener
+	full *atomic.Bool
+}
+
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil || !l.full.Load() {
+			return c, err
+		}
+		c.(*simnet.Conn).Reset()
+	}
+}
--- a/internal/policy/silence/silence.go
+++ b/internal/policy/silence/silence.go
@@ -135,6 +135,14 @@
 	return e != nil && e.isAlive(now, maxWindow)
 }
 
+// HasSignSince reports whether a process has shown a sign of life after a time, as far as that is kept.
+func (r *Register) HasSignSince(at clock.Time, p Process) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.endpoints[p]
+	return e != nil && clock.Time(e.lastSign.Load()) > at
+}
+
 // End ends the exchange. Further calls have no effect.
 func (x *Exchange) End(now clock.Time) {
 	x.r.mu.Lock()
