--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -47,8 +47,12 @@
 }
 
 // reportCrash reports a possible crash of the endpoint of an attempt, whose answer ended at endedAt. A
-// run that had got on for a while isn't evidence against the parts of its prompt.
+// run that had got on for a while isn't evidence against the parts of its prompt, and an end that was announced is none
+// against anything.
 func (x *execution) reportCrash(a *attempt, endedAt clock.Time) {
+	if e := a.request.Endpoint; x.g.o.Catalog.HasAnnouncedEnd(e.ID, e.Born) {
+		return
+	}
 	c := crash.Crash{Request: x.call.Fingerprint, Endpoint: processOf(a.request.Endpoint), Age: x.now().Sub(endedAt)}
 	if !a.hasSettled(endedAt) {
 		for _, part := range x.crashParts() {
@@ -225,7 +229,10 @@
 		if life == exchange.Unknown && !reset { // a reset may be that of a partition, and so may what follows it
 			life = x.findLife(background, a)
 		}
-		if life == exchange.Alive || reset {
+		// An endpoint that is full resets the connections by which it is checked, and goes on with others. What it had
+		// sent before its end has been read by then.
+		goesOn := x.g.silences.HasSignSince(endedAt.Add(lifeCheckDelays[0]), silenceProcess(a.request.Endpoint))
+		if life == exchange.Alive || reset || life == exchange.Unknown && goesOn {
 			x.verifyLeft(background, a, endedAt)
 			return
 		}
