Worlds of a loss of all VMs: a take-up after a refusal doesn't make up for it

What was wrong: callers of these worlds come back after a refusal since, and each of their attempts counted. A stream that was refused once and then went on was one of two, which passes the bound of half; before, it was none of one. old_version_left and returns_left no longer lose their VMs within 0.3 s after the last change, so that moment was judged for streams of two versions nowhere.

Change: of a stream only the attempts up to its first refusal count, except where the case waits for the store. old_version_just_left and returns_just_left lose their VMs at any time of the second after the change, as the two cases did, and judge the joined streams and late refusals.

--- a/internal/simworld/lost_vms_faults_test.go
+++ b/internal/simworld/lost_vms_faults_test.go
@@ -184,6 +184,7 @@
 		before: inOrder(replaceAll, pause(absence), goBack, pause(replaceInterval)), meanwhile: nothing, maxLossDelay: maxLossDelay - replaceInterval,
 		callers: 2 * lossCallers, judgedVersions: []string{versionOld},
 	},
+	"returns_just_left":      {before: inOrder(replaceAll, pause(absence), goBack), meanwhile: nothing},
 	"release_meanwhile":      {before: nothing, meanwhile: replaceHalf, judgedVersions: []string{versionOld}},
 	"release_meanwhile_late": {before: nothing, meanwhile: replaceHalf, retryPause: lateRetryPause, judgedVersions: []string{versionOld}},
 	"moved_and_back": {
--- a/internal/simworld/lost_vms_test.go
+++ b/internal/simworld/lost_vms_test.go
@@ -427,6 +427,7 @@
 	begun, wentOn, taken := share{}, map[string]share{}, 0
 	var joined, late []string
 	refusals := map[string]int{}
+	refused := map[string]bool{} // streams whose take-up was refused; what their callers try then doesn't make up for it
 	for i := range l.attempts {
 		a := &l.attempts[i]
 		if a.problem != "" {
@@ -441,6 +442,7 @@
 		switch {
 		case !a.isTakeUp():
 			begun.add(a.events > 0)
+		case !tc.awaitsStore && refused[a.root]:
 		case l.serveThroughout(a.began, a) && (!a.unnamed || tc.unnamedGoOn) && (!tc.awaitsStore || a.isLast):
 			s := wentOn[a.began]
 			s.add(a.wentOn())
@@ -449,7 +451,7 @@
 		if a.refusal != "" {
 			kind := "new"
 			if a.isTakeUp() {
-				kind = a.began
+				kind, refused[a.root] = a.began, true
 			}
 			refusals[kind+" "+a.refusal]++
 		}
@@ -499,6 +501,7 @@
 		before:    inOrder(replaceAll, pause(replaceInterval)),
 		meanwhile: nothing, maxLossDelay: maxLossDelay - replaceInterval, callers: 2 * lossCallers, judgedVersions: []string{versionNew}, minOldTakeUps: 1,
 	},
+	"old_version_just_left": {before: replaceAll, meanwhile: nothing, minOldTakeUps: 1},
 	"old_version_leaves_meanwhile": {
 		before:         replaceHalf,
 		meanwhile:      func(l *lossRun) { l.replace(lossEndpoints/2, versionOld, serviceBefore, versionNew) },
