--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -58,7 +58,8 @@
 }
 
 // abort closes the connection within an exchange, and resets it: an endpoint may take its mere end for that of the
-// sender's side and go on with the request, or begin it if it is still in a socket's buffer.
+// sender's side and go on with the request. What has arrived in its socket's buffer can still be read, and the reset shows
+// after that.
 func (c *conn) abort() {
 	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = l.SetLinger(0) // fails if the connection has been closed
