--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -261,8 +261,6 @@
 	assert.ErrorIs(t, err, driver.ErrConnectionLost)
 }
 
-// A response without Content-Length or chunked encoding ends when the connection closes. Guards
-// against treating one that was truncated by a reset as complete.
 // Guards against a request that counts as not sent though a part of it has arrived, as the exchange was given up while it
 // was connecting or writing, on a new connection or on one that was in use before.
 func TestNothingArrivesOfARequestThatWasNotSent(t *testing.T) {
@@ -324,6 +322,8 @@
 	assert.Assert(t, counts[true] > 0 && counts[false] > 0 && len(arrived) > 0, "%v, %d arrived", counts, len(arrived))
 }
 
+// A response without Content-Length or chunked encoding ends when the connection closes. Guards
+// against treating one that was truncated by a reset as complete.
 func TestResetOfResponseWithoutLengthIsAnError(t *testing.T) {
 	e := listen(t, func(e *endpoint, n int, c net.Conn, br *bufio.Reader) {
 		e.read(br)
