Read over as a newcomer: checks of a process and checks for life have names of their own

Two checks of the gateway shared a name, that of a process after a lost connection and that of an engine that is to replace a silent one. The comments on ID and History of a request say what each rules out.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -67,13 +67,13 @@
 	Host   string
 	Header http.Header // without Host, Content-Length and hop-by-hop fields
 	Body   []byte
-	// ID is that of the request in its responses, empty if they have none. A request that is sent once more doesn't
-	// follow itself on a connection, where a late copy of the earlier response would be taken for its own, nor a request
-	// without an ID, whose response doesn't show that it is another one's.
+	// ID is that of the request in its responses, empty if they have none. A late copy of an earlier response must not be
+	// taken for its own: it doesn't follow a request with the same ID on a connection, nor one without an ID.
 	ID string
 	// ResponseID returns the ID that a response bears, "" if it bears none. It is nil if responses aren't told apart.
 	ResponseID func(http.Header) string
-	// History is that of a request which may be sent more than once, nil without one.
+	// History holds the connections that have carried the request, if it may be sent more than once. None carries it
+	// again, however many others it has carried since. It is nil if the request is sent once.
 	History *History
 	// Unshared marks a request that is sent on a new connection: nothing else on it can be taken for its response.
 	Unshared bool
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -22,12 +22,12 @@
 	maxReportedRequestParts = 32
 )
 
-// lifeCheckDelays are the times before further checks whether an endpoint lives on, if the first one was
+// processCheckDelays are the times before further checks whether an endpoint lives on, if the first one was
 // inconclusive.
-var lifeCheckDelays = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond}
+var processCheckDelays = []time.Duration{100 * time.Millisecond, 300 * time.Millisecond}
 
-// firstLifeCheckTime bounds the first check whether an endpoint lives on that has lost a connection.
-const firstLifeCheckTime = 20 * time.Millisecond
+// firstProcessCheckTime bounds the first check whether an endpoint lives on that has lost a connection.
+const firstProcessCheckTime = 20 * time.Millisecond
 
 // leftCheckDelays are the times before checks whether an endpoint that was left in a silence has crashed.
 var leftCheckDelays = []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond}
@@ -144,7 +144,7 @@
 // findLife returns the first conclusive finding of checks whether the endpoint of an attempt lives, Unknown if there is
 // none.
 func (x *execution) findLife(ctx context.Context, a *attempt) exchange.Life {
-	for _, delay := range lifeCheckDelays {
+	for _, delay := range processCheckDelays {
 		if !clock.Sleep(ctx, delay) {
 			break
 		}
@@ -217,7 +217,7 @@
 // only cut its answer. The first check is made before another endpoint is asked.
 func (x *execution) verifyLost(a *attempt, reset bool) {
 	endedAt := x.now()
-	ctx, cancel := context.WithTimeout(x.ctx, firstLifeCheckTime)
+	ctx, cancel := context.WithTimeout(x.ctx, firstProcessCheckTime)
 	life := x.g.o.Pool.Check(ctx, a.request.Endpoint.Address)
 	cancel()
 	if life == exchange.Refused {
@@ -231,7 +231,7 @@
 		}
 		// An endpoint that is full resets the connections by which it is checked, and goes on with others. What it had
 		// sent before its end has been read by then.
-		goesOn := x.g.silences.HasSignSince(endedAt.Add(lifeCheckDelays[0]), silenceProcess(a.request.Endpoint))
+		goesOn := x.g.silences.HasSignSince(endedAt.Add(processCheckDelays[0]), silenceProcess(a.request.Endpoint))
 		if life == exchange.Alive || reset || life == exchange.Unknown && goesOn {
 			x.verifyLeft(background, a, endedAt)
 			return
