Processes of scenarios and of the demo end with the process that started them

A run that is killed, or ends by a panic at its time limit, left its VMs behind. They went on calling the ports of its stand-ins, which the kernel gives to other runs. Those counted the calls as their own.

Cause: child processes were ended by the cleanup of a test only.

Change: each is started with the parent-death signal. Endpoints' processes ended with their standard input before, unless they were suspended.

--- a/internal/demo/process.go
+++ b/internal/demo/process.go
@@ -30,6 +30,7 @@
 	defer func() { _ = out.Close() }()
 	cmd := exec.Command(filepath.Join(d.BinDir, binary), args...)
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // else it keeps its port when the demo is killed
 	if err := cmd.Start(); err != nil {
 		return nil, eris.Wrapf(err, "can't start %s", name)
 	}
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -261,7 +260,7 @@
 func ctl(ts *testscript.TestScript, neg bool, args []string) {
 	f := fleetOf(ts)
 	full := append([]string{args[0]}, "--config", filepath.Join(f.dir, "ctl.jsonc"))
-	cmd := exec.Command(filepath.Join(binaries, "fescuectl"), append(full, args[1:]...)...)
+	cmd := command(filepath.Join(binaries, "fescuectl"), append(full, args[1:]...)...)
 	cmd.Dir = f.dir
 	out, err := cmd.CombinedOutput()
 	ts.Logf("%s", out)
--- a/scenarios/main_test.go
+++ b/scenarios/main_test.go
@@ -25,6 +25,9 @@
 		fmt.Fprintln(os.Stderr, serveEndpoint(spec))
 		os.Exit(1)
 	}
+	if os.Getenv(parentEnv) != "" {
+		holdProcess()
+	}
 	dir, err := os.MkdirTemp("", "fescue-scenarios-")
 	if err == nil {
 		err = buildInto(dir)
--- a/scenarios/partition_proof_test.go
+++ b/scenarios/partition_proof_test.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"os"
-	"os/exec"
 	"syscall"
 	"testing"
 
@@ -76,7 +75,7 @@
 func moveToProcess(t *testing.T, c *net.TCPConn) int64 {
 	f, err := c.File()
 	assert.NilError(t, err)
-	cmd := exec.Command("cat")
+	cmd := command("cat")
 	cmd.Stdin = f
 	assert.NilError(t, cmd.Start())
 	t.Cleanup(func() {
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -11,6 +11,13 @@
 	"time"
 )
 
+// command is exec.Command for a process that ends with this one, however this one ends.
+func command(name string, args ...string) *exec.Cmd {
+	c := exec.Command(name, args...)
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return c
+}
+
 // process is one child process of a scenario.
 type process struct {
 	binary string // path of another build, empty for the build under test
@@ -30,7 +37,7 @@
 		return err
 	}
 	defer func() { _ = out.Close() }()
-	p.cmd = exec.Command(cmp.Or(p.binary, filepath.Join(binaries, p.args[0])), p.args[1:]...)
+	p.cmd = command(cmp.Or(p.binary, filepath.Join(binaries, p.args[0])), p.args[1:]...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
 		return err
--- a/scenarios/traffic_test.go
+++ b/scenarios/traffic_test.go
@@ -66,7 +66,7 @@
 		args = append(args, "--endpoint", f.standInAddr[s])
 	}
 	t := &traffic{done: make(chan error, 1)}
-	t.cmd = exec.Command(filepath.Join(binaries, "fescue-standin"), append(args, extra...)...)
+	t.cmd = command(filepath.Join(binaries, "fescue-standin"), append(args, extra...)...)
 	t.cmd.Stdout, t.cmd.Stderr = t, t
 	if err := t.cmd.Start(); err != nil {
 		return err
