Endpoints of a soak refuse and don't count the calls of other runs

Runs of the soak failed as an endpoint that had sent a retry delay received more requests than its VMs had sent to it (21 and 28 in 3 s, 12 allowed; in one run of 19 the VMs' logs have 7), and as store calls of other VMs (/log-read, /log-join) were counted as requests to a leaving endpoint.

Cause: an endpoint's id was derived from the name of the test and its number. The same test in another process had the same ids, so that its VMs' requests were served here once the port was in use again. Requests that name no endpoint, such as calls to the store, were served as well.

VMs name the endpoint in each request.

Evidence: TestEndpointsOfParallelSoaksRefuseEachOther has a request of another process and one that names no endpoint; the latter was served and counted before. Which run's VMs called in the failures isn't known.

--- a/scenarios/promises_proof_test.go
+++ b/scenarios/promises_proof_test.go
@@ -144,6 +144,7 @@
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Addr()+pathResumable, http.NoBody)
 	assert.NilError(t, err)
 	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Expect-Instance", e.ID)
 	req.Header.Set("Token-Count", "300,20")
 	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
--- a/scenarios/soak_proof_test.go
+++ b/scenarios/soak_proof_test.go
@@ -237,6 +237,7 @@
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.Addr()+path, strings.NewReader(body))
 	assert.NilError(t, err)
 	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Expect-Instance", e.ID)
 	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
@@ -245,7 +246,7 @@
 // Guards against an endpoint that serves requests of another soak, whose endpoint had its port before: its
 // arrivals would count against the wrong run.
 func TestEndpointsOfParallelSoaksRefuseEachOther(t *testing.T) {
-	ids := map[string]string{}
+	ids := map[string]string{"two of another process": endpointIDOf(runID+1, t.Name()+"/two", 7), "unnamed": ""}
 	for _, name := range []string{"one", "two"} {
 		t.Run(name, func(t *testing.T) { ids[name] = (&soak{t: t}).endpointID(7) })
 	}
@@ -253,14 +254,14 @@
 	ledger := standin.NewLedger()
 	assert.NilError(t, e.Start("127.0.0.1:0", ledger))
 	t.Cleanup(e.Crash)
-	for _, name := range []string{"one", "two"} {
+	for name, id := range ids {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.Addr()+pathReads, strings.NewReader("x"))
 		assert.NilError(t, err)
-		req.Header.Set("Expect-Instance", ids[name])
+		req.Header.Set("Expect-Instance", id)
 		resp, err := http.DefaultClient.Do(req)
 		assert.NilError(t, err)
 		assert.NilError(t, resp.Body.Close())
-		assert.Equal(t, resp.StatusCode == http.StatusOK, name == "two")
+		assert.Equal(t, resp.StatusCode == http.StatusOK, name == "two", name)
 	}
 	assert.Equal(t, len(ledger.Arrivals()), 1)
 }
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -479,8 +479,15 @@
 	return resp.StatusCode, err
 }
 
-// endpointID returns the id of the n-th endpoint. Soaks run in parallel, and a port that an endpoint of one
-// has left may be used by another: with ids of its own, an endpoint refuses the requests for that one.
-func (s *soak) endpointID(n int) string {
-	return fmt.Sprintf("i-%08x-%d", uint32(xxhash.Sum64String(s.t.Name())), n)
+// runID differs between the processes that run soaks.
+var runID = rand.Uint64()
+
+// endpointID returns the id of the n-th endpoint.
+func (s *soak) endpointID(n int) string { return endpointIDOf(runID, s.t.Name(), n) }
+
+// endpointIDOf returns the id of the n-th endpoint of a test in a run. Soaks run in parallel, also in several processes,
+// and a port that an endpoint of one has left may be used by another: with ids of its own, an endpoint refuses the
+// requests for that one.
+func endpointIDOf(run uint64, test string, n int) string {
+	return fmt.Sprintf("i-%08x-%d", uint32(xxhash.Sum64String(test)^run), n)
 }
