Test of the ends of requests counts only its own request, at three endpoints

It failed once with 4 runs of a relayed stream, 2 allowed, as other runs' VMs were found to call ports of a soak. The endpoint counted each request that reached its port, whoever sent it.

Change: each case has a request ID of its own; requests of others are refused, counted apart and shown in a failure.

--- a/internal/gateway/ends_test.go
+++ b/internal/gateway/ends_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -158,7 +159,13 @@
 
 func testEnd(t *testing.T, route catalog.Route, answer func(*backend, bool, net.Conn) bool, cause string) {
 	how, stream := requestEnds[cause], route.Kind == catalog.Stream
-	b := serve(t, func(b *backend, _ int, _ *http.Request, c net.Conn) bool {
+	id := t.Name()
+	var others atomic.Int32
+	b := serve(t, func(b *backend, _ int, r *http.Request, c net.Conn) bool {
+		if r.Header.Get("Id") != id { // another process may call the endpoint that had the port before
+			others.Add(1)
+			return respond(c, 421, "", "Gone: 1")
+		}
 		time.Sleep(endsWork)
 		return answer(b, stream, c)
 	})
@@ -172,8 +179,9 @@
 	}
 	for _, g := range []*testGateway{w, target} {
 		g.setRoute(route)
-		g.addEndpoint("a", catalog.Whole, b)
-		g.addEndpoint("b", catalog.Whole, b)
+		for _, endpoint := range []string{"a", "b", "c"} {
+			g.addEndpoint(endpoint, catalog.Whole, b)
+		}
 	}
 	if how.prepare != nil {
 		how.prepare(t, w)
@@ -187,15 +195,15 @@
 	if how.patient > 0 {
 		patience = how.patient
 	}
-	c.send(t, strings.Replace(requestText(version, "1", "abc"), "3000", fmt.Sprint(patience.Milliseconds()), 1))
+	c.send(t, strings.Replace(requestText(version, id, "abc"), "3000", fmt.Sprint(patience.Milliseconds()), 1))
 	if how.close != nil {
 		assert.NilError(t, how.close(c))
 	}
 	got := c.read()
 	time.Sleep(endsSettle)
 	runs := b.runs.Load()
-	assert.Equal(t, got.judge(stream, runs), "", "%+v, %d runs", got, runs)
-	assert.Assert(t, runs <= int32(max(route.MaxAttempts, 1)), "%d runs", runs)
+	assert.Equal(t, got.judge(stream, runs), "", "%+v, %d runs, %d requests of others", got, runs, others.Load())
+	assert.Assert(t, runs <= int32(max(route.MaxAttempts, 1)), "%d runs, %d requests of others", runs, others.Load())
 	assert.Assert(t, !how.notRun || runs == 0, "%d runs", runs)
 	assert.Equal(t, front.Counts().Unanswered+front.Counts().Faults, int64(0))
 }
