Changes of endpoints leave room in a datagram for the rest of a beat

Callers would have been sent away from VMs that work: an entry in the list of endpoints may come from another writer and be of any size. One that can be decoded and is larger than 32 KB, for instance with a field that isn't named, was put into every beat and every membership message of the VMs that read the list, for 1.2 s after each change of it. A message above 32 KB isn't sent at all, so that these VMs fell silent to all others. So did 32 entries of 1 KB each that changed together.

Cause: changes were bounded in number, not in size.

Evidence: TestChangesLeaveRoomInADatagram failed before with a message of 131,512 bytes of changes.

Change: the changes in a message take at most half a datagram. One that doesn't fit stays for a later message, and one that never fits isn't announced; the other VMs find the gap in the offsets and read the list, as with changes above the limit in number.

--- a/internal/gateway/changes.go
+++ b/internal/gateway/changes.go
@@ -11,6 +11,7 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/era"
 	"fescuestand/internal/eventlog"
+	"fescuestand/internal/gossip"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/wire"
 )
@@ -22,6 +23,9 @@
 	// maxChangesPerBeat bounds the changes in a beat. VMs that miss the others read them from the
 	// store.
 	maxChangesPerBeat = 32
+	// maxChangeBytes bounds the keys and values of the changes in a beat, so that the rest of it fits into the
+	// datagram as well.
+	maxChangeBytes = gossip.MaxDatagramBytes / 2
 	// maxRecentChanges bounds the changes that are announced within announceFor. There are more
 	// when a whole fleet starts or is replaced; the other VMs then read them from the store at
 	// once.
@@ -127,8 +131,11 @@
 	return x.counters
 }
 
-// announce has a change included in this VM's beats for announceFor. The caller holds mu.
+// announce has a change included in this VM's beats for announceFor, unless it is too large. The caller holds mu.
 func (x *Changes) announce(c *wire.Change, fromPeer bool) {
+	if changeBytes(c) > maxChangeBytes {
+		return
+	}
 	now := x.clock.Now()
 	x.recent = slices.DeleteFunc(x.recent, func(t announcedChange) bool { return now.Sub(t.at) >= announceFor })
 	forwards := forwardsPerChange
@@ -140,6 +147,8 @@
 	}
 }
 
+func changeBytes(c *wire.Change) int { return len(c.GetKey()) + len(c.GetValue()) }
+
 // enterEra starts to track the changes of a newer era. It returns whether changes of the earlier one
 // were missing. The caller holds mu.
 func (x *Changes) enterEra(e era.Era) (missing bool) {
@@ -174,9 +183,12 @@
 	defer x.mu.Unlock()
 	now := x.clock.Now()
 	x.recent = slices.DeleteFunc(x.recent, func(t announcedChange) bool { return now.Sub(t.at) >= announceFor })
+	size := 0
 	for i := len(x.recent) - 1; i >= 0 && len(b.GetChanges()) < maxChangesPerBeat; i-- {
-		if include(&x.recent[i]) {
-			b.Changes = append(b.Changes, x.recent[i].change)
+		t := &x.recent[i]
+		if n := changeBytes(t.change); size+n <= maxChangeBytes && include(t) {
+			b.Changes = append(b.Changes, t.change)
+			size += n
 		}
 	}
 	slices.Reverse(b.Changes)
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/era"
+	"fescuestand/internal/gossip"
 	"fescuestand/internal/keyedlog"
 	"fescuestand/internal/wire"
 )
@@ -217,6 +219,26 @@
 	awaitRead(t, reads)
 }
 
+// Guards against an entry of another writer that is larger than a datagram: VMs that forward it would send no beats.
+func TestChangesLeaveRoomInADatagram(t *testing.T) {
+	c := &clock.Manual{T: 1}
+	reader := NewChanges(c, era.NewTracker(c), nil)
+	x, applied, reads := startFollower(t, c)
+	reader.RecordApplied(keyedlog.Entry{Key: "large", Value: make([]byte, gossip.MaxDatagramBytes), Position: at(1)})
+	for i := range maxChangesPerBeat {
+		reader.RecordApplied(keyedlog.Entry{Key: fmt.Sprint(i), Value: make([]byte, gossip.MaxDatagramBytes/8), Position: at(int64(i + 2))})
+	}
+	forwarded := &wire.Beat{}
+	reader.fillForwarded(forwarded)
+	for _, b := range []*wire.Beat{nextBeat(reader), forwarded} {
+		assert.Assert(t, proto.Size(b) < gossip.MaxDatagramBytes*3/4, "%d bytes", proto.Size(b))
+		assert.Assert(t, len(b.GetChanges()) > 1)
+	}
+	x.receive(nextBeat(reader))
+	assert.Assert(t, applied["31"] != "")
+	awaitRead(t, reads) // of the others
+}
+
 // Guards against a change that is never applied because all beats with it were lost.
 func TestChangeThatIsNotReceivedIsReadAfterMaxLag(t *testing.T) {
 	c := &clock.Manual{T: 1}
--- a/internal/gossip/beat.go
+++ b/internal/gossip/beat.go
@@ -28,9 +28,9 @@
 	// earlyBeatDivisor of the period is the delay before an early beat, which carries something
 	// urgent: a long prefill that other VMs must count.
 	earlyBeatDivisor = 8
-	// maxDatagramBytes is several times the usual packet size limit, and bounds the prefixes and
+	// MaxDatagramBytes is several times the usual packet size limit, and bounds the prefixes and
 	// members in a beat.
-	maxDatagramBytes = 32 << 10
+	MaxDatagramBytes = 32 << 10
 	// maxQueuedUpdates bounds what one beat carries in addition to the load.
 	maxQueuedUpdates = 128
 )
@@ -255,7 +255,7 @@
 
 func (u *Unit) sendTo(addrs []string, b *wire.Beat) {
 	data, err := proto.Marshal(b)
-	if err != nil || len(data) > maxDatagramBytes {
+	if err != nil || len(data) > MaxDatagramBytes {
 		log.WithError(err).WithField("bytes", len(data)).Warn("beat dropped")
 		return
 	}
@@ -270,7 +270,7 @@
 }
 
 func (u *Unit) receive(ctx context.Context) error {
-	buf := make([]byte, maxDatagramBytes)
+	buf := make([]byte, MaxDatagramBytes)
 	for {
 		n, _, err := u.pc.ReadFrom(buf)
 		if ctx.Err() != nil {
