A configuration that can't be read no longer hides the one before it

Callers would have been refused by every VM that started then: the operators' newest record can't be read, for instance since a limit in it is negative. VMs that run keep the configuration before it. A VM that starts knows none, asks a peer for it, and dropped the peer's as older than the record that it couldn't read, so that it wasn't ready until the next change of the configuration.

Cause: a follower of a log recorded the position of a value before the handler had read it.

Change: the handler tells whether it could read a value, and one that it couldn't is skipped, as if its key hadn't been written. A configuration from before an unreadable one doesn't make reads of the store count as fresh again, as keys that the unreadable one revokes still work; TestUnreadableVersionStopsRefresh checks it.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -54,7 +54,7 @@
 	v.clock.advance(time.Hour)
 	f := keyedlog.New("config", v.store)
 	f.ReadInterval = func() time.Duration { return time.Hour }
-	f.Apply = func(e keyedlog.Entry) { v.version.Store(uint64(len(e.Value))) }
+	f.Apply = func(e keyedlog.Entry) bool { v.version.Store(uint64(len(e.Value))); return true }
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.Run(ctx) }()
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -76,12 +76,13 @@
 	}
 }
 
-// RecordInForce records that a version is in force from now on.
-func (t *Tracker) RecordInForce(version uint64) {
+// RecordInForce records that a version is in force from now on. isNewest is unset if one that can't be parsed was
+// published after it.
+func (t *Tracker) RecordInForce(version uint64, isNewest bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.version = max(t.version, version)
-	t.unreadable = false
+	t.unreadable = !isNewest
 	if t.pending.version <= t.version {
 		t.advance(t.pending.at)
 	}
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -49,10 +49,10 @@
 // Guards against an answer that counts before the version that it names is in force.
 func TestAnswerCountsOnceItsVersionIsInForce(t *testing.T) {
 	c, tr := newTracker()
-	tr.RecordInForce(3)
+	tr.RecordInForce(3, true)
 	tr.MergeAnswer(c.T, 0, 4)
 	assert.Equal(t, tr.Verdict(), Stale)
-	tr.RecordInForce(4)
+	tr.RecordInForce(4, true)
 	assert.Equal(t, tr.Verdict(), AcceptOrDeny)
 }
 
@@ -65,7 +65,10 @@
 	c.T = c.T.Add(maxAcceptAge + 1)
 	tr.RecordRead(c.T)
 	assert.Equal(t, tr.Verdict(), Stale)
-	tr.RecordInForce(5)
+	tr.RecordInForce(4, false) // from a peer, which can't parse the newest one either
+	tr.RecordRead(c.T)
+	assert.Equal(t, tr.Verdict(), Stale)
+	tr.RecordInForce(5, true)
 	tr.RecordRead(c.T)
 	assert.Equal(t, tr.Verdict(), AcceptOrDeny)
 }
@@ -136,7 +139,7 @@
 			}
 			if i < 2 && rng.IntN(8) == 0 {
 				versions[i] = history.at(now.T)
-				tr.RecordInForce(versions[i])
+				tr.RecordInForce(versions[i], true)
 				tr.RecordRead(now.T)
 			}
 			if rng.IntN(6) == 0 {
@@ -165,7 +168,7 @@
 				tr.MergeAnswer(askedAt, m.age, m.version)
 				if m.version > versions[i] && rng.IntN(3) == 0 {
 					versions[i] = m.version // the VM fetches the version
-					tr.RecordInForce(m.version)
+					tr.RecordInForce(m.version, true)
 				}
 			}
 			if tr.Verdict() != Stale && int(versions[i]) < len(history) {
--- a/internal/gateway/changes_test.go
+++ b/internal/gateway/changes_test.go
@@ -41,7 +41,7 @@
 	applied := map[string]string{}
 	src := emptyLog{make(chan struct{}, 8)}
 	f := keyedlog.New("fleet", src)
-	f.Apply = func(e keyedlog.Entry) { applied[e.Key] = string(e.Value) }
+	f.Apply = func(e keyedlog.Entry) bool { applied[e.Key] = string(e.Value); return true }
 	f.ReadInterval = func() time.Duration { return time.Hour }
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/internal/gossip/knowledge_test.go
+++ b/internal/gossip/knowledge_test.go
@@ -34,7 +34,7 @@
 // from its peers.
 func TestVMWithoutStoreGetsConfigFreshnessFromPeers(t *testing.T) {
 	reader, other := newTracked(), newTracked()
-	reader.RecordInForce(7)
+	reader.RecordInForce(7, true)
 	reader.RecordRead(clock.Boot{}.Now())
 	h := &hub{}
 	ua, a := startWithFreshness(t, h, reader)
@@ -52,7 +52,7 @@
 	}, poll.WithTimeout(10*time.Second))
 	_, _, confirmed := other.Age()
 	assert.Assert(t, !confirmed, "the version isn't in force yet")
-	other.RecordInForce(7)
+	other.RecordInForce(7, true)
 	age, _, confirmed := other.Age()
 	assert.Assert(t, confirmed)
 	readerAge, _, _ := reader.Age()
--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -89,9 +89,10 @@
 	ReadInterval func() time.Duration
 	// Eras are the eras that this process knows of.
 	Eras *era.Tracker
-	// Apply handles a change. Within an era the offsets of one key never decrease, but for the record of a
-	// deletion after the key was found missing.
-	Apply func(Entry)
+	// Apply handles a change, and reports whether it could read the value. A value that it can't read is skipped: it
+	// neither ends its key nor hides earlier values of it that peers have. Within an era the offsets of one key
+	// never decrease, but for the record of a deletion after the key was found missing.
+	Apply func(Entry) bool
 	// OnRead is called after each successful read, once all records up to its end are applied, with the
 	// time at which the read was sent.
 	OnRead func(sentAt clock.Time)
@@ -528,8 +529,10 @@
 // applyTo passes e to the handler and records it in the state of its key. The caller holds mu.
 func (f *Follower) applyTo(s *keyState, e *Entry, v verdict) {
 	wasEnded := s.ended != notEnded
+	if !f.Apply(*e) {
+		return
+	}
 	s.record(e, v)
-	f.Apply(*e)
 	if s.ended == notEnded || wasEnded {
 		return
 	}
@@ -563,10 +566,9 @@
 	if e.Value == nil && s.ended != notEnded {
 		return repeated
 	}
-	if e.Value != nil {
+	if f.Apply(*e) && e.Value != nil {
 		s.ended = notEnded // the handler may have taken it
 	}
-	f.Apply(*e)
 	return apply
 }
 
--- a/internal/keyedlog/keyedlog_test.go
+++ b/internal/keyedlog/keyedlog_test.go
@@ -56,12 +56,13 @@
 	s.cancel = cancel
 	f := New("test", s)
 	f.OnReadError = func() { failedReads++ }
-	f.Apply = func(e Entry) {
+	f.Apply = func(e Entry) bool {
 		value := string(e.Value)
 		if e.Value == nil {
 			value = "-"
 		}
 		applied = append(applied, e.Key+"="+value)
+		return true
 	}
 	assert.ErrorIs(t, f.Run(ctx), context.Canceled)
 	return applied, failedReads
@@ -107,11 +108,12 @@
 	s.cancel = cancel
 	var ended []string
 	f := New("test", s)
-	f.Apply = func(e Entry) {
+	f.Apply = func(e Entry) bool {
 		if e.Value == nil {
 			ended = append(ended, e.Key)
 		}
 		s.newest, s.next = []Entry{entry("b", "1", 2)}, 9
+		return true
 	}
 	assert.ErrorIs(t, f.Run(ctx), context.Canceled)
 	assert.DeepEqual(t, ended, []string{"a"})
@@ -135,7 +137,7 @@
 		s.cancel = cancel
 		f := New("test", s)
 		f.SingleKey = oneKey
-		f.Apply = func(Entry) {}
+		f.Apply = func(Entry) bool { return true }
 		f.ReceiveEntry(entry("a", "5", 5))
 		assert.ErrorIs(t, f.Run(ctx), context.Canceled)
 		want := []int64{1, 1}
@@ -154,7 +156,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	s.cancel = cancel
 	f := New("test", s)
-	f.Apply = func(Entry) {}
+	f.Apply = func(Entry) bool { return true }
 	f.ReadInterval = func() time.Duration {
 		if len(s.from) == 0 {
 			return 0
@@ -177,7 +179,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	s.cancel = cancel
 	f := New("test", s)
-	f.Apply = func(Entry) {}
+	f.Apply = func(Entry) bool { return true }
 	f.OnRead = func(clock.Time) { reads = append(reads, f.Next().Offset) }
 	assert.ErrorIs(t, f.Run(ctx), context.Canceled)
 	assert.DeepEqual(t, reads, []int64{1, 4, 5})
--- a/internal/keyedlog/restore_test.go
+++ b/internal/keyedlog/restore_test.go
@@ -68,7 +68,7 @@
 	t.Helper()
 	applied := map[string]string{}
 	f := New("test", l)
-	f.Apply = func(e Entry) {
+	f.Apply = func(e Entry) bool {
 		switch {
 		case e.Value != nil:
 			applied[e.Key] = string(e.Value)
@@ -77,6 +77,7 @@
 		default:
 			applied[e.Key] = "deleted"
 		}
+		return true
 	}
 	assert.NilError(t, f.readOnce(t.Context()))
 	return f, applied
--- a/internal/keyedlog/shrink_test.go
+++ b/internal/keyedlog/shrink_test.go
@@ -38,7 +38,7 @@
 	defer cancel()
 	s := &shrinkingSource{cancel: cancel}
 	f := New("test", s)
-	f.Apply = func(Entry) {}
+	f.Apply = func(Entry) bool { return true }
 	assert.NilError(t, f.readOnce(ctx)) // the newest records
 	_ = f.readOnce(ctx)                 // an error is as good
 	assert.Assert(t, s.calls < maxShrunkReads, "%d reads", s.calls)
--- a/internal/keyedlog/state_test.go
+++ b/internal/keyedlog/state_test.go
@@ -11,10 +11,16 @@
 	"fescuestand/internal/era"
 )
 
+// unreadable is a value that the handler of collect can't read.
+const unreadable = "?"
+
 // collect returns a follower without a source and the list of what it applies.
 func collect() (*Follower, *[]string) {
 	f, applied := New("test", nil), &[]string{}
-	f.Apply = func(e Entry) {
+	f.Apply = func(e Entry) bool {
+		if string(e.Value) == unreadable {
+			return false
+		}
 		s := e.Key + "=" + string(e.Value)
 		switch {
 		case e.Value != nil:
@@ -26,6 +32,7 @@
 			s = e.Key + " deleted"
 		}
 		*applied = append(*applied, s)
+		return true
 	}
 	return f, applied
 }
@@ -52,6 +59,21 @@
 	assert.DeepEqual(t, *applied, []string{"a=1", "a deleted"})
 }
 
+// Guards against a value of another writer that hides what peers have read before it, or ends its key.
+func TestAnUnreadableValueIsSkipped(t *testing.T) {
+	for _, singleKey := range []bool{false, true} {
+		f, applied := collect()
+		f.SingleKey = singleKey
+		value := func(v string, offset int64) Entry {
+			return Entry{Key: "a", Value: []byte(v), Position: inEra(1, offset)}
+		}
+		for _, e := range []Entry{value(unreadable, 5), value("1", 3), value(unreadable, 6), value("1", 3), value("2", 4), value("3", 7)} {
+			f.ReceiveEntry(e)
+		}
+		assert.DeepEqual(t, *applied, []string{"a=1", "a=2", "a=3"})
+	}
+}
+
 // Guards against an end that is ignored because this process has a deletion of an earlier value only.
 func TestADeletionOfAValueThatWasNotReceivedIsApplied(t *testing.T) {
 	f, applied := collect()
--- a/internal/restoresim/sim_test.go
+++ b/internal/restoresim/sim_test.go
@@ -279,7 +279,7 @@
 	changes := gateway.NewChanges(c, v.eras, endpoints)
 	changes.IsReader = func() bool { return v.isReader(v.w.endpointReaders()) }
 	endpoints.Eras, endpoints.Clock = v.eras, c
-	endpoints.Apply = func(e keyedlog.Entry) { v.applyEndpoint(store, changes, e) }
+	endpoints.Apply = func(e keyedlog.Entry) bool { v.applyEndpoint(store, changes, e); return true }
 	endpoints.OnReadError = store.RecordOutage
 	endpoints.OnRead = func(clock.Time) {
 		changes.RecordRead(endpoints.Next())
@@ -296,7 +296,7 @@
 	v.configs = keyedlog.New("config", &simSource{v, configLog, rand.New(rand.NewPCG(v.rng.Uint64(), 2))})
 	configs := v.configs
 	configs.Eras, configs.Clock, configs.SingleKey = v.eras, c, true
-	configs.Apply = func(e keyedlog.Entry) { v.applyConfig(configs, e) }
+	configs.Apply = func(e keyedlog.Entry) bool { v.applyConfig(configs, e); return true }
 	configs.ReadWait = func() time.Duration {
 		if v.isReader(3) {
 			return 20 * time.Second
--- /dev/null
+++ b/internal/simworld/odd_entries_test.go
@@ -0,0 +1,58 @@
+package simworld
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/vm"
+)
+
+const (
+	// oddEntryTime is the time between an odd entry and the next one of its real writer.
+	oddEntryTime = time.Second
+	// maxCatchUp is how long after that entry a VM must serve. It is shorter than the time between two reads of VMs for
+	// which others read.
+	maxCatchUp = 5 * time.Second
+)
+
+// oddCases put entries of another writer into the store, and return how the real one writes the next time.
+var oddCases = map[string]func(w *world) (writeNext func()){
+	// Guards against a VM that starts and refuses its peers' configuration as older than one that nobody can read.
+	"configuration": func(w *world) func() {
+		w.store.put(configLog, vm.ConfigKey, "{")
+		return func() {}
+	},
+}
+
+// Guards against VMs that end, don't serve or lack an endpoint since another writer has left entries in the store.
+func TestWorldOfOddEntries(t *testing.T) {
+	for name, put := range oddCases {
+		t.Run(name, func(t *testing.T) {
+			for i := range uint64(*worldSeeds) {
+				synctest.Test(t, func(t *testing.T) { runOddEntries(t, *worldFirst+i, put) })
+			}
+		})
+	}
+}
+
+func runOddEntries(t *testing.T, seed uint64, put func(w *world) func()) {
+	w := newWorld(t, seed, []endpointSpec{{service: "s"}})
+	defer w.end()
+	writeNext := put(w)
+	w.addVM()
+	time.Sleep(oddEntryTime)
+	writeNext()
+	time.Sleep(maxCatchUp)
+	w.awaitReady()
+	p := &pauseRun{world: w, tc: pauseCase{path: pathReads}}
+	client := &http.Client{Transport: &http.Transport{DialContext: w.network.NewHost().DialContext, DisableKeepAlives: true}}
+	for _, v := range w.vms {
+		assert.Check(t, p.exchange(client, v, "odd-"+v.name, "") == wholeAnswer, "seed %d: %s", seed, v.name)
+	}
+	assert.Check(t, len(w.logged.mistakes()) == 0, fmt.Sprint(w.logged.mistakes()))
+}
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -174,31 +174,33 @@
 	}
 }
 
-func (n *Node) applyConfig(e keyedlog.Entry) {
+func (n *Node) applyConfig(e keyedlog.Entry) (isReadable bool) {
 	if e.Key != ConfigKey || e.Value == nil {
-		return
+		return true
 	}
 	c, err := n.adapter.DecodeConfig(e.Value)
 	if err != nil {
+		n.unreadableConfig = e.Position
 		if n.freshness != nil {
 			n.freshness.RecordUnreadable()
 		}
 		logEntry(&e).WithError(err).Error("configuration decode failed")
-		return
+		return false
 	}
 	if !n.catalog.SetConfig(c) {
-		return
+		return true
 	}
 	logEntry(&e).WithField("version", c.Version).Info("configuration applied")
 	n.callers.SetLimits(httpserver.Limits{Header: c.Limits.HeaderTime, Idle: c.Limits.IdleTime})
 	if n.freshness != nil {
-		n.freshness.RecordInForce(c.Version)
+		n.freshness.RecordInForce(c.Version, !e.Position.Before(n.unreadableConfig))
 	}
 	n.configHandler.Set(e)
 	if !e.FromPeer {
 		n.gossip.SendEarly() // VMs that don't read the store wait for the version
 	}
 	n.pushUpdates()
+	return true
 }
 
 // logEntry returns a log entry that says where e was read.
@@ -206,15 +208,15 @@
 	return log.WithField("key", e.Key).WithField("era", uint64(e.Position.Era)).WithField("offset", e.Position.Offset).WithField("from_peer", e.FromPeer)
 }
 
-func (n *Node) applyEndpoint(e keyedlog.Entry) {
+func (n *Node) applyEndpoint(e keyedlog.Entry) (isReadable bool) {
 	if e.Value == nil {
 		n.applyRemoval(e)
-		return
+		return true
 	}
 	ep, err := n.adapter.DecodeEndpoint(e.Key, e.Value)
 	if err != nil {
 		log.WithError(err).WithField("endpoint", e.Key).Warn("endpoint entry decode failed")
-		return
+		return false
 	}
 	if n.catalog.SetEndpoint(ep) {
 		if !e.Initial { // a fleet's entries are logged by the catalog already
@@ -223,6 +225,7 @@
 		n.endpointChanges.RecordApplied(e)
 		n.pushUpdates()
 	}
+	return true
 }
 
 // applyRemoval handles the end of an endpoint's entry. If another VM read it from the store and keeps
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -165,6 +165,7 @@
 	configHandler    configsync.Handler
 	freshness        *freshness.Tracker // nil where requests carry no keys
 	lastNudge        clock.Time         // when refreshConfig last ended the wait of a read
+	unreadableConfig era.Position       // of the newest configuration that can't be decoded
 	timeEstimator    *truetime.Estimator
 	callers          *gateway.Server
 	servers          []*gateway.Server
