An endpoint whose entry couldn't be read is announced again

Callers got 503 from VMs that had started while an entry of another writer stood under an endpoint's key, for up to 40 s: they don't know the endpoint, and its next report changed only its sequence number for the VMs that read the list, which therefore didn't announce it. VMs that ran already keep the endpoint as it was.

--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -32,6 +32,7 @@
 	removed        map[string]tombstone
 	leaving        map[string]leavingNotice      // of endpoints that announced in an answer that they leave
 	expiring       map[string]expiry             // of entries that ended and are kept for now
+	unreadable     map[string]struct{}           // endpoints whose entry was last replaced by one that can't be read
 	endedVersions  map[serviceVersion]clock.Time // when an endpoint last ceased to serve at the version
 	lastOutage     clock.Time                    // last time at which the platform's store was unavailable
 	hadOutage      bool                          // lastOutage is set
@@ -73,7 +74,7 @@
 func NewStore(c clock.Clock) *Store {
 	s := &Store{
 		clock: c, reported: map[string]*Endpoint{}, removed: map[string]tombstone{}, leaving: map[string]leavingNotice{},
-		expiring: map[string]expiry{}, endedVersions: map[serviceVersion]clock.Time{}, changed: make(chan struct{}),
+		expiring: map[string]expiry{}, unreadable: map[string]struct{}{}, endedVersions: map[serviceVersion]clock.Time{}, changed: make(chan struct{}),
 	}
 	s.view.Store(newView(nil, nil, nil))
 	return s
@@ -103,8 +104,8 @@
 	return true
 }
 
-// SetEndpoint merges an endpoint's report of itself. It returns whether the report changes the view or
-// cancels a scheduled removal: other VMs, which have scheduled it too, need the report then.
+// SetEndpoint merges an endpoint's report of itself. It returns whether other VMs need the report: it changes the
+// view, cancels a removal that they have scheduled too, or replaces an entry that couldn't be read.
 func (s *Store) SetEndpoint(e *Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,9 +120,11 @@
 	}
 	_, expiring := s.expiring[e.ID]
 	delete(s.expiring, e.ID)
+	_, unreadable := s.unreadable[e.ID]
+	delete(s.unreadable, e.ID)
 	if old != nil && equalExceptSequence(old, e) {
 		s.reported[e.ID] = e // views keep the old report, which differs in the sequence number only
-		return expiring
+		return expiring || unreadable
 	}
 	delete(s.removed, e.ID)
 	if old != nil && old.Version != e.Version {
@@ -134,6 +137,16 @@
 	return true
 }
 
+// RecordUnreadable records that an endpoint's entry was replaced by one that can't be read. The endpoint stays as it
+// is. VMs that start before its next report don't know it.
+func (s *Store) RecordUnreadable(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reported[id] != nil {
+		s.unreadable[id] = struct{}{}
+	}
+}
+
 // logDropped logs that e is dropped, as it isn't newer than the report known.
 func logDropped(e, known *Endpoint, removed bool) {
 	log.WithField("endpoint", e.ID).WithField("born", e.Born).WithField("sequence", e.Sequence).WithField("draining", e.Draining).
@@ -266,6 +279,7 @@
 	s.recordEnded(s.reported[id])
 	delete(s.reported, id)
 	delete(s.expiring, id)
+	delete(s.unreadable, id)
 }
 
 // RecordOutage records that the platform's store is unavailable now.
--- a/internal/simworld/odd_entries_test.go
+++ b/internal/simworld/odd_entries_test.go
@@ -14,7 +14,9 @@
 
 const (
 	// oddEntryTime is the time between an odd entry and the next one of its real writer.
-	oddEntryTime = time.Second
+	oddEntryTime = 3 * time.Second
+	// lateVMs is the number of VMs that start in that time, when a VM already runs that reads for them.
+	lateVMs = 2
 	// maxCatchUp is how long after that entry a VM must serve. It is shorter than the time between two reads of VMs for
 	// which others read.
 	maxCatchUp = 5 * time.Second
@@ -27,6 +29,13 @@
 		w.store.put(configLog, vm.ConfigKey, "{")
 		return func() {}
 	},
+	// Guards against a VM that lacks an endpoint for half a minute, since it started while another writer's entry stood
+	// under the endpoint's key.
+	"endpoint": func(w *world) func() {
+		e := w.pool("s")[0]
+		w.store.put(endpointLog, e.id, "{")
+		return func() { w.writeEntry(e) }
+	},
 }
 
 // Guards against VMs that end, don't serve or lack an endpoint since another writer has left entries in the store.
@@ -43,9 +52,13 @@
 func runOddEntries(t *testing.T, seed uint64, put func(w *world) func()) {
 	w := newWorld(t, seed, []endpointSpec{{service: "s"}})
 	defer w.end()
-	writeNext := put(w)
 	w.addVM()
 	time.Sleep(oddEntryTime)
+	writeNext := put(w)
+	for range lateVMs {
+		w.addVM()
+	}
+	time.Sleep(oddEntryTime)
 	writeNext()
 	time.Sleep(maxCatchUp)
 	w.awaitReady()
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -216,6 +216,7 @@
 	ep, err := n.adapter.DecodeEndpoint(e.Key, e.Value)
 	if err != nil {
 		log.WithError(err).WithField("endpoint", e.Key).Warn("endpoint entry decode failed")
+		n.catalog.RecordUnreadable(e.Key)
 		return false
 	}
 	if n.catalog.SetEndpoint(ep) {
