Reading the newest records ends at keys that answers can't hold

Callers would have been refused by each VM that starts or reads the list again: the store's JSON answers have a replacement character in place of bytes that aren't UTF-8, so that a page that ended with such a key was asked for again and again, with ever more memory, once there were more such keys than a page holds.

Change: the read ends when the last key of a page comes again, whatever the order of the keys, and logs it.

--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -380,15 +380,17 @@
 // newestRead is a read of the newest records of which some pages have arrived.
 type newestRead struct {
 	entries []Entry
-	end     era.Position // of the first page
-	sentAt  clock.Time   // when the first page was asked for
-	after   string       // the last key of the entries, empty before the first page
+	end     era.Position        // of the first page
+	sentAt  clock.Time          // when the first page was asked for
+	after   string              // the last key of the entries, empty before the first page
+	asked   map[string]struct{} // the keys after which pages were asked for
 }
 
 // errRestored means that the log was restored between two answers that belong together.
 var errRestored = errors.New("log restored between two pages")
 
-// read reads the missing pages. If one fails, the next call continues with it; after a restore it begins anew.
+// read reads the missing pages. If one fails, the next call continues with it; after a restore it begins anew. It ends
+// when a key comes again: answers can't hold a key that isn't UTF-8, and what they have in its place may be before it.
 func (n *newestRead) read(ctx context.Context, source Source, c clock.Clock) error {
 	for {
 		if n.after == "" {
@@ -409,6 +411,14 @@
 			return nil
 		}
 		n.after = page.Entries[len(page.Entries)-1].Key
+		if _, repeated := n.asked[n.after]; repeated {
+			log.WithField("keys", len(n.entries)).Warn("keys that can't be asked for left out of the newest records")
+			return nil
+		}
+		if n.asked == nil {
+			n.asked = map[string]struct{}{}
+		}
+		n.asked[n.after] = struct{}{}
 	}
 }
 
