Lines about entries that can't be read are bounded

A writer of odd entries filled the log of each VM that reads them, where warnings aren't dropped at the limit of lines: operators would have lost the lines that matter.

Evidence: TestWorldOfOddEntries/many failed before with 7,000 lines for 1,000 entries at 7 VMs.

--- a/internal/simworld/world_test.go
+++ b/internal/simworld/world_test.go
@@ -389,8 +389,9 @@
 type logged struct {
 	previous log.Interface
 
-	mu  sync.Mutex
-	ids map[string]bool
+	mu    sync.Mutex
+	ids   map[string]bool
+	lines map[string]int // by message
 	// quarantined are the requests that were refused since they seemed to crash endpoints.
 	quarantined []string
 }
@@ -400,7 +401,7 @@
 
 // newLogged returns a log that replaces the process's until it is closed.
 func newLogged() *logged {
-	l := &logged{previous: log.Log, ids: map[string]bool{}}
+	l := &logged{previous: log.Log, ids: map[string]bool{}, lines: map[string]int{}}
 	log.Log = &log.Logger{Handler: l, Level: log.InfoLevel}
 	return l
 }
@@ -411,6 +412,7 @@
 func (l *logged) HandleLog(e *log.Entry) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lines[e.Message]++
 	if id, ok := e.Fields["id"].(string); ok {
 		l.ids[id] = true
 	}
@@ -423,6 +425,13 @@
 	return nil
 }
 
+// countOf returns the number of lines with a message.
+func (l *logged) countOf(message string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines[message]
+}
+
 // mistakes returns the requests that were refused since they seemed to crash endpoints, which no request does.
 func (l *logged) mistakes() []string {
 	l.mu.Lock()
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -215,7 +215,9 @@
 	}
 	ep, err := n.adapter.DecodeEndpoint(e.Key, e.Value)
 	if err != nil {
-		log.WithError(err).WithField("endpoint", e.Key).Warn("endpoint entry decode failed")
+		if leftOut, ok := n.unreadableEntries.Allow(n.clock.Now()); ok {
+			logEntry(&e).WithError(err).WithField("left_out", leftOut).Warn("endpoint entry decode failed")
+		}
 		n.catalog.RecordUnreadable(e.Key)
 		return false
 	}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -19,6 +19,7 @@
 	"fescuestand/internal/clock"
 	"fescuestand/internal/configsync"
 	"fescuestand/internal/era"
+	"fescuestand/internal/eventlog"
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/freshness"
 	"fescuestand/internal/gateway"
@@ -135,42 +136,43 @@
 
 // Node is the process of a VM.
 type Node struct {
-	o                Options
-	adapter          Adapter
-	clock            clock.Clock
-	eras             *era.Tracker
-	catalog          *catalog.Store
-	members          *gossip.Members
-	planner          *place.Planner
-	retryBudget      *repeat.Budget
-	crashes          *crash.Register
-	pendingCrashes   crash.Pending
-	backpressure     *backpressure.Tracker
-	gateway          *gateway.Gateway
-	gossip           *gossip.Unit
-	gossipContent    *gateway.GossipContent
-	origins          *originsync.Tracker
-	archive          *originsync.Archive
-	observedSince    atomic.Int64 // clock.Time since which this VM has had a fresh view of the endpoints
-	hasStored        atomic.Bool  // quarantines may be on record at the store
-	pool             *exchange.Pool
-	reachability     *reachability.Unit
-	authority        *authority.Authority
-	orders           *orders.Unit
-	configFollower   *keyedlog.Follower
-	endpointFollower *keyedlog.Follower
-	hasReadEndpoints atomic.Bool // since this process started
-	endpointChanges  *gateway.Changes
-	configPuller     *configsync.Puller
-	configHandler    configsync.Handler
-	freshness        *freshness.Tracker // nil where requests carry no keys
-	lastNudge        clock.Time         // when refreshConfig last ended the wait of a read
-	unreadableConfig era.Position       // of the newest configuration that can't be decoded
-	timeEstimator    *truetime.Estimator
-	callers          *gateway.Server
-	servers          []*gateway.Server
-	usageLedger      *usage.Ledger
-	bodies           *bytebudget.Budget
+	o                 Options
+	adapter           Adapter
+	clock             clock.Clock
+	eras              *era.Tracker
+	catalog           *catalog.Store
+	members           *gossip.Members
+	planner           *place.Planner
+	retryBudget       *repeat.Budget
+	crashes           *crash.Register
+	pendingCrashes    crash.Pending
+	backpressure      *backpressure.Tracker
+	gateway           *gateway.Gateway
+	gossip            *gossip.Unit
+	gossipContent     *gateway.GossipContent
+	origins           *originsync.Tracker
+	archive           *originsync.Archive
+	observedSince     atomic.Int64 // clock.Time since which this VM has had a fresh view of the endpoints
+	hasStored         atomic.Bool  // quarantines may be on record at the store
+	pool              *exchange.Pool
+	reachability      *reachability.Unit
+	authority         *authority.Authority
+	orders            *orders.Unit
+	configFollower    *keyedlog.Follower
+	endpointFollower  *keyedlog.Follower
+	hasReadEndpoints  atomic.Bool // since this process started
+	endpointChanges   *gateway.Changes
+	configPuller      *configsync.Puller
+	configHandler     configsync.Handler
+	freshness         *freshness.Tracker // nil where requests carry no keys
+	lastNudge         clock.Time         // when refreshConfig last ended the wait of a read
+	unreadableConfig  era.Position       // of the newest configuration that can't be decoded
+	unreadableEntries eventlog.Limit     // of lines about endpoints' entries that can't be decoded
+	timeEstimator     *truetime.Estimator
+	callers           *gateway.Server
+	servers           []*gateway.Server
+	usageLedger       *usage.Ledger
+	bodies            *bytebudget.Budget
 }
 
 // setDefaults sets the options that are nil.
