A live endpoint's reports end another writer's that hides them

Callers would have been refused, or an endpoint left unused, until its key was deleted: an entry of another writer under the endpoint's key with a later start or a higher sequence number, both within bounds, made all of the endpoint's own reports count as older, for instance in a state of draining.

Evidence: TestALiveEndpointRefutesAReportThatNobodyRenews failed before.

Change: an endpoint that has sent older reports, each newer than the last, for 5 s while the known one isn't renewed has shown that the known one isn't its own; its report is taken.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -97,6 +97,38 @@
 	assert.DeepEqual(t, ids(s.View().Available("labels")), []string{"a"})
 }
 
+// Guards against an entry of another writer, with a start or a sequence number beyond the endpoint's own, that hides all
+// reports of a live endpoint.
+func TestALiveEndpointRefutesAReportThatNobodyRenews(t *testing.T) {
+	for _, odd := range []*Endpoint{endpoint("a", 100, 1<<40), endpoint("a", 1<<42, 1)} {
+		c := &clock.Manual{}
+		s := NewStore(c)
+		s.SetEndpoint(endpoint("a", 100, 5))
+		odd.Draining = true
+		s.SetEndpoint(odd)
+		for sequence := int64(6); c.T < clock.Time(refutationTime); sequence++ {
+			s.SetEndpoint(endpoint("a", 100, 6)) // a delayed report says nothing of a live one
+			assert.Assert(t, !s.SetEndpoint(endpoint("a", 100, sequence)))
+			assert.Equal(t, len(s.View().Available("labels")), 0)
+			c.T = c.T.Add(time.Second)
+		}
+		assert.Assert(t, !s.SetEndpoint(endpoint("a", 100, 6)))
+		assert.Assert(t, s.SetEndpoint(endpoint("a", 100, 20)))
+		assert.Equal(t, len(s.View().Available("labels")), 1)
+	}
+}
+
+// Guards against reports of an earlier process that arrive late and end those of its successor, which lives.
+func TestARenewedReportIsNotRefuted(t *testing.T) {
+	c := &clock.Manual{}
+	s := NewStore(c)
+	for i := range int64(20) {
+		s.SetEndpoint(endpoint("a", 200, i))
+		assert.Assert(t, !s.SetEndpoint(endpoint("a", 100, i)))
+		c.T = c.T.Add(time.Second)
+	}
+}
+
 // During an outage of the platform's store live endpoints can't renew their entries, which expire;
 // they write them again within two seconds after it. Guards against a VM that removes them at once,
 // and refuses all requests in between, and against one that keeps ended endpoints for good.
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -33,6 +33,7 @@
 	leaving        map[string]leavingNotice      // of endpoints that announced in an answer that they leave
 	expiring       map[string]expiry             // of entries that ended and are kept for now
 	unreadable     map[string]struct{}           // endpoints whose entry was last replaced by one that can't be read
+	older          map[string]olderReports       // of endpoints whose known report was last followed by older ones
 	endedVersions  map[serviceVersion]clock.Time // when an endpoint last ceased to serve at the version
 	lastOutage     clock.Time                    // last time at which the platform's store was unavailable
 	hadOutage      bool                          // lastOutage is set
@@ -74,7 +75,7 @@
 func NewStore(c clock.Clock) *Store {
 	s := &Store{
 		clock: c, reported: map[string]*Endpoint{}, removed: map[string]tombstone{}, leaving: map[string]leavingNotice{},
-		expiring: map[string]expiry{}, unreadable: map[string]struct{}{}, endedVersions: map[serviceVersion]clock.Time{}, changed: make(chan struct{}),
+		expiring: map[string]expiry{}, unreadable: map[string]struct{}{}, older: map[string]olderReports{}, endedVersions: map[serviceVersion]clock.Time{}, changed: make(chan struct{}),
 	}
 	s.view.Store(newView(nil, nil, nil))
 	return s
@@ -114,10 +115,11 @@
 		return false
 	}
 	old := s.reported[e.ID]
-	if old != nil && !e.supersedes(old) {
+	if old != nil && !e.supersedes(old) && !s.refutes(e) {
 		logDropped(e, old, false)
 		return false
 	}
+	delete(s.older, e.ID)
 	_, expiring := s.expiring[e.ID]
 	delete(s.expiring, e.ID)
 	_, unreadable := s.unreadable[e.ID]
@@ -137,6 +139,32 @@
 	return true
 }
 
+// refutationTime is how long an endpoint must have sent older reports than the known one, which isn't renewed
+// meanwhile, to show that the known one is another writer's. The entry of an endpoint that sends none expires sooner.
+const refutationTime = 5 * time.Second
+
+// olderReports are successive reports of an endpoint, each newer than the one before it and older than the known one.
+type olderReports struct {
+	newest *Endpoint
+	since  clock.Time
+}
+
+// refutes reports whether e, which is older than the known report of its endpoint, shows that the known one isn't the
+// endpoint's. The caller holds mu.
+func (s *Store) refutes(e *Endpoint) bool {
+	now := s.clock.Now()
+	o, ok := s.older[e.ID]
+	switch {
+	case !ok:
+		s.older[e.ID] = olderReports{e, now}
+		return false
+	case o.newest.supersedes(e):
+		return false
+	}
+	s.older[e.ID] = olderReports{e, o.since}
+	return now.Sub(o.since) >= refutationTime
+}
+
 // RecordUnreadable records that an endpoint's entry was replaced by one that can't be read. The endpoint stays as it
 // is. VMs that start before its next report don't know it.
 func (s *Store) RecordUnreadable(id string) {
@@ -280,6 +308,7 @@
 	delete(s.reported, id)
 	delete(s.expiring, id)
 	delete(s.unreadable, id)
+	delete(s.older, id)
 }
 
 // RecordOutage records that the platform's store is unavailable now.
