--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -89,9 +89,10 @@
 	ReadInterval func() time.Duration
 	// Eras are the eras that this process knows of.
 	Eras *era.Tracker
-	// Apply handles a change. Within an era the offsets of one key never decrease, but for the record of a
-	// deletion after the key was found missing.
-	Apply func(Entry)
+	// Apply handles a change, and reports whether it could read the value. A value that it can't read is skipped: it
+	// neither ends its key nor hides earlier values of it that peers have. Within an era the offsets of one key
+	// never decrease, but for the record of a deletion after the key was found missing.
+	Apply func(Entry) bool
 	// OnRead is called after each successful read, once all records up to its end are applied, with the
 	// time at which the read was sent.
 	OnRead func(sentAt clock.Time)
@@ -379,15 +380,17 @@
 // newestRead is a read of the newest records of which some pages have arrived.
 type newestRead struct {
 	entries []Entry
-	end     era.Position // of the first page
-	sentAt  clock.Time   // when the first page was asked for
-	after   string       // the last key of the entries, empty before the first page
+	end     era.Position        // of the first page
+	sentAt  clock.Time          // when the first page was asked for
+	after   string              // the last key of the entries, empty before the first page
+	asked   map[string]struct{} // the keys after which pages were asked for
 }
 
 // errRestored means that the log was restored between two answers that belong together.
 var errRestored = errors.New("log restored between two pages")
 
-// read reads the missing pages. If one fails, the next call continues with it; after a restore it begins anew.
+// read reads the missing pages. If one fails, the next call continues with it; after a restore it begins anew. It ends
+// when a key comes again: answers can't hold a key that isn't UTF-8, and what they have in its place may be before it.
 func (n *newestRead) read(ctx context.Context, source Source, c clock.Clock) error {
 	for {
 		if n.after == "" {
@@ -408,6 +411,14 @@
 			return nil
 		}
 		n.after = page.Entries[len(page.Entries)-1].Key
+		if _, repeated := n.asked[n.after]; repeated {
+			log.WithField("keys", len(n.entries)).Warn("keys that can't be asked for left out of the newest records")
+			return nil
+		}
+		if n.asked == nil {
+			n.asked = map[string]struct{}{}
+		}
+		n.asked[n.after] = struct{}{}
 	}
 }
 
@@ -528,8 +539,10 @@
 // applyTo passes e to the handler and records it in the state of its key. The caller holds mu.
 func (f *Follower) applyTo(s *keyState, e *Entry, v verdict) {
 	wasEnded := s.ended != notEnded
+	if !f.Apply(*e) {
+		return
+	}
 	s.record(e, v)
-	f.Apply(*e)
 	if s.ended == notEnded || wasEnded {
 		return
 	}
@@ -563,10 +576,9 @@
 	if e.Value == nil && s.ended != notEnded {
 		return repeated
 	}
-	if e.Value != nil {
+	if f.Apply(*e) && e.Value != nil {
 		s.ended = notEnded // the handler may have taken it
 	}
-	f.Apply(*e)
 	return apply
 }
 
