Only a majority of VMs shows that a stream can have one version

What callers saw: a VM was cut off from the other VMs and from the store while endpoints of a new version joined. Streams that had begun there through other VMs broke off, were taken up at that VM and went on at the old version.

Cause: while the store couldn't be read, a VM concluded from its own view that a service had had only one version, if the view was less than 3 s old. Others begin streams at a new version half a second after it appears. Besides, a VM that has lost sight of all others asked nobody, which counted as a majority.

Change: Poll.Only wants the answers of most of the VMs that it asked, each of which has observed the whole window: one of them was told the stream's origin when it began. Simulated cuts lose datagrams, too.

TestPoll: five cases expected the conclusion from a view or a minority, which is the fault. They expect none now, and each has a counterpart in which most VMs answer.

--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -249,6 +249,25 @@
 	return n
 }
 
+// HasQuorum reports whether this VM is in contact with most of the VMs that it was in contact with within countRetention.
+// A VM without a quorum may be cut off from VMs that serve callers. VMs that leave in order don't count.
+func (m *Members) HasQuorum() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	alive, all := 1, 1
+	for _, e := range m.detector.Entries() {
+		if e.Leaving || e.UnresponsiveFor(now, countRetention) {
+			continue
+		}
+		all++
+		if e.Alive(now) {
+			alive++
+		}
+	}
+	return 2*alive > all
+}
+
 // HasPeers reports whether the table counts any other VM, from the list or from datagrams.
 func (m *Members) HasPeers() bool { return m.Count() > 1 }
 
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -49,7 +49,7 @@
 // Poll collects what this VM and others have observed of a service's versions.
 type Poll struct {
 	asked, answered int
-	fresh, whole    bool
+	whole           bool
 	versions        map[string]struct{}
 }
 
@@ -70,7 +70,6 @@
 }
 
 func (p *Poll) merge(o Observation) {
-	p.fresh = p.fresh || o.Fresh
 	p.whole = p.whole || o.Whole
 	for _, v := range o.Versions {
 		p.versions[v] = struct{}{}
@@ -78,10 +77,11 @@
 }
 
 // Only returns the version of the service if it had only one. It returns false if there were several, or if
-// there may have been: no VM has observed the whole time, or no VM's knowledge is fresh and most VMs haven't
-// answered.
+// there may have been: no VM has observed the whole time, or most VMs haven't answered. One of those that the first
+// VM of a stream told its origin is in each majority. A VM's own view is no substitute, however new: streams begin at a
+// version before all VMs know of it.
 func (p *Poll) Only() (string, bool) {
-	if len(p.versions) != 1 || !p.whole || !p.fresh && !p.HasMajority() {
+	if len(p.versions) != 1 || !p.whole || !p.HasMajority() {
 		return "", false
 	}
 	for v := range p.versions {
--- a/internal/policy/origin/origin_test.go
+++ b/internal/policy/origin/origin_test.go
@@ -20,19 +20,22 @@
 		asked    int
 		want     string // empty if unknown
 	}{
-		"one version":                       {[]Observation{fresh("v1")}, 4, "v1"},
+		"one version":                       {[]Observation{fresh("v1"), fresh("v1"), fresh("v1"), fresh("v1")}, 4, "v1"},
+		"one version, no answer":            {[]Observation{fresh("v1")}, 4, ""},
 		"two versions":                      {[]Observation{fresh("v1", "v2")}, 4, ""},
 		"another VM has seen another one":   {[]Observation{fresh("v1"), fresh("v2")}, 4, ""},
 		"a stale VM has seen another one":   {[]Observation{fresh("v2"), stale("v1")}, 4, ""},
 		"VMs that know nothing don't agree": {[]Observation{stale("v1"), stale(), stale(), stale()}, 4, ""},
-		"a stale VM has seen the same one":  {[]Observation{stale("v1"), fresh("v1")}, 4, "v1"},
+		"a minority of fresh VMs":           {[]Observation{fresh("v1"), fresh("v1"), fresh("v1")}, 4, ""},
+		"stale and fresh VMs agree":         {[]Observation{stale("v1"), fresh("v1"), stale("v1"), fresh("v1")}, 4, "v1"},
 		"a minority of stale VMs":           {[]Observation{stale("v1"), stale("v1"), stale("v1")}, 4, ""},
 		"a majority of stale VMs":           {[]Observation{stale("v1"), stale("v1"), stale("v1"), stale("v1")}, 4, "v1"},
 		"stale, nobody to ask":              {[]Observation{stale("v1")}, 0, "v1"},
-		"a VM without endpoints":            {[]Observation{fresh(), stale("v1")}, 4, "v1"},
+		"a VM without endpoints":            {[]Observation{fresh(), stale("v1"), stale("v1"), stale("v1")}, 4, "v1"},
 		"VMs that have all just started":    {[]Observation{young("v1"), young("v1"), young("v1"), young("v1"), young("v1")}, 4, ""},
-		"one VM that stayed":                {[]Observation{young("v1"), fresh("v1")}, 4, "v1"},
-		"one VM that stayed, stale":         {[]Observation{young("v1"), stale("v1")}, 4, "v1"},
+		"one VM that stayed":                {[]Observation{young("v1"), fresh("v1"), young("v1"), young("v1"), young("v1")}, 4, ""},
+		"most VMs stayed":                   {[]Observation{young("v1"), fresh("v1"), fresh("v1"), fresh("v1"), young("v1")}, 4, "v1"},
+		"one VM that stayed, stale":         {[]Observation{young("v1"), stale("v1")}, 4, ""},
 		"no endpoints anywhere":             {[]Observation{fresh()}, 0, ""},
 	} {
 		p := NewPoll(tc.observed[0], tc.asked)
--- a/internal/simnet/packet.go
+++ b/internal/simnet/packet.go
@@ -47,7 +47,7 @@
 	return p, nil
 }
 
-// WriteTo implements net.PacketConn. A datagram to nobody is lost.
+// WriteTo implements net.PacketConn. A datagram to nobody, or across a cut, is lost.
 func (p *PacketConn) WriteTo(b []byte, addr net.Addr) (int, error) {
 	to, err := netip.ParseAddrPort(addr.String())
 	if err != nil {
@@ -60,7 +60,7 @@
 		return 0, p.opError("write", net.ErrClosed)
 	}
 	peer := n.hosts[to.Addr()]
-	if peer == nil || peer.silent || p.h.silent || n.isLost(p.addr, to) {
+	if peer == nil || peer.silent || p.h.silent || n.cutBetween(p.h.ip, peer.ip) != NoCut || n.isLost(p.addr, to) {
 		return len(b), nil
 	}
 	if receiver := peer.packetConns[to.Port()]; receiver != nil {
--- a/internal/simworld/lost_vms_faults_test.go
+++ b/internal/simworld/lost_vms_faults_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"fescuestand/internal/simnet"
 )
 
 const (
@@ -98,6 +100,35 @@
 	l.setFrozen("")
 }
 
+// cutVMOff sets what happens between the last VM and the others, and the store's faults.
+func (l *lossRun) cutVMOff(cut simnet.Cut, faults storeFaults) {
+	last := l.vms[len(l.vms)-1]
+	for _, v := range l.vms[:len(l.vms)-1] {
+		l.network.SetCut(last.host, v.host, cut)
+	}
+	l.store.setFaults(faults)
+}
+
+// isolate has the last VM reach neither the other VMs nor the store, and rejoin ends that.
+func isolate(l *lossRun) {
+	last := l.vms[len(l.vms)-1]
+	l.setFrozen(last.address(portCallers))
+	l.cutVMOff(simnet.Hang, storeFaults{rejects: func(vm string, _ bool) bool { return vm == last.name }})
+}
+
+func rejoin(l *lossRun) { l.cutVMOff(simnet.NoCut, storeFaults{}) }
+
+// admitCallers has callers use all VMs.
+func admitCallers(l *lossRun) { l.setFrozen("") }
+
+// replaceMostAtOnce replaces endpoints as replaceMost does, but all at once, and the old ones don't end.
+func replaceMostAtOnce(l *lossRun) {
+	for _, e := range l.ofVersion(versionOld)[:lossEndpoints*2/3] {
+		l.add(serviceBefore, versionNew)
+		l.leave(e)
+	}
+}
+
 func (l *lossRun) setFrozen(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -196,13 +227,16 @@
 	"three_versions":          {before: replaceByThird, meanwhile: nothing, judgedVersions: []string{versionOld, versionNew, versionThird}},
 	"frozen_vm_both":          {before: inOrder(freeze, replaceHalf), meanwhile: nothing, after: inOrder(pause(time.Second), thaw), survivors: 1, judgedVersions: bothVersions},
 	"frozen_vm_left":          {before: inOrder(freeze, replaceAll), meanwhile: nothing, after: inOrder(pause(time.Second), thaw), survivors: 1, judgedVersions: []string{versionNew}},
-	"joined_vms_stay_both":    {before: inOrder(replaceHalf, join, pause(time.Second)), meanwhile: nothing, survivors: joinedVMs, judgedVersions: bothVersions},
-	"joined_vms_stay_left":    {before: inOrder(replaceAll, join, pause(time.Second)), meanwhile: nothing, survivors: joinedVMs, judgedVersions: []string{versionNew}},
-	"vms_join_after_both":     {before: replaceHalf, meanwhile: nothing, after: join, judgedVersions: bothVersions},
-	"vms_join_after_left":     {before: replaceAll, meanwhile: nothing, after: join, judgedVersions: []string{versionNew}},
-	"datagrams_lost_both":     {before: replaceHalf, meanwhile: nothing, lossShare: lostDatagrams, judgedVersions: bothVersions},
-	"datagrams_lost_left":     {before: replaceAll, meanwhile: nothing, lossShare: lostDatagrams, judgedVersions: []string{versionNew}},
-	"datagrams_lost_one":      {before: nothing, meanwhile: nothing, lossShare: lostDatagrams, judgedVersions: []string{versionOld}},
+	"isolated_vm_stays": {
+		before: inOrder(isolate, replaceMostAtOnce, pause(1700*time.Millisecond)), meanwhile: admitCallers, after: rejoin, maxLossDelay: briefLossDelay, survivors: 1, judgedVersions: bothVersions, awaitsStore: true,
+	},
+	"joined_vms_stay_both": {before: inOrder(replaceHalf, join, pause(time.Second)), meanwhile: nothing, survivors: joinedVMs, judgedVersions: bothVersions},
+	"joined_vms_stay_left": {before: inOrder(replaceAll, join, pause(time.Second)), meanwhile: nothing, survivors: joinedVMs, judgedVersions: []string{versionNew}},
+	"vms_join_after_both":  {before: replaceHalf, meanwhile: nothing, after: join, judgedVersions: bothVersions},
+	"vms_join_after_left":  {before: replaceAll, meanwhile: nothing, after: join, judgedVersions: []string{versionNew}},
+	"datagrams_lost_both":  {before: replaceHalf, meanwhile: nothing, lossShare: lostDatagrams, judgedVersions: bothVersions},
+	"datagrams_lost_left":  {before: replaceAll, meanwhile: nothing, lossShare: lostDatagrams, judgedVersions: []string{versionNew}},
+	"datagrams_lost_one":   {before: nothing, meanwhile: nothing, lossShare: lostDatagrams, judgedVersions: []string{versionOld}},
 }
 
 // goBackHalf replaces half of the endpoints of the new version by the old one.
--- a/internal/simworld/lost_vms_test.go
+++ b/internal/simworld/lost_vms_test.go
@@ -159,12 +159,17 @@
 	l.served[e] = &served{version: version, from: time.Now()}
 }
 
-// remove removes an endpoint, which ends later.
-func (l *lossRun) remove(e *endpoint) {
+// leave removes an endpoint's entry.
+func (l *lossRun) leave(e *endpoint) {
 	l.mu.Lock()
 	l.served[e].to = time.Now()
 	l.mu.Unlock()
 	l.retire(e)
+}
+
+// remove removes an endpoint, which ends later.
+func (l *lossRun) remove(e *endpoint) {
+	l.leave(e)
 	l.ending.Go(func() {
 		time.Sleep(endDelay)
 		e.close()
