A stream continues only at the process that its VM knows

What callers saw: endpoints were started again one by one under their ids, at a new version. Streams of the old one that broke off meanwhile went on at endpoints that had the new version already.

Cause: a VM takes an id for the process of the newest entry that it has read, which may be 0.6 s old, and seconds old at a VM that is cut off. Expect-Instance names the id alone.

Change: before a stream that has events is sent to an engine, the VM asks the engine for its report, by the check for life that streams share while it is under way. If it names another start than the entry, the engine is left out. Plain services have no report. Streams that begin cost nothing more.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -246,6 +246,9 @@
 	if r, ok := x.mayReplace(s.Endpoint); !ok {
 		return nil, Answer{}, r
 	}
+	if x.isReplacedProcess(s.Endpoint) {
+		return nil, Answer{}, result{outcome: notSent, code: code.EndpointLeft, err: errEndpointLeft}
+	}
 	upload, r, ok := x.beginUpload(s.Endpoint.ID)
 	if !ok {
 		return nil, Answer{}, r
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -33,8 +34,10 @@
 
 // lifeCheck is one question to an engine.
 type lifeCheck struct {
-	done   chan struct{}
-	failed bool // the engine couldn't be asked, or broke off; valid once done is closed
+	done chan struct{}
+	// The rest is valid once done is closed.
+	failed bool  // the engine couldn't be asked, or broke off
+	born   int64 // of the process that answered, Unix milliseconds, zero if not known
 }
 
 // checkLife asks an engine for a sign of life, unless it is being asked.
@@ -52,7 +55,7 @@
 	g.lifeChecks.running[p] = c
 	go func() {
 		defer g.endLifeCheck(p, c)
-		c.failed = !g.askForLife(e)
+		c.born, c.failed = g.askForLife(e)
 	}()
 	return c
 }
@@ -68,8 +71,9 @@
 	close(c.done)
 }
 
-// askForLife returns false if the engine couldn't be asked, or broke off.
-func (g *Gateway) askForLife(e *catalog.Endpoint) bool {
+// askForLife returns when the process that answered was started, zero if not known, and whether the engine couldn't be
+// asked, or broke off.
+func (g *Gateway) askForLife(e *catalog.Endpoint) (born int64, failed bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), lifeAnswerTime)
 	defer cancel()
 	asked := g.silences.Begin(silenceProcess(e), g.o.Clock.Now().Add(lifeAnswerTime))
@@ -78,10 +82,13 @@
 	g.o.Pressure.RecordSend(g.o.Clock.Now(), e)
 	resp, err := g.o.Pool.Do(ctx, e.Address, &exchange.Request{Method: method, Target: target, Host: e.Address})
 	if err != nil {
-		return ctx.Err() != nil
+		return 0, ctx.Err() == nil
 	}
 	defer resp.Close()
 	asked.Sign(g.o.Clock.Now())
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxLifeCheckBytes)) // a failure leaves the connection unused
-	return true
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLifeCheckBytes)) // a failure leaves the connection unused
+	if err != nil || resp.Status != http.StatusOK {
+		return 0, false
+	}
+	return g.o.Codec.ParseBorn(body), false
 }
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -13,6 +13,7 @@
 	"fescuestand/internal/code"
 	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/origin"
+	"fescuestand/internal/stall"
 )
 
 // StreamOrigins records and finds where streams began. *originsync.Tracker implements it.
@@ -145,6 +146,23 @@
 	return o == nil || o.Version == e.Version
 }
 
+// isReplacedProcess reports whether an engine that is to continue a stream has started again, maybe at another version,
+// since its entry was read. One that doesn't answer in time counts as the one of the entry.
+func (x *execution) isReplacedProcess(e *catalog.Endpoint) bool {
+	if x.origin.Load() == nil || !x.isForEngine() || e.Born == 0 {
+		return false
+	}
+	ctx, cancel := stall.WithTimeout(x.ctx, lifeCheckTime)
+	defer cancel()
+	check := x.g.checkLife(e)
+	select {
+	case <-check.done:
+		return check.born != 0 && check.born != e.Born
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // ofVersion returns the endpoints of a version.
 func ofVersion(list []*catalog.Endpoint, version string) []*catalog.Endpoint {
 	if !slices.ContainsFunc(list, func(e *catalog.Endpoint) bool { return e.Version != version }) {
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -178,8 +178,7 @@
 // lately is asked for one first: if it pauses, the request would stay in its socket, and it and the silent engine would
 // begin or go on together.
 func (x *execution) mayReplace(e *catalog.Endpoint) (result, bool) {
-	isForEngine := x.isStream() && x.call.PromptTokens > 0 // plain services may have streams, too
-	if x.ctx == x.callCtx || !isForEngine || x.g.silences.IsAlive(x.now(), silenceProcess(e)) || x.showsLife(e) {
+	if x.ctx == x.callCtx || !x.isForEngine() || x.g.silences.IsAlive(x.now(), silenceProcess(e)) || x.showsLife(e) {
 		return result{}, true
 	}
 	if x.ctx.Err() != nil {
@@ -190,6 +189,9 @@
 	return result{outcome: notSent, code: code.EndpointSilent, err: errEndpointSilent}, false
 }
 
+// isForEngine reports whether the request is sent to engines. Plain services may have streams, too.
+func (x *execution) isForEngine() bool { return x.isStream() && x.call.PromptTokens > 0 }
+
 // showsLife asks an engine for a sign of life. A failure to ask it is left to the request.
 func (x *execution) showsLife(e *catalog.Endpoint) bool {
 	ctx, cancel := stall.WithTimeout(x.ctx, lifeCheckTime)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -108,6 +108,12 @@
 
 func (codec) LifeCheck() (method, target string) { return "GET", lifeCheckTarget }
 
+func (codec) ParseBorn(body []byte) int64 {
+	var r struct{ Born int64 }
+	_ = json.Unmarshal(body, &r) // zero if it isn't there
+	return r.Born
+}
+
 // lifeCheckTarget is answered by a backend itself.
 const lifeCheckTarget = "/live"
 
--- a/internal/simworld/adapter_test.go
+++ b/internal/simworld/adapter_test.go
@@ -254,6 +254,13 @@
 // LifeCheck implements gateway.Codec.
 func (codec) LifeCheck() (method, target string) { return http.MethodGet, "/report" }
 
+// ParseBorn implements gateway.Codec.
+func (codec) ParseBorn(body []byte) int64 {
+	var r reported
+	_ = json.Unmarshal(body, &r) // zero if it isn't there
+	return r.Born
+}
+
 // Release implements gateway.Codec.
 func (codec) Release(handle string) (method, target string) {
 	return http.MethodDelete, "/handle/" + handle
--- a/internal/simworld/endpoint_test.go
+++ b/internal/simworld/endpoint_test.go
@@ -157,8 +157,13 @@
 // startEndpoint starts an endpoint on a network.
 func startEndpoint(t *testing.T, n *simnet.Network, id string, spec endpointSpec, l *ledger) *endpoint {
 	t.Helper()
-	host := n.NewHost()
-	ln, err := host.Listen(0)
+	return listenAsEndpoint(t, n.NewHost(), 0, id, spec, l)
+}
+
+// listenAsEndpoint starts an endpoint at a port of a host, or at an unused one if port is zero.
+func listenAsEndpoint(t *testing.T, host *simnet.Host, port uint16, id string, spec endpointSpec, l *ledger) *endpoint {
+	t.Helper()
+	ln, err := host.Listen(port)
 	assert.NilError(t, err)
 	e := &endpoint{host: host, endpointSpec: spec, id: id, address: ln.Addr().String(), born: time.Now(), current: spec.stage, ledger: l, changed: make(chan struct{})}
 	e.server = &http.Server{Handler: e}
@@ -245,10 +250,16 @@
 	}
 }
 
+// reported is what an endpoint says of itself.
+type reported struct {
+	orders.Report
+	Born int64 // Unix milliseconds of its start
+}
+
 func (e *endpoint) report(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(orders.Report{Stage: e.current, Accepted: e.orders}) // as above
+	_ = json.NewEncoder(w).Encode(reported{orders.Report{Stage: e.current, Accepted: e.orders}, e.born.UnixMilli()}) // as above
 }
 
 func (e *endpoint) changeStage(w http.ResponseWriter, body []byte) {
--- a/internal/simworld/lost_vms_faults_test.go
+++ b/internal/simworld/lost_vms_faults_test.go
@@ -230,6 +230,12 @@
 	"isolated_vm_stays": {
 		before: inOrder(isolate, replaceMostAtOnce, pause(1700*time.Millisecond)), meanwhile: admitCallers, after: rejoin, maxLossDelay: briefLossDelay, survivors: 1, judgedVersions: bothVersions, awaitsStore: true,
 	},
+	"restarts_in_place": {
+		before: inOrder(restartInPlace, pause(2*learnTime)), meanwhile: nothing, survivors: vmCount,
+	},
+	"restarts_beside_isolated_vm": {
+		before: inOrder(isolate, admitCallers, restartInPlace, pause(2*learnTime)), meanwhile: nothing, after: rejoin, survivors: vmCount, awaitsStore: true,
+	},
 	"joined_vms_stay_both": {before: inOrder(replaceHalf, join, pause(time.Second)), meanwhile: nothing, survivors: joinedVMs, judgedVersions: bothVersions},
 	"joined_vms_stay_left": {before: inOrder(replaceAll, join, pause(time.Second)), meanwhile: nothing, survivors: joinedVMs, judgedVersions: []string{versionNew}},
 	"vms_join_after_both":  {before: replaceHalf, meanwhile: nothing, after: join, judgedVersions: bothVersions},
--- a/internal/simworld/lost_vms_test.go
+++ b/internal/simworld/lost_vms_test.go
@@ -159,6 +159,24 @@
 	l.served[e] = &served{version: version, from: time.Now()}
 }
 
+// restartAsNew has an endpoint start again at the new version, under its id.
+func (l *lossRun) restartAsNew(e *endpoint) *endpoint {
+	started := l.restart(e, versionNew)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.served[e].to = time.Now()
+	l.served[started] = &served{version: versionNew, from: time.Now()}
+	return started
+}
+
+// restartInPlace has all endpoints start again at the new version one by one.
+func restartInPlace(l *lossRun) {
+	for _, e := range l.ofVersion(versionOld) {
+		l.restartAsNew(e)
+		time.Sleep(replaceInterval)
+	}
+}
+
 // leave removes an endpoint's entry.
 func (l *lossRun) leave(e *endpoint) {
 	l.mu.Lock()
--- a/internal/simworld/world_test.go
+++ b/internal/simworld/world_test.go
@@ -220,6 +220,22 @@
 	return e
 }
 
+// restart has an endpoint end and start again under its id and address, at a version of its software.
+func (w *world) restart(old *endpoint, version string) *endpoint {
+	old.close()
+	port, err := strconv.ParseUint(old.address[strings.LastIndex(old.address, ":")+1:], 10, 16)
+	assert.NilError(w.t, err)
+	spec := old.endpointSpec
+	spec.version = version
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := listenAsEndpoint(w.t, old.host, uint16(port), old.id, spec, w.ledger)
+	w.endpoints[slices.Index(w.endpoints, old)] = e
+	w.writeEntry(e)
+	go w.report(e)
+	return e
+}
+
 // report writes an endpoint's entry after each change of its stage, until it is retired. Also an endpoint that is
 // paused reports.
 func (w *world) report(e *endpoint) {
@@ -231,7 +247,16 @@
 			written = stage
 		}
 	}
-	w.store.put(endpointLog, e.id, "")
+	if !w.isReplaced(e) {
+		w.store.put(endpointLog, e.id, "")
+	}
+}
+
+// isReplaced reports whether another process has the endpoint's id.
+func (w *world) isReplaced(e *endpoint) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.endpoints, func(o *endpoint) bool { return o.id == e.id })
 }
 
 func (w *world) writeEntry(e *endpoint) {
