A version that came and went off the record shows in the endpoints' log

What callers would see: while the store rejects the VMs' writes, a version comes, is used off the record, as no other is left, and has gone again. All VMs are lost. Streams of it that callers take up go on at the version on record: events of two versions in one stream.

Cause: after a loss of all VMs the record of versions alone decides, and it says the same as if the version had never served.

Change: endpoints write their entries themselves. A VM that is younger than the time for which streams may be taken up reads the latest changes of these entries, 512 at most, once, before it concludes that a stream began at the only version on record. Where that version didn't suffice at some time within two windows, streams may have begun at the others, and the stream is refused with 3013. The store may delete changes: then an endpoint that may have had an earlier entry counts as one of the version on record, so that only what is known proves that another one was used. The store of the simulated worlds can forget its history now, as the platform's may.

The cost is two calls for each VM that starts and gets a stream to take up, two more where the store has deleted changes.

--- a/internal/keyedlog/keyedlog.go
+++ b/internal/keyedlog/keyedlog.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -73,11 +74,24 @@
 	// Newest returns the newest records of the first keys after the given one, in the order of their keys.
 	Newest(ctx context.Context, after string) (NewestPage, error)
 	// Read returns the first page of the records from the offset of from on. It waits up to wait for a
-	// record, and fails with driver.ErrExpired if the log doesn't have the records at from. A page before
-	// the end of the log isn't empty.
+	// record, and fails with driver.ErrExpired if the log doesn't have the records at from, as an ExpiredError where it
+	// tells which it has. A page before the end of the log isn't empty.
 	Read(ctx context.Context, from era.Position, wait time.Duration) (Page, error)
 }
 
+// ExpiredError is the answer to a read of records that have been deleted.
+type ExpiredError struct {
+	First era.Position // of the oldest record that the log has
+}
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return fmt.Sprintf("%v: the log begins at %d", driver.ErrExpired, e.First.Offset)
+}
+
+// Unwrap returns driver.ErrExpired.
+func (e *ExpiredError) Unwrap() error { return driver.ErrExpired }
+
 // Follower passes every change of a keyed log to its handler.
 type Follower struct {
 	Name   string // for logs
--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -110,6 +110,8 @@
 	Store   Store
 	Clock   clock.Clock
 	Catalog *catalog.Store
+	// History reads the latest changes of the endpoints' entries.
+	History func(ctx context.Context) (*origin.History, error)
 	// VMs returns the number of VMs, and Spread a number that differs between them.
 	VMs    func() int
 	Spread uint64
@@ -150,6 +152,8 @@
 
 	appendsFail atomic.Bool // the latest append failed
 
+	history atomic.Pointer[origin.History] // nil until it has been read
+
 	next era.Position // of readForWaiting
 
 	// Of the goroutine that records starts.
@@ -173,7 +177,7 @@
 
 // NewArchive returns an archive whose exported fields are to be set.
 func NewArchive() *Archive {
-	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnAppendFailed: func([]Archived) {}, AppendDelay: func() time.Duration { return 0 }, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 }}
+	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnAppendFailed: func([]Archived) {}, AppendDelay: func() time.Duration { return 0 }, History: func(context.Context) (*origin.History, error) { return &origin.History{}, nil }, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 }}
 }
 
 // MayBegin reports whether a new stream of a route may begin at an endpoint.
@@ -560,7 +564,38 @@
 		}
 		return origin.Origin{}, false, nil, errRestored
 	}
-	return found, known, origin.Possible(r.Starts, st), nil
+	possible = origin.Possible(r.Starts, st)
+	return found, known, append(possible, a.usedOffRecord(possible)...), nil
+}
+
+// usedOffRecord returns where streams may have begun that have one possible origin by the record.
+func (a *Archive) usedOffRecord(possible []origin.Origin) []origin.Origin {
+	h := a.history.Load()
+	if h == nil || len(possible) != 1 || a.hasSeenAll() {
+		return nil
+	}
+	return h.UsedOffRecord(possible[0], time.Now().Add(-a.starts.RecordTime()).UnixMilli())
+}
+
+// hasSeenAll reports whether this VM has been running since streams began that callers may take up now.
+func (a *Archive) hasSeenAll() bool {
+	now := a.Clock.Now()
+	return a.starts.KnowsBefore(now, now)
+}
+
+// readHistory reads what has served before this VM started, once. Only readForWaiting calls it.
+func (a *Archive) readHistory(ctx context.Context) error {
+	if a.history.Load() != nil || a.hasSeenAll() {
+		return nil
+	}
+	h, err := a.History(ctx)
+	if err != nil {
+		log.WithError(err).Warn("changes of endpoints' entries not read")
+		return errors.Join(errStoreRead, err)
+	}
+	log.WithField("changes", len(h.Changes)).WithField("whole", h.Whole).Info("changes of endpoints' entries read")
+	a.history.Store(h)
+	return nil
 }
 
 // readFor returns the result of a read that begins after the call.
@@ -600,11 +635,16 @@
 		waiting := a.waiting
 		a.waiting, a.readAt = nil, a.Clock.Now()
 		a.mu.Unlock()
+		history := make(chan error, 1)
+		go func() { history <- a.readHistory(ctx) }()
 		r := a.read(ctx)
 		isAmbiguous := func(w waiter) bool { return a.isAmbiguous(w.stream) }
 		if r.err == nil && slices.ContainsFunc(waiting, isAmbiguous) {
 			r.err = a.readOrigins(ctx)
 		}
+		if err := <-history; r.err == nil {
+			r.err = err
+		}
 		for _, w := range waiting {
 			w.result <- r
 		}
--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -67,6 +67,9 @@
 	CanRun    bool // one of them runs requests to their end
 }
 
+// suffices reports whether new streams begin at no others of all endpoints that accept work.
+func (s Serving) suffices(all int) bool { return s.CanRun && 2*s.Endpoints >= all }
+
 type startState struct {
 	visible  bool
 	seenAt   clock.Time // when it was visible last, or became known
@@ -130,7 +133,7 @@
 // isCovered reports whether starts on record suffice for the new streams of start's route and service: streams begin at
 // no other one then. The caller holds mu.
 func (s *Starts) isCovered(start *Start) bool {
-	all, written, canRun := 0, 0, false
+	all, written := 0, Serving{}
 	for other, e := range s.entries {
 		if !e.visible || other.Host != start.Host || other.PathPrefix != start.PathPrefix || other.Service != start.Service {
 			continue
@@ -141,11 +144,11 @@
 		}
 		all += serving.Endpoints
 		if e.isWritten() {
-			written += serving.Endpoints
-			canRun = canRun || serving.CanRun
+			written.Endpoints += serving.Endpoints
+			written.CanRun = written.CanRun || serving.CanRun
 		}
 	}
-	return canRun && 2*written >= all
+	return written.suffices(all)
 }
 
 func (s *Starts) entry(now clock.Time, start Start) *startState {
@@ -272,6 +275,13 @@
 	return e.visible && now.Sub(e.since) > MaxRecordTime && !s.isCovered(&start)
 }
 
+// RecordTime returns for how long a start without an endpoint stays on record.
+func (s *Starts) RecordTime() time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return obsoleteWindows * s.window
+}
+
 // Obsolete returns the starts on record that no stream which is taken up can have any more.
 func (s *Starts) Obsolete(now clock.Time) []Start {
 	s.mu.RLock()
--- a/internal/simworld/lost_vms_faults_test.go
+++ b/internal/simworld/lost_vms_faults_test.go
@@ -83,6 +83,9 @@
 	})
 }
 
+// forgetHistory has the store delete all records but the newest of each key.
+func forgetHistory(l *lossRun) { l.store.forget() }
+
 // loseAgain kills all VMs soon after they have started.
 func loseAgain(l *lossRun) { l.lose(l.vms, nothing, maxRestartGap) }
 
@@ -148,6 +151,10 @@
 	"writes_rejected_back": {
 		before: inOrder(storeRejectsWrites, replaceAll, goBack), meanwhile: nothing, after: inOrder(pause(time.Second), storeWorks), awaitsStore: true,
 	},
+	"writes_rejected_back_forgotten": {
+		before:    inOrder(storeRejectsWrites, forgetHistory, replaceAll, goBack),
+		meanwhile: nothing, after: inOrder(pause(time.Second), storeWorks), awaitsStore: true,
+	},
 	"some_vms_rejected": {before: inOrder(storeRejectsSome, replaceHalf), meanwhile: nothing, judgedVersions: bothVersions, awaitsStore: true},
 	"store_down_in_restart_both": {
 		before: replaceHalf, meanwhile: storeRejectsAll, after: inOrder(pause(storeDownTime), storeWorks), judgedVersions: bothVersions, awaitsStore: true,
@@ -191,7 +198,11 @@
 		before:    inOrder(quicken(versionMoved), addMoved, func(l *lossRun) { l.publishVariant(routeMoved) }),
 		meanwhile: func(l *lossRun) { l.publishVariant("") }, maxLossDelay: briefLossDelay, minOldTakeUps: minJudgedTakeUps,
 	},
-	"swapped_and_back":        {before: inOrder(quicken(versionNew), swap(versionOld, versionNew)), meanwhile: swap(versionNew, versionOld), maxLossDelay: briefLossDelay},
+	"swapped_and_back":  {before: inOrder(quicken(versionNew), swap(versionOld, versionNew)), meanwhile: swap(versionNew, versionOld), maxLossDelay: briefLossDelay},
+	"history_forgotten": {before: forgetHistory, meanwhile: nothing, judgedVersions: []string{versionOld}, unnamedGoOn: true},
+	"history_forgotten_release": {
+		before: nothing, meanwhile: inOrder(forgetHistory, replaceHalf), judgedVersions: []string{versionOld},
+	},
 	"release_meanwhile_whole": {before: nothing, meanwhile: replaceAll, minOldTakeUps: minJudgedTakeUps},
 	"three_versions":          {before: replaceByThird, meanwhile: nothing, judgedVersions: []string{versionOld, versionNew, versionThird}},
 	"frozen_vm_both":          {before: inOrder(freeze, replaceHalf), meanwhile: nothing, after: inOrder(pause(time.Second), thaw), survivors: 1, judgedVersions: bothVersions},
--- a/internal/simworld/store_test.go
+++ b/internal/simworld/store_test.go
@@ -49,6 +49,7 @@
 
 	mu         sync.Mutex
 	logs       [logs][]record
+	first      [logs]int64   // offset of the oldest record that Read returns
 	changed    chan struct{} // closed and replaced when a record is appended
 	generation int64
 	members    []string // in the order of joining
@@ -96,12 +97,32 @@
 	defer s.mu.Unlock()
 	for i := range s.logs {
 		s.logs[i] = s.logs[i][:lengths[i]]
+		s.first[i] = min(s.first[i], int64(lengths[i]))
 	}
 	s.era++
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// forget deletes the history of the logs, of which the newest record of each key stays.
+func (s *store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.logs {
+		s.first[i] = int64(len(s.logs[i]))
+	}
+}
+
+// expired returns the error of a read from a position on whose records have been deleted.
+func (c *source) expired(from era.Position) error {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if first := c.s.first[c.log]; from.Era == c.s.era && from.Offset < first {
+		return &keyedlog.ExpiredError{First: c.s.position(int(first))}
+	}
+	return nil
+}
+
 func (s *store) currentEra() era.Era {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -194,6 +215,9 @@
 	if err := c.call(ctx); err != nil {
 		return keyedlog.Page{}, err
 	}
+	if err := c.expired(from); err != nil {
+		return keyedlog.Page{}, err
+	}
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -34,7 +34,7 @@
 	a.Era = n.eras.Since
 	a.IsSettled = func(at clock.Time) bool { return n.eras.Current() <= era.First || n.eras.SettledBy(at) }
 	a.OnAmbiguous, a.OnAppendFailed, a.OnRecords = n.origins.ArchiveOwn, n.origins.HandOver, n.recordsRead
-	a.AppendDelay = n.origins.AppendDelay
+	a.AppendDelay, a.History = n.origins.AppendDelay, n.readHistory
 	n.eras.OnRestore(a.Reset)
 	n.eras.OnRestore(n.origins.ArchiveOwn) // the store may have lost them
 	n.archive, n.origins.Archive = a, a
