Review of the fixes, with five cases that fail

Callers would see streams of two versions: a stream that begins at an endpoint which has started again under its id, before its entry is read, gets the old version as its origin; an engine that answers slowly counts as the process of its old entry; most VMs, cut off from the store and from the one VM that sees a new version, conclude that there is only one.

--- a/internal/simworld/lost_vms_faults_test.go
+++ b/internal/simworld/lost_vms_faults_test.go
@@ -17,6 +17,8 @@
 	entryLifetime = 3600 * time.Millisecond
 	// slowStore is what a slow store adds to each call.
 	slowStore = 700 * time.Millisecond
+	// slowAnswer is how long a slow endpoint takes to answer a question about itself.
+	slowAnswer = 200 * time.Millisecond
 	// absence is how long a version is away that comes back, longer than streams may be taken up.
 	absence = 2 * time.Minute
 	// lateRetryPause is that of callers that come late after the restart.
@@ -119,6 +121,27 @@
 	l.cutVMOff(simnet.Hang, storeFaults{rejects: func(vm string, _ bool) bool { return vm == last.name }})
 }
 
+// answerSlowly delays what endpoints of the new version say of themselves.
+func answerSlowly(e *endpoint, id string) {
+	if id == "" && e.version == versionNew {
+		time.Sleep(slowAnswer)
+	}
+}
+
+// isolateMost has all VMs but the first reach neither it nor the store, and rejoinMost ends that.
+func isolateMost(l *lossRun) {
+	l.cutFirstVMOff(simnet.Hang, func(vm string, _ bool) bool { return vm != l.vms[0].name })
+}
+
+func rejoinMost(l *lossRun) { l.cutFirstVMOff(simnet.NoCut, nil) }
+
+func (l *lossRun) cutFirstVMOff(cut simnet.Cut, rejects func(vm string, isWrite bool) bool) {
+	for _, v := range l.vms[1:] {
+		l.network.SetCut(l.vms[0].host, v.host, cut)
+	}
+	l.store.setFaults(storeFaults{rejects: rejects})
+}
+
 func rejoin(l *lossRun) { l.cutVMOff(simnet.NoCut, storeFaults{}) }
 
 // admitCallers has callers use all VMs.
@@ -241,12 +264,27 @@
 	"isolated_vm_stays": {
 		before: inOrder(isolate, replaceMostAtOnce, pause(1700*time.Millisecond)), meanwhile: admitCallers, after: rejoin, maxLossDelay: briefLossDelay, survivors: 1, judgedVersions: bothVersions, awaitsStore: true,
 	},
+	"isolated_majority_stays": {
+		before: inOrder(isolateMost, replaceMostAtOnce, pause(1700*time.Millisecond)), meanwhile: nothing, after: rejoinMost, maxLossDelay: briefLossDelay, survivors: vmCount - 1, awaitsStore: true,
+	},
 	"restarts_in_place": {
 		before: inOrder(restartInPlace, pause(2*learnTime)), meanwhile: nothing, survivors: vmCount,
 	},
 	"restarts_beside_isolated_vm": {
 		before: inOrder(isolate, admitCallers, restartInPlace, pause(2*learnTime)), meanwhile: nothing, after: rejoin, survivors: vmCount, awaitsStore: true,
 	},
+	"restarts_slow_in_place": {
+		before: inOrder(restartInPlace, pause(2*learnTime)), meanwhile: nothing, survivors: vmCount, onRequest: answerSlowly,
+	},
+	"restarts_twice_in_place": {
+		before: inOrder(restartSome, restartNew, pause(2*learnTime)), meanwhile: nothing, survivors: vmCount,
+	},
+	"restarts_twice_beside_isolated_vm": {
+		before: inOrder(isolate, restartSome, admitCallers, pause(time.Second), restartNew, pause(2*learnTime)), meanwhile: nothing, after: rejoin, survivors: vmCount, awaitsStore: true,
+	},
+	"restarts_before_loss": {
+		before: restartSome, meanwhile: nothing, maxLossDelay: briefLossDelay, survivors: vmCount / 2,
+	},
 	"joined_vms_stay_both": {before: inOrder(replaceHalf, join, pause(time.Second)), meanwhile: nothing, survivors: joinedVMs, judgedVersions: bothVersions},
 	"joined_vms_stay_left": {before: inOrder(replaceAll, join, pause(time.Second)), meanwhile: nothing, survivors: joinedVMs, judgedVersions: []string{versionNew}},
 	"vms_join_after_both":  {before: replaceHalf, meanwhile: nothing, after: join, judgedVersions: bothVersions},
--- a/internal/simworld/lost_vms_test.go
+++ b/internal/simworld/lost_vms_test.go
@@ -150,6 +150,7 @@
 // add starts an endpoint.
 func (l *lossRun) add(service, version string) {
 	spec := lossSpec(service, version)
+	spec.onRequest = l.tc.onRequest
 	if version == l.quick {
 		spec.interval = quickInterval
 	}
@@ -169,14 +170,25 @@
 	return started
 }
 
-// restartInPlace has all endpoints start again at the new version one by one.
-func restartInPlace(l *lossRun) {
-	for _, e := range l.ofVersion(versionOld) {
+func (l *lossRun) restartEach(endpoints []*endpoint) {
+	for _, e := range endpoints {
 		l.restartAsNew(e)
 		time.Sleep(replaceInterval)
 	}
 }
 
+// restartInPlace has all endpoints start again at the new version one by one.
+func restartInPlace(l *lossRun) { l.restartEach(l.ofVersion(versionOld)) }
+
+// restartSome has two endpoints that run requests start again at the new version, and restartNew has those of it start
+// again.
+func restartSome(l *lossRun) {
+	decode := slices.DeleteFunc(l.ofVersion(versionOld), func(e *endpoint) bool { return e.currentStage() != catalog.Decode })
+	l.restartEach(decode[:min(2, len(decode)-1)])
+}
+
+func restartNew(l *lossRun) { l.restartEach(l.ofVersion(versionNew)) }
+
 // leave removes an endpoint's entry.
 func (l *lossRun) leave(e *endpoint) {
 	l.mu.Lock()
@@ -393,6 +405,7 @@
 	unnamedGoOn bool
 	// minOldTakeUps is the minimum number of take-ups of streams that the old version began.
 	minOldTakeUps int
+	onRequest     func(e *endpoint, id string) // of the endpoints, nil for none
 }
 
 func (l *lossRun) run() {
