A VM without contact reads the endpoints before it concludes a stream's version

What callers would see: a stream that began at a version which the store couldn't record in time goes on at another one, if it is taken up at a VM that reaches the store but not the other VMs. One whose origin other VMs know is refused for good there (3013).

Cause: with a readable record, a VM concluded from it and from its own view, also if no other VM had replied. Where the recorded endpoints don't suffice, streams begin off the record after half a second, and a VM that isn't told of new endpoints takes longer to read them.

Evidence: TestIsolatedVMReadsTheEndpointsBeforeItConcludes failed before. Not seen in a world of whole VMs.

Change: a VM that has lost contact with half of the VMs, or hears from less than half of those that it asked, reads the endpoints' entries before it concludes that there is one version; calls at the same time share a read. A stream whose origin it doesn't find is refused with a retry delay (3014), as VMs out of its reach may know it. Streams without a name ask no VMs, as before.

--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -59,6 +59,10 @@
 	Send func(peers []string, b *wire.Beat)
 	// Observe returns what this VM knows of a service's versions in the given time.
 	Observe func(service string, window time.Duration) origin.Observation
+	// HasQuorum reports whether this VM is in contact with most of the VMs, and ReadEndpoints reads the endpoints'
+	// entries after the call. It returns false if they can't be read in time.
+	HasQuorum     func() bool
+	ReadEndpoints func(ctx context.Context) bool
 	// Archive keeps what outlives all VMs. Archivers returns, in an order on which VMs agree, those that may write
 	// origins to it: the first Writers do, and each of the others for the one Writers before it that can't.
 	Archive   *Archive
@@ -81,7 +85,10 @@
 
 // New returns a tracker whose exported fields are to be set.
 func New() *Tracker {
-	return &Tracker{register: origin.NewRegister(), queries: map[uint64]chan<- answer{}}
+	return &Tracker{
+		register: origin.NewRegister(), queries: map[uint64]chan<- answer{},
+		HasQuorum: func() bool { return true }, ReadEndpoints: func(context.Context) bool { return true },
+	}
 }
 
 // Record records the origin of a stream here and at other VMs, for as long as callers may take it up.
@@ -181,7 +188,7 @@
 	Peer                  // another VM's register
 	Only                  // the stream can't have begun at another version
 	Stored                // the archive
-	Unread                // it wasn't found, and the archive can't be read for now
+	Unread                // it wasn't found, and the archive can't be read or other VMs can't be asked for now
 )
 
 func (s Source) String() string {
@@ -199,7 +206,7 @@
 	if st.Key == origin.Unnamed {
 		a := t.searchArchive(ctx, st, &observed)
 		if a.err == nil {
-			return only(a.possible, t.Archive.mayHaveBegun(st))
+			return t.concludeFromRecord(ctx, st, a.possible, t.HasQuorum(), nil)
 		}
 		return t.concludeFrom(t.askPeers(ctx, st.Key, service, window, observed).poll, st, service, a.err)
 	}
@@ -228,7 +235,24 @@
 	if a.err != nil {
 		return t.concludeFrom(p.poll, st, service, a.err)
 	}
-	return only(a.possible, t.Archive.mayHaveBegun(st), p.poll.Origins(service))
+	inContact := t.HasQuorum() && p.poll.IsReached()
+	o, source := t.concludeFromRecord(ctx, st, a.possible, inContact, p.poll.Origins(service))
+	if source == Unknown && !inContact {
+		source = Unread // VMs that this one doesn't reach may know it
+	}
+	return o, source
+}
+
+// concludeFromRecord returns the only origin that a stream may have by a record that has been read since it was taken
+// up, by what this VM knows and by what others do. Streams may have begun off the record at a version that has appeared
+// meanwhile, so a VM that isn't in contact with most of the others reads the endpoints' entries first.
+func (t *Tracker) concludeFromRecord(ctx context.Context, st *origin.Stream, possible []origin.Origin, inContact bool, others []origin.Origin) (origin.Origin, Source) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	if !inContact && !t.ReadEndpoints(ctx) {
+		return origin.Origin{}, Unread
+	}
+	return only(possible, t.Archive.mayHaveBegun(st), others)
 }
 
 // only returns the origin that the lists have in common if they have no other.
--- a/internal/originsync/originsync_test.go
+++ b/internal/originsync/originsync_test.go
@@ -147,6 +147,42 @@
 	assert.Assert(t, time.Since(start) >= queryTimeout)
 }
 
+// Guards against a VM that reaches the store, but no other VM, and takes its old view for all versions that may have been
+// used off the record, and against final refusals of streams that other VMs know.
+func TestIsolatedVMReadsTheEndpointsBeforeItConcludes(t *testing.T) {
+	unreadable := func(context.Context) bool { return false }
+	for name, tc := range map[string]struct {
+		recorded, appeared []string
+		isReadable         bool
+		want               Source
+		wantUnnamed        Source
+	}{
+		"one version":           {[]string{"v1"}, []string{"v1"}, true, Only, Only},
+		"one off the record":    {[]string{"v1"}, []string{"v2"}, true, Unread, Unknown},
+		"unreadable endpoints":  {[]string{"v1"}, []string{"v1"}, false, Unread, Unread},
+		"two versions recorded": {[]string{"v1", "v2"}, []string{"v1"}, true, Unread, Unknown},
+	} {
+		w := newNetwork(4)
+		w.store.starts = startsAt(tc.recorded...)
+		vm := w.vm(0)
+		vm.Archive.starts.SetVisible(w.clock.T, startsAt("v1"), window)
+		w.loses = func(from, to string) bool { return from == "vm0" || to == "vm0" }
+		w.seen["vm0"] = origin.Observation{Versions: []string{"v1"}, Fresh: true, Whole: true}
+		vm.HasQuorum = func() bool { return false }
+		vm.ReadEndpoints = unreadable
+		if tc.isReadable {
+			vm.ReadEndpoints = func(context.Context) bool {
+				vm.Archive.starts.SetVisible(w.clock.T, startsAt(tc.appeared...), window)
+				return true
+			}
+		}
+		_, source := vm.Find(t.Context(), streamOf(1), "m", window)
+		assert.Equal(t, source, tc.want, name)
+		_, source = vm.Find(t.Context(), streamOf(origin.Unnamed), "m", window)
+		assert.Equal(t, source, tc.wantUnnamed, name)
+	}
+}
+
 // Guards against callers that wait for VMs that have ended although the others agree on the only version.
 func TestQueryEndsWhenMostVMsAgree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -48,9 +48,9 @@
 
 // Poll collects what this VM and others have observed of a service's versions.
 type Poll struct {
-	asked, answered int
-	whole           bool
-	versions        map[string]struct{}
+	asked, replied, answered int // VMs; those that haven't observed the whole time have replied, not answered
+	whole                    bool
+	versions                 map[string]struct{}
 }
 
 // NewPoll returns a poll of the given number of other VMs, with what this VM has observed.
@@ -63,6 +63,7 @@
 // Add adds the answer of another VM. One that knows of no version, and wouldn't know of a new one, agrees
 // with nothing, and neither does one that hasn't observed the service for the whole time.
 func (p *Poll) Add(o Observation) {
+	p.replied++
 	if o.Whole && (o.Fresh || len(o.Versions) > 0) {
 		p.answered++
 	}
@@ -101,3 +102,6 @@
 
 // HasMajority reports whether more than half of the other VMs have answered, or there is no other VM.
 func (p *Poll) HasMajority() bool { return p.asked == 0 || 2*p.answered > p.asked }
+
+// IsReached reports whether more than half of the other VMs have replied, whatever they know, or there is no other VM.
+func (p *Poll) IsReached() bool { return p.asked == 0 || 2*p.replied > p.asked }
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -49,7 +49,9 @@
 	n.endpointFollower.Eras, n.endpointFollower.Clock = n.eras, n.clock
 	n.endpointFollower.Apply, n.endpointFollower.BeginBatch, n.endpointFollower.EndBatch = n.applyEndpoint, n.catalog.BeginBatch, n.catalog.EndBatch
 	n.endpointFollower.ReadInterval, n.endpointFollower.OnReadError = n.members.ReadInterval, n.catalog.RecordOutage
-	n.endpointFollower.OnRead = func(clock.Time) {
+	n.endpointReads.wake = n.endpointFollower.Wake
+	n.endpointFollower.OnRead = func(sentAt clock.Time) {
+		n.endpointReads.record(sentAt)
 		n.members.RecordRead()
 		n.recordEndpointsRead()
 		n.endpointChanges.RecordRead(n.endpointFollower.Next())
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -159,6 +159,7 @@
 	orders           *orders.Unit
 	configFollower   *keyedlog.Follower
 	endpointFollower *keyedlog.Follower
+	endpointReads    *endpointReads
 	hasReadEndpoints atomic.Bool // since this process started
 	endpointChanges  *gateway.Changes
 	configPuller     *configsync.Puller
@@ -204,6 +205,7 @@
 		n.freshness = freshness.New(c, *o.Keys)
 	}
 	n.timeEstimator, n.usageLedger = truetime.New(c, time.Now), usage.NewLedger()
+	n.endpointReads = &endpointReads{clock: c, done: make(chan struct{})}
 	n.initFollowers()
 	n.initOrigins()
 	n.gateway = gateway.New(gateway.Options{
