An answer that took long is no view of now

What callers would see: a VM that was suspended while it read the endpoints' entries counts the answer as a view of now, has others rely on it, and takes work that only readers with a fresh view do.

Cause: Members.RecordRead took the time at which the answer was handled.

Evidence: TestAnswerThatWaitedIsNoFreshView failed before. Not seen in a world or with real processes.

Change: a read that took 1.5 s or longer, after which a view counts as lost, gives a view of the time of its call. One of a store that is slower than usual counts as before: more readers would slow the store down further.

--- a/internal/gossip/readers.go
+++ b/internal/gossip/readers.go
@@ -195,11 +195,17 @@
 	return m.readAt != 0 && m.clock.Now().Sub(m.readAt) < maxFreshAge
 }
 
-// RecordRead records that this VM has read the entries now.
-func (m *Members) RecordRead() {
+// RecordRead records that this VM has read the entries with a call sent at sentAt. The answer counts as a view of now,
+// so that a slow store doesn't make more VMs read, unless it has taken so long that this VM may have been suspended
+// since.
+func (m *Members) RecordRead(sentAt clock.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.readAt = m.clock.Now()
+	now := m.clock.Now()
+	if now.Sub(sentAt) >= maxFreshAge {
+		now = sentAt
+	}
+	m.readAt = max(m.readAt, now)
 }
 
 // readAges returns what a beat carries about views of the endpoints' entries: the encoded ages of
--- a/internal/gossip/readers_test.go
+++ b/internal/gossip/readers_test.go
@@ -49,6 +49,17 @@
 	assert.Equal(t, countReaders(8, nil, maxFreshAge), 8)
 }
 
+// Guards against a VM that was suspended in a read and takes its answer, or has others take it, for a view of now.
+func TestAnswerThatWaitedIsNoFreshView(t *testing.T) {
+	for took, want := range map[time.Duration]bool{time.Millisecond: true, maxFreshAge - 1: true, maxFreshAge: false, maxViewAge: false} {
+		m := settled(node(1))
+		m.RecordRead(m.clock.Now().Add(-took))
+		assert.Equal(t, m.HasFreshRead(), want, took)
+		own, _ := m.readAges()
+		assert.Equal(t, own <= encodeAgeMs(m.clock.Now(), m.clock.Now()), want, took)
+	}
+}
+
 // Guards against a thousand calls without effect while the store is unavailable.
 func TestFewVMsCallUnavailableStore(t *testing.T) {
 	assert.Equal(t, countReaders(60, nil, maxFreshAge), fallbackReaders)
--- a/internal/vm/follow.go
+++ b/internal/vm/follow.go
@@ -52,7 +52,7 @@
 	n.endpointReads.wake = n.endpointFollower.Wake
 	n.endpointFollower.OnRead = func(sentAt clock.Time) {
 		n.endpointReads.record(sentAt)
-		n.members.RecordRead()
+		n.members.RecordRead(sentAt)
 		n.recordEndpointsRead()
 		n.endpointChanges.RecordRead(n.endpointFollower.Next())
 	}
