A VM that has lost sight of another one concludes no version

What callers saw: three of four VMs were cut off from the store and from the fourth, at which streams began at a new version. Taken up at one of the three, they went on at the old version.

Cause: the three answer each other's queries, which is a majority, and none of them had been told of the streams, as the datagrams were lost as well.

Change: a VM has observed the window only if it is in contact with all VMs that it was in contact with within the last 10 s and that haven't left in order. It matters only while the store can't be read. The price: where a VM has crashed within these 10 s, streams of which no VM knows the origin are refused with a retry delay meanwhile.

--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -252,10 +252,23 @@
 // HasQuorum reports whether this VM is in contact with most of the VMs that it was in contact with within countRetention.
 // A VM without a quorum may be cut off from VMs that serve callers. VMs that leave in order don't count.
 func (m *Members) HasQuorum() bool {
+	alive, all := m.contacts()
+	return 2*alive > all
+}
+
+// ReachesAll reports whether this VM is in contact with all of these VMs: one that it has lost may serve callers.
+func (m *Members) ReachesAll() bool {
+	alive, all := m.contacts()
+	return alive == all
+}
+
+// contacts returns the number of VMs that this one was in contact with within countRetention and that haven't left in
+// order, itself included, and how many of them it is in contact with.
+func (m *Members) contacts() (alive, all int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	alive, all := 1, 1
+	alive, all = 1, 1
 	for _, e := range m.detector.Entries() {
 		if e.Leaving || e.UnresponsiveFor(now, countRetention) {
 			continue
@@ -265,7 +278,7 @@
 			alive++
 		}
 	}
-	return 2*alive > all
+	return alive, all
 }
 
 // HasPeers reports whether the table counts any other VM, from the list or from datagrams.
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -16,7 +16,7 @@
 	n.origins.Replicas = n.members.StreamReplicas
 	n.observedSince.Store(int64(n.clock.Now()))
 	n.origins.Observe = func(service string, window time.Duration) origin.Observation {
-		o := origin.Observation{Fresh: n.members.HasFreshView(), Whole: n.members.HasQuorum() && n.clock.Now().Sub(clock.Time(n.observedSince.Load())) >= window}
+		o := origin.Observation{Fresh: n.members.HasFreshView(), Whole: n.members.ReachesAll() && n.clock.Now().Sub(clock.Time(n.observedSince.Load())) >= window}
 		var ok bool
 		if o.Versions, ok = n.archive.VersionsBegun(service); !ok {
 			o.Versions = n.catalog.Versions(service, window)
