A stream gets the version of the process that sends its first event

What callers saw: endpoints started again under their ids, twice, or while they answered their report slowly. Streams of one version went on at the other one.

Cause: a new stream that began at an endpoint which had just started again was recorded at the version of the entry that its VM knew, and went on there.

Change: a connection belongs to one process. Before the first event of a resumable stream is forwarded from an engine, the engine is asked for its report, once for each connection; if it names another start than the entry, the exchange is given up and the stream goes elsewhere.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -32,6 +32,7 @@
 	watch       *watch // of the idle connection, nil if it isn't idle
 	bounded     bool   // boundSendBuffer has been called
 	witness     bool   // carries no request, guarded by the pool's mu
+	process     atomic.Int64
 }
 
 var serials atomic.Uint64
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -106,6 +106,13 @@
 // so that the endpoint cancels the request.
 func (r *Response) Close() { r.body.close() }
 
+// Process returns what SetProcess has set for a response on the same connection, zero if nothing: a connection belongs to
+// one process.
+func (r *Response) Process() int64 { return r.body.x.c.process.Load() }
+
+// SetProcess sets when the process that sent the response was started.
+func (r *Response) SetProcess(born int64) { r.body.x.c.process.Store(born) }
+
 // RequestWritten reports whether the whole request has been written, so that its body isn't in use any more.
 func (r *Response) RequestWritten() bool { return r.body.x.requestWritten() }
 
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -13,7 +13,6 @@
 	"fescuestand/internal/code"
 	"fescuestand/internal/originsync"
 	"fescuestand/internal/policy/origin"
-	"fescuestand/internal/stall"
 )
 
 // StreamOrigins records and finds where streams began. *originsync.Tracker implements it.
@@ -44,6 +43,7 @@
 	errVersionUnread  = errors.New("the record of the versions at which streams began can't be read")
 	errNotResumable   = errors.New("the route's streams may not be resumed")
 	errVersionGone    = errors.New("no endpoint of the version that began the stream takes work")
+	errOtherProcess   = errors.New("the endpoint has started again since its entry was read")
 	errVersionUnknown = errors.New("the version that began the stream isn't known")
 )
 
@@ -147,19 +147,37 @@
 }
 
 // isReplacedProcess reports whether an engine that is to continue a stream has started again, maybe at another version,
-// since its entry was read. One that doesn't answer in time counts as the one of the entry.
+// since its entry was read.
 func (x *execution) isReplacedProcess(e *catalog.Endpoint) bool {
-	if x.origin.Load() == nil || !x.isForEngine() || e.Born == 0 {
+	return x.origin.Load() != nil && x.isForEngine() && !x.isProcessOf(e)
+}
+
+// isKnownProcess reports whether the first event of an exchange was sent by the process of the engine's entry, whose version
+// the stream gets. An engine is asked once for each connection: what it says after the event holds for all responses on it.
+func (x *execution) isKnownProcess(o *openStream) bool {
+	e := o.request.Endpoint
+	switch {
+	case !x.route.Resumable || !x.isForEngine() || o.resp.Process() == e.Born:
+		return true
+	case o.resp.Process() != 0 || !x.isProcessOf(e):
 		return false
 	}
-	ctx, cancel := stall.WithTimeout(x.ctx, lifeCheckTime)
-	defer cancel()
+	o.resp.SetProcess(e.Born)
+	return true
+}
+
+// isProcessOf asks an engine whether its process is that of its entry. One that doesn't answer within lifeAnswerTime counts
+// as that.
+func (x *execution) isProcessOf(e *catalog.Endpoint) bool {
+	if e.Born == 0 {
+		return true
+	}
 	check := x.g.checkLife(e)
 	select {
 	case <-check.done:
-		return check.born != 0 && check.born != e.Born
-	case <-ctx.Done():
-		return false
+		return check.born == 0 || check.born == e.Born
+	case <-x.ctx.Done():
+		return true
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -290,6 +290,11 @@
 			o.close(x, &r)
 			return nil, r
 		}
+		if o.eventAt == 0 && !x.isKnownProcess(o) {
+			r := result{outcome: lost, code: code.EndpointLeft, err: errOtherProcess}
+			o.close(x, &r)
+			return nil, r
+		}
 		x.markResumed(o.attempt)
 		if !x.forwardEvents(o, events, id) {
 			r := result{outcome: gone, code: code.CallerGone}
