--- a/internal/simworld/lost_vms_faults_test.go
+++ b/internal/simworld/lost_vms_faults_test.go
@@ -185,7 +185,8 @@
 	"second_loss_both":        {before: replaceHalf, meanwhile: nothing, after: loseAgain, judgedVersions: bothVersions},
 	"second_loss_left":        {before: replaceAll, meanwhile: nothing, after: loseAgain, judgedVersions: []string{versionNew}},
 	"returns_both": {
-		before: inOrder(replaceAll, pause(absence), goBackHalf, pause(lossStartSpread)), meanwhile: nothing, judgedVersions: bothVersions,
+		before: inOrder(replaceAll, pause(absence), goBackHalf, pause(lossStartSpread)), meanwhile: nothing,
+		callers: 2 * lossCallers, awaitsRetry: true, judgedVersions: bothVersions,
 	},
 	"returns_left": {
 		before: inOrder(replaceAll, pause(absence), goBack, pause(replaceInterval)), meanwhile: nothing, maxLossDelay: maxLossDelay - replaceInterval,
--- a/internal/simworld/lost_vms_test.go
+++ b/internal/simworld/lost_vms_test.go
@@ -267,6 +267,9 @@
 		if a.canBeTakenUp() {
 			c.takeUp(&a)
 		}
+		if c.l.tc.awaitsRetry {
+			time.Sleep(a.retryAfter)
+		}
 		time.Sleep(requestInterval)
 	}
 }
@@ -362,6 +365,8 @@
 	awaitsStore bool
 	callers     int           // zero for the default
 	retryPause  time.Duration // of the callers, zero for the default
+	// awaitsRetry means that callers wait for as long as a refusal asks before they begin another stream.
+	awaitsRetry bool
 	// maxLossDelay bounds the time from the last change to the loss, zero for the default.
 	maxLossDelay time.Duration
 	// judgedVersions are the versions of which streams must go on.
