A release beside a suspended VM is a case of its own

TestStreamsKeepTheirVersion/new_version_suspended: engines crash and come back at the next version while a VM stands still for 2.5 s, longer than its view of the endpoints counts as fresh to others.

It guards against what a VM does right after it has stood still, and proves none of the faults found there.

--- a/scenarios/versions_test.go
+++ b/scenarios/versions_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	versionDropShare = 0.3
 	// settledTime is how long ago a VM must have started for its answers to count against minResumedShare.
 	settledTime = 3 * time.Second
+	// suspensionTime is longer than a view of the endpoints counts as fresh.
+	suspensionTime = 2500 * time.Millisecond
 	// minResumedShare is the minimum ratio of the share of streams that go on when they are taken up to the
 	// share of new streams that begin. It applies from minTakenUp streams on, and to those of which
 	// minServing engines of their version serve.
@@ -48,6 +51,7 @@
 	killed    int  // VMs that are killed at once, beside each fault of an engine
 	every     int  // faults of engines for each kill of VMs
 	next      bool // a replacement is of the next version, else of the same
+	suspended bool // a VM is suspended for suspensionTime at each other fault of an engine
 
 	// The engines of a release are of one version and are replaced by those of the next, half of them one after
 	// the other and then all others at once.
@@ -70,6 +74,8 @@
 		"two_vms":     {killed: 2, every: 3},
 		"all_vms":     {killed: soakVMs, every: 5},
 		"new_version": {dropShare: versionDropShare, next: true},
+		// Guards against a VM that continues streams by what it knew before it was suspended.
+		"new_version_suspended": {dropShare: versionDropShare, next: true, suspended: true},
 
 		// Guards against VMs that have all just started and take the only version that they see for the one
 		// of a stream that began at another.
@@ -173,6 +179,9 @@
 	end := time.Now().Add(versionFaultTime)
 	for n := 0; time.Now().Before(end); n++ {
 		next := time.Now().Add(versionFaultInterval)
+		if tc.suspended && n%2 == 0 {
+			s.suspendVM(down)
+		}
 		switch {
 		case tc.release && n < versionEngines/2:
 			s.releaseEngine()
@@ -272,6 +281,14 @@
 	}
 }
 
+// suspendVM suspends a VM for suspensionTime, and records when its answers may be late.
+func (s *soak) suspendVM(down map[string][]span) {
+	v, begun := s.randomVM(), time.Now()
+	assert.Check(s.t, v.proc.signal(syscall.SIGSTOP))
+	time.AfterFunc(suspensionTime, func() { assert.Check(s.t, v.proc.signal(syscall.SIGCONT)) })
+	down[v.front] = append(down[v.front], span{begun, begun.Add(suspensionTime)})
+}
+
 // logStoreCalls logs how often VMs called the store.
 func (s *soak) logStoreCalls() {
 	var calls []string
