Tests of versions: the stand-in store's pages are as large as the platform's

With a slow stand-in store, VMs that had all just started refused most new streams for seconds (3001, no endpoint known).

Cause: the stand-in store lists two keys a page, the platform's up to 500. A VM that starts applies endpoints once all pages are read, so that a list of 19 keys takes ten calls one after the other, and a store that is slow by 0.2 s delays the endpoints by 2 s.

Change: the stand-in's page can be set; TestStreamsKeepTheirVersion sets the platform's. Two keys stay the default, so that other tests read several pages. No check changes.

--- a/scenarios/versions_test.go
+++ b/scenarios/versions_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"fescuestand/platform/standin"
 )
 
 const (
@@ -88,6 +90,7 @@
 				versions = versions[:1]
 			}
 			s := newSoakOf(t, 2, engineSetup{count: versionEngines, versions: versions, eventInterval: versionEventInterval, slots: versionSlots})
+			s.store.SetPage(standin.PlatformPage) // VMs that start read one page
 			s.dropShare, s.ownPrompts, s.anonymous = tc.dropShare, true, tc.anonymous
 			s.onlyStreams, s.persistent = tc.restarts(), tc.restarts()
 			s.awaitServing()
