Only streams that need the endpoints' history wait for it

What callers would see: after a loss of all VMs, streams whose origin is archived were refused with 3014 if the changes of the endpoints' entries couldn't be read, and all waited for that read.

Cause: the result of the history's read was taken into each look-up, and what follows from it was calculated each time.

Change: a look-up uses the history only where the record leaves one origin, and fails with it only there. What follows is calculated once for an origin.

--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -154,6 +154,9 @@
 
 	history atomic.Pointer[origin.History] // nil until it has been read
 
+	calculating sync.Mutex
+	offRecord   map[origin.Origin][]origin.Origin // by the history, for an origin on record
+
 	next era.Position // of readForWaiting
 
 	// Of the goroutine that records starts.
@@ -171,13 +174,14 @@
 
 type readResult struct {
 	Records
-	sentAt clock.Time
-	err    error
+	sentAt     clock.Time
+	err        error
+	historyErr error // for streams that need the history
 }
 
 // NewArchive returns an archive whose exported fields are to be set.
 func NewArchive() *Archive {
-	return &Archive{starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnAppendFailed: func([]Archived) {}, AppendDelay: func() time.Duration { return 0 }, History: func(context.Context) (*origin.History, error) { return &origin.History{}, nil }, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 }}
+	return &Archive{starts: origin.NewStarts(), offRecord: map[origin.Origin][]origin.Origin{}, archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnAppendFailed: func([]Archived) {}, AppendDelay: func() time.Duration { return 0 }, History: func(context.Context) (*origin.History, error) { return &origin.History{}, nil }, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 }}
 }
 
 // MayBegin reports whether a new stream of a route may begin at an endpoint.
@@ -565,16 +569,32 @@
 		return origin.Origin{}, false, nil, errRestored
 	}
 	possible = origin.Possible(r.Starts, st)
-	return found, known, append(possible, a.usedOffRecord(possible)...), nil
+	switch {
+	case known || !a.needsHistory(possible):
+		return found, known, possible, nil
+	case r.historyErr != nil:
+		return origin.Origin{}, false, nil, r.historyErr
+	}
+	return origin.Origin{}, false, append(possible, a.usedOffRecord(possible[0])...), nil
 }
 
-// usedOffRecord returns where streams may have begun that have one possible origin by the record.
-func (a *Archive) usedOffRecord(possible []origin.Origin) []origin.Origin {
-	h := a.history.Load()
-	if h == nil || len(possible) != 1 || a.hasSeenAll() {
-		return nil
+// needsHistory reports whether streams with the given origins by the record may have begun before this VM started, off the
+// record.
+func (a *Archive) needsHistory(possible []origin.Origin) bool {
+	return len(possible) == 1 && !a.hasSeenAll()
+}
+
+// usedOffRecord returns where streams may have begun that have one origin by the record. It is calculated once: as time
+// goes by, less counts.
+func (a *Archive) usedOffRecord(recorded origin.Origin) []origin.Origin {
+	a.calculating.Lock()
+	defer a.calculating.Unlock()
+	used, ok := a.offRecord[recorded]
+	if h := a.history.Load(); !ok && h != nil {
+		used = h.UsedOffRecord(recorded, time.Now().Add(-a.starts.RecordTime()).UnixMilli())
+		a.offRecord[recorded] = used
 	}
-	return h.UsedOffRecord(possible[0], time.Now().Add(-a.starts.RecordTime()).UnixMilli())
+	return used
 }
 
 // hasSeenAll reports whether this VM has been running since streams began that callers may take up now.
@@ -642,10 +662,16 @@
 		if r.err == nil && slices.ContainsFunc(waiting, isAmbiguous) {
 			r.err = a.readOrigins(ctx)
 		}
-		if err := <-history; r.err == nil {
-			r.err = err
-		}
+		var needHistory []waiter
 		for _, w := range waiting {
+			if r.err == nil && a.needsHistory(origin.Possible(r.Starts, w.stream)) {
+				needHistory = append(needHistory, w)
+				continue
+			}
+			w.result <- r
+		}
+		r.historyErr = <-history
+		for _, w := range needHistory {
 			w.result <- r
 		}
 	}
