A VM reads the endpoints before it takes a version for gone

What callers saw: a VM that had been cut off while a version joined found the origin of a stream that they took up, and refused it for good (3012), as it knew no endpoint of that version yet.

Cause: that no endpoint of a version is known was taken for that there is none.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -22,6 +22,8 @@
 	Record(st *origin.Stream, o origin.Origin, ttl time.Duration)
 	// Find returns the origin of a stream that may have begun up to window ago.
 	Find(ctx context.Context, st *origin.Stream, service string, window time.Duration) (origin.Origin, originsync.Source)
+	// RefreshEndpoints reads the endpoints' entries after the call, if they can be read in time.
+	RefreshEndpoints(ctx context.Context)
 }
 
 // StreamStarts restricts where new streams begin. *originsync.Archive implements it.
@@ -87,6 +89,9 @@
 	}
 	x.service = o.Service
 	x.origin.Store(&o)
+	if !slices.ContainsFunc(x.openEndpoints(), canRun) {
+		x.g.o.Origins.RefreshEndpoints(x.ctx) // this VM may have been cut off while endpoints of the version joined
+	}
 	return result{}, true
 }
 
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -248,6 +248,8 @@
 	o.recorded[st.Key] = from
 }
 
+func (o *testOrigins) RefreshEndpoints(context.Context) {}
+
 func (o *testOrigins) Find(_ context.Context, _ *origin.Stream, service string, _ time.Duration) (origin.Origin, originsync.Source) {
 	return origin.Origin{Service: cmp.Or(o.origin.Service, service), Version: o.origin.Version}, o.found
 }
--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -255,6 +255,13 @@
 	return only(possible, t.Archive.mayHaveBegun(st), others)
 }
 
+// RefreshEndpoints reads the endpoints' entries after the call, if they can be read in time.
+func (t *Tracker) RefreshEndpoints(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	t.ReadEndpoints(ctx)
+}
+
 // only returns the origin that the lists have in common if they have no other.
 func only(lists ...[]origin.Origin) (origin.Origin, Source) {
 	all := slices.Concat(lists...)
