A stream that another process began is no evidence of a crash

What callers would see: streams at endpoints that restart under their ids are given up before their first event. Each counted as lost at the earlier process, whose end becomes known a moment later, so that requests and shared prompt parts came closer to being quarantined.

Change: such an exchange ends the exposure like an answered one: the earlier process hasn't run it.

Tests: the worlds of a loss of all VMs fail now if any request is refused as one that crashes endpoints. A quarantine for this cause wasn't seen before the change; it follows from the code.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -172,6 +173,7 @@
 	}
 	how := crash.Answered
 	switch {
+	case errors.Is(r.err, errOtherProcess): // the process of the exposure hasn't run it
 	case r.mayBeCrash(), r.outcome == lost:
 		how = crash.Broken
 	case r.outcome == replaced, r.outcome == gone, a.left.Load():
--- a/internal/simworld/lost_vms_test.go
+++ b/internal/simworld/lost_vms_test.go
@@ -507,6 +507,7 @@
 	l.t.Logf("seed %d: %d of %d new streams began, of those taken up went on %v, %d of the old version", l.seed, begun.succeeded, begun.all, wentOn, taken)
 	assert.Check(l.t, len(joined) == 0, "seed %d: %d streams of two versions, such as %s", l.seed, len(joined), first(joined))
 	assert.Check(l.t, len(late) == 0, "seed %d: %d take-ups not refused within %s, such as %s", l.seed, len(late), refusalTime, first(late))
+	assert.Check(l.t, len(l.logged.mistakes()) == 0, "seed %d: refused as if they crashed endpoints: %v", l.seed, l.logged.mistakes())
 	assert.Check(l.t, taken >= tc.minOldTakeUps, "seed %d: too few take-ups of the old version to judge: %d", l.seed, taken)
 	for _, version := range tc.judgedVersions {
 		s := wentOn[version]
