A pump that is closed reads nothing of a stream that opens at that moment

What callers saw: nothing. An engine may have produced a token for a request that was cancelled before its stream was open.

Cause: Close cancelled the opening before it noted that the pump is closed, so that a stream that opened between the two was read once.

--- a/internal/entry/stream/pump.go
+++ b/internal/entry/stream/pump.go
@@ -95,11 +95,11 @@
 func (p *Pump) Close() {
 	p.once.Do(func() {
 		close(p.stop)
-		p.cancel()
 		p.mu.Lock()
 		p.closed = true
 		s := p.stream
 		p.mu.Unlock()
+		p.cancel() // a stream that opens now is closed unread
 		if s != nil {
 			_ = s.Close()
 		}
