--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -57,6 +57,8 @@
 	assert.Assert(t, s.Exceeded[c] > 0, "%v", s.Exceeded)
 	assert.Equal(t, s.Bodies.Used, int64(0))
 	assert.Assert(t, s.Bodies.Peak <= s.Bodies.Capacity)
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	assert.Equal(t, len(w.crashed), 0)
 }
 
--- a/internal/gateway/crash_part_test.go
+++ b/internal/gateway/crash_part_test.go
@@ -121,6 +121,8 @@
 				return
 			}
 			assert.Equal(t, resp.StatusCode, 502)
+			w.mu.Lock()
+			defer w.mu.Unlock()
 			assert.DeepEqual(t, w.crashed, []string{"a@1"})
 		})
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -291,6 +291,8 @@
 			assert.NilError(t, err)
 		}
 		seen := map[string]bool{}
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		for _, e := range w.crashed {
 			seen[e] = true
 		}
