Endpoints of the paused-process scenarios name their start

Its endpoints' entries had the zero time as their start, a negative number, which no endpoint writes and which entries are rejected for since ("endpoint entry decode failed ... born: -" in the VMs' logs).

The entries have the time of the start now. Both cases pass.

--- a/scenarios/endpoint_process_test.go
+++ b/scenarios/endpoint_process_test.go
@@ -276,7 +276,7 @@
 	assert.NilError(t, err)
 	self, err := os.Executable()
 	assert.NilError(t, err)
-	e := &endpointProcess{endpointSpec: *spec, cmd: command(self)}
+	e := &endpointProcess{endpointSpec: *spec, cmd: command(self), born: time.Now()}
 	e.cmd.Env = append(os.Environ(), endpointEnv+"="+string(text))
 	e.cmd.Stderr = os.Stderr
 	in, err := e.cmd.StdinPipe()
