--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -29,10 +29,10 @@
 	dialedAt    time.Time
 	idleAt      time.Time // when it was returned to the pool
 	idleTimeout time.Duration
-	watch       *watch // of the idle connection, nil if it isn't idle
-	bounded     bool   // boundSendBuffer has been called
-	witness     bool   // carries no request, guarded by the pool's mu
-	process     atomic.Int64
+	watch       *watch       // of the idle connection, nil if it isn't idle
+	bounded     bool         // boundSendBuffer has been called
+	witness     bool         // carries no request, guarded by the pool's mu
+	process     atomic.Int64 // start of the process at the other end, zero if not known
 }
 
 var serials atomic.Uint64
