--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -96,9 +96,10 @@
 	ParseHandoff(body []byte) (handle string, err error)
 	// Release returns the request that releases a KV cache that no engine will use.
 	Release(handle string) (method, target string)
-	// LifeCheck returns a request that an engine answers at once, whatever it works on, and ParseBorn returns from the
-	// body of the answer when the engine's process was started, in Unix milliseconds. It is zero if that isn't known.
+	// LifeCheck returns a request that an engine answers at once, whatever it works on.
 	LifeCheck() (method, target string)
+	// ParseBorn returns from the body of the answer to a LifeCheck when the engine's process was started, in Unix
+	// milliseconds, zero if that isn't known.
 	ParseBorn(body []byte) int64
 }
 
--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -181,7 +181,12 @@
 
 // NewArchive returns an archive whose exported fields are to be set.
 func NewArchive() *Archive {
-	return &Archive{starts: origin.NewStarts(), offRecord: map[origin.Origin][]origin.Origin{}, archived: origin.NewRegisterOf(maxArchived), added: make(chan struct{}, 1), OnAmbiguous: func() {}, OnAppendFailed: func([]Archived) {}, AppendDelay: func() time.Duration { return 0 }, History: func(context.Context) (*origin.History, error) { return &origin.History{}, nil }, OnRecords: func(Records) {}, IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 }}
+	return &Archive{
+		starts: origin.NewStarts(), archived: origin.NewRegisterOf(maxArchived), offRecord: map[origin.Origin][]origin.Origin{}, added: make(chan struct{}, 1),
+		OnAmbiguous: func() {}, OnAppendFailed: func([]Archived) {}, OnRecords: func(Records) {}, AppendDelay: func() time.Duration { return 0 },
+		History:   func(context.Context) (*origin.History, error) { return &origin.History{}, nil },
+		IsSettled: func(clock.Time) bool { return true }, Era: func() (era.Era, clock.Time) { return era.First, 0 },
+	}
 }
 
 // MayBegin reports whether a new stream of a route may begin at an endpoint.
