Late in a shutdown only requests that end for certain are taken

Callers saw: requests that came 3 s or more after the SIGTERM of one VM, in calm, were taken and cut at its end, as answers took seconds longer from then on; other VMs were ready and idle.

Cause: what recent answers took is extrapolated to 1 in 10,000, which says nothing about a slowdown that begins later.

Once less than five eighths of the shutdown are left, and while another VM accepts callers, a request is taken only if its caller's timeout or its route's passes before the process ends.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -89,6 +89,7 @@
 		TimeLeft: s.end.Sub(now), CallerTimeout: x.remainingTime(), Wait: firstEventFactor * x.untilFirstEvent,
 		Delays: x.g.startDelays.Sample(now, x.route.Name),
 		Answer: x.expectedAnswer(now, endpoint), AddressesOld: now >= s.addressesOld, PeersReady: ready, PeersLeaving: leaving,
+		Late: drain.IsLate(s.end.Sub(now), s.end.Sub(s.start)),
 	}
 	verdict, retryAfter := drain.Decide(r)
 	if verdict == drain.Take {
--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -17,6 +17,9 @@
 // The time for an event is that of the endpoint's slowest recent answers, or of the streams that it
 // is sending if they are slower. Any other request is refused before it is sent to an endpoint.
 //
+// In the later part of a shutdown a request is taken only if its caller's timeout passes before the process ends, while
+// another VM accepts callers: endpoints may slow down by more than any reserve that leaves requests to take.
+//
 // Where the bound rests on recent answers, a share of them may take longer than the time that is
 // left. Once callers must have learned new addresses, only a negligible share may. Before that, the
 // share grows with the probability that no other VM takes the request.
@@ -54,6 +57,7 @@
 	AddressesOld  bool // addresses from before the shutdown have expired at callers that respect the TTL
 	PeersReady    int  // other VMs that accept callers
 	PeersLeaving  int  // other VMs that are shutting down
+	Late          bool // estimates aren't trusted any more, see IsLate
 }
 
 // Answer is what is known of the time from the start of a request's answer to its end.
@@ -81,6 +85,9 @@
 	if r.CallerTimeout <= left {
 		return Take, 0
 	}
+	if r.Late && r.PeersReady > 0 {
+		return Refuse, RetryAfter(r.PeersReady, r.TimeLeft)
+	}
 	share := r.cutShare()
 	delay, _ := r.Delays.Exceeded(share)
 	if longest, known := r.Answer.longest(share); known && r.Wait+delay+longest <= left {
@@ -89,6 +96,13 @@
 	return Refuse, RetryAfter(r.PeersReady, r.TimeLeft)
 }
 
+// minEstimateShare is the share of a shutdown that must be left for estimates to be trusted.
+const minEstimateShare = 5. / 8
+
+// IsLate reports whether so little of a shutdown is left that answers which take longer than recent ones would be cut
+// off. A refusal costs a caller some milliseconds while another VM accepts it, an answer that is cut off its request.
+func IsLate(left, whole time.Duration) bool { return float64(left) < minEstimateShare*float64(whole) }
+
 // RetryAfter returns the delay after which a caller finds a VM that accepts it.
 func RetryAfter(peersReady int, timeLeft time.Duration) time.Duration {
 	if peersReady > 0 {
