The log line of an answer in progress is found by the check of OPERATIONS.md

docs: TestOperationsNamesEveryEvent failed on: it reads messages that follow a logger on the same line. The chain was broken over two lines; the entry has a name now. The check is unchanged and passes.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -52,8 +52,8 @@
 		cancel()
 		return
 	}
-	log.WithField("id", x.call.ID).WithField("route", x.route.Name).WithField("ms", x.now().Sub(x.call.Arrived).Milliseconds()).
-		Warn("answer in progress at the end of the shutdown")
+	e := log.WithField("id", x.call.ID).WithField("route", x.route.Name).WithField("ms", x.now().Sub(x.call.Arrived).Milliseconds())
+	e.Warn("answer in progress at the end of the shutdown")
 }
 
 // isEndedByShutdown reports whether this VM's shutdown has ended the request.
