Requests in progress are answered before a drain of fescue-entry times out

Change: 100 ms before the drain times out the contexts of all requests are canceled with the refusal as their cause (6002, leaving). Streams that have begun end with an error event. Requests that were sent nowhere are refused as not run, others as unknown. A commit that was dispatched goes on until Close stops waiting for its outcome, and its caller gets 4002; one that wasn't gets 4001 or a refusal, as its void is or isn't confirmed. A lookup isn't retried any more once its context has ended: the empty refusal of the decision to retry made it panic.

TestRequestsInProgressAreAnsweredBeforeADrainTimesOut failed before: four of four requests had no answer when the drain had timed out (in the test, whose process goes on, they came 1.3 s later and more). TestRequestsEndedByAShutdownAreRefusedAsLeaving panicked without the last change. Left: a stream that a leaving VM has forwarded to a peer is cut off.

--- a/internal/commit/committer.go
+++ b/internal/commit/committer.go
@@ -65,8 +65,45 @@
 // was executed.
 //
 // ctx carries the caller's deadline. A disconnected caller doesn't cancel a commit that was
-// dispatched, because its retry will need the outcome.
+// dispatched, because its retry will need the outcome. Where ctx is canceled with a *code.Error as its cause, the caller
+// still waits: Do returns, and a dispatched commit goes on until Close stops waiting for it.
 func (c *Committer) Do(ctx context.Context, r *Request) (Answer, error) {
+	type result struct {
+		ans Answer
+		err error
+	}
+	done, dispatched := make(chan result, 1), make(chan struct{})
+	go func() {
+		ans, err := c.do(ctx, r, dispatched)
+		done <- result{ans, err}
+	}()
+	refused, stop := refusalOf(ctx)
+	defer stop()
+	select {
+	case res := <-done:
+		return res.ans, res.err
+	case <-refused:
+	}
+	select {
+	case res := <-done:
+		return res.ans, res.err
+	case <-dispatched:
+		return Answer{}, c.runningError("the VM that runs the commit shuts down")
+	}
+}
+
+// refusalOf returns a channel that is closed when ctx is canceled with a *code.Error as its cause.
+func refusalOf(ctx context.Context) (refused <-chan struct{}, stop func() bool) {
+	ch := make(chan struct{})
+	return ch, context.AfterFunc(ctx, func() {
+		if _, ok := errors.AsType[*code.Error](context.Cause(ctx)); ok {
+			close(ch)
+		}
+	})
+}
+
+// do runs r. It closes dispatched when an endpoint may have received the commit.
+func (c *Committer) do(ctx context.Context, r *Request, dispatched chan<- struct{}) (Answer, error) {
 	for {
 		c.awaitOutcome(ctx, r)
 		ans, done, err := c.answerFromTable(r)
@@ -76,7 +113,7 @@
 		release, busy := c.reserveKey(r.Key)
 		if release != nil {
 			defer release()
-			return c.propose(ctx, r)
+			return c.propose(ctx, r, dispatched)
 		}
 		select {
 		case <-busy:
@@ -106,7 +143,7 @@
 }
 
 // propose appends an intent and continues according to its verdict in the log.
-func (c *Committer) propose(ctx context.Context, r *Request) (Answer, error) {
+func (c *Committer) propose(ctx context.Context, r *Request, dispatched chan<- struct{}) (Answer, error) {
 	if err := c.acquireSlot(r); err != nil {
 		return Answer{}, err
 	}
@@ -116,6 +153,7 @@
 
 	p := &proposal{
 		req:         r,
+		dispatched:  dispatched,
 		attempt:     fmt.Sprintf("%s.%d", c.opts.Writer, c.attempts.Add(1)),
 		appendStart: c.opts.Clock.Now(),
 	}
@@ -132,6 +170,7 @@
 // proposal is one intent of this process.
 type proposal struct {
 	req         *Request
+	dispatched  chan<- struct{} // closed by dispatchWinner
 	attempt     string
 	appendStart clock.Time // time before the append
 	offset      uint64     // 0 if the append's answer was lost
--- a/internal/commit/committer_test.go
+++ b/internal/commit/committer_test.go
@@ -1,6 +1,7 @@
 package commit
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -11,6 +12,8 @@
 	"github.com/apex/log/handlers/discard"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/code"
 )
 
 func TestMain(m *testing.M) {
@@ -48,6 +51,31 @@
 	assert.Equal(t, len(violations), 0, violations)
 }
 
+// Guards against a commit whose caller gets no answer at the end of a shutdown as its endpoint still runs it, and one whose
+// outcome is lost then.
+func TestCommitGoesOnWhenItsRequestIsEndedByAShutdown(t *testing.T) {
+	violations := simulate(t, 1, Options{}, faults{}, faults{}, func(sim *simulation) {
+		n := sim.nodes[0]
+		n.onStep = func(_ *simNode, s step, _ string) {
+			if s == afterSend {
+				time.Sleep(time.Second)
+			}
+		}
+		ctx, cancel := context.WithCancelCause(context.Background())
+		time.AfterFunc(time.Second/2, func() { cancel(code.New(code.Leaving, "the shutdown ends")) })
+		start := time.Now()
+		_, err := n.c.Do(ctx, &Request{Key: "k", Issued: time.Now(), Body: []byte("k")})
+		assert.Equal(t, code.Of(err).Code, code.CommitRunning)
+		assert.Equal(t, code.Of(err).Run, code.Unknown)
+		assert.Equal(t, time.Since(start), time.Second/2)
+		time.Sleep(2 * time.Second)
+		a, err := sim.nodes[1].c.Status("k")
+		assert.NilError(t, err)
+		assert.Equal(t, a.Code, code.CommitReplayed)
+	})
+	assert.Equal(t, len(violations), 0, violations)
+}
+
 // Guards against a double execution and against a wrong not-run answer, after which the caller
 // would charge again. An app sends each of 200 keys to three entries at once and retries when it
 // gets no answer. The log loses answers and appends records late; the service's answers are lost,
--- a/internal/commit/run.go
+++ b/internal/commit/run.go
@@ -17,6 +17,7 @@
 	if err := c.checkRecordedAge(ctx, p); err != nil {
 		return Answer{}, err
 	}
+	close(p.dispatched)
 	dispatchCtx, cancel := detachedContext(ctx)
 	defer cancel()
 	// When Close stops waiting, cancel the dispatch instead of waiting for its deadline.
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -244,6 +244,23 @@
 	}
 }
 
+// Guards against a request that the end of the VM's shutdown takes for one whose caller has left, and a lookup that panics
+// as it isn't retried then.
+func TestRequestsEndedByAShutdownAreRefusedAsLeaving(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(t.Context())
+	s := &script{call: func(int64) ([]byte, error) {
+		cancel(code.New(code.Leaving, "the shutdown ends"))
+		return nil, driver.ErrConnectionLost
+	}}
+	d := startDispatcher(t, s, 2, withBudget())
+	_, err := d.Lookup(ctx, &callerapi.Call{Service: "svc", Operation: "op"})
+	assert.Equal(t, code.Of(err).Code, code.Leaving)
+	assert.Equal(t, code.Of(err).Run, code.Unknown)
+	waiting := contextEndError(ctx)
+	assert.Equal(t, waiting.Code, code.Leaving)
+	assert.Equal(t, waiting.Run, code.NotRun)
+}
+
 // Guards against a commit that runs twice: a service sends its refusal again, late, when the commit has come back to it,
 // and only the id of the attempt tells that answer from the one that is due.
 func TestEachCallOfACommitIsAnAttemptOfItsOwn(t *testing.T) {
--- a/internal/entry/dispatch/gate.go
+++ b/internal/entry/dispatch/gate.go
@@ -185,7 +185,7 @@
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return code.New(code.DeadlinePassed, "the deadline passed before any work was sent").WithRetryAfter(deadlinePassedRetryAfter)
 	}
-	return code.New(code.CallerGone, "the caller went away before any work was sent")
+	return cancelError(ctx, "the caller went away before any work was sent")
 }
 
 // markDispatched records that a is now counted as in flight at an endpoint.
--- a/internal/entry/dispatch/outcome.go
+++ b/internal/entry/dispatch/outcome.go
@@ -41,7 +41,8 @@
 			e.Code, e.RetryAfter = code.DeadlinePassed, deadlinePassedRetryAfter
 		}
 	case ctx.Err() != nil:
-		e = code.Wrap(code.CallerGone, err, "the caller went away")
+		e = cancelError(ctx, "the caller went away")
+		e.Err = err
 	case errors.Is(err, driver.ErrRefused), errors.Is(err, driver.ErrNotSent):
 		e = code.Wrap(code.EndpointRefused, err, "no endpoint took the work")
 	case errors.Is(err, driver.ErrFailed):
@@ -59,3 +60,13 @@
 	}
 	return e.WithRun(code.NotRun)
 }
+
+// cancelError returns the refusal of a request whose context was canceled: the cause if it is one, else the caller has
+// gone.
+func cancelError(ctx context.Context, gone string) *code.Error {
+	if e, ok := errors.AsType[*code.Error](context.Cause(ctx)); ok {
+		refusal := *e
+		return &refusal
+	}
+	return code.New(code.CallerGone, "%s", gone)
+}
--- a/internal/entry/dispatch/service.go
+++ b/internal/entry/dispatch/service.go
@@ -94,7 +94,10 @@
 			Pool: pool, Caller: c.Name, Idempotent: true, Tries: n,
 			Deadline: deadlineOf(ctx, d.clk), Err: codeError(ctx, err, !notExecuted(err), false),
 		})
-		if !decision.Retry || ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
+			return nil, codeError(ctx, err, maybeExecuted, false)
+		case !decision.Retry:
 			return nil, codeError(ctx, decision.Err, maybeExecuted, false)
 		}
 		exclude = append(exclude, ep)
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -13,6 +13,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"fescuestand/internal/code"
+	"fescuestand/internal/kernel"
 	"fescuestand/internal/standin/engine"
 	"fescuestand/internal/standin/readgate"
 )
@@ -110,3 +112,47 @@
 	assert.Assert(t, err == nil || isRefused, "%v", err)
 	assert.NilError(t, <-cl.entries[0].done)
 }
+
+// Guards against requests that are in progress as a drain times out and end without an answer.
+func TestRequestsInProgressAreAnsweredBeforeADrainTimesOut(t *testing.T) {
+	slow := engine.Config{DecodeStep: 100 * time.Millisecond, MaxBatch: 1}
+	cl := newCluster(t, clusterConfig{entries: 1, engines: []engine.Config{slow}, drainTimeout: drainLinger + heldAfterEnd})
+	cl.fault(cl.services[0], `{"name":"late","count":2,"delay":"6s"}`)
+	addr := cl.entries[0].addr
+	type result struct {
+		a   *answer
+		err error
+	}
+	send := func(f func() (*answer, error)) <-chan result {
+		out := make(chan result, 1)
+		go func() {
+			a, err := f()
+			out <- result{a, err}
+		}()
+		time.Sleep(sentBeforeEnd) // the engine serves the streams in this order
+		return out
+	}
+	sent := map[string]<-chan result{}
+	sent["commit"] = send(func() (*answer, error) { return cl.topup(addr, "k", "{}", false, time.Now()) })
+	sent["lookup"] = send(func() (*answer, error) {
+		return cl.post(cl.ctx, addr, "/v1/services/lantern/balance", "{}", nil)
+	})
+	sent["begun stream"] = send(func() (*answer, error) { return cl.generate(addr, "a", 60) })
+	sent["waiting stream"] = send(func() (*answer, error) { return cl.generate(addr, "b", 10) })
+	cl.entries[0].terminate()
+	for kind, want := range map[string]struct {
+		code code.Code
+		run  code.Run
+	}{
+		"commit":         {code.CommitRunning, code.Unknown},
+		"lookup":         {code.Leaving, code.Unknown},
+		"begun stream":   {code.Leaving, code.Ran},
+		"waiting stream": {code.Leaving, code.Unknown}, // in the engine's queue
+	} {
+		r := <-sent[kind]
+		if assert.Check(t, r.err, kind) {
+			assert.Check(t, !r.a.complete && r.a.refusal.Code == int(want.code) && r.a.refusal.Run == string(want.run), "%s: %+v", kind, r.a)
+		}
+	}
+	assert.ErrorIs(t, <-cl.entries[0].done, kernel.ErrDrainTimeout)
+}
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -37,6 +37,9 @@
 	drainLinger = addressTTL + time.Second
 	// drainPollInterval is the interval of the checks whether work is still in progress.
 	drainPollInterval = 50 * time.Millisecond
+	// lastAnswerMargin is how long before the drain times out requests in progress are ended, so that their answers
+	// reach the callers.
+	lastAnswerMargin = 100 * time.Millisecond
 	// commitCloseTimeout bounds the wait until the last outcomes are written to the log.
 	commitCloseTimeout = 5 * time.Second
 )
@@ -73,11 +76,15 @@
 	callerLn, peerLn net.Listener
 	leaving          atomic.Bool
 	active           atomic.Int64 // requests in progress
+
+	ending      context.Context // ends before a drain times out
+	endRequests context.CancelFunc
 }
 
 // New assembles the unit. It opens no connection.
 func New(opts Options) *Unit {
 	u := &Unit{opts: opts}
+	u.ending, u.endRequests = context.WithCancel(context.Background())
 	s := opts.Settings
 	u.fleet = fleet.New(route.Config{Zone: s.Zone, Cells: s.Cells}, opts.Clock, seedOf(opts.Incarnation))
 	u.suspects = suspect.NewRegister()
@@ -144,10 +151,20 @@
 			// The caller has to open a new connection for its next request, to another VM.
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		ctx, release := u.withEnd(r.Context())
+		defer release()
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
+// withEnd returns a context for a request that is canceled before a drain times out. Its cause is the request's refusal
+// then.
+func (u *Unit) withEnd(ctx context.Context) (_ context.Context, release func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(u.ending, func() { cancel(code.New(code.Leaving, "the shutdown of this VM ends")) })
+	return ctx, func() { stop(); cancel(nil) }
+}
+
 // Name implements kernel.Unit.
 func (u *Unit) Name() string { return "entry" }
 
@@ -210,8 +227,12 @@
 // Drain implements kernel.Drainer. It announces that the VM leaves, keeps the addresses open for
 // drainLinger while new requests are forwarded to peers, closes the connections on which no request has
 // been read, and returns when all streams and commits have ended. Its peers are told last, as they may
-// forward requests until then.
+// forward requests until then. Requests that are still in progress lastAnswerMargin before ctx ends are answered then.
 func (u *Unit) Drain(ctx context.Context) error {
+	if end, ok := ctx.Deadline(); ok {
+		last := time.AfterFunc(time.Until(end)-lastAnswerMargin, u.endRequests)
+		defer last.Stop()
+	}
 	u.leaving.Store(true)
 	u.opts.Replica.SetLeaving()
 	linger := time.NewTimer(drainLinger)
@@ -242,6 +263,7 @@
 
 // Close implements kernel.Closer.
 func (u *Unit) Close() error {
+	u.endRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), commitCloseTimeout)
 	defer cancel()
 	u.commits.Close(ctx)
@@ -273,6 +295,8 @@
 func (u *Unit) Forward(ctx context.Context, _ *wire.Hello, fwd *wire.Forward, send func(*wire.ForwardFrame) error) error {
 	u.active.Add(1)
 	defer u.active.Add(-1)
+	ctx, release := u.withEnd(ctx)
+	defer release()
 	return u.forwarder.Serve(ctx, fwd, send)
 }
 
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -61,8 +62,12 @@
 	newestAddr    atomic.Pointer[string] // address of the entry started last
 	client        *http.Client
 	onProvisioned func(*Unit)
+	drainTimeout  time.Duration
 }
 
+// defaultDrainTimeout is longer than any drain lasts.
+const defaultDrainTimeout = 30 * time.Second
+
 // entryNode is one running fescue-entry.
 type entryNode struct {
 	unit    *Unit
@@ -72,9 +77,10 @@
 }
 
 type clusterConfig struct {
-	entries  int
-	engines  []engine.Config
-	services []service.Config
+	entries      int
+	engines      []engine.Config
+	services     []service.Config
+	drainTimeout time.Duration // zero for defaultDrainTimeout
 	// onProvisioned is called with each entry before it serves.
 	onProvisioned func(*Unit)
 }
@@ -83,7 +89,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	entryCtx, stop := context.WithCancel(ctx)
-	cl := &cluster{t: t, ctx: ctx, entryCtx: entryCtx, onProvisioned: cfg.onProvisioned, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	cl := &cluster{t: t, ctx: ctx, entryCtx: entryCtx, onProvisioned: cfg.onProvisioned, drainTimeout: cmp.Or(cfg.drainTimeout, defaultDrainTimeout), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(func() {
 		cl.client.CloseIdleConnections()
 		http.DefaultClient.CloseIdleConnections()
@@ -172,7 +178,7 @@
 	s.Deployment, s.VM, s.Zone = "d", vm.Name, vm.Zone
 	s.Addresses = node.Addresses{Caller: vm.Caller, Peer: vm.Peer, Status: vm.Status}
 	s.Log, s.VMList, s.WeightStore = target(cl.logAddr), target(cl.vmListAddr), target(cl.logAddr)
-	s.DrainTimeout = settings.Duration(30 * time.Second)
+	s.DrainTimeout = settings.Duration(cl.drainTimeout)
 	incarnation := node.NewIncarnation()
 	client := cl.logClient(incarnation)
 	vms, err := s.OpenVMList()
