Scenario: planned stops in calm, callers that come late, answers that slow down then

TestPlannedStopAnswersAllRequests stops one to three of six VMs with one SIGTERM each. Half of the callers come to such a VM 2.9 to 3.9 s after the signal, on new and on kept connections; from then on six answers in ten take 4.5 s longer. Cases: calls that may or may not be repeated, streams that may or may not be resumed, with and without Token-Count, slow before the first byte or in the middle; full endpoints; overlapping stops; a VM cut off from all endpoints that relays. A request must end with a whole answer, a 503 with a Retry-After delay, or a 502.

The stand-in's endpoints can be slower for some requests, and its engines answer any request with a stream, also one that states no Token-Count.

--- a/scenarios/soak_callers_test.go
+++ b/scenarios/soak_callers_test.go
@@ -40,7 +40,8 @@
 	problem        string
 	sent, answered time.Time
 	err            error
-	unwritten      bool // the caller had a connection and has written nothing of the request to it
+	retryAfter     string // of a refusal
+	unwritten      bool   // the caller had a connection and has written nothing of the request to it
 
 	stream  takenUp
 	events  int    // of the stream, including those that earlier attempts brought
@@ -92,6 +93,7 @@
 	expires   time.Time
 	counted   bool          // http dials with dialCounted
 	timeout   time.Duration // callerTimeout if it is zero
+	unlimited bool          // requests don't say how long their answers may be
 }
 
 // address returns a random address of the last resolution and resolves again after it has expired.
@@ -224,7 +226,9 @@
 	req.Header.Set("Attempt-Id", a.id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
 	if a.path == pathResumable || a.path == pathOnce {
-		req.Header.Set("Token-Count", "300,20")
+		if !c.unlimited {
+			req.Header.Set("Token-Count", "300,20")
+		}
 		req.Header.Set("Prompt-Prefix", fmt.Sprintf("aa%d:200,%x:100", c.rng.IntN(4), c.rng.Uint32()))
 	}
 	if a.stream.root != "" {
@@ -239,7 +243,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	a.status = resp.StatusCode
+	a.status, a.retryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
 	answer, err := c.readBody(a, resp.Body)
 	a.err = err
 	if a.status == http.StatusOK {
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -149,7 +149,8 @@
 	vms           int           // zero for the default
 	unframed      bool          // all answers end with their connection
 	crashParts    map[string]standin.CrashPoint
-	partsSound    func() bool   // crashParts don't crash endpoints for now
+	partsSound    func() bool // crashParts don't crash endpoints for now
+	delay         func(endpoint, id string) (before, within time.Duration)
 	restartTime   time.Duration // until an endpoint that has crashed is replaced, zero for the default
 }
 
@@ -333,6 +334,9 @@
 		e.Slots = cmp.Or(s.engines.serviceSlots, e.Slots)
 	}
 	s.mu.Unlock()
+	if s.engines.delay != nil {
+		e.Delay = func(id string) (before, within time.Duration) { return s.engines.delay(e.ID, id) }
+	}
 	e.OnCrash = func() { s.replaceCrashed(e) }
 	assert.NilError(s.t, e.Start("127.0.0.1:0", s.ledger))
 	var err error
