--- a/scenarios/planned_stop_test.go
+++ b/scenarios/planned_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -199,9 +200,10 @@
 	stopFailed   stopEnd = "502"
 	stopTimedOut stopEnd = "timed out" // the route's timeout has passed
 	stopUnheard  stopEnd = "not accepted"
+	stopLeft     stopEnd = "left by its caller"
 	stopCut      stopEnd = "cut without a byte"
 	stopBroken   stopEnd = "broken off"
-	stopUntimely stopEnd = "left or another status"
+	stopUntimely stopEnd = "another status"
 )
 
 func (r *stopRun) endOf(a *soakAnswer, arrivals int) stopEnd {
@@ -214,7 +216,9 @@
 		return stopFailed
 	case a.status == http.StatusGatewayTimeout && a.answered.Sub(a.sent) >= soakRouteTimeout-timeoutSlack:
 		return stopTimedOut
-	case a.status == 0 && (isCallersEnd(a.err) || arrivals == 0 && r.crossedClose(a)):
+	case errors.Is(a.err, context.DeadlineExceeded):
+		return stopLeft
+	case errors.Is(a.err, syscall.ECONNREFUSED) || arrivals == 0 && r.crossedClose(a):
 		return stopUnheard
 	case a.status == 0:
 		return stopCut
@@ -338,6 +342,7 @@
 		"failed":                    {soakAnswer{status: 502}, comeUntil, true, ""},
 		"cut, sent early":           {cut, excusedUntil, true, ""},
 		"broken off, sent early":    {soakAnswer{status: 200, err: io.ErrUnexpectedEOF}, excusedUntil, true, ""},
+		"left by its caller":        {soakAnswer{status: 200, err: context.DeadlineExceeded}, comeUntil, true, ""},
 		"timed out":                 {soakAnswer{status: 504, answered: time.Now().Add(comeUntil + soakRouteTimeout)}, comeUntil, true, ""},
 		"504 before the timeout":    {soakAnswer{status: 504}, comeUntil, true, string(stopUntimely)},
 		"no time to come back":      {soakAnswer{status: 503}, comeUntil, false, "Retry-After"},
