--- a/scenarios/bounds_test.go
+++ b/scenarios/bounds_test.go
@@ -84,8 +84,13 @@
 	if !ok {
 		flood = floods["closed"] // a control call to an engine
 	}
-	part := []byte(strings.Repeat(flood[1], floodPart/len(flood[1])))
-	_, err = io.WriteString(c, flood[0])
+	sendFlood(c, flood)
+}
+
+// sendFlood sends a flood until the connection is closed.
+func sendFlood(c net.Conn, flood [2]string) {
+	part := []byte(strings.Repeat(flood[1], max(floodPart/len(flood[1]), 1)))
+	_, err := io.WriteString(c, flood[0])
 	for err == nil {
 		_, err = c.Write(part)
 		time.Sleep(floodPause)
@@ -143,6 +148,88 @@
 	}
 }
 
+// storeFloods are answers of the store without end, or longer than any of its pages.
+var storeFloods = map[string][2]string{
+	"header":  {"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nX-A: ", "a"},
+	"interim": {"", "HTTP/1.1 103 X\r\n\r\n"},
+	"closed":  {"HTTP/1.1 200 OK\r\nStore-Era: 1\r\n\r\n", "a"},
+	"chunked": {"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n"},
+	"length":  {"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: 1099511627776\r\n\r\n", "a"},
+	"surplus": {"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: 2\r\n\r\n{}", "a"},
+	"failure": {"HTTP/1.1 500 X\r\n\r\n", "a"},
+	// Lengths of records that take more memory than what stands for them.
+	"records": {"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: 16000000\r\n\r\n", "\x00"},
+	"items":   {"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: 16000000\r\n\r\n{\"end\":1,\"items\":[{}", ",{}"},
+}
+
+// storeFloodTime is how long the store sends each of its floods.
+const storeFloodTime = 3 * time.Second
+
+// Guards against answers of the store without end that fill the VMs' memory, or that callers notice.
+func TestStoreWithoutEndTakesBoundedMemory(t *testing.T) {
+	s := newSoakOf(t, 1, engineSetup{count: 1, services: 2, versions: []string{"v1"}})
+	plain := filepath.Join(t.TempDir(), "fescue-node") // the race detector takes several times the memory
+	assert.NilError(t, exec.Command("go", "build", "-o", plain, "../cmd/fescue-node").Run())
+	for _, v := range s.vms {
+		s.restartSmall(v, plain)
+	}
+	s.awaitAnswers(pathReads)
+	for name, flood := range storeFloods {
+		s.store.SetOverride(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			sendFlood(c, flood)
+		}))
+		for _, v := range s.vms {
+			v.link.ResetConnections()
+		}
+		results := s.askDuring(storeFloodTime)
+		for _, v := range s.vms {
+			peak := peakMemoryMB(t, int(v.proc.pid.Load()))
+			t.Logf("%s: %s: at most %d MB so far, %d descriptors, %v", name, v.name, peak, s.descriptors(v), results)
+			assert.Check(t, v.proc.running() && peak < boundedMemoryMB, "%s: %s took %d MB", name, v.name, peak)
+		}
+	}
+	s.store.SetOverride(nil)
+	s.awaitAnswers(pathReads)
+}
+
+// descriptors returns the number of files that a VM's process has open.
+func (s *soak) descriptors(v *soakVM) int {
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", v.proc.pid.Load()))
+	assert.Check(s.t, err)
+	return len(list)
+}
+
+// askDuring sends requests to all VMs for a time and counts the statuses of the answers, zero for none.
+func (s *soak) askDuring(d time.Duration) map[int]int {
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	var callers sync.WaitGroup
+	until := time.Now().Add(d)
+	for _, v := range s.vms {
+		for caller := range boundedCallers {
+			callers.Go(func() {
+				for n := 0; time.Now().Before(until); n++ {
+					status, err := s.probe(s.ctx, v, pathReads, fmt.Sprintf("b-%s-%d-%d-%d", v.name, caller, n, until.UnixNano()))
+					if err != nil {
+						status = 0
+					}
+					mu.Lock()
+					statuses[status]++
+					mu.Unlock()
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+	}
+	callers.Wait()
+	return statuses
+}
+
 // restartSmall restarts a VM with the memory limit of the smallest ones, and with this build unless it has another.
 func (s *soak) restartSmall(v *soakVM, binary string) {
 	v.proc.kill()
