A small body must arrive as fast as a large one

What callers could do: send a body below 256 KB byte by byte. A large one has to make progress of 32 KB in 5 s; a small one only had to bring a byte in 5 s unless its caller stated a timeout, and held its request, its connection and its room in the byte budget for as long as it liked.

A small body now has the time that 256 KB take at the pace of large ones (40 s); then 408, not run. The new cases of TestBodyEndsInTime failed before (a byte in a chunk each 4 s: refused after 3 min 25 s, when the test stopped sending).

--- a/internal/gateway/slow_caller_test.go
+++ b/internal/gateway/slow_caller_test.go
@@ -17,16 +17,25 @@
 // endTolerance is the time that a refusal takes to reach a caller beside the limit that it follows.
 const endTolerance = 100 * time.Millisecond
 
-// Guards against callers that hold a request open by sending its body byte by byte or not at all.
+// Guards against callers that hold a request and the room for its body by sending it byte by byte or not at all.
 func TestBodyEndsInTime(t *testing.T) {
+	const length, chunked = "Content-Length: 100\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n"
 	for name, tc := range map[string]struct {
 		patience string
-		interval time.Duration // between two bytes, zero for none
+		framing  string
+		sent     string        // with the header
+		part     string        // then, again and again
+		interval time.Duration // between two parts, zero for none
 		want     time.Duration
 	}{
-		"creeps beyond the caller's timeout": {"9000", 250 * time.Millisecond, 9 * time.Second},
-		"pauses":                             {"60000", 0, maxBodyPause},
-		"creeps within the caller's timeout": {"60000", 250 * time.Millisecond, 0},
+		"creeps beyond the caller's timeout": {"9000", length, strings.Repeat("x", 50), "x", 250 * time.Millisecond, 9 * time.Second},
+		"pauses":                             {"60000", length, strings.Repeat("x", 50), "", 0, maxBodyPause},
+		"creeps within the caller's timeout": {"60000", length, strings.Repeat("x", 50), "x", 250 * time.Millisecond, 0},
+		"creeps, no timeout":                 {"", "Content-Length: 1000\r\n\r\n", "", "x", 4 * time.Second, maxSmallBodyTime},
+		"creeps, long timeout":               {"86400000", "Content-Length: 1000\r\n\r\n", "", "x", 4 * time.Second, maxSmallBodyTime},
+		"chunks creep":                       {"", chunked, "", "1\r\nx\r\n", 4 * time.Second, maxSmallBodyTime},
+		"a chunk's line creeps":              {"", chunked, "", "0", 2 * time.Second, maxBodyPause},
+		"an extension creeps":                {"", chunked, "1;", "x", 4 * time.Second, maxBodyPause},
 	} {
 		t.Run(name, func(t *testing.T) {
 			simulated(t, func(t *testing.T, w *testGateway) {
@@ -38,13 +47,13 @@
 				assert.NilError(t, err)
 				defer func() { _ = c.Close() }()
 				began := time.Now()
-				_, err = io.WriteString(c, "POST /x/ HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nPatience: "+tc.patience+"\r\nContent-Length: 100\r\n\r\n"+strings.Repeat("x", 50))
+				_, err = io.WriteString(c, "POST /x/ HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nPatience: "+tc.patience+"\r\n"+tc.framing+tc.sent)
 				assert.NilError(t, err)
 				if tc.interval > 0 {
 					go func() {
 						for range 50 {
 							time.Sleep(tc.interval)
-							if _, err := io.WriteString(c, "x"); err != nil {
+							if _, err := io.WriteString(c, tc.part); err != nil {
 								return
 							}
 						}
@@ -59,6 +68,7 @@
 				assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
 				took := time.Since(began)
 				assert.Assert(t, took >= tc.want && took <= tc.want+endTolerance, "refused after %s, wanted %s", took, tc.want)
+				assert.Equal(t, w.gateway.o.Bodies.Snapshot().Used, int64(0))
 			})
 		})
 	}
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -72,14 +72,17 @@
 	maxBodyPause = 5 * time.Second
 	// minBodyProgress is what must arrive of a large body in that time.
 	minBodyProgress = 32 << 10
+	// maxSmallBodyTime is the time that a body may take which isn't large: at the same pace, the largest one takes that.
+	maxSmallBodyTime = maxBodyPause * bytebudget.LargeBytes / minBodyProgress
 )
 
 // timedBody is a request's body that its caller must send in time.
 type timedBody struct {
 	io.ReadCloser
 	rc    *http.ResponseController
-	until time.Time // zero for no limit but those of a pause and of progress
+	until time.Time // zero for no limit but those of pauses and of the pace
 	large bool      // it is large, or as much of it has been read
+	began time.Time
 
 	read       int64
 	marked     int64 // of read, when progress was made last
@@ -101,10 +104,14 @@
 		b.marked, b.progressBy = b.read, now.Add(maxBodyPause)
 	}
 	b.large = b.large || b.read >= bytebudget.LargeBytes
-	if !b.until.IsZero() && b.until.Before(b.progressBy) {
-		return b.until
+	by := b.progressBy
+	if whole := b.began.Add(maxSmallBodyTime); !b.large && whole.Before(by) {
+		by = whole
 	}
-	return b.progressBy
+	if !b.until.IsZero() && b.until.Before(by) {
+		by = b.until
+	}
+	return by
 }
 
 // readBodyInTime reads the body of a call, which must arrive within the caller's timeout, if that isn't zero.
@@ -113,7 +120,7 @@
 		return nil
 	}
 	c.claim = g.newBodyClaim(c, route)
-	body := &timedBody{ReadCloser: r.Body, rc: http.NewResponseController(w), large: r.ContentLength >= bytebudget.LargeBytes}
+	body := &timedBody{ReadCloser: r.Body, rc: http.NewResponseController(w), large: r.ContentLength >= bytebudget.LargeBytes, began: time.Now()}
 	if c.CallerTimeout > 0 {
 		body.until = time.Now().Add(c.CallerTimeout)
 	}
