A trailer that doesn't arrive in time is answered 408

A caller whose trailer was slow got 400 (invalid framing): net/http reports a trailer that it waited for in vain as a suspiciously long one. Any failure at the deadline of a body now counts as a slow sender. The case "a trailer creeps" of TestBodyEndsInTime failed before (400).

--- a/internal/gateway/slow_caller_test.go
+++ b/internal/gateway/slow_caller_test.go
@@ -36,6 +36,7 @@
 		"chunks creep":                       {"", chunked, "", "1\r\nx\r\n", 4 * time.Second, maxSmallBodyTime},
 		"a chunk's line creeps":              {"", chunked, "", "0", 2 * time.Second, maxBodyPause},
 		"an extension creeps":                {"", chunked, "1;", "x", 4 * time.Second, maxBodyPause},
+		"a trailer creeps":                   {"", chunked, "1\r\nx\r\n0\r\nX-A: ", "x", 4 * time.Second, maxBodyPause},
 	} {
 		t.Run(name, func(t *testing.T) {
 			simulated(t, func(t *testing.T, w *testGateway) {
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"fescuestand/internal/catalog"
@@ -91,11 +92,16 @@
 
 // Read implements io.Reader.
 func (b *timedBody) Read(p []byte) (int, error) {
-	if err := b.rc.SetReadDeadline(b.deadline(time.Now())); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	by := b.deadline(time.Now())
+	if err := b.rc.SetReadDeadline(by); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return 0, err
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
+	if err != nil && !errors.Is(err, io.EOF) && !time.Now().Before(by) {
+		// net/http reports a trailer that it waits for in vain as an invalid one.
+		err = os.ErrDeadlineExceeded
+	}
 	return n, err
 }
 
