Test: prefills and releases of KV caches whose answers have no end

Floods and drips of a byte at a time in the answers to prefills and to DELETE: each connection is closed within the request's time, or releaseTimeout, and no byte stays taken. Nothing failed: the test is new, the code unchanged.

--- a/internal/gateway/bounds_test.go
+++ b/internal/gateway/bounds_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -259,3 +261,64 @@
 		assert.Equal(t, s.Bodies.Used, int64(0))
 	})
 }
+
+// floodingEngine answers prefills, or only releases of KV caches, with a response without end, and counts the connections
+// on which it sends one.
+func floodingEngine(e endless, pause time.Duration, releases bool, sending *atomic.Int64) func(*backend, int, *http.Request, net.Conn) bool {
+	return func(b *backend, n int, r *http.Request, c net.Conn) bool {
+		if (r.Method == http.MethodDelete) != releases {
+			return answerPrefill(b, n, r, c)
+		}
+		sending.Add(1)
+		defer sending.Add(-1)
+		return e.send(c, pause)
+	}
+}
+
+// Guards against prefills and releases of KV caches that a response without end, at any pace, makes take memory, or go
+// on after their time: nobody waits for a release, so that each would leave a goroutine and a connection.
+func TestPrefillsAndReleasesWithoutEndAreGivenUp(t *testing.T) {
+	drips := map[string]endless{
+		"header drip": {first: endlessResponses["header"].first, again: "a"},
+		"body drip":   {first: signedChunked, again: oneChunk("a")},
+	}
+	responses := maps.Clone(endlessResponses)
+	maps.Copy(responses, drips)
+	for name, e := range responses {
+		for _, releases := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/releases=%t", name, releases), func(t *testing.T) {
+				simulated(t, func(t *testing.T, w *testGateway) {
+					w.setRoute(streamRoute)
+					var sending, floods atomic.Int64
+					flood := floodingEngine(e, time.Millisecond, releases, &sending)
+					w.addEndpoint("p", catalog.Prefill, w.serve(t, func(b *backend, n int, r *http.Request, c net.Conn) bool {
+						if (r.Method == http.MethodDelete) == releases {
+							floods.Add(1)
+						}
+						return flood(b, n, r, c)
+					}))
+					w.addEndpoint("d", catalog.Decode, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+						if releases { // the KV cache isn't used
+							return respond(c, 503, "", "Not-Run: 1")
+						}
+						return events(c, 1, 2, true)
+					}))
+					var callers sync.WaitGroup
+					for n := range 16 {
+						callers.Go(func() {
+							resp, body, err := w.request(t, "POST", "/x/", "abc", "Tokens", "5000", "Patience", "2000", "Id", fmt.Sprint("r", n))
+							assert.Check(t, err != nil || resp.StatusCode != 200 || eventIDs(body) == "1 2", body)
+						})
+					}
+					callers.Wait()
+					time.Sleep(releaseTimeout + settleTime)
+					assert.Assert(t, floods.Load() > 0)
+					assert.Equal(t, sending.Load(), int64(0))
+					s := w.gateway.Metrics().Snapshot()
+					assert.Equal(t, s.Bodies.Used, int64(0))
+					assert.Assert(t, s.Bodies.Peak <= 16*2*maxHandoffBytes, "%d", s.Bodies.Peak)
+				})
+			})
+		}
+	}
+}
