--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -1,11 +1,14 @@
 package configsync
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -162,6 +165,25 @@
 	assert.Assert(t, err != nil)
 }
 
+// Guards against an answer of a few MB that decompresses without end and fills the memory of the smallest VM.
+func TestAnAnswerThatDecompressesWithoutEndIsAnError(t *testing.T) {
+	const decompressedBytes, maxAllocations = 1 << 30, 72 << 20 // half of the memory of the smallest VM
+	var answer bytes.Buffer
+	z := gzip.NewWriter(&answer)
+	part := make([]byte, 1<<20)
+	for range decompressedBytes / len(part) {
+		_, err := z.Write(part)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, z.Close())
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := decode(&answer)
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < maxAllocations, "%d bytes", after.TotalAlloc-before.TotalAlloc)
+}
+
 // Most VMs of the largest deployment have links of 10 Mbit/s: an answer with a configuration of 1,400
 // routes must take less than 50 ms there.
 func TestALargeConfigurationCompressesWell(t *testing.T) {
