--- a/scenarios/bounds_test.go
+++ b/scenarios/bounds_test.go
@@ -197,6 +197,90 @@
 	s.awaitAnswers(pathReads)
 }
 
+// callerFlood is a request without end: what is sent first, and then again and again with a pause.
+type callerFlood struct {
+	first, again string
+	pause        time.Duration
+}
+
+const (
+	floodHead = "POST " + pathReads + " HTTP/1.1\r\nHost: " + soakHost + "\r\nAttempt-Id: f\r\n"
+	dripPause = 100 * time.Millisecond
+	// floodCallers send such requests to each VM at the same time.
+	floodCallers = 50
+	// callerFloodTime is how long they do so.
+	callerFloodTime = 3 * time.Second
+)
+
+// callerFloods are requests without end, or requests without end whose answers nobody reads.
+var callerFloods = map[string]callerFlood{
+	"request line":  {"POST /", strings.Repeat("a", floodPart), floodPause},
+	"field":         {floodHead + "X-A: ", strings.Repeat("a", floodPart), floodPause},
+	"fields":        {floodHead, strings.Repeat("X-A: b\r\n", 4<<10), floodPause},
+	"long header":   {floodHead + "X-A: " + strings.Repeat("a", 60_000), "a", dripPause},
+	"header drip":   {floodHead + "X-A: ", "a", dripPause},
+	"body drip":     {floodHead + "Content-Length: 60000\r\n\r\n", "a", dripPause},
+	"chunks":        {floodHead + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("4\r\naaaa\r\n", 4<<10), floodPause},
+	"chunk drip":    {floodHead + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", dripPause},
+	"extension":     {floodHead + "Transfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("a", floodPart), floodPause},
+	"trailers":      {floodHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("X-A: b\r\n", 4<<10), floodPause},
+	"length":        {floodHead + "Content-Length: 1099511627776\r\n\r\n", strings.Repeat("a", floodPart), floodPause},
+	"no route":      {"POST /none HTTP/1.1\r\nHost: " + soakHost + "\r\nContent-Length: 1099511627776\r\n\r\n", strings.Repeat("a", floodPart), floodPause},
+	"requests":      {"", strings.Repeat("GET /none HTTP/1.1\r\nHost: "+soakHost+"\r\n\r\n", 1<<10), floodPause},
+	"other HTTP":    {"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", strings.Repeat("\x00", floodPart), floodPause},
+	"not a request": {"", strings.Repeat("a", floodPart), floodPause},
+}
+
+// Guards against callers that send without end, at any pace, and fill a VM's memory, hold its descriptors, or take the
+// answers from other callers.
+func TestRequestsWithoutEndTakeBoundedMemory(t *testing.T) {
+	s := newSoakOf(t, 1, engineSetup{count: 1, services: 2, versions: []string{"v1"}})
+	plain := filepath.Join(t.TempDir(), "fescue-node") // the race detector takes several times the memory
+	assert.NilError(t, exec.Command("go", "build", "-o", plain, "../cmd/fescue-node").Run())
+	for _, v := range s.vms {
+		s.restartSmall(v, plain)
+	}
+	s.awaitAnswers(pathReads)
+	for name, flood := range callerFloods {
+		ctx, stop := context.WithTimeout(s.ctx, callerFloodTime)
+		var callers sync.WaitGroup
+		for _, v := range s.vms {
+			for range floodCallers {
+				callers.Go(func() { s.sendRequests(ctx, v, flood) })
+			}
+		}
+		results := s.askDuring(callerFloodTime)
+		stop()
+		callers.Wait()
+		assert.Check(t, results[http.StatusOK] > 0 && len(results) == 1, "%s: %v", name, results)
+		for _, v := range s.vms {
+			peak := peakMemoryMB(t, int(v.proc.pid.Load()))
+			t.Logf("%s: %s: at most %d MB so far, %d descriptors, %v", name, v.name, peak, s.descriptors(v), results)
+			assert.Check(t, v.proc.running() && peak < boundedMemoryMB, "%s: %s took %d MB", name, v.name, peak)
+		}
+	}
+}
+
+// sendRequests sends a flood to a VM until ctx ends, on a new connection whenever the VM has closed one.
+func (s *soak) sendRequests(ctx context.Context, v *soakVM, flood callerFlood) {
+	var d net.Dialer
+	for ctx.Err() == nil {
+		c, err := d.DialContext(ctx, "tcp4", v.front)
+		if err != nil {
+			continue
+		}
+		closeEarly := context.AfterFunc(ctx, func() { _ = c.Close() })
+		_, err = io.WriteString(c, flood.first)
+		for err == nil {
+			_, err = io.WriteString(c, flood.again)
+			clock.Sleep(ctx, flood.pause)
+		}
+		closeEarly()
+		_ = c.Close()
+		clock.Sleep(ctx, dripPause)
+	}
+}
+
 // descriptors returns the number of files that a VM's process has open.
 func (s *soak) descriptors(v *soakVM) int {
 	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", v.proc.pid.Load()))
