Origins are not recorded under the request: the ways weighed, and a world with the same requests

The lead's question was whether the content of the request, which all attempts of a caller share, could tell streams apart.

It can't for certain: the same request may be under way twice, at two versions, and no VM knows that it hasn't heard of the second start.

--- a/internal/simworld/lost_vms_faults_test.go
+++ b/internal/simworld/lost_vms_faults_test.go
@@ -133,6 +133,11 @@
 	l.cutFirstVMOff(simnet.Hang, func(vm string, _ bool) bool { return vm != l.vms[0].name })
 }
 
+// isolateFirst has the first VM reach neither the other VMs nor the store.
+func isolateFirst(l *lossRun) {
+	l.cutFirstVMOff(simnet.Hang, func(vm string, _ bool) bool { return vm == l.vms[0].name })
+}
+
 func rejoinMost(l *lossRun) { l.cutFirstVMOff(simnet.NoCut, nil) }
 
 func (l *lossRun) cutFirstVMOff(cut simnet.Cut, rejects func(vm string, isWrite bool) bool) {
@@ -268,6 +273,12 @@
 	"isolated_majority_stays": {
 		before: inOrder(isolateMost, replaceMostAtOnce, pause(1700*time.Millisecond)), meanwhile: nothing, after: rejoinMost, maxLossDelay: briefLossDelay, survivors: vmCount - 1, awaitsStore: true,
 	},
+	// Guards against a stream that is taken for that of another caller with the same request, whose version is the only one
+	// that the other VMs have heard of.
+	"same_requests_of_isolated_vm": {
+		before: inOrder(replaceHalf, isolateFirst, pause(lossStartSpread)), meanwhile: nothing, after: rejoinMost, survivors: vmCount - 1,
+		samePairs: true, minOldTakeUps: 1, awaitsStore: true,
+	},
 	"restarts_in_place": {
 		before: inOrder(restartInPlace, pause(2*learnTime)), meanwhile: nothing, survivors: vmCount,
 	},
--- a/internal/simworld/lost_vms_test.go
+++ b/internal/simworld/lost_vms_test.go
@@ -104,6 +104,7 @@
 // attempt is one request of a stream.
 type attempt struct {
 	reply
+	body         string
 	unnamed      bool // it takes up a stream and doesn't name its first attempt
 	eventsBefore int
 	refusal      string        // the body of a refusal
@@ -280,11 +281,16 @@
 	rng     *rand.Rand
 	http    *http.Client
 	unnamed bool
+	pair    string // callers of a pair send the same requests, empty for none
 }
 
 func (l *lossRun) newCaller(i int) *lossCaller {
+	pair := ""
+	if l.tc.samePairs {
+		pair = fmt.Sprint("pair", i/2)
+	}
 	return &lossCaller{
-		l: l, name: fmt.Sprint("c", i), rng: l.rand("caller", i), unnamed: float64(i) < unnamedShare*lossCallers,
+		l: l, name: fmt.Sprint("c", i), rng: l.rand("caller", i), unnamed: l.tc.samePairs || float64(i) < unnamedShare*lossCallers, pair: pair,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext: l.network.NewHost().DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4,
 		}},
@@ -296,7 +302,10 @@
 	defer c.http.CloseIdleConnections()
 	time.Sleep(time.Duration(c.rng.Int64N(int64(lossStartSpread)))) // callers don't begin in step
 	for n := 0; ctx.Err() == nil; n++ {
-		a := attempt{reply: reply{id: fmt.Sprintf("%s-%d", c.name, n), path: pathResumable}}
+		a := attempt{reply: reply{id: fmt.Sprintf("%s-%d", c.name, n), path: pathResumable}, body: "x"}
+		if c.pair != "" {
+			a.body = fmt.Sprintf("%s-%d", c.pair, n)
+		}
 		c.send(&a)
 		c.record(&a)
 		if a.canBeTakenUp() {
@@ -314,8 +323,8 @@
 	last, refusals := *first, 0
 	for i, progress := 0, time.Now(); !last.isLast; i++ {
 		a := attempt{
-			reply:   reply{id: fmt.Sprintf("%s-%d", first.id, i), path: pathResumable, root: first.id, events: last.events, version: last.version},
-			unnamed: c.unnamed, eventsBefore: last.events, began: last.version,
+			reply: reply{id: fmt.Sprintf("%s-%d", first.id, i), path: pathResumable, root: first.id, events: last.events, version: last.version},
+			body:  first.body, unnamed: c.unnamed, eventsBefore: last.events, began: last.version,
 		}
 		c.send(&a)
 		pause := cmp.Or(c.l.tc.retryPause, retryPause)
@@ -353,9 +362,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), lossTimeout)
 	defer cancel()
 	// A body that can't be read again keeps net/http from sending the request twice.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.vm+a.path, io.NopCloser(strings.NewReader("x")))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.vm+a.path, io.NopCloser(strings.NewReader(a.body)))
 	assert.NilError(c.l.t, err)
-	req.ContentLength, req.Host = 1, routeHost
+	req.ContentLength, req.Host = int64(len(a.body)), routeHost
 	req.Header.Set(headerID, a.id)
 	req.Header.Set(headerPatience, fmt.Sprint(lossTimeout.Milliseconds()))
 	req.Header.Set(headerTokens, "300")
@@ -406,6 +415,8 @@
 	maxLossDelay time.Duration
 	// judgedVersions are the versions of which streams must go on.
 	judgedVersions []string
+	// samePairs means that two callers each send the same requests, and that none names the first attempt of a stream.
+	samePairs bool
 	// unnamedGoOn means that streams whose first attempt isn't named must go on, too.
 	unnamedGoOn bool
 	// minOldTakeUps is the minimum number of take-ups of streams that the old version began.
