Count a version that was used without a record as one at which streams may have begun

A stream that its caller takes up went on at the version on record, although it had begun at another one: where the store rejects writes, VMs begin streams at a version off the record as long as those on record don't suffice. Once they suffice again, a VM that has begun none there itself concluded that nobody had. That concerns unnamed take-ups, and named ones whose origin is lost.

Starts now keeps that the versions on record didn't suffice for a while, also a little before streams may begin, as another VM may have seen the endpoints earlier.

TestVersionThatWasUsedByOtherVMsIsNotRuledOut failed in both cases before ("goes on at v1 (only), may be of v2").

--- a/internal/originsync/archive.go
+++ b/internal/originsync/archive.go
@@ -295,7 +295,7 @@
 		return
 	}
 	serving, window := visibleStarts(v)
-	a.starts.SetServing(serving)
+	a.starts.SetServing(a.Clock.Now(), serving)
 	added := a.starts.SetVisible(a.Clock.Now(), slices.Collect(maps.Keys(serving)), window)
 	a.checked.Store(v)
 	a.updating.Unlock()
--- a/internal/originsync/incomplete_record_test.go
+++ b/internal/originsync/incomplete_record_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,9 +46,7 @@
 			for _, vm := range w.vms {
 				vm.Archive.Store = refusingStore{w.store}
 			}
-			for _, vm := range w.vms { // v1 doesn't suffice
-				vm.Archive.starts.SetServing(map[origin.Start]origin.Serving{startsAt("v1")[0]: {Endpoints: 1, CanRun: true}, startsAt("v2")[0]: {Endpoints: 2, CanRun: true}})
-			}
+			w.setServing(1, 2) // v1 doesn't suffice
 			w.settle(t, "v1", "v2")
 			w.clock.T = w.clock.T.Add(3 * time.Second)
 			assert.Assert(t, w.vm(1).Archive.starts.MayBegin(w.clock.T, &startsAt("v2")[0]), "streams begin at v2")
@@ -57,6 +56,38 @@
 	}
 }
 
+// setServing has all VMs see how many endpoints of each version serve.
+func (w *network) setServing(v1, v2 int) {
+	for _, vm := range w.vms {
+		vm.Archive.starts.SetServing(w.clock.T, map[origin.Start]origin.Serving{startsAt("v1")[0]: {Endpoints: v1, CanRun: true}, startsAt("v2")[0]: {Endpoints: v2, CanRun: true}})
+	}
+}
+
+// Guards against a stream of a version that was used without a record for a while, which goes on at the recorded one at a
+// VM that hasn't begun a stream in that while.
+func TestVersionThatWasUsedByOtherVMsIsNotRuledOut(t *testing.T) {
+	for name, key := range map[string]origin.Key{"named": 1, "unnamed": origin.Unnamed} {
+		t.Run(name, func(t *testing.T) {
+			w := newNetwork(8)
+			w.settle(t, "v1")
+			for _, vm := range w.vms {
+				vm.Archive.Store = refusingStore{w.store}
+			}
+			w.setServing(1, 2)
+			w.settle(t, "v1", "v2")
+			w.clock.T = w.clock.T.Add(time.Second)
+			order := w.vm(0).Replicas(key, len(w.vms))
+			asker, user := w.vms[order[0]], w.vms[order[len(order)-1]] // which isn't asked
+			assert.Assert(t, !slices.Contains(asker.others(key, origin.Lookups), user.Self))
+			assert.Assert(t, user.Archive.starts.MayBegin(w.clock.T, &startsAt("v2")[0]))
+			user.Archive.starts.MarkBegun(streamOf(key), v2)
+			w.setServing(3, 1) // v1 suffices again
+			o, source := asker.Find(t.Context(), streamOf(key), "m", window)
+			assert.Assert(t, source == Unknown || source == Unread, "goes on at %s (%s), may be of v2", o.Version, source)
+		})
+	}
+}
+
 // Guards against a young VM that takes the only version on record while other VMs know the stream's origin.
 func TestKnownOriginPrecedesTheRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -15,6 +15,8 @@
 	// MaxRecordTime bounds how long a version is left unused because the store doesn't record it, where the ones on
 	// record don't suffice.
 	MaxRecordTime = 500 * time.Millisecond
+	// maxViewLag is how much earlier another VM that is in step may see the same endpoints.
+	maxViewLag = MaxRecordTime / 2
 	// holdTime is how long a version that appeared while this VM wasn't running is left unused and off the record:
 	// if all VMs have just started, most streams that were broken off are taken up in that time.
 	holdTime = 4 * time.Second
@@ -80,6 +82,8 @@
 	renew bool
 	// begun means that a stream has begun there, or that the store had it on record before it was restored.
 	begun bool
+	// usable means that VMs may have begun streams there without a record: those on record didn't suffice for a while.
+	usable bool
 }
 
 // isWritten reports whether the start is on record for good.
@@ -124,9 +128,12 @@
 }
 
 // SetServing sets what serves at the visible starts. Without it, one endpoint counts for each.
-func (s *Starts) SetServing(serving map[Start]Serving) {
+func (s *Starts) SetServing(now clock.Time, serving map[Start]Serving) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for start, e := range s.entries {
+		e.usable = e.usable || !e.isWritten() && s.isUsable(now, start, e, MaxRecordTime-maxViewLag)
+	}
 	s.serving = serving
 }
 
@@ -272,7 +279,12 @@
 
 // isOverdue reports whether a start hasn't been recorded in time, so that streams begin there without a record.
 func (s *Starts) isOverdue(now clock.Time, start Start, e *startState) bool {
-	return e.visible && now.Sub(e.since) > MaxRecordTime && !s.isCovered(&start)
+	return s.isUsable(now, start, e, MaxRecordTime)
+}
+
+// isUsable reports whether a start has been visible for longer than a time, and those on record don't suffice.
+func (s *Starts) isUsable(now clock.Time, start Start, e *startState, after time.Duration) bool {
+	return e.visible && now.Sub(e.since) > after && !s.isCovered(&start)
 }
 
 // RecordTime returns for how long a start without an endpoint stays on record.
@@ -314,7 +326,7 @@
 	defer s.mu.RUnlock()
 	var out []Start
 	for start, e := range s.entries {
-		if e.recorded || e.begun || e.visible && !s.isCovered(&start) {
+		if e.recorded || e.begun || e.usable || e.visible && !s.isCovered(&start) {
 			out = append(out, start)
 		}
 	}
--- a/internal/policy/origin/starts_test.go
+++ b/internal/policy/origin/starts_test.go
@@ -31,7 +31,7 @@
 	assert.Equal(t, since, now)
 	late := now.Add(MaxRecordTime + 1)
 	assert.Assert(t, !s.MayBegin(late, &v2), "v1 has half of the endpoints")
-	s.SetServing(map[Start]Serving{v1: {1, true}, v2: {2, true}})
+	s.SetServing(now, map[Start]Serving{v1: {1, true}, v2: {2, true}})
 	assert.Assert(t, s.MayBegin(late, &v2), "a record that can't be written doesn't stop the service")
 	assert.Assert(t, !s.MayBegin(late.Add(-1), &v2))
 	s.SetRecorded(now, []Start{v1, v2})
@@ -111,7 +111,7 @@
 	} {
 		s, now, v1, v2 := NewStarts(), clock.Time(time.Hour), startAt("v1"), startAt("v2")
 		s.SetRecorded(now, []Start{v1})
-		s.SetServing(map[Start]Serving{v1: tc.v1, v2: tc.v2})
+		s.SetServing(now, map[Start]Serving{v1: tc.v1, v2: tc.v2})
 		s.SetVisible(now, []Start{v1, v2}, testWindow)
 		assert.Equal(t, len(s.MayHaveBegun()), tc.possible, name)
 		for _, after := range []time.Duration{0, MaxRecordTime + 1, holdTime, time.Hour} {
