Ask other VMs before an unnamed stream goes on at the only version known

A VM that was out of step for less than the time after which it counts others as lost concluded from the record and its own view that a stream of which the caller doesn't name the first attempt had begun at the only version on record, while the others had begun streams at another one off the record. Named take-ups ask other VMs; unnamed ones didn't.

They do now, unless several versions are known already, in which case they are refused as before without a question. Any VM can answer, so each query asks others.

TestUnnamedStreamIsRefusedIfOtherVMsKnowAnotherVersion failed before ("only" instead of "unknown"), as did the spread in TestUnnamedStreamsCostFewQuestions.

--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -18,6 +18,7 @@
 
 	"fescuestand/internal/clock"
 	"fescuestand/internal/policy/origin"
+	"fescuestand/internal/splitmix"
 	"fescuestand/internal/wire"
 )
 
@@ -204,11 +205,7 @@
 	}
 	observed := t.Observe(service, window)
 	if st.Key == origin.Unnamed {
-		a := t.searchArchive(ctx, st, &observed)
-		if a.err == nil {
-			return t.concludeFromRecord(ctx, st, a.possible, t.HasQuorum(), nil)
-		}
-		return t.concludeFrom(t.askPeers(ctx, st.Key, service, window, observed).poll, st, service, a.err)
+		return t.findUnnamed(ctx, st, service, window, observed)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -243,6 +240,19 @@
 	return o, source
 }
 
+// findUnnamed is Find for a stream of which no record can be told from others.
+func (t *Tracker) findUnnamed(ctx context.Context, st *origin.Stream, service string, window time.Duration, observed origin.Observation) (origin.Origin, Source) {
+	a := t.searchArchive(ctx, st, &observed)
+	if a.err == nil && areSeveral(slices.Concat(a.possible, t.Archive.mayHaveBegun(st))) {
+		return origin.Origin{}, Unknown // whatever other VMs know
+	}
+	poll := t.askPeers(ctx, st.Key, service, window, observed).poll
+	if a.err != nil {
+		return t.concludeFrom(poll, st, service, a.err)
+	}
+	return t.concludeFromRecord(ctx, st, a.possible, t.HasQuorum() && poll.IsReached(), poll.Origins(service))
+}
+
 // concludeFromRecord returns the only origin that a stream may have by a record that has been read since it was taken
 // up, by what this VM knows and by what others do. Streams may have begun off the record at a version that has appeared
 // meanwhile, so a VM that isn't in contact with most of the others reads the endpoints' entries first.
@@ -265,12 +275,16 @@
 // only returns the origin that the lists have in common if they have no other.
 func only(lists ...[]origin.Origin) (origin.Origin, Source) {
 	all := slices.Concat(lists...)
-	if len(all) == 0 || slices.ContainsFunc(all, func(o origin.Origin) bool { return o != all[0] }) {
+	if len(all) == 0 || areSeveral(all) {
 		return origin.Origin{}, Unknown
 	}
 	return all[0], Only
 }
 
+func areSeveral(list []origin.Origin) bool {
+	return slices.ContainsFunc(list, func(o origin.Origin) bool { return o != list[0] })
+}
+
 // concludeFrom is for a store that can't be read, or whose record may be incomplete: it returns the only version that
 // the VMs have observed, if this VM knows of no other route to the stream's beginning.
 func (t *Tracker) concludeFrom(poll *origin.Poll, st *origin.Stream, service string, err error) (origin.Origin, Source) {
@@ -293,7 +307,11 @@
 }
 
 func (t *Tracker) askPeers(ctx context.Context, stream origin.Key, service string, window time.Duration, own origin.Observation) peerResult {
-	others := t.others(stream, origin.Lookups)
+	replicasOf := stream
+	if stream == origin.Unnamed {
+		replicasOf = t.anyKey() // any VM can answer
+	}
+	others := t.others(replicasOf, origin.Lookups)
 	r := peerResult{poll: origin.NewPoll(own, len(others))}
 	r.origin, r.known = t.query(ctx, others, r.poll, stream, service, window)
 	return r
@@ -364,6 +382,13 @@
 	return origin.Origin{}, false
 }
 
+// anyKey returns another key after each query.
+func (t *Tracker) anyKey() origin.Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return origin.Key(splitmix.Mix(t.Process ^ t.last))
+}
+
 // openQuery returns the number of a new query, and the channel that receives its answers.
 func (t *Tracker) openQuery(vms int) (uint64, <-chan answer) {
 	const answersPerVM = 1 + int(queryTimeout/resendInterval) // one for each time that the query is sent
--- a/internal/originsync/originsync_test.go
+++ b/internal/originsync/originsync_test.go
@@ -201,17 +201,56 @@
 	})
 }
 
-// Guards against a query for each stream that is taken up where callers don't name their first attempt.
-func TestUnnamedStream(t *testing.T) {
-	w := newNetwork(4)
-	w.vm(0).Receive("vm1", &wire.Beat{StreamOrigins: []*wire.StreamOrigin{{Service: "m", Version: "v1", TtlMs: 1000}}})
-	_, source := w.vm(0).Find(t.Context(), streamOf(origin.Unnamed), "m", window)
-	assert.Equal(t, source, Unknown)
-	w.store.starts = startsAt("v1")
-	w.sent = 0
-	_, source = w.vm(0).Find(t.Context(), streamOf(origin.Unnamed), "m", window)
+// allSee has all VMs observe one version, which is on record.
+func (w *network) allSee(version string) {
+	w.store.starts = startsAt(version)
+	for name := range w.vms {
+		w.seen[name] = origin.Observation{Versions: []string{version}, Fresh: true, Whole: true}
+	}
+}
+
+// Guards against a VM that concludes from its own view, out of step while others used a version off the record, where
+// callers don't name their first attempt.
+func TestUnnamedStreamIsRefusedIfOtherVMsKnowAnotherVersion(t *testing.T) {
+	w := newNetwork(8)
+	w.allSee("v1")
+	o, source := w.vm(0).Find(t.Context(), streamOf(origin.Unnamed), "m", window)
 	assert.Equal(t, source, Only)
-	assert.Equal(t, w.sent, 0)
+	assert.Equal(t, o, v1)
+	for name := range w.vms {
+		if name != w.vm(0).Self {
+			w.seen[name] = origin.Observation{Versions: []string{"v1", "v2"}, Fresh: true, Whole: true}
+		}
+	}
+	_, source = w.vm(0).Find(t.Context(), streamOf(origin.Unnamed), "m", window)
+	assert.Equal(t, source, Unknown)
+}
+
+// Guards against needless questions where callers don't name their first attempt, against the same VMs being asked for all
+// of their streams, and against an origin that is recorded without a name.
+func TestUnnamedStreamsCostFewQuestions(t *testing.T) {
+	const streams = 8
+	w := newNetwork(16)
+	w.vm(0).Receive("vm1", &wire.Beat{StreamOrigins: []*wire.StreamOrigin{{Service: "m", Version: "v1", TtlMs: 1000}}})
+	find := func() Source {
+		_, source := w.vm(0).Find(t.Context(), streamOf(origin.Unnamed), "m", window)
+		return source
+	}
+	w.store.starts = startsAt("v1", "v2")
+	assert.Equal(t, find(), Unknown)
+	assert.Equal(t, w.sent, 0, "two versions on record")
+	asked := map[string]bool{}
+	w = newNetwork(16)
+	w.allSee("v1")
+	w.loses = func(_, to string) bool {
+		asked[to] = true
+		return false
+	}
+	for range streams {
+		assert.Equal(t, find(), Only)
+	}
+	assert.Assert(t, w.sent <= streams*2*origin.Lookups, "%d questions and answers", w.sent)
+	assert.Assert(t, len(asked) > 2*origin.Lookups, "%d VMs asked", len(asked))
 }
 
 func TestQueryIsSentAgain(t *testing.T) {
