Refuse a stream for good only if all VMs that may know it have answered

Half of the VMs asked were enough to conclude that nobody knows the stream.

A VM that has lost any other within 10 s, or has no reply of one that it asked, now refuses with a retry delay (3014). The price is up to three further attempts for streams that nobody knows, within 10 s of a crash of a VM.

TestStreamThatSilentVMsMayKnowIsNotRefusedForGood failed before ("unknown" instead of "unread").

--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -60,9 +60,9 @@
 	Send func(peers []string, b *wire.Beat)
 	// Observe returns what this VM knows of a service's versions in the given time.
 	Observe func(service string, window time.Duration) origin.Observation
-	// HasQuorum reports whether this VM is in contact with most of the VMs, and ReadEndpoints reads the endpoints'
-	// entries after the call. It returns false if they can't be read in time.
-	HasQuorum     func() bool
+	// HasQuorum reports whether this VM is in contact with most of the VMs, and ReachesAll whether it has lost none lately.
+	HasQuorum, ReachesAll func() bool
+	// ReadEndpoints reads the endpoints' entries after the call. It returns false if they can't be read in time.
 	ReadEndpoints func(ctx context.Context) bool
 	// Archive keeps what outlives all VMs. Archivers returns, in an order on which VMs agree, those that may write
 	// origins to it: the first Writers do, and each of the others for the one Writers before it that can't.
@@ -88,7 +88,7 @@
 func New() *Tracker {
 	return &Tracker{
 		register: origin.NewRegister(), queries: map[uint64]chan<- answer{},
-		HasQuorum: func() bool { return true }, ReadEndpoints: func(context.Context) bool { return true },
+		HasQuorum: func() bool { return true }, ReachesAll: func() bool { return true }, ReadEndpoints: func(context.Context) bool { return true },
 	}
 }
 
@@ -234,7 +234,7 @@
 	}
 	inContact := t.HasQuorum() && p.poll.IsReached()
 	o, source := t.concludeFromRecord(ctx, st, a.possible, inContact, p.poll.Origins(service))
-	if source == Unknown && !inContact {
+	if source == Unknown && !(inContact && t.ReachesAll() && p.poll.IsComplete()) {
 		source = Unread // VMs that this one doesn't reach may know it
 	}
 	return o, source
--- a/internal/originsync/originsync_test.go
+++ b/internal/originsync/originsync_test.go
@@ -183,6 +183,28 @@
 	}
 }
 
+// Guards against final refusals of streams whose origin VMs know that stand still for a moment.
+func TestStreamThatSilentVMsMayKnowIsNotRefusedForGood(t *testing.T) {
+	for name, tc := range map[string]struct {
+		silent     int // of the VMs asked
+		reachesAll bool
+		want       Source
+	}{
+		"all answer":          {0, true, Unknown},
+		"one is silent":       {1, true, Unread},
+		"another one is lost": {0, false, Unread},
+	} {
+		w := newNetwork(8)
+		w.store.starts = startsAt("v1", "v2")
+		vm := w.vm(0)
+		silent := vm.others(1, origin.Lookups)[:tc.silent]
+		w.loses = func(_, to string) bool { return slices.Contains(silent, to) }
+		vm.ReachesAll = func() bool { return tc.reachesAll }
+		_, source := vm.Find(t.Context(), streamOf(1), "m", window)
+		assert.Equal(t, source, tc.want, name)
+	}
+}
+
 // Guards against callers that wait for VMs that have ended although the others agree on the only version.
 func TestQueryEndsWhenMostVMsAgree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/policy/origin/origin.go
+++ b/internal/policy/origin/origin.go
@@ -105,3 +105,6 @@
 
 // IsReached reports whether more than half of the other VMs have replied, whatever they know, or there is no other VM.
 func (p *Poll) IsReached() bool { return p.asked == 0 || 2*p.replied > p.asked }
+
+// IsComplete reports whether all other VMs have replied.
+func (p *Poll) IsComplete() bool { return p.replied == p.asked }
--- a/internal/vm/origins.go
+++ b/internal/vm/origins.go
@@ -23,7 +23,7 @@
 		}
 		return o
 	}
-	n.origins.HasQuorum, n.origins.ReadEndpoints = n.members.HasQuorum, n.endpointReads.read
+	n.origins.HasQuorum, n.origins.ReachesAll, n.origins.ReadEndpoints = n.members.HasQuorum, n.members.ReachesAll, n.endpointReads.read
 	n.initArchive()
 }
 
