End a read of the endpoints' history at a page that doesn't advance

Streams that callers take up at a VM that has just started wait for the history of the endpoints' entries. The read fails now, and is repeated for the next look-up.

TestHistoryEndsAtAPageThatDoesNotAdvance failed before (the second read).

--- a/internal/vm/history.go
+++ b/internal/vm/history.go
@@ -18,7 +18,10 @@
 	afterAllIDs = "~"
 )
 
-var errRestoredBetween = errors.New("the store has been restored between two reads")
+var (
+	errRestoredBetween = errors.New("the store has been restored between two reads")
+	errNoProgress      = errors.New("a page before the end of the log is empty")
+)
 
 // readHistory reads the latest changes of the endpoints' entries. The store may have deleted any of them.
 func (n *Node) readHistory(ctx context.Context) (*origin.History, error) {
@@ -63,8 +66,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if page.Next.Era != end.Era {
+		switch {
+		case page.Next.Era != end.Era:
 			return nil, errRestoredBetween
+		case page.Next.Offset <= from.Offset:
+			return nil, errNoProgress
 		}
 		for _, entry := range page.Entries {
 			out = n.appendChange(out, entry)
