Begin streams without a record only where other VMs notice that

While the store rejects writes, a VM began streams at a version off the record as soon as those on record didn't suffice by its own view, for however short a moment. A VM that looks at its view each 100 ms could miss that, and take an unnamed stream, or one whose origin is lost, for one of the version on record.

Streams begin there once those on record haven't sufficed for 0.25 s. A VM whose view differs by up to 0.2 s counts the version as one that may have been used. New streams wait for that only while the store rejects writes; they waited for half a second before when the version was new.

TestStreamsBeginOffRecordOnlyWhereOtherVMsNotice failed before (used at once).

--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -15,8 +15,11 @@
 	// MaxRecordTime bounds how long a version is left unused because the store doesn't record it, where the ones on
 	// record don't suffice.
 	MaxRecordTime = 500 * time.Millisecond
-	// maxViewLag is how much earlier another VM that is in step may see the same endpoints.
-	maxViewLag = MaxRecordTime / 2
+	// minShortTime is how long the versions on record must not have sufficed before streams begin at another one without a
+	// record: long enough for other VMs to notice.
+	minShortTime = 250 * time.Millisecond
+	// maxViewLag is how much earlier another VM that is in step may see the same change, or this one later.
+	maxViewLag = 200 * time.Millisecond
 	// holdTime is how long a version that appeared while this VM wasn't running is left unused and off the record:
 	// if all VMs have just started, most streams that were broken off are taken up in that time.
 	holdTime = 4 * time.Second
@@ -82,6 +85,8 @@
 	renew bool
 	// begun means that a stream has begun there, or that the store had it on record before it was restored.
 	begun bool
+	// shortSince is since when those on record haven't sufficed, zero while they do.
+	shortSince clock.Time
 	// usable means that VMs may have begun streams there without a record: those on record didn't suffice for a while.
 	usable bool
 }
@@ -123,6 +128,7 @@
 			e.since = 0
 		}
 	}
+	s.updateShort(now)
 	s.forget(now)
 	return added
 }
@@ -131,10 +137,11 @@
 func (s *Starts) SetServing(now clock.Time, serving map[Start]Serving) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for start, e := range s.entries {
-		e.usable = e.usable || !e.isWritten() && s.isUsable(now, start, e, MaxRecordTime-maxViewLag)
+	for _, e := range s.entries {
+		e.usable = e.usable || s.isUsable(now, e, maxViewLag)
 	}
 	s.serving = serving
+	s.updateShort(now)
 }
 
 // isCovered reports whether starts on record suffice for the new streams of start's route and service: streams begin at
@@ -186,6 +193,7 @@
 			e.since = now
 		}
 	}
+	s.updateShort(now)
 	s.forget(now)
 	return added
 }
@@ -215,6 +223,7 @@
 			e.recorded, e.renew = true, false
 		}
 	}
+	s.updateShort(now)
 	s.forget(now)
 }
 
@@ -279,12 +288,25 @@
 
 // isOverdue reports whether a start hasn't been recorded in time, so that streams begin there without a record.
 func (s *Starts) isOverdue(now clock.Time, start Start, e *startState) bool {
-	return s.isUsable(now, start, e, MaxRecordTime)
+	return s.isUsable(now, e, 0) && !s.isCovered(&start)
+}
+
+// isUsable reports whether a start has been visible, and those on record haven't sufficed, for so long that streams may
+// begin there without a record at a VM that has seen both earlier than this one by a lag.
+func (s *Starts) isUsable(now clock.Time, e *startState, lag time.Duration) bool {
+	return e.visible && e.shortSince != 0 && now.Sub(e.since) > MaxRecordTime-lag && now.Sub(e.shortSince) > minShortTime-lag
 }
 
-// isUsable reports whether a start has been visible for longer than a time, and those on record don't suffice.
-func (s *Starts) isUsable(now clock.Time, start Start, e *startState, after time.Duration) bool {
-	return e.visible && now.Sub(e.since) > after && !s.isCovered(&start)
+// updateShort records since when the starts on record haven't sufficed. The caller holds mu.
+func (s *Starts) updateShort(now clock.Time) {
+	for start, e := range s.entries {
+		switch {
+		case !e.visible || e.isWritten() || s.isCovered(&start):
+			e.shortSince = 0
+		case e.shortSince == 0:
+			e.shortSince = now
+		}
+	}
 }
 
 // RecordTime returns for how long a start without an endpoint stays on record.
--- a/internal/policy/origin/starts_test.go
+++ b/internal/policy/origin/starts_test.go
@@ -42,6 +42,32 @@
 	assert.Assert(t, s.MayBegin(now.Add(MaxRecordTime+1), &v1))
 }
 
+// Guards against streams that begin without a record in a moment that other VMs don't notice: these would take them for
+// streams of the version on record.
+func TestStreamsBeginOffRecordOnlyWhereOtherVMsNotice(t *testing.T) {
+	const lookInterval = 100 * time.Millisecond // of a VM without new streams
+	v1, v2 := startAt("v1"), startAt("v2")
+	for _, short := range []time.Duration{0, lookInterval, minShortTime, minShortTime + 1, time.Second} {
+		used, noticed := false, false
+		for _, lag := range []time.Duration{0, lookInterval - 1} { // with which a VM sees each change
+			s, now := NewStarts(), clock.Time(time.Hour)
+			s.SetRecorded(now, []Start{v1})
+			s.SetVisible(now, []Start{v1, v2}, testWindow)
+			s.SetServing(now, map[Start]Serving{v1: {2, true}, v2: {2, true}})
+			now = now.Add(time.Second + lag)
+			s.SetServing(now, map[Start]Serving{v1: {1, true}, v2: {2, true}})
+			now = now.Add(short - lag)
+			if lag == 0 {
+				used = s.MayBegin(now, &v2)
+			}
+			s.SetServing(now, map[Start]Serving{v1: {2, true}, v2: {2, true}})
+			noticed = len(s.MayHaveBegun()) == 2
+		}
+		assert.Equal(t, used, short > minShortTime, "%v", short)
+		assert.Assert(t, noticed || !used, "%v", short)
+	}
+}
+
 // Guards against a version that comes back after another VM has dropped it from the record.
 func TestVersionThatReturnsIsRecordedAgain(t *testing.T) {
 	for _, tc := range []struct {
