--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -234,7 +234,8 @@
 	}
 	inContact := t.HasQuorum() && p.poll.IsReached()
 	o, source := t.concludeFromRecord(ctx, st, a.possible, inContact, p.poll.Origins(service))
-	if source == Unknown && !(inContact && t.ReachesAll() && p.poll.IsComplete()) {
+	hasAskedAll := inContact && t.ReachesAll() && p.poll.IsComplete()
+	if source == Unknown && !hasAskedAll {
 		source = Unread // VMs that this one doesn't reach may know it
 	}
 	return o, source
