Refuse unnamed streams of which a version may have been put on record before an outage

While the store can't be read, an unnamed stream went on at the earlier version if most of the VMs asked knew no other. A version that one VM had put on record right before the store failed, and began streams at, counts as unused at all VMs that haven't read the record since. Named streams aren't concerned: one of the VMs asked was told their origin.

TestVersionRecordedRightBeforeAnOutageIsNotRuledOut failed before (goes on at v1, "only").

--- a/internal/originsync/incomplete_record_test.go
+++ b/internal/originsync/incomplete_record_test.go
@@ -88,6 +88,25 @@
 	}
 }
 
+// Guards against unnamed streams that go on at the earlier version since the store has failed right after it took the record
+// of another one: the VMs that haven't read it count that one as unused.
+func TestVersionRecordedRightBeforeAnOutageIsNotRuledOut(t *testing.T) {
+	w := newNetwork(16)
+	w.settle(t, "v1")
+	w.setServing(3, 1)
+	writer := w.vm(0)
+	for _, vm := range w.vms {
+		vm.Archive.checkAmbiguous(vm.Archive.starts.SetVisible(w.clock.T, startsAt("v1", "v2"), window))
+	}
+	writer.Archive.starts.SetWritten(w.clock.T, startsAt("v2"))
+	assert.Assert(t, writer.Archive.starts.MayBegin(w.clock.T, &startsAt("v2")[0]))
+	w.store.down = true
+	for _, vm := range w.vms {
+		o, source := vm.Find(t.Context(), streamOf(origin.Unnamed), "m", window)
+		assert.Equal(t, source, Unread, "%s: goes on at %s, may be of v2", vm.Self, o.Version)
+	}
+}
+
 // Guards against a young VM that takes the only version on record while other VMs know the stream's origin.
 func TestKnownOriginPrecedesTheRecord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/originsync/originsync.go
+++ b/internal/originsync/originsync.go
@@ -244,8 +244,11 @@
 // findUnnamed is Find for a stream of which no record can be told from others.
 func (t *Tracker) findUnnamed(ctx context.Context, st *origin.Stream, service string, window time.Duration, observed origin.Observation) (origin.Origin, Source) {
 	a := t.searchArchive(ctx, st, &observed)
-	if a.err == nil && areSeveral(slices.Concat(a.possible, t.Archive.mayHaveBegun(st))) {
+	switch possible := slices.Concat(a.possible, t.Archive.mayHaveBegun(st)); {
+	case a.err == nil && areSeveral(possible):
 		return origin.Origin{}, Unknown // whatever other VMs know
+	case a.err != nil && t.Archive.isAmbiguous(st):
+		return origin.Origin{}, refusalOf(a.err) // one may have been put on record right before the store failed
 	}
 	poll := t.askPeers(ctx, st.Key, service, window, observed).poll
 	if a.err != nil {
@@ -294,10 +297,15 @@
 	if possible := t.Archive.mayHaveBegun(st); ok && len(possible) == 1 && possible[0] == o {
 		return o, Only
 	}
+	return origin.Origin{}, refusalOf(err)
+}
+
+// refusalOf returns the source of a stream whose origin isn't known as the record can't be used.
+func refusalOf(err error) Source {
 	if errors.Is(err, errIncomplete) {
-		return origin.Origin{}, Unknown
+		return Unknown
 	}
-	return origin.Origin{}, Unread
+	return Unread
 }
 
 // peerResult is what other VMs know of a stream.
