--- a/internal/policy/origin/starts.go
+++ b/internal/policy/origin/starts.go
@@ -15,6 +15,11 @@
 	// MaxRecordTime bounds how long a version is left unused because the store doesn't record it, where the ones on
 	// record don't suffice.
 	MaxRecordTime = 500 * time.Millisecond
+	// minShortTime is how long the versions on record must not have sufficed before streams begin at another one without a
+	// record: long enough for other VMs to notice.
+	minShortTime = 250 * time.Millisecond
+	// maxViewLag is how much earlier another VM that is in step may see the same change, or this one later.
+	maxViewLag = 200 * time.Millisecond
 	// holdTime is how long a version that appeared while this VM wasn't running is left unused and off the record:
 	// if all VMs have just started, most streams that were broken off are taken up in that time.
 	holdTime = 4 * time.Second
@@ -80,6 +85,10 @@
 	renew bool
 	// begun means that a stream has begun there, or that the store had it on record before it was restored.
 	begun bool
+	// shortSince is since when those on record haven't sufficed, zero while they do.
+	shortSince clock.Time
+	// usable means that VMs may have begun streams there without a record: those on record didn't suffice for a while.
+	usable bool
 }
 
 // isWritten reports whether the start is on record for good.
@@ -119,15 +128,20 @@
 			e.since = 0
 		}
 	}
+	s.updateShort(now)
 	s.forget(now)
 	return added
 }
 
 // SetServing sets what serves at the visible starts. Without it, one endpoint counts for each.
-func (s *Starts) SetServing(serving map[Start]Serving) {
+func (s *Starts) SetServing(now clock.Time, serving map[Start]Serving) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, e := range s.entries {
+		e.usable = e.usable || s.isUsable(now, e, maxViewLag)
+	}
 	s.serving = serving
+	s.updateShort(now)
 }
 
 // isCovered reports whether starts on record suffice for the new streams of start's route and service: streams begin at
@@ -179,6 +193,7 @@
 			e.since = now
 		}
 	}
+	s.updateShort(now)
 	s.forget(now)
 	return added
 }
@@ -208,6 +223,7 @@
 			e.recorded, e.renew = true, false
 		}
 	}
+	s.updateShort(now)
 	s.forget(now)
 }
 
@@ -272,7 +288,25 @@
 
 // isOverdue reports whether a start hasn't been recorded in time, so that streams begin there without a record.
 func (s *Starts) isOverdue(now clock.Time, start Start, e *startState) bool {
-	return e.visible && now.Sub(e.since) > MaxRecordTime && !s.isCovered(&start)
+	return s.isUsable(now, e, 0) && !s.isCovered(&start)
+}
+
+// isUsable reports whether a start has been visible, and those on record haven't sufficed, for so long that streams may
+// begin there without a record at a VM that has seen both earlier than this one by a lag.
+func (s *Starts) isUsable(now clock.Time, e *startState, lag time.Duration) bool {
+	return e.visible && e.shortSince != 0 && now.Sub(e.since) > MaxRecordTime-lag && now.Sub(e.shortSince) > minShortTime-lag
+}
+
+// updateShort records since when the starts on record haven't sufficed. The caller holds mu.
+func (s *Starts) updateShort(now clock.Time) {
+	for start, e := range s.entries {
+		switch {
+		case !e.visible || e.isWritten() || s.isCovered(&start):
+			e.shortSince = 0
+		case e.shortSince == 0:
+			e.shortSince = now
+		}
+	}
 }
 
 // RecordTime returns for how long a start without an endpoint stays on record.
@@ -314,7 +348,7 @@
 	defer s.mu.RUnlock()
 	var out []Start
 	for start, e := range s.entries {
-		if e.recorded || e.begun || e.visible && !s.isCovered(&start) {
+		if e.recorded || e.begun || e.usable || e.visible && !s.isCovered(&start) {
 			out = append(out, start)
 		}
 	}
