--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"fescuestand/internal/catalog"
@@ -72,14 +73,17 @@
 	maxBodyPause = 5 * time.Second
 	// minBodyProgress is what must arrive of a large body in that time.
 	minBodyProgress = 32 << 10
+	// maxSmallBodyTime is the time that a body may take which isn't large: at the same pace, the largest one takes that.
+	maxSmallBodyTime = maxBodyPause * bytebudget.LargeBytes / minBodyProgress
 )
 
 // timedBody is a request's body that its caller must send in time.
 type timedBody struct {
 	io.ReadCloser
 	rc    *http.ResponseController
-	until time.Time // zero for no limit but those of a pause and of progress
+	until time.Time // zero for no limit but those of pauses and of the pace
 	large bool      // it is large, or as much of it has been read
+	began time.Time
 
 	read       int64
 	marked     int64 // of read, when progress was made last
@@ -88,11 +92,16 @@
 
 // Read implements io.Reader.
 func (b *timedBody) Read(p []byte) (int, error) {
-	if err := b.rc.SetReadDeadline(b.deadline(time.Now())); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	by := b.deadline(time.Now())
+	if err := b.rc.SetReadDeadline(by); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return 0, err
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
+	if err != nil && !errors.Is(err, io.EOF) && !time.Now().Before(by) {
+		// net/http reports a trailer that it waits for in vain as an invalid one.
+		err = os.ErrDeadlineExceeded
+	}
 	return n, err
 }
 
@@ -101,10 +110,14 @@
 		b.marked, b.progressBy = b.read, now.Add(maxBodyPause)
 	}
 	b.large = b.large || b.read >= bytebudget.LargeBytes
-	if !b.until.IsZero() && b.until.Before(b.progressBy) {
-		return b.until
+	by := b.progressBy
+	if whole := b.began.Add(maxSmallBodyTime); !b.large && whole.Before(by) {
+		by = whole
+	}
+	if !b.until.IsZero() && b.until.Before(by) {
+		by = b.until
 	}
-	return b.progressBy
+	return by
 }
 
 // readBodyInTime reads the body of a call, which must arrive within the caller's timeout, if that isn't zero.
@@ -113,7 +126,7 @@
 		return nil
 	}
 	c.claim = g.newBodyClaim(c, route)
-	body := &timedBody{ReadCloser: r.Body, rc: http.NewResponseController(w), large: r.ContentLength >= bytebudget.LargeBytes}
+	body := &timedBody{ReadCloser: r.Body, rc: http.NewResponseController(w), large: r.ContentLength >= bytebudget.LargeBytes, began: time.Now()}
 	if c.CallerTimeout > 0 {
 		body.until = time.Now().Add(c.CallerTimeout)
 	}
