Answers that their callers don't read are given up after a minute

A caller that sent a request and didn't read held it, its connection, the memory of its answer and its part of a drain for as long as its kernel acknowledged the probes of a full window: no write to a caller had a deadline, and the end of the request's own time doesn't interrupt one. Each write now has a minute (moved at most once a second), as proxies give; who reads slowly gets the whole answer. Deadlines that a handler or net/http sets go first.

TestAnswerThatIsNotReadIsGivenUp failed before in two of three cases ("the handler still writes" after ten minutes of simulated time); the third, a slow reader, passed before and after.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -38,6 +38,9 @@
 
 	headerSince time.Time // when the latest header began
 	wait        wait      // for the caller
+
+	ownWriteDeadline bool      // the handler or net/http has set a deadline for writes
+	writeBoundAt     time.Time // when the deadline for writes was set last, zero if it isn't boundWrite's
 }
 
 // longAgo is a deadline that has passed.
--- a/internal/httpserver/halfclose.go
+++ b/internal/httpserver/halfclose.go
@@ -49,8 +49,9 @@
 	timer    *time.Timer
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It fails if the caller doesn't read in time.
 func (c *conn) Write(b []byte) (int, error) {
+	c.boundWrite(time.Now())
 	c.beginWrite(b)
 	defer c.endWrite()
 	return c.Conn.Write(b)
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -119,3 +119,31 @@
 	}
 	return b
 }
+
+const (
+	// maxWriteTime is how long a caller may take to read what a write sends. The kernel may take a part of it from its
+	// buffer only, so that slow links need most of it.
+	maxWriteTime = time.Minute
+	// writeDeadlineStep is the time after which a write moves the deadline: it is kept for the frequent small ones.
+	writeDeadlineStep = time.Second
+)
+
+// boundWrite sets the deadline of a write, unless the handler or net/http has set one.
+func (c *conn) boundWrite(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ownWriteDeadline || now.Sub(c.writeBoundAt) < writeDeadlineStep {
+		return
+	}
+	c.writeBoundAt = now
+	// A failure means that the connection has been closed, as the write finds out.
+	_ = c.Conn.SetWriteDeadline(now.Add(maxWriteTime))
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ownWriteDeadline, c.writeBoundAt = !t.IsZero(), time.Time{}
+	return c.Conn.SetWriteDeadline(t)
+}
--- a/internal/httpserver/limits_test.go
+++ b/internal/httpserver/limits_test.go
@@ -29,6 +29,12 @@
 
 // simulated runs f with a server in simulated time and a function that connects to it.
 func simulated(t *testing.T, f func(t *testing.T, s *Server, dial func() net.Conn)) {
+	t.Helper()
+	simulatedHandler(t, answerOK, f)
+}
+
+// simulatedHandler is simulated with a handler.
+func simulatedHandler(t *testing.T, h http.Handler, f func(t *testing.T, s *Server, dial func() net.Conn)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		network := simnet.New(simnet.Options{Seed: 1, Latency: time.Millisecond})
@@ -36,7 +42,7 @@
 		ln, err := host.Listen(0)
 		assert.NilError(t, err)
 		base := &http.Server{ReadHeaderTimeout: testHeaderTimeout, IdleTimeout: testIdleTimeout}
-		s := New(answerOK, base, Options{})
+		s := New(h, base, Options{})
 		served := make(chan error, 1)
 		go func() { served <- s.Serve(ln) }()
 		t.Cleanup(func() {
@@ -223,3 +229,56 @@
 	close(gate.expire)
 	assert.Equal(t, readBody(t, answers), "ok")
 }
+
+// Guards against callers that hold their requests, and the memory of the answers, by not reading: while their kernel
+// acknowledges probes, no timeout of TCP ends the connection.
+func TestAnswerThatIsNotReadIsGivenUp(t *testing.T) {
+	const answerBytes, partBytes = 1 << 20, 64 << 10 // several windows
+	const limit = 10 * maxWriteTime
+	for name, tc := range map[string]struct {
+		requests int
+		readPart int           // that the caller reads
+		pause    time.Duration // after each part
+		whole    bool
+	}{
+		"no read":                  {requests: 1},
+		"further requests, unread": {requests: 100},
+		"slow":                     {requests: 1, readPart: partBytes, pause: maxWriteTime / 2, whole: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var ended chan error
+			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				var err error
+				for n := 0; n < answerBytes && err == nil; n += partBytes {
+					_, err = w.Write(make([]byte, partBytes))
+				}
+				ended <- err
+			})
+			simulatedHandler(t, handler, func(t *testing.T, s *Server, dial func() net.Conn) {
+				ended = make(chan error, tc.requests) // in the bubble
+				c := dial()
+				sendText(t, c, strings.Repeat(getRequest, tc.requests))
+				began := time.Now()
+				var reader sync.WaitGroup
+				defer reader.Wait()
+				if tc.readPart > 0 {
+					reader.Go(func() {
+						for _, err := io.ReadFull(c, make([]byte, tc.readPart)); err == nil; _, err = io.ReadFull(c, make([]byte, tc.readPart)) {
+							time.Sleep(tc.pause)
+						}
+					})
+				}
+				select {
+				case err := <-ended:
+					assert.Equal(t, err == nil, tc.whole, "%v", err)
+					assert.Assert(t, tc.whole || time.Since(began) <= maxWriteTime+endTolerance, "after %s", time.Since(began))
+				case <-time.After(limit):
+					t.Error("the handler still writes")
+				}
+				time.Sleep(endTolerance)
+				assert.Check(t, s.InFlight() == 0)
+				_ = c.Close()
+			})
+		})
+	}
+}
