A stream is resumed without a prefill engine once half of the retry budget is used

Callers saw streams stop and waited, up to their 8 s, while endpoints fell silent: their VM's part of the retry budget was spent. A stream that had been prefilled at a prefill engine took two retries to resume, a further prefill and the stream, and was replaced only if two were left, also where it needed one.

An engine that prefills and decodes needs one retry. Prefill engines are now left out of the placement of a stream that has been prefilled before, unless a further prefill stays within half of the budget (repeat.Optional). Replacements need one retry. This also holds for streams whose engine crashed.

TestStreamIsResumedWithTheLastRetry failed before: the caller left after 3 s with two events.

--- a/internal/gateway/budget_test.go
+++ b/internal/gateway/budget_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -30,3 +32,23 @@
 	}
 	assert.Equal(t, left, 7, "of eight")
 }
+
+// Guards against a stream that isn't resumed as one retry is left and a further prefill would take two.
+func TestStreamIsResumedWithTheLastRetry(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.budget.SetConfig(repeat.Config{Extra: 2, Window: 10 * time.Second})
+		w.setRoute(streamRoute)
+		p, _ := startEngines(t, w, answerPrefill, func(_ *backend, n int, _ *http.Request, c net.Conn) bool {
+			if n == 1 {
+				events(c, 1, 2, false)
+				awaitClose(c)
+				return false
+			}
+			return events(c, 3, 3, true)
+		}, 2)
+		_, body, err := w.request(t, "POST", "/x/", "", "Tokens", "9000")
+		assert.NilError(t, err)
+		assert.Equal(t, eventIDs(body), "1 2 3")
+		assert.Equal(t, p.arrivals.Load(), int32(1))
+	})
+}
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -42,6 +42,7 @@
 	shareDenials          int                           // attempts that weren't sent as the endpoint held its share of bytes
 	rejections            int                           // arrivals that endpoints haven't run, but for forgotten ones
 	runsSent              atomic.Int32                  // requests sent that aren't prefills; a guard reads it while a replacement is secured
+	avoidsPrefillEngines  bool                          // while it is placed, to save retries
 	prepaidRetries        int                           // taken from the retry budget and not sent yet
 	prefillDone           bool                          // an engine has accepted the prefill that is no arrival
 	history               exchange.History              // connections to endpoints that have carried the request
@@ -230,6 +231,9 @@
 	if len(x.silent) > 0 {
 		open = slices.DeleteFunc(slices.Clone(open), func(e *catalog.Endpoint) bool { return x.silent[e.ID] })
 	}
+	if x.avoidsPrefillEngines {
+		open = slices.DeleteFunc(slices.Clone(open), func(e *catalog.Endpoint) bool { return e.Stage == catalog.Prefill })
+	}
 	if o := x.origin.Load(); o != nil {
 		return ofVersion(open, o.Version)
 	}
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -27,7 +27,7 @@
 
 // replaceStream has another engine resume the stream of a, whose engine is silent.
 func (x *execution) replaceStream(a *attempt) (*openStream, bool) {
-	end, ok := x.beginReplacing(a, retriesToResume)
+	end, ok := x.beginReplacing(a)
 	if !ok {
 		return nil, false
 	}
@@ -61,7 +61,7 @@
 		return prefillReplacement{stream: o}, taken
 	}
 	x.markSilent(a)
-	end, ok := x.beginAsking(a, catalog.Prefill, 1)
+	end, ok := x.beginAsking(a, catalog.Prefill)
 	if !ok {
 		return prefillReplacement{}, false
 	}
@@ -76,14 +76,10 @@
 	return prefillReplacement{}, false
 }
 
-// retriesToResume is the number of requests that resume a stream at another engine: a prefill and
-// the stream.
-const retriesToResume = 2
-
 // replaceCall has another endpoint answer the call of a, whose endpoint is silent. A failure isn't taken: the
 // silent endpoint may still succeed.
 func (x *execution) replaceCall(a *attempt) (result, bool) {
-	end, ok := x.beginReplacing(a, 1)
+	end, ok := x.beginReplacing(a)
 	if !ok {
 		return result{}, false
 	}
@@ -102,9 +98,9 @@
 	return result{}, false
 }
 
-// beginReplacing records that the endpoint of a is silent, and reports whether another one may be asked,
-// which takes the given number of retries. end must be called once it has been.
-func (x *execution) beginReplacing(a *attempt, retries int) (end func(), ok bool) {
+// beginReplacing records that the endpoint of a is silent, and reports whether another one may be asked. end must be
+// called once it has been.
+func (x *execution) beginReplacing(a *attempt) (end func(), ok bool) {
 	if a.life.IsAlive(x.now()) {
 		return nil, false // its header has arrived a moment ago
 	}
@@ -112,19 +108,19 @@
 	if !x.route.Retryable() || !x.mayRunAgain() || x.ctx.Err() != nil {
 		return nil, false
 	}
-	return x.beginAsking(a, catalog.Whole, retries)
+	return x.beginAsking(a, catalog.Whole)
 }
 
 // beginAsking reports whether an endpoint that isn't silent and the retry budget allow a replacement of a. Until
 // end is called, silent endpoints are excluded. stage is Prefill if a prefill engine is to be asked.
-func (x *execution) beginAsking(a *attempt, stage catalog.Stage, retries int) (end func(), ok bool) {
+func (x *execution) beginAsking(a *attempt, stage catalog.Stage) (end func(), ok bool) {
 	end, ok = x.excludeSilent(a, stage)
 	if !ok {
 		x.withheld++
 		x.g.metrics.countReplacement(replacementWithheld)
 		return nil, false
 	}
-	if !x.mayAfford(retries) {
+	if !x.mayAfford() {
 		end()
 		return nil, false
 	}
@@ -212,9 +208,9 @@
 	return silence.Process{ID: e.ID, Born: e.Born}
 }
 
-// mayAfford reports whether the retry budget allows a replacement that takes the given number of retries.
-func (x *execution) mayAfford(retries int) bool {
-	if x.g.o.Budget.Allows(x.now(), x.service, x.retryPriority(), retries) {
+// mayAfford reports whether the retry budget allows a replacement.
+func (x *execution) mayAfford() bool {
+	if x.g.o.Budget.Allows(x.now(), x.service, x.retryPriority(), 1) {
 		return true
 	}
 	x.g.metrics.countReplacement(replacementUnaffordable)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,6 +15,7 @@
 	"fescuestand/internal/exchange"
 	"fescuestand/internal/policy/drain"
 	"fescuestand/internal/policy/place"
+	"fescuestand/internal/policy/repeat"
 )
 
 // openStream is a stream that an engine has begun to answer.
@@ -53,7 +54,9 @@
 // none has.
 func (x *execution) openStream() (*openStream, result) {
 	prompt := &place.Prompt{Parts: x.call.Parts, Tokens: x.call.PromptTokens}
+	x.avoidsPrefillEngines = !x.mayPrefillAgain()
 	plan, r, ok := x.placePrompt(prompt)
+	x.avoidsPrefillEngines = false
 	if !ok {
 		return nil, r
 	}
@@ -72,6 +75,15 @@
 	return x.decode(kv, prompt, &plan)
 }
 
+// retriesToResume is the number of retries that resume a stream by a further prefill: the prefill and the stream.
+const retriesToResume = 2
+
+// mayPrefillAgain reports whether a prefill engine may be asked. A stream whose prompt one has prefilled before takes
+// half as many retries at an engine that both prefills and decodes.
+func (x *execution) mayPrefillAgain() bool {
+	return !x.prefillDone || x.g.o.Budget.Allows(x.now(), x.service, repeat.Optional, retriesToResume)
+}
+
 // decode has a decode engine fetch the KV cache of a prefill and begin the stream. An engine that
 // doesn't run the request leaves the cache at the prefill engine, so that another engine can be
 // tried. A cache that no engine has used is released.
--- a/internal/policy/repeat/repeat.go
+++ b/internal/policy/repeat/repeat.go
@@ -38,15 +38,19 @@
 type Priority int
 
 // The priorities. Begun requests may use the whole budget: a caller that has received a part of an answer
-// loses it if the rest can't be had.
+// loses it if the rest can't be had. Optional retries are those that a request can do without.
 const (
 	NotBegun Priority = iota
 	Begun
+	Optional
 )
 
 // notBegunShare is the part of the budget that requests without an answer may use.
 const notBegunShare = 0.8
 
+// optionalShare is the part of the budget that optional retries may use.
+const optionalShare = 0.5
+
 // minWindow is the shortest window, so that an unset one doesn't have a length of zero.
 const minWindow = time.Second
 
@@ -145,8 +149,11 @@
 		allowed += b.cfg.Extra / float64(b.members)
 	}
 	allowed *= safetyFactor
-	if p == NotBegun {
+	switch p {
+	case NotBegun:
 		allowed *= notBegunShare
+	case Optional:
+		allowed *= optionalShare
 	}
 	return float64(retries+n) <= allowed
 }
--- a/internal/policy/repeat/repeat_test.go
+++ b/internal/policy/repeat/repeat_test.go
@@ -176,3 +176,12 @@
 		assert.Check(t, taken <= 216, "%d VMs: %d retries, 216 allowed", vms, taken)
 	}
 }
+
+// Guards against retries that requests can do without and that leave too few for the others.
+func TestOptionalRetriesLeaveHalfOfTheBudget(t *testing.T) {
+	b := New(cfg)
+	b.SetUnused()
+	b.SetMembers(1)
+	assert.Assert(t, b.Allows(0, "labels", Optional, 21) && !b.Allows(0, "labels", Optional, 22))
+	assert.Equal(t, takeAll(b, 0), 43)
+}
