The test of overload runs in simulated time

A cluster of internal/entry can now run on a host of a simulated network in a bubble. For that the entry and the stand-in engine take what they listen on (network.Network), and httpdriver registers its drivers with a dialer. Orders to engines still use the machine's sockets, for TCP_USER_TIMEOUT and the reset.

--- a/internal/driver/httpdriver/client.go
+++ b/internal/driver/httpdriver/client.go
@@ -32,7 +32,7 @@
 	transport *http.Transport
 }
 
-func newClient(t driver.Target) (*client, error) {
+func newClient(t driver.Target, d stall.Dialer) (*client, error) {
 	if _, _, err := net.SplitHostPort(t.Address); err != nil {
 		return nil, fmt.Errorf("address %q: allowed: host:port: %w", t.Address, err)
 	}
@@ -53,7 +53,7 @@
 			ReadBufferSize:         bufferBytes,
 			WriteBufferSize:        bufferBytes,
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				c, err := stall.DialContext(ctx, &net.Dialer{}, o.dialTimeout, network, address)
+				c, err := stall.DialContext(ctx, d, o.dialTimeout, network, address)
 				if err != nil {
 					return nil, err
 				}
--- a/internal/driver/httpdriver/cut_test.go
+++ b/internal/driver/httpdriver/cut_test.go
@@ -65,7 +65,7 @@
 		for end, reset := range map[string]bool{"end": false, "reset": true} {
 			t.Run(name+"/"+end, func(t *testing.T) {
 				next := make(chan string, 1)
-				c, err := newClient(driver.Target{Driver: Name, Address: serveCut(t, reset, next)})
+				c, err := newClient(driver.Target{Driver: Name, Address: serveCut(t, reset, next)}, &net.Dialer{})
 				assert.NilError(t, err)
 				t.Cleanup(func() { _ = c.Close() })
 				for call, send := range calls {
--- a/internal/driver/httpdriver/httpdriver.go
+++ b/internal/driver/httpdriver/httpdriver.go
@@ -8,9 +8,11 @@
 
 import (
 	"fmt"
+	"net"
 	"time"
 
 	"fescuestand/internal/driver"
+	"fescuestand/internal/stall"
 )
 
 // Name is the name under which the drivers are registered.
@@ -24,37 +26,41 @@
 
 const defaultDialTimeout = time.Second
 
-func init() {
-	driver.Engines.Register(Name, func(t driver.Target) (driver.Engine, error) {
-		c, err := newClient(t)
+func init() { Register(Name, &net.Dialer{}) }
+
+// Register registers the drivers under a name with a dialer for their connections. Orders to engines always use the
+// machine's sockets, whose options they depend on.
+func Register(name string, d stall.Dialer) {
+	driver.Engines.Register(name, func(t driver.Target) (driver.Engine, error) {
+		c, err := newClient(t, d)
 		if err != nil {
 			return nil, err
 		}
 		return &engine{client: c}, nil
 	})
-	driver.Services.Register(Name, func(t driver.Target) (driver.Service, error) {
-		c, err := newClient(t)
+	driver.Services.Register(name, func(t driver.Target) (driver.Service, error) {
+		c, err := newClient(t, d)
 		if err != nil {
 			return nil, err
 		}
 		return &service{client: c}, nil
 	})
-	driver.Logs.Register(Name, func(t driver.Target) (driver.Log, error) {
-		c, err := newClient(t)
+	driver.Logs.Register(name, func(t driver.Target) (driver.Log, error) {
+		c, err := newClient(t, d)
 		if err != nil {
 			return nil, err
 		}
 		return &logService{client: c}, nil
 	})
-	driver.VMLists.Register(Name, func(t driver.Target) (driver.VMList, error) {
-		c, err := newClient(t)
+	driver.VMLists.Register(name, func(t driver.Target) (driver.VMList, error) {
+		c, err := newClient(t, d)
 		if err != nil {
 			return nil, err
 		}
 		return &vmList{client: c}, nil
 	})
-	driver.WeightStores.Register(Name, func(t driver.Target) (driver.WeightStore, error) {
-		c, err := newClient(t)
+	driver.WeightStores.Register(name, func(t driver.Target) (driver.WeightStore, error) {
+		c, err := newClient(t, d)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/driver/httpdriver/whole_test.go
+++ b/internal/driver/httpdriver/whole_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	srv := httptest.NewServer(h)
 	t.Cleanup(srv.Close)
-	c, err := newClient(driver.Target{Driver: Name, Address: strings.TrimPrefix(srv.URL, "http://")})
+	c, err := newClient(driver.Target{Driver: Name, Address: strings.TrimPrefix(srv.URL, "http://")}, &net.Dialer{})
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	return c
--- a/internal/entry/overload_test.go
+++ b/internal/entry/overload_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -23,8 +24,10 @@
 // admission control all of them would wait and nearly all would be late. With it, requests that
 // can't be on time are refused immediately with a Retry-After delay, and admitted ones complete in
 // time.
-func TestOverloadIsRefusedAtOnce(t *testing.T) {
-	cl := newCluster(t, clusterConfig{entries: 1, engines: []engine.Config{overloaded()}})
+func TestOverloadIsRefusedAtOnce(t *testing.T) { synctest.Test(t, testOverload) }
+
+func testOverload(t *testing.T) {
+	cl := newCluster(t, clusterConfig{entries: 1, engines: []engine.Config{overloaded()}, simulated: true})
 	burst(t, cl)        // lets admission estimate the engine's capacity
 	for i := range 40 { // lets the prediction observe the unloaded engine
 		a, err := cl.generate(cl.entries[0].addr, fmt.Sprint("quiet ", i), 2)
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -21,6 +21,7 @@
 	"fescuestand/internal/httpserver"
 	"fescuestand/internal/logclient"
 	"fescuestand/internal/membership"
+	"fescuestand/internal/network"
 	"fescuestand/internal/peer"
 	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
@@ -52,6 +53,7 @@
 	Log         *logclient.Client
 	Peers       *peer.Pool
 	Clock       clock.Clock
+	Network     network.Network // of its listeners, the machine's if it is nil
 }
 
 // Unit is the kernel.Unit that runs fescue-entry.
@@ -77,6 +79,9 @@
 
 // New assembles the unit. It opens no connection.
 func New(opts Options) *Unit {
+	if opts.Network == nil {
+		opts.Network = network.Machine{}
+	}
 	u := &Unit{opts: opts}
 	s := opts.Settings
 	u.fleet = fleet.New(route.Config{Zone: s.Zone, Cells: s.Cells}, opts.Clock, seedOf(opts.Incarnation))
@@ -156,12 +161,11 @@
 
 // Provision implements kernel.Provisioner.
 func (u *Unit) Provision(ctx context.Context) error {
-	var lc net.ListenConfig
 	var err error
-	if u.callerLn, err = lc.Listen(ctx, "tcp", u.opts.Settings.Addresses.Caller); err != nil {
+	if u.callerLn, err = u.opts.Network.Listen(ctx, "tcp", u.opts.Settings.Addresses.Caller); err != nil {
 		return err
 	}
-	if u.peerLn, err = lc.Listen(ctx, "tcp", u.opts.Settings.Addresses.Peer); err != nil {
+	if u.peerLn, err = u.opts.Network.Listen(ctx, "tcp", u.opts.Settings.Addresses.Peer); err != nil {
 		_ = u.callerLn.Close()
 	}
 	return err
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,11 +25,13 @@
 	"fescuestand/internal/driver/httpdriver/httpapi"
 	"fescuestand/internal/kernel"
 	"fescuestand/internal/logclient"
+	"fescuestand/internal/network"
 	"fescuestand/internal/node"
 	"fescuestand/internal/peer"
 	"fescuestand/internal/process"
 	"fescuestand/internal/replica"
 	"fescuestand/internal/settings"
+	"fescuestand/internal/simnet"
 	"fescuestand/internal/standin/engine"
 	"fescuestand/internal/standin/httpjson"
 	"fescuestand/internal/standin/logservice"
@@ -61,6 +64,51 @@
 	newestAddr    atomic.Pointer[string] // address of the entry started last
 	client        *http.Client
 	onProvisioned func(*Unit)
+	sockets       machine
+}
+
+// machine is what the processes of a cluster run on.
+type machine struct {
+	network network.Network
+	driver  string // for connections to the fakes
+	clock   clock.Clock
+	address func() string // returns an unused one
+}
+
+// loopbackMachine is this machine.
+func loopbackMachine() machine {
+	return machine{network: network.Machine{}, driver: httpdriver.Name, clock: clock.Boot{}, address: loopback.FreeAddress}
+}
+
+const (
+	simulatedDriver    = "simulated"
+	firstSimulatedPort = 9000
+)
+
+// hostDialer dials from the host of the latest cluster in simulated time.
+type hostDialer struct{ host atomic.Pointer[simnet.Host] }
+
+// DialContext implements stall.Dialer.
+func (d *hostDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return d.host.Load().DialContext(ctx, network, address)
+}
+
+var simulatedDialer = sync.OnceValue(func() *hostDialer {
+	d := &hostDialer{}
+	httpdriver.Register(simulatedDriver, d)
+	return d
+})
+
+// simulatedMachine is a host of a simulated network. It is used in a bubble.
+func simulatedMachine(t testing.TB) machine {
+	n := simnet.New(simnet.Options{Seed: 1, Latency: 100 * time.Microsecond, Jitter: 50 * time.Microsecond})
+	t.Cleanup(n.Close)
+	host, port := n.NewHost(), firstSimulatedPort
+	simulatedDialer().host.Store(host)
+	return machine{network: host.Sockets(), driver: simulatedDriver, clock: simnet.Clock{}, address: func() string {
+		port++
+		return net.JoinHostPort(host.IP().String(), strconv.Itoa(port))
+	}}
 }
 
 // entryNode is one running fescue-entry.
@@ -77,13 +125,20 @@
 	services []service.Config
 	// onProvisioned is called with each entry before it serves.
 	onProvisioned func(*Unit)
+	// simulated runs the cluster in simulated time.
+	simulated bool
 }
 
 func newCluster(t testing.TB, cfg clusterConfig) *cluster {
 	t.Helper()
+	on := loopbackMachine()
+	if cfg.simulated {
+		on = simulatedMachine(t)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	entryCtx, stop := context.WithCancel(ctx)
-	cl := &cluster{t: t, ctx: ctx, entryCtx: entryCtx, onProvisioned: cfg.onProvisioned, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	cl := &cluster{t: t, ctx: ctx, entryCtx: entryCtx, onProvisioned: cfg.onProvisioned, sockets: on}
+	cl.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: on.network.Dialer(network.DialOptions{}).DialContext}}
 	t.Cleanup(func() {
 		cl.client.CloseIdleConnections()
 		http.DefaultClient.CloseIdleConnections()
@@ -94,7 +149,7 @@
 	})
 	cl.logAddr = cl.startServer(logservice.New(logservice.Config{}).Handler())
 	for _, e := range cfg.engines {
-		e.Address = loopback.FreeAddress()
+		e.Address, e.Network = on.address(), on.network
 		cl.engines = append(cl.engines, e.Address)
 		server := engine.New(e)
 		cl.wg.Go(func() { _ = server.Serve(ctx) })
@@ -108,7 +163,7 @@
 	var vms []httpapi.VM
 	for i := range cfg.entries {
 		vms = append(vms, httpapi.VM{
-			Name: fmt.Sprintf("vm%d", i), Zone: "z", Caller: loopback.FreeAddress(), Peer: loopback.FreeAddress(), Status: loopback.FreeAddress(),
+			Name: fmt.Sprintf("vm%d", i), Zone: "z", Caller: on.address(), Peer: on.address(), Status: on.address(),
 		})
 	}
 	cl.vms = vms
@@ -125,18 +180,18 @@
 }
 
 func (cl *cluster) startServer(h http.Handler) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := cl.sockets.network.Listen(cl.ctx, "tcp", cl.sockets.address())
 	assert.NilError(cl.t, err)
 	cl.wg.Go(func() { _ = httpjson.ServeOn(cl.ctx, l, h) })
 	return l.Addr().String()
 }
 
-func target(addr string) driver.Target {
-	return driver.Target{Driver: httpdriver.Name, Address: addr}
+func (cl *cluster) target(addr string) driver.Target {
+	return driver.Target{Driver: cl.sockets.driver, Address: addr}
 }
 
 func (cl *cluster) logClient(writer string) *logclient.Client {
-	s := node.Settings{Log: target(cl.logAddr)}
+	s := node.Settings{Log: cl.target(cl.logAddr)}
 	l, err := s.OpenLog()
 	assert.NilError(cl.t, err)
 	return logclient.New(logclient.Options{Log: l, Writer: writer, VM: writer, MaxAppendsPerSecond: 200, Burst: 50})
@@ -146,7 +201,7 @@
 func (cl *cluster) publish() {
 	var engines, names, endpoints []string
 	for i, a := range cl.engines {
-		engines = append(engines, fmt.Sprintf(`{"name":"e%d","zone":"z","driver":"http","address":%q,"checks_fence":true}`, i, a))
+		engines = append(engines, fmt.Sprintf(`{"name":"e%d","zone":"z","driver":%q,"address":%q,"checks_fence":true}`, i, cl.sockets.driver, a))
 		names = append(names, fmt.Sprintf("%q", fmt.Sprintf("e%d", i)))
 	}
 	for i, a := range cl.services {
@@ -154,11 +209,11 @@
 	}
 	body := fmt.Sprintf(`{"deployment":"d","engines":[%s],
 		"pools":[{"name":"drafts","model":"m","version":"1","engines":[%s],"max_away_share":0.5,"roles":{}}],
-		"services":[{"name":"lantern","driver":"http","endpoints":[%s],
+		"services":[{"name":"lantern","driver":%q,"endpoints":[%s],
 			"operations":[{"name":"balance","idempotent":true},{"name":"topup","idempotent":false}]}],
 		"classes":[{"name":"question","priority":1,"deadline":"30s","first_token":"10s","between_tokens":"1s","objective":0.9}],
 		"limits":{"max_body":100000,"max_tokens":2000,"workspace_share":1,"commit_window":"1h","queue_per_engine":64}}`,
-		strings.Join(engines, ","), strings.Join(names, ","), strings.Join(endpoints, ","))
+		strings.Join(engines, ","), strings.Join(names, ","), cl.sockets.driver, strings.Join(endpoints, ","))
 	c := cl.logClient("publisher")
 	defer func() { assert.NilError(cl.t, c.Close()) }()
 	entry := &wire.Entry{Kind: &wire.Entry_Sheet{Sheet: &wire.Sheet{Body: []byte(body), PublishId: "p1"}}}
@@ -171,7 +226,7 @@
 	s := Defaults()
 	s.Deployment, s.VM, s.Zone = "d", vm.Name, vm.Zone
 	s.Addresses = node.Addresses{Caller: vm.Caller, Peer: vm.Peer, Status: vm.Status}
-	s.Log, s.VMList, s.WeightStore = target(cl.logAddr), target(cl.vmListAddr), target(cl.logAddr)
+	s.Log, s.VMList, s.WeightStore = cl.target(cl.logAddr), cl.target(cl.vmListAddr), cl.target(cl.logAddr)
 	s.DrainTimeout = settings.Duration(30 * time.Second)
 	incarnation := node.NewIncarnation()
 	client := cl.logClient(incarnation)
@@ -180,10 +235,10 @@
 	peers := peer.NewPool(process.Hello(&s.Settings, processName, incarnation))
 	r := replica.New(replica.Options{
 		Log: client, VMs: vms, Peers: peers, Stream: "config", VM: vm.Name, Process: "entry",
-		Incarnation: incarnation, GossipInterval: 50 * time.Millisecond,
+		Incarnation: incarnation, GossipInterval: 50 * time.Millisecond, Clock: cl.sockets.clock,
 	})
 	n := &entryNode{addr: vm.Caller, signals: make(chan os.Signal, 2), done: make(chan error, 1)}
-	n.unit = New(Options{Settings: s, Incarnation: incarnation, Replica: r, Log: client, Peers: peers, Clock: clock.Boot{}})
+	n.unit = New(Options{Settings: s, Incarnation: incarnation, Replica: r, Log: client, Peers: peers, Clock: cl.sockets.clock, Network: cl.sockets.network})
 	opt := kernel.Options{DrainTimeout: s.DrainTimeout.D(), Signals: n.signals}
 	cl.entryWG.Go(func() {
 		n.done <- kernel.Run(cl.entryCtx, opt, r, n.unit, cl.provisioned(n.unit))
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fescuestand/internal/driver"
+	"fescuestand/internal/network"
 )
 
 // Names of the faults that POST /fault injects.
@@ -67,6 +68,8 @@
 	WeightStore  string          // address of the weight store; if empty, loads are instant
 	Poison       string          // a prompt that contains it crashes the engine
 	Downtime     time.Duration   // time from a crash to the restart
+	// Network is what it listens on, the machine's if it is nil.
+	Network network.Network
 	// Exit ends the process on a crash. If nil, a crash closes the listener and all streams, and the
 	// engine restarts after Downtime.
 	Exit func()
@@ -85,5 +88,8 @@
 	c.KVPerToken = cmp.Or(c.KVPerToken, defaultKVPerToken)
 	c.RoleChange = cmp.Or(c.RoleChange, defaultRoleChange)
 	c.Downtime = cmp.Or(c.Downtime, defaultDowntime)
+	if c.Network == nil {
+		c.Network = network.Machine{}
+	}
 	return c
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -45,7 +45,7 @@
 
 // Serve runs the engine, with restarts after crashes, until ctx is done.
 func (e *Engine) Serve(ctx context.Context) error {
-	l, err := net.Listen("tcp", e.cfg.Address)
+	l, err := e.cfg.Network.Listen(ctx, "tcp", e.cfg.Address)
 	if err != nil {
 		return eris.Wrapf(err, "engine can't listen on %s", e.cfg.Address)
 	}
@@ -60,17 +60,17 @@
 		if !clock.Sleep(ctx, e.cfg.Downtime) {
 			return nil
 		}
-		if l, err = relisten(ctx, e.cfg.Address); err != nil {
+		if l, err = relisten(ctx, &e.cfg); err != nil {
 			return err
 		}
 	}
 }
 
-// relisten listens on the address again after a crash. It retries, as the address can still be in use
+// relisten listens on the engine's address again after a crash. It retries, as the address can still be in use
 // for a moment.
-func relisten(ctx context.Context, address string) (net.Listener, error) {
+func relisten(ctx context.Context, c *Config) (net.Listener, error) {
 	for {
-		l, err := net.Listen("tcp", address)
+		l, err := c.Network.Listen(ctx, "tcp", c.Address)
 		if err == nil {
 			return l, nil
 		}
