The body is kept while a silent engine may turn out not to have run the request

A stream was sent to a silent engine and to its replacement, which are two runs, so that the body was released once the replacement answered. The silent engine then answered 503: its run was taken back, one more was allowed, and when the second engine fell silent, too, a third got the request without its body.

The body isn't released by a replacement that is being secured any more, but at the end of the call.

TestBodyIsKeptWhileASilentEngineMayNotHaveRun failed before: the third engine got an empty body.

--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -310,7 +310,8 @@
 		resp.Close()
 		return nil, ans, r
 	}
-	if !s.PrefillOnly && !x.mayRunAgain() && resp.RequestWritten() {
+	// While a replacement is secured, the silent endpoint may still say that it hasn't run the request.
+	if !s.PrefillOnly && !x.mayRunAgain() && x.ctx == x.callCtx && resp.RequestWritten() {
 		x.call.releaseBody() // it isn't sent again
 	}
 	return resp, ans, r
--- a/internal/gateway/replaced_test.go
+++ b/internal/gateway/replaced_test.go
@@ -324,3 +324,37 @@
 		assert.Equal(t, d.arrivals.Load(), int32(1))
 	})
 }
+
+// Guards against a request that is sent without its body: two engines had been sent the stream, the silent one says late
+// that it hasn't run it, and the other one falls silent.
+func TestBodyIsKeptWhileASilentEngineMayNotHaveRun(t *testing.T) {
+	simulated(t, func(t *testing.T, w *testGateway) {
+		w.setRoute(streamRoute)
+		sent := make(chan string, 1)
+		third := w.serve(t, func(_ *backend, _ int, r *http.Request, c net.Conn) bool {
+			body, _ := io.ReadAll(r.Body) // the test compares what has been read
+			sent <- string(body)
+			return events(c, 3, 3, true)
+		})
+		rejected := make(chan struct{})
+		second := w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+			<-rejected
+			time.Sleep(10 * time.Millisecond)
+			events(c, 1, 2, false)
+			w.addEndpoint("c", catalog.Decode, third)
+			awaitClose(c)
+			return false
+		})
+		w.addEndpoint("a", catalog.Decode, w.serve(t, func(b *backend, n int, r *http.Request, c net.Conn) bool {
+			w.addEndpoint("b", catalog.Decode, second)
+			time.Sleep(time.Second)
+			defer close(rejected)
+			return rejectRequest(b, n, r, c)
+		}))
+		resp, body, err := w.request(t, "POST", "/x/", "body", "Tokens", "100")
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, 200, body)
+		assert.Equal(t, eventIDs(body), "1 2 3")
+		assert.Equal(t, <-sent, "body")
+	})
+}
