--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -1,12 +1,11 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,7 +30,6 @@
 	"fescuestand/internal/process"
 	"fescuestand/internal/replica"
 	"fescuestand/internal/settings"
-	"fescuestand/internal/simnet"
 	"fescuestand/internal/standin/engine"
 	"fescuestand/internal/standin/httpjson"
 	"fescuestand/internal/standin/logservice"
@@ -48,7 +46,7 @@
 	goleak.VerifyTestMain(m)
 }
 
-// cluster is a whole deployment in one process, on loopback.
+// cluster is a whole deployment in one process, on one machine.
 type cluster struct {
 	t             testing.TB
 	ctx           context.Context // of the fakes, which run longer than the entries
@@ -64,52 +62,12 @@
 	newestAddr    atomic.Pointer[string] // address of the entry started last
 	client        *http.Client
 	onProvisioned func(*Unit)
-	sockets       machine
+	drainTimeout  time.Duration
+	on            machine
 }
 
-// machine is what the processes of a cluster run on.
-type machine struct {
-	network network.Network
-	driver  string // for connections to the fakes
-	clock   clock.Clock
-	address func() string // returns an unused one
-}
-
-// loopbackMachine is this machine.
-func loopbackMachine() machine {
-	return machine{network: network.Machine{}, driver: httpdriver.Name, clock: clock.Boot{}, address: loopback.FreeAddress}
-}
-
-const (
-	simulatedDriver    = "simulated"
-	firstSimulatedPort = 9000
-)
-
-// hostDialer dials from the host of the latest cluster in simulated time.
-type hostDialer struct{ host atomic.Pointer[simnet.Host] }
-
-// DialContext implements stall.Dialer.
-func (d *hostDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	return d.host.Load().DialContext(ctx, network, address)
-}
-
-var simulatedDialer = sync.OnceValue(func() *hostDialer {
-	d := &hostDialer{}
-	httpdriver.Register(simulatedDriver, d)
-	return d
-})
-
-// simulatedMachine is a host of a simulated network. It is used in a bubble.
-func simulatedMachine(t testing.TB) machine {
-	n := simnet.New(simnet.Options{Seed: 1, Latency: 100 * time.Microsecond, Jitter: 50 * time.Microsecond})
-	t.Cleanup(n.Close)
-	host, port := n.NewHost(), firstSimulatedPort
-	simulatedDialer().host.Store(host)
-	return machine{network: host.Sockets(), driver: simulatedDriver, clock: simnet.Clock{}, address: func() string {
-		port++
-		return net.JoinHostPort(host.IP().String(), strconv.Itoa(port))
-	}}
-}
+// defaultDrainTimeout is longer than any drain lasts.
+const defaultDrainTimeout = 30 * time.Second
 
 // entryNode is one running fescue-entry.
 type entryNode struct {
@@ -120,9 +78,10 @@
 }
 
 type clusterConfig struct {
-	entries  int
-	engines  []engine.Config
-	services []service.Config
+	entries      int
+	engines      []engine.Config
+	services     []service.Config
+	drainTimeout time.Duration // zero for defaultDrainTimeout
 	// onProvisioned is called with each entry before it serves.
 	onProvisioned func(*Unit)
 	// simulated runs the cluster in simulated time.
@@ -137,7 +96,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	entryCtx, stop := context.WithCancel(ctx)
-	cl := &cluster{t: t, ctx: ctx, entryCtx: entryCtx, onProvisioned: cfg.onProvisioned, sockets: on}
+	cl := &cluster{t: t, ctx: ctx, entryCtx: entryCtx, on: on, onProvisioned: cfg.onProvisioned, drainTimeout: cmp.Or(cfg.drainTimeout, defaultDrainTimeout)}
 	cl.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: on.network.Dialer(network.DialOptions{}).DialContext}}
 	t.Cleanup(func() {
 		cl.client.CloseIdleConnections()
@@ -180,14 +139,14 @@
 }
 
 func (cl *cluster) startServer(h http.Handler) string {
-	l, err := cl.sockets.network.Listen(cl.ctx, "tcp", cl.sockets.address())
+	l, err := cl.on.network.Listen(cl.ctx, "tcp", cl.on.address())
 	assert.NilError(cl.t, err)
 	cl.wg.Go(func() { _ = httpjson.ServeOn(cl.ctx, l, h) })
 	return l.Addr().String()
 }
 
 func (cl *cluster) target(addr string) driver.Target {
-	return driver.Target{Driver: cl.sockets.driver, Address: addr}
+	return driver.Target{Driver: cl.on.driver, Address: addr}
 }
 
 func (cl *cluster) logClient(writer string) *logclient.Client {
@@ -201,7 +160,7 @@
 func (cl *cluster) publish() {
 	var engines, names, endpoints []string
 	for i, a := range cl.engines {
-		engines = append(engines, fmt.Sprintf(`{"name":"e%d","zone":"z","driver":%q,"address":%q,"checks_fence":true}`, i, cl.sockets.driver, a))
+		engines = append(engines, fmt.Sprintf(`{"name":"e%d","zone":"z","driver":%q,"address":%q,"checks_fence":true}`, i, cl.on.driver, a))
 		names = append(names, fmt.Sprintf("%q", fmt.Sprintf("e%d", i)))
 	}
 	for i, a := range cl.services {
@@ -213,7 +172,7 @@
 			"operations":[{"name":"balance","idempotent":true},{"name":"topup","idempotent":false}]}],
 		"classes":[{"name":"question","priority":1,"deadline":"30s","first_token":"10s","between_tokens":"1s","objective":0.9}],
 		"limits":{"max_body":100000,"max_tokens":2000,"workspace_share":1,"commit_window":"1h","queue_per_engine":64}}`,
-		strings.Join(engines, ","), strings.Join(names, ","), cl.sockets.driver, strings.Join(endpoints, ","))
+		strings.Join(engines, ","), strings.Join(names, ","), cl.on.driver, strings.Join(endpoints, ","))
 	c := cl.logClient("publisher")
 	defer func() { assert.NilError(cl.t, c.Close()) }()
 	entry := &wire.Entry{Kind: &wire.Entry_Sheet{Sheet: &wire.Sheet{Body: []byte(body), PublishId: "p1"}}}
@@ -227,7 +186,7 @@
 	s.Deployment, s.VM, s.Zone = "d", vm.Name, vm.Zone
 	s.Addresses = node.Addresses{Caller: vm.Caller, Peer: vm.Peer, Status: vm.Status}
 	s.Log, s.VMList, s.WeightStore = cl.target(cl.logAddr), cl.target(cl.vmListAddr), cl.target(cl.logAddr)
-	s.DrainTimeout = settings.Duration(30 * time.Second)
+	s.DrainTimeout = settings.Duration(cl.drainTimeout)
 	incarnation := node.NewIncarnation()
 	client := cl.logClient(incarnation)
 	vms, err := s.OpenVMList()
@@ -235,10 +194,10 @@
 	peers := peer.NewPool(process.Hello(&s.Settings, processName, incarnation))
 	r := replica.New(replica.Options{
 		Log: client, VMs: vms, Peers: peers, Stream: "config", VM: vm.Name, Process: "entry",
-		Incarnation: incarnation, GossipInterval: 50 * time.Millisecond, Clock: cl.sockets.clock,
+		Incarnation: incarnation, GossipInterval: 50 * time.Millisecond, Clock: cl.on.clock,
 	})
 	n := &entryNode{addr: vm.Caller, signals: make(chan os.Signal, 2), done: make(chan error, 1)}
-	n.unit = New(Options{Settings: s, Incarnation: incarnation, Replica: r, Log: client, Peers: peers, Clock: cl.sockets.clock, Network: cl.sockets.network})
+	n.unit = New(Options{Settings: s, Incarnation: incarnation, Replica: r, Log: client, Peers: peers, Clock: cl.on.clock, Network: cl.on.network})
 	opt := kernel.Options{DrainTimeout: s.DrainTimeout.D(), Signals: n.signals}
 	cl.entryWG.Go(func() {
 		n.done <- kernel.Run(cl.entryCtx, opt, r, n.unit, cl.provisioned(n.unit))
