Refuse a request whose body is still being read as the shutdown ends

A request was registered for the last answer of a shutdown only once its body had been read. A caller that sent its body slowly, or paused in it, got no answer: the connection was closed as the drain timed out.

A read in progress is ended at the time of the last answers, and the caller gets 503 with a Retry-After delay: nothing has run.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -62,10 +62,10 @@
 	return s != nil && (x.answerClaim.Load() == claimedByShutdown || x.now() >= s.end)
 }
 
-// readyPeers returns the number of other VMs that accept callers.
-func (g *Gateway) readyPeers() int {
+// retryAfterShutdown returns the delay after which a caller that this VM's shutdown has refused finds a VM that accepts it.
+func (g *Gateway) retryAfterShutdown() time.Duration {
 	ready, _ := g.o.Peers()
-	return ready
+	return drain.RetryAfter(ready, g.shutdown.Load().end.Sub(g.o.Clock.Now()))
 }
 
 // shutdown is the schedule of a process that is shutting down.
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -11,7 +11,6 @@
 	"github.com/apex/log"
 
 	"fescuestand/internal/code"
-	"fescuestand/internal/policy/drain"
 	"fescuestand/internal/policy/scarcity"
 )
 
@@ -21,7 +20,7 @@
 	switch {
 	case last.outcome == gone && x.isEndedByShutdown():
 		last.outcome, last.code, last.err = aborted, code.Leaving, errShutdownEnds
-		last.retryAfter = drain.RetryAfter(x.g.readyPeers(), x.g.shutdown.Load().end.Sub(x.now()))
+		last.retryAfter = x.g.retryAfterShutdown()
 	case last.outcome == gone && x.callerCtx.Err() != nil:
 		last.code = code.CallerGone
 	}
--- a/internal/gateway/slow_caller_test.go
+++ b/internal/gateway/slow_caller_test.go
@@ -98,3 +98,36 @@
 		}
 	})
 }
+
+// Guards against a caller that gets no answer as its body is still being read at the end of a shutdown.
+func TestBodyInProgressIsRefusedBeforeTheShutdownEnds(t *testing.T) {
+	const shutdownTime = 2 * time.Second
+	for name, part := range map[string]string{"pauses": "", "creeps": "x"} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(catalog.Route{Kind: catalog.Idempotent, MaxAttempts: 1})
+				c, err := w.network.NewHost().DialContext(t.Context(), "tcp4", w.Listener.Addr().String())
+				assert.NilError(t, err)
+				defer func() { _ = c.Close() }()
+				_, err = io.WriteString(c, "POST /x/ HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nPatience: 60000\r\nContent-Length: 100\r\n\r\nx")
+				assert.NilError(t, err)
+				time.Sleep(time.Millisecond)
+				w.shutDown(t, shutdownTime)
+				signal := time.Now()
+				go func() {
+					for range 20 {
+						time.Sleep(250 * time.Millisecond)
+						if _, err := io.WriteString(c, part); err != nil {
+							return
+						}
+					}
+				}()
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+				assert.Assert(t, resp.Header.Get("Retry-After") != "")
+				assert.Assert(t, time.Since(signal) < shutdownTime, "refused after %s", time.Since(signal))
+			})
+		})
+	}
+}
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"fescuestand/internal/catalog"
@@ -88,23 +90,66 @@
 	read       int64
 	marked     int64 // of read, when progress was made last
 	progressBy time.Time
+
+	mu    sync.Mutex
+	ended bool // the shutdown has ended it
+	done  bool // it isn't read any more
 }
 
 // Read implements io.Reader.
 func (b *timedBody) Read(p []byte) (int, error) {
 	by := b.deadline(time.Now())
-	if err := b.rc.SetReadDeadline(by); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if err := b.setDeadline(by); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return 0, err
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
-	if err != nil && !errors.Is(err, io.EOF) && !time.Now().Before(by) {
+	if err != nil && !errors.Is(err, io.EOF) && (b.isEnded() || !time.Now().Before(by)) {
 		// net/http reports a trailer that it waits for in vain as an invalid one.
 		err = os.ErrDeadlineExceeded
 	}
 	return n, err
 }
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+func (b *timedBody) setDeadline(t time.Time) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		t = longAgo
+	}
+	return b.rc.SetReadDeadline(t)
+}
+
+// endForShutdown ends a read of the body, unless it is done.
+func (b *timedBody) endForShutdown() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.done {
+		return
+	}
+	b.ended = true
+	// A failure means that the connection has been closed, which the read notices.
+	_ = b.rc.SetReadDeadline(longAgo)
+}
+
+func (b *timedBody) isEnded() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended
+}
+
+// finish removes the deadline.
+func (b *timedBody) finish() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.done = true
+	// A failure means that the connection has been closed, which the call notices.
+	_ = b.rc.SetReadDeadline(time.Time{})
+}
+
 func (b *timedBody) deadline(now time.Time) time.Time {
 	if b.progressBy.IsZero() || !b.large || b.read-b.marked >= minBodyProgress {
 		b.marked, b.progressBy = b.read, now.Add(maxBodyPause)
@@ -130,11 +175,16 @@
 	if c.CallerTimeout > 0 {
 		body.until = time.Now().Add(c.CallerTimeout)
 	}
+	stop := context.AfterFunc(g.lastAnswers, body.endForShutdown)
+	defer stop()
 	r.Body = body
 	refused := g.readBody(w, r, limit, c)
 	r.Body = body.ReadCloser
-	// A failure means that the connection has been closed, which the call notices.
-	_ = body.rc.SetReadDeadline(time.Time{})
+	body.finish()
+	if refused != nil && refused.code == code.SlowSender && body.isEnded() {
+		refused = refuse(code.Leaving, errShutdownEnds.Error())
+		refused.retryAfter = g.retryAfterShutdown()
+	}
 	return refused
 }
 
