A fault in a commit ends neither the process nor its caller's connection

Since a caller of fescue-entry is answered at the end of a shutdown while its commit goes on, a commit runs in a goroutine of its own. A panic there wasn't recovered by the server any more and ended the process with all of its requests; before it ended the one request.

The goroutine logs the fault, and the caller gets 4001 (outcome unknown). TestFaultInACommitIsContained ended the test process before.

--- a/internal/commit/committer.go
+++ b/internal/commit/committer.go
@@ -8,9 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"fescuestand/internal/clock"
 	"fescuestand/internal/code"
 	"fescuestand/internal/driver"
+	"fescuestand/internal/fault"
 	"fescuestand/internal/wire"
 )
 
@@ -74,8 +77,14 @@
 	}
 	done, dispatched := make(chan result, 1), make(chan struct{})
 	go func() {
-		ans, err := c.do(ctx, r, dispatched)
-		done <- result{ans, err}
+		res := result{err: unknownError("a fault has ended the commit")}
+		defer func() {
+			if f := recover(); f != nil {
+				fault.Entry(log.WithField("key", r.Key), f).Error("commit failed")
+			}
+			done <- res
+		}()
+		res.ans, res.err = c.do(ctx, r, dispatched)
 	}()
 	refused, stop := refusalOf(ctx)
 	defer stop()
--- a/internal/commit/committer_test.go
+++ b/internal/commit/committer_test.go
@@ -76,6 +76,23 @@
 	assert.Equal(t, len(violations), 0, violations)
 }
 
+// Guards against a fault in one commit that ends the process and all its requests.
+func TestFaultInACommitIsContained(t *testing.T) {
+	violations := simulate(t, 1, Options{}, faults{}, faults{}, func(sim *simulation) {
+		n := sim.nodes[0]
+		n.onStep = func(_ *simNode, s step, _ string) {
+			if s == afterSend {
+				panic("fault")
+			}
+		}
+		_, err := n.c.Do(context.Background(), &Request{Key: "k", Issued: time.Now(), Body: []byte("k")})
+		assert.Equal(t, code.Of(err).Code, code.CommitUnknown)
+		assert.Equal(t, code.Of(err).Run, code.Unknown)
+		assert.Equal(t, n.c.Pending(), 0)
+	})
+	assert.Equal(t, len(violations), 0, violations)
+}
+
 // Guards against a double execution and against a wrong not-run answer, after which the caller
 // would charge again. An app sends each of 200 keys to three entries at once and retries when it
 // gets no answer. The log loses answers and appends records late; the service's answers are lost,
