--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -18,9 +18,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
-	"fescuestand/internal/clock"
 	"fescuestand/internal/driver"
-	"fescuestand/internal/driver/httpdriver"
 	"fescuestand/internal/driver/httpdriver/httpapi"
 	"fescuestand/internal/kernel"
 	"fescuestand/internal/logclient"
@@ -33,7 +31,6 @@
 	"fescuestand/internal/standin/engine"
 	"fescuestand/internal/standin/httpjson"
 	"fescuestand/internal/standin/logservice"
-	"fescuestand/internal/standin/loopback"
 	"fescuestand/internal/standin/service"
 	"fescuestand/internal/standin/vmlist"
 	"fescuestand/internal/wire"
