--- a/scenarios/planned_stop_test.go
+++ b/scenarios/planned_stop_test.go
@@ -243,6 +243,8 @@
 		stop, stops := r.stopOf(r.vms[slices.IndexFunc(r.vms, func(v *soakVM) bool { return v.front == a.vm })])
 		after := a.sent.Sub(stop) // meaningless unless stops
 		switch {
+		case stops && after >= time.Duration(r.vms[0].grace*float64(time.Second)):
+			when = "after the restart"
 		case stops && after >= slowAfter:
 			when = "late"
 		case stops && after >= 0:
