--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -25,6 +24,7 @@
 	"fescuestand/internal/driver/httpdriver/httpapi"
 	"fescuestand/internal/kernel"
 	"fescuestand/internal/logclient"
+	"fescuestand/internal/network"
 	"fescuestand/internal/node"
 	"fescuestand/internal/peer"
 	"fescuestand/internal/process"
@@ -46,7 +46,7 @@
 	goleak.VerifyTestMain(m)
 }
 
-// cluster is a whole deployment in one process, on loopback.
+// cluster is a whole deployment in one process, on one machine.
 type cluster struct {
 	t             testing.TB
 	ctx           context.Context // of the fakes, which run longer than the entries
@@ -63,6 +63,7 @@
 	client        *http.Client
 	onProvisioned func(*Unit)
 	drainTimeout  time.Duration
+	on            machine
 }
 
 // defaultDrainTimeout is longer than any drain lasts.
@@ -83,13 +84,20 @@
 	drainTimeout time.Duration // zero for defaultDrainTimeout
 	// onProvisioned is called with each entry before it serves.
 	onProvisioned func(*Unit)
+	// simulated runs the cluster in simulated time.
+	simulated bool
 }
 
 func newCluster(t testing.TB, cfg clusterConfig) *cluster {
 	t.Helper()
+	on := loopbackMachine()
+	if cfg.simulated {
+		on = simulatedMachine(t)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	entryCtx, stop := context.WithCancel(ctx)
-	cl := &cluster{t: t, ctx: ctx, entryCtx: entryCtx, onProvisioned: cfg.onProvisioned, drainTimeout: cmp.Or(cfg.drainTimeout, defaultDrainTimeout), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	cl := &cluster{t: t, ctx: ctx, entryCtx: entryCtx, on: on, onProvisioned: cfg.onProvisioned, drainTimeout: cmp.Or(cfg.drainTimeout, defaultDrainTimeout)}
+	cl.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: on.network.Dialer(network.DialOptions{}).DialContext}}
 	t.Cleanup(func() {
 		cl.client.CloseIdleConnections()
 		http.DefaultClient.CloseIdleConnections()
@@ -100,7 +108,7 @@
 	})
 	cl.logAddr = cl.startServer(logservice.New(logservice.Config{}).Handler())
 	for _, e := range cfg.engines {
-		e.Address = loopback.FreeAddress()
+		e.Address, e.Network = on.address(), on.network
 		cl.engines = append(cl.engines, e.Address)
 		server := engine.New(e)
 		cl.wg.Go(func() { _ = server.Serve(ctx) })
@@ -114,7 +122,7 @@
 	var vms []httpapi.VM
 	for i := range cfg.entries {
 		vms = append(vms, httpapi.VM{
-			Name: fmt.Sprintf("vm%d", i), Zone: "z", Caller: loopback.FreeAddress(), Peer: loopback.FreeAddress(), Status: loopback.FreeAddress(),
+			Name: fmt.Sprintf("vm%d", i), Zone: "z", Caller: on.address(), Peer: on.address(), Status: on.address(),
 		})
 	}
 	cl.vms = vms
@@ -131,18 +139,18 @@
 }
 
 func (cl *cluster) startServer(h http.Handler) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := cl.on.network.Listen(cl.ctx, "tcp", cl.on.address())
 	assert.NilError(cl.t, err)
 	cl.wg.Go(func() { _ = httpjson.ServeOn(cl.ctx, l, h) })
 	return l.Addr().String()
 }
 
-func target(addr string) driver.Target {
-	return driver.Target{Driver: httpdriver.Name, Address: addr}
+func (cl *cluster) target(addr string) driver.Target {
+	return driver.Target{Driver: cl.on.driver, Address: addr}
 }
 
 func (cl *cluster) logClient(writer string) *logclient.Client {
-	s := node.Settings{Log: target(cl.logAddr)}
+	s := node.Settings{Log: cl.target(cl.logAddr)}
 	l, err := s.OpenLog()
 	assert.NilError(cl.t, err)
 	return logclient.New(logclient.Options{Log: l, Writer: writer, VM: writer, MaxAppendsPerSecond: 200, Burst: 50})
@@ -152,7 +160,7 @@
 func (cl *cluster) publish() {
 	var engines, names, endpoints []string
 	for i, a := range cl.engines {
-		engines = append(engines, fmt.Sprintf(`{"name":"e%d","zone":"z","driver":"http","address":%q,"checks_fence":true}`, i, a))
+		engines = append(engines, fmt.Sprintf(`{"name":"e%d","zone":"z","driver":%q,"address":%q,"checks_fence":true}`, i, cl.on.driver, a))
 		names = append(names, fmt.Sprintf("%q", fmt.Sprintf("e%d", i)))
 	}
 	for i, a := range cl.services {
@@ -160,11 +168,11 @@
 	}
 	body := fmt.Sprintf(`{"deployment":"d","engines":[%s],
 		"pools":[{"name":"drafts","model":"m","version":"1","engines":[%s],"max_away_share":0.5,"roles":{}}],
-		"services":[{"name":"lantern","driver":"http","endpoints":[%s],
+		"services":[{"name":"lantern","driver":%q,"endpoints":[%s],
 			"operations":[{"name":"balance","idempotent":true},{"name":"topup","idempotent":false}]}],
 		"classes":[{"name":"question","priority":1,"deadline":"30s","first_token":"10s","between_tokens":"1s","objective":0.9}],
 		"limits":{"max_body":100000,"max_tokens":2000,"workspace_share":1,"commit_window":"1h","queue_per_engine":64}}`,
-		strings.Join(engines, ","), strings.Join(names, ","), strings.Join(endpoints, ","))
+		strings.Join(engines, ","), strings.Join(names, ","), cl.on.driver, strings.Join(endpoints, ","))
 	c := cl.logClient("publisher")
 	defer func() { assert.NilError(cl.t, c.Close()) }()
 	entry := &wire.Entry{Kind: &wire.Entry_Sheet{Sheet: &wire.Sheet{Body: []byte(body), PublishId: "p1"}}}
@@ -177,7 +185,7 @@
 	s := Defaults()
 	s.Deployment, s.VM, s.Zone = "d", vm.Name, vm.Zone
 	s.Addresses = node.Addresses{Caller: vm.Caller, Peer: vm.Peer, Status: vm.Status}
-	s.Log, s.VMList, s.WeightStore = target(cl.logAddr), target(cl.vmListAddr), target(cl.logAddr)
+	s.Log, s.VMList, s.WeightStore = cl.target(cl.logAddr), cl.target(cl.vmListAddr), cl.target(cl.logAddr)
 	s.DrainTimeout = settings.Duration(cl.drainTimeout)
 	incarnation := node.NewIncarnation()
 	client := cl.logClient(incarnation)
@@ -186,10 +194,10 @@
 	peers := peer.NewPool(process.Hello(&s.Settings, processName, incarnation))
 	r := replica.New(replica.Options{
 		Log: client, VMs: vms, Peers: peers, Stream: "config", VM: vm.Name, Process: "entry",
-		Incarnation: incarnation, GossipInterval: 50 * time.Millisecond,
+		Incarnation: incarnation, GossipInterval: 50 * time.Millisecond, Clock: cl.on.clock,
 	})
 	n := &entryNode{addr: vm.Caller, signals: make(chan os.Signal, 2), done: make(chan error, 1)}
-	n.unit = New(Options{Settings: s, Incarnation: incarnation, Replica: r, Log: client, Peers: peers, Clock: clock.Boot{}})
+	n.unit = New(Options{Settings: s, Incarnation: incarnation, Replica: r, Log: client, Peers: peers, Clock: cl.on.clock, Network: cl.on.network})
 	opt := kernel.Options{DrainTimeout: s.DrainTimeout.D(), Signals: n.signals}
 	cl.entryWG.Go(func() {
 		n.done <- kernel.Run(cl.entryCtx, opt, r, n.unit, cl.provisioned(n.unit))
