Swarm: a shutdown beside the faults

The swarm's random mix of faults, replacements, prefills and callers that leave or half-close runs beside a shutdown, with and without another VM that is ready. Each call that was sent before the last answers must be answered before the end, unless its answer has begun; none that is refused as not run may have run or run later.

--- a/internal/gateway/swarm_test.go
+++ b/internal/gateway/swarm_test.go
@@ -64,6 +64,7 @@
 	// patientCommits has callers wait for each commit. The gateway gives an endpoint a commit's whole time, so that at the
 	// caller's deadline two of its timers expire at the same moment, and the scheduler decides which of them is handled first.
 	patientCommits bool
+	shutdownAt     time.Duration // when the gateway begins to shut down, zero for never
 
 	mu       sync.Mutex
 	arrivals map[string]int // by id
@@ -276,6 +277,11 @@
 
 var refusalText = regexp.MustCompile(`^[0-9]{4} `)
 
+// swarmShutdownTime is how long a shutdown of the gateway lasts.
+const swarmShutdownTime = 3 * time.Second
+
+func (s *swarm) shutdownEnd() time.Duration { return s.shutdownAt + swarmShutdownTime }
+
 // judge returns how a call has ended, or why it mustn't have ended so.
 func (s *swarm) judge(k *swarmCall) (string, error) {
 	whole := s.wholeAnswer(k)
@@ -288,6 +294,8 @@
 		return "left", nil
 	case k.took > k.patience+maxOvertime:
 		return "", errors.New("ended late")
+	case s.shutdownAt > 0 && k.status != http.StatusOK && k.at < s.shutdownEnd()-answerMargin && k.at+k.took >= s.shutdownEnd():
+		return "", fmt.Errorf("no answer before the end of the shutdown at %s: sent at %s, ended after %s with %d %q", s.shutdownEnd(), k.at, k.took, k.status, k.body)
 	case k.err != nil && k.status == 0:
 		if !k.halfCloses {
 			return "", fmt.Errorf("no answer: %w", k.err)
@@ -332,13 +340,16 @@
 }
 
 // runSwarm runs the swarm of a seed. It returns a line for each call, and the number of calls by verdict.
-func runSwarm(t *testing.T, seed uint64, patientCommits bool) (outcomes string, verdicts map[string]int) {
+func runSwarm(t *testing.T, seed uint64, configure func(*swarm)) (outcomes string, verdicts map[string]int) {
 	t.Helper()
 	verdicts = map[string]int{}
 	var lines strings.Builder
 	synctest.Test(t, func(t *testing.T) {
 		s := newSwarm(t, seed)
-		s.patientCommits = patientCommits
+		configure(s)
+		if s.shutdownAt > 0 {
+			time.AfterFunc(s.shutdownAt, func() { s.w.shutDown(t, swarmShutdownTime) })
+		}
 		caller, calls := s.w.network.NewHost(), s.calls()
 		var all sync.WaitGroup
 		for _, k := range calls {
@@ -364,9 +375,24 @@
 // Guards against answers that nobody gave, commits that run twice, refusals of what has run and streams that miss or
 // repeat an event, in random mixes of faults and of callers that leave or half-close.
 func TestSwarm(t *testing.T) {
+	runSwarms(t, func(*swarm) {})
+}
+
+// Guards against requests that a shutdown ends without an answer, or refuses as not run though they have run or run later.
+func TestSwarmBesideAShutdown(t *testing.T) {
+	runSwarms(t, func(s *swarm) {
+		r := s.rand("shutdown")
+		s.shutdownAt = between(r, swarmTime/4, swarmTime/2)
+		s.w.noPeer.Store(r.IntN(2) == 0)
+	})
+}
+
+// runSwarms runs the swarms of all seeds.
+func runSwarms(t *testing.T, configure func(*swarm)) {
+	t.Helper()
 	total := map[string]int{}
 	for i := range *swarmSeeds {
-		_, verdicts := runSwarm(t, *swarmFirst+uint64(i), false)
+		_, verdicts := runSwarm(t, *swarmFirst+uint64(i), configure)
 		for v, n := range verdicts {
 			total[v] += n
 		}
@@ -386,8 +412,9 @@
 // nanosecond.
 func TestSwarmIsReplayedByItsSeed(t *testing.T) {
 	for i := range uint64(replayedSeeds) {
-		first, _ := runSwarm(t, *swarmFirst+i, true)
-		second, _ := runSwarm(t, *swarmFirst+i, true)
+		patient := func(s *swarm) { s.patientCommits = true }
+		first, _ := runSwarm(t, *swarmFirst+i, patient)
+		second, _ := runSwarm(t, *swarmFirst+i, patient)
 		digest := sha256.Sum256([]byte(first))
 		assert.Equal(t, digest, sha256.Sum256([]byte(second)), "%s\n%s", first, second)
 		t.Logf("seed %d: %x", *swarmFirst+i, digest[:8])
