Calls whose answers are still being sent are named as the shutdown ends

The line 'answer in progress at the end of the shutdown' named streams and relayed answers only. A call's large answer that its caller reads slowly was taken for one that hasn't begun: no line said that the end of the process may cut it off.

TestAnswersInProgressAreLoggedBeforeTheShutdownEnds failed before for a call (0 lines, wanted 1) and passed for a stream.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -6,11 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/catalog"
@@ -237,3 +240,37 @@
 		})
 	}
 }
+
+// Guards against an answer that the end of a shutdown cuts off while no log line names its request.
+func TestAnswersInProgressAreLoggedBeforeTheShutdownEnds(t *testing.T) {
+	const tooMuch = 1 << 20 // more than the network holds of an answer
+	for name, tc := range map[string]struct {
+		route  catalog.Route
+		answer func(c net.Conn) bool
+	}{
+		"stream": {streamRoute, func(c net.Conn) bool { events(c, 1, 1, false); time.Sleep(drainTime); return false }},
+		"call":   {lookupRoute, func(c net.Conn) bool { return respond(c, 200, strings.Repeat("x", tooMuch), "Seal: s") }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				logger := log.Log.(*log.Logger)
+				entries, before := memory.New(), logger.Handler
+				logger.Handler = entries
+				defer func() { logger.Handler = before }()
+				w.setRoute(tc.route)
+				w.addEndpoint("e", catalog.Decode, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool { return tc.answer(c) }))
+				resp := w.openStream(t, "named")
+				w.shutDown(t, drainTime)
+				time.Sleep(drainTime)
+				named := 0
+				for _, e := range entries.Entries {
+					if strings.HasPrefix(e.Message, "answer in progress") && e.Fields["id"] == "named" {
+						named++
+					}
+				}
+				assert.Equal(t, named, 1)
+				assert.NilError(t, resp.Body.Close())
+			})
+		})
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -41,6 +41,7 @@
 func (x *execution) callAttempt() result {
 	r := x.callOnce()
 	if r.outcome == answered {
+		x.answerClaim.CompareAndSwap(0, claimedByEndpoint) // a whole answer is sent even if the shutdown ends the request
 		r.answer.write(x.w)
 		r.answer = nil
 	}
