Test of the log line of answers in progress: no data race

The handler of the log was set in the world, and its entries were read beside the gateway's goroutines: go test -race failed. The lines are counted atomically by a handler that is set before the world begins.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/memory"
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/catalog"
@@ -252,23 +251,23 @@
 		"call":   {lookupRoute, func(c net.Conn) bool { return respond(c, 200, strings.Repeat("x", tooMuch), "Seal: s") }},
 	} {
 		t.Run(name, func(t *testing.T) {
+			var named atomic.Int32
+			logger := log.Log.(*log.Logger)
+			before := logger.Handler
+			logger.Handler = log.HandlerFunc(func(e *log.Entry) error {
+				if strings.HasPrefix(e.Message, "answer in progress") && e.Fields["id"] == "named" {
+					named.Add(1)
+				}
+				return before.HandleLog(e)
+			})
+			defer func() { logger.Handler = before }()
 			simulated(t, func(t *testing.T, w *testGateway) {
-				logger := log.Log.(*log.Logger)
-				entries, before := memory.New(), logger.Handler
-				logger.Handler = entries
-				defer func() { logger.Handler = before }()
 				w.setRoute(tc.route)
 				w.addEndpoint("e", catalog.Decode, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool { return tc.answer(c) }))
 				resp := w.openStream(t, "named")
 				w.shutDown(t, drainTime)
 				time.Sleep(drainTime)
-				named := 0
-				for _, e := range entries.Entries {
-					if strings.HasPrefix(e.Message, "answer in progress") && e.Fields["id"] == "named" {
-						named++
-					}
-				}
-				assert.Equal(t, named, 1)
+				assert.Equal(t, named.Load(), int32(1))
 				assert.NilError(t, resp.Body.Close())
 			})
 		})
