Requests taken for their timeout end before the last answers of a shutdown

Since requests without an answer are ended 0.3 s before the drain times out, but a request was taken if its timeout passes 0.1 s before. One that would have been answered in between got 502 instead, for want of nothing: also one that may not be repeated.

A request is taken for its timeout, and a call by its route's durations, if that ends before the last answers. A stream must begin by then and may go on until the process ends, as before. TestRequestsTakenForTheirTimeoutAreNotEndedByTheShutdown failed before at timeouts that end 0.15 to 0.25 s before the shutdown (502).

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -23,8 +23,9 @@
 	}
 	now := g.o.Clock.Now()
 	length := time.Until(end)
-	g.shutdown.Store(&shutdown{addressesOld: now.Add(g.o.AddressLifetime), start: now, end: now.Add(length)})
-	time.AfterFunc(length-min(answerMargin, length/answerMarginDivisor), func() {
+	margin := min(answerMargin, length/answerMarginDivisor)
+	g.shutdown.Store(&shutdown{addressesOld: now.Add(g.o.AddressLifetime), start: now, end: now.Add(length), margin: margin})
+	time.AfterFunc(length-margin, func() {
 		if ctx.Err() == nil {
 			g.endRequests()
 		}
@@ -71,8 +72,9 @@
 // shutdown is the schedule of a process that is shutting down.
 type shutdown struct {
 	start        clock.Time
-	addressesOld clock.Time // when callers have learned that this VM leaves
-	end          clock.Time // of the process
+	addressesOld clock.Time    // when callers have learned that this VM leaves
+	end          clock.Time    // of the process
+	margin       time.Duration // how long before the end requests without an answer are ended
 }
 
 // refuseInDrain returns the refusal of a request that could be cut off by the end of the process.
@@ -86,7 +88,7 @@
 	now := x.now()
 	ready, leaving := x.g.o.Peers()
 	r := drain.Request{
-		TimeLeft: s.end.Sub(now), CallerTimeout: x.remainingTime(), Wait: firstEventFactor * x.untilFirstEvent,
+		TimeLeft: s.end.Sub(now), Margin: s.margin, CallerTimeout: x.remainingTime(), Wait: firstEventFactor * x.untilFirstEvent,
 		Delays: x.g.startDelays.Sample(now, x.route.Name),
 		Answer: x.expectedAnswer(now, endpoint), AddressesOld: now >= s.addressesOld, PeersReady: ready, PeersLeaving: leaving,
 		Late: drain.IsLate(s.end.Sub(now), s.end.Sub(s.start)),
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -273,3 +273,27 @@
 		})
 	}
 }
+
+// Guards against a request that is taken because its time ends before the shutdown does, and is ended by the shutdown before.
+func TestRequestsTakenForTheirTimeoutAreNotEndedByTheShutdown(t *testing.T) {
+	const (
+		sentAt = 3 * time.Second
+		step   = 50 * time.Millisecond
+	)
+	for timeout := drainTime - sentAt - 600*time.Millisecond; timeout <= drainTime-sentAt; timeout += step {
+		t.Run(timeout.String(), func(t *testing.T) {
+			simulated(t, func(t *testing.T, w *testGateway) {
+				w.setRoute(commitRoute)
+				w.addEndpoint("e", catalog.Whole, w.serve(t, func(_ *backend, _ int, _ *http.Request, c net.Conn) bool {
+					time.Sleep(timeout - step/2)
+					return respond(c, 200, "ok", "Seal: s")
+				}))
+				w.shutDown(t, drainTime)
+				time.Sleep(sentAt)
+				resp, body, err := w.request(t, "POST", "/x/", "", "Patience", fmt.Sprint(timeout.Milliseconds()))
+				assert.NilError(t, err)
+				assert.Assert(t, resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusServiceUnavailable, "%d %s", resp.StatusCode, body)
+			})
+		})
+	}
+}
--- a/internal/policy/drain/drain.go
+++ b/internal/policy/drain/drain.go
@@ -50,6 +50,7 @@
 // Request describes a request that no endpoint has run.
 type Request struct {
 	TimeLeft      time.Duration         // until the process ends
+	Margin        time.Duration         // how long before that requests without an answer are ended
 	CallerTimeout time.Duration         // time left until the caller disconnects
 	Wait          time.Duration         // predicted upper bound of the time until the answer starts
 	Delays        Sample[time.Duration] // by which answers have started later than predicted
@@ -82,7 +83,8 @@
 // Decide returns the verdict and, if it is Refuse, the Retry-After delay.
 func Decide(r Request) (Verdict, time.Duration) {
 	left := r.TimeLeft - deliveryMargin
-	if r.CallerTimeout <= left {
+	beginsBy := r.TimeLeft - max(r.Margin, deliveryMargin)
+	if r.CallerTimeout <= beginsBy {
 		return Take, 0
 	}
 	if r.Late && r.PeersReady > 0 {
@@ -90,7 +92,11 @@
 	}
 	share := r.cutShare()
 	delay, _ := r.Delays.Exceeded(share)
-	if longest, known := r.Answer.longest(share); known && r.Wait+delay+longest <= left {
+	begin := r.Wait + delay
+	if r.Answer.isCall() {
+		left = beginsBy // it is sent as a whole
+	}
+	if longest, known := r.Answer.longest(share); known && begin <= beginsBy && begin+longest <= left {
 		return Take, 0
 	}
 	return Refuse, RetryAfter(r.PeersReady, r.TimeLeft)
@@ -123,6 +129,9 @@
 // minShorterLengths is the minimum number of lengths that lower the bound of the request's own limit.
 const minShorterLengths = 20
 
+// isCall reports whether the answer is sent as a whole, not event by event.
+func (a *Answer) isCall() bool { return a.Calls.Count > 0 }
+
 // longest returns the time that a share of such answers exceeds, or false if it isn't known.
 func (a *Answer) longest(share float64) (time.Duration, bool) {
 	if d, known := a.Calls.Exceeded(share); known {
