Bodies are read into a buffer that is doubled

exchange.ReadBody doubles its buffer, three times the limit at most, and the calls to other VMs use it.

--- a/internal/peerhttp/peerhttp.go
+++ b/internal/peerhttp/peerhttp.go
@@ -6,10 +6,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
+	"fescuestand/internal/exchange"
 	"fescuestand/internal/network"
 )
 
@@ -61,19 +61,20 @@
 	if resp.ContentLength > maxBytes {
 		return nil, fmt.Errorf("%w: it is longer than %d bytes", ErrNotWhole, maxBytes)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
+	body, err := exchange.ReadBody(resp.Body, maxBytes)
+	if _, ok := errors.AsType[*exchange.BoundError](err); ok {
+		return nil, fmt.Errorf("%w: it is longer than %d bytes", ErrNotWhole, maxBytes)
+	}
 	if err != nil {
 		return nil, err
 	}
-	return body, checkWhole(resp, body, maxBytes)
+	return body, checkWhole(resp, body)
 }
 
-func checkWhole(resp *http.Response, body []byte, maxBytes int64) error {
+func checkWhole(resp *http.Response, body []byte) error {
 	switch {
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		return fmt.Errorf("%w: its end doesn't show", ErrNotWhole)
-	case int64(len(body)) > maxBytes:
-		return fmt.Errorf("%w: it is longer than %d bytes", ErrNotWhole, maxBytes)
 	case len(body) == 0 && resp.Header.Get(wholeHeader) == "":
 		return fmt.Errorf("%w: it is empty", ErrNotWhole)
 	}
