--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -22,10 +22,9 @@
 		return nil
 	}
 	now := g.o.Clock.Now()
-	length := time.Until(end)
-	margin := min(answerMargin, length/answerMarginDivisor)
-	g.shutdown.Store(&shutdown{addressesOld: now.Add(g.o.AddressLifetime), start: now, end: now.Add(length), margin: margin})
-	time.AfterFunc(length-margin, func() {
+	s := &shutdown{addressesOld: now.Add(g.o.AddressLifetime), start: now, end: now.Add(time.Until(end))}
+	g.shutdown.Store(s)
+	time.AfterFunc(s.length()-s.margin(), func() {
 		if ctx.Err() == nil {
 			g.endRequests()
 		}
@@ -72,11 +71,15 @@
 // shutdown is the schedule of a process that is shutting down.
 type shutdown struct {
 	start        clock.Time
-	addressesOld clock.Time    // when callers have learned that this VM leaves
-	end          clock.Time    // of the process
-	margin       time.Duration // how long before the end requests without an answer are ended
+	addressesOld clock.Time // when callers have learned that this VM leaves
+	end          clock.Time // of the process
 }
 
+func (s *shutdown) length() time.Duration { return s.end.Sub(s.start) }
+
+// margin returns how long before the end requests without an answer are ended.
+func (s *shutdown) margin() time.Duration { return min(answerMargin, s.length()/answerMarginDivisor) }
+
 // refuseInDrain returns the refusal of a request that could be cut off by the end of the process.
 // A request that an endpoint may have run is always continued. endpoint is the ID of the one that is to
 // run the request, "" before it is chosen.
@@ -88,10 +91,10 @@
 	now := x.now()
 	ready, leaving := x.g.o.Peers()
 	r := drain.Request{
-		TimeLeft: s.end.Sub(now), Margin: s.margin, CallerTimeout: x.remainingTime(), Wait: firstEventFactor * x.untilFirstEvent,
+		TimeLeft: s.end.Sub(now), Margin: s.margin(), CallerTimeout: x.remainingTime(), Wait: firstEventFactor * x.untilFirstEvent,
 		Delays: x.g.startDelays.Sample(now, x.route.Name),
 		Answer: x.expectedAnswer(now, endpoint), AddressesOld: now >= s.addressesOld, PeersReady: ready, PeersLeaving: leaving,
-		Late: drain.IsLate(s.end.Sub(now), s.end.Sub(s.start)),
+		Late: drain.IsLate(s.end.Sub(now), s.length()),
 	}
 	verdict, retryAfter := drain.Decide(r)
 	if verdict == drain.Take {
--- a/internal/originsync/incomplete_record_test.go
+++ b/internal/originsync/incomplete_record_test.go
@@ -43,9 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			w := newNetwork(4)
 			w.settle(t, "v1")
-			for _, vm := range w.vms {
-				vm.Archive.Store = refusingStore{w.store}
-			}
+			w.refuseWrites()
 			w.setServing(1, 2) // v1 doesn't suffice
 			w.settle(t, "v1", "v2")
 			w.clock.T = w.clock.T.Add(3 * time.Second)
@@ -56,6 +54,13 @@
 	}
 }
 
+// refuseWrites has the store reject the writes of all VMs.
+func (w *network) refuseWrites() {
+	for _, vm := range w.vms {
+		vm.Archive.Store = refusingStore{w.store}
+	}
+}
+
 // setServing has all VMs see how many endpoints of each version serve.
 func (w *network) setServing(v1, v2 int) {
 	for _, vm := range w.vms {
@@ -70,9 +75,7 @@
 		t.Run(name, func(t *testing.T) {
 			w := newNetwork(8)
 			w.settle(t, "v1")
-			for _, vm := range w.vms {
-				vm.Archive.Store = refusingStore{w.store}
-			}
+			w.refuseWrites()
 			w.setServing(1, 2)
 			w.settle(t, "v1", "v2")
 			w.clock.T = w.clock.T.Add(time.Second)
--- a/scenarios/planned_stop_test.go
+++ b/scenarios/planned_stop_test.go
@@ -203,7 +203,7 @@
 	stopLeft     stopEnd = "left by its caller"
 	stopCut      stopEnd = "cut without a byte"
 	stopBroken   stopEnd = "broken off"
-	stopUntimely stopEnd = "another status"
+	stopOther    stopEnd = "another status"
 )
 
 func (r *stopRun) endOf(a *soakAnswer, arrivals int) stopEnd {
@@ -225,7 +225,7 @@
 	case a.status == http.StatusOK:
 		return stopBroken
 	}
-	return stopUntimely
+	return stopOther
 }
 
 // judgeEnds checks that requests end with a whole answer, a refusal, or a failure that promises nothing.
@@ -252,7 +252,7 @@
 		case stops:
 			when = "before the signal"
 		}
-		isEnded := end != stopCut && end != stopBroken && end != stopUntimely
+		isEnded := end != stopCut && end != stopBroken && end != stopOther
 		excused := !isEnded && stops && after <= excusedUntil && r.worksAt(a.id, stop.Add(r.vms[0].excusedWork()))
 		if excused {
 			end += " (excused)"
@@ -346,12 +346,12 @@
 		"broken off, sent early":    {soakAnswer{status: 200, err: io.ErrUnexpectedEOF}, excusedUntil, true, ""},
 		"left by its caller":        {soakAnswer{status: 200, err: context.DeadlineExceeded}, comeUntil, true, ""},
 		"timed out":                 {soakAnswer{status: 504, answered: time.Now().Add(comeUntil + soakRouteTimeout)}, comeUntil, true, ""},
-		"504 before the timeout":    {soakAnswer{status: 504}, comeUntil, true, string(stopUntimely)},
+		"504 before the timeout":    {soakAnswer{status: 504}, comeUntil, true, string(stopOther)},
 		"no time to come back":      {soakAnswer{status: 503}, comeUntil, false, "Retry-After"},
 		"cut, sent late":            {cut, excusedUntil + time.Millisecond, true, string(stopCut)},
 		"cut before the last sixth": {cut, excusedUntil, false, string(stopCut)},
 		"broken off, sent late":     {soakAnswer{status: 200, err: io.ErrUnexpectedEOF}, comeUntil, true, string(stopBroken)},
-		"another status":            {soakAnswer{status: 500}, comeUntil, true, string(stopUntimely)},
+		"another status":            {soakAnswer{status: 500}, comeUntil, true, string(stopOther)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			log := filepath.Join(t.TempDir(), "log")
