Tests of clients that take a VM's memory or descriptors

No test had more than 50 clients at a VM, none counted what the kernel holds unread, and none limited descriptors.

They check that the process lives, that its memory with what is unread stays within the limit, that it has at most 500 sockets and pipes, that somebody ordinary is answered meanwhile, and that single requests are answered afterwards. They run by themselves, after the other tests.

--- a/Makefile
+++ b/Makefile
@@ -30,12 +30,16 @@
 # SKIP lists tests to skip, as TestName or TestName/subtest, separated by spaces.
 empty :=
 space := $(empty) $(empty)
-SKIPPED = $(if $(SKIP),-skip '$(subst $(space),|,$(foreach t,$(SKIP),^$(subst /,$$/^,$(t))$$))')
+skipping = $(if $(1),-skip '$(subst $(space),|,$(foreach t,$(1),^$(subst /,$$/^,$(t))$$))')
+
+# Tests of memory and descriptors, which run one at a time and beside nothing else.
+ALONE := TestCrowdsLeaveOrdinaryCallersAnswers TestCrowdsLeaveTheOwnInterface
 
 test: ## run every test, with the race detector except in simulations
 	@# -count=1 because the test cache doesn't detect changes of the binaries that the scenarios build.
-	$(GO) test -race -count=1 -timeout 20m $(SKIPPED) $$($(GO) list ./... | grep -vE '/internal/($(SIMULATED))$$')
-	$(GO) test -count=1 -timeout 20m $(SKIPPED) $$($(GO) list ./... | grep -E '/internal/($(SIMULATED))$$')
+	$(GO) test -race -count=1 -timeout 20m $(call skipping,$(SKIP) $(ALONE)) $$($(GO) list ./... | grep -vE '/internal/($(SIMULATED))$$')
+	$(GO) test -count=1 -timeout 20m $(call skipping,$(SKIP)) $$($(GO) list ./... | grep -E '/internal/($(SIMULATED))$$')
+	$(GO) test -count=1 -timeout 20m $(call skipping,$(SKIP)) -run '^($(subst $(space),|,$(ALONE)))$$' ./scenarios
 
 bench: ## run the benchmarks for docs/CAPACITY.md and docs/MEASUREMENTS.md
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/scenarios/crowd_test.go
@@ -0,0 +1,458 @@
+package scenarios
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"fescuestand/internal/clock"
+)
+
+const (
+	// crowdMemoryMB and crowdDescriptors are the limits of a VM. reservedDescriptors of them are for files.
+	crowdMemoryMB       = 64
+	crowdDescriptors    = 700
+	reservedDescriptors = 200
+	// crowdTime is how long a crowd sends.
+	crowdTime = 4 * time.Second
+	// reconnectPause is the time until a client connects again whose connection was closed.
+	reconnectPause = 250 * time.Millisecond
+	samplePause    = 100 * time.Millisecond
+	// unreadBuffer is the receive buffer in bytes of a client that reads nothing.
+	unreadBuffer = 4 << 10
+	// crowdAnswerBytes is the length of the answers of plain services in the cases with large answers.
+	crowdAnswerBytes = 200 << 10
+)
+
+// crowd is a number of connections on which clients do the same.
+type crowd struct {
+	port        func(v *soakVM) string
+	connections int
+	first       string        // sent first
+	again       string        // sent again and again until the connection ends, unless it is empty
+	pause       time.Duration // after each time
+	readPause   time.Duration // after each byte that is read; nothing is read if it is zero
+	reset       bool          // the connection is reset at once after first
+}
+
+// crowdEndpoints is what endpoints do while a crowd sends.
+type crowdEndpoints int
+
+const (
+	endpointsServe crowdEndpoints = iota
+	endpointsFull
+	endpointsSilent
+)
+
+// crowdCase is one case of TestCrowdsLeaveOrdinaryCallersAnswers.
+type crowdCase struct {
+	crowds    []crowd
+	endpoints crowdEndpoints
+	answer    int  // length of the answers of plain services, zero for the default
+	stop      bool // the VM gets SIGTERM in the middle
+	datagrams int  // senders of datagrams to the port between VMs
+}
+
+func frontPort(v *soakVM) string     { return v.front }
+func readyPort(v *soakVM) string     { return v.ready }
+func directoryPort(v *soakVM) string { return v.directory }
+func peerPort(v *soakVM) string      { return fmt.Sprintf("127.0.0.1:%d", v.ports[0]) }
+func metricsPort(v *soakVM) string   { return fmt.Sprintf("127.0.0.1:%d", v.ports[1]) }
+
+func crowdHead(method, path, more string) string {
+	return method + " " + path + " HTTP/1.1\r\nHost: " + soakHost + "\r\nAttempt-Id: c\r\nDeadline-Ms: 4000\r\n" + more
+}
+
+func crowdPost(path string, bytes int) string {
+	return crowdHead("POST", path, fmt.Sprintf("Content-Length: %d\r\n\r\n", bytes)) + strings.Repeat("a", bytes)
+}
+
+var (
+	crowdGet        = crowdHead("GET", pathReads, "\r\n")
+	crowdStream     = crowdHead("POST", pathResumable, "Token-Count: 300,20\r\nContent-Length: 2\r\n\r\n") + "ab"
+	unfinishedHead  = crowdHead("GET", pathReads, "X-A: "+strings.Repeat("a", 15<<10))
+	unfinishedBody  = crowdHead("POST", pathReads, "Content-Length: 60000\r\n\r\n") + strings.Repeat("a", 59_000)
+	tinyChunks      = crowdHead("POST", pathReads, "Transfer-Encoding: chunked\r\n\r\n")
+	resolveAhead    = "GET /resolve?name=" + soakHost + "&zone=z HTTP/1.1\r\nHost: d\r\n\r\n"
+	readinessAhead  = "GET /readiness HTTP/1.1\r\nHost: r\r\n\r\n"
+	metricsAhead    = "GET / HTTP/1.1\r\nHost: m\r\n\r\n"
+	peerPost        = "POST /config HTTP/1.1\r\nHost: p\r\nContent-Length: 15000\r\n\r\n" + strings.Repeat("a", 15000)
+	serviceCrowd    = crowd{frontPort, 650, crowdPost(pathReads, 15000), crowdPost(pathReads, 15000), 0, 0, false}
+	headersCrowd    = crowd{frontPort, 1500, unfinishedHead, "", 0, 0, false}
+	silentCrowd     = crowd{frontPort, 1500, "", "", 0, 0, false}
+	directoryCrowd  = crowd{directoryPort, 650, resolveAhead, strings.Repeat(resolveAhead, 100), 0, 0, false}
+	readyCrowd      = crowd{readyPort, 1500, readinessAhead, "", 0, 0, false}
+	metricsCrowd    = crowd{metricsPort, 1500, metricsAhead, metricsAhead, 0, 0, false}
+	peerCrowd       = crowd{peerPort, 1000, peerPost, peerPost, 0, 0, false}
+	unreadBodyCrowd = crowd{frontPort, 400, unfinishedBody, "", 0, 0, false}
+)
+
+// crowdCases are crowds at one VM.
+var crowdCases = map[string]crowdCase{
+	"few_requests_ahead":      {crowds: []crowd{{frontPort, 20, crowdPost(pathReads, 60_000), crowdPost(pathReads, 60_000), 0, 0, false}}},
+	"few_bodies_ahead":        {crowds: []crowd{{frontPort, 40, crowdPost(pathReads, 60_000), strings.Repeat(crowdPost(pathReads, 60_000), 4), 0, 0, false}}, answer: crowdAnswerBytes},
+	"requests_ahead":          {crowds: []crowd{{frontPort, 650, crowdGet, strings.Repeat(crowdGet, 50), 0, 0, false}}},
+	"bodies_ahead":            {crowds: []crowd{serviceCrowd}},
+	"bodies_ahead_full":       {crowds: []crowd{serviceCrowd}, endpoints: endpointsFull},
+	"bodies_ahead_silent":     {crowds: []crowd{serviceCrowd}, endpoints: endpointsSilent},
+	"bodies_ahead_in_stop":    {crowds: []crowd{serviceCrowd}, stop: true},
+	"large_answers_unread":    {crowds: []crowd{{frontPort, 650, crowdGet, crowdGet, 0, 0, false}}, answer: crowdAnswerBytes},
+	"large_answers_slow":      {crowds: []crowd{{frontPort, 650, crowdGet, "", 0, 200 * time.Millisecond, false}}, answer: crowdAnswerBytes},
+	"streams_unread":          {crowds: []crowd{{frontPort, 650, crowdStream, strings.Repeat(crowdStream, 20), 0, 0, false}}},
+	"silent":                  {crowds: []crowd{silentCrowd}},
+	"silent_in_stop":          {crowds: []crowd{silentCrowd}, stop: true},
+	"unfinished_headers":      {crowds: []crowd{headersCrowd}},
+	"unfinished_bodies":       {crowds: []crowd{unreadBodyCrowd}},
+	"tiny_chunks":             {crowds: []crowd{{frontPort, 650, tinyChunks, strings.Repeat("1\r\na\r\n", 10), 50 * time.Millisecond, 0, false}}},
+	"resets":                  {crowds: []crowd{{frontPort, 100, crowdGet, "", 0, 0, true}}},
+	"directory":               {crowds: []crowd{directoryCrowd}},
+	"ready":                   {crowds: []crowd{readyCrowd}},
+	"metrics":                 {crowds: []crowd{metricsCrowd}},
+	"between_vms":             {crowds: []crowd{peerCrowd}},
+	"all_together":            {crowds: []crowd{serviceCrowd, headersCrowd, directoryCrowd, readyCrowd, metricsCrowd, peerCrowd}},
+	"all_together_in_stop":    {crowds: []crowd{serviceCrowd, headersCrowd, directoryCrowd, readyCrowd, metricsCrowd, peerCrowd}, stop: true},
+	"silent_at_all_ports":     {crowds: crowdsAtAllPorts(1000, "")},
+	"datagrams":               {datagrams: 20},
+	"unfinished_at_all_ports": {crowds: crowdsAtAllPorts(500, unfinishedHead)},
+}
+
+// crowdsAtAllPorts returns a crowd for each port of a VM.
+func crowdsAtAllPorts(connections int, first string) []crowd {
+	var out []crowd
+	for _, port := range []func(*soakVM) string{frontPort, readyPort, directoryPort, peerPort, metricsPort} {
+		out = append(out, crowd{port, connections, first, "", 0, 0, false})
+	}
+	return out
+}
+
+// send has the clients of a crowd send to a VM until ctx ends.
+func (c *crowd) send(ctx context.Context, addr string, clients *sync.WaitGroup) {
+	for range c.connections {
+		clients.Go(func() {
+			for ctx.Err() == nil {
+				c.sendOnce(ctx, addr)
+				clock.Sleep(ctx, reconnectPause)
+			}
+		})
+	}
+}
+
+// sendOnce sends on one connection until it or ctx ends.
+func (c *crowd) sendOnce(ctx context.Context, addr string) {
+	d := net.Dialer{Timeout: time.Second}
+	nc, err := d.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return
+	}
+	ended, end := context.WithCancel(ctx)
+	defer end()
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	defer stop()
+	defer func() { _ = nc.Close() }()
+	if tcp := nc.(*net.TCPConn); tcp.SetReadBuffer(unreadBuffer) != nil || c.reset && tcp.SetLinger(0) != nil {
+		return
+	}
+	if _, err = io.WriteString(nc, c.first); err != nil || c.reset {
+		return
+	}
+	if c.readPause > 0 {
+		go readSlowly(ended, end, nc, c.readPause)
+	}
+	if c.again == "" {
+		awaitReset(ended, nc)
+		return
+	}
+	for err == nil {
+		_, err = io.WriteString(nc, c.again)
+		clock.Sleep(ended, c.pause)
+	}
+}
+
+// sendDatagrams sends datagrams that are no messages until ctx ends.
+func sendDatagrams(ctx context.Context, addr string) {
+	nc, err := net.Dial("udp4", addr)
+	if err != nil {
+		return
+	}
+	defer func() { _ = nc.Close() }()
+	junk := bytes.Repeat([]byte("a"), 1<<10)
+	for clock.Sleep(ctx, time.Millisecond) {
+		_, _ = nc.Write(junk) // fails while the VM doesn't listen
+	}
+}
+
+func readSlowly(ctx context.Context, end context.CancelFunc, nc net.Conn, pause time.Duration) {
+	defer end()
+	var b [1]byte
+	for clock.Sleep(ctx, pause) {
+		if _, err := nc.Read(b[:]); err != nil {
+			return
+		}
+	}
+}
+
+// awaitReset returns when ctx ends or the VM has closed or reset a connection that isn't read.
+func awaitReset(ctx context.Context, nc net.Conn) {
+	raw, err := nc.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	for clock.Sleep(ctx, reconnectPause) {
+		closed := false
+		err := raw.Control(func(fd uintptr) {
+			fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+			n, err := unix.Poll(fds, 0)
+			closed = err == nil && n > 0
+		})
+		if err != nil || closed {
+			return
+		}
+	}
+}
+
+// vmUsage is what a VM's process uses.
+type vmUsage struct {
+	memoryKB int // resident, and received and not yet read
+	sockets  int // and pipes
+}
+
+// usageOf returns what a process uses that listens on these ports.
+func usageOf(pid int, ports []int) vmUsage {
+	u := vmUsage{memoryKB: residentKB(pid) + unreadBytes(ports)>>10}
+	dir := fmt.Sprintf("/proc/%d/fd/", pid)
+	list, _ := os.ReadDir(dir) // empty if the process has ended
+	for _, e := range list {
+		target, _ := os.Readlink(dir + e.Name())
+		if strings.HasPrefix(target, "socket:") || strings.HasPrefix(target, "pipe:") {
+			u.sockets++
+		}
+	}
+	return u
+}
+
+// residentKB returns the resident memory of a process, zero if it has ended.
+func residentKB(pid int) int {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	if fields := strings.Fields(rest); len(fields) > 0 {
+		kb, _ := strconv.Atoi(fields[0])
+		return kb
+	}
+	return 0
+}
+
+// unreadBytes returns what has been received on connections to local ports and not been read.
+func unreadBytes(ports []int) int {
+	text, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	const listening = "0A"
+	sum := 0
+	lines := bufio.NewScanner(bytes.NewReader(text))
+	for lines.Scan() {
+		fields := strings.Fields(lines.Text())
+		if len(fields) < 5 || fields[3] == listening {
+			continue
+		}
+		_, hexPort, _ := strings.Cut(fields[1], ":")
+		port, err := strconv.ParseInt(hexPort, 16, 32)
+		if err != nil || !slices.Contains(ports, int(port)) {
+			continue
+		}
+		_, hexUnread, _ := strings.Cut(fields[4], ":")
+		unread, _ := strconv.ParseInt(hexUnread, 16, 64)
+		sum += int(unread)
+	}
+	return sum
+}
+
+// measure records the most that a process uses until ctx ends.
+func measure(ctx context.Context, pid int, ports []int, most *vmUsage) {
+	for {
+		u := usageOf(pid, ports)
+		most.memoryKB, most.sockets = max(most.memoryKB, u.memoryKB), max(most.sockets, u.sockets)
+		if !clock.Sleep(ctx, samplePause) {
+			return
+		}
+	}
+}
+
+// limitDescriptors limits the files that a process may open.
+func limitDescriptors(t *testing.T, p *process, n uint64) {
+	assert.NilError(t, unix.Prlimit(int(p.pid.Load()), unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n}, nil))
+}
+
+// plainBinaries is a folder with the programs without the race detector, which takes several times the memory.
+var plainBinaries = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp(binaries, "plain-")
+	if err != nil {
+		return "", err
+	}
+	return dir, exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../cmd/...").Run()
+})
+
+// restartLimited restarts a VM with the limits of a crowd's case.
+func (s *soak) restartLimited(v *soakVM) {
+	dir, err := plainBinaries()
+	assert.NilError(s.t, err)
+	v.proc.kill()
+	v.proc.binary = filepath.Join(dir, "fescue-node")
+	text, err := os.ReadFile(s.file(v, "json"))
+	assert.NilError(s.t, err)
+	limits := fmt.Sprintf(`"memoryMb": %d, "maxFds": %d`, crowdMemoryMB, crowdDescriptors)
+	assert.NilError(s.t, os.WriteFile(s.file(v, "json"), []byte(strings.Replace(string(text), `"memoryMb": 284`, limits, 1)), 0o600))
+	s.startLimited(v)
+}
+
+func (s *soak) startLimited(v *soakVM) {
+	assert.NilError(s.t, v.proc.start())
+	limitDescriptors(s.t, v.proc, crowdDescriptors)
+}
+
+// setEndpoints has the endpoints do what a case asks for.
+func (s *soak) setEndpoints(what crowdEndpoints) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.endpoints {
+		switch what {
+		case endpointsServe:
+			e.Pause(0)
+			e.SetRetryAfter("")
+		case endpointsFull:
+			e.SetRetryAfter("0.2")
+		case endpointsSilent:
+			e.Pause(time.Hour)
+		}
+	}
+}
+
+// askOrdinarily sends single requests and look-ups to a VM, each on a connection of its own, until ctx ends, and counts
+// the successes by port.
+func (s *soak) askOrdinarily(ctx context.Context, v *soakVM, requests, lookUps *atomic.Int64) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callerTimeout}
+	for n := 0; ctx.Err() == nil; n++ {
+		if s.askOnce(ctx, client, http.MethodPost, "http://"+v.front+pathReads, fmt.Sprintf("o-%s-%d", v.name, n)) {
+			requests.Add(1)
+		}
+		if s.askOnce(ctx, client, http.MethodGet, "http://"+v.directory+"/resolve?name="+soakHost+"&zone=z", "") {
+			lookUps.Add(1)
+		}
+		clock.Sleep(ctx, requestInterval)
+	}
+}
+
+func (s *soak) askOnce(ctx context.Context, client *http.Client, method, url, id string) bool {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(id))
+	if err != nil {
+		return false
+	}
+	req.Host = soakHost
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// awaitOrdinary waits until a VM has answered a single request, a look-up and a readiness check.
+func (s *soak) awaitOrdinary(v *soakVM) {
+	ctx, cancel := context.WithTimeout(s.ctx, knownTimeout)
+	defer cancel()
+	s.awaitAnswer(ctx, v, pathReads)
+	s.awaitAnswer(ctx, v, pathResumable)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callerTimeout}
+	for _, url := range []string{"http://" + v.directory + "/resolve?name=" + soakHost + "&zone=z", "http://" + v.ready + "/readiness", "http://" + metricsPort(v)} {
+		for !s.askOnce(ctx, client, http.MethodGet, url, "") {
+			if !clock.Sleep(ctx, reportInterval) {
+				s.t.Fatalf("%s: no answer from %s", v.name, url)
+			}
+		}
+	}
+}
+
+func (v *soakVM) allPorts(t *testing.T) []int {
+	return append(v.ports[:], port(t, v.front), port(t, v.ready), port(t, v.directory))
+}
+
+// run sends the crowds to a VM and judges what it uses and whom it answers.
+func (c *crowdCase) run(t *testing.T) {
+	s := newSoakOf(t, 1, engineSetup{count: 1, services: 2, vms: 2, versions: []string{"v1"}, answerBytes: c.answer})
+	for _, v := range s.vms {
+		s.restartLimited(v)
+	}
+	s.awaitAnswers(pathReads, pathResumable)
+	target, other := s.vms[0], s.vms[1]
+	pid, log := int(target.proc.pid.Load()), target.proc.log
+
+	ctx, stop := context.WithTimeout(s.ctx, crowdTime)
+	defer stop()
+	var most vmUsage
+	var requests, lookUps, atOther, lookUpsAtOther atomic.Int64
+	var running sync.WaitGroup
+	running.Go(func() { measure(ctx, pid, target.allPorts(t), &most) })
+	s.setEndpoints(c.endpoints)
+	for _, crowd := range c.crowds {
+		crowd.send(ctx, crowd.port(target), &running)
+	}
+	for range c.datagrams {
+		running.Go(func() { sendDatagrams(ctx, peerPort(target)) })
+	}
+	running.Go(func() { s.askOrdinarily(ctx, target, &requests, &lookUps) })
+	running.Go(func() { s.askOrdinarily(ctx, other, &atOther, &lookUpsAtOther) })
+	if c.stop {
+		clock.Sleep(ctx, crowdTime/2)
+		assert.Check(t, target.proc.signal(syscall.SIGTERM))
+		_, err := target.proc.await()
+		assert.Check(t, err)
+	}
+	running.Wait()
+	s.setEndpoints(endpointsServe)
+	t.Logf("at most %d KB, %d sockets; %d requests and %d look-ups answered, %d at the other VM", most.memoryKB, most.sockets, requests.Load(), lookUps.Load(), atOther.Load())
+
+	assert.Check(t, most.memoryKB < crowdMemoryMB<<10, "memory: %d KB", most.memoryKB)
+	assert.Check(t, most.sockets <= crowdDescriptors-reservedDescriptors, "%d sockets", most.sockets)
+	assert.Check(t, c.stop || target.proc.running(), "the process has ended:\n%s", endOfLog(log))
+	if c.endpoints == endpointsServe {
+		assert.Check(t, requests.Load() > 0 && atOther.Load() > 0, "no ordinary request was answered")
+	}
+	assert.Check(t, lookUps.Load() > 0, "no look-up was answered")
+	if c.stop {
+		s.startLimited(target)
+	}
+	s.awaitOrdinary(target)
+}
+
+// Guards against clients that take a VM's memory or descriptors, alone or many together, whatever they send and read, so
+// that its process ends or hangs or answers nobody else.
+func TestCrowdsLeaveOrdinaryCallersAnswers(t *testing.T) {
+	for _, name := range slices.Sorted(maps.Keys(crowdCases)) {
+		t.Run(name, func(t *testing.T) {
+			c := crowdCases[name]
+			c.run(t)
+		})
+	}
+}
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -23,6 +23,7 @@
 	binary string // path of another build, empty for the build under test
 	name   string
 	args   []string
+	env    []string // added to that of this process
 	log    string
 	cmd    *exec.Cmd
 	exited chan struct{}
@@ -39,6 +40,7 @@
 	defer func() { _ = out.Close() }()
 	p.cmd = command(cmp.Or(p.binary, filepath.Join(binaries, p.args[0])), p.args[1:]...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	p.cmd.Env = append(os.Environ(), p.env...)
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
--- a/scenarios/soak_world_test.go
+++ b/scenarios/soak_world_test.go
@@ -148,6 +148,7 @@
 	services      int           // endpoints of each plain service, zero for the default
 	vms           int           // zero for the default
 	unframed      bool          // all answers end with their connection
+	answerBytes   int           // length of the answers of plain services, zero for the default
 	crashParts    map[string]standin.CrashPoint
 	partsSound    func() bool // crashParts don't crash endpoints for now
 	delay         func(endpoint, id string) (before, within time.Duration)
@@ -324,7 +325,7 @@
 	s.started++
 	e := &soakEndpoint{Endpoint: &standin.Endpoint{
 		ID: s.endpointID(s.started), Service: service, Zone: "z", Stage: stage, Slots: 32,
-		Queue: s.engines.queue, CallTime: s.engines.callTime, Unframed: s.engines.unframed, CrashParts: s.engines.crashParts, CrashPartsSound: s.engines.partsSound,
+		Queue: s.engines.queue, CallTime: s.engines.callTime, AnswerBytes: s.engines.answerBytes, Unframed: s.engines.unframed, CrashParts: s.engines.crashParts, CrashPartsSound: s.engines.partsSound,
 	}, started: time.Now()}
 	if stage != "" {
 		e.Version = cmp.Or(version, s.engines.versions[s.started%len(s.engines.versions)])
