Receive and send buffers of a connection are bounded

What callers saw: in TestCrowdsLeaveOrdinaryCallersAnswers a VM of 64 MB took 100 to 200 MB where clients sent requests ahead and read nothing, at the callers', the directory's and the VMs' port. Most of it was unread in the kernel, which counts as the VM's.

Cause: nobody bounded what the kernel holds for a connection. It starts with 64 KB and grows to several MB.

Change: internal/httpserver sets 16 KB for receiving and 128 KB for sending at its listeners. A request whose body is longer grows the receive buffer to the body's length, or to what has been read of one in chunks, 256 KB at most, so that it isn't sent in small windows; the end of the request shrinks it again.

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -36,6 +36,9 @@
 	multiplexed bool // it carries concurrent requests (HTTP/2)
 	partial     bool // an answer is incomplete whose end may show only by that of the connection
 
+	bodyRead    int // bytes read since the latest header
+	bufferBytes int // of the receive buffer, zero for the default
+
 	headerSince time.Time // when the latest header began
 	wait        wait      // for the caller
 
@@ -53,7 +56,7 @@
 		n, err = c.readAtEnd(b, err)
 	}
 	if n > 0 {
-		c.beginRequest(len(b) == readAheadBytes)
+		c.beginRequest(len(b) == readAheadBytes, n)
 		c.detectHTTP2(b[:n])
 	}
 	if errors.Is(err, io.EOF) && len(b) == readAheadBytes && c.isHandling() {
@@ -161,18 +164,29 @@
 	}
 }
 
-func (c *conn) beginRequest(readAhead bool) {
+// beginRequest records that n bytes have been read.
+func (c *conn) beginRequest(readAhead bool, n int) {
+	if size := c.countRead(readAhead, n); size > 0 {
+		c.resizeBuffer(size)
+	}
+}
+
+func (c *conn) countRead(readAhead bool, n int) (grow int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readAhead = readAhead
+	if c.handled {
+		grow = c.countBody(n)
+	}
 	if !c.unread {
-		return
+		return grow
 	}
 	if c.ending {
 		_ = c.Conn.SetReadDeadline(time.Time{}) // end has set one in the past while the data was being read
 	}
 	c.unread = false
 	c.beginHeader(time.Now())
+	return grow
 }
 
 // SetReadDeadline implements net.Conn. A connection that ends keeps its deadline while no request has been read. The
@@ -243,9 +257,10 @@
 // setIdle records that the answer to the latest request has been sent.
 func (c *conn) setIdle() {
 	c.resetProbes()
+	c.shrinkBuffer()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.active, c.handled = false, false
+	c.active, c.handled, c.bodyRead = false, false, 0
 	if c.multiplexed {
 		return
 	}
@@ -304,6 +319,7 @@
 		return
 	}
 	c.setProbes(r)
+	c.growBuffer(r)
 	if !c.setHandled(r.ProtoMajor > 1) {
 		return
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -73,6 +73,9 @@
 	if draining {
 		return ln.Close()
 	}
+	if err := boundBuffers(ln); err != nil {
+		return err
+	}
 	err := s.http.Serve(&listener{ln, s})
 	if errors.Is(err, http.ErrServerClosed) || s.isDraining() && errors.Is(err, net.ErrClosed) {
 		return nil
