Clients that don't read make room for bodies

Cause: a body is held until its caller has read it, and a caller may take a minute. The connection itself was under no limit.

Change: a request that is refused for the budget has the connection reset whose client has been waited for longest, for a second at least. Its bodies are given back.

Tests of internal/gateway pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,8 @@
 	RelayPool    *exchange.Pool
 	// Bodies is the budget of the bodies that are held in memory, one of the default capacity if it is nil.
 	Bodies *bytebudget.Budget
+	// OnBytesRefused is called when a request is refused as bodies take the memory for them. It may be nil.
+	OnBytesRefused func()
 	// Origins records and finds the software versions at which streams began.
 	Origins StreamOrigins
 	// Starts restricts where new streams begin.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -60,6 +60,9 @@
 // SetConnectionLimits bounds the open connections and the memory that they take.
 func (s *Server) SetConnectionLimits(l connlimit.Limits) { s.http.SetConnectionLimits(l) }
 
+// GiveUpStalled resets the connection whose client has been waited for longest, if that is long.
+func (s *Server) GiveUpStalled() { s.http.GiveUpStalled() }
+
 // Counts returns the server's counters.
 func (s *Server) Counts() httpserver.Counts { return s.http.Counts() }
 
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -57,6 +57,9 @@
 	}
 	f.retryAfter = g.bytesRetryAfter(size)
 	g.bytesRefused.record(g)
+	if g.o.OnBytesRefused != nil {
+		g.o.OnBytesRefused()
+	}
 	return f
 }
 
--- a/internal/vm/connections.go
+++ b/internal/vm/connections.go
@@ -69,3 +69,6 @@
 		s.SetConnectionLimits(connectionLimits(s.Name(), t.MemoryBytes, openableDescriptors(t.Descriptors)))
 	}
 }
+
+// bytesRefused makes room for bodies: a client that is waited for holds those of its request and of its answer.
+func (n *Node) bytesRefused() { n.callers.GiveUpStalled() }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -220,7 +220,7 @@
 		VMs: n.members.AdvertisedCount, OnPrefillSent: n.prefillSent, OnPrefixCached: n.prefixCached, OnCrash: n.endpointCrashed, OnReset: n.connectionReset, OnEndpointLeaving: n.endpointLeaving,
 		MayTryQuarantined: n.isLeader,
 		KeyFreshness:      n.keyFreshness, Origins: n.origins, Starts: n.archive, HasRecords: n.archive.Loaded, OnRequestRunning: n.requestRunning,
-		CutOff: n.isCutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPoolOn(o.Network), Bodies: n.bodies,
+		CutOff: n.isCutOff, RelayTargets: n.members.RelayTargets, RelayPool: exchange.NewPoolOn(o.Network), Bodies: n.bodies, OnBytesRefused: n.bytesRefused,
 	})
 	n.planner.Admits = n.backpressure.Admits
 	n.backpressure.Self = o.Self.Peer
