Idle connections to endpoints are bounded together

Cause, by reading: a VM kept 16 idle connections to each endpoint. With a hundred endpoints these alone could take the descriptors that limits of callers' connections leave for requests in progress, whose sends would fail and count against the endpoints.

Change: exchange.Pool.SetMaxIdle bounds all together; a VM sets an eighth of its sockets (500 with 4,200 descriptors). A connection beyond it is closed after its answer.

Measured: TestIdleConnectionsAreBoundedTogether fails without the check in addIdle (one connection each instead of one and two); tests of exchange and vm pass.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -139,6 +139,7 @@
 	OnExceeded func(addr string, e *BoundError)
 
 	mu      sync.Mutex
+	maxIdle int // idle connections to all endpoints, zero for no bound
 	idle    map[string][]*conn
 	endedAt map[string]time.Time // when an endpoint has ended an idle connection
 	stats   Stats
@@ -373,7 +374,7 @@
 
 // addIdle is putIdle for a caller that holds mu.
 func (p *Pool) addIdle(addr string, c *conn) {
-	if p.closing || len(p.idle[addr]) >= maxIdlePerAddr {
+	if p.closing || len(p.idle[addr]) >= maxIdlePerAddr || p.isFull() {
 		_ = c.Close()
 		return
 	}
@@ -383,6 +384,22 @@
 	go p.watchIdle(addr, c, c.watch)
 }
 
+// SetMaxIdle bounds the idle connections to all endpoints together. Zero sets no bound.
+func (p *Pool) SetMaxIdle(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = n
+}
+
+// isFull reports whether no further idle connection is kept. p.mu is held.
+func (p *Pool) isFull() bool {
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return p.maxIdle > 0 && n >= p.maxIdle
+}
+
 // Sweep closes idle connections whose idle timeout has passed, and those to addresses that aren't
 // in keep. Witnesses are kept: an endpoint whose entry was removed may still send an answer.
 func (p *Pool) Sweep(keep map[string]bool) {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -472,6 +472,27 @@
 	assert.NilError(t, p.Close())
 }
 
+// Guards against idle connections to many endpoints that take the descriptors of a process.
+func TestIdleConnectionsAreBoundedTogether(t *testing.T) {
+	serve := func(e *endpoint, _ int, c net.Conn, br *bufio.Reader) {
+		for e.read(br) != nil {
+			answer(c, ok)
+		}
+	}
+	p := NewPool()
+	defer func() { _ = p.Close() }()
+	p.SetMaxIdle(1)
+	first, second := listen(t, serve), listen(t, serve)
+	for range 2 {
+		for _, e := range []*endpoint{first, second} {
+			_, err := do(t, p, e.addr, get("/"))
+			assert.NilError(t, err)
+		}
+	}
+	assert.Equal(t, first.accepted.Load(), int32(1))
+	assert.Equal(t, second.accepted.Load(), int32(2))
+}
+
 func TestResponsesKeepTheirStatusAndHeader(t *testing.T) {
 	e := listen(t, func(e *endpoint, _ int, c net.Conn, br *bufio.Reader) {
 		e.read(br)
--- a/internal/vm/connections.go
+++ b/internal/vm/connections.go
@@ -19,6 +19,8 @@
 	connMemoryDivisor = 4
 	// connParts is the number of parts of which a connShare is a share.
 	connParts = 32
+	// idleDivisor is the part of the descriptors that idle connections to endpoints may take.
+	idleDivisor = 8
 )
 
 // connShare is the share of a server in the descriptors and in the memory for connections, in 32nds. What is left of the
@@ -38,13 +40,15 @@
 // descriptors, each zero if it isn't known.
 func connectionLimits(server string, memory int64, descriptors int) connlimit.Limits {
 	share := connShares[server]
-	sockets := int64(max(descriptors-reservedDescriptors, descriptors/2))
 	return connlimit.Limits{
-		Connections: int(max(sockets*share.descriptors/connParts, minConnections)),
+		Connections: int(max(int64(sockets(descriptors))*share.descriptors/connParts, minConnections)),
 		Bytes:       memory / connMemoryDivisor * share.memory / connParts,
 	}
 }
 
+// sockets returns how many descriptors are for sockets.
+func sockets(descriptors int) int { return max(descriptors-reservedDescriptors, descriptors/2) }
+
 // openableDescriptors returns how many descriptors the process may open: as many as the settings say, if they do, and the
 // kernel allows.
 func openableDescriptors(configured int) int {
@@ -65,9 +69,11 @@
 	if t == nil {
 		return
 	}
+	descriptors := openableDescriptors(t.Descriptors)
 	for _, s := range servers {
-		s.SetConnectionLimits(connectionLimits(s.Name(), t.MemoryBytes, openableDescriptors(t.Descriptors)))
+		s.SetConnectionLimits(connectionLimits(s.Name(), t.MemoryBytes, descriptors))
 	}
+	n.pool.SetMaxIdle(sockets(descriptors) / idleDivisor)
 }
 
 // bytesRefused makes room for bodies: a client that is waited for holds those of its request and of its answer.
