fescue-entry outlives a want of descriptors and limits its connections

Cause: the server for peers returned any error of Accept from Serve, which ends the process. No port had a bound on its connections, and each failed handshake wrote a line.

Change: while descriptors or memory are short the server waits 5 ms to 1 s and tries again. Callers, peers and status get shares of RLIMIT_NOFILE and GOMEMLIMIT by package connlimit; at its bound the server for peers closes connections without a handshake and idle sessions. Lines are bounded to five a second. internal/limits reads the limits of the process, also for fescue-node. Counters: peers in the metrics of the entry.

TestServerOutlivesAWantOfDescriptors: Serve returned the error before.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -5,6 +5,7 @@
 
 	"fescuestand/internal/entry/dispatch"
 	"fescuestand/internal/httpserver"
+	"fescuestand/internal/peer"
 	"fescuestand/internal/policy/route"
 )
 
@@ -18,6 +19,7 @@
 	Commits   CommitMetrics                `json:"commits"`
 	Endpoints []route.EndpointStats        `json:"endpoints"`
 	Servers   map[string]httpserver.Counts `json:"servers"` // events of connections and handlers
+	Peers     peer.Counts                  `json:"peers"`   // events of connections of peers
 }
 
 // CommitMetrics is the state of the commits and of their table.
@@ -38,6 +40,7 @@
 			Pending: u.commits.Pending(), Keys: u.commitTable.Len(), Offset: offset, Ready: u.commitTable.Ready(),
 		},
 		Servers:   map[string]httpserver.Counts{"callers": u.server.Counts(), "forwarded": u.forwarded.Counts()},
+		Peers:     u.peers.Counts(),
 		Endpoints: u.fleet.Router().Snapshot(u.opts.Clock.Now()).Endpoints,
 	}
 }
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -19,10 +19,12 @@
 	"fescuestand/internal/entry/fleet"
 	"fescuestand/internal/entry/forward"
 	"fescuestand/internal/httpserver"
+	"fescuestand/internal/limits"
 	"fescuestand/internal/logclient"
 	"fescuestand/internal/membership"
 	"fescuestand/internal/network"
 	"fescuestand/internal/peer"
+	"fescuestand/internal/policy/connlimit"
 	"fescuestand/internal/policy/retry"
 	"fescuestand/internal/policy/route"
 	"fescuestand/internal/policy/suspect"
@@ -118,11 +120,20 @@
 	front := u.trackActive(u.forwarder)
 	u.server = httpserver.New(front, callerapi.NewServer(front), o)
 	u.peers = peer.NewServer(u.hello(), u)
+	sockets, memory := limits.Sockets(0), limits.Memory()
+	u.server.SetConnectionLimits(callersShare.Limits(sockets, memory))
+	u.peers.SetConnectionLimits(peersShare.Limits(sockets, memory))
 	opts.Replica.Contribute(u.addMeasurements)
 	opts.Replica.OnGossip(u.receiveGossip)
 	return u
 }
 
+// Shares of the connections of this process (docs/design/0023). Callers' requests take connections to endpoints and peers.
+var (
+	callersShare = connlimit.Share{Sockets: 8, Memory: 20}
+	peersShare   = connlimit.Share{Sockets: 4, Memory: 4}
+)
+
 func requestID(r *http.Request) string { return r.Header.Get(callerapi.HeaderRequestID) }
 
 func (u *Unit) hello() *wire.Hello {
--- a/internal/peer/drain.go
+++ b/internal/peer/drain.go
@@ -83,10 +83,18 @@
 	}
 }
 
-func (s *Server) countStream(n int) {
+// countStream records that a stream of a connection has been opened (1) or closed (-1).
+func (s *Server) countStream(c *peerConn, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.streams += n
+	c.streams += n
+	switch {
+	case c.streams == 0:
+		s.table.End(c.entry)
+	case c.streams == n:
+		s.giveUp(s.table.Begin(time.Now(), c.entry))
+	}
 }
 
 func (s *Server) openStreams() int {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"context"
 	"net"
+	"os"
+	"slices"
+	"syscall"
 	"testing"
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"fescuestand/internal/code"
+	"fescuestand/internal/policy/connlimit"
 	"fescuestand/internal/wire"
 )
 
@@ -115,3 +119,60 @@
 		_ = readMessage(bytes.NewReader(b), &m)
 	})
 }
+
+// shortListener has no descriptors for its first connections.
+type shortListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a server that ends, and its process with it, as it has no descriptor for a connection.
+func TestServerOutlivesAWantOfDescriptors(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	s, served := NewServer(hello("server"), &echoHandler{}), make(chan error, 1)
+	go func() { served <- s.Serve(ctx, &shortListener{ln, 3}) }()
+	p := NewPool(hello("client"))
+	defer func() { _ = p.Close() }()
+	_, err = p.Call(t.Context(), ln.Addr().String(), &wire.PeerRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, s.Counts().AcceptErrors, int64(3))
+	cancel()
+	assert.NilError(t, <-served)
+}
+
+// Guards against connections that greet nobody, or are idle, and keep peers from connecting.
+func TestConnectionsOfPeersAreBounded(t *testing.T) {
+	const limit, crowd = 8, 30
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	s, served := NewServer(hello("server"), &echoHandler{}), make(chan error, 1)
+	s.SetConnectionLimits(connlimit.Limits{Connections: limit})
+	go func() { served <- s.Serve(ctx, ln) }()
+	for range crowd {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+	}
+	var calls []error
+	for range crowd {
+		p := NewPool(hello("client"))
+		defer func() { _ = p.Close() }()
+		_, err = p.Call(t.Context(), ln.Addr().String(), &wire.PeerRequest{})
+		calls = append(calls, err)
+	}
+	assert.Assert(t, slices.Contains(calls, nil), "%v", calls)
+	assert.Assert(t, s.Counts().Peak <= limit && s.Counts().GivenUp > 0, "%+v", s.Counts())
+	cancel()
+	assert.NilError(t, <-served)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,11 +5,15 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/hashicorp/yamux"
 
+	"fescuestand/internal/clock"
+	"fescuestand/internal/eventlog"
 	"fescuestand/internal/fault"
+	"fescuestand/internal/policy/connlimit"
 	"fescuestand/internal/wire"
 )
 
@@ -31,8 +35,12 @@
 	hello   *wire.Hello
 	handler Handler
 	wg      sync.WaitGroup
+	created time.Time
+	counts  counters
 
 	mu       sync.Mutex
+	table    connlimit.Table[*peerConn]
+	lines    eventlog.Limit // about connections that aren't served
 	ln       net.Listener
 	sessions map[*yamux.Session]struct{}
 	streams  int // that are open
@@ -41,11 +49,13 @@
 
 // NewServer returns a server that introduces itself with hello.
 func NewServer(hello *wire.Hello, h Handler) *Server {
-	return &Server{hello: hello, handler: h, sessions: map[*yamux.Session]struct{}{}}
+	s := &Server{hello: hello, handler: h, created: time.Now(), sessions: map[*yamux.Session]struct{}{}}
+	s.table.StalledSince = func(*peerConn) time.Time { return time.Time{} }
+	return s
 }
 
 // Serve accepts sessions on ln until ctx ends. It then closes ln and all sessions, and waits for
-// their handlers.
+// their handlers. While connections can't be accepted for want of descriptors or memory, it tries again.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	s.mu.Lock()
 	s.ln = ln
@@ -57,22 +67,42 @@
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	defer s.wg.Wait()
+	var pause time.Duration
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
+		switch {
+		case err == nil:
+			pause = 0
+			s.accept(ctx, conn)
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			return nil
+		case !isShortage(err):
 			return err
+		default:
+			pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+			s.acceptFailed(err)
+			clock.Sleep(ctx, pause)
 		}
-		s.wg.Go(func() { s.serveConn(ctx, conn) })
 	}
 }
 
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+// accept serves a connection if there is room for it.
+func (s *Server) accept(ctx context.Context, conn net.Conn) {
+	c := &peerConn{Conn: conn}
+	if !s.admit(c) {
+		_ = conn.Close()
+		return
+	}
+	s.wg.Go(func() {
+		defer s.remove(c)
+		s.serveConn(ctx, c)
+	})
+}
+
+func (s *Server) serveConn(ctx context.Context, conn *peerConn) {
 	from, err := handshake(conn, s.hello)
 	if err != nil {
-		log.WithError(err).WithField("remote", conn.RemoteAddr()).Warn("peer handshake failed")
+		s.handshakeFailed(conn, err)
 		_ = conn.Close()
 		return
 	}
@@ -81,6 +111,7 @@
 		_ = conn.Close()
 		return
 	}
+	s.setSession(conn, session)
 	defer func() { _ = session.Close() }()
 	defer s.track(session)()
 	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
@@ -99,9 +130,9 @@
 			_ = stream.Close()
 			continue
 		}
-		s.countStream(1)
+		s.countStream(conn, 1)
 		s.wg.Go(func() {
-			defer s.countStream(-1)
+			defer s.countStream(conn, -1)
 			defer func() { <-slots }()
 			s.serveStream(sessionCtx, from, stream)
 		})
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"fescuestand/internal/httpserver"
+	"fescuestand/internal/limits"
+	"fescuestand/internal/policy/connlimit"
 )
 
 // Paths of the status endpoint.
@@ -80,6 +82,9 @@
 // BurnSource returns the process's burn report as JSON.
 type BurnSource func() ([]byte, error)
 
+// connShare is the share of the connections of the process (docs/design/0023).
+var connShare = connlimit.Share{Sockets: 2, Memory: 4}
+
 // Server is the kernel unit that serves the status endpoint.
 type Server struct {
 	addr   string
@@ -112,6 +117,7 @@
 	s.ln = ln
 	base := &http.Server{ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: idleTimeout}
 	s.http = httpserver.New(s.routes(), base, httpserver.Options{Name: s.Name()})
+	s.http.SetConnectionLimits(connShare.Limits(limits.Sockets(0), limits.Memory()))
 	return nil
 }
 
--- a/internal/vm/connections_test.go
+++ b/internal/vm/connections_test.go
@@ -12,17 +12,16 @@
 // there is for connections.
 func TestServersLeaveDescriptors(t *testing.T) {
 	const memory = 144 << 20
-	for _, descriptors := range []int{300, 700, 4200, maxDescriptors} {
+	for _, sockets := range []int{150, 500, 4000, 65336} {
 		var sum connlimit.Limits
-		for name := range connShares {
-			l := connectionLimits(name, memory, descriptors)
+		for _, share := range connShares {
+			l := share.Limits(sockets, memory)
 			sum.Connections += l.Connections
 			sum.Bytes += l.Bytes
 		}
-		assert.Assert(t, sum.Connections <= sockets(descriptors)/2, "%d of %d", sum.Connections, sockets(descriptors))
-		callers := connectionLimits("front", memory, descriptors).Connections
-		assert.Assert(t, sum.Connections+2*callers <= sockets(descriptors), "%d of %d", sum.Connections, sockets(descriptors))
-		assert.Assert(t, sum.Bytes <= memory/connMemoryDivisor)
+		callers := connShares["front"].Limits(sockets, memory).Connections
+		assert.Assert(t, sum.Connections <= sockets/2 && sum.Connections+2*callers <= sockets, "%d of %d", sum.Connections, sockets)
+		assert.Assert(t, sum.Bytes <= memory/4)
 	}
-	assert.Equal(t, connectionLimits("front", 0, 4200), connlimit.Limits{Connections: 1000})
+	assert.Equal(t, connShares["front"].Limits(4000, 0), connlimit.Limits{Connections: 1000})
 }
