Unfinished requests of peers take bounded memory

Cause: the whole length of a message was allocated before any of it had arrived, a request had no bound of time, and nothing counted what all streams together hold.

Change: a message is read as it arrives, in a buffer that is doubled; a request is whole in 10 s. Requests that are being received take a quarter of GOMEMLIMIT, or 64 MB; a session whose own take more than they leave free is closed, as yamux keeps what its streams have received until then.

--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -123,6 +123,7 @@
 	sockets, memory := limits.Sockets(0), limits.Memory()
 	u.server.SetConnectionLimits(callersShare.Limits(sockets, memory))
 	u.peers.SetConnectionLimits(peersShare.Limits(sockets, memory))
+	u.peers.SetMemory(memory)
 	opts.Replica.Contribute(u.addMeasurements)
 	opts.Replica.OnGossip(u.receiveGossip)
 	return u
--- a/internal/peer/connections.go
+++ b/internal/peer/connections.go
@@ -26,10 +26,12 @@
 	entry   *connlimit.Entry[*peerConn]
 	session *yamux.Session // nil before the handshake
 	streams int            // that are open
+
+	received int // bytes of requests that are being received
 }
 
 type counters struct {
-	acceptErrors, handshakes, givenUp, refused atomic.Int64
+	acceptErrors, handshakes, givenUp, refused, greedy atomic.Int64
 }
 
 // Counts are events of a server since its start.
@@ -38,6 +40,7 @@
 	FailedHandshakes int64
 	GivenUp          int64 // connections that made room for others
 	Refused          int64 // connections closed as they were accepted, as there was no room
+	Greedy           int64 // connections closed as their unfinished requests took too much memory
 	Open             int64 // connections that are open now
 	Peak             int64 // the most that were open at a time
 }
@@ -48,7 +51,7 @@
 	defer s.mu.Unlock()
 	n := &s.counts
 	return Counts{
-		AcceptErrors: n.acceptErrors.Load(), FailedHandshakes: n.handshakes.Load(), GivenUp: n.givenUp.Load(), Refused: n.refused.Load(),
+		AcceptErrors: n.acceptErrors.Load(), FailedHandshakes: n.handshakes.Load(), GivenUp: n.givenUp.Load(), Refused: n.refused.Load(), Greedy: n.greedy.Load(),
 		Open: int64(s.table.Count()), Peak: int64(s.table.Peak()),
 	}
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -31,19 +31,36 @@
 	return err
 }
 
-// readMessage reads one message. It checks the length before it allocates memory for the body.
-func readMessage(r io.Reader, m proto.Message) error {
+// claim takes n bytes of memory for a part of a message, or returns an error.
+type claim func(n int) error
+
+// unclaimed is a claim that always succeeds, for messages of peers that this process has called.
+func unclaimed(int) error { return nil }
+
+// firstPartBytes is what is allocated of a message before any of it has arrived.
+const firstPartBytes = 16 << 10
+
+// readMessage reads one message. It allocates memory as the message arrives, twice as much each time.
+func readMessage(r io.Reader, m proto.Message, take claim) error {
 	var head [headerBytes]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return err
 	}
-	size := binary.BigEndian.Uint32(head[:])
+	size := int(binary.BigEndian.Uint32(head[:]))
 	if size > MaxMessageBytes {
 		return fmt.Errorf("message of %d bytes; allowed: %d", size, MaxMessageBytes)
 	}
-	b := make([]byte, size)
-	if _, err := io.ReadFull(r, b); err != nil {
-		return err
+	var b []byte
+	for len(b) < size {
+		next := min(max(2*len(b), firstPartBytes), size)
+		if err := take(next - len(b)); err != nil {
+			return err
+		}
+		grown := make([]byte, next)
+		if _, err := io.ReadFull(r, grown[copy(grown, b):]); err != nil {
+			return err
+		}
+		b = grown
 	}
 	return proto.Unmarshal(b, m)
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -116,7 +116,7 @@
 	f.Add([]byte{255, 255, 255, 255})
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		var m wire.PeerRequest
-		_ = readMessage(bytes.NewReader(b), &m)
+		_ = readMessage(bytes.NewReader(b), &m, unclaimed)
 	})
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -58,7 +58,7 @@
 		return nil, code.Wrap(code.PeerGone, err, "request to %s", addr)
 	}
 	var resp wire.PeerResponse
-	if err := readMessage(stream, &resp); err != nil {
+	if err := readMessage(stream, &resp, unclaimed); err != nil {
 		return nil, code.Wrap(code.PeerGone, err, "answer of %s", addr)
 	}
 	return &resp, nil
@@ -75,7 +75,7 @@
 // error that says that the request hasn't run if the peer hasn't taken it.
 func (f *Frames) Next() (*wire.ForwardFrame, error) {
 	var frame wire.ForwardFrame
-	if err := readMessage(f.stream, &frame); err != nil {
+	if err := readMessage(f.stream, &frame, unclaimed); err != nil {
 		if !f.begun && errors.Is(err, yamux.ErrConnectionReset) {
 			return nil, notTaken(err)
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -40,6 +40,7 @@
 
 	mu       sync.Mutex
 	table    connlimit.Table[*peerConn]
+	received messageBudget
 	lines    eventlog.Limit // about connections that aren't served
 	ln       net.Listener
 	sessions map[*yamux.Session]struct{}
@@ -51,6 +52,7 @@
 func NewServer(hello *wire.Hello, h Handler) *Server {
 	s := &Server{hello: hello, handler: h, created: time.Now(), sessions: map[*yamux.Session]struct{}{}}
 	s.table.StalledSince = func(*peerConn) time.Time { return time.Time{} }
+	s.received.capacity = defaultMessageBytes
 	return s
 }
 
@@ -134,21 +136,21 @@
 		s.wg.Go(func() {
 			defer s.countStream(conn, -1)
 			defer func() { <-slots }()
-			s.serveStream(sessionCtx, from, stream)
+			s.serveStream(sessionCtx, conn, from, stream)
 		})
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, from *wire.Hello, stream *yamux.Stream) {
+func (s *Server) serveStream(ctx context.Context, conn *peerConn, from *wire.Hello, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
 	defer logFault(from)
-	var req wire.PeerRequest
-	if err := readMessage(stream, &req); err != nil {
+	req, err := s.readRequest(conn, stream)
+	if err != nil {
 		return
 	}
 	fwd := req.GetForward()
 	if fwd == nil {
-		_ = writeMessage(stream, s.handler.Handle(ctx, from, &req))
+		_ = writeMessage(stream, s.handler.Handle(ctx, from, req))
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -50,7 +50,7 @@
 	sent := make(chan error, 1)
 	go func() { sent <- writeMessage(conn, local) }()
 	var remote wire.Hello
-	readErr := readMessage(conn, &remote)
+	readErr := readMessage(conn, &remote, unclaimed)
 	if err := <-sent; err != nil {
 		return nil, code.Wrap(code.PeerGone, err, "hello not sent")
 	}
