--- a/internal/httpserver/buffers.go
+++ b/internal/httpserver/buffers.go
@@ -22,8 +22,7 @@
 
 // boundBuffers sets the buffers of the connections that ln accepts. A listener without a socket is left as it is.
 func boundBuffers(ln net.Listener) error {
-	err := setSocketOption(ln, unix.SO_RCVBUF, receiveBufferBytes)
-	if err != nil {
+	if err := setSocketOption(ln, unix.SO_RCVBUF, receiveBufferBytes); err != nil {
 		return err
 	}
 	return setSocketOption(ln, unix.SO_SNDBUF, sendBufferBytes)
--- a/internal/peer/drain.go
+++ b/internal/peer/drain.go
@@ -89,10 +89,10 @@
 	defer s.mu.Unlock()
 	s.streams += n
 	c.streams += n
-	switch {
-	case c.streams == 0:
+	switch c.streams {
+	case 0:
 		s.table.End(c.entry)
-	case c.streams == n:
+	case n: // the first one
 		s.giveUp(s.table.Begin(time.Now(), c.entry))
 	}
 }
--- a/scenarios/crowd_test.go
+++ b/scenarios/crowd_test.go
@@ -70,6 +70,7 @@
 	endpoints crowdEndpoints
 	answer    int  // length of the answers of plain services, zero for the default
 	stop      bool // the VM gets SIGTERM in the middle
+	keyed     bool // the crowds' requests carry the key of one workspace
 	datagrams int  // senders of datagrams to the port between VMs
 	// descriptors of the VM, zero for crowdDescriptors. With many of them its memory is what is short.
 	descriptors int
@@ -103,6 +104,8 @@
 	metricsAhead    = "GET / HTTP/1.1\r\nHost: m\r\n\r\n"
 	peerPost        = "POST /config HTTP/1.1\r\nHost: p\r\nContent-Length: 15000\r\n\r\n" + strings.Repeat("a", 15000)
 	serviceCrowd    = crowd{frontPort, 650, crowdPost(pathReads, 15000), crowdPost(pathReads, 15000), 0, 0, false}
+	keyedRequest    = crowdHead("POST", pathReads, "Authorization: Token crowd\r\nContent-Length: 15000\r\n\r\n") + strings.Repeat("a", 15000)
+	keyedCrowd      = crowd{frontPort, 650, keyedRequest, keyedRequest, 0, 0, false}
 	headersCrowd    = crowd{frontPort, 1500, unfinishedHead, "", 0, 0, false}
 	silentCrowd     = crowd{frontPort, 1500, "", "", 0, 0, false}
 	directoryCrowd  = crowd{directoryPort, 650, resolveAhead, strings.Repeat(resolveAhead, 100), 0, 0, false}
@@ -141,6 +144,7 @@
 	"all_together_in_stop":    {crowds: []crowd{serviceCrowd, headersCrowd, directoryCrowd, readyCrowd, metricsCrowd, peerCrowd}, stop: true},
 	"silent_at_all_ports":     {crowds: crowdsAtAllPorts(1000, "")},
 	"datagrams":               {datagrams: 20},
+	"one_workspace":           {crowds: []crowd{keyedCrowd, headersCrowd}, keyed: true},
 	"unfinished_at_all_ports": {crowds: crowdsAtAllPorts(500, unfinishedHead)},
 }
 
@@ -321,7 +325,7 @@
 })
 
 // restartLimited restarts a VM with the limits of a crowd's case.
-func (s *soak) restartLimited(v *soakVM, descriptors int) {
+func (s *soak) restartLimited(v *soakVM, descriptors int, keyed bool) {
 	dir, err := plainBinaries()
 	assert.NilError(s.t, err)
 	v.proc.kill()
@@ -329,7 +333,11 @@
 	text, err := os.ReadFile(s.file(v, "json"))
 	assert.NilError(s.t, err)
 	limits := fmt.Sprintf(`"memoryMb": %d, "maxFds": %d`, crowdMemoryMB, descriptors)
-	assert.NilError(s.t, os.WriteFile(s.file(v, "json"), []byte(strings.Replace(string(text), `"memoryMb": 284`, limits, 1)), 0o600))
+	limited := strings.Replace(string(text), `"memoryMb": 284`, limits, 1)
+	if keyed {
+		limited = strings.Replace(limited, `"bounds": {`, `"contracts": ["tenants"], "bounds": {"configApplyMs": 2000, "revokeMs": 2000, `, 1)
+	}
+	assert.NilError(s.t, os.WriteFile(s.file(v, "json"), []byte(limited), 0o600))
 	s.startLimited(v, descriptors)
 }
 
@@ -338,6 +346,13 @@
 	limitDescriptors(s.t, v.proc, uint64(descriptors))
 }
 
+// addWorkspace has the configuration name a workspace; requests need no key, so that ordinary ones are of none.
+func (s *soak) addWorkspace() {
+	text := strings.Replace(s.configs[0].text, `"limits": {`, `"tenants": [{"name": "crowd", "apiKeys": ["crowd"]}], "limits": {`, 1)
+	text = strings.ReplaceAll(text, `"maxAttempts": 2`, `"maxAttempts": 2, "anonymous": true`)
+	s.store.Put("keyed.op", "config", strings.Replace(text, `"version": 1,`, `"version": 2,`, 1))
+}
+
 // setEndpoints has the endpoints do what a case asks for.
 func (s *soak) setEndpoints(what crowdEndpoints) {
 	s.mu.Lock()
@@ -415,9 +430,12 @@
 // run sends the crowds to a VM and judges what it uses and whom it answers.
 func (c *crowdCase) run(t *testing.T) {
 	s := newSoakOf(t, 1, engineSetup{count: 1, services: 2, vms: 2, versions: []string{"v1"}, answerBytes: c.answer})
+	if c.keyed {
+		s.addWorkspace()
+	}
 	descriptors := cmp.Or(c.descriptors, crowdDescriptors)
 	for _, v := range s.vms {
-		s.restartLimited(v, descriptors)
+		s.restartLimited(v, descriptors, c.keyed)
 	}
 	s.awaitAnswers(pathReads, pathResumable)
 	target, other := s.vms[0], s.vms[1]
