Scenarios: a process may be signalled while it is started again

Cause: process.start replaced the command and the channel of its end, which running and signal read in another goroutine; cases that end and signal VMs at once (full_hups, reads_terms) do both.

Change: both stand in one value that is stored atomically. full_hups, reads_terms, commits and TestProcessesEndWithAKilledRun pass with -race, one run.

--- a/scenarios/process_end_test.go
+++ b/scenarios/process_end_test.go
@@ -25,7 +25,7 @@
 		os.Exit(1)
 	}
 	fmt.Println(p.pid.Load())
-	<-p.exited
+	<-p.child.Load().exited
 	os.Exit(1)
 }
 
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -25,9 +25,14 @@
 	args   []string
 	env    []string // added to that of this process
 	log    string
+	child  atomic.Pointer[child] // the process started last, nil for none; others may signal it while it is started again
+	pid    atomic.Int64          // of that process
+}
+
+// child is a process that has been started.
+type child struct {
 	cmd    *exec.Cmd
 	exited chan struct{}
-	pid    atomic.Int64 // of the process started last, for goroutines other than the one that starts it
 }
 
 // start starts the program. Its output is appended to NAME.log, so that the output after a restart
@@ -38,27 +43,29 @@
 		return err
 	}
 	defer func() { _ = out.Close() }()
-	p.cmd = command(cmp.Or(p.binary, filepath.Join(binaries, p.args[0])), p.args[1:]...)
-	p.cmd.Stdout, p.cmd.Stderr = out, out
-	p.cmd.Env = append(os.Environ(), p.env...)
-	if err := p.cmd.Start(); err != nil {
+	c := &child{command(cmp.Or(p.binary, filepath.Join(binaries, p.args[0])), p.args[1:]...), make(chan struct{})}
+	c.cmd.Stdout, c.cmd.Stderr = out, out
+	c.cmd.Env = append(os.Environ(), p.env...)
+	if err := c.cmd.Start(); err != nil {
 		return err
 	}
-	p.pid.Store(int64(p.cmd.Process.Pid))
-	p.exited = make(chan struct{})
-	go func(cmd *exec.Cmd, exited chan struct{}) {
-		_ = cmd.Wait()
-		close(exited)
-	}(p.cmd, p.exited)
+	p.pid.Store(int64(c.cmd.Process.Pid))
+	p.child.Store(c)
+	go func() {
+		_ = c.cmd.Wait()
+		close(c.exited)
+	}()
 	return nil
 }
 
 func (p *process) running() bool {
-	if p.cmd == nil {
-		return false
-	}
+	c := p.child.Load()
+	return c != nil && c.running()
+}
+
+func (c *child) running() bool {
 	select {
-	case <-p.exited:
+	case <-c.exited:
 		return false
 	default:
 		return true
@@ -66,10 +73,11 @@
 }
 
 func (p *process) signal(s syscall.Signal) error {
-	if !p.running() {
+	c := p.child.Load()
+	if c == nil || !c.running() {
 		return fmt.Errorf("%s is not running", p.name)
 	}
-	return p.cmd.Process.Signal(s)
+	return c.cmd.Process.Signal(s)
 }
 
 // exitTimeout bounds the wait for the exit of a process. It only ends a scenario that hangs; no check
@@ -77,17 +85,18 @@
 const exitTimeout = 2 * time.Minute
 
 func (p *process) await() (status int, err error) {
+	c := p.child.Load()
 	select {
-	case <-p.exited:
-		return p.cmd.ProcessState.ExitCode(), nil
+	case <-c.exited:
+		return c.cmd.ProcessState.ExitCode(), nil
 	case <-time.After(exitTimeout):
 		return 0, fmt.Errorf("%s did not exit within %s", p.name, exitTimeout)
 	}
 }
 
 func (p *process) kill() {
-	if p.running() {
-		_ = p.cmd.Process.Kill()
-		<-p.exited
+	if c := p.child.Load(); c != nil && c.running() {
+		_ = c.cmd.Process.Kill()
+		<-c.exited
 	}
 }
