Read over as a newcomer: connections and crowds

No behaviour, bound or assertion changes.

- internal/peer: counters were atomics beside the mutex that guards them; they are the exported Counts now.
- internal/httpserver: one place drops what a connection hasn't sent; the size of the receive buffer is set from the beginning, so that zero means nothing; recordRead says what beginRequest did.
- scenarios: crowds name their fields; the crowd of all ports is written once; the tests of bytes without end use the same binary without the race detector, built once instead of three times, and the same reader of a process's status.

--- a/internal/httpserver/buffers.go
+++ b/internal/httpserver/buffers.go
@@ -57,11 +57,10 @@
 // buffer grows, zero if it doesn't: a body in chunks doesn't state its length. c.mu is held.
 func (c *conn) countBody(n int) (grow int) {
 	c.bodyRead += n
-	size := max(c.bufferBytes, receiveBufferBytes)
-	if c.bodyRead < size || size >= maxReceiveBufferBytes {
+	if c.bodyRead < c.bufferBytes || c.bufferBytes >= maxReceiveBufferBytes {
 		return 0
 	}
-	return 2 * size
+	return 2 * c.bufferBytes
 }
 
 // shrinkBuffer sets the receive buffer back after a request.
@@ -69,7 +68,7 @@
 
 func (c *conn) resizeBuffer(bytes int) {
 	c.mu.Lock()
-	same := max(c.bufferBytes, receiveBufferBytes) == bytes
+	same := c.bufferBytes == bytes
 	c.bufferBytes = bytes
 	c.mu.Unlock()
 	if !same {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -46,7 +46,7 @@
 
 	headerBytes int // bytes of the header that is being read
 	bodyRead    int // bytes read since the latest header
-	bufferBytes int // of the receive buffer, zero for the default
+	bufferBytes int // of the receive buffer
 
 	headerSince time.Time // when the latest header began
 	wait        wait      // for the caller
@@ -67,7 +67,7 @@
 		n, err = c.readAtEnd(b, err)
 	}
 	if n > 0 {
-		c.beginRequest(len(b) == readAheadBytes, n)
+		c.recordRead(len(b) == readAheadBytes, n)
 		c.detectHTTP2(b[:n])
 	}
 	if errors.Is(err, io.EOF) && len(b) == readAheadBytes && c.isHandling() {
@@ -141,11 +141,18 @@
 	c.mu.Lock()
 	partial := c.partial
 	c.mu.Unlock()
-	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && partial {
+	if partial {
+		c.dropUnsent()
+	}
+	return c.Conn.Close()
+}
+
+// dropUnsent has the connection reset when it is closed, without waiting for what has been written.
+func (c *conn) dropUnsent() {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		// A failure means that the connection has been closed.
 		_ = l.SetLinger(0)
 	}
-	return c.Conn.Close()
 }
 
 // isHandling reports whether a request is being handled on a connection that carries one at a time.
@@ -175,8 +182,8 @@
 	}
 }
 
-// beginRequest records that n bytes have been read.
-func (c *conn) beginRequest(readAhead bool, n int) {
+// recordRead records that n bytes have been read. A request may begin with them.
+func (c *conn) recordRead(readAhead bool, n int) {
 	grow, header := c.countRead(readAhead, n)
 	if grow > 0 {
 		c.resizeBuffer(grow)
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -118,10 +118,7 @@
 
 // reset closes the connection without waiting for what has been written.
 func (c *conn) reset() {
-	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		// A failure means that the connection has been closed.
-		_ = l.SetLinger(0)
-	}
+	c.dropUnsent()
 	_ = c.Conn.Close()
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -204,7 +204,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: nc, s: l.s, unread: true}
+		c := &conn{Conn: nc, s: l.s, unread: true, bufferBytes: receiveBufferBytes}
 		if l.s.admit(c) {
 			return c, nil
 		}
--- a/internal/peer/connections.go
+++ b/internal/peer/connections.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,10 +29,6 @@
 	received int // bytes of requests that are being received
 }
 
-type counters struct {
-	acceptErrors, handshakes, givenUp, refused, greedy atomic.Int64
-}
-
 // Counts are events of a server since its start.
 type Counts struct {
 	AcceptErrors     int64 // connections that couldn't be accepted for want of descriptors or memory
@@ -49,11 +44,9 @@
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := &s.counts
-	return Counts{
-		AcceptErrors: n.acceptErrors.Load(), FailedHandshakes: n.handshakes.Load(), GivenUp: n.givenUp.Load(), Refused: n.refused.Load(), Greedy: n.greedy.Load(),
-		Open: int64(s.table.Count()), Peak: int64(s.table.Peak()),
-	}
+	n := s.counts
+	n.Open, n.Peak = int64(s.table.Count()), int64(s.table.Peak())
+	return n
 }
 
 // SetConnectionLimits bounds the open connections and the memory that they take. At a bound, those without a handshake and
@@ -82,7 +75,7 @@
 	c.entry, up = s.table.Open(time.Now(), c)
 	s.giveUp(up)
 	if c.entry == nil {
-		s.counts.refused.Add(1)
+		s.counts.Refused++
 		s.warn("peer connections given up", log.Fields{"given_up": 0, "refused": 1})
 	}
 	return c.entry != nil
@@ -113,21 +106,21 @@
 	for _, c := range up.Busy {
 		go tellGoAway(c.session)
 	}
-	s.counts.givenUp.Add(int64(n))
+	s.counts.GivenUp += int64(n)
 	s.warn("peer connections given up", log.Fields{"given_up": n, "refused": 0})
 }
 
 func (s *Server) acceptFailed(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.acceptErrors.Add(1)
+	s.counts.AcceptErrors++
 	s.warn("peer connection not accepted", log.Fields{"error": err})
 }
 
 func (s *Server) handshakeFailed(c *peerConn, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.handshakes.Add(1)
+	s.counts.FailedHandshakes++
 	s.warn("peer handshake failed", log.Fields{"error": err, "remote": c.RemoteAddr()})
 }
 
--- a/internal/peer/receive.go
+++ b/internal/peer/receive.go
@@ -81,6 +81,6 @@
 	_ = c.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.greedy.Add(1)
+	s.counts.Greedy++
 	s.warn("peer sends too much", log.Fields{"remote": c.RemoteAddr(), "streams": c.streams, "bytes": c.received})
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -36,11 +36,11 @@
 	handler Handler
 	wg      sync.WaitGroup
 	created time.Time
-	counts  counters
 
 	mu       sync.Mutex
 	table    connlimit.Table[*peerConn]
 	received messageBudget
+	counts   Counts         // without Open and Peak
 	lines    eventlog.Limit // about connections that aren't served
 	ln       net.Listener
 	sessions map[*yamux.Session]struct{}
--- a/scenarios/bounds_test.go
+++ b/scenarios/bounds_test.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,8 +99,7 @@
 // get as whole ones, and against refusals that deny a run. With -soak.old the VMs of the other build are measured as well and not judged.
 func TestResponsesWithoutEndTakeBoundedMemory(t *testing.T) {
 	s := newSoakOf(t, 1, engineSetup{count: 1, services: 1, versions: []string{"v1"}})
-	plain := filepath.Join(t.TempDir(), "fescue-node") // the race detector takes several times the memory
-	assert.NilError(t, exec.Command("go", "build", "-o", plain, "../cmd/fescue-node").Run())
+	plain := plainNode(t)
 	for _, v := range s.vms {
 		s.restartSmall(v, plain)
 	}
@@ -168,8 +165,7 @@
 // Guards against answers of the store without end that fill the VMs' memory, or that callers notice.
 func TestStoreWithoutEndTakesBoundedMemory(t *testing.T) {
 	s := newSoakOf(t, 1, engineSetup{count: 1, services: 2, versions: []string{"v1"}})
-	plain := filepath.Join(t.TempDir(), "fescue-node") // the race detector takes several times the memory
-	assert.NilError(t, exec.Command("go", "build", "-o", plain, "../cmd/fescue-node").Run())
+	plain := plainNode(t)
 	for _, v := range s.vms {
 		s.restartSmall(v, plain)
 	}
@@ -235,8 +231,7 @@
 // answers from other callers.
 func TestRequestsWithoutEndTakeBoundedMemory(t *testing.T) {
 	s := newSoakOf(t, 1, engineSetup{count: 1, services: 2, versions: []string{"v1"}})
-	plain := filepath.Join(t.TempDir(), "fescue-node") // the race detector takes several times the memory
-	assert.NilError(t, exec.Command("go", "build", "-o", plain, "../cmd/fescue-node").Run())
+	plain := plainNode(t)
 	for _, v := range s.vms {
 		s.restartSmall(v, plain)
 	}
@@ -391,11 +386,18 @@
 
 // peakMemoryMB returns the most memory that a process has had resident, in MB.
 func peakMemoryMB(t *testing.T, pid int) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	assert.NilError(t, err)
-	_, rest, found := strings.Cut(string(text), "VmHWM:")
-	assert.Assert(t, found)
-	kb, err := strconv.Atoi(strings.Fields(rest)[0])
-	assert.NilError(t, err)
+	kb := statusKB(pid, "VmHWM:")
+	assert.Assert(t, kb > 0)
 	return kb >> 10
 }
+
+// statusKB returns a figure of a process's status, zero if the process has ended.
+func statusKB(pid int, name string) int {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	_, rest, _ := strings.Cut(string(text), name)
+	if fields := strings.Fields(rest); len(fields) > 0 {
+		kb, _ := strconv.Atoi(fields[0])
+		return kb
+	}
+	return 0
+}
--- a/scenarios/crowd_test.go
+++ b/scenarios/crowd_test.go
@@ -94,54 +94,55 @@
 }
 
 var (
-	crowdGet        = crowdHead("GET", pathReads, "\r\n")
-	crowdStream     = crowdHead("POST", pathResumable, "Token-Count: 300,20\r\nContent-Length: 2\r\n\r\n") + "ab"
-	unfinishedHead  = crowdHead("GET", pathReads, "X-A: "+strings.Repeat("a", 15<<10))
-	unfinishedBody  = crowdHead("POST", pathReads, "Content-Length: 60000\r\n\r\n") + strings.Repeat("a", 59_000)
-	tinyChunks      = crowdHead("POST", pathReads, "Transfer-Encoding: chunked\r\n\r\n")
-	resolveAhead    = "GET /resolve?name=" + soakHost + "&zone=z HTTP/1.1\r\nHost: d\r\n\r\n"
-	readinessAhead  = "GET /readiness HTTP/1.1\r\nHost: r\r\n\r\n"
-	metricsAhead    = "GET / HTTP/1.1\r\nHost: m\r\n\r\n"
-	peerPost        = "POST /config HTTP/1.1\r\nHost: p\r\nContent-Length: 15000\r\n\r\n" + strings.Repeat("a", 15000)
-	serviceCrowd    = crowd{frontPort, 650, crowdPost(pathReads, 15000), crowdPost(pathReads, 15000), 0, 0, false}
-	keyedRequest    = crowdHead("POST", pathReads, "Authorization: Token crowd\r\nContent-Length: 15000\r\n\r\n") + strings.Repeat("a", 15000)
-	keyedCrowd      = crowd{frontPort, 650, keyedRequest, keyedRequest, 0, 0, false}
-	headersCrowd    = crowd{frontPort, 1500, unfinishedHead, "", 0, 0, false}
-	silentCrowd     = crowd{frontPort, 1500, "", "", 0, 0, false}
-	directoryCrowd  = crowd{directoryPort, 650, resolveAhead, strings.Repeat(resolveAhead, 100), 0, 0, false}
-	readyCrowd      = crowd{readyPort, 1500, readinessAhead, "", 0, 0, false}
-	metricsCrowd    = crowd{metricsPort, 1500, metricsAhead, metricsAhead, 0, 0, false}
-	peerCrowd       = crowd{peerPort, 1000, peerPost, peerPost, 0, 0, false}
-	unreadBodyCrowd = crowd{frontPort, 400, unfinishedBody, "", 0, 0, false}
+	crowdGet         = crowdHead("GET", pathReads, "\r\n")
+	crowdStream      = crowdHead("POST", pathResumable, "Token-Count: 300,20\r\nContent-Length: 2\r\n\r\n") + "ab"
+	unfinishedHead   = crowdHead("GET", pathReads, "X-A: "+strings.Repeat("a", 15<<10))
+	unfinishedBody   = crowdHead("POST", pathReads, "Content-Length: 60000\r\n\r\n") + strings.Repeat("a", 59_000)
+	tinyChunks       = crowdHead("POST", pathReads, "Transfer-Encoding: chunked\r\n\r\n")
+	resolveAhead     = "GET /resolve?name=" + soakHost + "&zone=z HTTP/1.1\r\nHost: d\r\n\r\n"
+	readinessAhead   = "GET /readiness HTTP/1.1\r\nHost: r\r\n\r\n"
+	metricsAhead     = "GET / HTTP/1.1\r\nHost: m\r\n\r\n"
+	peerPost         = "POST /config HTTP/1.1\r\nHost: p\r\nContent-Length: 15000\r\n\r\n" + strings.Repeat("a", 15000)
+	bodiesCrowd      = crowd{port: frontPort, connections: 650, first: crowdPost(pathReads, 15000), again: crowdPost(pathReads, 15000)}
+	keyedRequest     = crowdHead("POST", pathReads, "Authorization: Token crowd\r\nContent-Length: 15000\r\n\r\n") + strings.Repeat("a", 15000)
+	keyedCrowd       = crowd{port: frontPort, connections: 650, first: keyedRequest, again: keyedRequest}
+	headersCrowd     = crowd{port: frontPort, connections: 1500, first: unfinishedHead}
+	silentCrowd      = crowd{port: frontPort, connections: 1500}
+	directoryCrowd   = crowd{port: directoryPort, connections: 650, first: resolveAhead, again: strings.Repeat(resolveAhead, 100)}
+	readyCrowd       = crowd{port: readyPort, connections: 1500, first: readinessAhead}
+	metricsCrowd     = crowd{port: metricsPort, connections: 1500, first: metricsAhead, again: metricsAhead}
+	peerCrowd        = crowd{port: peerPort, connections: 1000, first: peerPost, again: peerPost}
+	allCrowds        = []crowd{bodiesCrowd, headersCrowd, directoryCrowd, readyCrowd, metricsCrowd, peerCrowd}
+	partialBodyCrowd = crowd{port: frontPort, connections: 400, first: unfinishedBody}
 )
 
 // crowdCases are crowds at one VM.
 var crowdCases = map[string]crowdCase{
-	"few_requests_ahead":      {crowds: []crowd{{frontPort, 20, crowdPost(pathReads, 60_000), crowdPost(pathReads, 60_000), 0, 0, false}}},
-	"few_bodies_ahead":        {crowds: []crowd{{frontPort, 40, crowdPost(pathReads, 60_000), strings.Repeat(crowdPost(pathReads, 60_000), 4), 0, 0, false}}, answer: crowdAnswerBytes},
-	"requests_ahead":          {crowds: []crowd{{frontPort, 650, crowdGet, strings.Repeat(crowdGet, 50), 0, 0, false}}},
-	"bodies_ahead":            {crowds: []crowd{serviceCrowd}},
-	"bodies_ahead_full":       {crowds: []crowd{serviceCrowd}, endpoints: endpointsFull},
-	"bodies_ahead_silent":     {crowds: []crowd{serviceCrowd}, endpoints: endpointsSilent},
-	"bodies_ahead_in_stop":    {crowds: []crowd{serviceCrowd}, stop: true},
-	"bodies_ahead_in_memory":  {crowds: []crowd{serviceCrowd}, descriptors: manyDescriptors},
+	"few_requests_ahead":      {crowds: []crowd{{port: frontPort, connections: 20, first: crowdPost(pathReads, 60_000), again: crowdPost(pathReads, 60_000)}}},
+	"few_bodies_ahead":        {crowds: []crowd{{port: frontPort, connections: 40, first: crowdPost(pathReads, 60_000), again: strings.Repeat(crowdPost(pathReads, 60_000), 4)}}, answer: crowdAnswerBytes},
+	"requests_ahead":          {crowds: []crowd{{port: frontPort, connections: 650, first: crowdGet, again: strings.Repeat(crowdGet, 50)}}},
+	"bodies_ahead":            {crowds: []crowd{bodiesCrowd}},
+	"bodies_ahead_full":       {crowds: []crowd{bodiesCrowd}, endpoints: endpointsFull},
+	"bodies_ahead_silent":     {crowds: []crowd{bodiesCrowd}, endpoints: endpointsSilent},
+	"bodies_ahead_in_stop":    {crowds: []crowd{bodiesCrowd}, stop: true},
+	"bodies_ahead_in_memory":  {crowds: []crowd{bodiesCrowd}, descriptors: manyDescriptors},
 	"headers_in_memory":       {crowds: []crowd{headersCrowd}, descriptors: manyDescriptors},
-	"all_in_memory":           {crowds: []crowd{serviceCrowd, headersCrowd, directoryCrowd, readyCrowd, metricsCrowd, peerCrowd}, descriptors: manyDescriptors},
-	"large_answers_unread":    {crowds: []crowd{{frontPort, 650, crowdGet, crowdGet, 0, 0, false}}, answer: crowdAnswerBytes},
-	"large_answers_slow":      {crowds: []crowd{{frontPort, 650, crowdGet, "", 0, 200 * time.Millisecond, false}}, answer: crowdAnswerBytes},
-	"streams_unread":          {crowds: []crowd{{frontPort, 650, crowdStream, strings.Repeat(crowdStream, 20), 0, 0, false}}},
+	"all_in_memory":           {crowds: allCrowds, descriptors: manyDescriptors},
+	"large_answers_unread":    {crowds: []crowd{{port: frontPort, connections: 650, first: crowdGet, again: crowdGet}}, answer: crowdAnswerBytes},
+	"large_answers_slow":      {crowds: []crowd{{port: frontPort, connections: 650, first: crowdGet, readPause: 200 * time.Millisecond}}, answer: crowdAnswerBytes},
+	"streams_unread":          {crowds: []crowd{{port: frontPort, connections: 650, first: crowdStream, again: strings.Repeat(crowdStream, 20)}}},
 	"silent":                  {crowds: []crowd{silentCrowd}},
 	"silent_in_stop":          {crowds: []crowd{silentCrowd}, stop: true},
 	"unfinished_headers":      {crowds: []crowd{headersCrowd}},
-	"unfinished_bodies":       {crowds: []crowd{unreadBodyCrowd}},
-	"tiny_chunks":             {crowds: []crowd{{frontPort, 650, tinyChunks, strings.Repeat("1\r\na\r\n", 10), 50 * time.Millisecond, 0, false}}},
-	"resets":                  {crowds: []crowd{{frontPort, 100, crowdGet, "", 0, 0, true}}},
+	"unfinished_bodies":       {crowds: []crowd{partialBodyCrowd}},
+	"tiny_chunks":             {crowds: []crowd{{port: frontPort, connections: 650, first: tinyChunks, again: strings.Repeat("1\r\na\r\n", 10), pause: 50 * time.Millisecond}}},
+	"resets":                  {crowds: []crowd{{port: frontPort, connections: 100, first: crowdGet, reset: true}}},
 	"directory":               {crowds: []crowd{directoryCrowd}},
 	"ready":                   {crowds: []crowd{readyCrowd}},
 	"metrics":                 {crowds: []crowd{metricsCrowd}},
 	"between_vms":             {crowds: []crowd{peerCrowd}},
-	"all_together":            {crowds: []crowd{serviceCrowd, headersCrowd, directoryCrowd, readyCrowd, metricsCrowd, peerCrowd}},
-	"all_together_in_stop":    {crowds: []crowd{serviceCrowd, headersCrowd, directoryCrowd, readyCrowd, metricsCrowd, peerCrowd}, stop: true},
+	"all_together":            {crowds: allCrowds},
+	"all_together_in_stop":    {crowds: allCrowds, stop: true},
 	"silent_at_all_ports":     {crowds: crowdsAtAllPorts(1000, "")},
 	"datagrams":               {datagrams: 20},
 	"one_workspace":           {crowds: []crowd{keyedCrowd, headersCrowd}, keyed: true},
@@ -152,7 +153,7 @@
 func crowdsAtAllPorts(connections int, first string) []crowd {
 	var out []crowd
 	for _, port := range []func(*soakVM) string{frontPort, readyPort, directoryPort, peerPort, metricsPort} {
-		out = append(out, crowd{port, connections, first, "", 0, 0, false})
+		out = append(out, crowd{port: port, connections: connections, first: first})
 	}
 	return out
 }
@@ -263,15 +264,7 @@
 }
 
 // residentKB returns the resident memory of a process, zero if it has ended.
-func residentKB(pid int) int {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	_, rest, _ := strings.Cut(string(text), "VmRSS:")
-	if fields := strings.Fields(rest); len(fields) > 0 {
-		kb, _ := strconv.Atoi(fields[0])
-		return kb
-	}
-	return 0
-}
+func residentKB(pid int) int { return statusKB(pid, "VmRSS:") }
 
 // unreadBytes returns what has been received on connections to local ports and not been read.
 func unreadBytes(ports []int) int {
@@ -324,12 +317,17 @@
 	return dir, exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../cmd/...").Run()
 })
 
+// plainNode returns the path of fescue-node without the race detector.
+func plainNode(t *testing.T) string {
+	dir, err := plainBinaries()
+	assert.NilError(t, err)
+	return filepath.Join(dir, "fescue-node")
+}
+
 // restartLimited restarts a VM with the limits of a crowd's case.
 func (s *soak) restartLimited(v *soakVM, descriptors int, keyed bool) {
-	dir, err := plainBinaries()
-	assert.NilError(s.t, err)
 	v.proc.kill()
-	v.proc.binary = filepath.Join(dir, "fescue-node")
+	v.proc.binary = plainNode(s.t)
 	text, err := os.ReadFile(s.file(v, "json"))
 	assert.NilError(s.t, err)
 	limits := fmt.Sprintf(`"memoryMb": %d, "maxFds": %d`, crowdMemoryMB, descriptors)
