Review case 4: crashes of runners end the system's processes

A script with three machines, 14 model servers and conversations of some 30 prompt parts. Servers crash one after the other, a quarter of them down at a time. The register of crashes deletes the record of a part that it still lists as disputed, and the next message to another VM dereferences it: two or three of three processes end by themselves at the same moment.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -17,13 +17,18 @@
 // cases are the scripted cases. Each reports whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"foreign-entry": foreignEntry,
+	"crash-records": crashRecords,
 }
 
 func main() {
 	name := flag.String("case", "", "the case to run")
 	program := flag.String("program", "target/fescue-node", "the system's program")
+	spec := flag.String("engine", "", "be a model server; used by this program only")
 	record := flag.String("record", "record.txt", "where to write what was sent, answered and run")
 	flag.Parse()
+	if *spec != "" {
+		os.Exit(serveEngine(*spec))
+	}
 	os.Exit(runCase(*name, *program, *record, os.Getenv("TROUBLE") != "0"))
 }
 
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -38,9 +38,11 @@
 	address string // of the store
 	servers []*http.Server
 	nodes   []*node
+	engines []*engine
 
-	mu     sync.Mutex
-	record *os.File
+	mu      sync.Mutex
+	record  *os.File
+	closing bool
 }
 
 // newWorld starts the store and opens the record.
@@ -86,9 +88,17 @@
 
 // close ends all processes and stand-ins, and removes the temporary folder.
 func (w *world) close() {
+	w.mu.Lock()
+	w.closing = true
+	w.mu.Unlock()
 	for _, n := range w.nodes {
 		n.kill()
 	}
+	w.mu.Lock()
+	for _, e := range w.engines {
+		_ = e.cmd.Process.Kill()
+	}
+	w.mu.Unlock()
 	for _, s := range w.servers {
 		_ = s.Close()
 	}
@@ -98,6 +108,12 @@
 	}
 }
 
+func (w *world) isClosing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.closing
+}
+
 // node is one machine's process of the system.
 type node struct {
 	name                    string
