--- a/review/standins-2/crash_records.go
+++ b/review/standins-2/crash_records.go
@@ -188,7 +188,7 @@
 				mu.Unlock()
 				w.note("the process of %s has ended by itself: %s", n.name, n.cmd.ProcessState)
 				time.Sleep(time.Second)
-				if w.isClosing() || n.run() != nil {
+				if w.isClosing() || n.runAgain() != nil {
 					return
 				}
 			}
--- a/review/standins-2/foreign_entry.go
+++ b/review/standins-2/foreign_entry.go
@@ -77,7 +77,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var wg, traffic sync.WaitGroup
-	traffic.Go(func() { w.commits(ctx, &wg, got, 15*time.Millisecond) })
+	traffic.Go(func() { w.commits(ctx, &wg, got, 6*time.Millisecond) })
 	time.Sleep(6 * time.Second)
 
 	leaving := servers[0]
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -119,6 +119,7 @@
 	name                    string
 	front, ready, directory string
 	settings                string
+	content                 map[string]any // of the settings
 	log                     *os.File
 	cmd                     *exec.Cmd
 	done                    chan struct{}
@@ -163,7 +164,7 @@
 	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", port+portsOfNode+i) }
 	name := fmt.Sprintf("front-%s-%d", zone, len(w.nodes)+1)
 	n := &node{name: name, front: at(0), ready: at(1), directory: at(2), program: w.program, settings: filepath.Join(w.dir, name+".json")}
-	settings := map[string]any{
+	n.content = map[string]any{
 		"node": name, "role": "node", "machineClass": "front", "serves": []string{"front", "directory"},
 		"ip": "127.0.0.1", "zone": zone, "region": "region-1",
 		"zones":     map[string]string{"zone-a": "region-1", "zone-b": "region-1", "zone-c": "region-1"},
@@ -184,11 +185,7 @@
 			"readMbS": 80.0, "recordBytes": 262144, "callBytes": 2097152, "keep_s": 300, "partMb": 200, "ttlMinMs": 1000,
 		},
 	}
-	text, err := json.MarshalIndent(settings, "", "  ")
-	if err != nil {
-		return nil, err
-	}
-	if err := os.WriteFile(n.settings, text, 0o600); err != nil {
+	if err := n.writeSettings(); err != nil {
 		return nil, err
 	}
 	if n.log, err = os.Create(filepath.Join(w.dir, name+".log")); err != nil {
@@ -198,6 +195,23 @@
 	return n, n.run()
 }
 
+func (n *node) writeSettings() error {
+	text, err := json.MarshalIndent(n.content, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(n.settings, text, 0o600)
+}
+
+// runAgain starts the process after its end, with the settings of a system that has started before.
+func (n *node) runAgain() error {
+	n.content["bootstrap"] = false
+	if err := n.writeSettings(); err != nil {
+		return err
+	}
+	return n.run()
+}
+
 // run starts the process, as the deploy file says, with no argument.
 func (n *node) run() error {
 	n.cmd = exec.Command(n.program)
