Review case 4: only requests without a byte of an answer count

The script goes on until three processes have ended, and its check counts only lost requests whose caller got no byte of an answer.

--- a/review/standins-2/crash_records.go
+++ b/review/standins-2/crash_records.go
@@ -24,6 +24,8 @@
 	decodeServers, prefillServers = 12, 2
 	// downTime is how long a server is down, and crashTime for how long servers crash.
 	downTime, crashTime = 4500 * time.Millisecond, 75 * time.Second
+	// enoughEnds is the number of processes of the system that have ended by themselves from which no more servers crash.
+	enoughEnds = 3
 )
 
 func (w *world) putModelConfig() {
@@ -131,7 +133,7 @@
 	}
 	time.Sleep(6 * time.Second)
 	if trouble {
-		w.crashInTurn(runs, engines[:decodeServers], func() bool { return len(ended()) > 0 })
+		w.crashInTurn(runs, engines[:decodeServers], func() bool { return len(ended()) >= enoughEnds })
 	} else {
 		time.Sleep(20 * time.Second)
 	}
@@ -201,8 +203,8 @@
 	}
 }
 
-// judgeLost reports whether more than three requests were lost with a machine's process after they had been passed on to
-// a server that ran on.
+// judgeLost reports whether more than three requests were lost without a byte of an answer with a machine's process, after
+// they had been passed on to a server that ran on.
 func (w *world) judgeLost(got []stream, runs *engineRuns, ends []nodeEnd) bool {
 	runs.mu.Lock()
 	defer runs.mu.Unlock()
@@ -211,7 +213,7 @@
 		byID[r.id] = append(byID[r.id], r)
 	}
 	statuses := map[int]int{}
-	lost := 0
+	lost, unanswered := 0, 0
 	for i := range got {
 		s := &got[i]
 		statuses[s.status]++
@@ -229,11 +231,15 @@
 			last := list[len(list)-1]
 			if crashed := last.engine.crashedAt(); crashed.IsZero() || crashed.After(end.at.Add(time.Second)) {
 				lost++
+				if s.header == nil {
+					unanswered++
+				}
 				w.note("lost with the process of %s while %s ran on: %s", end.node.name, last.engine.ID, s.String())
 				break
 			}
 		}
 	}
-	w.say("statuses %v; %d processes ended by themselves; %d requests on kept channels were lost with them that sound servers had", statuses, len(ends), lost)
-	return lost > 3
+	w.say("statuses %v; %d processes ended by themselves; %d requests on kept channels were lost with them that sound servers had, %d of them without a byte of an answer",
+		statuses, len(ends), lost, unanswered)
+	return unanswered > 3
 }
