Review case 6: a removal is kept at machines that weren't cut off

A script with five machines and 12 servers. The two machines that read the list of servers lose the store for 2.2 s; five servers leave right after it by the removal of their entries.

--- a/review/standins-2/foreign_entry.go
+++ b/review/standins-2/foreign_entry.go
@@ -96,7 +96,7 @@
 	// It goes on for drainMs and a little longer, and exits.
 	time.Sleep(time.Until(acknowledged.Add(drainTime + 1500*time.Millisecond)))
 	leaving.exit()
-	exited := time.Now()
+	exited := leaving.remove()
 	w.note("%s has exited", leaving.id)
 	time.Sleep(6 * time.Second)
 	stop()
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"foreign-entry": foreignEntry,
 	"crash-records": crashRecords,
+	"removed-entry": removedEntry,
 }
 
 func main() {
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -132,14 +132,19 @@
 	return time.Now()
 }
 
-// exit ends the server: its entry goes, and its connections with the requests on them.
+// remove ends the server's entry. The returned time is that of the store's acknowledgement.
+func (s *server) remove() time.Time {
+	close(s.stop)
+	s.w.store.Put("keyed.servers", s.id, "")
+	return time.Now()
+}
+
+// exit ends the server's process, and its connections with the requests on them.
 func (s *server) exit() {
 	s.mu.Lock()
 	s.ended = true
 	s.mu.Unlock()
-	close(s.stop)
 	_ = s.http.Close()
-	s.w.store.Put("keyed.servers", s.id, "")
 }
 
 func (s *server) isDraining() bool {
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -130,16 +131,11 @@
 
 const portsOfNode = 16
 
-// freePorts returns the first of n free consecutive ports on 127.0.0.1.
+// freePorts returns the first of n free consecutive ports on 127.0.0.1, below those that the kernel gives to connections.
 func freePorts(n int) (int, error) {
-	for range 200 {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		first := ln.Addr().(*net.TCPAddr).Port
-		_ = ln.Close()
-		if first+n < 65000 && areFree(first, n) {
+	const lowest, highest, tries = 10_000, 32_000, 1000
+	for range tries {
+		if first := lowest + rand.IntN(highest-lowest-n); areFree(first, n) {
 			return first, nil
 		}
 	}
